Add the runtime and the clients of the outside systems

Cause: routers, controller and administration API need the same settings, log, metrics, traces and HTTP shell, and every port needs one real client. Change: packages/adapters: settings in JSON with comments checked by a schema (file, line, key, expected), tslog, prom-client, OpenTelemetry traces with W3C propagation, bounded HTTP server, undici clients of tables, objects, host list, weight store, engines and plain services. Before: ports only.

--- /dev/null
+++ b/packages/adapters/src/engine/http.ts
@@ -0,0 +1,205 @@
+import { z } from 'zod';
+import { followStream } from './stream';
+import type { EngineId } from '@mimosamill/core';
+import type { HttpClient } from '../runtime/fetch';
+import type {
+  CacheEvents,
+  CacheSnapshot,
+  EngineAnswer,
+  EngineClient,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  GenerateRequest,
+  OrderOutcome,
+} from './client';
+
+const STATUS_OK = 200;
+const JSON_HEADERS = { 'content-type': 'application/json' };
+
+const loadedSchema = z.object({
+  model: z.string(),
+  version: z.string(),
+  adapters: z.array(z.string()),
+});
+const roleSchema = z.enum(['mixed', 'prefill', 'decode']);
+const loadSchema = z.object({
+  engine_id: z.string(),
+  state: z.enum(['live', 'leaving']),
+  role: roleSchema,
+  running: z.number(),
+  queued: z.number(),
+  max_running: z.number(),
+  cache_used_ratio: z.number(),
+  step_ms: z.number(),
+  loaded: z.array(loadedSchema),
+  report_age_ms: z.number(),
+});
+const cacheEventsSchema = z.object({
+  oldest_seq: z.number(),
+  latest_seq: z.number(),
+  events: z.array(
+    z.object({ seq: z.number(), kind: z.enum(['stored', 'removed']), block_hash: z.string() }),
+  ),
+});
+const cacheSnapshotSchema = z.object({
+  as_of_seq: z.number(),
+  block_hashes: z.array(z.string()),
+});
+const targetSchema = z.object({ loaded: z.array(loadedSchema), role: roleSchema });
+const stateSchema = z.object({
+  engine_id: z.string(),
+  target: targetSchema,
+  loaded: z.array(loadedSchema),
+  loading: z.array(loadedSchema),
+  highest_fencing_number: z.number(),
+});
+const staleSchema = z.object({ error: z.object({ highest_fencing_number: z.number() }) });
+
+export interface EngineClientOptions {
+  /** For load, cache, state and cancel calls. */
+  readonly timeoutMs: number;
+  readonly orderTimeoutMs: number;
+}
+
+/** Client of engines that serve the completions API with the extensions in docs/interfaces.md. */
+export function createEngineClient(http: HttpClient, options: EngineClientOptions): EngineClient {
+  const { timeoutMs } = options;
+
+  async function get<S extends z.ZodType, T>(
+    url: string,
+    schema: S,
+    convert: (value: z.infer<S>) => T,
+  ): Promise<EngineAnswer<T>> {
+    const answer = await http.fetch(url, { method: 'GET', timeoutMs });
+    if (answer.kind !== 'ok') return { kind: 'unavailable', message: answer.message };
+    if (answer.status !== STATUS_OK) {
+      return { kind: 'unavailable', message: `status ${answer.status}` };
+    }
+    const checked = schema.safeParse(JSON.parse(answer.body));
+    if (!checked.success) return { kind: 'unavailable', message: checked.error.message };
+    return { kind: 'ok', value: convert(checked.data) };
+  }
+
+  return {
+    generate: (address, request, onEvent) =>
+      followStream(
+        http.dispatcher,
+        {
+          url: `http://${address}/v1/completions`,
+          method: 'POST',
+          body: JSON.stringify(toWireRequest(request)),
+          headers: withTrace(JSON_HEADERS, request.traceparent),
+          attemptNo: request.attemptNo,
+        },
+        onEvent,
+      ),
+    attach: (address, requestId, attemptNo, fromIndex, onEvent) => {
+      const query = new URLSearchParams({ from: String(fromIndex), attempt: String(attemptNo) });
+      const url = `http://${address}/v1/requests/${requestId}/stream?${query.toString()}`;
+      const call = { url, method: 'GET', headers: {}, attemptNo } as const;
+      return followStream(http.dispatcher, call, onEvent);
+    },
+    cancel: async (address, requestId, attemptNo) => {
+      await http.fetch(`http://${address}/v1/requests/${requestId}/cancel`, {
+        method: 'POST',
+        headers: JSON_HEADERS,
+        body: JSON.stringify({ attempt: attemptNo }),
+        timeoutMs,
+      });
+    },
+    load: (address) => get(`http://${address}/v1/load`, loadSchema, toLoad),
+    cacheEvents: (address, afterSeq) =>
+      get(`http://${address}/v1/cache-events?after=${afterSeq}`, cacheEventsSchema, toCacheEvents),
+    cacheSnapshot: (address) =>
+      get(`http://${address}/v1/cache-snapshot`, cacheSnapshotSchema, toCacheSnapshot),
+    state: (address) => get(`http://${address}/v1/state`, stateSchema, toState),
+    order: (address, order) => sendOrder(http, address, order, options.orderTimeoutMs),
+  };
+}
+
+async function sendOrder(
+  http: HttpClient,
+  address: string,
+  order: EngineOrder,
+  timeoutMs: number,
+): Promise<OrderOutcome> {
+  const answer = await http.fetch(`http://${address}/v1/orders`, {
+    method: 'POST',
+    headers: JSON_HEADERS,
+    body: JSON.stringify({
+      order_id: order.orderId,
+      fencing_number: order.fencingNumber,
+      target: order.target,
+    }),
+    timeoutMs,
+  });
+  if (answer.kind === 'not_sent') return { kind: 'unavailable', message: answer.message };
+  if (answer.kind === 'no_answer') return { kind: 'unknown', message: answer.message };
+  if (answer.status === STATUS_OK) return { kind: 'ok' };
+  if (answer.status === 409) {
+    const { error } = staleSchema.parse(JSON.parse(answer.body));
+    return { kind: 'stale', highestFencingNumber: error.highest_fencing_number };
+  }
+  return { kind: 'refused', message: `status ${answer.status}: ${answer.body}` };
+}
+
+function withTrace(
+  headers: Readonly<Record<string, string>>,
+  traceparent: string | undefined,
+): Record<string, string> {
+  return traceparent === undefined ? { ...headers } : { ...headers, traceparent };
+}
+
+function toWireRequest(request: GenerateRequest): unknown {
+  return {
+    request_id: request.requestId,
+    attempt: request.attemptNo,
+    model: request.model,
+    version: request.version,
+    adapter: request.adapter,
+    prompt: request.prompt,
+    prefix: request.prefix,
+    max_tokens: request.maxTokens,
+    seed: request.seed,
+    priority: request.priority,
+    stream: true,
+  };
+}
+
+function toLoad(load: z.infer<typeof loadSchema>): EngineLoad {
+  return {
+    engineId: load.engine_id as EngineId,
+    state: load.state,
+    role: load.role,
+    running: load.running,
+    queued: load.queued,
+    maxRunning: load.max_running,
+    cacheUsedRatio: load.cache_used_ratio,
+    stepMs: load.step_ms,
+    loaded: load.loaded,
+    reportAgeMs: load.report_age_ms,
+  };
+}
+
+function toCacheEvents(events: z.infer<typeof cacheEventsSchema>): CacheEvents {
+  return {
+    oldestSeq: events.oldest_seq,
+    latestSeq: events.latest_seq,
+    events: events.events.map(({ seq, kind, block_hash: blockHash }) => ({ seq, kind, blockHash })),
+  };
+}
+
+function toCacheSnapshot(snapshot: z.infer<typeof cacheSnapshotSchema>): CacheSnapshot {
+  return { asOfSeq: snapshot.as_of_seq, blockHashes: snapshot.block_hashes };
+}
+
+function toState(state: z.infer<typeof stateSchema>): EngineState {
+  return {
+    engineId: state.engine_id as EngineId,
+    target: state.target,
+    loaded: state.loaded,
+    loading: state.loading,
+    highestFencingNumber: state.highest_fencing_number,
+  };
+}
--- /dev/null
+++ b/packages/adapters/src/engine/stream.ts
@@ -0,0 +1,136 @@
+import { createParser } from 'eventsource-parser';
+import { request } from 'undici';
+import { describeError, isNotSent } from '../runtime/fetch';
+import type { Readable } from 'node:stream';
+import type { AttemptNo, RequestId } from '@mimosamill/core';
+import type { Dispatcher } from 'undici';
+import type { Attempt, AttemptEvent } from './client';
+
+export interface StreamCall {
+  readonly url: string;
+  readonly method: 'GET' | 'POST';
+  readonly body?: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly attemptNo: AttemptNo;
+}
+
+interface WireToken {
+  readonly request_id: string;
+  readonly attempt: number;
+  readonly index: number;
+  readonly text: string;
+  readonly finish_reason?: 'stop' | 'length';
+}
+
+const STATUS_OK = 200;
+
+type RefusedCause = Extract<AttemptEvent, { kind: 'refused' }>['cause'];
+
+const CAUSE_BY_CODE: Readonly<Record<string, RefusedCause>> = {
+  leaving: 'leaving',
+  overloaded: 'overloaded',
+  no_version: 'no_version',
+  bad_request: 'bad_request',
+  unknown_request: 'unknown',
+};
+
+/** Follows one attempt's event stream until it finishes, fails or is closed. */
+export function followStream(
+  dispatcher: Dispatcher,
+  call: StreamCall,
+  onEvent: (event: AttemptEvent) => void,
+): Attempt {
+  const abort = new AbortController();
+  let body: Readable | undefined;
+  let hasEnded = false;
+  let isPaused = false;
+
+  function end(event: AttemptEvent): void {
+    if (hasEnded) return;
+    hasEnded = true;
+    onEvent(event);
+  }
+
+  function onData(data: string): void {
+    if (hasEnded || data === '[DONE]') return;
+    const token = JSON.parse(data) as WireToken;
+    if (token.finish_reason !== undefined) {
+      end({ kind: 'finish', attemptNo: call.attemptNo, reason: token.finish_reason });
+      return;
+    }
+    onEvent({
+      kind: 'token',
+      requestId: token.request_id as RequestId,
+      attemptNo: token.attempt as AttemptNo,
+      index: token.index,
+      text: token.text,
+    });
+  }
+
+  async function run(): Promise<void> {
+    const answer = await request(call.url, {
+      dispatcher,
+      method: call.method,
+      headers: { ...call.headers },
+      body: call.body ?? null,
+      signal: abort.signal,
+    });
+    if (answer.statusCode !== STATUS_OK) {
+      end(toRefused(call.attemptNo, answer.statusCode, await answer.body.text()));
+      return;
+    }
+    const parser = createParser({ onEvent: ({ data }) => onData(data) });
+    body = answer.body;
+    const stream = answer.body;
+    stream.setEncoding('utf8');
+    stream.on('data', (chunk: string) => parser.feed(chunk));
+    if (isPaused) stream.pause();
+    await new Promise<void>((resolve, reject) => {
+      stream.once('end', resolve);
+      stream.once('error', reject);
+      stream.once('close', resolve);
+    });
+    end(toLost(call.attemptNo, 'ended_early', 'the stream ended without a finish'));
+  }
+
+  run().catch((error: unknown) => {
+    const cause = isNotSent(error) ? 'connect_failed' : 'reset';
+    end(toLost(call.attemptNo, cause, describeError(error)));
+  });
+
+  return {
+    close: () => {
+      hasEnded = true;
+      abort.abort();
+    },
+    pause: () => {
+      isPaused = true;
+      body?.pause();
+    },
+    resume: () => {
+      isPaused = false;
+      body?.resume();
+    },
+  };
+}
+
+function toLost(
+  attemptNo: AttemptNo,
+  cause: Extract<AttemptEvent, { kind: 'lost' }>['cause'],
+  message: string,
+): AttemptEvent {
+  return { kind: 'lost', attemptNo, cause, message };
+}
+
+function toRefused(attemptNo: AttemptNo, status: number, body: string): AttemptEvent {
+  return { kind: 'refused', attemptNo, cause: causeOf(body), message: `status ${status}: ${body}` };
+}
+
+function causeOf(body: string): RefusedCause {
+  try {
+    const { error } = JSON.parse(body) as { error?: { code?: string } };
+    return CAUSE_BY_CODE[error?.code ?? ''] ?? 'failed';
+  } catch {
+    return 'failed';
+  }
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -47,3 +47,34 @@
 // runtime
 export { createSystemClock } from './runtime/clock';
 export type { Clock } from './runtime/clock';
+export { createHashes, sha256Hex } from './runtime/hash';
+export type { Hashes } from './runtime/hash';
+export { createHttpClient, describeError, isNotSent } from './runtime/fetch';
+export type { FetchOptions, FetchOutcome, HttpClient } from './runtime/fetch';
+export {
+  createHttpShell,
+  DEFAULT_HTTP_LIMITS,
+  readJsonBody,
+  sendError,
+  sendJson,
+  sendText,
+  toErrorBody,
+} from './runtime/http';
+export type { BodyOutcome, HttpLimits, HttpShell } from './runtime/http';
+export { createLog } from './runtime/log';
+export type { Log, LogFields, LogLevel } from './runtime/log';
+export { createMetrics } from './runtime/metrics';
+export type { Metrics } from './runtime/metrics';
+export { EXIT_USAGE, runProgram } from './runtime/main';
+export type { ProgramOptions, RunningProgram } from './runtime/main';
+export { formatProblem, loadSettings, parseSettings } from './runtime/settings';
+export type { SettingsOutcome, SettingsProblem } from './runtime/settings';
+export { createTracer } from './runtime/trace';
+export type { FinishedSpan, Tracer, TraceSettings, TraceSpan } from './runtime/trace';
+
+// real clients
+export { createHostList, createObjects, createTables, createWeightStore } from './platform/http';
+export type { PlatformOptions } from './platform/http';
+export { createEngineClient } from './engine/http';
+export type { EngineClientOptions } from './engine/http';
+export { createServiceClient } from './service/http';
--- /dev/null
+++ b/packages/adapters/src/runtime/hash.ts
@@ -0,0 +1,20 @@
+import { createHash } from 'node:crypto';
+import xxhash from 'xxhash-wasm';
+import type { Hash32 } from '@mimosamill/core';
+
+export interface Hashes {
+  readonly hash32: Hash32;
+  /** 64-bit hash as 16 hexadecimal digits. */
+  readonly hash64: (text: string) => string;
+}
+
+/** Loads the hash functions; the library compiles its code asynchronously. */
+export async function createHashes(): Promise<Hashes> {
+  const { h32, h64ToString } = await xxhash();
+  return { hash32: (text, seed = 0) => h32(text, seed), hash64: (text) => h64ToString(text) };
+}
+
+/** SHA-256 in hexadecimal, the form in which keys are kept. */
+export function sha256Hex(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
--- /dev/null
+++ b/packages/adapters/src/runtime/http.ts
@@ -0,0 +1,177 @@
+import { createServer } from 'node:http';
+import { App } from '@tinyhttp/app';
+import { createServeError, httpStatus } from '@mimosamill/core';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { ServeError } from '@mimosamill/core';
+
+export interface HttpLimits {
+  readonly maxBodyBytes: number;
+  readonly maxHeaderBytes: number;
+  /** A caller that sends its headers or body more slowly is cut off. */
+  readonly headersTimeoutMs: number;
+  readonly requestTimeoutMs: number;
+  readonly maxConnections: number;
+}
+
+export const DEFAULT_HTTP_LIMITS: HttpLimits = {
+  maxBodyBytes: 1_048_576,
+  maxHeaderBytes: 16_384,
+  headersTimeoutMs: 10_000,
+  requestTimeoutMs: 30_000,
+  maxConnections: 10_000,
+};
+
+export interface HttpShell {
+  readonly app: App;
+  /** Resolves with the port in use. */
+  readonly listen: (ip: string, port: number) => Promise<number>;
+  /** Stops accepting, lets running requests finish and closes idle connections. */
+  readonly drain: (timeoutMs: number) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+export type BodyOutcome =
+  | { readonly kind: 'ok'; readonly text: string; readonly json: unknown }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
+/** Creates an HTTP server round a tinyhttp application. */
+export function createHttpShell(limits: HttpLimits = DEFAULT_HTTP_LIMITS): HttpShell {
+  const app = new App({
+    settings: { xPoweredBy: false },
+    noMatchHandler: (_req, res) => sendError(res, createServeError('not_found', 'no such route')),
+    onError: (error, _req, res) => {
+      const message = error instanceof Error ? error.message : String(error);
+      sendError(res, createServeError('backend_failed', message, 'unknown'));
+    },
+  });
+  const server = createServer(
+    {
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      connectionsCheckingInterval: 1_000,
+      noDelay: true,
+    },
+    (req, res) => app.handler(req as never, res as never),
+  );
+  server.maxConnections = limits.maxConnections;
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (!socket.writable) return;
+    socket.end(rawErrorResponse(error.code ?? ''));
+  });
+  return {
+    app,
+    listen: (ip, port) => listen(server, ip, port),
+    drain: (timeoutMs) => drain(server, timeoutMs),
+    close: () => closeNow(server),
+  };
+}
+
+/** Reads a JSON body of bounded size. */
+export async function readJsonBody(req: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  try {
+    for await (const chunk of req) {
+      sizeBytes += (chunk as Buffer).length;
+      if (sizeBytes > maxBytes) {
+        const message = `the body is larger than ${maxBytes} bytes`;
+        return { kind: 'error', error: createServeError('body_too_large', message) };
+      }
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return { kind: 'error', error: createServeError('request_timeout', 'the body did not arrive') };
+  }
+  const text = Buffer.concat(chunks).toString('utf8');
+  try {
+    return { kind: 'ok', text, json: JSON.parse(text) as unknown };
+  } catch {
+    return { kind: 'error', error: createServeError('bad_json', 'the body is not valid JSON') };
+  }
+}
+
+export function sendJson(res: ServerResponse, status: number, value: unknown): void {
+  sendText(res, status, 'application/json', JSON.stringify(value));
+}
+
+export function sendText(
+  res: ServerResponse,
+  status: number,
+  contentType: string,
+  text: string,
+): void {
+  res.writeHead(status, {
+    'content-type': contentType,
+    'content-length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
+
+/** The public form of an error. */
+export function toErrorBody(error: ServeError): unknown {
+  const { code, message, runState, retryAfterMs } = error;
+  const body = { code, message, not_run: runState === 'not_run', outcome: runState };
+  return { error: retryAfterMs === undefined ? body : { ...body, retry_after_ms: retryAfterMs } };
+}
+
+export function sendError(res: ServerResponse, error: ServeError): void {
+  if (res.headersSent) {
+    res.end();
+    return;
+  }
+  if (error.retryAfterMs !== undefined) {
+    res.setHeader('retry-after', Math.ceil(error.retryAfterMs / 1000));
+  }
+  // The rest of an oversized or malformed body is not read, so the connection can't be reused.
+  if (error.code === 'body_too_large') res.setHeader('connection', 'close');
+  sendJson(res, httpStatus(error.code), toErrorBody(error));
+}
+
+function listen(server: Server, ip: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, () => resolve((server.address() as AddressInfo).port));
+  });
+}
+
+function drain(server: Server, timeoutMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
+    server.close(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
+
+function closeNow(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+/** Answer to a request that the HTTP parser rejected, so no handler ran. */
+function rawErrorResponse(cause: string): string {
+  const status = RAW_STATUS[cause] ?? '400 Bad Request';
+  const code = cause === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'request_timeout' : 'bad_request';
+  const body = JSON.stringify(
+    toErrorBody(createServeError(code, `the HTTP request was not valid (${cause})`)),
+  );
+  return [
+    `HTTP/1.1 ${status}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
+
+const RAW_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
--- /dev/null
+++ b/packages/adapters/src/runtime/settings.ts
@@ -0,0 +1,84 @@
+import { readFileSync } from 'node:fs';
+import { findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser';
+import type { Node, ParseError } from 'jsonc-parser';
+import type { z } from 'zod';
+
+/** One mistake in a settings file. */
+export interface SettingsProblem {
+  readonly file: string;
+  /** Starts at 1. */
+  readonly line: number;
+  readonly key: string;
+  readonly expected: string;
+}
+
+export type SettingsOutcome<T> =
+  | { readonly kind: 'ok'; readonly settings: T }
+  | { readonly kind: 'invalid'; readonly problems: readonly SettingsProblem[] };
+
+/** Reads a file of JSON with comments and checks it against a schema. */
+export function loadSettings<S extends z.ZodType>(
+  file: string,
+  schema: S,
+): SettingsOutcome<z.infer<S>> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const expected = `a readable file (${(error as Error).message})`;
+    return { kind: 'invalid', problems: [{ file, line: 1, key: '', expected }] };
+  }
+  return parseSettings(file, text, schema);
+}
+
+/** Checks the text of a settings file; `file` is only named in problems. */
+export function parseSettings<S extends z.ZodType>(
+  file: string,
+  text: string,
+  schema: S,
+): SettingsOutcome<z.infer<S>> {
+  const syntaxErrors: ParseError[] = [];
+  const value: unknown = parse(text, syntaxErrors, { allowTrailingComma: true });
+  if (syntaxErrors.length > 0) {
+    return { kind: 'invalid', problems: syntaxErrors.map((error) => describe(file, text, error)) };
+  }
+  const checked = schema.safeParse(value);
+  if (checked.success) return { kind: 'ok', settings: checked.data };
+  const root = parseTree(text, [], { allowTrailingComma: true });
+  const problems = checked.error.issues.map((issue) => ({
+    file,
+    line: lineOf(text, root, issue.path),
+    key: issue.path.join('.'),
+    expected: issue.message,
+  }));
+  return { kind: 'invalid', problems };
+}
+
+/** One line a problem, as compilers print them. */
+export function formatProblem(problem: SettingsProblem): string {
+  const key = problem.key === '' ? '' : ` ${problem.key}:`;
+  return `${problem.file}:${problem.line}:${key} ${problem.expected}`;
+}
+
+function describe(file: string, text: string, error: ParseError): SettingsProblem {
+  return {
+    file,
+    line: lineAt(text, error.offset),
+    key: '',
+    expected: `valid JSON with comments (${printParseErrorCode(error.error)})`,
+  };
+}
+
+/** Line of the key, or of the nearest enclosing object if the key is missing. */
+function lineOf(text: string, root: Node | undefined, path: readonly PropertyKey[]): number {
+  if (root === undefined) return 1;
+  for (let { length } = path; length > 0; length -= 1) {
+    const node = findNodeAtLocation(root, path.slice(0, length) as (string | number)[]);
+    if (node !== undefined) return lineAt(text, node.offset);
+  }
+  return lineAt(text, root.offset);
+}
+
+function lineAt(text: string, offset: number): number {
+  return text.slice(0, offset).split('\n').length;
+}
