Add the stand-ins of engine, plain service and platform

Cause: the clients had never met a server, and every failure test needs one it can break. Change: packages/fakes: engine (continuous batching, prefix cache, priorities, lagging load, late and lossy cache events, orders with or without fencing, attach and resume, crash on a marked prompt, version faults), plain service (runs counted per key, lost and crossed answers), platform (tables, objects, host list, weights; outage, slowness, answers lost after the effect). The first run failed two of them: undici's body gives Buffers in 'data' events even after setEncoding, so the SSE parser threw; chunks are now decoded by a streaming TextDecoder. The same run showed that an error outside any test did not fail scripts/test.mjs; it does now. Conclusion: an attempt that continues a prefix gives exactly the uninterrupted answer.

--- a/packages/adapters/src/engine/stream.ts
+++ b/packages/adapters/src/engine/stream.ts
@@ -82,8 +82,8 @@
     const parser = createParser({ onEvent: ({ data }) => onData(data) });
     body = answer.body;
     const stream = answer.body;
-    stream.setEncoding('utf8');
-    stream.on('data', (chunk: string) => parser.feed(chunk));
+    const decoder = new TextDecoder();
+    stream.on('data', (chunk: Buffer) => parser.feed(decoder.decode(chunk, { stream: true })));
     if (isPaused) stream.pause();
     await new Promise<void>((resolve, reject) => {
       stream.once('end', resolve);
--- /dev/null
+++ b/packages/fakes/src/engine/cache.ts
@@ -0,0 +1,71 @@
+import type { Hash32 } from '@mimosamill/core';
+
+export const BLOCK_TOKENS = 16;
+
+export interface CacheChange {
+  readonly kind: 'stored' | 'removed';
+  readonly blockHash: string;
+}
+
+/** Least-recently-used cache of prompt blocks. A block's hash covers everything before it. */
+export interface PrefixCache {
+  /** Tokens at the start that are cached. */
+  readonly match: (tokens: readonly string[]) => number;
+  readonly store: (tokens: readonly string[]) => CacheChange[];
+  readonly blocks: () => readonly string[];
+  readonly usedRatio: () => number;
+}
+
+/** Hashes of a token sequence's full blocks, each chained to the one before. */
+export function blockHashes(tokens: readonly string[], hash: Hash32): string[] {
+  const hashes: string[] = [];
+  let chained = '';
+  for (let start = 0; start + BLOCK_TOKENS <= tokens.length; start += BLOCK_TOKENS) {
+    const block = tokens.slice(start, start + BLOCK_TOKENS).join(' ');
+    chained = hash(`${chained}/${block}`).toString(16);
+    hashes.push(chained);
+  }
+  return hashes;
+}
+
+export function createPrefixCache(capacityBlocks: number, hash: Hash32): PrefixCache {
+  // A Map keeps insertion order; the oldest entry is first.
+  const blocks = new Map<string, true>();
+
+  function touch(blockHash: string): void {
+    blocks.delete(blockHash);
+    blocks.set(blockHash, true);
+  }
+
+  function evict(): CacheChange[] {
+    const removed: CacheChange[] = [];
+    while (blocks.size > capacityBlocks) {
+      const [oldest] = blocks.keys();
+      if (oldest === undefined) break;
+      blocks.delete(oldest);
+      removed.push({ kind: 'removed', blockHash: oldest });
+    }
+    return removed;
+  }
+
+  return {
+    match: (tokens) => {
+      const hashes = blockHashes(tokens, hash);
+      const missing = hashes.findIndex((blockHash) => !blocks.has(blockHash));
+      const count = missing === -1 ? hashes.length : missing;
+      hashes.slice(0, count).forEach(touch);
+      return count * BLOCK_TOKENS;
+    },
+    store: (tokens) => {
+      const stored = blockHashes(tokens, hash).filter((blockHash) => {
+        const isNew = !blocks.has(blockHash);
+        touch(blockHash);
+        return isNew;
+      });
+      const changes: CacheChange[] = stored.map((blockHash) => ({ kind: 'stored', blockHash }));
+      return [...changes, ...evict()];
+    },
+    blocks: () => [...blocks.keys()],
+    usedRatio: () => blocks.size / capacityBlocks,
+  };
+}
--- /dev/null
+++ b/packages/fakes/src/engine/model.ts
@@ -0,0 +1,404 @@
+import { createPrefixCache } from './cache';
+import { splitPrompt, tokenText } from './text';
+import type { AttemptNo, EngineId, Hash32, RequestId } from '@mimosamill/core';
+import type {
+  CacheEvent,
+  CacheEvents,
+  CacheSnapshot,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  EngineTarget,
+  GenerateRequest,
+  LoadedModel,
+  Priority,
+} from '@mimosamill/adapters';
+
+/** How a version misbehaves. `minRunning` makes it appear only under load. */
+export type VersionFault =
+  | {
+      readonly kind: 'fails';
+      readonly failureRatio: number;
+      readonly afterMs: number;
+      readonly minRunning: number;
+      /** Only requests with this adapter; empty for all. */
+      readonly adapter: string;
+    }
+  | {
+      readonly kind: 'slow';
+      readonly factor: number;
+      readonly afterMs: number;
+      readonly minRunning: number;
+      readonly adapter: string;
+    };
+
+export interface EngineModelSettings {
+  readonly engineId: EngineId;
+  readonly loaded: readonly LoadedModel[];
+  readonly fencing: 'enforced' | 'ignored';
+  readonly maxRunning: number;
+  readonly maxQueued: number;
+  readonly cacheBlocks: number;
+  /** A step takes baseStepMs + stepMsPerRequest × running, and yields one token a request. */
+  readonly baseStepMs: number;
+  readonly stepMsPerRequest: number;
+  readonly prefillTokensPerStep: number;
+  readonly loadLagMs: number;
+  readonly cacheEventLagMs: number;
+  readonly cacheEventLossRatio: number;
+  /** Cache events kept for readers. */
+  readonly cacheEventHistory: number;
+  /** How long a finished request's tokens can still be read. */
+  readonly retentionMs: number;
+  readonly versionFaults: Readonly<Record<string, VersionFault>>;
+  /** A prompt with this text crashes the engine once it has generated `poisonAfterTokens`. */
+  readonly poisonMarker: string;
+  readonly poisonAfterTokens: number;
+}
+
+export const DEFAULT_ENGINE_MODEL: Omit<EngineModelSettings, 'engineId' | 'loaded'> = {
+  fencing: 'enforced',
+  maxRunning: 32,
+  maxQueued: 128,
+  cacheBlocks: 4_096,
+  baseStepMs: 8,
+  stepMsPerRequest: 0.2,
+  prefillTokensPerStep: 512,
+  loadLagMs: 200,
+  cacheEventLagMs: 300,
+  cacheEventLossRatio: 0.02,
+  cacheEventHistory: 1_024,
+  retentionMs: 30_000,
+  versionFaults: {},
+  poisonMarker: '',
+  poisonAfterTokens: 3,
+};
+
+export type EngineOutput =
+  | {
+      readonly kind: 'token';
+      readonly requestId: RequestId;
+      readonly index: number;
+      readonly text: string;
+    }
+  | { readonly kind: 'finish'; readonly requestId: RequestId }
+  | { readonly kind: 'failed'; readonly requestId: RequestId }
+  | { readonly kind: 'crash'; readonly requestId: RequestId };
+
+export type SubmitOutcome =
+  | { readonly kind: 'ok' }
+  | {
+      readonly kind: 'refused';
+      readonly cause: 'leaving' | 'overloaded' | 'no_version' | 'bad_request';
+    };
+
+export interface EngineWork {
+  readonly prefillTokens: number;
+  readonly cachedTokens: number;
+  readonly decodeTokens: number;
+}
+
+/** Everything an engine decides, without sockets and timers. */
+export interface EngineModel {
+  readonly submit: (request: GenerateRequest, nowMs: number) => SubmitOutcome;
+  readonly cancel: (requestId: RequestId, attemptNo: AttemptNo) => void;
+  /** Tokens so far, the journal prefix included; undefined for an unknown request. */
+  readonly known: (requestId: RequestId) => KnownRequest | undefined;
+  /** Runs one step of the batch. */
+  readonly step: (nowMs: number, random: () => number) => EngineOutput[];
+  /** Duration of the next step; undefined while there is nothing to do. */
+  readonly nextStepMs: () => number | undefined;
+  readonly load: (nowMs: number) => EngineLoad;
+  readonly cacheEvents: (afterSeq: number, nowMs: number, random: () => number) => CacheEvents;
+  readonly cacheSnapshot: () => CacheSnapshot;
+  /** Returns the versions whose weights have to be fetched. */
+  readonly order: (order: EngineOrder) => OrderResult;
+  readonly onWeights: (model: string, version: string, nowMs: number) => void;
+  readonly state: () => EngineState;
+  readonly leave: () => void;
+  readonly isIdle: () => boolean;
+  readonly work: () => EngineWork;
+}
+
+export type OrderResult =
+  | { readonly kind: 'ok'; readonly toFetch: readonly LoadedModel[] }
+  | { readonly kind: 'stale'; readonly highestFencingNumber: number };
+
+export interface KnownRequest {
+  readonly tokens: readonly string[];
+  readonly state: 'queued' | 'running' | 'finished';
+}
+
+interface Entry {
+  readonly request: GenerateRequest;
+  readonly arrivalSeq: number;
+  readonly tokens: string[];
+  prefillLeft: number;
+  state: 'queued' | 'running' | 'finished';
+  finishedAtMs: number;
+}
+
+const PRIORITY_RANK: Readonly<Record<Priority, number>> = { urgent: 0, normal: 1, batch: 2 };
+const LOADING_SLOWDOWN_FACTOR = 1.2;
+const LOAD_HISTORY = 64;
+
+export function createEngineModel(settings: EngineModelSettings, hash: Hash32): EngineModel {
+  const entries = new Map<RequestId, Entry>();
+  const cache = createPrefixCache(settings.cacheBlocks, hash);
+  const events: (CacheEvent & { readonly atMs: number })[] = [];
+  const loads: (EngineLoad & { readonly atMs: number })[] = [];
+  const loadedAtMs = new Map<string, number>();
+  const work = { prefillTokens: 0, cachedTokens: 0, decodeTokens: 0 };
+  let queue: Entry[] = [];
+  let running: Entry[] = [];
+  let target: EngineTarget = { loaded: settings.loaded, role: 'mixed' };
+  let { loaded } = settings;
+  let loading: readonly LoadedModel[] = [];
+  let highestFencingNumber = 0;
+  let arrivalSeq = 0;
+  let cacheSeq = 0;
+  let isLeaving = false;
+  let slowFactor = 1;
+
+  function hasVersion(request: GenerateRequest): boolean {
+    return loaded.some(
+      (entry) =>
+        entry.model === request.model &&
+        entry.version === request.version &&
+        (request.adapter === '' || entry.adapters.includes(request.adapter)),
+    );
+  }
+
+  function submit(request: GenerateRequest, nowMs: number): SubmitOutcome {
+    if (isLeaving) return { kind: 'refused', cause: 'leaving' };
+    if (!hasVersion(request)) return { kind: 'refused', cause: 'no_version' };
+    if (request.prefix.length >= request.maxTokens) {
+      return { kind: 'refused', cause: 'bad_request' };
+    }
+    if (queue.length >= settings.maxQueued) return { kind: 'refused', cause: 'overloaded' };
+    drop(request.requestId);
+    arrivalSeq += 1;
+    const entry: Entry = {
+      request,
+      arrivalSeq,
+      tokens: [...request.prefix],
+      prefillLeft: 0,
+      state: 'queued',
+      finishedAtMs: 0,
+    };
+    entries.set(request.requestId, entry);
+    queue.push(entry);
+    queue.sort(
+      (a, b) =>
+        PRIORITY_RANK[a.request.priority] - PRIORITY_RANK[b.request.priority] ||
+        a.arrivalSeq - b.arrivalSeq,
+    );
+    forgetFinished(nowMs);
+    return { kind: 'ok' };
+  }
+
+  function drop(requestId: RequestId): void {
+    queue = queue.filter((entry) => entry.request.requestId !== requestId);
+    running = running.filter((entry) => entry.request.requestId !== requestId);
+    entries.delete(requestId);
+  }
+
+  function forgetFinished(nowMs: number): void {
+    entries.forEach((entry, requestId) => {
+      const isOld = entry.state === 'finished' && nowMs - entry.finishedAtMs > settings.retentionMs;
+      if (isOld) entries.delete(requestId);
+    });
+  }
+
+  function admit(nowMs: number): void {
+    while (running.length < settings.maxRunning && queue.length > 0) {
+      const entry = queue.shift();
+      if (entry === undefined) return;
+      entry.state = 'running';
+      const tokens = [...splitPrompt(entry.request.prompt), ...entry.request.prefix];
+      const cachedTokens = cache.match(tokens);
+      entry.prefillLeft = tokens.length - cachedTokens;
+      work.cachedTokens += cachedTokens;
+      publish(cache.store(tokens), nowMs);
+      running.push(entry);
+    }
+  }
+
+  function publish(
+    changes: readonly { kind: 'stored' | 'removed'; blockHash: string }[],
+    nowMs: number,
+  ): void {
+    changes.forEach((change) => {
+      cacheSeq += 1;
+      events.push({ seq: cacheSeq, ...change, atMs: nowMs });
+    });
+    events.splice(0, Math.max(0, events.length - settings.cacheEventHistory));
+  }
+
+  function activeFault(entry: Entry, nowMs: number): VersionFault | undefined {
+    const { version, adapter, model } = entry.request;
+    const fault = settings.versionFaults[version];
+    if (fault === undefined) return undefined;
+    const ageMs = nowMs - (loadedAtMs.get(`${model}/${version}`) ?? 0);
+    const isActive =
+      ageMs >= fault.afterMs &&
+      running.length >= fault.minRunning &&
+      (fault.adapter === '' || fault.adapter === adapter);
+    return isActive ? fault : undefined;
+  }
+
+  function step(nowMs: number, random: () => number): EngineOutput[] {
+    admit(nowMs);
+    const outputs: EngineOutput[] = [];
+    let prefillBudget = settings.prefillTokensPerStep;
+    slowFactor = loading.length > 0 ? LOADING_SLOWDOWN_FACTOR : 1;
+    running.slice().forEach((entry) => {
+      const { requestId } = entry.request;
+      const fault = activeFault(entry, nowMs);
+      if (fault?.kind === 'slow') slowFactor = Math.max(slowFactor, fault.factor);
+      const isFirst = entry.tokens.length === entry.request.prefix.length;
+      if (fault?.kind === 'fails' && isFirst && random() < fault.failureRatio) {
+        drop(requestId);
+        outputs.push({ kind: 'failed', requestId });
+        return;
+      }
+      const prefilled = Math.min(prefillBudget, entry.prefillLeft);
+      prefillBudget -= prefilled;
+      entry.prefillLeft -= prefilled;
+      work.prefillTokens += prefilled;
+      if (entry.prefillLeft > 0) return;
+      outputs.push(...decode(entry, nowMs));
+    });
+    recordLoad(nowMs);
+    return outputs;
+  }
+
+  function decode(entry: Entry, nowMs: number): EngineOutput[] {
+    const { request, tokens } = entry;
+    const { requestId } = request;
+    const isPoison = settings.poisonMarker !== '' && request.prompt.includes(settings.poisonMarker);
+    if (isPoison && tokens.length >= settings.poisonAfterTokens) {
+      return [{ kind: 'crash', requestId }];
+    }
+    const index = tokens.length;
+    const text = tokenText(request, index, hash);
+    tokens.push(text);
+    work.decodeTokens += 1;
+    const token: EngineOutput = { kind: 'token', requestId, index, text };
+    if (tokens.length < request.maxTokens) return [token];
+    entry.state = 'finished';
+    entry.finishedAtMs = nowMs;
+    running = running.filter((other) => other !== entry);
+    return [token, { kind: 'finish', requestId }];
+  }
+
+  function stepMs(): number {
+    const batchMs = settings.baseStepMs + settings.stepMsPerRequest * running.length;
+    return batchMs * slowFactor;
+  }
+
+  function currentLoad(): EngineLoad {
+    return {
+      engineId: settings.engineId,
+      state: isLeaving ? 'leaving' : 'live',
+      role: target.role,
+      running: running.length,
+      queued: queue.length,
+      maxRunning: settings.maxRunning,
+      cacheUsedRatio: cache.usedRatio(),
+      stepMs: stepMs(),
+      loaded,
+      reportAgeMs: 0,
+    };
+  }
+
+  function recordLoad(nowMs: number): void {
+    loads.push({ ...currentLoad(), atMs: nowMs });
+    loads.splice(0, Math.max(0, loads.length - LOAD_HISTORY));
+  }
+
+  /** The newest record that is at least as old as the lag; versions and state are never late. */
+  function load(nowMs: number): EngineLoad {
+    const current = currentLoad();
+    const old = loads.filter((entry) => nowMs - entry.atMs >= settings.loadLagMs).at(-1);
+    if (old === undefined || (running.length === 0 && queue.length === 0)) return current;
+    const { atMs, ...record } = old;
+    return {
+      ...record,
+      state: current.state,
+      loaded,
+      role: target.role,
+      reportAgeMs: nowMs - atMs,
+    };
+  }
+
+  function order(next: EngineOrder): OrderResult {
+    if (settings.fencing === 'enforced' && next.fencingNumber < highestFencingNumber) {
+      return { kind: 'stale', highestFencingNumber };
+    }
+    highestFencingNumber = Math.max(highestFencingNumber, next.fencingNumber);
+    target = next.target;
+    const isWanted = (entry: LoadedModel): boolean => isIn(target.loaded, entry);
+    const inUse = (entry: LoadedModel): boolean =>
+      [...running, ...queue].some(
+        ({ request }) => request.model === entry.model && request.version === entry.version,
+      );
+    loaded = loaded
+      .filter((entry) => isWanted(entry) || inUse(entry))
+      .map((entry) => target.loaded.find((wanted) => isSame(wanted, entry)) ?? entry);
+    const toFetch = target.loaded.filter((entry) => !isIn(loaded, entry) && !isIn(loading, entry));
+    loading = [...loading.filter(isWanted), ...toFetch];
+    return { kind: 'ok', toFetch };
+  }
+
+  return {
+    submit,
+    cancel: (requestId, attemptNo) => {
+      const entry = entries.get(requestId);
+      if (entry !== undefined && entry.request.attemptNo <= attemptNo) drop(requestId);
+    },
+    known: (requestId) => entries.get(requestId),
+    step,
+    nextStepMs: () => (running.length + queue.length === 0 ? undefined : stepMs()),
+    load,
+    cacheEvents: (afterSeq, nowMs, random) => {
+      const due = events.filter(({ atMs }) => nowMs - atMs >= settings.cacheEventLagMs);
+      const sent = due
+        .filter(({ seq }) => seq > afterSeq)
+        .filter(() => random() >= settings.cacheEventLossRatio);
+      return {
+        oldestSeq: events[0]?.seq ?? cacheSeq + 1,
+        latestSeq: due.at(-1)?.seq ?? 0,
+        events: sent.map(({ seq, kind, blockHash }) => ({ seq, kind, blockHash })),
+      };
+    },
+    cacheSnapshot: () => ({ asOfSeq: cacheSeq, blockHashes: cache.blocks() }),
+    order,
+    onWeights: (model, version, nowMs) => {
+      const done = loading.filter((entry) => entry.model === model && entry.version === version);
+      loading = loading.filter((entry) => !done.includes(entry));
+      loaded = [...loaded, ...done];
+      loadedAtMs.set(`${model}/${version}`, nowMs);
+    },
+    state: () => ({
+      engineId: settings.engineId,
+      target,
+      loaded,
+      loading,
+      highestFencingNumber,
+    }),
+    leave: () => {
+      isLeaving = true;
+    },
+    isIdle: () => running.length + queue.length === 0,
+    work: () => ({ ...work }),
+  };
+}
+
+function isSame(a: LoadedModel, b: LoadedModel): boolean {
+  return a.model === b.model && a.version === b.version;
+}
+
+function isIn(list: readonly LoadedModel[], entry: LoadedModel): boolean {
+  return list.some((other) => isSame(other, entry));
+}
--- /dev/null
+++ b/packages/fakes/src/engine/server.ts
@@ -0,0 +1,267 @@
+import { z } from 'zod';
+import {
+  createHttpShell,
+  DEFAULT_HTTP_LIMITS,
+  readJsonBody,
+  sendError,
+  sendJson,
+} from '@mimosamill/adapters';
+import type { ServerResponse } from 'node:http';
+import type { AttemptNo, RequestId } from '@mimosamill/core';
+import type { Clock, GenerateRequest, HttpShell, LoadedModel } from '@mimosamill/adapters';
+import type { EngineModel, EngineOutput } from './model';
+
+const MAX_BODY_BYTES = 4_194_304;
+
+const requestSchema = z.object({
+  request_id: z.string(),
+  attempt: z.number(),
+  model: z.string(),
+  version: z.string(),
+  adapter: z.string().default(''),
+  prompt: z.string(),
+  prefix: z.array(z.string()).default([]),
+  max_tokens: z.number().int().positive(),
+  seed: z.number().default(0),
+  priority: z.enum(['urgent', 'normal', 'batch']).default('normal'),
+});
+const orderSchema = z.object({
+  order_id: z.string(),
+  fencing_number: z.number(),
+  target: z.object({
+    loaded: z.array(
+      z.object({ model: z.string(), version: z.string(), adapters: z.array(z.string()) }),
+    ),
+    role: z.enum(['mixed', 'prefill', 'decode']),
+  }),
+});
+const cancelSchema = z.object({ attempt: z.number() });
+
+export interface EngineServerOptions {
+  readonly model: EngineModel;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Resolves when the weights have arrived. */
+  readonly fetchWeights: (entry: LoadedModel) => Promise<void>;
+  /** Called when a request crashes the engine. */
+  readonly onCrash: () => void;
+  /** How long a request goes on with nobody reading it. */
+  readonly orphanMs: number;
+}
+
+interface Reader {
+  readonly res: ServerResponse;
+  readonly attemptNo: AttemptNo;
+}
+
+/** Serves an engine model over HTTP, in real time. */
+export function createEngineServer(options: EngineServerOptions): HttpShell {
+  const { model, clock, random } = options;
+  const shell = createHttpShell({ ...DEFAULT_HTTP_LIMITS, maxBodyBytes: MAX_BODY_BYTES });
+  const readers = new Map<RequestId, Reader>();
+  const orphanTimers = new Map<RequestId, () => void>();
+  let isStepping = false;
+
+  function schedule(): void {
+    if (isStepping) return;
+    const delayMs = model.nextStepMs();
+    if (delayMs === undefined) return;
+    isStepping = true;
+    clock.after(delayMs, () => {
+      isStepping = false;
+      model.step(clock.nowMs(), random).forEach(emit);
+      schedule();
+    });
+  }
+
+  function emit(output: EngineOutput): void {
+    const reader = readers.get(output.requestId);
+    switch (output.kind) {
+      case 'token':
+        if (reader !== undefined) writeToken(reader, output.requestId, output.index, output.text);
+        break;
+      case 'finish':
+        if (reader !== undefined) writeFinish(reader, output.requestId);
+        readers.delete(output.requestId);
+        break;
+      case 'failed':
+        reader?.res.destroy();
+        readers.delete(output.requestId);
+        break;
+      case 'crash':
+        options.onCrash();
+        break;
+      default:
+        output satisfies never;
+    }
+  }
+
+  function follow(requestId: RequestId, reader: Reader): void {
+    readers.get(requestId)?.res.destroy();
+    readers.set(requestId, reader);
+    orphanTimers.get(requestId)?.();
+    orphanTimers.delete(requestId);
+    reader.res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' });
+    reader.res.flushHeaders();
+    reader.res.on('close', () => onReaderGone(requestId, reader));
+  }
+
+  function onReaderGone(requestId: RequestId, reader: Reader): void {
+    if (readers.get(requestId) !== reader) return;
+    readers.delete(requestId);
+    const cancelTimer = clock.after(options.orphanMs, () => {
+      orphanTimers.delete(requestId);
+      model.cancel(requestId, reader.attemptNo);
+    });
+    orphanTimers.set(requestId, cancelTimer);
+  }
+
+  shell.app.post('/v1/completions', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    const parsed = requestSchema.safeParse(body.json);
+    if (!parsed.success) return sendRefusal(res, 400, 'bad_request');
+    const request = toRequest(parsed.data);
+    const outcome = model.submit(request, clock.nowMs());
+    if (outcome.kind === 'refused') return sendRefusal(res, 503, outcome.cause);
+    follow(request.requestId, { res, attemptNo: request.attemptNo });
+    schedule();
+  });
+
+  shell.app.get('/v1/requests/:id/stream', (req, res) => {
+    const requestId = req.params['id'] as RequestId;
+    const known = model.known(requestId);
+    const from = Number(req.query['from'] ?? 0);
+    if (known === undefined || from > known.tokens.length) {
+      return sendRefusal(res, 404, 'unknown_request');
+    }
+    const reader: Reader = { res, attemptNo: Number(req.query['attempt']) as AttemptNo };
+    follow(requestId, reader);
+    known.tokens.slice(from).forEach((text, offset) => {
+      writeToken(reader, requestId, from + offset, text);
+    });
+    if (known.state !== 'finished') return;
+    writeFinish(reader, requestId);
+    readers.delete(requestId);
+  });
+
+  shell.app.post('/v1/requests/:id/cancel', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    const parsed = cancelSchema.safeParse(body.json);
+    if (!parsed.success) return sendRefusal(res, 400, 'bad_request');
+    model.cancel(req.params['id'] as RequestId, parsed.data.attempt as AttemptNo);
+    sendJson(res, 200, {});
+  });
+
+  shell.app.post('/v1/orders', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    const parsed = orderSchema.safeParse(body.json);
+    if (!parsed.success) return sendRefusal(res, 400, 'bad_request');
+    const { order_id: orderId, fencing_number: fencingNumber, target } = parsed.data;
+    const result = model.order({ orderId, fencingNumber, target });
+    if (result.kind === 'stale') {
+      const { highestFencingNumber } = result;
+      sendJson(res, 409, {
+        error: { code: 'stale', highest_fencing_number: highestFencingNumber },
+      });
+      return;
+    }
+    result.toFetch.forEach((entry) => {
+      void load(entry);
+    });
+    sendJson(res, 200, {});
+  });
+
+  async function load(entry: LoadedModel): Promise<void> {
+    await options.fetchWeights(entry);
+    model.onWeights(entry.model, entry.version, clock.nowMs());
+  }
+
+  shell.app.get('/v1/load', (_req, res) => {
+    const report = model.load(clock.nowMs());
+    sendJson(res, 200, {
+      engine_id: report.engineId,
+      state: report.state,
+      role: report.role,
+      running: report.running,
+      queued: report.queued,
+      max_running: report.maxRunning,
+      cache_used_ratio: report.cacheUsedRatio,
+      step_ms: report.stepMs,
+      loaded: report.loaded,
+      report_age_ms: report.reportAgeMs,
+    });
+  });
+
+  shell.app.get('/v1/cache-events', (req, res) => {
+    const found = model.cacheEvents(Number(req.query['after'] ?? 0), clock.nowMs(), random);
+    sendJson(res, 200, {
+      oldest_seq: found.oldestSeq,
+      latest_seq: found.latestSeq,
+      events: found.events.map(({ seq, kind, blockHash }) => ({
+        seq,
+        kind,
+        block_hash: blockHash,
+      })),
+    });
+  });
+
+  shell.app.get('/v1/cache-snapshot', (_req, res) => {
+    const { asOfSeq, blockHashes } = model.cacheSnapshot();
+    sendJson(res, 200, { as_of_seq: asOfSeq, block_hashes: blockHashes });
+  });
+
+  shell.app.get('/v1/state', (_req, res) => {
+    const { engineId, target, loaded, loading, highestFencingNumber } = model.state();
+    sendJson(res, 200, {
+      engine_id: engineId,
+      target,
+      loaded,
+      loading,
+      highest_fencing_number: highestFencingNumber,
+    });
+  });
+
+  shell.app.get('/v1/work', (_req, res) => {
+    const { prefillTokens, cachedTokens, decodeTokens } = model.work();
+    sendJson(res, 200, {
+      prefill_tokens: prefillTokens,
+      cached_tokens: cachedTokens,
+      decode_tokens: decodeTokens,
+    });
+  });
+
+  return shell;
+}
+
+function writeToken(reader: Reader, requestId: RequestId, index: number, text: string): void {
+  const { attemptNo: attempt } = reader;
+  reader.res.write(`data: ${JSON.stringify({ request_id: requestId, attempt, index, text })}\n\n`);
+}
+
+function writeFinish(reader: Reader, requestId: RequestId): void {
+  const { attemptNo: attempt } = reader;
+  const finish = { request_id: requestId, attempt, finish_reason: 'length' };
+  reader.res.end(`data: ${JSON.stringify(finish)}\n\ndata: [DONE]\n\n`);
+}
+
+function sendRefusal(res: ServerResponse, status: number, code: string): void {
+  sendJson(res, status, { error: { code } });
+}
+
+function toRequest(wire: z.infer<typeof requestSchema>): GenerateRequest {
+  return {
+    requestId: wire.request_id as RequestId,
+    attemptNo: wire.attempt as AttemptNo,
+    model: wire.model,
+    version: wire.version,
+    adapter: wire.adapter,
+    prompt: wire.prompt,
+    prefix: wire.prefix,
+    maxTokens: wire.max_tokens,
+    seed: wire.seed,
+    priority: wire.priority,
+  };
+}
--- /dev/null
+++ b/packages/fakes/src/service/main.ts
@@ -0,0 +1,37 @@
+import { cac } from 'cac';
+import { z } from 'zod';
+import { createSystemClock, runProgram } from '@mimosamill/adapters';
+import { createRandom } from '../random';
+import { createServiceModel } from './model';
+import { createServiceServer } from './server';
+import type { ProgramOptions, RunningProgram } from '@mimosamill/adapters';
+
+const DRAIN_TIMEOUT_MS = 30_000;
+
+const settingsSchema = z.strictObject({
+  ip: z.string(),
+  port: z.number(),
+  seed: z.number().default(1),
+});
+
+async function start(settings: z.infer<typeof settingsSchema>): Promise<RunningProgram> {
+  const model = createServiceModel();
+  const server = createServiceServer(model, createSystemClock(), createRandom(settings.seed));
+  await server.listen(settings.ip, settings.port);
+  process.stdout.write('ready\n');
+  return {
+    stop: () => {
+      model.leave();
+      return server.drain(DRAIN_TIMEOUT_MS);
+    },
+  };
+}
+
+const cli = cac('fake-service');
+cli
+  .command('', 'Serve the stand-in of a plain service')
+  .option('--config <file>', 'Settings file')
+  .option('--check-config', 'Check the settings and exit')
+  .action((options: ProgramOptions) => runProgram(options, settingsSchema, start));
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/fakes/src/service/server.ts
@@ -0,0 +1,83 @@
+import { z } from 'zod';
+import { createHttpShell, readJsonBody, sendError, sendJson } from '@mimosamill/adapters';
+import type { Clock, HttpShell } from '@mimosamill/adapters';
+import type { ServiceModel } from './model';
+
+const MAX_BODY_BYTES = 1_048_576;
+const MAX_RUNNING = 64;
+
+const faultsSchema = z.object({
+  /** Wait before the operation runs. */
+  delayMs: z.number().default(0),
+  /** Wait between the operation's effect and the answer. */
+  answerDelayMs: z.number().default(0),
+  /** Part of the answers that are lost after the effect. */
+  lostAnswerRatio: z.number().default(0),
+  /** Part of the answers that carry another request's id. */
+  crossedAnswerRatio: z.number().default(0),
+});
+
+/** Serves a plain service, with faults set by `POST /faults`. */
+export function createServiceServer(
+  model: ServiceModel,
+  clock: Clock,
+  random: () => number,
+): HttpShell {
+  const shell = createHttpShell();
+  let faults = faultsSchema.parse({});
+  let running = 0;
+
+  shell.app.get('/load', (_req, res) => {
+    const state = model.isLeaving() ? 'leaving' : 'live';
+    sendJson(res, 200, { state, running, max_running: MAX_RUNNING });
+  });
+
+  shell.app.get('/calls/:key', (req, res) => {
+    const run = model.find(req.params['key'] ?? '');
+    if (run === undefined) sendJson(res, 404, {});
+    else sendJson(res, 200, { status: 200, body: run.answer });
+  });
+
+  shell.app.get('/runs', (_req, res) => {
+    sendJson(res, 200, { runs: model.runs() });
+  });
+
+  shell.app.post('/faults', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    faults = faultsSchema.parse(body.json);
+    sendJson(res, 200, {});
+  });
+
+  shell.app.post('/leave', (_req, res) => {
+    model.leave();
+    sendJson(res, 200, {});
+  });
+
+  shell.app.post('/:operation', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    const isCrossed = random() < faults.crossedAnswerRatio;
+    res.setHeader('x-request-id', isCrossed ? 'another' : String(req.headers['x-request-id']));
+    res.setHeader('x-attempt', String(req.headers['x-attempt']));
+    running += 1;
+    res.on('close', () => {
+      running -= 1;
+    });
+    clock.after(faults.delayMs, () => {
+      const key = String(req.headers['idempotency-key'] ?? '');
+      const outcome = model.run(req.params['operation'] ?? '', key, body.text);
+      clock.after(faults.answerDelayMs, () => {
+        if (outcome.kind === 'refused') {
+          sendJson(res, 503, { error: { code: outcome.code, not_run: true } });
+        } else if (random() < faults.lostAnswerRatio) {
+          res.destroy();
+        } else {
+          sendJson(res, 200, JSON.parse(outcome.body));
+        }
+      });
+    });
+  });
+
+  return shell;
+}
--- /dev/null
+++ b/packages/fakes/test/engine.spec.ts
@@ -0,0 +1,132 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import {
+  createEngineClient,
+  createHashes,
+  createHttpClient,
+  createSystemClock,
+} from '@mimosamill/adapters';
+import { asAttemptNo, asId } from '@mimosamill/core';
+import {
+  createEngineModel,
+  createEngineServer,
+  createRandom,
+  DEFAULT_ENGINE_MODEL,
+  wholeText,
+} from '../src/index';
+import type {
+  AttemptEvent,
+  EngineClient,
+  GenerateRequest,
+  Hashes,
+  HttpClient,
+  HttpShell,
+} from '@mimosamill/adapters';
+import type { EngineId, RequestId } from '@mimosamill/core';
+
+const LOADED = { model: 'guide', version: 'v1', adapters: [] };
+
+function requestOf(id: string, prefix: readonly string[] = []): GenerateRequest {
+  return {
+    requestId: asId<RequestId>(id),
+    attemptNo: asAttemptNo(1),
+    model: 'guide',
+    version: 'v1',
+    adapter: '',
+    prompt: 'glue the third rib',
+    prefix,
+    maxTokens: 20,
+    seed: 3,
+    priority: 'normal',
+  };
+}
+
+describe('engine stand-in over HTTP', () => {
+  let hashes: Hashes;
+  let http: HttpClient;
+  let server: HttpShell;
+  let client: EngineClient;
+  let address: string;
+
+  beforeAll(async () => {
+    hashes = await createHashes();
+    http = createHttpClient();
+    const model = createEngineModel(
+      { ...DEFAULT_ENGINE_MODEL, engineId: asId<EngineId>('e1'), loaded: [LOADED], baseStepMs: 1 },
+      hashes.hash32,
+    );
+    server = createEngineServer({
+      model,
+      clock: createSystemClock(),
+      random: createRandom(1),
+      fetchWeights: () => Promise.resolve(),
+      onCrash: () => {
+        throw new Error('no request here may crash the engine');
+      },
+      orphanMs: 5_000,
+    });
+    address = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
+    client = createEngineClient(http, { timeoutMs: 1_000, orderTimeoutMs: 1_000 });
+  });
+
+  afterAll(async () => {
+    await server.close();
+    await http.close();
+  });
+
+  function follow(
+    start: (onEvent: (event: AttemptEvent) => void) => void,
+  ): Promise<AttemptEvent[]> {
+    return new Promise((resolve) => {
+      const events: AttemptEvent[] = [];
+      start((event) => {
+        events.push(event);
+        if (event.kind !== 'token') resolve(events);
+      });
+    });
+  }
+
+  const textsOf = (events: readonly AttemptEvent[]): string[] =>
+    events.flatMap((event) => (event.kind === 'token' ? [event.text] : []));
+
+  // Guards against a stand-in whose resumed output differs from the uninterrupted one.
+  it('continues a prefix exactly as the uninterrupted answer goes on', async () => {
+    const request = requestOf('whole');
+    const whole = await follow((onEvent) => client.generate(address, request, onEvent));
+    const expected = wholeText(request, request.maxTokens, hashes.hash32);
+    expect(textsOf(whole)).toEqual(expected);
+    expect(whole.at(-1)).toEqual({ kind: 'finish', attemptNo: 1, reason: 'length' });
+    const rest = await follow((onEvent) =>
+      client.generate(address, requestOf('rest', expected.slice(0, 8)), onEvent),
+    );
+    expect(textsOf(rest)).toEqual(expected.slice(8));
+  });
+
+  // Guards against losing the tokens of a finished request before its caller comes back.
+  it('lets a second reader attach to a finished request from any index', async () => {
+    const request = requestOf('attach');
+    await follow((onEvent) => client.generate(address, request, onEvent));
+    const again = await follow((onEvent) =>
+      client.attach(address, request.requestId, asAttemptNo(2), 15, onEvent),
+    );
+    expect(textsOf(again)).toEqual(wholeText(request, 20, hashes.hash32).slice(15));
+  });
+
+  // Guards against treating a refusal before any work as a lost attempt.
+  it('reports a version that is not loaded as refused', async () => {
+    const request = { ...requestOf('other'), version: 'v9' };
+    const events = await follow((onEvent) => client.generate(address, request, onEvent));
+    expect(events.map((event) => event.kind === 'refused' && event.cause)).toEqual(['no_version']);
+  });
+
+  // Guards against an old lease holder changing an engine that checks fencing numbers.
+  it('refuses an order with an old fencing number', async () => {
+    const target = { loaded: [LOADED], role: 'mixed' } as const;
+    expect(await client.order(address, { orderId: 'a', fencingNumber: 5, target })).toEqual({
+      kind: 'ok',
+    });
+    expect(await client.order(address, { orderId: 'b', fencingNumber: 4, target })).toEqual({
+      kind: 'stale',
+      highestFencingNumber: 5,
+    });
+  });
+});
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -28,14 +28,14 @@
   const file = join(dir, 'result.json');
   const args = ['node_modules/vitest/vitest.mjs', 'run', '--reporter=default', '--reporter=json'];
   const extra = process.argv.slice(2);
-  spawnSync('node', [...args, `--outputFile.json=${file}`, ...extra], {
+  const run = spawnSync('node', [...args, `--outputFile.json=${file}`, ...extra], {
     cwd: root,
     stdio: ['ignore', 'inherit', 'inherit'],
     env: { ...process.env, CI: 'true' },
   });
   const result = existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) : undefined;
   rmSync(dir, { recursive: true, force: true });
-  return result;
+  return result && { ...result, exitStatus: run.status };
 }
 
 runBuild();
@@ -60,11 +60,17 @@
 for (const name of unexpected) console.error(`failed: ${name}`);
 for (const name of recovered) console.error(`listed in KNOWN-RED.txt but passes: ${name}`);
 for (const file of brokenFiles) console.error(`could not run: ${file.name}: ${file.message}`);
-console.log(`${passed.length} passed, ${unexpected.length + brokenFiles.length} failed`);
+// The runner also fails on errors outside any test, such as an unhandled rejection.
+const hasStrayError = result.exitStatus !== 0 && failed.length + brokenFiles.length === 0;
+if (hasStrayError) console.error('failed: an error outside any test');
+console.log(
+  `${passed.length} passed, ${unexpected.length + brokenFiles.length + (hasStrayError ? 1 : 0)} failed`,
+);
 
 const isGood =
   unexpected.length === 0 &&
   recovered.length === 0 &&
+  !hasStrayError &&
   brokenFiles.length === 0 &&
   skipped === 0 &&
   passed.length > 0;
