--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,3 +57,22 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+
+// routing
+export { chainBlockHashes, toBlockKeys } from './route/prefix';
+export type { Hash64Text, PrefixScope } from './route/prefix';
+export { createPicker } from './route/picker';
+export type { Picker } from './route/picker';
+export type {
+  EngineRole,
+  LoadedVersion,
+  LoadReport,
+  NoEngineReason,
+  PickerSettings,
+  PickOutcome,
+  RouteEngine,
+  RoutePriority,
+  RouteRequest,
+  Send,
+  SendResult,
+} from './route/types';
