Claim, run and record a keyed booking once

Change: core/src/call holds the claim protocol as a pure state machine; router/src/call runs it over the Tables and ServiceClient ports.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,19 @@
   SessionSettings,
 } from './stream/session';
 
+// plain calls
+export { createKeyedCall } from './call/keyed';
+export type {
+  KeyedCall,
+  KeyedCallEffect,
+  KeyedCallEvent,
+  KeyedCallSettings,
+  WritePurpose,
+} from './call/keyed';
+export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
+export type { CallRecord, CallState, VersionedRecord } from './call/record';
+export type { CallResult, OwnerAnswer } from './call/result';
+
 // configuration
 export { DEFAULTS } from './config/model';
 export type {
--- /dev/null
+++ b/packages/router/src/call/keyed.ts
@@ -0,0 +1,270 @@
+import {
+  CALL_EXPIRY_MS,
+  asAttemptNo,
+  assertNever,
+  callRowKey,
+  callServiceKey,
+  createKeyedCall,
+  parseCallRecord,
+} from '@mimosamill/core';
+import type { JsonValue, Row, ServiceAnswer, ServiceLookup } from '@mimosamill/adapters';
+import type {
+  CallResult,
+  CustomerId,
+  KeyedCall,
+  KeyedCallEffect,
+  KeyedCallEvent,
+  OwnerAnswer,
+  RequestId,
+  ServiceName,
+  VersionedRecord,
+} from '@mimosamill/core';
+import type { CallsPorts } from './ports';
+
+/** A commit without an answer after this time counts as lost; it may still be applied. */
+const TABLES_TIMEOUT_MS = 2_000;
+const LOOKUP_TIMEOUT_MS = 1_000;
+const OWNER_WAIT_MS = 1_000;
+/** How long after the caller's deadline a late answer is still waited for, to be recorded. */
+const LATE_ANSWER_MS = 60_000;
+
+export interface KeyedRequest {
+  readonly service: ServiceName;
+  readonly operation: string;
+  readonly key: string;
+  readonly body: string;
+  readonly customerId: CustomerId;
+  readonly deadlineMs: number;
+  readonly traceparent?: string;
+}
+
+/** A keyed call that is running on this router. */
+export interface RunningCall {
+  readonly attemptId: string;
+  readonly rowKey: string;
+  /** What the caller is told; always settles. */
+  readonly result: Promise<CallResult>;
+  /** Settles once the outcome is known or given up, and is 'running' no more. */
+  readonly settled: Promise<OwnerAnswer>;
+  /** Settles once nothing is left to do, records included. */
+  readonly ended: Promise<void>;
+  readonly ownerAnswer: () => OwnerAnswer;
+}
+
+/** Runs the claim protocol of one call over the ports. */
+export function startKeyedCall(
+  ports: CallsPorts,
+  request: KeyedRequest,
+  hasLookup: boolean,
+  isLookupOnly: boolean,
+): RunningCall {
+  const { clock } = ports;
+  const attemptId = ports.createId();
+  const requestId = ports.createId() as RequestId;
+  const rowKey = callRowKey(request.service, request.customerId, request.key);
+  const serviceKey = callServiceKey(request.customerId, request.key);
+  const deadlineAtMs = clock.monotonicMs() + request.deadlineMs;
+  const refused = new Set<string>();
+  const lookedUp = new Set<string>();
+  const result = createDeferred<CallResult>();
+  const settled = createDeferred<OwnerAnswer>();
+  const ended = createDeferred<void>();
+  let lastAddress: string | undefined;
+  let cancelTimer = (): void => undefined;
+
+  const call: KeyedCall = createKeyedCall({
+    attemptId,
+    routerId: ports.routerId,
+    requestId,
+    operation: request.operation,
+    bodyHash: ports.hashBody(request.body),
+    hasLookup,
+    isLookupOnly,
+    deadlineAtMs,
+    wallMs: clock.nowMs(),
+  });
+
+  function feed(event: KeyedCallEvent): void {
+    apply(call.on(event, clock.monotonicMs()));
+  }
+
+  function apply(effects: readonly KeyedCallEffect[]): void {
+    effects.forEach(perform);
+    const answer = call.ownerAnswer();
+    if (answer.kind !== 'running') settled.resolve(answer);
+    if (call.hasEnded()) ended.resolve();
+    arm();
+  }
+
+  function arm(): void {
+    cancelTimer();
+    const atMs = call.wakeAtMs();
+    if (atMs === undefined) return;
+    const delayMs = Math.max(0, atMs - clock.monotonicMs());
+    cancelTimer = clock.after(delayMs, () => feed({ kind: 'tick' }));
+  }
+
+  function perform(effect: KeyedCallEffect): void {
+    switch (effect.kind) {
+      case 'commit':
+        void commit(effect);
+        return;
+      case 'read':
+        void read();
+        return;
+      case 'ask_owner':
+        void askOwner(effect);
+        return;
+      case 'lookup':
+        void lookUp();
+        return;
+      case 'send':
+        void send(effect.sendNo);
+        return;
+      case 'answer':
+        result.resolve(effect.result);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  async function commit(effect: Extract<KeyedCallEffect, { kind: 'commit' }>): Promise<void> {
+    const { purpose, replaces } = effect;
+    const value: JsonValue = { ...effect.record };
+    const expiresAtMs = clock.nowMs() + CALL_EXPIRY_MS;
+    const outcome = await withTimeout(
+      ports.tables.commit({
+        conditions: replaces === 'any' ? [] : [conditionOf(rowKey, replaces)],
+        writes: [{ kind: 'put', key: rowKey, value, expiresAtMs }],
+      }),
+      TABLES_TIMEOUT_MS,
+      { kind: 'unknown' as const, message: 'no answer in time' },
+    );
+    if (outcome.kind !== 'conflict') {
+      feed({ kind: 'committed', purpose, outcome: outcome.kind });
+      return;
+    }
+    feed({ kind: 'conflict', purpose, found: findRecord(outcome.rows) });
+  }
+
+  async function read(): Promise<void> {
+    const outcome = await withTimeout(ports.tables.read([rowKey]), TABLES_TIMEOUT_MS, {
+      kind: 'unavailable' as const,
+      message: 'no answer in time',
+    });
+    if (outcome.kind === 'ok') feed({ kind: 'read', found: findRecord(outcome.rows) });
+    else feed({ kind: 'read_failed' });
+  }
+
+  function findRecord(rows: readonly Row[]): VersionedRecord | undefined {
+    const row = rows.find(({ key }) => key === rowKey);
+    if (row === undefined) return undefined;
+    const record = parseCallRecord(row.value);
+    if (record === undefined) throw new Error(`row ${rowKey} is not a call record`);
+    return { version: row.version, record };
+  }
+
+  async function askOwner(effect: Extract<KeyedCallEffect, { kind: 'ask_owner' }>): Promise<void> {
+    const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
+    const answer = await ports.owners.ask(effect.routerId, {
+      service: request.service,
+      customerId: request.customerId,
+      key: request.key,
+      attemptId: effect.attemptId,
+      waitMs: Math.min(OWNER_WAIT_MS, remainingMs),
+    });
+    feed({ kind: 'owner', answer });
+  }
+
+  async function lookUp(): Promise<void> {
+    const address = pickForLookup();
+    const answer: ServiceLookup =
+      address === undefined
+        ? { kind: 'unavailable', message: 'no server' }
+        : await withTimeout(ports.services.lookup(address, serviceKey), LOOKUP_TIMEOUT_MS, {
+            kind: 'unavailable' as const,
+            message: 'no answer in time',
+          });
+    if (answer.kind === 'unavailable') feed({ kind: 'lookup', answer: { kind: 'unavailable' } });
+    else feed({ kind: 'lookup', answer });
+  }
+
+  /** The server that was called first, then the others in turn. */
+  function pickForLookup(): string | undefined {
+    const isFirst = lastAddress !== undefined && !lookedUp.has(lastAddress);
+    const address = isFirst ? lastAddress : ports.servers.pick(request.service, lookedUp);
+    if (address === undefined) {
+      lookedUp.clear();
+      return ports.servers.pick(request.service, lookedUp);
+    }
+    lookedUp.add(address);
+    return address;
+  }
+
+  async function send(sendNo: number): Promise<void> {
+    const address = ports.servers.pick(request.service, refused);
+    if (address === undefined) {
+      feed({ kind: 'answer', sendNo, answer: { kind: 'not_sent', message: 'no server' } });
+      return;
+    }
+    lastAddress = address;
+    const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
+    const answer: ServiceAnswer = await ports.services.call(address, {
+      operation: request.operation,
+      requestId,
+      attemptNo: asAttemptNo(sendNo),
+      idempotencyKey: serviceKey,
+      body: request.body,
+      timeoutMs: remainingMs + LATE_ANSWER_MS,
+      ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+    });
+    if (answer.kind === 'not_sent') {
+      refused.add(address);
+      ports.servers.onRefused(request.service, address);
+    }
+    feed({ kind: 'answer', sendNo, answer });
+  }
+
+  function withTimeout<T>(promise: Promise<T>, timeoutMs: number, fallback: T): Promise<T> {
+    return new Promise((resolve, reject) => {
+      const cancel = clock.after(timeoutMs, () => resolve(fallback));
+      promise.then((value) => {
+        cancel();
+        resolve(value);
+      }, reject);
+    });
+  }
+
+  apply(call.start(clock.monotonicMs()));
+  return {
+    attemptId,
+    rowKey,
+    result: result.promise,
+    settled: settled.promise,
+    ended: ended.promise,
+    ownerAnswer: call.ownerAnswer,
+  };
+}
+
+interface Deferred<T> {
+  readonly promise: Promise<T>;
+  readonly resolve: (value: T) => void;
+}
+
+function createDeferred<T>(): Deferred<T> {
+  let resolve: (value: T) => void = () => undefined;
+  const promise = new Promise<T>((fulfil) => {
+    resolve = fulfil;
+  });
+  return { promise, resolve };
+}
+
+function conditionOf(
+  key: string,
+  replaces: number | 'absent',
+): { kind: 'absent'; key: string } | { kind: 'version'; key: string; version: number } {
+  return replaces === 'absent'
+    ? { kind: 'absent', key }
+    : { kind: 'version', key, version: replaces };
+}
--- /dev/null
+++ b/packages/router/src/call/ports.ts
@@ -0,0 +1,44 @@
+import type {
+  CustomerId,
+  OwnerAnswer,
+  PlainServiceConfig,
+  RouterId,
+  ServiceName,
+} from '@mimosamill/core';
+import type { Clock, ServiceClient, Tables } from '@mimosamill/adapters';
+
+/** Chooses a server of a plain service; undefined if none is left. */
+export interface ServerPicker {
+  pick(service: ServiceName, excluded: ReadonlySet<string>): string | undefined;
+  /** A server refused a connection or said that it is leaving. */
+  onRefused(service: ServiceName, address: string): void;
+}
+
+/** A question to the router that holds a claim. */
+export interface OwnerQuestion {
+  readonly service: ServiceName;
+  readonly customerId: CustomerId;
+  readonly key: string;
+  readonly attemptId: string;
+  /** How long the owner may wait for the outcome of a running call. */
+  readonly waitMs: number;
+}
+
+/** Asks other routers about their claims; 'gone' if the router cannot be reached in time. */
+export interface OwnerClient {
+  ask(routerId: RouterId, question: OwnerQuestion): Promise<OwnerAnswer>;
+}
+
+export interface CallsPorts {
+  readonly routerId: RouterId;
+  readonly clock: Clock;
+  readonly tables: Tables;
+  readonly services: ServiceClient;
+  readonly servers: ServerPicker;
+  readonly owners: OwnerClient;
+  readonly serviceConfig: (service: ServiceName) => PlainServiceConfig | undefined;
+  /** A fresh id that no other process ever creates. */
+  readonly createId: () => string;
+  /** A hash without feasible collisions, to tell two bodies apart. */
+  readonly hashBody: (text: string) => string;
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+// plain calls
+export { createCalls } from './call/calls';
+export type { CallRequest, Calls } from './call/calls';
+export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
