Add leases, move plans and the moves runner

The controller had no way to carry out a version move. Adds the lease over a table row, the plan of share steps backwards from the deadline, the decision of the next effect from the move's record, and a runner that performs the effects under the lease. The end of a move is one conditional write on its running row; the report is claimed by a second row.

Evidence, withdrawals and orders to engines are not part of this change.

--- /dev/null
+++ b/packages/controller/src/lease/keeper.ts
@@ -0,0 +1,76 @@
+import { createLease } from '@mimosamill/core';
+import type { Clock, JsonValue, Tables } from '@mimosamill/adapters';
+import type { Lease, LeaseAction, LeaseRow } from '@mimosamill/core';
+
+export interface LeaseKeeperSettings {
+  readonly duty: string;
+  readonly holder: string;
+  readonly termMs: number;
+}
+
+/** Keeps one duty's lease in the tables. */
+export interface LeaseKeeper {
+  readonly holder: string;
+  /** Runs the table operation that is due, if any; resolves when it was answered. */
+  readonly poll: () => Promise<void>;
+  readonly remainingMs: () => number;
+  readonly heldForMs: () => number;
+  readonly fencingNumber: () => number;
+  readonly wasHandedOver: () => boolean;
+  /** Gives the lease up; later calls of `poll` make the write. */
+  readonly stop: () => void;
+}
+
+const DRIFT_RATIO = 0.05;
+
+export function createLeaseKeeper(
+  settings: LeaseKeeperSettings,
+  tables: Tables,
+  clock: Clock,
+): LeaseKeeper {
+  const { holder, termMs } = settings;
+  const key = `leases/${settings.duty}`;
+  const lease: Lease = createLease({ holder, termMs, driftRatio: DRIFT_RATIO });
+
+  async function read(): Promise<void> {
+    const outcome = await tables.read([key]);
+    if (outcome.kind !== 'ok') {
+      lease.onReadFailed(clock.monotonicMs());
+      return;
+    }
+    const row = outcome.rows.find((each) => each.key === key);
+    lease.onRead(row?.value as LeaseRow | undefined, row?.version ?? 0, clock.monotonicMs());
+  }
+
+  async function write(action: Extract<LeaseAction, { kind: 'write' }>): Promise<void> {
+    const { ifVersion } = action;
+    const condition =
+      ifVersion === undefined
+        ? ({ kind: 'absent', key } as const)
+        : ({ kind: 'version', key, version: ifVersion } as const);
+    const value: JsonValue = { ...action.row };
+    const outcome = await tables.commit({
+      conditions: [condition],
+      writes: [{ kind: 'put', key, value }],
+    });
+    lease.onWritten(outcome.kind, clock.monotonicMs());
+  }
+
+  return {
+    holder,
+    poll: async () => {
+      const action = lease.next(clock.monotonicMs());
+      if (action === undefined) return;
+      if (action.kind === 'read') await read();
+      else await write(action);
+    },
+    remainingMs: () => lease.remainingMs(clock.monotonicMs()),
+    heldForMs: () => {
+      const sinceMs = lease.heldSinceMs();
+      return sinceMs === undefined ? 0 : clock.monotonicMs() - sinceMs;
+    },
+    fencingNumber: lease.fencingNumber,
+    wasHandedOver: lease.wasHandedOver,
+    stop: lease.stop,
+  };
+}
--- /dev/null
+++ b/packages/controller/src/move/runner.ts
@@ -0,0 +1,261 @@
+import { nextMoveEffects, planMove } from '@mimosamill/core';
+import type { Clock, JsonValue, Tables } from '@mimosamill/adapters';
+import type {
+  EngineServiceConfig,
+  MoveEffect,
+  MoveId,
+  MoveRecord,
+  MoveView,
+  PlanInput,
+  PlanOutcome,
+  ServiceConfig,
+  VersionName,
+} from '@mimosamill/core';
+import type { LeaseKeeper } from '../lease/keeper';
+import type { VersionConfig } from './version-config';
+
+/** What a plan needs to know of a service's engines. */
+export interface ServiceEngines {
+  readonly engineCount: number;
+  readonly busyRatio: number;
+  readonly sizeBytes: number;
+  readonly bytesPerSec: number;
+  readonly loadedCount: (version: VersionName) => number;
+}
+
+/** Engines of a service, and which versions they should hold. */
+export interface EngineFleet {
+  /** Undefined while the engines or the weight store cannot be read. */
+  readonly describe: (
+    config: ServiceConfig,
+    toVersion: VersionName,
+  ) => Promise<ServiceEngines | undefined>;
+  readonly load: (
+    config: EngineServiceConfig,
+    version: VersionName,
+    engineCount: number,
+    concurrency: number,
+  ) => Promise<void>;
+  readonly unload: (config: EngineServiceConfig, version: VersionName) => Promise<void>;
+}
+
+export interface MoveRunnerPorts {
+  readonly tables: Tables;
+  readonly clock: Clock;
+  readonly lease: LeaseKeeper;
+  readonly config: VersionConfig;
+  readonly fleet: EngineFleet;
+  /** Why a move's new version was withdrawn by a router, as far as known here. */
+  readonly withdrawnReason: (move: MoveRecord) => string | undefined;
+  /** Called once per move and deployment, by the process that claimed the report. */
+  readonly onEnded: (record: MoveRecord) => void;
+  readonly onReversed: (record: MoveRecord, reason: string) => void;
+}
+
+export interface MoveRunner {
+  /** Reads the moves and does what is due; does nothing without the lease. */
+  readonly poll: () => Promise<void>;
+}
+
+interface StoredMove {
+  readonly record: MoveRecord;
+  readonly version: number;
+}
+
+const PREFIX = 'moves/';
+const REPORT_PREFIX = 'move-reports/';
+const PAGE_ROWS = 200;
+
+/** A write is started only with this much of the lease left. */
+const MIN_REMAINING_MS = 1_000;
+
+export function createMoveRunner(ports: MoveRunnerPorts): MoveRunner {
+  const { tables, clock, lease, config, fleet } = ports;
+  const plans = new Map<MoveId, PlanOutcome>();
+  const settled = new Set<MoveId>();
+  const reported = new Set<MoveId>();
+
+  function mayAct(): boolean {
+    return lease.remainingMs() >= MIN_REMAINING_MS;
+  }
+
+  async function scanMoves(): Promise<StoredMove[]> {
+    const moves: StoredMove[] = [];
+    let afterKey = '';
+    for (;;) {
+      const page = await tables.scan(PREFIX, afterKey, PAGE_ROWS);
+      if (page.kind !== 'ok') return [];
+      page.rows.forEach((row) => {
+        moves.push({ record: row.value as unknown as MoveRecord, version: row.version });
+      });
+      if (page.rows.length < PAGE_ROWS) return moves;
+      afterKey = page.rows.at(-1)?.key ?? '';
+    }
+  }
+
+  async function runMove(move: StoredMove): Promise<void> {
+    const { record } = move;
+    if (record.state !== 'running') await report(record);
+    if (settled.has(record.id)) return;
+    const service = await config.read(record.service);
+    if (service === undefined) return;
+    const engines = await fleet.describe(service, record.toVersion);
+    if (engines === undefined && record.state === 'running' && !isOverdue(record)) return;
+    const view = createView(record, service, engines);
+    const effects = nextMoveEffects(view, planFor(record, engines), clock.nowMs());
+    for (const effect of effects) {
+      if (!mayAct()) return;
+      await perform(effect, move, service);
+    }
+    if (record.state !== 'running' && effects.some((each) => each.kind === 'unload')) {
+      settled.add(record.id);
+    }
+  }
+
+  function isOverdue(record: MoveRecord): boolean {
+    return clock.nowMs() >= record.byMs || ports.withdrawnReason(record) !== undefined;
+  }
+
+  function createView(
+    record: MoveRecord,
+    service: ServiceConfig,
+    engines: ServiceEngines | undefined,
+  ): MoveView {
+    const isEngine = service.kind === 'engine';
+    return {
+      record,
+      withdrawnReason: ports.withdrawnReason(record),
+      loadedCount: engines?.loadedCount(record.toVersion) ?? 0,
+      stableVersion: isEngine ? service.stableVersion : record.fromVersion,
+      candidate: isEngine ? service.candidate : undefined,
+    };
+  }
+
+  /** A plan is made once per holder, for the steps that are left. */
+  function planFor(record: MoveRecord, engines: ServiceEngines | undefined): PlanOutcome {
+    const known = plans.get(record.id);
+    if (known !== undefined) return known;
+    if (engines === undefined) return { kind: 'refused', reason: 'the engines are unknown' };
+    const input: PlanInput = {
+      nowMs: clock.nowMs(),
+      byMs: record.byMs,
+      reachedShareRatio: record.stepShareRatio,
+      engineCount: engines.engineCount,
+      loadedCount: engines.loadedCount(record.toVersion),
+      busyRatio: engines.busyRatio,
+      sizeBytes: engines.sizeBytes,
+      bytesPerSec: engines.bytesPerSec,
+    };
+    const plan = planMove(input);
+    plans.set(record.id, plan);
+    return plan;
+  }
+
+  async function perform(
+    effect: MoveEffect,
+    move: StoredMove,
+    service: ServiceConfig,
+  ): Promise<void> {
+    const { record } = move;
+    switch (effect.kind) {
+      case 'end':
+        await end(move, effect);
+        return;
+      case 'record_step':
+        await put(move, { ...record, stepShareRatio: effect.shareRatio });
+        return;
+      case 'load_new':
+        if (service.kind !== 'engine') return;
+        await fleet.load(service, record.toVersion, effect.engineCount, effect.concurrency);
+        return;
+      case 'set_candidate':
+        await config.setCandidate(
+          record.service,
+          effect.candidate,
+          operationId(record, `share-${effect.candidate.shareRatio}`),
+        );
+        return;
+      case 'clear_candidate':
+        await config.setCandidate(record.service, undefined, operationId(record, 'clear'));
+        return;
+      case 'set_stable':
+        await setStable(record, effect.version, effect.isReversal);
+        return;
+      case 'unload':
+        if (service.kind === 'engine') await fleet.unload(service, effect.version);
+        return;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  async function end(
+    move: StoredMove,
+    effect: Extract<MoveEffect, { kind: 'end' }>,
+  ): Promise<void> {
+    const { state, reason } = effect;
+    const ended = { ...move.record, state, reason, endedAtMs: clock.nowMs() };
+    const isStored = await put(move, ended);
+    plans.delete(move.record.id);
+    if (isStored) await report(ended);
+  }
+
+  /** An unanswered commit is settled by the next scan, which shows whether it took effect. */
+  async function put(move: StoredMove, record: MoveRecord): Promise<boolean> {
+    const key = `${PREFIX}${record.id}`;
+    const outcome = await tables.commit({
+      conditions: [{ kind: 'version', key, version: move.version }],
+      writes: [{ kind: 'put', key, value: { ...record } as unknown as JsonValue }],
+    });
+    return outcome.kind === 'ok';
+  }
+
+  /** The row under `move-reports/` is claimed before the report, so it is made once at most. */
+  async function report(record: MoveRecord): Promise<void> {
+    if (reported.has(record.id)) return;
+    const key = `${REPORT_PREFIX}${record.id}`;
+    const { holder } = lease;
+    const outcome = await tables.commit({
+      conditions: [{ kind: 'absent', key }],
+      writes: [{ kind: 'put', key, value: { holder } }],
+    });
+    if (outcome.kind === 'unavailable') return;
+    const isOurs = outcome.kind === 'ok' || (await isClaimedBy(key, holder));
+    if (isOurs === undefined) return;
+    reported.add(record.id);
+    if (isOurs) ports.onEnded(record);
+  }
+
+  async function isClaimedBy(key: string, holder: string): Promise<boolean | undefined> {
+    const outcome = await tables.read([key]);
+    if (outcome.kind !== 'ok') return undefined;
+    const value = outcome.rows[0]?.value as { holder: string } | undefined;
+    return value === undefined ? undefined : value.holder === holder;
+  }
+
+  async function setStable(
+    record: MoveRecord,
+    version: VersionName,
+    isReversal: boolean,
+  ): Promise<void> {
+    const id = operationId(record, isReversal ? 'reverse' : 'done');
+    const outcome = await config.setStable(record.service, version, id);
+    if (!isReversal || outcome !== 'ok') return;
+    ports.onReversed(record, ports.withdrawnReason(record) ?? '');
+  }
+
+  return {
+    poll: async () => {
+      if (!mayAct()) return;
+      const moves = await scanMoves();
+      for (const move of moves) {
+        if (!mayAct()) return;
+        await runMove(move);
+      }
+    },
+  };
+}
+
+function operationId(record: MoveRecord, step: string): string {
+  return `move/${record.id}/${step}`;
+}
--- /dev/null
+++ b/packages/controller/test/world.ts
@@ -0,0 +1,172 @@
+import { asId } from '@mimosamill/core';
+import type {
+  Clock,
+  CommitOutcome,
+  Condition,
+  JsonValue,
+  Row,
+  Tables,
+  Transaction,
+} from '@mimosamill/adapters';
+import type {
+  CandidateVersion,
+  EngineServiceConfig,
+  MoveId,
+  MoveRecord,
+  ServiceName,
+  TeamId,
+  VersionName,
+} from '@mimosamill/core';
+import type { EngineFleet, VersionConfig } from '../src/index';
+
+export const SERVICE = asId<ServiceName>('lackschrift');
+export const OLD = asId<VersionName>('v1');
+export const NEW = asId<VersionName>('v2');
+
+/** How the next commits are answered: 'lost' applies the commit and answers 'unknown'. */
+export type CommitFault = 'none' | 'lost' | 'dropped' | 'unavailable';
+
+export interface MemoryTables extends Tables {
+  readonly rows: Map<string, Row>;
+  readonly failNext: (faults: readonly CommitFault[]) => void;
+}
+
+export function createMemoryTables(): MemoryTables {
+  const rows = new Map<string, Row>();
+  let faults: CommitFault[] = [];
+
+  function holds(condition: Condition): boolean {
+    const row = rows.get(condition.key);
+    return condition.kind === 'absent' ? row === undefined : row?.version === condition.version;
+  }
+
+  function apply(transaction: Transaction): CommitOutcome {
+    if (!transaction.conditions.every(holds)) return { kind: 'conflict', rows: [] };
+    transaction.writes.forEach((write) => {
+      if (write.kind === 'delete') rows.delete(write.key);
+      else putRow(write.key, write.value);
+    });
+    return { kind: 'ok' };
+  }
+
+  function putRow(key: string, value: JsonValue): void {
+    rows.set(key, { key, value, version: (rows.get(key)?.version ?? 0) + 1 });
+  }
+
+  return {
+    rows,
+    failNext: (next) => {
+      faults = [...next];
+    },
+    read: async (keys) => ({
+      kind: 'ok',
+      rows: keys.flatMap((key) => rows.get(key) ?? []),
+    }),
+    scan: async (prefix, afterKey, limit) => ({
+      kind: 'ok',
+      rows: [...rows.values()]
+        .filter(({ key }) => key.startsWith(prefix) && key > afterKey)
+        .sort((a, b) => (a.key < b.key ? -1 : 1))
+        .slice(0, limit),
+    }),
+    commit: async (transaction) => {
+      const fault = faults.shift() ?? 'none';
+      if (fault === 'unavailable') return { kind: 'unavailable', message: 'test' };
+      if (fault === 'dropped') return { kind: 'unknown', message: 'test' };
+      const outcome = apply(transaction);
+      return fault === 'lost' ? { kind: 'unknown', message: 'test' } : outcome;
+    },
+  };
+}
+
+export interface ManualClock extends Clock {
+  readonly advance: (ms: number) => void;
+}
+
+export function createManualClock(startMs = 0): ManualClock {
+  let nowMs = startMs;
+  return {
+    nowMs: () => nowMs,
+    monotonicMs: () => nowMs,
+    after: () => () => undefined,
+    every: () => () => undefined,
+    advance: (ms) => {
+      nowMs += ms;
+    },
+  };
+}
+
+/** One service's version settings, changed at most once per operation id. */
+export interface MemoryConfig extends VersionConfig {
+  readonly current: () => EngineServiceConfig;
+}
+
+export function createMemoryConfig(): MemoryConfig {
+  const operations = new Set<string>();
+  let service: EngineServiceConfig = {
+    kind: 'engine',
+    name: SERVICE,
+    team: asId<TeamId>('team'),
+    model: 'lackschrift',
+    adapters: [],
+    stableVersion: OLD,
+    fencing: 'ignored',
+  };
+
+  function change(operationId: string, next: EngineServiceConfig): 'ok' {
+    if (!operations.has(operationId)) service = next;
+    operations.add(operationId);
+    return 'ok';
+  }
+
+  function without(): EngineServiceConfig {
+    const rest: { candidate?: CandidateVersion } & EngineServiceConfig = { ...service };
+    delete rest.candidate;
+    return rest;
+  }
+
+  return {
+    current: () => service,
+    read: async () => service,
+    setCandidate: async (_name, candidate: CandidateVersion | undefined, operationId) =>
+      change(operationId, candidate === undefined ? without() : { ...service, candidate }),
+    setStable: async (_name, stableVersion, operationId) =>
+      change(operationId, { ...without(), stableVersion }),
+  };
+}
+
+/** Engines that load at once. */
+export function createMemoryFleet(engineCount: number): EngineFleet & { loaded: () => number } {
+  let loaded = 0;
+  return {
+    loaded: () => loaded,
+    describe: async () => ({
+      engineCount,
+      busyRatio: 0.6,
+      sizeBytes: 1_000_000_000,
+      bytesPerSec: 1_000_000_000,
+      loadedCount: (version) => (version === NEW ? loaded : engineCount),
+    }),
+    load: async (_config, _version, count) => {
+      loaded = Math.max(loaded, count);
+    },
+    unload: async (_config, version) => {
+      if (version === NEW) loaded = 0;
+    },
+  };
+}
+
+export function createMove(byMs: number): MoveRecord {
+  return {
+    id: asId<MoveId>('m-1'),
+    service: SERVICE,
+    fromVersion: OLD,
+    toVersion: NEW,
+    byMs,
+    state: 'running',
+    reason: '',
+    orderedBy: 'test',
+    orderedAtMs: 0,
+    stepShareRatio: 0,
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,3 +57,14 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+
+// version moves
+export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
+export type { MoveEffect, MoveView } from './move/machine';
+export { planMove, STEP_SHARES } from './move/plan';
+export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
+export type { MoveRecord } from './move/record';
+
+// leases and orders to engines
+export { createLease } from './order/lease';
+export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
