Add move evidence, version choice and the router's part in moves

Adds paired comparison of attempts on the new and the old version, an e-process over the discordant pairs that merges between routers, the grow-only set of withdrawals, the choice of a request's version, and the peer procedures. Also adds the decision of when to send an order to an engine.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -89,13 +89,42 @@
   Send,
   SendResult,
 } from './route/types';
+
 // version moves
+export { chooseVersion, enginesToAvoid } from './move/choose';
+export type { EngineVersions, SplitInput, VersionChoice, VersionGroup } from './move/choose';
+export {
+  CELL_BYTES,
+  createEvidencePool,
+  decodeCells,
+  encodeCells,
+  epochAt,
+  epochLengthMs,
+  EVIDENCE_SIGNALS,
+  LOAD_LEVELS,
+} from './move/evidence';
+export type {
+  EngineDeath,
+  EvidenceCell,
+  EvidencePool,
+  EvidenceSettings,
+  EvidenceSignal,
+  EvidenceVerdict,
+  LoadLevel,
+  PairCounts,
+} from './move/evidence';
 export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
 export type { MoveEffect, MoveView } from './move/machine';
-export { planMove, STEP_SHARES } from './move/plan';
+export { createPairing } from './move/pairing';
+export type { AttemptObserver, AttemptOutcome, AttemptScope, Pairing } from './move/pairing';
+export { packedEngineCount, planMove, STEP_SHARES } from './move/plan';
 export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
 export type { MoveRecord } from './move/record';
+export { createWithdrawals } from './move/withdrawals';
+export type { Withdrawal, Withdrawals } from './move/withdrawals';
 
 // leases and orders to engines
+export { decideOrder } from './order/converge';
+export type { EngineView, HolderView, OrderDecision, OrderLimits } from './order/converge';
 export { createLease } from './order/lease';
 export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
--- /dev/null
+++ b/packages/core/src/move/evidence.ts
@@ -0,0 +1,357 @@
+/** Load of the engine when a request was sent to it. */
+export type LoadLevel = 'low' | 'middle' | 'high';
+
+export type EvidenceSignal = 'failure' | 'first_token' | 'pace';
+
+/**
+ * Decided pairs of one router, route, load level and epoch. Counts only rise while their epoch
+ * lasts, so the larger of two reports is the newer one, and reports of routers add up.
+ */
+export interface EvidenceCell {
+  readonly routeHash: number;
+  readonly level: LoadLevel;
+  readonly epoch: number;
+  readonly counts: Readonly<Record<EvidenceSignal, PairCounts>>;
+  readonly newStarts: number;
+  readonly oldStarts: number;
+}
+
+/** Pairs decided against the new and against the old version. */
+export interface PairCounts {
+  readonly againstNew: number;
+  readonly againstOld: number;
+}
+
+/** An engine that stopped answering; reported by every router that saw it. */
+export interface EngineDeath {
+  readonly engineId: string;
+  readonly isNew: boolean;
+  /** Part of the service's engines that held the new version. */
+  readonly newEngineRatio: number;
+  readonly epoch: number;
+}
+
+export interface EvidenceSettings {
+  readonly startMs: number;
+  readonly byMs: number;
+  /** Bound on the probability that a version no worse than the old one is withdrawn. */
+  readonly falseAlarmRatio: number;
+  /** Routes of the service, for the division of the bound among them. */
+  readonly routeCount: number;
+}
+
+export interface EvidenceVerdict {
+  readonly signal: EvidenceSignal | 'engine_deaths';
+  /** Undefined when all routes together decided. */
+  readonly routeHash: number | undefined;
+  readonly level: LoadLevel | undefined;
+  readonly counts: PairCounts;
+}
+
+/** Evidence of one move, merged from any number of routers. */
+export interface EvidencePool {
+  readonly merge: (routerId: string, cells: readonly EvidenceCell[]) => void;
+  readonly addDeath: (death: EngineDeath) => void;
+  /** The first test that crosses its bound; may be asked at any time and any number of times. */
+  readonly verdict: (nowMs: number) => EvidenceVerdict | undefined;
+}
+
+export const LOAD_LEVELS: readonly LoadLevel[] = ['low', 'middle', 'high'];
+export const EVIDENCE_SIGNALS: readonly EvidenceSignal[] = ['failure', 'first_token', 'pace'];
+
+/** Size of an encoded cell. */
+export const CELL_BYTES = 48;
+
+/** Probability that a discordant pair is against the new version, at the edge of "no worse". */
+const NULL_RATIO: Readonly<Record<EvidenceSignal, number>> = {
+  // Odds of 1.2: failures of two equal versions never come in exactly equal numbers.
+  failure: 0.55,
+  // The allowed slowness is part of the comparison of the two times.
+  first_token: 0.5,
+  pace: 0.5,
+};
+
+/** Alternatives that the e-process mixes, with equal weights. */
+const ALTERNATIVE_RATIOS: readonly number[] = [0.62, 0.7, 0.8, 0.9, 0.97];
+
+/** Alternatives for engine deaths: how many times as often an engine with the new version dies. */
+const DEATH_ODDS: readonly number[] = [4, 16, 64];
+
+/** The bound is divided among the tests; the parts add up to one. */
+const DEATHS_PART = 0.2;
+const POOLED_PART = 0.4;
+const ROUTE_PART = 0.2;
+const CELL_PART = 0.2;
+
+/** Half of the weight assumes a fault from the start, half one that begins in a later epoch. */
+const AT_ONCE_WEIGHT = 0.5;
+const MIN_EPOCH_MS = 5_000;
+const MAX_EPOCHS = 2_048;
+
+/** Reports of an epoch are taken until this many later epochs have begun. */
+const OPEN_EPOCHS = 2;
+
+/** Deaths of one engine within as many epochs are one death seen by several routers. */
+const SAME_DEATH_EPOCHS = 6;
+
+/** Length of the periods over which a fault that begins later is looked for. */
+export function epochLengthMs(startMs: number, byMs: number): number {
+  return Math.max(MIN_EPOCH_MS, (byMs - startMs) / MAX_EPOCHS);
+}
+
+/** Epoch of a time; every router with about the same wall clock finds the same. */
+export function epochAt(settings: EvidenceSettings, nowMs: number): number {
+  const lengthMs = epochLengthMs(settings.startMs, settings.byMs);
+  return Math.max(0, Math.floor((nowMs - settings.startMs) / lengthMs));
+}
+
+/** Creates an empty pool; a router without peers uses one for its own evidence. */
+export function createEvidencePool(settings: EvidenceSettings): EvidencePool {
+  const { startMs, byMs, falseAlarmRatio, routeCount } = settings;
+  const epochCount = Math.ceil((byMs - startMs) / epochLengthMs(startMs, byMs));
+  const open = new Map<number, Map<string, EvidenceCell>>();
+  const tests = new Map<string, Test>();
+  const deaths = createDeathTest();
+  let firstOpenEpoch = 0;
+
+  function testFor(signal: EvidenceSignal, cell?: EvidenceCell, isPerLevel = false): Test {
+    const level = isPerLevel ? cell?.level : undefined;
+    const key = `${signal}/${cell?.routeHash ?? ''}/${level ?? ''}`;
+    const known = tests.get(key);
+    if (known !== undefined) return known;
+    const routeHash = cell?.routeHash;
+    const created = createTest({ signal, routeHash, level, epochCount, firstOpenEpoch });
+    tests.set(key, created);
+    return created;
+  }
+
+  function testsOf(signal: EvidenceSignal, cell: EvidenceCell): Test[] {
+    return [testFor(signal), testFor(signal, cell), testFor(signal, cell, true)];
+  }
+
+  /** Adds up the cells of an epoch per test. */
+  function totals(epoch: number): Map<Test, PairCounts> {
+    const sums = new Map<Test, PairCounts>();
+    open.get(epoch)?.forEach((cell) => {
+      EVIDENCE_SIGNALS.forEach((signal) => {
+        testsOf(signal, cell).forEach((test) => {
+          sums.set(test, addCounts(sums.get(test) ?? NO_PAIRS, cell.counts[signal]));
+        });
+      });
+    });
+    return sums;
+  }
+
+  function openEpochs(): number[] {
+    const lastEpoch = Math.max(firstOpenEpoch, ...open.keys());
+    return Array.from({ length: lastEpoch - firstOpenEpoch + 1 }, (_, i) => firstOpenEpoch + i);
+  }
+
+  function closeEpochsBefore(epoch: number): void {
+    for (; firstOpenEpoch < epoch; firstOpenEpoch += 1) {
+      const sums = totals(firstOpenEpoch);
+      tests.forEach((test) => test.close(firstOpenEpoch, sums.get(test) ?? NO_PAIRS));
+      open.delete(firstOpenEpoch);
+    }
+  }
+
+  function isOver(test: Test, openSums: readonly Map<Test, PairCounts>[]): boolean {
+    const counts = openSums.map((sums) => sums.get(test) ?? NO_PAIRS);
+    return test.logValue(firstOpenEpoch, counts) >= -Math.log(partOf(test));
+  }
+
+  function partOf(test: Test): number {
+    const perSignal = falseAlarmRatio / EVIDENCE_SIGNALS.length;
+    if (test.routeHash === undefined) return perSignal * POOLED_PART;
+    if (test.level === undefined) return (perSignal * ROUTE_PART) / routeCount;
+    return (perSignal * CELL_PART) / (routeCount * LOAD_LEVELS.length);
+  }
+
+  return {
+    merge: (routerId, cells) => {
+      cells.forEach((cell) => {
+        if (cell.epoch < firstOpenEpoch || cell.epoch > epochCount) return;
+        const epochCells = open.get(cell.epoch) ?? new Map<string, EvidenceCell>();
+        open.set(cell.epoch, epochCells);
+        const key = `${routerId}/${cell.routeHash}/${cell.level}`;
+        const known = epochCells.get(key);
+        epochCells.set(key, known === undefined ? cell : newerCell(known, cell));
+      });
+    },
+    addDeath: deaths.add,
+    verdict: (nowMs) => {
+      closeEpochsBefore(epochAt(settings, nowMs) - OPEN_EPOCHS);
+      if (deaths.logValue() >= -Math.log(falseAlarmRatio * DEATHS_PART)) {
+        const counts = deaths.counts();
+        return { signal: 'engine_deaths', routeHash: undefined, level: undefined, counts };
+      }
+      const openSums = openEpochs().map(totals);
+      const crossed = [...tests.values()].find((test) => isOver(test, openSums));
+      if (crossed === undefined) return undefined;
+      const { signal, routeHash, level } = crossed;
+      const recent = openSums.map((sums) => sums.get(crossed) ?? NO_PAIRS);
+      return { signal, routeHash, level, counts: recent.reduce(addCounts, crossed.closed()) };
+    },
+  };
+}
+
+const NO_PAIRS: PairCounts = { againstNew: 0, againstOld: 0 };
+
+interface TestSettings {
+  readonly signal: EvidenceSignal;
+  readonly routeHash: number | undefined;
+  readonly level: LoadLevel | undefined;
+  readonly epochCount: number;
+  readonly firstOpenEpoch: number;
+}
+
+/** One e-process over the discordant pairs of one signal. */
+interface Test {
+  readonly signal: EvidenceSignal;
+  readonly routeHash: number | undefined;
+  readonly level: LoadLevel | undefined;
+  readonly close: (epoch: number, counts: PairCounts) => void;
+  /** Logarithm of the e-value, with the epochs that are still open. */
+  readonly logValue: (nextEpoch: number, open: readonly PairCounts[]) => number;
+  readonly closed: () => PairCounts;
+}
+
+/**
+ * Mixes, for every epoch, the hypothesis that the fault begins there. The value after an epoch
+ * is (value + weight of the epoch) × likelihood ratio of its pairs, so closed epochs need one
+ * number per alternative.
+ */
+function createTest(settings: TestSettings): Test {
+  const { signal, routeHash, level, epochCount, firstOpenEpoch } = settings;
+  const nullRatio = NULL_RATIO[signal];
+  const laterLogWeight = Math.log((1 - AT_ONCE_WEIGHT) / Math.max(1, epochCount));
+  let closedCounts = NO_PAIRS;
+  let logSums = ALTERNATIVE_RATIOS.map(() => Number.NEGATIVE_INFINITY);
+  // Epochs before the first pair leave their weight as it is.
+  for (let epoch = 0; epoch < firstOpenEpoch; epoch += 1) {
+    logSums = after(logSums, epoch, NO_PAIRS);
+  }
+
+  function weightOf(epoch: number): number {
+    return epoch === 0 ? Math.log(AT_ONCE_WEIGHT) : laterLogWeight;
+  }
+
+  function after(sums: readonly number[], epoch: number, counts: PairCounts): number[] {
+    return sums.map((sum, i) => {
+      const ratio = ALTERNATIVE_RATIOS[i] ?? nullRatio;
+      return addLogs(sum, weightOf(epoch)) + logLikelihoodRatio(ratio, nullRatio, counts);
+    });
+  }
+
+  return {
+    signal,
+    routeHash,
+    level,
+    close: (epoch, counts) => {
+      logSums = after(logSums, epoch, counts);
+      closedCounts = addCounts(closedCounts, counts);
+    },
+    logValue: (nextEpoch, open) => {
+      const sums = open.reduce((now, counts, i) => after(now, nextEpoch + i, counts), logSums);
+      return sums.reduce(addLogs, Number.NEGATIVE_INFINITY) - Math.log(sums.length);
+    },
+    closed: () => closedCounts,
+  };
+}
+
+function logLikelihoodRatio(ratio: number, nullRatio: number, counts: PairCounts): number {
+  const { againstNew, againstOld } = counts;
+  const forNew = againstNew * Math.log(ratio / nullRatio);
+  return forNew + againstOld * Math.log((1 - ratio) / (1 - nullRatio));
+}
+
+/** Deaths count once per engine, however many requests they hit. */
+function createDeathTest() {
+  const lastEpochs = new Map<string, number>();
+  const logs = DEATH_ODDS.map(() => 0);
+  let totals = NO_PAIRS;
+  return {
+    add: (death: EngineDeath): void => {
+      const lastEpoch = lastEpochs.get(death.engineId);
+      if (lastEpoch !== undefined && death.epoch - lastEpoch < SAME_DEATH_EPOCHS) return;
+      lastEpochs.set(death.engineId, death.epoch);
+      DEATH_ODDS.forEach((odds, i) => {
+        const gain = death.isNew ? odds : 1;
+        const expected = odds * death.newEngineRatio + 1 - death.newEngineRatio;
+        logs[i] = (logs[i] ?? 0) + Math.log(gain / expected);
+      });
+      const one = death.isNew ? { againstNew: 1, againstOld: 0 } : { againstNew: 0, againstOld: 1 };
+      totals = addCounts(totals, one);
+    },
+    logValue: (): number => {
+      return logs.reduce(addLogs, Number.NEGATIVE_INFINITY) - Math.log(logs.length);
+    },
+    counts: (): PairCounts => totals,
+  };
+}
+
+function addCounts(a: PairCounts, b: PairCounts): PairCounts {
+  return {
+    againstNew: a.againstNew + b.againstNew,
+    againstOld: a.againstOld + b.againstOld,
+  };
+}
+
+function newerCell(a: EvidenceCell, b: EvidenceCell): EvidenceCell {
+  return pairSum(b) >= pairSum(a) ? b : a;
+}
+
+function pairSum(cell: EvidenceCell): number {
+  const { failure, first_token: firstToken, pace } = cell.counts;
+  const all = addCounts(addCounts(failure, firstToken), pace);
+  return all.againstNew + all.againstOld + cell.newStarts + cell.oldStarts;
+}
+
+function addLogs(a: number, b: number): number {
+  const larger = Math.max(a, b);
+  if (larger === Number.NEGATIVE_INFINITY) return larger;
+  return larger + Math.log(Math.exp(a - larger) + Math.exp(b - larger));
+}
+
+/** Packs cells for a message between routers. */
+export function encodeCells(cells: readonly EvidenceCell[]): Uint8Array {
+  const bytes = new Uint8Array(cells.length * CELL_BYTES);
+  const view = new DataView(bytes.buffer);
+  cells.forEach((cell, i) => {
+    const words = [
+      cell.routeHash,
+      LOAD_LEVELS.indexOf(cell.level),
+      cell.epoch,
+      ...EVIDENCE_SIGNALS.flatMap((signal) => {
+        const { againstNew, againstOld } = cell.counts[signal];
+        return [againstNew, againstOld];
+      }),
+      cell.newStarts,
+      cell.oldStarts,
+    ];
+    words.forEach((word, j) => view.setUint32(i * CELL_BYTES + j * 4, word));
+  });
+  return bytes;
+}
+
+/** Reads packed cells; undefined if the bytes are not whole, valid cells. */
+export function decodeCells(bytes: Uint8Array): EvidenceCell[] | undefined {
+  if (bytes.length % CELL_BYTES !== 0) return undefined;
+  const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const cells: EvidenceCell[] = [];
+  for (let at = 0; at < bytes.length; at += CELL_BYTES) {
+    const word = (index: number) => view.getUint32(at + index * 4);
+    const level = LOAD_LEVELS[word(1)];
+    if (level === undefined) return undefined;
+    const countsAt = (index: number) => ({ againstNew: word(index), againstOld: word(index + 1) });
+    cells.push({
+      routeHash: word(0),
+      level,
+      epoch: word(2),
+      counts: { failure: countsAt(3), first_token: countsAt(5), pace: countsAt(7) },
+      newStarts: word(9),
+      oldStarts: word(10),
+    });
+  }
+  return cells;
+}
--- a/packages/core/src/move/plan.ts
+++ b/packages/core/src/move/plan.ts
@@ -87,6 +87,17 @@
   return { kind: 'ok', plan: { steps, loadConcurrency } };
 }
 
+/** Engines onto which a small share is packed, so that they work under a high load. */
+export function packedEngineCount(
+  shareRatio: number,
+  engineCount: number,
+  busyRatio: number,
+): number {
+  if (shareRatio > PACKED_UP_TO_RATIO) return Math.ceil(engineCount * shareRatio);
+  const busyEngines = shareRatio * engineCount * busyRatio;
+  return Math.max(1, Math.ceil(busyEngines / PACKED_LOAD_RATIO));
+}
+
 function refuse(reason: string): PlanOutcome {
   return { kind: 'refused', reason };
 }
@@ -97,9 +108,7 @@
 }
 
 function enginesAt(input: PlanInput, shareRatio: number): number {
-  if (shareRatio > PACKED_UP_TO_RATIO) return Math.ceil(input.engineCount * shareRatio);
-  const busyEngines = shareRatio * input.engineCount * input.busyRatio;
-  return Math.max(1, Math.ceil(busyEngines / PACKED_LOAD_RATIO));
+  return packedEngineCount(shareRatio, input.engineCount, input.busyRatio);
 }
 
 function engineLoadAt(input: PlanInput, shareRatio: number): number {
--- /dev/null
+++ b/packages/router/src/move/watch.ts
@@ -0,0 +1,363 @@
+import {
+  chooseVersion,
+  createEvidencePool,
+  createPairing,
+  createWithdrawals,
+  decodeCells,
+  encodeCells,
+  enginesToAvoid,
+  epochAt,
+  rankByRendezvous,
+} from '@mimosamill/core';
+import type { Clock } from '@mimosamill/adapters';
+import type {
+  AttemptObserver,
+  EngineDeath,
+  EngineId,
+  EngineServiceConfig,
+  EngineVersions,
+  EvidenceCell,
+  EvidencePool,
+  EvidenceSettings,
+  EvidenceVerdict,
+  Hash32,
+  LoadLevel,
+  MoveId,
+  MoveRecord,
+  Pairing,
+  RequestId,
+  ServiceName,
+  VersionChoice,
+  VersionGroup,
+  VersionName,
+  Withdrawal,
+} from '@mimosamill/core';
+import type { ConfigSource } from '../config/source';
+import type { Member, Membership } from '../peer/member';
+import type { WithdrawalGossip } from './gossip';
+import type { EvidenceMessage, EvidenceReply } from './message';
+
+/** An attempt that the router is about to send to an engine. */
+export interface WatchedAttempt {
+  readonly service: ServiceName;
+  readonly version: VersionName;
+  /** Adapter of the request; empty for the base model. */
+  readonly route: string;
+  /** Running requests of the engine per place, from its load report and the router's own sends. */
+  readonly engineLoadRatio: number;
+  readonly engineId: EngineId;
+}
+
+export interface MoveWatchPorts {
+  readonly config: ConfigSource;
+  readonly membership: Membership;
+  readonly gossip: WithdrawalGossip;
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  /** The record of a running move; undefined while the tables cannot be read. */
+  readonly readRecord: (moveId: MoveId) => Promise<MoveRecord | undefined>;
+  /** Undefined if the peer did not answer. */
+  readonly sendEvidence: (
+    peer: Member,
+    message: EvidenceMessage,
+  ) => Promise<EvidenceReply | undefined>;
+  readonly onWithdrawn: (item: Withdrawal, origin: 'own_evidence' | 'peer') => void;
+}
+
+/** A router's part in the version moves. */
+export interface MoveWatch {
+  /** Version of a new request. */
+  readonly choose: (service: EngineServiceConfig, requestId: RequestId) => VersionChoice;
+  /** Engines that the group should leave to other requests, if it can. */
+  readonly avoid: (
+    service: EngineServiceConfig,
+    group: VersionGroup,
+    engines: readonly EngineVersions[],
+    busyRatio: number,
+  ) => ReadonlySet<EngineId>;
+  readonly onAttempt: (attempt: WatchedAttempt) => AttemptObserver;
+  /** `versions` are those the engine had loaded; `engines` are all of the service. */
+  readonly onEngineDown: (
+    service: ServiceName,
+    engine: EngineVersions,
+    engines: readonly EngineVersions[],
+  ) => void;
+  readonly onEvidence: (message: EvidenceMessage) => EvidenceReply;
+  readonly withdrawals: () => readonly Withdrawal[];
+  /** Reports and judges the evidence once; also run every second after `start`. */
+  readonly tick: () => Promise<void>;
+  readonly start: () => () => void;
+}
+
+interface ActiveMove {
+  readonly moveId: MoveId;
+  readonly service: ServiceName;
+  readonly toVersion: VersionName;
+  readonly fromVersion: VersionName;
+  readonly routeCount: number;
+  watched: WatchedMove | undefined;
+}
+
+/** The parts that need the move's times. */
+interface WatchedMove {
+  readonly settings: EvidenceSettings;
+  readonly pairing: Pairing;
+  readonly own: EvidencePool;
+  deaths: EngineDeath[];
+  /** Sums of the cells that both aggregators have, by cell. */
+  sent: Map<string, number>;
+}
+
+interface MergedMove {
+  readonly pool: EvidencePool;
+  readonly item: Omit<Withdrawal, 'reason'>;
+  lastMessageMs: number;
+}
+
+const TICK_MS = 1_000;
+
+/**
+ * Bound on the probability that a version no worse than the old one is withdrawn. Half belongs to
+ * the merged evidence, half to the routers' own evidence, which decides in a partition.
+ */
+export const FALSE_ALARM_RATIO = 0.005;
+const MERGED_PART = 0.5;
+
+/** Peers that merge a move's evidence. */
+const AGGREGATOR_COUNT = 2;
+
+/** Merged evidence of a move is dropped when no router has reported for this time. */
+const MERGED_EXPIRY_MS = 900_000;
+
+const MIDDLE_LOAD_RATIO = 0.5;
+const HIGH_LOAD_RATIO = 0.8;
+
+const NO_OBSERVER: AttemptObserver = {
+  onFirstToken: () => undefined,
+  onGap: () => undefined,
+  onOutcome: () => undefined,
+};
+
+/** Load level of an engine with this part of its places in use. */
+export function loadLevelOf(engineLoadRatio: number): LoadLevel {
+  if (engineLoadRatio >= HIGH_LOAD_RATIO) return 'high';
+  return engineLoadRatio >= MIDDLE_LOAD_RATIO ? 'middle' : 'low';
+}
+
+export function createMoveWatch(ports: MoveWatchPorts): MoveWatch {
+  const { config, membership, gossip, clock, hash } = ports;
+  const withdrawals = createWithdrawals();
+  const active = new Map<ServiceName, ActiveMove>();
+  const merged = new Map<string, MergedMove>();
+
+  function takeIn(item: Withdrawal, origin: 'own_evidence' | 'peer'): void {
+    if (!withdrawals.add(item)) return;
+    // Items from peers are passed on too, so that one delivery is enough to reach everyone.
+    gossip.publish(item);
+    ports.onWithdrawn(item, origin);
+  }
+
+  function syncMoves(): void {
+    const services = Object.values(config.current()?.services ?? {});
+    const running = new Set<ServiceName>();
+    services.forEach((service) => {
+      if (service.kind !== 'engine' || service.candidate === undefined) return;
+      running.add(service.name);
+      const { moveId, version } = service.candidate;
+      if (active.get(service.name)?.moveId === moveId) return;
+      active.set(service.name, {
+        moveId,
+        service: service.name,
+        toVersion: version,
+        fromVersion: service.stableVersion,
+        routeCount: service.adapters.length + 1,
+        watched: undefined,
+      });
+    });
+    active.forEach((_move, name) => {
+      if (!running.has(name)) active.delete(name);
+    });
+  }
+
+  async function learnTimes(move: ActiveMove): Promise<void> {
+    const record = await ports.readRecord(move.moveId);
+    if (record === undefined || move.watched !== undefined) return;
+    const settings = {
+      startMs: record.orderedAtMs,
+      byMs: record.byMs,
+      routeCount: move.routeCount,
+      falseAlarmRatio: (FALSE_ALARM_RATIO * (1 - MERGED_PART)) / aliveMembers().length,
+    };
+    move.watched = {
+      settings,
+      pairing: createPairing(settings),
+      own: createEvidencePool(settings),
+      deaths: [],
+      sent: new Map(),
+    };
+  }
+
+  function aliveMembers(): readonly Member[] {
+    const self = membership.self();
+    const others = membership.members().filter((member) => {
+      return member.state === 'alive' && member.routerId !== self.routerId;
+    });
+    return [self, ...others];
+  }
+
+  function aggregators(moveId: MoveId): Member[] {
+    const ranked = rankByRendezvous(moveId, aliveMembers(), (each) => each.routerId, hash);
+    return ranked.slice(0, AGGREGATOR_COUNT);
+  }
+
+  function itemOf(move: ActiveMove): Omit<Withdrawal, 'reason'> {
+    const { moveId, service, toVersion, fromVersion } = move;
+    return { moveId, service, version: toVersion, fallback: fromVersion };
+  }
+
+  async function report(move: ActiveMove, watched: WatchedMove): Promise<void> {
+    const nowMs = clock.nowMs();
+    const { routerId } = membership.self();
+    const cells = watched.pairing.cells(nowMs);
+    watched.own.merge(routerId, cells);
+    judge(itemOf(move), watched.own, nowMs);
+    const changed = cells.filter((cell) => watched.sent.get(cellKey(cell)) !== cellSum(cell));
+    const { deaths } = watched;
+    if (changed.length === 0 && deaths.length === 0) return;
+    const message: EvidenceMessage = {
+      ...itemOf(move),
+      startMs: watched.settings.startMs,
+      byMs: watched.settings.byMs,
+      routeCount: move.routeCount,
+      routerId,
+      cells: Buffer.from(encodeCells(changed)).toString('base64'),
+      deaths,
+    };
+    const replies = await Promise.all(
+      aggregators(move.moveId).map((peer) =>
+        peer.routerId === routerId ? onEvidence(message) : ports.sendEvidence(peer, message),
+      ),
+    );
+    replies.forEach((reply) => reply?.withdrawals.forEach((item) => takeIn(item, 'peer')));
+    // Without both answers everything is sent again; merging a report twice changes nothing.
+    if (replies.includes(undefined)) return;
+    watched.sent = new Map(cells.map((cell) => [cellKey(cell), cellSum(cell)]));
+    watched.deaths = watched.deaths.filter((death) => !deaths.includes(death));
+  }
+
+  function onEvidence(message: EvidenceMessage): EvidenceReply {
+    const cells = decodeCells(Buffer.from(message.cells, 'base64'));
+    if (cells === undefined) return { withdrawals: withdrawals.list() };
+    const move = mergedFor(message);
+    move.lastMessageMs = clock.nowMs();
+    move.pool.merge(message.routerId, cells);
+    message.deaths.forEach(move.pool.addDeath);
+    return { withdrawals: withdrawals.list() };
+  }
+
+  function mergedFor(message: EvidenceMessage): MergedMove {
+    const known = merged.get(message.moveId);
+    if (known !== undefined) return known;
+    const { startMs, byMs, routeCount, moveId, service, version, fallback } = message;
+    const falseAlarmRatio = (FALSE_ALARM_RATIO * MERGED_PART) / AGGREGATOR_COUNT;
+    const created: MergedMove = {
+      pool: createEvidencePool({ startMs, byMs, routeCount, falseAlarmRatio }),
+      item: { moveId, service, version, fallback } as Omit<Withdrawal, 'reason'>,
+      lastMessageMs: clock.nowMs(),
+    };
+    merged.set(moveId, created);
+    return created;
+  }
+
+  function judge(item: Omit<Withdrawal, 'reason'>, pool: EvidencePool, nowMs: number): void {
+    if (withdrawals.find(item.service, item.version) !== undefined) return;
+    const verdict = pool.verdict(nowMs);
+    if (verdict === undefined) return;
+    takeIn({ ...item, reason: describeVerdict(verdict) }, 'own_evidence');
+  }
+
+  async function tick(): Promise<void> {
+    syncMoves();
+    const nowMs = clock.nowMs();
+    merged.forEach((move, moveId) => {
+      judge(move.item, move.pool, nowMs);
+      if (nowMs - move.lastMessageMs > MERGED_EXPIRY_MS) merged.delete(moveId);
+    });
+    await Promise.all(
+      [...active.values()].map(async (move) => {
+        if (move.watched === undefined) await learnTimes(move);
+        if (move.watched !== undefined) await report(move, move.watched);
+      }),
+    );
+  }
+
+  config.onChange(syncMoves);
+  gossip.onItem((item) => takeIn(item, 'peer'));
+
+  return {
+    choose: (service, requestId) => chooseVersion(service, requestId, withdrawals, hash),
+    avoid: (service, group, engines, busyRatio) => {
+      const { candidate } = service;
+      if (candidate === undefined) return new Set();
+      const { moveId, version, shareRatio } = candidate;
+      if (withdrawals.find(service.name, version) !== undefined) return new Set();
+      return enginesToAvoid(
+        group,
+        { engines, newVersion: version, moveId, shareRatio, busyRatio },
+        hash,
+      );
+    },
+    onAttempt: (attempt) => {
+      const move = active.get(attempt.service);
+      if (move?.watched === undefined) return NO_OBSERVER;
+      const isNew = attempt.version === move.toVersion;
+      if (!isNew && attempt.version !== move.fromVersion) return NO_OBSERVER;
+      const scope = {
+        side: isNew ? 'new' : 'old',
+        routeHash: hash(attempt.route),
+        level: loadLevelOf(attempt.engineLoadRatio),
+        engineId: attempt.engineId,
+      } as const;
+      return move.watched.pairing.onAttempt(scope, clock.nowMs());
+    },
+    onEngineDown: (service, engine, engines) => {
+      const move = active.get(service);
+      if (move?.watched === undefined || engines.length === 0) return;
+      const { settings, pairing, own, deaths } = move.watched;
+      const nowMs = clock.nowMs();
+      pairing.onEngineDown(engine.engineId, nowMs);
+      const hasNew = (each: EngineVersions): boolean => each.versions.includes(move.toVersion);
+      const death = {
+        engineId: engine.engineId,
+        isNew: hasNew(engine),
+        newEngineRatio: engines.filter(hasNew).length / engines.length,
+        epoch: epochAt(settings, nowMs),
+      };
+      own.addDeath(death);
+      deaths.push(death);
+    },
+    onEvidence,
+    withdrawals: withdrawals.list,
+    tick,
+    start: () =>
+      clock.every(TICK_MS, () => {
+        void tick();
+      }),
+  };
+}
+
+function cellKey(cell: EvidenceCell): string {
+  return `${cell.epoch}/${cell.routeHash}/${cell.level}`;
+}
+
+function cellSum(cell: EvidenceCell): number {
+  const pairs = Object.values(cell.counts).map((each) => each.againstNew + each.againstOld);
+  return pairs.reduce((sum, each) => sum + each, cell.newStarts + cell.oldStarts);
+}
+
+function describeVerdict(verdict: EvidenceVerdict): string {
+  const { againstNew, againstOld } = verdict.counts;
+  const scope = verdict.routeHash === undefined ? 'all routes' : `route ${verdict.routeHash}`;
+  const level = verdict.level === undefined ? '' : `, ${verdict.level} load`;
+  return `${verdict.signal} on ${scope}${level}: ${againstNew} pairs against, ${againstOld} for`;
+}
