Add the configuration model's changes, replica, store and router feed

The configuration is changed by lists of tagged changes, each list one revision with who, why and an operation id. Replicas apply only the next revision and report gaps. The store commits under the condition of the head row and looks a lost answer up by operation id.

--- /dev/null
+++ b/packages/adapters/src/config/reader.ts
@@ -0,0 +1,104 @@
+import { EMPTY_CONFIG, applyChanges } from '@mimosamill/core';
+import { HEAD_KEY, REVISION_PREFIX, revisionKey, snapshotName, toHead, toRevision } from './rows';
+import type { ConfigRevision, FleetConfig, Revision } from '@mimosamill/core';
+import type { Objects } from '../platform/objects';
+import type { Tables } from '../platform/tables';
+import type { HeadValue } from './rows';
+
+export interface StoreUnavailable {
+  readonly kind: 'unavailable';
+  readonly message: string;
+}
+
+export type HeadOutcome = { readonly kind: 'ok'; readonly head: HeadValue } | StoreUnavailable;
+
+export type TailOutcome =
+  { readonly kind: 'ok'; readonly revisions: readonly ConfigRevision[] } | StoreUnavailable;
+
+export type ConfigOutcome =
+  { readonly kind: 'ok'; readonly config: FleetConfig } | StoreUnavailable;
+
+/** Read side of the stored configuration. */
+export interface ConfigReader {
+  readonly readHead: () => Promise<HeadOutcome>;
+  /** At most one page of revisions after the given one, in order. */
+  readonly readTail: (after: Revision) => Promise<TailOutcome>;
+  /** The whole configuration, at or after the head that was current when the call began. */
+  readonly readConfig: () => Promise<ConfigOutcome>;
+  /** The configuration as it was at a revision. */
+  readonly readConfigAt: (revision: Revision) => Promise<ConfigOutcome>;
+}
+
+const PAGE_ROWS = 200;
+
+/** Reads the configuration from the tables and the object store. */
+export function createConfigReader(tables: Tables, objects: Objects): ConfigReader {
+  async function readHead(): Promise<HeadOutcome> {
+    const answer = await tables.read([HEAD_KEY]);
+    if (answer.kind === 'unavailable') return answer;
+    return { kind: 'ok', head: toHead(answer.rows[0]) };
+  }
+
+  async function readTail(after: Revision): Promise<TailOutcome> {
+    const answer = await tables.scan(REVISION_PREFIX, revisionKey(after), PAGE_ROWS);
+    if (answer.kind === 'unavailable') return answer;
+    return { kind: 'ok', revisions: answer.rows.map(toRevision) };
+  }
+
+  async function readSnapshot(revision: Revision): Promise<ConfigOutcome> {
+    if (revision === 0) return { kind: 'ok', config: EMPTY_CONFIG };
+    const answer = await objects.get(snapshotName(revision));
+    switch (answer.kind) {
+      case 'ok':
+        return { kind: 'ok', config: JSON.parse(answer.body) as FleetConfig };
+      case 'absent':
+        return { kind: 'unavailable', message: `snapshot ${revision} is missing` };
+      default:
+        return answer;
+    }
+  }
+
+  /** Applies stored revisions up to `to`. */
+  async function follow(start: FleetConfig, to: Revision): Promise<ConfigOutcome> {
+    let config = start;
+    while (config.revision < to) {
+      const tail = await readTail(config.revision);
+      if (tail.kind === 'unavailable') return tail;
+      const usable = tail.revisions.filter(({ revision }) => revision <= to);
+      const next = usable.reduce(applyNext, config);
+      if (next === config) {
+        return { kind: 'unavailable', message: `revision ${config.revision + 1} is missing` };
+      }
+      config = next;
+    }
+    return { kind: 'ok', config };
+  }
+
+  async function readConfigAt(revision: Revision): Promise<ConfigOutcome> {
+    const answer = await readHead();
+    if (answer.kind === 'unavailable') return answer;
+    const { head } = answer;
+    const from = head.snapshotRevision <= revision ? head.snapshotRevision : EMPTY_CONFIG.revision;
+    const start = await readSnapshot(from);
+    return start.kind === 'ok' ? follow(start.config, revision) : start;
+  }
+
+  return {
+    readHead,
+    readTail,
+    readConfig: async () => {
+      // The head is read first: whatever is committed later is above it, and so is found either
+      // in the tail or by the next poll. In the other order, revisions between the snapshot and
+      // the head would have to be looked for.
+      const answer = await readHead();
+      if (answer.kind === 'unavailable') return answer;
+      const start = await readSnapshot(answer.head.snapshotRevision);
+      return start.kind === 'ok' ? follow(start.config, answer.head.revision) : start;
+    },
+    readConfigAt,
+  };
+}
+
+function applyNext(config: FleetConfig, entry: ConfigRevision): FleetConfig {
+  return entry.revision === config.revision + 1 ? applyChanges(config, entry.changes) : config;
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -78,3 +78,22 @@
 export { createEngineClient } from './engine/http';
 export type { EngineClientOptions } from './engine/http';
 export { createServiceClient } from './service/http';
+
+// stored configuration
+export { createConfigReader } from './config/reader';
+export type {
+  ConfigOutcome,
+  ConfigReader,
+  HeadOutcome,
+  StoreUnavailable,
+  TailOutcome,
+} from './config/reader';
+export { HEAD_KEY, revisionKey, snapshotName } from './config/rows';
+export type { HeadValue } from './config/rows';
+export { createConfigStore, SNAPSHOT_EVERY } from './config/store';
+export type {
+  ChangeRequest,
+  CommitRevisionOutcome,
+  ConfigStore,
+  OperationOutcome,
+} from './config/store';
--- /dev/null
+++ b/packages/core/src/config/effective.ts
@@ -0,0 +1,36 @@
+import type { CustomerId, FailureDomain, ServiceName } from '../ids';
+import type { ConfigException, ExceptionScope, FleetConfig, FleetDefaults } from './model';
+
+/** Where a setting is looked up. */
+export interface SettingsPlace {
+  readonly service?: ServiceName;
+  readonly customer?: CustomerId;
+  readonly failureDomain?: FailureDomain;
+}
+
+/**
+ * Defaults with the matching exceptions applied. The exception that names more fields wins;
+ * among equals one that names the customer, then one that names the service.
+ */
+export function effectiveSettings(config: FleetConfig, place: SettingsPlace): FleetDefaults {
+  const matching = Object.values(config.exceptions)
+    .filter(({ scope }) => matches(scope, place))
+    .sort((a, b) => precedence(a) - precedence(b));
+  const replaced = Object.fromEntries(matching.map(({ setting, value }) => [setting, value]));
+  return { ...config.defaults, ...replaced };
+}
+
+function matches(scope: ExceptionScope, place: SettingsPlace): boolean {
+  return (
+    (scope.service === undefined || scope.service === place.service) &&
+    (scope.customer === undefined || scope.customer === place.customer) &&
+    (scope.failureDomain === undefined || scope.failureDomain === place.failureDomain)
+  );
+}
+
+function precedence({ scope }: ConfigException): number {
+  const customer = scope.customer === undefined ? 0 : 1;
+  const service = scope.service === undefined ? 0 : 1;
+  const failureDomain = scope.failureDomain === undefined ? 0 : 1;
+  return (customer + service + failureDomain) * 8 + customer * 4 + service * 2 + failureDomain;
+}
--- /dev/null
+++ b/packages/core/src/config/readers.ts
@@ -0,0 +1,27 @@
+import { rankByRendezvous } from '../hash/rendezvous';
+import type { Hash32 } from '../hash/rendezvous';
+import type { FailureDomain, RouterId } from '../ids';
+
+/** What the choice of readers needs to know about a member. */
+export interface ReaderCandidate {
+  readonly routerId: RouterId;
+  readonly failureDomain: FailureDomain;
+  readonly state: string;
+}
+
+/** Routers of a failure domain that poll the store; the second covers the loss of the first. */
+export const READERS_PER_DOMAIN = 2;
+
+/** Chooses the routers of a failure domain that poll the store for new revisions. */
+export function chooseReaders(
+  members: readonly ReaderCandidate[],
+  failureDomain: FailureDomain,
+  hash: Hash32,
+): RouterId[] {
+  const alive = members.filter(
+    (member) => member.failureDomain === failureDomain && member.state === 'alive',
+  );
+  return rankByRendezvous(`config/${failureDomain}`, alive, ({ routerId }) => routerId, hash)
+    .slice(0, READERS_PER_DOMAIN)
+    .map(({ routerId }) => routerId);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,3 +57,29 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+export { checkChangeAccess, checkServiceAccess, findAdministrator } from './config/access';
+export type { AccessDecision, Administrator } from './config/access';
+export {
+  CHANGE_KINDS,
+  applyChanges,
+  entryOf,
+  invertChanges,
+  touchedEntries,
+} from './config/change';
+export type { ConfigChange, ConfigChangeKind, ConfigRevision } from './config/change';
+export { CONFIG_SECTIONS, diffConfigs } from './config/diff';
+export type { ConfigSection, EntryDiff, FieldDiff } from './config/diff';
+export { effectiveSettings } from './config/effective';
+export type { SettingsPlace } from './config/effective';
+export { READERS_PER_DOMAIN, chooseReaders } from './config/readers';
+export type { ReaderCandidate } from './config/readers';
+export { EMPTY_CONFIG, createReplica } from './config/replica';
+export type { Replica, ReplicaEffect } from './config/replica';
+export type { ConfigProblem } from './config/shape';
+export { planUndo } from './config/undo';
+export type { UndoPlan } from './config/undo';
+export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export type { AppliedChanges, ParsedChanges } from './config/validate';
+
+// version moves
+export type { MoveRecord, MoveState } from './move/record';
--- /dev/null
+++ b/packages/router/src/config/feed.ts
@@ -0,0 +1,279 @@
+import { asRevision, chooseReaders, createReplica } from '@mimosamill/core';
+import { fitMessage, MAX_MESSAGE_CHARS } from './peers';
+import type { Clock, ConfigReader, Log, Metrics } from '@mimosamill/adapters';
+import type { FleetConfig, Hash32, ReplicaEffect, Revision, RouterId } from '@mimosamill/core';
+import type { Member, Membership } from '../peer/member';
+import type { ConfigPeerHandler, ConfigPeers, ConfigPush, SnapshotPart } from './peers';
+import type { ConfigSource } from './source';
+
+export interface ConfigFeedSettings {
+  /** Period of a reader's polls of the head, and of attempts to start. */
+  readonly pollMs: number;
+  /** Revisions kept for peers. */
+  readonly tailLength: number;
+}
+
+export const DEFAULT_FEED_SETTINGS: ConfigFeedSettings = { pollMs: 500, tailLength: 200 };
+
+export interface ConfigFeedOptions {
+  readonly store: ConfigReader;
+  readonly peers: ConfigPeers;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly settings: ConfigFeedSettings;
+}
+
+/** The router's configuration and the tasks that keep it up to date. */
+export interface ConfigFeed extends ConfigSource {
+  readonly start: () => void;
+  readonly stop: () => void;
+  readonly revision: () => Revision;
+  /** A member was heard to be at a revision, for example in a membership message. */
+  readonly hear: (revision: Revision, from: RouterId) => void;
+  readonly handler: ConfigPeerHandler;
+}
+
+/** Peers asked at start; one alone may lag behind, and the newest answer is taken. */
+const START_PEERS = 3;
+/** Peers tried for a missing tail before the store is asked. */
+const PULL_PEERS = 3;
+
+/** Creates a feed; it does nothing until started. */
+export function createConfigFeed(options: ConfigFeedOptions): ConfigFeed {
+  const { store, peers, membership, clock, hash, random, log, settings } = options;
+  const replica = createReplica(settings.tailLength);
+  const counters = createCounters(options.metrics);
+  const listeners: ((config: FleetConfig) => void)[] = [];
+  const cancels: (() => void)[] = [];
+  let notReadyReason: string | undefined = 'the configuration has not been read yet';
+  let isPolling = false;
+  let isPulling = false;
+  let isStoreUp = true;
+  let pushedRevision = asRevision(0);
+  let snapshot: { readonly revision: Revision; readonly text: string } | undefined;
+
+  function isReader(): boolean {
+    const { failureDomain, routerId } = membership.self();
+    return chooseReaders(membership.members(), failureDomain, hash).includes(routerId);
+  }
+
+  function perform(effects: readonly ReplicaEffect[], from?: RouterId): void {
+    effects.forEach((effect) => {
+      switch (effect.kind) {
+        case 'changed':
+          onChanged(effect.config);
+          return;
+        case 'gap':
+          void pull(from);
+          return;
+        default:
+          counters.unsupported.inc();
+          log.error('a configuration revision needs a newer release', {
+            revision: effect.revision,
+          });
+      }
+    });
+  }
+
+  function onChanged(config: FleetConfig): void {
+    if (notReadyReason !== undefined) {
+      notReadyReason = undefined;
+      log.info('the configuration is in force', { revision: config.revision });
+    }
+    counters.revision.set(config.revision);
+    listeners.forEach((fn) => fn(config));
+    if (isReader()) pushToDomain();
+    else pushedRevision = config.revision;
+  }
+
+  function pushToDomain(): void {
+    const self = membership.self();
+    const held = replica.tailAfter(pushedRevision) ?? [];
+    pushedRevision = replica.revision();
+    const push: ConfigPush = { revision: replica.revision(), revisions: fitMessage(held) };
+    membership
+      .members()
+      .filter((member) => member.failureDomain === self.failureDomain)
+      .filter((member) => member.routerId !== self.routerId && isReachable(member))
+      .forEach((member) => {
+        void pushTo(member, push);
+      });
+  }
+
+  async function pushTo(member: Member, push: ConfigPush): Promise<void> {
+    const answer = await peers.push(member, push);
+    counters.pushes.inc({ outcome: answer.kind });
+    if (answer.kind === 'ok') hear(answer.revision, member.routerId);
+  }
+
+  /** Tries the member that knows of the revision, then others, then the store. */
+  async function pull(from: RouterId | undefined): Promise<void> {
+    if (isPulling || replica.current() === undefined) return;
+    isPulling = true;
+    const candidates = choosePeers(from, PULL_PEERS);
+    for (const member of candidates) {
+      if (replica.revision() >= replica.highestHeard()) break;
+      await pullFrom(member);
+    }
+    if (replica.revision() < replica.highestHeard()) await readStoreTail();
+    isPulling = false;
+  }
+
+  async function pullFrom(member: Member): Promise<void> {
+    let hasMore = true;
+    while (hasMore) {
+      const before = replica.revision();
+      const answer = await peers.pull(member, before);
+      counters.pulls.inc({ outcome: answer.kind });
+      if (answer.kind === 'unavailable') return;
+      if (answer.kind === 'tail') {
+        perform(replica.offer(answer.revisions));
+        hasMore = replica.revision() > before && replica.revision() < answer.revision;
+      } else {
+        perform(replica.install(answer.config));
+        hasMore = false;
+      }
+    }
+  }
+
+  /** Random reachable members, those of the own failure domain first. */
+  function choosePeers(first: RouterId | undefined, count: number): Member[] {
+    const self = membership.self();
+    const scored = membership
+      .members()
+      .filter((member) => member.routerId !== self.routerId && isReachable(member))
+      .map((member) => ({ member, score: peerScore(member, self, first) + random() }));
+    scored.sort((a, b) => a.score - b.score);
+    return scored.slice(0, count).map(({ member }) => member);
+  }
+
+  async function readStoreTail(): Promise<void> {
+    const answer = await store.readTail(replica.revision());
+    noteStore(answer.kind === 'ok', answer.kind === 'ok' ? '' : answer.message);
+    if (answer.kind === 'ok') perform(replica.offer(answer.revisions));
+  }
+
+  function noteStore(isUp: boolean, message: string): void {
+    counters.polls.inc({ outcome: isUp ? 'ok' : 'unavailable' });
+    if (isUp === isStoreUp) return;
+    isStoreUp = isUp;
+    if (isUp) log.info('the configuration store answers again');
+    else log.warn('the configuration store is unavailable', { message });
+  }
+
+  async function bootstrap(): Promise<void> {
+    const stored = await store.readConfig();
+    noteStore(stored.kind === 'ok', stored.kind === 'ok' ? '' : stored.message);
+    if (stored.kind === 'ok') {
+      perform(replica.install(stored.config));
+      return;
+    }
+    const asked = choosePeers(undefined, START_PEERS);
+    const answers = await Promise.all(asked.map((member) => peers.pull(member, undefined)));
+    answers.forEach((answer) => {
+      if (answer.kind === 'config') perform(replica.install(answer.config));
+    });
+    if (replica.current() !== undefined) return;
+    notReadyReason = `no configuration: the store is unavailable (${stored.message}) and none of ${asked.length} peers has one`;
+  }
+
+  async function pollHead(): Promise<void> {
+    const answer = await store.readHead();
+    noteStore(answer.kind === 'ok', answer.kind === 'ok' ? '' : answer.message);
+    if (answer.kind !== 'ok' || answer.head.revision <= replica.revision()) return;
+    await readStoreTail();
+  }
+
+  async function poll(): Promise<void> {
+    if (isPolling) return;
+    isPolling = true;
+    if (replica.current() === undefined) await bootstrap();
+    else if (isReader()) await pollHead();
+    if (replica.revision() < replica.highestHeard()) await pull(undefined);
+    isPolling = false;
+  }
+
+  function hear(revision: Revision, from: RouterId): void {
+    perform(replica.hear(revision), from);
+  }
+
+  function snapshotPart(revision: Revision | undefined, offset: number): SnapshotPart {
+    const config = replica.current();
+    if (config === undefined) return { kind: 'gone' };
+    if (revision === undefined && snapshot?.revision !== config.revision) {
+      snapshot = { revision: config.revision, text: JSON.stringify(config) };
+    }
+    if (snapshot === undefined || (revision ?? snapshot.revision) !== snapshot.revision) {
+      return { kind: 'gone' };
+    }
+    const text = snapshot.text.slice(offset, offset + MAX_MESSAGE_CHARS);
+    const totalChars = snapshot.text.length;
+    const nextOffset = offset + text.length;
+    return { kind: 'part', revision: snapshot.revision, text, nextOffset, totalChars };
+  }
+
+  return {
+    current: replica.current,
+    onChange: (fn) => {
+      listeners.push(fn);
+    },
+    notReadyReason: () => notReadyReason,
+    revision: replica.revision,
+    start: () => {
+      // A random phase spreads the polls of routers that were started together.
+      void poll();
+      const startPolling = (): void => {
+        const cancel = clock.every(settings.pollMs, () => {
+          void poll();
+        });
+        cancels.push(cancel);
+      };
+      cancels.push(clock.after(random() * settings.pollMs, startPolling));
+    },
+    stop: () => {
+      cancels.forEach((cancel) => cancel());
+    },
+    hear,
+    handler: {
+      revision: replica.revision,
+      isReady: () => notReadyReason === undefined,
+      tailAfter: replica.tailAfter,
+      snapshotPart,
+      acceptPush: (push) => {
+        perform(replica.offer(push.revisions));
+        perform(replica.hear(push.revision));
+        return replica.revision();
+      },
+      members: membership.members,
+    },
+  };
+}
+
+function createCounters(metrics: Metrics) {
+  return {
+    revision: metrics.gauge('mimosamill_config_revision', 'Configuration revision in force'),
+    polls: metrics.counter('mimosamill_config_store_reads_total', 'Reads of the store', [
+      'outcome',
+    ]),
+    pulls: metrics.counter('mimosamill_config_pulls_total', 'Tails pulled from peers', ['outcome']),
+    pushes: metrics.counter('mimosamill_config_pushes_total', 'Tails pushed to peers', ['outcome']),
+    unsupported: metrics.counter(
+      'mimosamill_config_unsupported_total',
+      'Revisions that this release cannot apply',
+    ),
+  };
+}
+
+function isReachable(member: Member): boolean {
+  return member.state !== 'dead' && member.state !== 'unreachable';
+}
+
+function peerScore(member: Member, self: Member, first: RouterId | undefined): number {
+  if (member.routerId === first) return 0;
+  return member.failureDomain === self.failureDomain ? 1 : 2;
+}
--- /dev/null
+++ b/packages/router/src/config/peers.ts
@@ -0,0 +1,69 @@
+import type { ConfigRevision, FleetConfig, Revision } from '@mimosamill/core';
+import type { Member } from '../peer/member';
+
+export type PullOutcome =
+  | {
+      readonly kind: 'tail';
+      /** The peer's own revision; the tail may end before it. */
+      readonly revision: Revision;
+      readonly revisions: readonly ConfigRevision[];
+    }
+  /** Everything, because it was asked for or the peer no longer holds the tail. */
+  | { readonly kind: 'config'; readonly config: FleetConfig }
+  | { readonly kind: 'unavailable'; readonly message: string };
+
+export type PushOutcome =
+  | { readonly kind: 'ok'; readonly revision: Revision }
+  | { readonly kind: 'unavailable'; readonly message: string };
+
+/** What a reader sends to the routers of its failure domain. */
+export interface ConfigPush {
+  /** The sender's revision. */
+  readonly revision: Revision;
+  /** The last revisions, as far as they fit into one message. */
+  readonly revisions: readonly ConfigRevision[];
+}
+
+/** The way to other routers' configuration. */
+export interface ConfigPeers {
+  /** Without `after`, the whole configuration is asked for. */
+  readonly pull: (member: Member, after: Revision | undefined) => Promise<PullOutcome>;
+  readonly push: (member: Member, push: ConfigPush) => Promise<PushOutcome>;
+}
+
+/** Part of a serialised configuration; a whole one may exceed the size of a message. */
+export type SnapshotPart =
+  | {
+      readonly kind: 'part';
+      readonly revision: Revision;
+      readonly text: string;
+      readonly nextOffset: number;
+      readonly totalChars: number;
+    }
+  /** There is no configuration, or no longer the one of this revision. */
+  | { readonly kind: 'gone' };
+
+/** What a router answers to its peers. */
+export interface ConfigPeerHandler {
+  readonly revision: () => Revision;
+  readonly isReady: () => boolean;
+  /** Undefined if the tail is no longer held in full. */
+  readonly tailAfter: (after: Revision) => readonly ConfigRevision[] | undefined;
+  /** A `revision` of undefined asks for the current configuration. */
+  readonly snapshotPart: (revision: Revision | undefined, offset: number) => SnapshotPart;
+  readonly acceptPush: (push: ConfigPush) => Revision;
+  readonly members: () => readonly Member[];
+}
+
+/** Largest message between routers is 256 KB; the rest is left for framing and escaping. */
+export const MAX_MESSAGE_CHARS = 128 * 1024;
+
+/** As many of the first revisions as fit into one message, but at least one. */
+export function fitMessage(revisions: readonly ConfigRevision[]): readonly ConfigRevision[] {
+  let chars = 0;
+  const end = revisions.findIndex((entry, index) => {
+    chars += JSON.stringify(entry).length;
+    return index > 0 && chars > MAX_MESSAGE_CHARS;
+  });
+  return end === -1 ? revisions : revisions.slice(0, end);
+}
