Add membership and the tRPC server for peers

Routers need a common view of the fleet and a way to call each other. Adds a SWIM-like state machine and a gossip set to the core, and a tRPC server, a bounded client pool and traffic counters to the router. Sub-routers of other modules are mounted by name.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,3 +57,22 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+
+// membership
+export { createSwim, shownState, spareBytes } from './member/swim';
+export { SWIM_DEFAULTS } from './member/message';
+export { pick, shuffle } from './member/random';
+export type {
+  ProbeTarget,
+  Swim,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimSettings,
+  SwimTimes,
+  SyncReply,
+  SyncRequest,
+} from './member/message';
+export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
+export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
+export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
--- /dev/null
+++ b/packages/core/src/member/message.ts
@@ -0,0 +1,137 @@
+import type { FailureDomain, Region, Revision, RouterId } from '../ids';
+import type { Hash32 } from '../hash/rendezvous';
+import type { MemberUpdate, SpreadState, ViewEntry } from './view';
+
+export interface SwimSettings {
+  readonly routerId: RouterId;
+  readonly address: string;
+  readonly peerAddress: string;
+  readonly region: Region;
+  readonly failureDomain: FailureDomain;
+  /** Higher than at any earlier start of the same router; the start time serves. */
+  readonly incarnation: number;
+  /** Peer addresses asked first. */
+  readonly seeds: readonly string[];
+  readonly periodMs: number;
+  readonly probeTimeoutMs: number;
+  readonly deadKeepMs: number;
+  readonly syncEveryMs: number;
+  /** Period of probes to dead, unreachable and merely listed members. */
+  readonly reconnectEveryMs: number;
+  readonly hash: Hash32;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Times of the protocol. */
+export type SwimTimes = Pick<
+  SwimSettings,
+  'periodMs' | 'probeTimeoutMs' | 'deadKeepMs' | 'syncEveryMs' | 'reconnectEveryMs'
+>;
+
+export const SWIM_DEFAULTS: SwimTimes = {
+  periodMs: 1_000,
+  probeTimeoutMs: 500,
+  deadKeepMs: 600_000,
+  syncEveryMs: 10_000,
+  reconnectEveryMs: 10_000,
+};
+
+/** A probe or its acknowledgement. */
+export interface SwimMessage {
+  readonly from: MemberUpdate;
+  readonly revision: Revision;
+  readonly updates: readonly MemberUpdate[];
+}
+
+/** First half of the anti-entropy exchange. */
+export interface SyncRequest {
+  readonly from: MemberUpdate;
+  readonly buckets: readonly number[];
+}
+
+/** Second half: the answering node's buckets and its entries where they differ. */
+export interface SyncReply {
+  readonly from: MemberUpdate;
+  readonly buckets: readonly number[];
+  readonly updates: readonly MemberUpdate[];
+}
+
+export interface ProbeTarget {
+  /** Undefined for an address from the seeds or the host list. */
+  readonly routerId: RouterId | undefined;
+  readonly peerAddress: string;
+}
+
+export type SwimEvent =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'ping'; readonly replyId: number; readonly message: SwimMessage }
+  | {
+      readonly kind: 'ping_req';
+      readonly replyId: number;
+      readonly message: SwimMessage;
+      readonly target: ProbeTarget;
+    }
+  | { readonly kind: 'ack'; readonly seq: number; readonly message: SwimMessage }
+  | { readonly kind: 'no_ack'; readonly seq: number }
+  | { readonly kind: 'sync'; readonly replyId: number; readonly request: SyncRequest }
+  | { readonly kind: 'sync_ack'; readonly seq: number; readonly reply: SyncReply }
+  | {
+      readonly kind: 'push';
+      readonly from: MemberUpdate;
+      readonly updates: readonly MemberUpdate[];
+    }
+  | { readonly kind: 'hosts'; readonly peerAddresses: readonly string[] }
+  | { readonly kind: 'revision'; readonly revision: Revision }
+  /** A planned stop has begun: the node takes no new work. */
+  | { readonly kind: 'leave' }
+  /** The process ends now. */
+  | { readonly kind: 'stop' };
+
+export type SwimEffect =
+  | {
+      readonly kind: 'ping';
+      readonly seq: number;
+      readonly target: ProbeTarget;
+      readonly message: SwimMessage;
+      readonly timeoutMs: number;
+    }
+  | {
+      readonly kind: 'ping_req';
+      readonly seq: number;
+      readonly via: string;
+      readonly target: ProbeTarget;
+      readonly message: SwimMessage;
+      readonly timeoutMs: number;
+    }
+  | { readonly kind: 'reply'; readonly replyId: number; readonly message: SwimMessage }
+  /** The relayed probe got no acknowledgement. */
+  | { readonly kind: 'refuse'; readonly replyId: number }
+  | {
+      readonly kind: 'sync';
+      readonly seq: number;
+      readonly to: string;
+      readonly request: SyncRequest;
+    }
+  | { readonly kind: 'sync_reply'; readonly replyId: number; readonly reply: SyncReply }
+  | {
+      readonly kind: 'push';
+      readonly to: string;
+      readonly from: MemberUpdate;
+      readonly updates: readonly MemberUpdate[];
+    }
+  | {
+      readonly kind: 'changed';
+      readonly routerId: RouterId;
+      readonly state: SpreadState | 'unreachable' | 'forgotten';
+    }
+  /** A peer has a configuration that this node lacks. */
+  | { readonly kind: 'newer_revision'; readonly revision: Revision; readonly peerAddress: string };
+
+/** This node's view of the fleet and its part in keeping it. */
+export interface Swim {
+  readonly on: (event: SwimEvent, nowMs: number) => SwimEffect[];
+  readonly self: () => MemberUpdate;
+  readonly entries: () => Iterable<Readonly<ViewEntry>>;
+  readonly find: (routerId: RouterId) => Readonly<ViewEntry> | undefined;
+}
--- /dev/null
+++ b/packages/core/src/member/spread.ts
@@ -0,0 +1,46 @@
+import { updateSizeBytes } from './view';
+import type { RouterId } from '../ids';
+import type { MemberUpdate } from './view';
+
+/** Updates waiting to be passed on; each is sent a bounded number of times. */
+export interface SpreadQueue {
+  readonly add: (update: MemberUpdate) => void;
+  /** Takes the least-sent updates; each counts as sent once more. */
+  readonly take: (maxCount: number, maxBytes: number, sendLimit: number) => MemberUpdate[];
+  readonly size: () => number;
+}
+
+interface Queued {
+  readonly update: MemberUpdate;
+  sends: number;
+}
+
+/** Creates an empty queue with at most one update per member: the newest. */
+export function createSpreadQueue(): SpreadQueue {
+  const queue = new Map<RouterId, Queued>();
+
+  function take(maxCount: number, maxBytes: number, sendLimit: number): MemberUpdate[] {
+    const waiting = [...queue.values()].sort((a, b) => a.sends - b.sends);
+    const taken: MemberUpdate[] = [];
+    let bytes = 0;
+    for (const queued of waiting) {
+      if (taken.length >= maxCount) break;
+      const size = updateSizeBytes(queued.update);
+      if (bytes + size <= maxBytes) {
+        bytes += size;
+        taken.push(queued.update);
+        queued.sends += 1;
+        if (queued.sends >= sendLimit) queue.delete(queued.update.routerId);
+      }
+    }
+    return taken;
+  }
+
+  return {
+    add: (update) => {
+      queue.set(update.routerId, { update, sends: 0 });
+    },
+    take,
+    size: () => queue.size,
+  };
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,18 @@
-export {};
+// membership and the server for peers
+export { createPeers } from './peer/member';
+export type {
+  Member,
+  Membership,
+  PeerLog,
+  Peers,
+  PeersDeps,
+  PeersSettings,
+  PublishedItem,
+} from './peer/member';
+export { createPeerServer, SERVER_DEFAULTS } from './peer/server';
+export type { PeerRouters, PeerServer, PeerServerSettings } from './peer/server';
+export { createPeerTraffic } from './peer/traffic';
+export type { PeerTraffic } from './peer/traffic';
+export { createPeerRouter, peerProcedure } from './peer/trpc';
+export type { PeerContext } from './peer/trpc';
+export type { PeerPool } from './peer/pool';
--- a/packages/router/src/peer/member.ts
+++ b/packages/router/src/peer/member.ts
@@ -1,4 +1,36 @@
-import type { FailureDomain, Region, RouterId } from '@mimosamill/core';
+import {
+  assertNever,
+  createGossip,
+  createSwim,
+  GOSSIP_DEFAULTS,
+  shownState,
+  shuffle,
+  spareBytes,
+  SWIM_DEFAULTS,
+} from '@mimosamill/core';
+import { createPeerPool, POOL_DEFAULTS } from './pool';
+import { createMemberRouter } from './router';
+import { packItem, packMessage, packUpdate, unpackItem, unpackMessage, unpackUpdate } from './wire';
+import type { Clock, HostList, ListedHost } from '@mimosamill/adapters';
+import type {
+  FailureDomain,
+  GossipItem,
+  Hash32,
+  MemberUpdate,
+  ProbeTarget,
+  Region,
+  Revision,
+  RouterId,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimTimes,
+  SyncReply,
+} from '@mimosamill/core';
+import type { PeerPool, PeerPoolSettings } from './pool';
+import type { MemberRouter } from './router';
+import type { PeerTraffic } from './traffic';
+import type { MessageTuple } from './wire';
 
 /** A router of the fleet, as this router sees it. */
 export interface Member {
@@ -20,3 +52,386 @@
   readonly members: () => readonly Member[];
   readonly onChange: (fn: (members: readonly Member[]) => void) => void;
 }
+
+export interface PeersSettings {
+  readonly routerId: RouterId;
+  readonly address: string;
+  readonly peerAddress: string;
+  readonly region: Region;
+  readonly failureDomain: FailureDomain;
+  /** Peer addresses that are tried first. */
+  readonly seeds: readonly string[];
+  readonly swim?: Partial<SwimTimes>;
+  readonly pool?: Partial<PeerPoolSettings>;
+}
+
+/** Receives log lines; a tslog logger fits. */
+export interface PeerLog {
+  readonly info: (message: string, fields: Readonly<Record<string, unknown>>) => unknown;
+}
+
+export interface PeersDeps {
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  readonly traffic: PeerTraffic;
+  readonly log: PeerLog;
+  readonly hosts?: HostList;
+  /** Peer address of a listed router; by default the listed address itself. */
+  readonly peerAddressOf?: (host: ListedHost) => string;
+}
+
+/** This router's part in the fleet. */
+export interface Peers extends Membership {
+  /** To be mounted as 'member'. */
+  readonly router: MemberRouter;
+  readonly pool: PeerPool;
+  readonly start: () => void;
+  /** Announces a planned stop; the router stays a member until stop(). */
+  readonly leave: () => void;
+  /** Announces the end of the process and closes the connections. */
+  readonly stop: () => Promise<void>;
+  /** Tells every router; a new item reaches most of them within a second. */
+  readonly publish: (item: PublishedItem) => void;
+  /** Calls back once for every item of the kind published by another router. */
+  readonly onItem: (kind: string, fn: (item: GossipItem) => void) => void;
+  readonly items: () => readonly GossipItem[];
+  /** Sets the configuration revision that messages carry. */
+  readonly setRevision: (revision: Revision) => void;
+  /** Calls back whenever a peer shows a higher revision than this router's. */
+  readonly onNewerRevision: (fn: (revision: Revision, peerAddress: string) => void) => void;
+}
+
+export interface PublishedItem {
+  readonly kind: string;
+  readonly key: string;
+  readonly payload: string;
+  readonly ttlMs: number;
+}
+
+const HOST_LIST_EVERY_MS = 10_000;
+/** New items go at once to this many members; probes and anti-entropy reach the rest. */
+const FLUSH_FANOUT = 3;
+/** Collects items that arrive together, and bounds the pushes to ten a second. */
+const FLUSH_DELAY_MS = 100;
+const FLUSH_BYTES = 4_096;
+const MAX_SYNC_ITEMS = 64;
+const SENDS_PER_DOUBLING = 3;
+const CALL_SLACK_MS = 100;
+
+/** Creates the membership; nothing is sent before start(). */
+export function createPeers(settings: PeersSettings, deps: PeersDeps): Peers {
+  const { clock, hash, random, log } = deps;
+  const pool = createPeerPool({ ...POOL_DEFAULTS, ...settings.pool }, clock, deps.traffic);
+  const swim = createSwim(
+    {
+      ...SWIM_DEFAULTS,
+      ...settings.swim,
+      routerId: settings.routerId,
+      address: settings.address,
+      peerAddress: settings.peerAddress,
+      region: settings.region,
+      failureDomain: settings.failureDomain,
+      incarnation: clock.nowMs(),
+      seeds: settings.seeds,
+      hash,
+      random,
+    },
+    clock.monotonicMs(),
+  );
+  const gossip = createGossip({
+    ...GOSSIP_DEFAULTS,
+    sendLimit: () => Math.ceil(SENDS_PER_DOUBLING * Math.log2(members().length + 1)),
+    hash,
+  });
+  const waiting = new Map<number, (message: SwimMessage | undefined) => void>();
+  const changeHooks: ((members: readonly Member[]) => void)[] = [];
+  const itemHooks: { kind: string; fn: (item: GossipItem) => void }[] = [];
+  const revisionHooks: ((revision: Revision, peerAddress: string) => void)[] = [];
+  const cancels: (() => void)[] = [];
+  let known: readonly Member[] | undefined;
+  let lastReplyId = 0;
+  let isFlushing = false;
+  let isStopped = false;
+  let syncReply: SyncReply | undefined;
+
+  function self(): Member {
+    return toMember(swim.self(), swim.self().state);
+  }
+
+  function members(): readonly Member[] {
+    known ??= [
+      self(),
+      ...[...swim.entries()].map((entry) => toMember(entry.update, shownState(entry))),
+    ];
+    return known;
+  }
+
+  function dispatch(event: SwimEvent): void {
+    if (isStopped) return;
+    swim.on(event, clock.monotonicMs()).forEach(apply);
+  }
+
+  function apply(effect: SwimEffect): void {
+    switch (effect.kind) {
+      case 'ping':
+        sendPing(effect);
+        break;
+      case 'ping_req':
+        sendPingReq(effect);
+        break;
+      case 'reply':
+        answer(effect.replyId, effect.message);
+        break;
+      case 'refuse':
+        answer(effect.replyId, undefined);
+        break;
+      case 'sync':
+        sendSync(effect);
+        break;
+      case 'sync_reply':
+        syncReply = effect.reply;
+        break;
+      case 'push':
+        sendPush(effect.to, effect.from, effect.updates, []);
+        break;
+      case 'changed':
+        onMemberChanged(effect);
+        break;
+      case 'newer_revision':
+        revisionHooks.forEach((fn) => fn(effect.revision, effect.peerAddress));
+        break;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  function client(peerAddress: string) {
+    return pool.client<MemberRouter>('member', peerAddress);
+  }
+
+  function sendPing({ seq, target, message, timeoutMs }: SwimEffect & { kind: 'ping' }): void {
+    const call = client(target.peerAddress).ping.mutate(pack(message), { context: { timeoutMs } });
+    settle(seq, call);
+  }
+
+  function sendPingReq(effect: SwimEffect & { kind: 'ping_req' }): void {
+    const { seq, via, target, message, timeoutMs } = effect;
+    const input = [pack(message), target.routerId ?? '', target.peerAddress] as const;
+    const context = { timeoutMs: timeoutMs + CALL_SLACK_MS };
+    settle(seq, client(via).pingReq.mutate([...input], { context }));
+  }
+
+  function settle(seq: number, call: Promise<MessageTuple | null>): void {
+    call
+      .then((tuple) => {
+        if (tuple === null) {
+          dispatch({ kind: 'no_ack', seq });
+          return;
+        }
+        const { message, gossip: items } = unpackMessage(tuple);
+        receiveItems(items);
+        dispatch({ kind: 'ack', seq, message });
+      })
+      .catch(() => dispatch({ kind: 'no_ack', seq }));
+  }
+
+  function sendSync({ seq, to, request }: SwimEffect & { kind: 'sync' }): void {
+    const itemBuckets = gossip.buckets(clock.nowMs());
+    client(to)
+      .sync.mutate([packUpdate(request.from), [...request.buckets], itemBuckets])
+      .then((tuple) => {
+        if (tuple === null) return;
+        const [from, buckets, theirItemBuckets, updates, items] = tuple;
+        receiveItems(items.map(unpackItem));
+        const reply = { from: unpackUpdate(from), buckets, updates: updates.map(unpackUpdate) };
+        dispatch({ kind: 'sync_ack', seq, reply });
+        pushMissing(to, theirItemBuckets);
+      })
+      .catch(() => dispatch({ kind: 'no_ack', seq }));
+  }
+
+  function pushMissing(to: string, theirBuckets: readonly number[]): void {
+    const items = gossip.missing(theirBuckets, MAX_SYNC_ITEMS, clock.nowMs());
+    if (items.length > 0) sendPush(to, swim.self(), [], items);
+  }
+
+  function sendPush(
+    to: string,
+    from: MemberUpdate,
+    updates: readonly MemberUpdate[],
+    items: readonly GossipItem[],
+  ): void {
+    client(to)
+      .push.mutate([packUpdate(from), updates.map(packUpdate), items.map(packItem)])
+      // A lost push is repaired by probes and anti-entropy.
+      .catch(() => undefined);
+  }
+
+  function pack(message: SwimMessage): MessageTuple {
+    return packMessage(message, takeItems(message));
+  }
+
+  function takeItems(message: SwimMessage): readonly GossipItem[] {
+    return gossip.take(spareBytes(message), clock.nowMs());
+  }
+
+  function answer(replyId: number, message: SwimMessage | undefined): void {
+    waiting.get(replyId)?.(message);
+    waiting.delete(replyId);
+  }
+
+  function ask(
+    toEvent: (replyId: number) => SwimEvent,
+    done: (message: SwimMessage | undefined) => void,
+  ): void {
+    lastReplyId += 1;
+    if (isStopped) {
+      done(undefined);
+      return;
+    }
+    waiting.set(lastReplyId, done);
+    dispatch(toEvent(lastReplyId));
+  }
+
+  function onMemberChanged({ routerId, state }: SwimEffect & { kind: 'changed' }): void {
+    known = undefined;
+    log.info('member changed', { routerId, state });
+    changeHooks.forEach((fn) => fn(members()));
+  }
+
+  function receiveItems(items: readonly GossipItem[]): void {
+    if (items.length === 0) return;
+    const added = gossip.add(items, clock.nowMs());
+    if (added.length === 0) return;
+    flushSoon();
+    added.forEach((item) =>
+      itemHooks.filter(({ kind }) => kind === item.kind).forEach(({ fn }) => fn(item)),
+    );
+  }
+
+  function flushSoon(): void {
+    if (isFlushing) return;
+    isFlushing = true;
+    cancels.push(
+      clock.after(FLUSH_DELAY_MS, () => {
+        isFlushing = false;
+        flush();
+      }),
+    );
+  }
+
+  function flush(): void {
+    const others = members().filter(
+      (member) => member.routerId !== settings.routerId && member.state === 'alive',
+    );
+    shuffle(others, random)
+      .slice(0, FLUSH_FANOUT)
+      .forEach(({ peerAddress }) => {
+        const items = gossip.take(FLUSH_BYTES, clock.nowMs());
+        if (items.length > 0) sendPush(peerAddress, swim.self(), [], items);
+      });
+  }
+
+  async function readHosts(hosts: HostList): Promise<void> {
+    const outcome = await hosts.read();
+    if (outcome.kind !== 'ok') return;
+    const addressOf = deps.peerAddressOf ?? ((host) => host.address);
+    const routers = outcome.hosts.filter((host) => host.role === 'router');
+    dispatch({ kind: 'hosts', peerAddresses: routers.map(addressOf) });
+  }
+
+  function pollHosts(hosts: HostList): void {
+    // The port answers with outcomes; a rejected promise only delays the next reading.
+    readHosts(hosts).catch((cause: unknown) => {
+      log.info('host list could not be read', { cause: String(cause) });
+    });
+  }
+
+  function start(): void {
+    const { hosts } = deps;
+    const periodMs = settings.swim?.periodMs ?? SWIM_DEFAULTS.periodMs;
+    if (hosts !== undefined) {
+      pollHosts(hosts);
+      cancels.push(clock.every(HOST_LIST_EVERY_MS, () => pollHosts(hosts)));
+    }
+    // Routers started together would otherwise probe in the same instant for ever.
+    const startTicks = (): void => {
+      cancels.push(clock.every(periodMs, () => dispatch({ kind: 'tick' })));
+    };
+    dispatch({ kind: 'tick' });
+    cancels.push(clock.after(random() * periodMs, startTicks));
+  }
+
+  const router = createMemberRouter({
+    onPing: (message) => {
+      let reply: SwimMessage | undefined;
+      ask(
+        (replyId) => ({ kind: 'ping', replyId, message }),
+        (given) => {
+          reply = given;
+        },
+      );
+      return reply;
+    },
+    onPingReq: (message, target: ProbeTarget) =>
+      new Promise((resolve) => {
+        ask((replyId) => ({ kind: 'ping_req', replyId, message, target }), resolve);
+      }),
+    onSync: (request) => {
+      syncReply = undefined;
+      dispatch({ kind: 'sync', replyId: 0, request });
+      return syncReply;
+    },
+    onPush: (from, updates) => dispatch({ kind: 'push', from, updates }),
+    onItems: receiveItems,
+    takeItems,
+    gossip,
+    wallMs: clock.nowMs,
+  });
+
+  return {
+    self,
+    members,
+    onChange: (fn) => {
+      changeHooks.push(fn);
+    },
+    router,
+    pool,
+    start,
+    leave: () => {
+      dispatch({ kind: 'leave' });
+      known = undefined;
+    },
+    stop: async () => {
+      dispatch({ kind: 'stop' });
+      isStopped = true;
+      cancels.forEach((cancel) => cancel());
+      waiting.forEach((done) => done(undefined));
+      waiting.clear();
+      await new Promise<void>((resolve) => {
+        clock.after(CALL_SLACK_MS, resolve);
+      });
+      await pool.close();
+    },
+    publish: ({ kind, key, payload, ttlMs }) => {
+      const expiresAtMs = Math.round(clock.nowMs() + ttlMs);
+      gossip.add([{ kind, key, payload, expiresAtMs }], clock.nowMs());
+      flushSoon();
+    },
+    onItem: (kind, fn) => {
+      itemHooks.push({ kind, fn });
+    },
+    items: () => gossip.items(clock.nowMs()),
+    setRevision: (revision) => dispatch({ kind: 'revision', revision }),
+    onNewerRevision: (fn) => {
+      revisionHooks.push(fn);
+    },
+  };
+}
+
+function toMember(update: MemberUpdate, state: Member['state']): Member {
+  const { routerId, address, peerAddress, region, failureDomain, incarnation } = update;
+  return { routerId, address, peerAddress, region, failureDomain, state, incarnation };
+}
--- /dev/null
+++ b/packages/router/src/peer/pool.ts
@@ -0,0 +1,180 @@
+import { createTRPCClient, TRPCClientError } from '@trpc/client';
+import { observable } from '@trpc/server/observable';
+import { buildConnector, Pool } from 'undici';
+import type { TRPCClient, TRPCLink } from '@trpc/client';
+import type { AnyRouter } from '@trpc/server';
+import type { Clock } from '@mimosamill/adapters';
+import type { PeerTraffic } from './traffic';
+
+export interface PeerPoolSettings {
+  readonly connectTimeoutMs: number;
+  readonly callTimeoutMs: number;
+  /** Calls to one peer at a time; further ones fail at once. */
+  readonly maxCallsPerPeer: number;
+  readonly maxResponseBytes: number;
+}
+
+export const POOL_DEFAULTS: PeerPoolSettings = {
+  connectTimeoutMs: 500,
+  callTimeoutMs: 2_000,
+  maxCallsPerPeer: 16,
+  maxResponseBytes: 1_048_576,
+};
+
+/** Connections to peers, and typed clients over them. */
+export interface PeerPool {
+  /**
+   * Client of the sub-router mounted under `name`. A call's timeout is set by its options:
+   * `{ context: { timeoutMs: 500 } }`.
+   */
+  readonly client: <TRouter extends AnyRouter>(
+    name: string,
+    peerAddress: string,
+  ) => TRPCClient<TRouter>;
+  /** Number of peers with open connections. */
+  readonly size: () => number;
+  readonly close: () => Promise<void>;
+}
+
+interface Peer {
+  readonly pool: Pool;
+  inFlight: number;
+  usedAtMs: number;
+}
+
+const CONNECTIONS_PER_PEER = 2;
+/**
+ * A probe reaches the same peer about once a minute, so its connection is closed in between:
+ * 340 open connections would cost several MB.
+ */
+const KEEP_ALIVE_MS = 10_000;
+const IDLE_MS = 30_000;
+
+export function createPeerPool(
+  settings: PeerPoolSettings,
+  clock: Clock,
+  traffic: PeerTraffic,
+): PeerPool {
+  const peers = new Map<string, Peer>();
+  const connector = buildConnector({ timeout: settings.connectTimeoutMs });
+  const stopSweep = clock.every(IDLE_MS, sweep);
+
+  function open(peerAddress: string): Peer {
+    const known = peers.get(peerAddress);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${peerAddress}`, {
+      connections: CONNECTIONS_PER_PEER,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      maxResponseSize: settings.maxResponseBytes,
+      connect: (options, callback) => {
+        connector(options, (error, socket) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          traffic.track(socket);
+          callback(null, socket);
+        });
+      },
+    });
+    const peer: Peer = { pool, inFlight: 0, usedAtMs: clock.monotonicMs() };
+    peers.set(peerAddress, peer);
+    return peer;
+  }
+
+  function sweep(): void {
+    const oldestMs = clock.monotonicMs() - IDLE_MS;
+    peers.forEach((peer, peerAddress) => {
+      if (peer.inFlight === 0 && peer.usedAtMs < oldestMs) {
+        peers.delete(peerAddress);
+        void peer.pool.destroy();
+      }
+    });
+  }
+
+  async function post(
+    peer: Peer,
+    path: string,
+    input: unknown,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const isBinary = input instanceof Uint8Array;
+    const body = isBinary ? input : JSON.stringify(input);
+    const sizeBytes = isBinary ? input.byteLength : Buffer.byteLength(body ?? '');
+    traffic.count('out', path, sizeBytes);
+    const response = await peer.pool.request({
+      method: 'POST',
+      path: `/${path}`,
+      headers: {
+        'content-type': isBinary ? 'application/octet-stream' : 'application/json',
+      },
+      body: body ?? null,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal,
+    });
+    const answer = await response.body.text();
+    traffic.count('in', `${path} answer`, answer.length);
+    return JSON.parse(answer);
+  }
+
+  async function call(
+    peerAddress: string,
+    path: string,
+    input: unknown,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const peer = open(peerAddress);
+    if (peer.inFlight >= settings.maxCallsPerPeer) {
+      throw new Error(`${peer.inFlight} calls to peer ${peerAddress} are unanswered`);
+    }
+    peer.inFlight += 1;
+    peer.usedAtMs = clock.monotonicMs();
+    try {
+      return await post(peer, path, input, timeoutMs, signal);
+    } finally {
+      peer.inFlight -= 1;
+    }
+  }
+
+  function createLink(name: string, peerAddress: string): TRPCLink<AnyRouter> {
+    return () =>
+      ({ op }) =>
+        observable((observer) => {
+          const controller = new AbortController();
+          const timeoutMs = Number(op.context['timeoutMs'] ?? settings.callTimeoutMs);
+          const cancel = clock.after(timeoutMs, () =>
+            controller.abort(new Error(`no answer from ${peerAddress} within ${timeoutMs} ms`)),
+          );
+          call(peerAddress, `${name}.${op.path}`, op.input, timeoutMs, controller.signal)
+            .then((answer) => {
+              const envelope = answer as { result?: { data?: unknown }; error?: unknown };
+              if (envelope.error !== undefined) throw envelope;
+              observer.next({ result: { type: 'data', data: envelope.result?.data } });
+              observer.complete();
+            })
+            .catch((cause) => {
+              observer.error(TRPCClientError.from(cause as Error));
+            })
+            .finally(cancel);
+          return () => controller.abort();
+        });
+  }
+
+  return {
+    client: <TRouter extends AnyRouter>(name: string, peerAddress: string) =>
+      createTRPCClient<TRouter>({
+        links: [createLink(name, peerAddress) as TRPCLink<TRouter>],
+      }),
+    size: () => peers.size,
+    close: async () => {
+      stopSweep();
+      const pools = [...peers.values()].map(({ pool }) => pool);
+      peers.clear();
+      await Promise.all(pools.map((pool) => pool.destroy()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/peer/wire.ts
@@ -0,0 +1,110 @@
+import { asId, asRevision } from '@mimosamill/core';
+import { z } from 'zod';
+import type {
+  FailureDomain,
+  GossipItem,
+  MemberUpdate,
+  ProbeTarget,
+  Region,
+  RouterId,
+  SpreadState,
+} from '@mimosamill/core';
+
+const MAX_TEXT = 256;
+const MAX_PAYLOAD = 1_024;
+const MAX_UPDATES = 64;
+const MAX_ITEMS = 64;
+const MAX_BUCKETS = 64;
+
+const STATES: readonly SpreadState[] = ['alive', 'leaving', 'suspect', 'dead'];
+
+const text = z.string().max(MAX_TEXT);
+const count = z.number().int().nonnegative();
+
+// Messages are arrays rather than objects: at 1 KB a message, field names would take a third.
+const updateTuple = z.tuple([text, text, text, text, text, count, count.max(3), text, count]);
+const itemTuple = z.tuple([text, text, z.string().max(MAX_PAYLOAD), count]);
+
+const updates = z.array(updateTuple).max(MAX_UPDATES);
+const items = z.array(itemTuple).max(MAX_ITEMS);
+const buckets = z.array(count).max(MAX_BUCKETS);
+
+/** Sender, its configuration revision, updates, gossip items. */
+export const messageSchema = z.tuple([updateTuple, count, updates, items]);
+/** As a message, with the router to probe on the sender's behalf. */
+export const pingReqSchema = z.tuple([messageSchema, text, text]);
+/** Sender, buckets of the view, buckets of the gossip items. */
+export const syncSchema = z.tuple([updateTuple, buckets, buckets]);
+/** As a sync request, with the entries and items that differ. */
+export const syncReplySchema = z.tuple([updateTuple, buckets, buckets, updates, items]);
+export const pushSchema = z.tuple([updateTuple, updates, items]);
+
+export type UpdateTuple = z.infer<typeof updateTuple>;
+export type ItemTuple = z.infer<typeof itemTuple>;
+export type MessageTuple = z.infer<typeof messageSchema>;
+export type SyncReplyTuple = z.infer<typeof syncReplySchema>;
+
+export function packUpdate(update: MemberUpdate): UpdateTuple {
+  return [
+    update.routerId,
+    update.address,
+    update.peerAddress,
+    update.region,
+    update.failureDomain,
+    update.incarnation,
+    STATES.indexOf(update.state),
+    update.accuser ?? '',
+    Math.round(update.ageMs ?? 0),
+  ];
+}
+
+export function unpackUpdate(tuple: UpdateTuple): MemberUpdate {
+  const [id, address, peerAddress, region, domain, incarnation, state, accuser, ageMs] = tuple;
+  return {
+    routerId: asId<RouterId>(id),
+    address,
+    peerAddress,
+    region: asId<Region>(region),
+    failureDomain: asId<FailureDomain>(domain),
+    incarnation,
+    state: STATES[state] ?? 'alive',
+    ...(accuser === '' ? {} : { accuser: asId<RouterId>(accuser) }),
+    ...(ageMs === 0 ? {} : { ageMs }),
+  };
+}
+
+export function packItem(item: GossipItem): ItemTuple {
+  return [item.kind, item.key, item.payload, Math.round(item.expiresAtMs)];
+}
+
+export function unpackItem([kind, key, payload, expiresAtMs]: ItemTuple): GossipItem {
+  return { kind, key, payload, expiresAtMs };
+}
+
+export function unpackTarget(routerId: string, peerAddress: string): ProbeTarget {
+  return { routerId: routerId === '' ? undefined : asId<RouterId>(routerId), peerAddress };
+}
+
+export function packMessage(
+  message: {
+    readonly from: MemberUpdate;
+    readonly revision: number;
+    readonly updates: readonly MemberUpdate[];
+  },
+  gossip: readonly GossipItem[],
+): MessageTuple {
+  const { from, revision } = message;
+  return [packUpdate(from), revision, message.updates.map(packUpdate), gossip.map(packItem)];
+}
+
+export function unpackMessage(tuple: MessageTuple) {
+  const [from, revision, changes, gossip] = tuple;
+  return {
+    message: {
+      from: unpackUpdate(from),
+      revision: asRevision(revision),
+      updates: changes.map(unpackUpdate),
+    },
+    gossip: gossip.map(unpackItem),
+  };
+}
