--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,19 @@
   SessionSettings,
 } from './stream/session';
 
+// plain calls
+export { createKeyedCall } from './call/keyed';
+export type {
+  KeyedCall,
+  KeyedCallEffect,
+  KeyedCallEvent,
+  KeyedCallSettings,
+  WritePurpose,
+} from './call/keyed';
+export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
+export type { CallRecord, CallState, VersionedRecord } from './call/record';
+export type { CallResult, OwnerAnswer } from './call/result';
+
 // configuration
 export { DEFAULTS } from './config/model';
 export type {
@@ -76,3 +89,31 @@
 export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
 export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
 export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
+// routing
+export { chainBlockHashes, toBlockKeys } from './route/prefix';
+export type { Hash64Text, PrefixScope } from './route/prefix';
+export { createPicker } from './route/picker';
+export type { Picker } from './route/picker';
+export type {
+  EngineRole,
+  LoadedVersion,
+  LoadReport,
+  NoEngineReason,
+  PickerSettings,
+  PickOutcome,
+  RouteEngine,
+  RoutePriority,
+  RouteRequest,
+  Send,
+  SendResult,
+} from './route/types';
+// version moves
+export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
+export type { MoveEffect, MoveView } from './move/machine';
+export { planMove, STEP_SHARES } from './move/plan';
+export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
+export type { MoveRecord } from './move/record';
+
+// leases and orders to engines
+export { createLease } from './order/lease';
+export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,7 +3,6 @@
 export type {
   Member,
   Membership,
-  PeerLog,
   Peers,
   PeersDeps,
   PeersSettings,
@@ -16,3 +15,8 @@
 export { createPeerRouter, peerProcedure } from './peer/trpc';
 export type { PeerContext } from './peer/trpc';
 export type { PeerPool } from './peer/pool';
+
+// plain calls
+export { createCalls } from './call/calls';
+export type { CallRequest, Calls } from './call/calls';
+export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
--- a/packages/router/src/peer/member.ts
+++ b/packages/router/src/peer/member.ts
@@ -11,7 +11,7 @@
 import { createPeerPool, POOL_DEFAULTS } from './pool';
 import { createMemberRouter } from './router';
 import { packItem, packMessage, packUpdate, unpackItem, unpackMessage, unpackUpdate } from './wire';
-import type { Clock, HostList, ListedHost } from '@mimosamill/adapters';
+import type { Clock, HostList, ListedHost, Log } from '@mimosamill/adapters';
 import type {
   FailureDomain,
   GossipItem,
@@ -65,18 +65,13 @@
   readonly pool?: Partial<PeerPoolSettings>;
 }
 
-/** Receives log lines; a tslog logger fits. */
-export interface PeerLog {
-  readonly info: (message: string, fields: Readonly<Record<string, unknown>>) => unknown;
-}
-
 export interface PeersDeps {
   readonly clock: Clock;
   readonly hash: Hash32;
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly traffic: PeerTraffic;
-  readonly log: PeerLog;
+  readonly log: Pick<Log, 'info'>;
   readonly hosts?: HostList;
   /** Peer address of a listed router; by default the listed address itself. */
   readonly peerAddressOf?: (host: ListedHost) => string;
