--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -94,6 +94,24 @@
 export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
+// membership
+export { createSwim, shownState, spareBytes } from './member/swim';
+export { SWIM_DEFAULTS } from './member/message';
+export { pick, shuffle } from './member/random';
+export type {
+  ProbeTarget,
+  Swim,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimSettings,
+  SwimTimes,
+  SyncReply,
+  SyncRequest,
+} from './member/message';
+export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
+export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
+export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
