--- a/packages/core/src/call/keyed.ts
+++ b/packages/core/src/call/keyed.ts
@@ -91,6 +91,8 @@
   readonly wakeAtMs: () => number | undefined;
   /** What another router that asks for this attempt is told. */
   readonly ownerAnswer: () => OwnerAnswer;
+  /** True for a call that never sends while a claim of it may still be applied late. */
+  readonly mayAppearLate: () => boolean;
   /** True if nothing more will happen. */
   readonly hasEnded: () => boolean;
 }
@@ -473,6 +475,7 @@
       return atMs === Infinity ? undefined : atMs;
     },
     ownerAnswer: () => outcome,
+    mayAppearLate: () => lostClaims > 0 && !isOwner && outcome.kind === 'not_sent',
     hasEnded: () => phase === 'ended',
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,17 @@
 } from './stream/session';
 
 // plain calls
+export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
+export type { RetryBudget, RetryBudgetSettings } from './call/budget';
+export { createDirectCall } from './call/direct';
+export type {
+  DirectCall,
+  DirectCallEffect,
+  DirectCallEvent,
+  DirectCallSettings,
+  SendCause,
+  ServerAnswer,
+} from './call/direct';
 export { createKeyedCall } from './call/keyed';
 export type {
   KeyedCall,
@@ -50,6 +61,8 @@
   KeyedCallSettings,
   WritePurpose,
 } from './call/keyed';
+export { createLatencyWindow } from './call/latency';
+export type { LatencyWindow } from './call/latency';
 export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
 export type { CallRecord, CallState, VersionedRecord } from './call/record';
 export type { CallResult, OwnerAnswer } from './call/result';
--- /dev/null
+++ b/packages/router/src/call/async.ts
@@ -0,0 +1,36 @@
+import type { Clock } from '@mimosamill/adapters';
+
+export interface Deferred<T> {
+  readonly promise: Promise<T>;
+  readonly resolve: (value: T) => void;
+}
+
+/** A promise that is resolved from outside; later resolutions have no effect. */
+export function createDeferred<T>(): Deferred<T> {
+  let resolve: (value: T) => void = () => undefined;
+  const promise = new Promise<T>((fulfil) => {
+    resolve = fulfil;
+  });
+  return { promise, resolve };
+}
+
+/** An outcome in place of a rejection: a client that fails tells nothing about the other side. */
+export function settle<T>(promise: Promise<T>, fallback: T): Promise<T> {
+  return promise.catch(() => fallback);
+}
+
+/** The promise's outcome, or the fallback if it takes too long or is rejected. */
+export function withTimeout<T>(
+  clock: Clock,
+  promise: Promise<T>,
+  timeoutMs: number,
+  fallback: T,
+): Promise<T> {
+  return new Promise((resolve) => {
+    const cancel = clock.after(timeoutMs, () => resolve(fallback));
+    void settle(promise, fallback).then((value) => {
+      cancel();
+      resolve(value);
+    });
+  });
+}
--- a/packages/router/src/call/calls.ts
+++ b/packages/router/src/call/calls.ts
@@ -1,10 +1,15 @@
-import { createServeError } from '@mimosamill/core';
+import { createLatencyWindow, createServeError } from '@mimosamill/core';
+import { withTimeout } from './async';
+import { runDirectCall } from './direct';
 import { startKeyedCall } from './keyed';
 import type {
   CallResult,
   CustomerId,
+  LatencyWindow,
+  OperationConfig,
   OwnerAnswer,
   PlainServiceConfig,
+  RouterId,
   ServeError,
   ServiceName,
 } from '@mimosamill/core';
@@ -27,39 +32,87 @@
   ) => Promise<CallResult>;
   /** Answers another router that found this router's claim. */
   readonly answerOwner: (question: OwnerQuestion) => Promise<OwnerAnswer>;
-  /** Refuses new calls, waits for the running ones and for their records. */
-  readonly drain: () => Promise<void>;
+  /**
+   * Serves new calls for the grace period, then refuses them; resolves once every call has been
+   * answered and recorded, or at the limit. Returns the number of calls left.
+   */
+  readonly drain: (graceMs: number, limitMs: number) => Promise<number>;
   readonly runningCount: () => number;
 }
 
 const LOOKUP_DEADLINE_MS = 5_000;
 const KEY_MAX_CHARS = 256;
+const RUNNING_MAX = 10_000;
+/** How long an owner remembers that it never sent, while its lost claim may still appear. */
+const NOT_SENT_MEMORY_MS = 600_000;
+const NOT_SENT_MEMORY_MAX = 4_096;
+const LATENCY_PERIOD_MS = 30_000;
+const DRAIN_CHECK_MS = 20;
 
-export function createCalls(ports: CallsPorts): Calls {
-  /** Claims of this router whose outcome is not yet in the tables, by row key. */
+export function createCalls(ownPorts: CallsPorts): Calls {
+  const { clock } = ownPorts;
+  const ports: CallsPorts = { ...ownPorts, owners: { ask: askOwner } };
+  /** Keyed calls of this router whose outcome is not yet in the tables, by attempt id. */
   const running = new Map<string, RunningCall>();
+  /** Attempts that were given up and never sent, with the time until which this is remembered. */
+  const notSent = new Map<string, number>();
+  const latencies = new Map<string, LatencyWindow>();
+  let inFlight = 0;
   let isDraining = false;
 
   async function run(request: CallRequest): Promise<CallResult> {
-    if (isDraining) return refuse('shutting_down', 'this router is stopping');
+    if (isDraining) return refuse('shutting_down', 'this router is stopping', 0);
+    if (inFlight + running.size >= RUNNING_MAX) {
+      return refuse('overloaded', 'too many calls are running', 1_000);
+    }
     const config = ports.serviceConfig(request.service);
     if (config === undefined) return refuse('unknown_service', 'no such plain service');
-    const operation = config.operations[request.operation];
+    const operation = findOperation(config, request.operation);
     if (operation === undefined) return refuse('not_found', 'the service has no such operation');
-    const { key } = request;
-    if (key === undefined || key === '' || key.length > KEY_MAX_CHARS) {
-      return refuse('bad_request', `the idempotency key needs 1 to ${KEY_MAX_CHARS} characters`);
+    const { key, ...rest } = request;
+    if (key !== undefined && (key === '' || key.length > KEY_MAX_CHARS)) {
+      return refuse('bad_request', `an idempotency key has 1 to ${KEY_MAX_CHARS} characters`);
     }
-    return runKeyed({ ...request, key }, config);
+    const isKeyed = key !== undefined && !operation.idempotent;
+    if (isKeyed) return count(startKeyed({ ...rest, key }, config));
+    return count(runDirectCall(ports, rest, operation.idempotent, latenciesOf(rest)));
   }
 
-  async function runKeyed(request: KeyedRequest, config: PlainServiceConfig): Promise<CallResult> {
+  function count(result: Promise<CallResult>): Promise<CallResult> {
+    inFlight += 1;
+    return result.finally(() => {
+      inFlight -= 1;
+    });
+  }
+
+  function startKeyed(request: KeyedRequest, config: PlainServiceConfig): Promise<CallResult> {
     const call = startKeyedCall(ports, request, config.hasLookup, false);
     running.set(call.attemptId, call);
-    void call.ended.then(() => running.delete(call.attemptId));
+    void call.ended.then(() => {
+      running.delete(call.attemptId);
+      if (call.mayAppearLate()) rememberNotSent(call.attemptId);
+    });
     return call.result;
   }
 
+  function rememberNotSent(attemptId: string): void {
+    const nowMs = clock.monotonicMs();
+    notSent.set(attemptId, nowMs + NOT_SENT_MEMORY_MS);
+    for (const [oldest, untilMs] of notSent) {
+      if (untilMs > nowMs && notSent.size <= NOT_SENT_MEMORY_MAX) break;
+      notSent.delete(oldest);
+    }
+  }
+
+  function latenciesOf(request: { service: ServiceName; operation: string }): LatencyWindow {
+    const name = `${request.service}/${request.operation}`;
+    const known = latencies.get(name);
+    if (known !== undefined) return known;
+    const created = createLatencyWindow(LATENCY_PERIOD_MS);
+    latencies.set(name, created);
+    return created;
+  }
+
   async function lookup(
     customerId: CustomerId,
     service: ServiceName,
@@ -75,29 +128,46 @@
       customerId,
       deadlineMs: LOOKUP_DEADLINE_MS,
     };
-    return startKeyedCall(ports, request, config.hasLookup, true).result;
+    return count(startKeyedCall(ports, request, config.hasLookup, true).result);
+  }
+
+  async function askOwner(routerId: RouterId, question: OwnerQuestion): Promise<OwnerAnswer> {
+    const isOwn = routerId === ownPorts.routerId;
+    return isOwn ? answerOwner(question) : ownPorts.owners.ask(routerId, question);
   }
 
   async function answerOwner(question: OwnerQuestion): Promise<OwnerAnswer> {
     const call = running.get(question.attemptId);
-    if (call === undefined) return { kind: 'gone' };
-    return Promise.race([call.settled, after(question.waitMs, { kind: 'running' as const })]);
+    if (call === undefined) {
+      return { kind: notSent.has(question.attemptId) ? 'not_sent' : 'gone' };
+    }
+    return withTimeout(clock, call.settled, question.waitMs, { kind: 'running' });
+  }
+
+  async function drain(graceMs: number, limitMs: number): Promise<number> {
+    const startedAtMs = clock.monotonicMs();
+    await wait(graceMs);
+    isDraining = true;
+    const isBusy = (): boolean => inFlight > 0 || running.size > 0;
+    while (isBusy() && clock.monotonicMs() - startedAtMs < limitMs) {
+      await wait(DRAIN_CHECK_MS);
+    }
+    return Math.max(inFlight, running.size);
   }
 
-  function after<T>(delayMs: number, value: T): Promise<T> {
+  function wait(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
-      ports.clock.after(delayMs, () => resolve(value));
+      clock.after(delayMs, resolve);
     });
   }
 
-  async function drain(): Promise<void> {
-    isDraining = true;
-    await Promise.all([...running.values()].map(({ ended }) => ended));
-  }
+  return { run, lookup, answerOwner, drain, runningCount: () => Math.max(inFlight, running.size) };
+}
 
-  return { run, lookup, answerOwner, drain, runningCount: () => running.size };
+function findOperation(config: PlainServiceConfig, name: string): OperationConfig | undefined {
+  return Object.hasOwn(config.operations, name) ? config.operations[name] : undefined;
 }
 
-function refuse(code: ServeError['code'], message: string): CallResult {
-  return { kind: 'error', error: createServeError(code, message) };
+function refuse(code: ServeError['code'], message: string, retryAfterMs?: number): CallResult {
+  return { kind: 'error', error: createServeError(code, message, 'not_run', retryAfterMs) };
 }
--- /dev/null
+++ b/packages/router/src/call/direct.ts
@@ -0,0 +1,122 @@
+import { asAttemptNo, assertNever, createDirectCall } from '@mimosamill/core';
+import { createDeferred, settle } from './async';
+import type {
+  CallResult,
+  CustomerId,
+  DirectCallEffect,
+  DirectCallEvent,
+  LatencyWindow,
+  RequestId,
+  ServiceName,
+} from '@mimosamill/core';
+import type { ServiceAnswer } from '@mimosamill/adapters';
+import type { CallsPorts } from './ports';
+
+export interface DirectRequest {
+  readonly service: ServiceName;
+  readonly operation: string;
+  readonly body: string;
+  readonly customerId: CustomerId;
+  readonly deadlineMs: number;
+  readonly traceparent?: string;
+}
+
+/** A second attempt starts once the first is slower than 95 in 100 calls, so 5% are hedged. */
+const HEDGE_QUANTILE = 0.95;
+
+/** Runs a call without a claim. */
+export function runDirectCall(
+  ports: CallsPorts,
+  request: DirectRequest,
+  isIdempotent: boolean,
+  latencies: LatencyWindow,
+): Promise<CallResult> {
+  const { clock } = ports;
+  const startedAtMs = clock.monotonicMs();
+  const deadlineAtMs = startedAtMs + request.deadlineMs;
+  const requestId = ports.createId() as RequestId;
+  const excluded = new Set<string>();
+  const aborts = new Map<number, AbortController>();
+  const result = createDeferred<CallResult>();
+  const hedgeDelayMs = latencies.quantileMs(HEDGE_QUANTILE, startedAtMs);
+  let cancelTimer = (): void => undefined;
+
+  const call = createDirectCall({
+    isIdempotent,
+    deadlineAtMs,
+    hedgeAtMs: hedgeDelayMs === undefined ? undefined : startedAtMs + hedgeDelayMs,
+    budget: ports.retryBudget,
+  });
+
+  function feed(event: DirectCallEvent): void {
+    apply(call.on(event, clock.monotonicMs()));
+  }
+
+  function apply(effects: readonly DirectCallEffect[]): void {
+    effects.forEach(perform);
+    cancelTimer();
+    const atMs = call.wakeAtMs();
+    if (atMs === undefined) return;
+    const delayMs = Math.max(0, atMs - clock.monotonicMs());
+    cancelTimer = clock.after(delayMs, () => feed({ kind: 'tick' }));
+  }
+
+  function perform(effect: DirectCallEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        void send(effect.attemptNo);
+        return;
+      case 'cancel':
+        aborts.get(effect.attemptNo)?.abort();
+        return;
+      case 'answer':
+        result.resolve(effect.result);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  async function send(attemptNo: number): Promise<void> {
+    const address = pick();
+    if (address === undefined) {
+      // After the effects in hand: the core expects answers one at a time.
+      await Promise.resolve();
+      feed({ kind: 'answer', attemptNo, answer: { kind: 'not_sent', message: 'no server' } });
+      return;
+    }
+    excluded.add(address);
+    const abort = new AbortController();
+    aborts.set(attemptNo, abort);
+    const sentAtMs = clock.monotonicMs();
+    const answer: ServiceAnswer = await settle(
+      ports.services.call(
+        address,
+        {
+          operation: request.operation,
+          requestId,
+          attemptNo: asAttemptNo(attemptNo),
+          idempotencyKey: '',
+          body: request.body,
+          timeoutMs: Math.max(1, deadlineAtMs - sentAtMs),
+          ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+        },
+        abort.signal,
+      ),
+      { kind: 'unknown', message: 'the client failed' },
+    );
+    aborts.delete(attemptNo);
+    if (answer.kind === 'not_sent') ports.servers.onRefused(request.service, address);
+    if (answer.kind === 'ok') latencies.record(clock.monotonicMs() - sentAtMs, sentAtMs);
+    feed({ kind: 'answer', attemptNo, answer });
+  }
+
+  /** Another server than those of earlier attempts, as long as there is one. */
+  function pick(): string | undefined {
+    const fresh = ports.servers.pick(request.service, excluded);
+    return fresh ?? ports.servers.pick(request.service, new Set());
+  }
+
+  apply(call.start(startedAtMs));
+  return result.promise;
+}
--- a/packages/router/src/call/keyed.ts
+++ b/packages/router/src/call/keyed.ts
@@ -7,6 +7,7 @@
   createKeyedCall,
   parseCallRecord,
 } from '@mimosamill/core';
+import { createDeferred, settle, withTimeout } from './async';
 import type { JsonValue, Row, ServiceAnswer, ServiceLookup } from '@mimosamill/adapters';
 import type {
   CallResult,
@@ -25,6 +26,7 @@
 const TABLES_TIMEOUT_MS = 2_000;
 const LOOKUP_TIMEOUT_MS = 1_000;
 const OWNER_WAIT_MS = 1_000;
+const OWNER_TRAVEL_MS = 1_000;
 /** How long after the caller's deadline a late answer is still waited for, to be recorded. */
 const LATE_ANSWER_MS = 60_000;
 
@@ -49,6 +51,7 @@
   /** Settles once nothing is left to do, records included. */
   readonly ended: Promise<void>;
   readonly ownerAnswer: () => OwnerAnswer;
+  readonly mayAppearLate: () => boolean;
 }
 
 /** Runs the claim protocol of one call over the ports. */
@@ -134,6 +137,7 @@
     const value: JsonValue = { ...effect.record };
     const expiresAtMs = clock.nowMs() + CALL_EXPIRY_MS;
     const outcome = await withTimeout(
+      clock,
       ports.tables.commit({
         conditions: replaces === 'any' ? [] : [conditionOf(rowKey, replaces)],
         writes: [{ kind: 'put', key: rowKey, value, expiresAtMs }],
@@ -145,44 +149,53 @@
       feed({ kind: 'committed', purpose, outcome: outcome.kind });
       return;
     }
-    feed({ kind: 'conflict', purpose, found: findRecord(outcome.rows) });
+    const found = findRecord(outcome.rows);
+    if (found === 'unreadable') feed({ kind: 'committed', purpose, outcome: 'unavailable' });
+    else feed({ kind: 'conflict', purpose, found });
   }
 
   async function read(): Promise<void> {
-    const outcome = await withTimeout(ports.tables.read([rowKey]), TABLES_TIMEOUT_MS, {
+    const outcome = await withTimeout(clock, ports.tables.read([rowKey]), TABLES_TIMEOUT_MS, {
       kind: 'unavailable' as const,
       message: 'no answer in time',
     });
-    if (outcome.kind === 'ok') feed({ kind: 'read', found: findRecord(outcome.rows) });
-    else feed({ kind: 'read_failed' });
+    const found = outcome.kind === 'ok' ? findRecord(outcome.rows) : 'unreadable';
+    if (found === 'unreadable') feed({ kind: 'read_failed' });
+    else feed({ kind: 'read', found });
   }
 
-  function findRecord(rows: readonly Row[]): VersionedRecord | undefined {
+  function findRecord(rows: readonly Row[]): VersionedRecord | undefined | 'unreadable' {
     const row = rows.find(({ key }) => key === rowKey);
     if (row === undefined) return undefined;
     const record = parseCallRecord(row.value);
-    if (record === undefined) throw new Error(`row ${rowKey} is not a call record`);
-    return { version: row.version, record };
+    return record === undefined ? 'unreadable' : { version: row.version, record };
   }
 
   async function askOwner(effect: Extract<KeyedCallEffect, { kind: 'ask_owner' }>): Promise<void> {
     const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
-    const answer = await ports.owners.ask(effect.routerId, {
-      service: request.service,
-      customerId: request.customerId,
-      key: request.key,
-      attemptId: effect.attemptId,
-      waitMs: Math.min(OWNER_WAIT_MS, remainingMs),
-    });
+    const waitMs = Math.min(OWNER_WAIT_MS, remainingMs);
+    const answer = await withTimeout(
+      clock,
+      ports.owners.ask(effect.routerId, {
+        service: request.service,
+        customerId: request.customerId,
+        key: request.key,
+        attemptId: effect.attemptId,
+        waitMs,
+      }),
+      waitMs + OWNER_TRAVEL_MS,
+      { kind: 'gone' as const },
+    );
     feed({ kind: 'owner', answer });
   }
 
   async function lookUp(): Promise<void> {
+    await Promise.resolve();
     const address = pickForLookup();
     const answer: ServiceLookup =
       address === undefined
         ? { kind: 'unavailable', message: 'no server' }
-        : await withTimeout(ports.services.lookup(address, serviceKey), LOOKUP_TIMEOUT_MS, {
+        : await withTimeout(clock, ports.services.lookup(address, serviceKey), LOOKUP_TIMEOUT_MS, {
             kind: 'unavailable' as const,
             message: 'no answer in time',
           });
@@ -205,20 +218,25 @@
   async function send(sendNo: number): Promise<void> {
     const address = ports.servers.pick(request.service, refused);
     if (address === undefined) {
+      // After the effects in hand: the core expects answers one at a time.
+      await Promise.resolve();
       feed({ kind: 'answer', sendNo, answer: { kind: 'not_sent', message: 'no server' } });
       return;
     }
     lastAddress = address;
     const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
-    const answer: ServiceAnswer = await ports.services.call(address, {
-      operation: request.operation,
-      requestId,
-      attemptNo: asAttemptNo(sendNo),
-      idempotencyKey: serviceKey,
-      body: request.body,
-      timeoutMs: remainingMs + LATE_ANSWER_MS,
-      ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
-    });
+    const answer: ServiceAnswer = await settle(
+      ports.services.call(address, {
+        operation: request.operation,
+        requestId,
+        attemptNo: asAttemptNo(sendNo),
+        idempotencyKey: serviceKey,
+        body: request.body,
+        timeoutMs: remainingMs + LATE_ANSWER_MS,
+        ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+      }),
+      { kind: 'unknown', message: 'the client failed' },
+    );
     if (answer.kind === 'not_sent') {
       refused.add(address);
       ports.servers.onRefused(request.service, address);
@@ -226,16 +244,6 @@
     feed({ kind: 'answer', sendNo, answer });
   }
 
-  function withTimeout<T>(promise: Promise<T>, timeoutMs: number, fallback: T): Promise<T> {
-    return new Promise((resolve, reject) => {
-      const cancel = clock.after(timeoutMs, () => resolve(fallback));
-      promise.then((value) => {
-        cancel();
-        resolve(value);
-      }, reject);
-    });
-  }
-
   apply(call.start(clock.monotonicMs()));
   return {
     attemptId,
@@ -244,22 +252,10 @@
     settled: settled.promise,
     ended: ended.promise,
     ownerAnswer: call.ownerAnswer,
+    mayAppearLate: call.mayAppearLate,
   };
 }
 
-interface Deferred<T> {
-  readonly promise: Promise<T>;
-  readonly resolve: (value: T) => void;
-}
-
-function createDeferred<T>(): Deferred<T> {
-  let resolve: (value: T) => void = () => undefined;
-  const promise = new Promise<T>((fulfil) => {
-    resolve = fulfil;
-  });
-  return { promise, resolve };
-}
-
 function conditionOf(
   key: string,
   replaces: number | 'absent',
--- a/packages/router/src/call/ports.ts
+++ b/packages/router/src/call/ports.ts
@@ -2,6 +2,7 @@
   CustomerId,
   OwnerAnswer,
   PlainServiceConfig,
+  RetryBudget,
   RouterId,
   ServiceName,
 } from '@mimosamill/core';
@@ -36,6 +37,8 @@
   readonly services: ServiceClient;
   readonly servers: ServerPicker;
   readonly owners: OwnerClient;
+  /** Shared with the resumes of streams. */
+  readonly retryBudget: RetryBudget;
   readonly serviceConfig: (service: ServiceName) => PlainServiceConfig | undefined;
   /** A fresh id that no other process ever creates. */
   readonly createId: () => string;
--- a/packages/router/test/calls.spec.ts
+++ b/packages/router/test/calls.spec.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { describe, expect, it } from 'vitest';
 import { createSystemClock } from '@mimosamill/adapters';
-import { asId } from '@mimosamill/core';
+import { asId, createRetryBudget, RETRY_BUDGET_DEFAULTS } from '@mimosamill/core';
 import { createCalls } from '../src/index';
 import type { Row, ServiceClient, Tables } from '@mimosamill/adapters';
 import type { Calls } from '../src/index';
@@ -49,6 +49,7 @@
     services,
     servers: { pick: () => '127.0.0.1:1', onRefused: () => undefined },
     owners: { ask: async () => ({ kind: 'gone' }) },
+    retryBudget: createRetryBudget(RETRY_BUDGET_DEFAULTS),
     serviceConfig: () => ({
       kind: 'plain',
       name: REQUEST.service,
@@ -83,7 +84,7 @@
       await first.run({ ...REQUEST, key: 'k1' }),
       await second.run({ ...REQUEST, key: 'k1' }),
     ];
-    await first.drain();
+    await first.drain(0, 5_000);
     expect(answers).toEqual([
       { kind: 'ok', status: 200, body: '{"run":1}', isReplay: false },
       { kind: 'ok', status: 200, body: '{"run":1}', isReplay: true },
