--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -83,3 +83,32 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+
+// routing
+export { chainBlockHashes, toBlockKeys } from './route/prefix';
+export type { Hash64Text, PrefixScope } from './route/prefix';
+export { createPicker } from './route/picker';
+export type { Picker } from './route/picker';
+export type {
+  EngineRole,
+  LoadedVersion,
+  LoadReport,
+  NoEngineReason,
+  PickerSettings,
+  PickOutcome,
+  RouteEngine,
+  RoutePriority,
+  RouteRequest,
+  Send,
+  SendResult,
+} from './route/types';
+// version moves
+export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
+export type { MoveEffect, MoveView } from './move/machine';
+export { planMove, STEP_SHARES } from './move/plan';
+export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
+export type { MoveRecord } from './move/record';
+
+// leases and orders to engines
+export { createLease } from './order/lease';
+export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
