--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,4 +1,5 @@
+import { MOVES_MEASUREMENT } from './moves/measure';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [];
+export const MEASUREMENTS: readonly Measurement[] = [MOVES_MEASUREMENT];
--- a/packages/core/src/move/evidence.ts
+++ b/packages/core/src/move/evidence.ts
@@ -1,4 +1,4 @@
-/** Load of the engine when a request was sent to it. */
+/** Load that was offered to the compared engines when a request was sent. */
 export type LoadLevel = 'low' | 'middle' | 'high';
 
 export type EvidenceSignal = 'failure' | 'first_token' | 'pace';
@@ -111,30 +111,47 @@
   const epochCount = Math.ceil((byMs - startMs) / epochLengthMs(startMs, byMs));
   const open = new Map<number, Map<string, EvidenceCell>>();
   const tests = new Map<string, Test>();
+  const testsByCell = new Map<string, Record<EvidenceSignal, readonly Test[]>>();
+  /** Tests with new pairs against the new version; the values of the others have not risen. */
+  const risen = new Set<Test>();
+  const totalsByEpoch = new Map<number, Map<Test, PairCounts>>();
   const deaths = createDeathTest();
   let firstOpenEpoch = 0;
 
-  function testFor(signal: EvidenceSignal, cell?: EvidenceCell, isPerLevel = false): Test {
-    const level = isPerLevel ? cell?.level : undefined;
-    const key = `${signal}/${cell?.routeHash ?? ''}/${level ?? ''}`;
+  function testFor(signal: EvidenceSignal, routeHash?: number, level?: LoadLevel): Test {
+    const key = `${signal}/${routeHash ?? ''}/${level ?? ''}`;
     const known = tests.get(key);
     if (known !== undefined) return known;
-    const routeHash = cell?.routeHash;
-    const created = createTest({ signal, routeHash, level, epochCount, firstOpenEpoch });
+    const created = createTest({ signal, routeHash, level, epochCount });
     tests.set(key, created);
     return created;
   }
 
-  function testsOf(signal: EvidenceSignal, cell: EvidenceCell): Test[] {
-    return [testFor(signal), testFor(signal, cell), testFor(signal, cell, true)];
+  /** The tests that a cell's pairs belong to: all routes, its route, its route at its load. */
+  function testsOf(cell: EvidenceCell): Record<EvidenceSignal, readonly Test[]> {
+    const { routeHash, level } = cell;
+    const key = `${routeHash}/${level}`;
+    const known = testsByCell.get(key);
+    if (known !== undefined) return known;
+    const of = (signal: EvidenceSignal): readonly Test[] => [
+      testFor(signal),
+      testFor(signal, routeHash),
+      testFor(signal, routeHash, level),
+    ];
+    const created = { failure: of('failure'), first_token: of('first_token'), pace: of('pace') };
+    testsByCell.set(key, created);
+    return created;
   }
 
   /** Adds up the cells of an epoch per test. */
-  function totals(epoch: number): Map<Test, PairCounts> {
+  function totals(epoch: number): ReadonlyMap<Test, PairCounts> {
+    const known = totalsByEpoch.get(epoch);
+    if (known !== undefined) return known;
     const sums = new Map<Test, PairCounts>();
+    totalsByEpoch.set(epoch, sums);
     open.get(epoch)?.forEach((cell) => {
       EVIDENCE_SIGNALS.forEach((signal) => {
-        testsOf(signal, cell).forEach((test) => {
+        testsOf(cell)[signal].forEach((test) => {
           sums.set(test, addCounts(sums.get(test) ?? NO_PAIRS, cell.counts[signal]));
         });
       });
@@ -142,6 +159,14 @@
     return sums;
   }
 
+  function noteRisen(cell: EvidenceCell, before: EvidenceCell | undefined): void {
+    EVIDENCE_SIGNALS.forEach((signal) => {
+      const { againstNew } = cell.counts[signal];
+      if (againstNew === (before?.counts[signal].againstNew ?? 0)) return;
+      testsOf(cell)[signal].forEach((test) => risen.add(test));
+    });
+  }
+
   function openEpochs(): number[] {
     const lastEpoch = Math.max(firstOpenEpoch, ...open.keys());
     return Array.from({ length: lastEpoch - firstOpenEpoch + 1 }, (_, i) => firstOpenEpoch + i);
@@ -150,12 +175,13 @@
   function closeEpochsBefore(epoch: number): void {
     for (; firstOpenEpoch < epoch; firstOpenEpoch += 1) {
       const sums = totals(firstOpenEpoch);
-      tests.forEach((test) => test.close(firstOpenEpoch, sums.get(test) ?? NO_PAIRS));
+      sums.forEach((counts, test) => test.close(firstOpenEpoch, counts));
       open.delete(firstOpenEpoch);
+      totalsByEpoch.delete(firstOpenEpoch);
     }
   }
 
-  function isOver(test: Test, openSums: readonly Map<Test, PairCounts>[]): boolean {
+  function isOver(test: Test, openSums: readonly ReadonlyMap<Test, PairCounts>[]): boolean {
     const counts = openSums.map((sums) => sums.get(test) ?? NO_PAIRS);
     return test.logValue(firstOpenEpoch, counts) >= -Math.log(partOf(test));
   }
@@ -175,7 +201,10 @@
         open.set(cell.epoch, epochCells);
         const key = `${routerId}/${cell.routeHash}/${cell.level}`;
         const known = epochCells.get(key);
-        epochCells.set(key, known === undefined ? cell : newerCell(known, cell));
+        if (known !== undefined && pairSum(known) >= pairSum(cell)) return;
+        epochCells.set(key, cell);
+        noteRisen(cell, known);
+        totalsByEpoch.delete(cell.epoch);
       });
     },
     addDeath: deaths.add,
@@ -186,7 +215,8 @@
         return { signal: 'engine_deaths', routeHash: undefined, level: undefined, counts };
       }
       const openSums = openEpochs().map(totals);
-      const crossed = [...tests.values()].find((test) => isOver(test, openSums));
+      const crossed = [...risen].find((test) => isOver(test, openSums));
+      risen.clear();
       if (crossed === undefined) return undefined;
       const { signal, routeHash, level } = crossed;
       const recent = openSums.map((sums) => sums.get(crossed) ?? NO_PAIRS);
@@ -202,7 +232,6 @@
   readonly routeHash: number | undefined;
   readonly level: LoadLevel | undefined;
   readonly epochCount: number;
-  readonly firstOpenEpoch: number;
 }
 
 /** One e-process over the discordant pairs of one signal. */
@@ -222,25 +251,29 @@
  * number per alternative.
  */
 function createTest(settings: TestSettings): Test {
-  const { signal, routeHash, level, epochCount, firstOpenEpoch } = settings;
-  const nullRatio = NULL_RATIO[signal];
-  const laterLogWeight = Math.log((1 - AT_ONCE_WEIGHT) / Math.max(1, epochCount));
+  const { signal, routeHash, level, epochCount } = settings;
+  const gains = GAINS[signal];
+  const laterWeight = (1 - AT_ONCE_WEIGHT) / Math.max(1, epochCount);
+  let logSums = gains.map(() => Number.NEGATIVE_INFINITY);
   let closedCounts = NO_PAIRS;
-  let logSums = ALTERNATIVE_RATIOS.map(() => Number.NEGATIVE_INFINITY);
-  // Epochs before the first pair leave their weight as it is.
-  for (let epoch = 0; epoch < firstOpenEpoch; epoch += 1) {
-    logSums = after(logSums, epoch, NO_PAIRS);
-  }
+  let closedEpochs = 0;
 
-  function weightOf(epoch: number): number {
-    return epoch === 0 ? Math.log(AT_ONCE_WEIGHT) : laterLogWeight;
+  /** Weight of the hypotheses that the fault begins in one of these epochs. */
+  function logWeight(fromEpoch: number, count: number): number {
+    if (count === 0) return Number.NEGATIVE_INFINITY;
+    const first = fromEpoch === 0 ? AT_ONCE_WEIGHT : laterWeight;
+    return Math.log(first + (count - 1) * laterWeight);
   }
 
-  function after(sums: readonly number[], epoch: number, counts: PairCounts): number[] {
-    return sums.map((sum, i) => {
-      const ratio = ALTERNATIVE_RATIOS[i] ?? nullRatio;
-      return addLogs(sum, weightOf(epoch)) + logLikelihoodRatio(ratio, nullRatio, counts);
-    });
+  /** Epochs without pairs add their weight and change nothing else. */
+  function after(
+    sums: readonly number[],
+    fromEpoch: number,
+    epoch: number,
+    counts: PairCounts,
+  ): number[] {
+    const weight = logWeight(fromEpoch, epoch - fromEpoch + 1);
+    return sums.map((sum, i) => addLogs(sum, weight) + logGain(gains[i], counts));
   }
 
   return {
@@ -248,21 +281,46 @@
     routeHash,
     level,
     close: (epoch, counts) => {
-      logSums = after(logSums, epoch, counts);
+      logSums = after(logSums, closedEpochs, epoch, counts);
+      closedEpochs = epoch + 1;
       closedCounts = addCounts(closedCounts, counts);
     },
-    logValue: (nextEpoch, open) => {
-      const sums = open.reduce((now, counts, i) => after(now, nextEpoch + i, counts), logSums);
+    logValue: (firstEpoch, open) => {
+      let sums = logSums;
+      let fromEpoch = closedEpochs;
+      open.forEach((counts, i) => {
+        if (counts === NO_PAIRS) return;
+        sums = after(sums, fromEpoch, firstEpoch + i, counts);
+        fromEpoch = firstEpoch + i + 1;
+      });
       return sums.reduce(addLogs, Number.NEGATIVE_INFINITY) - Math.log(sums.length);
     },
     closed: () => closedCounts,
   };
 }
 
-function logLikelihoodRatio(ratio: number, nullRatio: number, counts: PairCounts): number {
-  const { againstNew, againstOld } = counts;
-  const forNew = againstNew * Math.log(ratio / nullRatio);
-  return forNew + againstOld * Math.log((1 - ratio) / (1 - nullRatio));
+/** Logarithms of the likelihood ratios of one pair, for one alternative. */
+interface Gain {
+  readonly againstNew: number;
+  readonly againstOld: number;
+}
+
+const GAINS: Readonly<Record<EvidenceSignal, readonly Gain[]>> = {
+  failure: gainsOf(NULL_RATIO.failure),
+  first_token: gainsOf(NULL_RATIO.first_token),
+  pace: gainsOf(NULL_RATIO.pace),
+};
+
+function gainsOf(nullRatio: number): Gain[] {
+  return ALTERNATIVE_RATIOS.map((ratio) => ({
+    againstNew: Math.log(ratio / nullRatio),
+    againstOld: Math.log((1 - ratio) / (1 - nullRatio)),
+  }));
+}
+
+function logGain(gain: Gain | undefined, counts: PairCounts): number {
+  if (gain === undefined) return 0;
+  return counts.againstNew * gain.againstNew + counts.againstOld * gain.againstOld;
 }
 
 /** Deaths count once per engine, however many requests they hit. */
@@ -297,10 +355,6 @@
   };
 }
 
-function newerCell(a: EvidenceCell, b: EvidenceCell): EvidenceCell {
-  return pairSum(b) >= pairSum(a) ? b : a;
-}
-
 function pairSum(cell: EvidenceCell): number {
   const { failure, first_token: firstToken, pace } = cell.counts;
   const all = addCounts(addCounts(failure, firstToken), pace);
@@ -310,7 +364,7 @@
 function addLogs(a: number, b: number): number {
   const larger = Math.max(a, b);
   if (larger === Number.NEGATIVE_INFINITY) return larger;
-  return larger + Math.log(Math.exp(a - larger) + Math.exp(b - larger));
+  return larger + Math.log1p(Math.exp(Math.min(a, b) - larger));
 }
 
 /** Packs cells for a message between routers. */
--- a/packages/core/src/move/pairing.ts
+++ b/packages/core/src/move/pairing.ts
@@ -54,8 +54,6 @@
 const LONG_PACE_GAPS = 256;
 const MIN_PACE_GAPS = 8;
 
-/** Attempts that wait for a partner, per route, load level and version. */
-const MAX_WAITING = 32;
 const KEPT_EPOCHS = 2;
 
 interface Member {
@@ -80,8 +78,7 @@
 }
 
 interface Waiting {
-  newer: Member[];
-  older: Member | undefined;
+  member: Member | undefined;
   pairCount: number;
 }
 
@@ -121,34 +118,30 @@
     const key = keyOf(scope);
     const known = waitingByKey.get(key);
     if (known !== undefined) return known;
-    const created: Waiting = { newer: [], older: undefined, pairCount: 0 };
+    const created: Waiting = { member: undefined, pairCount: 0 };
     waitingByKey.set(key, created);
     return created;
   }
 
-  /** Partners are chosen by their start alone, never by how they went on. */
+  /**
+   * Pairs an attempt with the one before it if their versions differ. The version of a request
+   * follows from a hash, so which of the two started first is a coin toss: a day that gets better
+   * or worse while they run favours neither version.
+   */
   function join(member: Member, nowMs: number): void {
     const waiting = waitingFor(member.scope);
-    const oldestMs = nowMs - PAIR_WINDOW_MS;
-    waiting.newer = waiting.newer.filter((each) => each.startMs >= oldestMs);
-    if (waiting.older !== undefined && waiting.older.startMs < oldestMs) waiting.older = undefined;
-    if (member.scope.side === 'new') joinNew(member, waiting, nowMs);
-    else joinOld(member, waiting, nowMs);
-  }
-
-  function joinNew(member: Member, waiting: Waiting, nowMs: number): void {
-    if (waiting.older === undefined) {
-      waiting.newer = [...waiting.newer, member].slice(-MAX_WAITING);
+    const other = waiting.member;
+    const isPartner =
+      other !== undefined &&
+      other.scope.side !== member.scope.side &&
+      nowMs - other.startMs <= PAIR_WINDOW_MS;
+    if (!isPartner) {
+      waiting.member = member;
       return;
     }
-    createPair(member, waiting.older, waiting, nowMs);
-    waiting.older = undefined;
-  }
-
-  function joinOld(member: Member, waiting: Waiting, nowMs: number): void {
-    const partner = waiting.newer.shift();
-    if (partner === undefined) waiting.older = member;
-    else createPair(partner, member, waiting, nowMs);
+    waiting.member = undefined;
+    const isNew = member.scope.side === 'new';
+    createPair(isNew ? member : other, isNew ? other : member, waiting, nowMs);
   }
 
   function createPair(newer: Member, older: Member, waiting: Waiting, nowMs: number): void {
--- a/packages/core/src/move/plan.ts
+++ b/packages/core/src/move/plan.ts
@@ -45,11 +45,17 @@
 /** Another host needs up to two lease terms to take over and finish the move. */
 const FINISH_MARGIN_MS = 30_000;
 
+/** Time for the transaction that records the end. */
+const LAST_MARGIN_MS = 2_000;
+
 /** Time to start a version whose weights have arrived. */
 const LOAD_OVERHEAD_MS = 10_000;
 
 /** Engines are kept below this load while others are loading. */
-const MAX_BUSY_RATIO = 0.9;
+const MAX_BUSY_RATIO = 0.95;
+
+/** Capacity that an engine loses while it loads; it goes on serving more slowly. */
+const LOADING_LOSS_RATIO = 0.2;
 
 /** Up to this share the new version's traffic is packed onto few engines. */
 const PACKED_UP_TO_RATIO = 0.2;
@@ -70,10 +76,12 @@
   const shares = STEP_SHARES.filter((share) => share > input.reachedShareRatio);
   const readyAtMs = shares.map((share) => loadedAtMs(input, share, loadConcurrency));
   const earliestMs = earliestTimes(readyAtMs, input.nowMs);
-  const finishMs = input.byMs - FINISH_MARGIN_MS;
+  // The margin is for takeovers, so a move that was taken over may use it up.
+  const marginMs = input.reachedShareRatio === 0 ? FINISH_MARGIN_MS : LAST_MARGIN_MS;
   const earliestFinishMs = earliestMs.at(-1) ?? input.nowMs;
-  if (earliestFinishMs > finishMs) {
-    const neededSec = Math.ceil((earliestFinishMs + FINISH_MARGIN_MS - input.nowMs) / 1_000);
+  const finishMs = Math.max(earliestFinishMs, input.byMs - FINISH_MARGIN_MS);
+  if (earliestFinishMs > input.byMs - marginMs) {
+    const neededSec = Math.ceil((earliestFinishMs + marginMs - input.nowMs) / 1_000);
     const givenSec = Math.floor((input.byMs - input.nowMs) / 1_000);
     return refuse(`the move needs ${neededSec} s and the deadline leaves ${givenSec} s`);
   }
@@ -104,7 +112,9 @@
 
 function loadsAtOnce(input: PlanInput): number {
   if (input.sizeBytes === 0) return input.engineCount;
-  return Math.max(0, Math.floor(input.engineCount * (1 - input.busyRatio / MAX_BUSY_RATIO)));
+  const spareEngines = input.engineCount * (1 - input.busyRatio / MAX_BUSY_RATIO);
+  const loads = Math.floor(spareEngines / LOADING_LOSS_RATIO);
+  return Math.min(input.engineCount, Math.max(0, loads));
 }
 
 function enginesAt(input: PlanInput, shareRatio: number): number {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,6 +22,7 @@
 export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
 
 // version moves
+export { createWithdrawalGossip } from './move/gossip';
 export type { WithdrawalGossip } from './move/gossip';
 export { evidenceSchema } from './move/message';
 export type { EvidenceMessage, EvidenceReply } from './move/message';
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -43,8 +43,12 @@
   readonly version: VersionName;
   /** Adapter of the request; empty for the base model. */
   readonly route: string;
-  /** Running requests of the engine per place, from its load report and the router's own sends. */
-  readonly engineLoadRatio: number;
+  readonly group: VersionGroup;
+  /**
+   * Mean load of the control group's engines. The new version's engines are offered the same
+   * load; their measured load is no basis for comparison, because a slow version raises it.
+   */
+  readonly controlLoadRatio: number;
   readonly engineId: EngineId;
 }
 
@@ -130,7 +134,7 @@
 const MERGED_EXPIRY_MS = 900_000;
 
 const MIDDLE_LOAD_RATIO = 0.5;
-const HIGH_LOAD_RATIO = 0.8;
+const HIGH_LOAD_RATIO = 0.75;
 
 const NO_OBSERVER: AttemptObserver = {
   onFirstToken: () => undefined,
@@ -138,10 +142,10 @@
   onOutcome: () => undefined,
 };
 
-/** Load level of an engine with this part of its places in use. */
-export function loadLevelOf(engineLoadRatio: number): LoadLevel {
-  if (engineLoadRatio >= HIGH_LOAD_RATIO) return 'high';
-  return engineLoadRatio >= MIDDLE_LOAD_RATIO ? 'middle' : 'low';
+/** Load level of engines with this part of their places in use. */
+export function loadLevelOf(loadRatio: number): LoadLevel {
+  if (loadRatio >= HIGH_LOAD_RATIO) return 'high';
+  return loadRatio >= MIDDLE_LOAD_RATIO ? 'middle' : 'low';
 }
 
 export function createMoveWatch(ports: MoveWatchPorts): MoveWatch {
@@ -152,8 +156,8 @@
 
   function takeIn(item: Withdrawal, origin: 'own_evidence' | 'peer'): void {
     if (!withdrawals.add(item)) return;
-    // Items from peers are passed on too, so that one delivery is enough to reach everyone.
-    gossip.publish(item);
+    // The membership passes items from peers on by itself.
+    if (origin === 'own_evidence') gossip.publish(item);
     ports.onWithdrawn(item, origin);
   }
 
@@ -311,11 +315,12 @@
       const move = active.get(attempt.service);
       if (move?.watched === undefined) return NO_OBSERVER;
       const isNew = attempt.version === move.toVersion;
-      if (!isNew && attempt.version !== move.fromVersion) return NO_OBSERVER;
+      const isControl = attempt.version === move.fromVersion && attempt.group === 'control';
+      if (!isNew && !isControl) return NO_OBSERVER;
       const scope = {
         side: isNew ? 'new' : 'old',
         routeHash: hash(attempt.route),
-        level: loadLevelOf(attempt.engineLoadRatio),
+        level: loadLevelOf(attempt.controlLoadRatio),
         engineId: attempt.engineId,
       } as const;
       return move.watched.pairing.onAttempt(scope, clock.nowMs());
