Test the stored configuration under races and lost answers

Property test over commit faults (lost, dropped, late, refused) with two racing operators, and a stand-in of the object store for in-process use.

--- /dev/null
+++ b/packages/adapters/test/config-store.spec.ts
@@ -0,0 +1,193 @@
+import * as fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { applyChanges, asId, asRevision, EMPTY_CONFIG } from '@mimosamill/core';
+import {
+  createFakeObjects,
+  createFakeTables,
+  createTablesModel,
+  NO_FAULTS,
+} from '@mimosamill/fakes';
+import { createConfigStore, SNAPSHOT_EVERY } from '../src/index';
+import type { ConfigChange, FleetConfig, OperationId } from '@mimosamill/core';
+import type { Clock, CommitRevisionOutcome, ConfigStore, Tables } from '../src/index';
+
+/** Answers of successive commits; 'late' and 'lost' take effect, 'dropped' does not. */
+type CommitFault = 'none' | 'lost' | 'dropped' | 'late' | 'unavailable';
+
+/** Delays pass in one turn of the event loop. */
+const INSTANT_CLOCK: Clock = {
+  nowMs: () => 0,
+  monotonicMs: () => 0,
+  after: (_delayMs, fn) => {
+    setImmediate(fn);
+    return () => undefined;
+  },
+  every: () => () => undefined,
+};
+
+interface World {
+  readonly tables: Tables;
+  readonly createStore: (faults?: readonly CommitFault[]) => ConfigStore;
+  readonly applyLate: () => Promise<void>;
+  readonly commits: () => number;
+}
+
+function createWorld(): World {
+  const tables = createFakeTables(
+    createTablesModel(),
+    INSTANT_CLOCK,
+    () => NO_FAULTS,
+    () => 1,
+  );
+  const objects = createFakeObjects(
+    INSTANT_CLOCK,
+    () => NO_FAULTS,
+    () => 1,
+  );
+  const late: (() => Promise<unknown>)[] = [];
+  let commits = 0;
+
+  function withFaults(faults: CommitFault[]): Tables {
+    return {
+      ...tables,
+      commit: async (transaction) => {
+        commits += 1;
+        const fault = faults.shift() ?? 'none';
+        if (fault === 'unavailable') return { kind: 'unavailable', message: 'test' };
+        if (fault === 'lost') await tables.commit(transaction);
+        if (fault === 'late') late.push(() => tables.commit(transaction));
+        return fault === 'none' ? tables.commit(transaction) : { kind: 'unknown', message: 'test' };
+      },
+    };
+  }
+
+  return {
+    tables,
+    createStore: (faults = []) =>
+      createConfigStore(withFaults([...faults]), objects, INSTANT_CLOCK),
+    applyLate: async () => {
+      await Promise.all(late.splice(0).map((apply) => apply()));
+    },
+    commits: () => commits,
+  };
+}
+
+function limitChange(value: number): ConfigChange {
+  return { kind: 'set_defaults', defaults: { requestsPerSec: value } };
+}
+
+function submit(
+  store: ConfigStore,
+  base: FleetConfig,
+  operationId: string,
+  value: number,
+): Promise<CommitRevisionOutcome> {
+  return store.commit({
+    base,
+    changes: [limitChange(value)],
+    who: operationId,
+    why: 'test',
+    operationId: asId<OperationId>(operationId),
+    digest: String(value),
+    atMs: 0,
+  });
+}
+
+async function readConfig(store: ConfigStore): Promise<FleetConfig> {
+  const outcome = await store.readConfig();
+  if (outcome.kind !== 'ok') throw new Error(outcome.message);
+  return outcome.config;
+}
+
+describe('stored configuration', () => {
+  // Guards against two operators who both read revision N and both believe theirs is N + 1, and
+  // against an acceptance that is reported but not stored, or stored twice.
+  it('accepts exactly one of two racing operators, whatever happens to the answers', async () => {
+    const faults = fc.array(
+      fc.constantFrom<CommitFault>('none', 'lost', 'dropped', 'late', 'unavailable'),
+      { maxLength: 5 },
+    );
+    await fc.assert(
+      fc.asyncProperty(faults, faults, async (mine, theirs) => {
+        const world = createWorld();
+        const outcomes = await Promise.all([
+          submit(world.createStore(mine), EMPTY_CONFIG, 'op-a', 1),
+          submit(world.createStore(theirs), EMPTY_CONFIG, 'op-b', 2),
+        ]);
+        await world.applyLate();
+        const accepted = outcomes.filter(({ kind }) => kind === 'accepted');
+        const config = await readConfig(world.createStore());
+        const winner = config.defaults.requestsPerSec;
+        expect(accepted.length).toBeLessThanOrEqual(1);
+        expect(config.revision).toBeLessThanOrEqual(1);
+        outcomes.forEach((outcome, index) => {
+          const isInForce = config.revision === 1 && winner === index + 1;
+          if (outcome.kind === 'accepted') expect(isInForce).toBe(true);
+          if (outcome.kind === 'conflict' || outcome.kind === 'unavailable') {
+            expect(isInForce).toBe(false);
+          }
+        });
+        const isCertain = outcomes.every(({ kind }) => kind === 'accepted' || kind === 'conflict');
+        if (isCertain) expect(accepted.length).toBe(1);
+      }),
+      { seed: 5, numRuns: 300 },
+    );
+  });
+
+  // Guards against a lost answer that makes the operator's change be applied twice or reported lost.
+  it('looks a lost answer up by its operation id and does not commit again', async () => {
+    const world = createWorld();
+    const outcome = await submit(world.createStore(['lost']), EMPTY_CONFIG, 'op-a', 7);
+    expect(outcome).toMatchObject({
+      kind: 'accepted',
+      wasLookedUp: true,
+      revision: { revision: 1 },
+    });
+    expect(world.commits()).toBe(1);
+    const repeated = await submit(world.createStore(), EMPTY_CONFIG, 'op-a', 7);
+    expect(repeated).toMatchObject({ kind: 'accepted', wasLookedUp: true });
+    expect(world.commits()).toBe(1);
+    const reused = await submit(world.createStore(), EMPTY_CONFIG, 'op-a', 8);
+    expect(reused.kind).toBe('operation_reused');
+  });
+
+  // Guards against calling an unanswered change refused although a late copy may still apply.
+  it('reports an outcome it cannot establish as unknown', async () => {
+    const world = createWorld();
+    const lost: CommitFault[] = ['late', 'dropped', 'dropped', 'dropped'];
+    const outcome = await submit(world.createStore(lost), EMPTY_CONFIG, 'op-a', 1);
+    expect(outcome.kind).toBe('unknown');
+    await world.applyLate();
+    const found = await world.createStore().findOperation(asId<OperationId>('op-a'));
+    expect(found.kind).toBe('found');
+  });
+
+  // Guards against an operator who cannot see what the own change collided with.
+  it('returns the other change to the operator who came second', async () => {
+    const store = createWorld().createStore();
+    await submit(store, EMPTY_CONFIG, 'op-a', 1);
+    expect(await submit(store, EMPTY_CONFIG, 'op-b', 2)).toMatchObject({
+      kind: 'conflict',
+      theirs: [{ revision: 1, who: 'op-a', changes: [limitChange(1)] }],
+    });
+  });
+
+  // Guards against a bootstrap that grows with the history, or a snapshot that differs from it.
+  it('reads the same configuration from snapshot and tail as from the whole history', async () => {
+    const world = createWorld();
+    const store = world.createStore();
+    const count = 2 * SNAPSHOT_EVERY + 7;
+    let config = EMPTY_CONFIG;
+    for (let value = 1; value <= count; value += 1) {
+      await submit(store, config, `op-${value}`, value);
+      config = applyChanges(config, [limitChange(value)]);
+    }
+    const head = await store.readHead();
+    expect(head).toMatchObject({
+      head: { revision: count, snapshotRevision: 2 * SNAPSHOT_EVERY },
+    });
+    expect(await readConfig(store)).toEqual(config);
+    const earlier = await store.readConfigAt(asRevision(SNAPSHOT_EVERY - 1));
+    expect(earlier).toMatchObject({ config: { revision: SNAPSHOT_EVERY - 1 } });
+  });
+});
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -28,6 +28,7 @@
 export { createHostListModel, createTablesModel, createWeightsModel } from './platform/model';
 export type { HostListModel, TablesModel, WeightsModel } from './platform/model';
 export { createPlatformServer } from './platform/server';
+export { createFakeObjects } from './platform/objects';
 export { createFakeTables } from './platform/tables';
 
 // random numbers
