--- a/packages/adapters/src/config/store.ts
+++ b/packages/adapters/src/config/store.ts
@@ -66,6 +66,8 @@
 
 /** Distance between snapshots; a bootstrap reads at most this many revisions and a few more. */
 export const SNAPSHOT_EVERY = 50;
+/** A revision with its inverse has to fit into one message between routers (256 KB). */
+const MAX_REVISION_BYTES = 128 * 1024;
 /** Lookups after a lost answer before the outcome is reported as unknown. */
 const MAX_ATTEMPTS = 4;
 const LOOKUP_DELAY_MS = 200;
@@ -155,6 +157,11 @@
       const applied = applyChecked(request.base, request.changes);
       if (applied.kind === 'invalid') return applied;
       const revision = toRecord(request);
+      const sizeBytes = Buffer.byteLength(JSON.stringify(revision));
+      if (sizeBytes > MAX_REVISION_BYTES) {
+        const message = `take ${sizeBytes} bytes with their inverse; at most ${MAX_REVISION_BYTES} fit into one revision`;
+        return { kind: 'invalid', problems: [{ path: 'changes', message }] };
+      }
       const snapshotRevision = await takeSnapshot(request.base, state.head);
       const answer = await tables.commit(toTransaction(request, revision, state, snapshotRevision));
       switch (answer.kind) {
--- /dev/null
+++ b/packages/admin/src/config/admin.ts
@@ -0,0 +1,233 @@
+import { sha256Hex } from '@mimosamill/adapters';
+import {
+  applyChecked,
+  checkChangeAccess,
+  createReplica,
+  diffConfigs,
+  EMPTY_CONFIG,
+  parseChanges,
+  planUndo,
+} from '@mimosamill/core';
+import { adminError, outcomeUnknown, storeUnavailable } from '../api/errors';
+import type { Clock, CommitRevisionOutcome, ConfigStore } from '@mimosamill/adapters';
+import type {
+  Administrator,
+  ConfigChange,
+  ConfigRevision,
+  EntryDiff,
+  FleetConfig,
+  OperationId,
+  Revision,
+} from '@mimosamill/core';
+import type { AdminError } from '../api/errors';
+
+export interface ApplyRequest {
+  readonly operationId: OperationId;
+  readonly baseRevision: Revision;
+  readonly why: string;
+  readonly changes: unknown;
+  readonly dryRun: boolean;
+}
+
+export interface UndoRequest {
+  readonly operationId: OperationId;
+  readonly revision: Revision;
+  readonly why: string;
+  readonly dryRun: boolean;
+}
+
+export type ChangeResult =
+  | {
+      readonly kind: 'accepted';
+      readonly revision: ConfigRevision;
+      readonly wasLookedUp: boolean;
+    }
+  | { readonly kind: 'dry_run'; readonly diff: readonly EntryDiff[] }
+  | AdminError;
+
+/** Reads and changes the stored configuration on behalf of administrators. */
+export interface ConfigAdmin {
+  /** Reads what is new; an error if there is no configuration even from before. */
+  readonly refresh: () => Promise<FleetConfig | AdminError>;
+  readonly apply: (admin: Administrator, request: ApplyRequest) => Promise<ChangeResult>;
+  readonly undo: (admin: Administrator, request: UndoRequest) => Promise<ChangeResult>;
+  /** Revisions after the given one, oldest first, as many as the store returns at once. */
+  readonly revisionsAfter: (after: Revision) => Promise<readonly ConfigRevision[] | AdminError>;
+  readonly configAt: (revision: Revision) => Promise<FleetConfig | AdminError>;
+}
+
+/** An undo looks for overlaps in at most this many later revisions. */
+const MAX_LATER = 1_000;
+
+export function createConfigAdmin(store: ConfigStore, clock: Clock): ConfigAdmin {
+  const replica = createReplica(1);
+
+  async function refresh(): Promise<FleetConfig | AdminError> {
+    const known = replica.current();
+    if (known === undefined) {
+      const read = await store.readConfig();
+      if (read.kind === 'unavailable') return storeUnavailable(read.message);
+      replica.install(read.config);
+      return replica.current() ?? read.config;
+    }
+    // Reads go on with the last configuration known here while the store is down; writes can't.
+    const head = await store.readHead();
+    if (head.kind === 'ok' && head.head.revision > known.revision) {
+      const tail = await store.readTail(known.revision);
+      if (tail.kind === 'ok') replica.offer(tail.revisions);
+    }
+    return replica.current() ?? known;
+  }
+
+  function readDigest(request: unknown): string {
+    return sha256Hex(JSON.stringify(request));
+  }
+
+  /** Answers a repeated operation from the store, whatever has happened since. */
+  async function findRepeat(
+    operationId: OperationId,
+    digest: string,
+  ): Promise<ChangeResult | undefined> {
+    const found = await store.findOperation(operationId);
+    if (found.kind === 'absent') return undefined;
+    if (found.kind === 'unavailable') return storeUnavailable(found.message);
+    if (found.digest === digest) {
+      return { kind: 'accepted', revision: found.revision, wasLookedUp: true };
+    }
+    return adminError(
+      'operation_reused',
+      `operation ${operationId} was another request, accepted as revision ${found.revision.revision}`,
+    );
+  }
+
+  async function submit(
+    admin: Administrator,
+    base: FleetConfig,
+    request: { operationId: OperationId; why: string; dryRun: boolean },
+    changes: readonly ConfigChange[],
+    digest: string,
+  ): Promise<ChangeResult> {
+    const access = checkChangeAccess(base, admin, changes);
+    if (access.kind === 'denied') return adminError('forbidden', access.reason);
+    if (request.dryRun) return preview(base, changes);
+    const outcome = await store.commit({
+      base,
+      changes,
+      who: `${admin.team}/${admin.name}`,
+      why: request.why,
+      operationId: request.operationId,
+      digest,
+      atMs: clock.nowMs(),
+    });
+    if (outcome.kind === 'accepted') replica.offer([outcome.revision]);
+    return toResult(outcome, request.operationId, changes);
+  }
+
+  async function apply(admin: Administrator, request: ApplyRequest): Promise<ChangeResult> {
+    const parsed = parseChanges(request.changes);
+    if (parsed.kind === 'invalid') return invalidChange(parsed.problems);
+    const { changes } = parsed;
+    const digest = readDigest(['apply', request.why, changes]);
+    const repeat = request.dryRun ? undefined : await findRepeat(request.operationId, digest);
+    if (repeat !== undefined) return repeat;
+    const config = await refresh();
+    if ('kind' in config) return config;
+    if (request.baseRevision > config.revision) {
+      return adminError('not_found', `there is no revision ${request.baseRevision}`);
+    }
+    if (request.baseRevision < config.revision) {
+      const theirs = await store.readTail(request.baseRevision);
+      if (theirs.kind === 'unavailable') return storeUnavailable(theirs.message);
+      return conflict(changes, theirs.revisions);
+    }
+    return submit(admin, config, request, changes, digest);
+  }
+
+  async function readLater(after: Revision): Promise<readonly ConfigRevision[] | AdminError> {
+    const later: ConfigRevision[] = [];
+    let last = after;
+    while (later.length < MAX_LATER) {
+      const page = await store.readTail(last);
+      if (page.kind === 'unavailable') return storeUnavailable(page.message);
+      if (page.revisions.length === 0) return later;
+      later.push(...page.revisions);
+      last = page.revisions.at(-1)?.revision ?? last;
+    }
+    return adminError('bad_request', `more than ${MAX_LATER} revisions came later`);
+  }
+
+  async function undo(admin: Administrator, request: UndoRequest): Promise<ChangeResult> {
+    const digest = readDigest(['undo', request.why, request.revision]);
+    const repeat = request.dryRun ? undefined : await findRepeat(request.operationId, digest);
+    if (repeat !== undefined) return repeat;
+    const config = await refresh();
+    if ('kind' in config) return config;
+    const revisions = await readLater((request.revision - 1) as Revision);
+    if ('kind' in revisions) return revisions;
+    const [target, ...later] = revisions;
+    if (target === undefined || target.revision !== request.revision) {
+      return adminError('not_found', `there is no revision ${request.revision}`);
+    }
+    const plan = planUndo(target, later);
+    if (plan.kind === 'overwritten') {
+      const message = `later revisions wrote the same entries: ${plan.by.join(', ')}`;
+      return adminError('overwritten', message, { entries: plan.entries, by: plan.by });
+    }
+    return submit(admin, config, request, plan.changes, digest);
+  }
+
+  return {
+    refresh,
+    apply,
+    undo,
+    revisionsAfter: async (after) => {
+      const tail = await store.readTail(after);
+      return tail.kind === 'ok' ? tail.revisions : storeUnavailable(tail.message);
+    },
+    configAt: async (revision) => {
+      const config = await refresh();
+      if ('kind' in config || config.revision === revision) return config;
+      if (revision === 0) return EMPTY_CONFIG;
+      if (revision > config.revision) return adminError('not_found', `no revision ${revision}`);
+      const read = await store.readConfigAt(revision);
+      return read.kind === 'ok' ? read.config : storeUnavailable(read.message);
+    },
+  };
+}
+
+function preview(base: FleetConfig, changes: readonly ConfigChange[]): ChangeResult {
+  const applied = applyChecked(base, changes);
+  if (applied.kind === 'invalid') return invalidChange(applied.problems);
+  return { kind: 'dry_run', diff: diffConfigs(base, applied.config) };
+}
+
+function toResult(
+  outcome: CommitRevisionOutcome,
+  operationId: OperationId,
+  changes: readonly ConfigChange[],
+): ChangeResult {
+  switch (outcome.kind) {
+    case 'accepted':
+      return outcome;
+    case 'invalid':
+      return invalidChange(outcome.problems);
+    case 'conflict':
+      return conflict(changes, outcome.theirs);
+    case 'operation_reused':
+      return adminError('operation_reused', `operation ${operationId} was another request`);
+    case 'unavailable':
+      return storeUnavailable(outcome.message);
+    default:
+      return outcomeUnknown(operationId, outcome.message);
+  }
+}
+
+function invalidChange(problems: readonly unknown[]): AdminError {
+  return adminError('invalid_change', 'the changes are not valid', { problems });
+}
+
+/** Both changes, so that the operator can decide without asking again. */
+function conflict(yours: readonly ConfigChange[], theirs: readonly ConfigRevision[]): AdminError {
+  const message = 'the configuration was changed after the revision you read; nothing was applied';
+  return adminError('conflict', message, { yours, theirs });
+}
--- a/packages/router/src/config/peers.ts
+++ b/packages/router/src/config/peers.ts
@@ -55,15 +55,15 @@
   readonly members: () => readonly Member[];
 }
 
-/** Largest message between routers is 256 KB; the rest is left for framing and escaping. */
+/** Messages between routers are bounded by 256 KB; the rest is left for escaping and framing. */
 export const MAX_MESSAGE_CHARS = 128 * 1024;
 
 /** As many of the first revisions as fit into one message, but at least one. */
 export function fitMessage(revisions: readonly ConfigRevision[]): readonly ConfigRevision[] {
-  let chars = 0;
+  let sizeBytes = 0;
   const end = revisions.findIndex((entry, index) => {
-    chars += JSON.stringify(entry).length;
-    return index > 0 && chars > MAX_MESSAGE_CHARS;
+    sizeBytes += Buffer.byteLength(JSON.stringify(entry));
+    return index > 0 && sizeBytes > MAX_MESSAGE_CHARS;
   });
   return end === -1 ? revisions : revisions.slice(0, end);
 }
