--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,17 @@
 } from './stream/session';
 
 // plain calls
+export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
+export type { RetryBudget, RetryBudgetSettings } from './call/budget';
+export { createDirectCall } from './call/direct';
+export type {
+  DirectCall,
+  DirectCallEffect,
+  DirectCallEvent,
+  DirectCallSettings,
+  SendCause,
+  ServerAnswer,
+} from './call/direct';
 export { createKeyedCall } from './call/keyed';
 export type {
   KeyedCall,
@@ -50,6 +61,8 @@
   KeyedCallSettings,
   WritePurpose,
 } from './call/keyed';
+export { createLatencyWindow } from './call/latency';
+export type { LatencyWindow } from './call/latency';
 export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
 export type { CallRecord, CallState, VersionedRecord } from './call/record';
 export type { CallResult, OwnerAnswer } from './call/result';
@@ -94,6 +107,24 @@
 export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
+// membership
+export { createSwim, shownState, spareBytes } from './member/swim';
+export { SWIM_DEFAULTS } from './member/message';
+export { pick, shuffle } from './member/random';
+export type {
+  ProbeTarget,
+  Swim,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimSettings,
+  SwimTimes,
+  SyncReply,
+  SyncRequest,
+} from './member/message';
+export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
+export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
+export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
