--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,17 @@
 } from './stream/session';
 
 // plain calls
+export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
+export type { RetryBudget, RetryBudgetSettings } from './call/budget';
+export { createDirectCall } from './call/direct';
+export type {
+  DirectCall,
+  DirectCallEffect,
+  DirectCallEvent,
+  DirectCallSettings,
+  SendCause,
+  ServerAnswer,
+} from './call/direct';
 export { createKeyedCall } from './call/keyed';
 export type {
   KeyedCall,
@@ -50,6 +61,8 @@
   KeyedCallSettings,
   WritePurpose,
 } from './call/keyed';
+export { createLatencyWindow } from './call/latency';
+export type { LatencyWindow } from './call/latency';
 export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
 export type { CallRecord, CallState, VersionedRecord } from './call/record';
 export type { CallResult, OwnerAnswer } from './call/result';
@@ -70,6 +83,29 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+export { checkChangeAccess, checkServiceAccess, findAdministrator } from './config/access';
+export type { AccessDecision, Administrator } from './config/access';
+export {
+  CHANGE_KINDS,
+  applyChanges,
+  entryOf,
+  invertChanges,
+  touchedEntries,
+} from './config/change';
+export type { ConfigChange, ConfigChangeKind, ConfigRevision } from './config/change';
+export { CONFIG_SECTIONS, diffConfigs } from './config/diff';
+export type { ConfigSection, EntryDiff, FieldDiff } from './config/diff';
+export { effectiveSettings } from './config/effective';
+export type { SettingsPlace } from './config/effective';
+export { READERS_PER_DOMAIN, chooseReaders } from './config/readers';
+export type { ReaderCandidate } from './config/readers';
+export { EMPTY_CONFIG, createReplica } from './config/replica';
+export type { Replica, ReplicaEffect } from './config/replica';
+export type { ConfigProblem } from './config/shape';
+export { planUndo } from './config/undo';
+export type { UndoPlan } from './config/undo';
+export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export type { AppliedChanges, ParsedChanges } from './config/validate';
 
 // membership
 export { createSwim, shownState, spareBytes } from './member/swim';
@@ -107,6 +143,7 @@
   Send,
   SendResult,
 } from './route/types';
+
 // version moves
 export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
 export type { MoveEffect, MoveView } from './move/machine';
