Measure bookings under pairs of faults in simulated time

Cause: the claim protocol had not met a fault yet. Change: packages/fakes gains simulated time with processes that pause and die; packages/bench runs three routers, two services of three servers, tables and callers in it and registers the measurement 'calls'.

--- /dev/null
+++ b/packages/bench/src/calls/servers.ts
@@ -0,0 +1,190 @@
+import { createServiceModel } from '@mimosamill/fakes';
+import type {
+  ServiceAnswer,
+  ServiceCall,
+  ServiceClient,
+  ServiceLookup,
+} from '@mimosamill/adapters';
+import type { ServiceModel, StoredRun, VirtualProcess, VirtualTime } from '@mimosamill/fakes';
+
+/** What arrives at a client in answer to some request, not necessarily its own. */
+interface WireAnswer {
+  readonly requestId: string;
+  readonly attemptNo: number;
+  readonly body: string;
+}
+
+/** One request on one connection. */
+interface Exchange {
+  readonly onAnswer: (wire: WireAnswer) => void;
+  readonly onReset: () => void;
+}
+
+interface Server {
+  readonly address: string;
+  process: VirtualProcess;
+  model: ServiceModel;
+  readonly open: Set<Exchange>;
+}
+
+/** Servers of one plain service, which share what they have run. */
+export interface ServerFleet {
+  readonly addresses: readonly string[];
+  readonly kill: (address: string, forMs: number) => void;
+  readonly pause: (address: string, forMs: number) => void;
+  /** Client as seen by a router; `sendDelayMs` is added to a request's way. */
+  readonly clientOf: (router: VirtualProcess, sendDelayMs: () => number) => ServiceClient;
+  readonly find: (key: string) => StoredRun | undefined;
+  readonly runs: () => readonly StoredRun[];
+  readonly hasRun: (traceparent: string) => boolean;
+}
+
+export interface ServerFaults {
+  readonly isResetting: () => boolean;
+  readonly isLateOrCrossed: () => boolean;
+}
+
+const TRAVEL_MS = 1;
+const RUN_MS = 40;
+const LATE_MAX_MS = 6_000;
+
+export function createServerFleet(
+  time: VirtualTime,
+  addresses: readonly string[],
+  faults: ServerFaults,
+  random: () => number,
+): ServerFleet {
+  const stored = new Map<string, StoredRun>();
+  const traces = new Set<string>();
+  const servers = new Map<string, Server>(
+    addresses.map((address) => [
+      address,
+      {
+        address,
+        process: time.createProcess(),
+        model: createServiceModel(stored),
+        open: new Set<Exchange>(),
+      },
+    ]),
+  );
+
+  function travelMs(): number {
+    return TRAVEL_MS * (0.5 + random());
+  }
+
+  function serve(server: Server, request: ServiceCall, exchange: Exchange): void {
+    const { process } = server;
+    server.open.add(exchange);
+    const isReset = faults.isResetting() && random() < 0.4;
+    // Half of the resets happen before the server has read the request.
+    if (isReset && random() < 0.5) {
+      reset(server, exchange);
+      return;
+    }
+    process.deliver(() => {
+      process.clock.after(5 + random() * RUN_MS, () => {
+        const outcome = server.model.run(request.operation, request.idempotencyKey, request.body);
+        if (outcome.kind === 'refused') return;
+        traces.add(request.traceparent ?? '');
+        if (isReset) reset(server, exchange);
+        else answer(server, request, exchange, outcome.body);
+      });
+    });
+  }
+
+  function reset(server: Server, exchange: Exchange): void {
+    server.open.delete(exchange);
+    time.clock.after(travelMs(), exchange.onReset);
+  }
+
+  function answer(server: Server, request: ServiceCall, exchange: Exchange, body: string): void {
+    const wire: WireAnswer = { requestId: request.requestId, attemptNo: request.attemptNo, body };
+    const isFaulty = faults.isLateOrCrossed();
+    const delayMs = isFaulty && random() < 0.5 ? random() * LATE_MAX_MS : 0;
+    const others = [...server.open].filter((other) => other !== exchange);
+    const other = others[Math.floor(random() * others.length)];
+    const target = isFaulty && random() < 0.5 && other !== undefined ? other : exchange;
+    time.clock.after(delayMs + travelMs(), () => {
+      if (!server.open.delete(target)) return;
+      target.onAnswer(wire);
+    });
+  }
+
+  function call(
+    router: VirtualProcess,
+    address: string,
+    request: ServiceCall,
+    sendDelayMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<ServiceAnswer> {
+    return new Promise((resolve) => {
+      const server = servers.get(address);
+      const unknown = (message: string): void => resolve({ kind: 'unknown', message });
+      const exchange: Exchange = {
+        onAnswer: (wire) => resolve(toAnswer(request, wire)),
+        onReset: () => unknown('reset'),
+      };
+      signal?.addEventListener('abort', () => unknown('aborted'));
+      router.clock.after(request.timeoutMs, () => unknown('no answer in time'));
+      time.clock.after(travelMs() + sendDelayMs, () => {
+        if (server === undefined || !server.process.isAlive()) {
+          resolve({ kind: 'not_sent', leaving: false, message: 'connection refused' });
+          return;
+        }
+        serve(server, request, exchange);
+      });
+    });
+  }
+
+  function lookup(address: string, key: string): Promise<ServiceLookup> {
+    return new Promise((resolve) => {
+      const process = servers.get(address)?.process;
+      time.clock.after(travelMs(), () => {
+        if (process === undefined || !process.isAlive()) {
+          resolve({ kind: 'unavailable', message: 'connection refused' });
+          return;
+        }
+        process.deliver(() => {
+          const run = stored.get(key);
+          const found: ServiceLookup =
+            run === undefined
+              ? { kind: 'not_seen' }
+              : { kind: 'ran', status: 200, body: run.answer };
+          time.clock.after(travelMs(), () => resolve(found));
+        });
+      });
+    });
+  }
+
+  return {
+    addresses,
+    kill: (address, forMs) => {
+      const server = servers.get(address);
+      if (server === undefined || !server.process.isAlive()) return;
+      server.process.kill();
+      [...server.open].forEach((exchange) => reset(server, exchange));
+      time.clock.after(forMs, () => {
+        server.process = time.createProcess();
+        server.model = createServiceModel(stored);
+      });
+    },
+    pause: (address, forMs) => servers.get(address)?.process.pause(forMs),
+    clientOf: (router, sendDelayMs) => ({
+      call: (address, request, signal) =>
+        router.receive(call(router, address, request, sendDelayMs(), signal)),
+      lookup: (address, key) => router.receive(lookup(address, key)),
+      load: async () => undefined,
+    }),
+    find: (key) => stored.get(key),
+    runs: () => [...stored.values()],
+    hasRun: (traceparent) => traces.has(traceparent),
+  };
+}
+
+/** As the HTTP client does it: an answer counts by what it echoes. */
+function toAnswer(request: ServiceCall, wire: WireAnswer): ServiceAnswer {
+  const isOwn = wire.requestId === request.requestId && wire.attemptNo === request.attemptNo;
+  return isOwn
+    ? { kind: 'ok', status: 200, body: wire.body }
+    : { kind: 'unknown', message: 'the answer belongs to another request' };
+}
--- /dev/null
+++ b/packages/bench/src/calls/tables.ts
@@ -0,0 +1,83 @@
+import { createTablesModel } from '@mimosamill/fakes';
+import type { CommitOutcome, ReadOutcome, Tables, Transaction } from '@mimosamill/adapters';
+import type { TablesModel, VirtualProcess, VirtualTime } from '@mimosamill/fakes';
+
+export interface TablesFaults {
+  readonly isDown: () => boolean;
+  readonly isSlow: () => boolean;
+  readonly isLosingAnswers: () => boolean;
+}
+
+/** The table service as routers reach it over the network. */
+export interface TablesFleet {
+  readonly clientOf: (router: VirtualProcess) => Tables;
+  /** Rows written, without the commits that met a conflict. */
+  readonly writes: () => number;
+  readonly commits: () => number;
+  readonly reads: () => number;
+}
+
+const TRAVEL_MS = 3;
+const SLOW_MAX_MS = 4_000;
+const LATE_APPLY_MAX_MS = 3_000;
+
+export function createTablesFleet(
+  time: VirtualTime,
+  faults: TablesFaults,
+  random: () => number,
+): TablesFleet {
+  const model: TablesModel = createTablesModel();
+  let writes = 0;
+
+  function delayMs(): number {
+    return TRAVEL_MS * (0.5 + random()) + (faults.isSlow() ? random() * SLOW_MAX_MS : 0);
+  }
+
+  function after<T>(waitMs: number, fn: () => T): Promise<T> {
+    return new Promise((resolve) => {
+      time.clock.after(waitMs, () => resolve(fn()));
+    });
+  }
+
+  function apply(transaction: Transaction): CommitOutcome {
+    const outcome = model.commit(transaction, time.clock.nowMs());
+    if (outcome.kind === 'ok') writes += transaction.writes.length;
+    return outcome;
+  }
+
+  /** The answer is lost: the commit was applied before, is applied later, or never is. */
+  function commitUnanswered(transaction: Transaction): CommitOutcome {
+    const choice = random();
+    if (choice < 0.5) apply(transaction);
+    else if (choice < 0.75) {
+      time.clock.after(random() * LATE_APPLY_MAX_MS, () => apply(transaction));
+    }
+    return { kind: 'unknown', message: 'the answer was lost' };
+  }
+
+  async function commit(transaction: Transaction): Promise<CommitOutcome> {
+    return after(delayMs(), () => {
+      if (faults.isDown()) return { kind: 'unavailable', message: 'outage' };
+      const isLost = faults.isLosingAnswers() && random() < 0.5;
+      return isLost ? commitUnanswered(transaction) : apply(transaction);
+    });
+  }
+
+  async function read(keys: readonly string[]): Promise<ReadOutcome> {
+    return after(delayMs(), () => {
+      if (faults.isDown()) return { kind: 'unavailable', message: 'outage' };
+      return { kind: 'ok', rows: model.read(keys, time.clock.nowMs()) };
+    });
+  }
+
+  return {
+    clientOf: (router) => ({
+      read: (keys) => router.receive(read(keys)),
+      scan: async () => ({ kind: 'unavailable', message: 'not used by calls' }),
+      commit: (transaction) => router.receive(commit(transaction)),
+    }),
+    writes: () => writes,
+    commits: () => model.counts().writes,
+    reads: () => model.counts().reads,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/calls/world.ts
@@ -0,0 +1,375 @@
+import { createHash } from 'node:crypto';
+import { createRandom, createVirtualTime } from '@mimosamill/fakes';
+import { asId, createRetryBudget, RETRY_BUDGET_DEFAULTS } from '@mimosamill/core';
+import { createCalls, createOwnerClient } from '@mimosamill/router';
+import { planWindows } from './faults';
+import { createServerFleet } from './servers';
+import { createTablesFleet } from './tables';
+import type { StoredRun, VirtualProcess } from '@mimosamill/fakes';
+import type { CallResult, CustomerId, RouterId, ServiceName } from '@mimosamill/core';
+import type { Calls } from '@mimosamill/router';
+import type { CallFault, FaultWindow } from './faults';
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly faults: readonly CallFault[];
+  readonly bookings: number;
+  /** False for the baseline: calls are retried without a claim. */
+  readonly isClaiming: boolean;
+}
+
+/** What a caller sent and what it was told. */
+export interface SentRequest {
+  readonly booking: number;
+  readonly service: ServiceName;
+  readonly body: string;
+  readonly traceparent: string;
+  readonly sentAtMs: number;
+  readonly deadlineMs: number;
+  outcome: CallResult | 'reset' | 'refused' | undefined;
+  answeredAtMs: number;
+  /** Time for which the router was paused while it held the request. */
+  pausedMs: number;
+}
+
+export interface World {
+  readonly run: () => Promise<void>;
+  readonly requests: readonly SentRequest[];
+  /** By booking: what a lookup told after the faults were over. */
+  readonly finalLookups: ReadonlyMap<number, CallResult>;
+  readonly runOf: (booking: number) => StoredRun | undefined;
+  readonly runs: () => readonly StoredRun[];
+  readonly hasRun: (request: SentRequest) => boolean;
+  /** Rows written and reads done for the bookings, without the final lookups. */
+  readonly tableWrites: () => number;
+  readonly tableReads: () => number;
+}
+
+interface RouterHost {
+  readonly routerId: RouterId;
+  process: VirtualProcess;
+  calls: Calls;
+  readonly onKilled: Set<() => void>;
+}
+
+const ROUTERS = 3;
+const SERVERS = 3;
+const ARRIVALS_MS = 12_000;
+const FAULTS_END_MS = 16_000;
+const SETTLED_MS = 100_000;
+const END_MS = 200_000;
+const DEADLINE_MS = 3_000;
+const SENDS_MAX = 8;
+const CUSTOMER = asId<CustomerId>('lackner');
+/** The first service has a lookup, the second has none. */
+const SERVICES = [asId<ServiceName>('werkbuch'), asId<ServiceName>('guild-shop')] as const;
+
+/** Three routers, three servers of each of two services, tables and callers in simulated time. */
+export function createWorld(options: WorldOptions): World {
+  const random = createRandom(options.seed);
+  const time = createVirtualTime();
+  const windows = planWindows(options.faults, ARRIVALS_MS, random);
+  const requests: SentRequest[] = [];
+  const finalLookups = new Map<number, CallResult>();
+  let ids = 0;
+  let counts = { writes: 0, reads: 0 };
+
+  const isActive = (fault: CallFault): boolean => {
+    const nowMs = time.clock.monotonicMs();
+    return windows.some((w) => w.fault === fault && w.startMs <= nowMs && nowMs < w.endMs);
+  };
+  const tables = createTablesFleet(
+    time,
+    {
+      isDown: () => isActive('tables_outage'),
+      isSlow: () => isActive('tables_slow'),
+      isLosingAnswers: () => isActive('commit_answer_lost'),
+    },
+    random,
+  );
+  const fleets = new Map(SERVICES.map((service) => [service, createFleet(service)]));
+  const routers = Array.from({ length: ROUTERS }, (_, index) => createHost(`r${index}`));
+
+  function createFleet(service: ServiceName): ReturnType<typeof createServerFleet> {
+    const addresses = Array.from({ length: SERVERS }, (_, index) => `${service}:${index}`);
+    return createServerFleet(
+      time,
+      addresses,
+      {
+        isResetting: () => isActive('connection_reset'),
+        isLateOrCrossed: () => isActive('answers_late_or_crossed'),
+      },
+      random,
+    );
+  }
+
+  function fleetOf(service: string): ReturnType<typeof createServerFleet> {
+    const fleet = fleets.get(asId<ServiceName>(service));
+    if (fleet === undefined) throw new Error(`no service ${service}`);
+    return fleet;
+  }
+
+  function createHost(name: string): RouterHost {
+    const process = time.createProcess();
+    const routerId = asId<RouterId>(name);
+    return { routerId, process, calls: createRouterCalls(routerId, process), onKilled: new Set() };
+  }
+
+  function createRouterCalls(routerId: RouterId, process: VirtualProcess): Calls {
+    // A router may be paused after its last check of the deadline, before the request leaves.
+    const sendDelayMs = (): number =>
+      isActive('router_paused') && random() < 0.2 ? random() * 5_000 : 0;
+    return createCalls({
+      routerId,
+      clock: process.clock,
+      tables: tables.clientOf(process),
+      services: {
+        call: (address, call, signal) =>
+          clientOf(address, process, sendDelayMs).call(address, call, signal),
+        lookup: (address, key) => clientOf(address, process, sendDelayMs).lookup(address, key),
+        load: async () => undefined,
+      },
+      servers: {
+        pick: (service, excluded) => {
+          const left = fleetOf(service).addresses.filter((address) => !excluded.has(address));
+          return left[Math.floor(random() * left.length)];
+        },
+        onRefused: () => undefined,
+      },
+      owners: createOwnerClient(
+        (id) => id,
+        (address, question) => process.receive(askPeer(address, question)),
+      ),
+      retryBudget: createRetryBudget(RETRY_BUDGET_DEFAULTS),
+      serviceConfig: (name) => ({
+        kind: 'plain',
+        name,
+        team: asId('team'),
+        operations: { book: { idempotent: !options.isClaiming } },
+        hasLookup: name === SERVICES[0],
+      }),
+      createId: () => {
+        ids += 1;
+        return `id-${ids}`;
+      },
+      hashBody: (text) => createHash('sha256').update(text).digest('hex'),
+    });
+  }
+
+  function clientOf(
+    address: string,
+    process: VirtualProcess,
+    sendDelayMs: () => number,
+  ): ReturnType<ReturnType<typeof createServerFleet>['clientOf']> {
+    return fleetOf(address.split(':')[0] ?? '').clientOf(process, sendDelayMs);
+  }
+
+  function askPeer(
+    address: string,
+    question: Parameters<Calls['answerOwner']>[0],
+  ): ReturnType<Calls['answerOwner']> {
+    return new Promise((resolve, reject) => {
+      const host = routers.find(({ routerId }) => routerId === address);
+      time.clock.after(travelMs(), () => {
+        if (host === undefined || !host.process.isAlive()) {
+          reject(new Error('connection refused'));
+          return;
+        }
+        const { process, calls } = host;
+        process.deliver(() => {
+          void calls.answerOwner(question).then((answer) => {
+            time.clock.after(travelMs(), () => resolve(answer));
+          });
+        });
+      });
+    });
+  }
+
+  function travelMs(): number {
+    return 0.5 + random();
+  }
+
+  function killRouter(host: RouterHost, forMs: number): void {
+    if (!host.process.isAlive()) return;
+    host.process.kill();
+    [...host.onKilled].forEach((fn) => fn());
+    host.onKilled.clear();
+    time.clock.after(forMs, () => {
+      // The new process has the old one's id and none of its memory.
+      host.process = time.createProcess();
+      host.calls = createRouterCalls(host.routerId, host.process);
+    });
+  }
+
+  function pickOne<T>(items: readonly T[]): T {
+    const item = items[Math.floor(random() * items.length)];
+    if (item === undefined) throw new Error('nothing to pick from');
+    return item;
+  }
+
+  function onWindow(window: FaultWindow): void {
+    const lengthMs = window.endMs - window.startMs;
+    switch (window.fault) {
+      case 'router_killed':
+        killRouter(pickOne(routers), lengthMs);
+        return;
+      case 'router_paused':
+        pickOne(routers).process.pause(lengthMs * 1.5);
+        return;
+      case 'server_killed':
+        fleets.forEach((fleet) => fleet.kill(pickOne(fleet.addresses), lengthMs));
+        return;
+      case 'server_paused':
+        fleets.forEach((fleet) => fleet.pause(pickOne(fleet.addresses), lengthMs * 1.5));
+        break;
+      default:
+      // The other faults are asked for where they act.
+    }
+  }
+
+  /** Sends through a router; resolves with what the caller sees. */
+  function send(booking: number, body: string, host: RouterHost): Promise<SentRequest> {
+    ids += 1;
+    const request: SentRequest = {
+      booking,
+      service: serviceOf(booking),
+      body,
+      traceparent: `00-${String(ids).padStart(32, '0')}-0000000000000001-01`,
+      sentAtMs: time.clock.monotonicMs(),
+      deadlineMs: DEADLINE_MS,
+      outcome: undefined,
+      answeredAtMs: Infinity,
+      pausedMs: 0,
+    };
+    requests.push(request);
+    return new Promise((resolve) => {
+      const settle = (outcome: SentRequest['outcome']): void => {
+        if (request.outcome !== undefined) return;
+        request.outcome = outcome;
+        request.answeredAtMs = time.clock.monotonicMs();
+        resolve(request);
+      };
+      time.clock.after(clientTravelMs(), () => arrive(request, host, settle));
+    });
+  }
+
+  function arrive(
+    request: SentRequest,
+    host: RouterHost,
+    settle: (outcome: SentRequest['outcome']) => void,
+  ): void {
+    const { process, calls } = host;
+    if (!process.isAlive()) {
+      settle('refused');
+      return;
+    }
+    const pausedBeforeMs = process.pausedMs();
+    const onKilled = (): void => settle('reset');
+    host.onKilled.add(onKilled);
+    process.deliver(() => {
+      void calls
+        .run({
+          service: request.service,
+          operation: 'book',
+          key: keyOf(request.booking),
+          body: request.body,
+          customerId: CUSTOMER,
+          deadlineMs: request.deadlineMs,
+          traceparent: request.traceparent,
+        })
+        .then((result) => {
+          if (!process.isAlive()) return;
+          host.onKilled.delete(onKilled);
+          request.pausedMs = process.pausedMs() - pausedBeforeMs;
+          time.clock.after(clientTravelMs(), () => settle(result));
+        });
+    });
+  }
+
+  function clientTravelMs(): number {
+    return 2 + random() * 5;
+  }
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      time.clock.after(delayMs, resolve);
+    });
+  }
+
+  /** A caller: resends with the same key, through any router, until it knows the outcome. */
+  async function book(booking: number): Promise<void> {
+    const body = JSON.stringify({ slot: booking });
+    for (let sends = 0; sends < SENDS_MAX; sends += 1) {
+      if (isActive('caller_resends')) void resendAtOnce(booking, body);
+      const { outcome } = await send(booking, body, pickOne(routers));
+      const isKnown = typeof outcome === 'object' && outcome.kind === 'ok';
+      if (isKnown) return;
+      await wait(200 + random() * 1_000);
+    }
+  }
+
+  /** An impatient caller; now and then with another body under the same key. */
+  async function resendAtOnce(booking: number, body: string): Promise<void> {
+    await wait(random() * 150);
+    const isOther = random() < 0.1;
+    const sentBody = isOther ? JSON.stringify({ slot: booking, other: true }) : body;
+    await send(booking, sentBody, pickOne(routers));
+  }
+
+  async function lookUpAll(): Promise<void> {
+    for (let booking = 0; booking < options.bookings; booking += 1) {
+      const { calls } = pickOne(routers);
+      finalLookups.set(booking, await calls.lookup(CUSTOMER, serviceOf(booking), keyOf(booking)));
+    }
+  }
+
+  /** Half of the bookings arrive just before a fault starts, so that it meets them under way. */
+  function arrivalMs(): number {
+    if (windows.length === 0 || random() < 0.5) return random() * ARRIVALS_MS;
+    return Math.max(0, pickOne(windows).startMs - random() * 70);
+  }
+
+  async function run(): Promise<void> {
+    windows.forEach((window) => {
+      time.clock.after(window.startMs, () => onWindow(window));
+    });
+    for (let booking = 0; booking < options.bookings; booking += 1) {
+      time.clock.after(arrivalMs(), () => {
+        void book(booking);
+      });
+    }
+    await time.run(FAULTS_END_MS);
+    await time.run(SETTLED_MS);
+    counts = { writes: tables.writes(), reads: tables.reads() };
+    if (options.isClaiming) void lookUpAll();
+    await time.run(END_MS);
+  }
+
+  return {
+    run,
+    requests,
+    finalLookups,
+    runOf: (booking) => fleetOf(serviceOf(booking)).find(serviceKeyOf(booking)),
+    runs: () => [...fleets.values()].flatMap((fleet) => fleet.runs()),
+    hasRun: ({ service, traceparent }) => fleetOf(service).hasRun(traceparent),
+    tableWrites: () => counts.writes,
+    tableReads: () => counts.reads,
+  };
+}
+
+export function keyOf(booking: number): string {
+  return `booking-${booking}`;
+}
+
+function serviceKeyOf(booking: number): string {
+  return `${CUSTOMER}/${keyOf(booking)}`;
+}
+
+/** Bookings alternate between the service with a lookup and the one without. */
+export function serviceOf(booking: number): ServiceName {
+  return booking % 2 === 0 ? SERVICES[0] : SERVICES[1];
+}
+
+export function hasLookup(booking: number): boolean {
+  return booking % 2 === 0;
+}
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,4 +1,5 @@
+import { callsMeasurement } from './calls';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [];
+export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement];
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -32,3 +32,7 @@
 
 // random numbers
 export { createRandom } from './random';
+
+// simulated time
+export { createVirtualTime } from './clock';
+export type { VirtualProcess, VirtualTime } from './clock';
--- a/packages/router/src/call/calls.ts
+++ b/packages/router/src/call/calls.ts
@@ -75,7 +75,7 @@
     }
     const isKeyed = key !== undefined && !operation.idempotent;
     if (isKeyed) return count(startKeyed({ ...rest, key }, config));
-    return count(runDirectCall(ports, rest, operation.idempotent, latenciesOf(rest)));
+    return count(runDirectCall(ports, request, operation.idempotent, latenciesOf(rest)));
   }
 
   function count(result: Promise<CallResult>): Promise<CallResult> {
--- a/packages/router/src/call/direct.ts
+++ b/packages/router/src/call/direct.ts
@@ -1,4 +1,4 @@
-import { asAttemptNo, assertNever, createDirectCall } from '@mimosamill/core';
+import { asAttemptNo, assertNever, callServiceKey, createDirectCall } from '@mimosamill/core';
 import { createDeferred, settle } from './async';
 import type {
   CallResult,
@@ -18,6 +18,8 @@
   readonly body: string;
   readonly customerId: CustomerId;
   readonly deadlineMs: number;
+  /** The caller's key of an idempotent call is passed on; it plays no part in this router. */
+  readonly key?: string;
   readonly traceparent?: string;
 }
 
@@ -35,6 +37,8 @@
   const startedAtMs = clock.monotonicMs();
   const deadlineAtMs = startedAtMs + request.deadlineMs;
   const requestId = ports.createId() as RequestId;
+  const serviceKey =
+    request.key === undefined ? '' : callServiceKey(request.customerId, request.key);
   const excluded = new Set<string>();
   const aborts = new Map<number, AbortController>();
   const result = createDeferred<CallResult>();
@@ -96,7 +100,7 @@
           operation: request.operation,
           requestId,
           attemptNo: asAttemptNo(attemptNo),
-          idempotencyKey: '',
+          idempotencyKey: serviceKey,
           body: request.body,
           timeoutMs: Math.max(1, deadlineAtMs - sentAtMs),
           ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
