--- a/packages/adapters/src/runtime/fetch.ts
+++ b/packages/adapters/src/runtime/fetch.ts
@@ -48,7 +48,8 @@
   });
 
   async function fetch(url: string, options: FetchOptions): Promise<FetchOutcome> {
-    const timeout = AbortSignal.timeout(options.timeoutMs);
+    // The platform takes whole milliseconds only; deadlines are differences of fractions.
+    const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(options.timeoutMs)));
     const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
     try {
       const answer = await request(url, {
--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,222 @@
+import { createHttpClient } from '@mimosamill/adapters';
+import { createRelay } from './relay';
+import { findFreePort, startBinary } from './process';
+import type { HttpClient } from '@mimosamill/adapters';
+import type { FleetProcess } from './process';
+import type { Relay } from './relay';
+
+/** A process with the address at which the others reach it. */
+export interface FleetNode {
+  readonly process: FleetProcess;
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Between routers and this node, if the fleet has relays. */
+  readonly relay: Relay | undefined;
+}
+
+export interface EngineSpec {
+  readonly id: string;
+  readonly service: string;
+  readonly model: string;
+  readonly versions: readonly string[];
+  readonly failureDomain: string;
+  readonly modelSettings?: object;
+}
+
+export interface RouterSpec {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly settings?: object;
+}
+
+export interface FleetOptions {
+  readonly region: string;
+  readonly hostListLagMs: number;
+  readonly weightsSizeBytes: number;
+  readonly weightsBytesPerSec: number;
+  /** Puts a relay before every engine, so that it can be cut off. */
+  readonly hasRelays: boolean;
+  readonly seed: number;
+}
+
+/** Real processes on loopback: the platform's stand-in, backend servers and ours. */
+export interface Fleet {
+  readonly platformAddress: string;
+  readonly http: HttpClient;
+  readonly startEngine: (spec: EngineSpec) => Promise<FleetNode>;
+  readonly startService: (id: string, service: string, domain: string) => Promise<FleetNode>;
+  readonly startRouter: (spec: RouterSpec) => Promise<FleetNode>;
+  readonly startAdmin: (settings: object) => Promise<FleetNode>;
+  readonly startController: (settings: object) => Promise<FleetNode>;
+  /** Tells the platform's host list that a host is gone. */
+  readonly unlist: (id: string) => Promise<void>;
+  /** The host list still shows the host for the list's lag. */
+  readonly setFaults: (faults: object) => Promise<void>;
+  readonly post: (address: string, path: string, body: unknown) => Promise<unknown>;
+  readonly get: (address: string, path: string) => Promise<unknown>;
+  readonly routerPeers: () => readonly string[];
+  readonly stop: () => Promise<void>;
+}
+
+export const FLEET_DEFAULTS: FleetOptions = {
+  region: 'amman',
+  hostListLagMs: 500,
+  weightsSizeBytes: 1e9,
+  weightsBytesPerSec: 1e9,
+  hasRelays: false,
+  seed: 1,
+};
+
+const IP = '127.0.0.1';
+const REQUEST_TIMEOUT_MS = 5_000;
+
+export async function startFleet(overrides: Partial<FleetOptions> = {}): Promise<Fleet> {
+  const options = { ...FLEET_DEFAULTS, ...overrides };
+  const http = createHttpClient();
+  const processes: FleetProcess[] = [];
+  const relays: Relay[] = [];
+  const routerPeers: string[] = [];
+
+  const platformPort = await findFreePort();
+  const platformAddress = `${IP}:${platformPort}`;
+  await start('fake-platform', 'platform', {
+    ip: IP,
+    port: platformPort,
+    seed: options.seed,
+    hostListLagMs: options.hostListLagMs,
+    weightsBytesPerSec: options.weightsBytesPerSec,
+    weightsSizeBytes: options.weightsSizeBytes,
+  });
+
+  async function start(
+    binary: Parameters<typeof startBinary>[0],
+    name: string,
+    settings: object,
+  ): Promise<FleetProcess> {
+    const started = await startBinary(binary, name, settings);
+    processes.push(started);
+    return started;
+  }
+
+  async function post(address: string, path: string, body: unknown): Promise<unknown> {
+    const answer = await http.fetch(`http://${address}${path}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      timeoutMs: REQUEST_TIMEOUT_MS,
+    });
+    if (answer.kind !== 'ok') throw new Error(`POST ${path}: ${answer.message}`);
+    return JSON.parse(answer.body);
+  }
+
+  async function get(address: string, path: string): Promise<unknown> {
+    const url = `http://${address}${path}`;
+    const answer = await http.fetch(url, { method: 'GET', timeoutMs: REQUEST_TIMEOUT_MS });
+    if (answer.kind !== 'ok') throw new Error(`GET ${path}: ${answer.message}`);
+    return JSON.parse(answer.body);
+  }
+
+  function list(
+    hostId: string,
+    role: 'router' | 'engine' | 'service',
+    service: string,
+    address: string,
+    failureDomain: string,
+  ): Promise<unknown> {
+    const { region } = options;
+    const host = { hostId, role, service, address, region, failureDomain, state: 'live' };
+    return post(platformAddress, '/hosts', host);
+  }
+
+  async function relayTo(address: string): Promise<Relay | undefined> {
+    if (!options.hasRelays) return undefined;
+    const relay = await createRelay(address);
+    relays.push(relay);
+    return relay;
+  }
+
+  async function startEngine(spec: EngineSpec): Promise<FleetNode> {
+    const port = await findFreePort();
+    const loaded = spec.versions.map((version) => ({ model: spec.model, version, adapters: [] }));
+    const engine = await start('fake-engine', spec.id, {
+      engineId: spec.id,
+      ip: IP,
+      port,
+      platform: platformAddress,
+      seed: options.seed,
+      loaded,
+      model: spec.modelSettings ?? {},
+    });
+    const relay = await relayTo(`${IP}:${port}`);
+    const address = relay?.address ?? `${IP}:${port}`;
+    await list(spec.id, 'engine', spec.service, address, spec.failureDomain);
+    return { process: engine, address, failureDomain: spec.failureDomain, relay };
+  }
+
+  async function startService(id: string, service: string, domain: string): Promise<FleetNode> {
+    const port = await findFreePort();
+    const server = await start('fake-service', id, { ip: IP, port, seed: options.seed });
+    const address = `${IP}:${port}`;
+    await list(id, 'service', service, address, domain);
+    return { process: server, address, failureDomain: domain, relay: undefined };
+  }
+
+  async function startRouter(spec: RouterSpec): Promise<FleetNode> {
+    const port = await findFreePort();
+    const peerPort = await findFreePort();
+    const peerAddress = `${IP}:${peerPort}`;
+    const router = await start('router', spec.id, {
+      routerId: spec.id,
+      ip: IP,
+      port,
+      peerPort,
+      region: options.region,
+      failureDomain: spec.failureDomain,
+      seeds: routerPeers.slice(0, 3),
+      platform: platformAddress,
+      platformTimeoutMs: 1_000,
+      hostListPeriodMs: 500,
+      ...spec.settings,
+    });
+    routerPeers.push(peerAddress);
+    await list(spec.id, 'router', '', peerAddress, spec.failureDomain);
+    const address = `${IP}:${port}`;
+    return { process: router, address, failureDomain: spec.failureDomain, relay: undefined };
+  }
+
+  async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
+    const port = await findFreePort();
+    const own = { ip: IP, port, platform: platformAddress, ...settings };
+    const started = await start(binary, binary, own);
+    return { process: started, address: `${IP}:${port}`, failureDomain: '', relay: undefined };
+  }
+
+  async function stop(): Promise<void> {
+    // A paused process would not see the signal.
+    processes.forEach((running) => running.resume());
+    await Promise.all(processes.map((running) => running.kill()));
+    await Promise.all(relays.map((relay) => relay.close()));
+    await http.close();
+  }
+
+  return {
+    platformAddress,
+    http,
+    startEngine,
+    startService,
+    startRouter,
+    startAdmin: (settings) => startOwn('admin', settings),
+    startController: (settings) => startOwn('controller', settings),
+    unlist: async (id) => {
+      const url = `http://${platformAddress}/hosts/${id}`;
+      await http.fetch(url, { method: 'DELETE', timeoutMs: REQUEST_TIMEOUT_MS });
+    },
+    setFaults: async (faults) => {
+      await post(platformAddress, '/faults', faults);
+    },
+    post,
+    get,
+    routerPeers: () => routerPeers,
+    stop,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/fleet/process.ts
@@ -0,0 +1,117 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { ChildProcess } from 'node:child_process';
+import type { AddressInfo } from 'node:net';
+
+/** A process of the fleet that this one started. */
+export interface FleetProcess {
+  readonly name: string;
+  readonly pid: number;
+  /** SIGKILL, without a chance to say goodbye. */
+  readonly kill: () => Promise<void>;
+  readonly pause: () => void;
+  readonly resume: () => void;
+  /** SIGTERM; resolves when the process has ended. */
+  readonly stop: () => Promise<void>;
+  readonly isRunning: () => boolean;
+  readonly stderr: () => string;
+}
+
+export type BinaryName =
+  'router' | 'controller' | 'admin' | 'fake-engine' | 'fake-service' | 'fake-platform';
+
+const READY_TIMEOUT_MS = 15_000;
+const MAX_STDERR_CHARS = 200_000;
+/** A crash prints a whole line of the bundle, so only the end is worth showing. */
+const SHOWN_STDERR_CHARS = 1_500;
+
+/** Folder of the bundled binaries: beside this file in a bundle, else in dist/ at the root. */
+const DIST = import.meta.url.endsWith('.mjs')
+  ? dirname(fileURLToPath(import.meta.url))
+  : join(dirname(fileURLToPath(import.meta.url)), '../../../../dist');
+
+/** Starts a binary with a settings file and waits until it says that it is ready. */
+export async function startBinary(
+  binary: BinaryName,
+  name: string,
+  settings: object,
+): Promise<FleetProcess> {
+  const folder = mkdtempSync(join(tmpdir(), 'mimosamill-'));
+  const file = join(folder, `${name}.jsonc`);
+  writeFileSync(file, JSON.stringify(settings, undefined, 2));
+  const child = spawn(process.execPath, [join(DIST, `${binary}.mjs`), '--config', file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let stderr = '';
+  child.stderr.on('data', (chunk: Buffer) => {
+    stderr = (stderr + chunk.toString('utf8')).slice(-MAX_STDERR_CHARS);
+  });
+  try {
+    await waitForReady(child, name, () => stderr);
+  } finally {
+    rmSync(folder, { recursive: true, force: true });
+  }
+  return wrap(child, name, () => stderr);
+}
+
+async function waitForReady(
+  child: ChildProcess,
+  name: string,
+  stderr: () => string,
+): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    const fail = (reason: string): void =>
+      reject(new Error(`${name} ${reason}: ${stderr().slice(-SHOWN_STDERR_CHARS)}`));
+    const timer = setTimeout(() => fail('was not ready in time'), READY_TIMEOUT_MS);
+    child.stdout?.on('data', (chunk: Buffer) => {
+      if (!chunk.toString('utf8').includes('ready')) return;
+      clearTimeout(timer);
+      resolve();
+    });
+    child.once('exit', (code) => {
+      clearTimeout(timer);
+      fail(`ended with code ${String(code)}`);
+    });
+  });
+}
+
+function wrap(child: ChildProcess, name: string, stderr: () => string): FleetProcess {
+  const isRunning = (): boolean => child.exitCode === null && child.signalCode === null;
+  const end = async (signal: NodeJS.Signals): Promise<void> => {
+    if (!isRunning()) return;
+    const exited = once(child, 'exit');
+    child.kill(signal);
+    await exited;
+  };
+  return {
+    name,
+    pid: child.pid ?? 0,
+    kill: () => end('SIGKILL'),
+    pause: () => {
+      child.kill('SIGSTOP');
+    },
+    resume: () => {
+      child.kill('SIGCONT');
+    },
+    stop: () => end('SIGTERM'),
+    isRunning,
+    stderr,
+  };
+}
+
+/** A port that was free a moment ago. */
+export function findFreePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/test/path.spec.ts
@@ -0,0 +1,132 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { createHashes } from '@mimosamill/adapters';
+import { wholeText } from '@mimosamill/fakes';
+import { basicChanges, commitChanges, readStream, startFleet } from '../src/index';
+import type { Hashes } from '@mimosamill/adapters';
+import type { CallerResult, Fleet, FleetNode } from '../src/index';
+
+const KEY = 'guild-key-1';
+const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
+const PROMPT = 'The third rib has lifted from the base ring. What do I clamp first?';
+
+describe('the whole path over real processes', () => {
+  let hashes: Hashes;
+  let fleet: Fleet;
+  let engines: FleetNode[];
+  let routers: FleetNode[];
+
+  beforeAll(async () => {
+    hashes = await createHashes();
+    fleet = await startFleet();
+    engines = await Promise.all(
+      DOMAINS.map((failureDomain, index) =>
+        fleet.startEngine({
+          id: `engine-${index}`,
+          service: 'bench-guide',
+          model: 'guide',
+          versions: ['v1'],
+          failureDomain,
+          modelSettings: { baseStepMs: 5 },
+        }),
+      ),
+    );
+    await fleet.startService('shop-0', 'guild-shop', 'marka');
+    await commitChanges(
+      fleet.platformAddress,
+      basicChanges({
+        engineService: 'bench-guide',
+        model: 'guide',
+        version: 'v1',
+        plainService: 'guild-shop',
+        customer: 'rib-gluers',
+        key: KEY,
+      }),
+    );
+    routers = [];
+    for (const [index, failureDomain] of DOMAINS.entries()) {
+      routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
+    }
+    await waitUntil(async () => {
+      const states = await Promise.all(routers.map(({ address }) => fleet.get(address, '/readyz')));
+      return states.every((state) => (state as { status: string }).status === 'ready');
+    });
+  });
+
+  afterAll(() => fleet.stop());
+
+  async function waitUntil(isTrue: () => Promise<boolean>): Promise<void> {
+    while (!(await isTrue())) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+    }
+  }
+
+  function expected(maxTokens: number): string[] {
+    const source = { model: 'guide', version: 'v1', adapter: '', prompt: PROMPT, seed: 0 };
+    return wholeText(source, maxTokens, hashes.hash32);
+  }
+
+  function read(maxTokens: number, onToken?: (index: number) => void): Promise<CallerResult> {
+    return readStream({
+      dispatcher: fleet.http.dispatcher,
+      key: KEY,
+      body: { model: 'guide', prompt: PROMPT, max_tokens: maxTokens },
+      routerFor: (connection) => routers[connection % routers.length]?.address,
+      ...(onToken === undefined ? {} : { onToken }),
+    });
+  }
+
+  // Guards against a path that loses, repeats or renumbers tokens without any failure.
+  it('streams a whole answer', async () => {
+    const result = await read(50);
+    expect(result).toMatchObject({ end: 'done', misnumbered: 0, reconnects: 0 });
+    expect(result.texts).toEqual(expected(50));
+  });
+
+  // Guards against double runs and against mixing a booking's answer with another one's.
+  it('runs a booking once and gives its answer again for the same key', async () => {
+    const book = (router: number): Promise<unknown> =>
+      fleet.http
+        .fetch(`http://${routers[router]?.address}/v1/services/guild-shop/book`, {
+          method: 'POST',
+          headers: { authorization: `Bearer ${KEY}`, 'idempotency-key': 'slot-7' },
+          body: '{"slot":7}',
+          timeoutMs: 5_000,
+        })
+        .then((answer) => (answer.kind === 'ok' ? JSON.parse(answer.body) : answer));
+    const first = await book(0);
+    const again = await book(1);
+    expect(first).toEqual({
+      operation: 'book',
+      key: expect.any(String),
+      run: 1,
+      echo: { slot: 7 },
+    });
+    expect(again).toEqual(first);
+  });
+
+  // Guards against an unknown key reaching a backend server.
+  it('refuses an unknown key', async () => {
+    const answer = await fleet.http.fetch(`http://${routers[0]?.address}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: 'Bearer wrong' },
+      body: JSON.stringify({ model: 'guide', prompt: PROMPT }),
+      timeoutMs: 5_000,
+    });
+    expect(answer).toMatchObject({ kind: 'ok', status: 401 });
+  });
+
+  // Guards against tokens lost or repeated when the engine of a running stream is killed.
+  it('completes an answer whose engine is killed', async () => {
+    const killed: Promise<void>[] = [];
+    const result = await read(300, (index) => {
+      if (index !== 100) return;
+      // All engines but one, so that the one in use is among the dead or the stream was not hit.
+      killed.push(...engines.slice(0, 2).map((engine) => engine.process.kill()));
+    });
+    await Promise.all(killed);
+    expect(result).toMatchObject({ end: 'done', misnumbered: 0, reconnects: 0 });
+    expect(result.texts).toEqual(expected(300));
+  });
+});
--- a/packages/router/src/call/peer.ts
+++ b/packages/router/src/call/peer.ts
@@ -19,7 +19,7 @@
 
 const trpc = initTRPC.create();
 
-/** The sub-router 'call': other routers ask for the outcome of this router's claims. */
+/** The sub-router 'calls': other routers ask for the outcome of this router's claims. */
 export function createCallRouter(calls: Pick<Calls, 'answerOwner'>) {
   return trpc.router({
     askOwner: trpc.procedure
--- /dev/null
+++ b/packages/router/src/compose.ts
@@ -0,0 +1,367 @@
+import 'reflect-metadata';
+import { randomUUID } from 'node:crypto';
+import { container, instanceCachingFactory } from 'tsyringe';
+import {
+  createConfigReader,
+  createEngineClient,
+  createHashes,
+  createHostList,
+  createHttpClient,
+  createLog,
+  createMetrics,
+  createObjects,
+  createServiceClient,
+  createSystemClock,
+  createTables,
+  createTracer,
+  sha256Hex,
+} from '@mimosamill/adapters';
+import {
+  asId,
+  chainBlockHashes,
+  createRetryBudget,
+  effectiveSettings,
+  RETRY_BUDGET_DEFAULTS,
+  toBlockKeys,
+} from '@mimosamill/core';
+import { createCalls } from './call/calls';
+import { createCallRouter, createOwnerClient } from './call/peer';
+import { createConfigPeers } from './config/client';
+import { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
+import { createConfigRouter } from './config/peer';
+import { createCallerServer } from './http/server';
+import { createPeers } from './peer/member';
+import { createPeerServer, SERVER_DEFAULTS } from './peer/server';
+import { createPeerTraffic } from './peer/traffic';
+import { createBackends } from './route/backends';
+import { createStreams } from './stream/streams';
+import type { InjectionToken } from 'tsyringe';
+import type {
+  Clock,
+  EngineClient,
+  Hashes,
+  HostList,
+  HttpClient,
+  HttpShell,
+  Log,
+  Metrics,
+  Objects,
+  RunningProgram,
+  ServiceClient,
+  Tables,
+  Tracer,
+} from '@mimosamill/adapters';
+import type {
+  FailureDomain,
+  Fingerprint,
+  Region,
+  RequestId,
+  RetryBudget,
+  RouterId,
+} from '@mimosamill/core';
+import type { CallRouter } from './call/peer';
+import type { Calls } from './call/calls';
+import type { ConfigFeed } from './config/feed';
+import type { ConfigRouter } from './config/peer';
+import type { Peers } from './peer/member';
+import type { PeerServer } from './peer/server';
+import type { PeerTraffic } from './peer/traffic';
+import type { Backends } from './route/backends';
+import type { RouterSettings } from './settings';
+import type { Streams } from './stream/streams';
+
+const CLOCK: InjectionToken<Clock> = Symbol('Clock');
+const LOG: InjectionToken<Log> = Symbol('Log');
+const METRICS: InjectionToken<Metrics> = Symbol('Metrics');
+const TRACER: InjectionToken<Tracer> = Symbol('Tracer');
+const HTTP: InjectionToken<HttpClient> = Symbol('HttpClient');
+const TABLES: InjectionToken<Tables> = Symbol('Tables');
+const OBJECTS: InjectionToken<Objects> = Symbol('Objects');
+const HOST_LIST: InjectionToken<HostList> = Symbol('HostList');
+const ENGINES: InjectionToken<EngineClient> = Symbol('EngineClient');
+const SERVICES: InjectionToken<ServiceClient> = Symbol('ServiceClient');
+const TRAFFIC: InjectionToken<PeerTraffic> = Symbol('PeerTraffic');
+const PEERS: InjectionToken<Peers> = Symbol('Peers');
+const PEER_SERVER: InjectionToken<PeerServer> = Symbol('PeerServer');
+const FEED: InjectionToken<ConfigFeed> = Symbol('ConfigFeed');
+const BACKENDS: InjectionToken<Backends> = Symbol('Backends');
+const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
+const CALLS: InjectionToken<Calls> = Symbol('Calls');
+const STREAMS: InjectionToken<Streams> = Symbol('Streams');
+const CALLER_SERVER: InjectionToken<HttpShell> = Symbol('CallerServer');
+
+/** Characters of a prompt per cache block; engines count tokens, which the router doesn't see. */
+const BLOCK_CHARS = 64;
+const BLOCK_TOKENS = 16;
+const PREFILL_TOKENS_PER_MS = 40;
+const OWN_DOMAIN_MS = 0.5;
+const OWN_REGION_MS = 1;
+const OTHER_REGION_MS = 40;
+
+/** Whether the router takes new work, and why not. */
+interface Readiness {
+  isStopping: boolean;
+}
+
+/** Builds and starts a router. */
+export async function startRouter(settings: RouterSettings): Promise<RunningProgram> {
+  const hashes = await createHashes();
+  const readiness: Readiness = { isStopping: false };
+  const di = container.createChildContainer();
+  const provide = <T>(token: InjectionToken<T>, create: () => T): void => {
+    di.register(token, { useFactory: instanceCachingFactory(create) });
+  };
+  const use = <T>(token: InjectionToken<T>): T => di.resolve(token);
+
+  provideRuntime(settings, provide, use);
+  provideFleet(settings, hashes, provide, use);
+  provideServing(settings, hashes, readiness, provide, use);
+  return run(settings, readiness, use);
+}
+
+type Provide = <T>(token: InjectionToken<T>, create: () => T) => void;
+type Use = <T>(token: InjectionToken<T>) => T;
+
+function provideRuntime(settings: RouterSettings, provide: Provide, use: Use): void {
+  const platform = { address: settings.platform, timeoutMs: settings.platformTimeoutMs };
+  provide(CLOCK, createSystemClock);
+  provide(LOG, () => createLog('router', settings.logLevel, { router: settings.routerId }));
+  provide(METRICS, createMetrics);
+  provide(TRACER, () =>
+    createTracer('router', {
+      sampleRatio: settings.traceSampleRatio,
+      onSpans: (spans) => spans.forEach((span) => use(LOG).debug('span', { ...span })),
+    }),
+  );
+  provide(HTTP, () => createHttpClient());
+  provide(TABLES, () => createTables(use(HTTP), platform));
+  provide(OBJECTS, () => createObjects(use(HTTP), platform));
+  provide(HOST_LIST, () => createHostList(use(HTTP), platform));
+  provide(ENGINES, () =>
+    createEngineClient(use(HTTP), {
+      timeoutMs: settings.loadTimeoutMs,
+      orderTimeoutMs: settings.platformTimeoutMs,
+    }),
+  );
+  provide(SERVICES, () => createServiceClient(use(HTTP), settings.loadTimeoutMs));
+}
+
+function provideFleet(settings: RouterSettings, hashes: Hashes, provide: Provide, use: Use): void {
+  provide(TRAFFIC, () => createPeerTraffic(use(METRICS).registry));
+  provide(PEERS, () =>
+    createPeers(
+      {
+        routerId: asId<RouterId>(settings.routerId),
+        address: `${settings.ip}:${settings.port}`,
+        peerAddress: `${settings.ip}:${settings.peerPort}`,
+        region: asId<Region>(settings.region),
+        failureDomain: asId<FailureDomain>(settings.failureDomain),
+        seeds: settings.seeds,
+      },
+      {
+        clock: use(CLOCK),
+        hash: hashes.hash32,
+        random: Math.random,
+        traffic: use(TRAFFIC),
+        log: use(LOG),
+        hosts: use(HOST_LIST),
+      },
+    ),
+  );
+  provide(FEED, () =>
+    createConfigFeed({
+      store: createConfigReader(use(TABLES), use(OBJECTS)),
+      peers: createConfigPeers((address) =>
+        use(PEERS).pool.client<ConfigRouter>('config', address),
+      ),
+      membership: use(PEERS),
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      random: Math.random,
+      log: use(LOG),
+      metrics: use(METRICS),
+      settings: DEFAULT_FEED_SETTINGS,
+    }),
+  );
+  provide(PEER_SERVER, () =>
+    createPeerServer(
+      { host: settings.ip, port: settings.peerPort, ...SERVER_DEFAULTS },
+      {
+        member: use(PEERS).router,
+        config: createConfigRouter(use(FEED).handler),
+        // tRPC reserves the name 'call'.
+        calls: createCallRouter(use(CALLS)),
+      },
+      use(TRAFFIC),
+    ),
+  );
+}
+
+function provideServing(
+  settings: RouterSettings,
+  hashes: Hashes,
+  readiness: Readiness,
+  provide: Provide,
+  use: Use,
+): void {
+  provide(RETRY_BUDGET, () => createRetryBudget(RETRY_BUDGET_DEFAULTS));
+  provide(BACKENDS, () =>
+    createBackends({
+      clock: use(CLOCK),
+      random: Math.random,
+      hosts: use(HOST_LIST),
+      engines: use(ENGINES),
+      services: use(SERVICES),
+      metrics: use(METRICS),
+      log: use(LOG),
+      picker: {
+        region: asId<Region>(settings.region),
+        failureDomain: asId<FailureDomain>(settings.failureDomain),
+        routerCount: () => use(PEERS).members().length,
+        blockTokens: BLOCK_TOKENS,
+        prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
+        agingMs: 2_000,
+        ownDomainMs: OWN_DOMAIN_MS,
+        ownRegionMs: OWN_REGION_MS,
+        otherRegionMs: OTHER_REGION_MS,
+        ejectedMaxRatio: 0.3,
+      },
+      hostListPeriodMs: settings.hostListPeriodMs,
+      loadPeriodMs: settings.loadPeriodMs,
+    }),
+  );
+  provide(CALLS, () =>
+    createCalls({
+      routerId: asId<RouterId>(settings.routerId),
+      clock: use(CLOCK),
+      tables: use(TABLES),
+      services: use(SERVICES),
+      servers: use(BACKENDS).servers,
+      owners: createOwnerClient(
+        (routerId) =>
+          use(PEERS)
+            .members()
+            .find((member) => member.routerId === routerId)?.peerAddress,
+        (address, question, timeoutMs) =>
+          use(PEERS)
+            .pool.client<CallRouter>('calls', address)
+            .askOwner.mutate(question, { context: { timeoutMs } }),
+      ),
+      retryBudget: use(RETRY_BUDGET),
+      serviceConfig: (service) => {
+        const found = use(FEED).current()?.services[service];
+        return found?.kind === 'plain' ? found : undefined;
+      },
+      createId: randomUUID,
+      hashBody: sha256Hex,
+    }),
+  );
+  provide(STREAMS, () =>
+    createStreams({
+      clock: use(CLOCK),
+      random: Math.random,
+      engines: use(ENGINES),
+      directory: use(BACKENDS),
+      replicas: {
+        onStart: () => undefined,
+        onToken: () => undefined,
+        onEnd: () => undefined,
+        find: () => Promise.resolve(undefined),
+      },
+      suspects: {
+        check: () => undefined,
+        avoid: () => new Set(),
+        onSent: () => undefined,
+        onToken: () => undefined,
+        onEngineLost: () => undefined,
+        onEnd: () => undefined,
+      },
+      versions: {
+        choose: (service) => service.stableVersion,
+        observe: () => undefined,
+      },
+      metrics: use(METRICS),
+      log: use(LOG),
+      blockKeysOf: (text) => {
+        const scope = { model: '', version: '', adapter: '' };
+        const blocks = chainBlockHashes(scope, text, BLOCK_CHARS, hashes.hash64);
+        return toBlockKeys(blocks, hashes.hash32);
+      },
+      fingerprintOf: (text) => asId<Fingerprint>(hashes.hash64(text)),
+    }),
+  );
+  provide(CALLER_SERVER, () =>
+    createCallerServer({
+      config: use(FEED),
+      streams: use(STREAMS),
+      calls: use(CALLS),
+      gate: { admit: () => Promise.resolve(undefined) },
+      clock: use(CLOCK),
+      tracer: use(TRACER),
+      metrics: use(METRICS),
+      log: use(LOG),
+      limits: { maxBodyBytes: settings.maxBodyBytes },
+      createRequestId: () => asId<RequestId>(randomUUID()),
+      settingsFor: (config, service, customer) =>
+        effectiveSettings(config, {
+          service,
+          customer: customer.id,
+          failureDomain: asId<FailureDomain>(settings.failureDomain),
+        }),
+      notReadyReason: () =>
+        readiness.isStopping ? 'this router is stopping' : use(FEED).notReadyReason(),
+    }),
+  );
+}
+
+async function run(
+  settings: RouterSettings,
+  readiness: Readiness,
+  use: Use,
+): Promise<RunningProgram> {
+  const log = use(LOG);
+  const peers = use(PEERS);
+  const feed = use(FEED);
+  await use(PEER_SERVER).listen();
+  peers.onNewerRevision((revision, peerAddress) => {
+    const member = peers.members().find((other) => other.peerAddress === peerAddress);
+    if (member !== undefined) feed.hear(revision, member.routerId);
+  });
+  feed.onChange((config) => peers.setRevision(config.revision));
+  peers.start();
+  feed.start();
+  await use(BACKENDS).start();
+  const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
+  log.info('router started', { port });
+  process.stdout.write('ready\n');
+
+  return {
+    stop: async () => {
+      log.info('router stopping', { streams: use(STREAMS).runningCount() });
+      readiness.isStopping = true;
+      peers.leave();
+      await wait(use(CLOCK), settings.drainNoticeMs);
+      await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
+      use(BACKENDS).stop();
+      use(STREAMS).stop();
+      feed.stop();
+      await use(CALLER_SERVER).close();
+      await peers.stop();
+      await use(PEER_SERVER).close();
+      await use(TRACER).shutdown();
+      await use(HTTP).close();
+      log.info('router stopped');
+    },
+  };
+}
+
+async function drain(settings: RouterSettings, use: Use): Promise<void> {
+  const calls = use(CALLS).drain(0, settings.drainTimeoutMs);
+  await Promise.all([use(STREAMS).drained(), calls]);
+}
+
+function wait(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/router/src/http/server.ts
@@ -0,0 +1,306 @@
+import {
+  createHttpShell,
+  DEFAULT_HTTP_LIMITS,
+  readJsonBody,
+  sendError,
+  sendJson,
+  sendText,
+  sha256Hex,
+} from '@mimosamill/adapters';
+import { asId, createServeError } from '@mimosamill/core';
+import { createAuthenticator, mayUse } from './auth';
+import { createJsonCaller, createSseCaller } from './caller';
+import { createChunkWriter, findService, parseCompletion } from './completions';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, HttpLimits, HttpShell, Log, Metrics, Tracer } from '@mimosamill/adapters';
+import type {
+  CustomerConfig,
+  EngineServiceConfig,
+  FleetConfig,
+  FleetDefaults,
+  RequestId,
+  ServeError,
+  ServiceName,
+  CallResult,
+} from '@mimosamill/core';
+import type { Calls } from '../call/calls';
+import type { ConfigSource } from '../config/source';
+import type { StreamRequest } from '../stream/ports';
+import type { OpenOutcome, Streams } from '../stream/streams';
+import type { CompletionBody, CompletionKind } from './completions';
+
+/** Asked before a request may run. */
+export interface AdmissionGate {
+  readonly admit: (
+    customer: CustomerConfig,
+    request: { readonly service: ServiceName; readonly priority: string; readonly tokens: number },
+  ) => Promise<ServeError | undefined>;
+}
+
+export interface CallerServerOptions {
+  readonly config: ConfigSource;
+  readonly streams: Streams;
+  readonly calls: Calls;
+  readonly gate: AdmissionGate;
+  readonly clock: Clock;
+  readonly tracer: Tracer;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  readonly limits?: Partial<HttpLimits>;
+  readonly createRequestId: () => RequestId;
+  /** Settings in force for a service and customer. */
+  readonly settingsFor: (
+    config: FleetConfig,
+    service: ServiceName,
+    customer: CustomerConfig,
+  ) => FleetDefaults;
+  /** Why the router takes no new work; undefined while it does. */
+  readonly notReadyReason: () => string | undefined;
+}
+
+interface Reconnect {
+  readonly requestId: RequestId;
+  readonly haveTokens: number;
+}
+
+/** Creates the server that callers and the platform's balancer talk to. */
+export function createCallerServer(options: CallerServerOptions): HttpShell {
+  const { streams, calls, clock, config } = options;
+  const limits: HttpLimits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
+  const shell = createHttpShell(limits);
+  const auth = createAuthenticator(config, sha256Hex);
+  const requests = options.metrics.counter(
+    'mimosamill_requests_total',
+    'Requests of callers by kind and outcome',
+    ['kind', 'outcome'],
+  );
+
+  function refuse(res: ServerResponse, kind: string, error: ServeError): void {
+    requests.inc({ kind, outcome: error.code });
+    sendError(res, error);
+  }
+
+  async function complete(
+    kind: CompletionKind,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const stopping = options.notReadyReason();
+    if (stopping !== undefined) {
+      return refuse(res, kind, createServeError('not_ready', stopping, 'not_run', 1_000));
+    }
+    const caller = auth.authenticate(req);
+    if (caller.kind === 'error') return refuse(res, kind, caller.error);
+    const body = await readJsonBody(req, limits.maxBodyBytes);
+    if (body.kind === 'error') return refuse(res, kind, body.error);
+    const parsed = parseCompletion(kind, body.json);
+    if (parsed.kind === 'error') return refuse(res, kind, parsed.error);
+    const service = findService(caller.config, parsed.body.model);
+    if (service === undefined) {
+      return refuse(res, kind, createServeError('unknown_model', 'no service has this model'));
+    }
+    if (!mayUse(caller.customer, service.name)) {
+      return refuse(res, kind, createServeError('forbidden', 'the key may not use this service'));
+    }
+    const settings = options.settingsFor(caller.config, service.name, caller.customer);
+    const problem = checkSize(parsed.body, settings);
+    if (problem !== undefined) return refuse(res, kind, problem);
+    const reconnect = parseLastEventId(req.headers['last-event-id']);
+    const request = toStreamRequest(
+      req,
+      parsed.body,
+      service,
+      settings,
+      caller.customer,
+      reconnect,
+    );
+    if (reconnect === undefined) {
+      const error = await options.gate.admit(caller.customer, {
+        service: service.name,
+        priority: parsed.body.priority,
+        tokens: request.maxTokens,
+      });
+      if (error !== undefined) {
+        request.span.end(error.code);
+        return refuse(res, kind, error);
+      }
+    }
+    await serve(res, parsed.body, request, reconnect);
+  }
+
+  async function serve(
+    res: ServerResponse,
+    body: CompletionBody,
+    request: StreamRequest,
+    reconnect: Reconnect | undefined,
+  ): Promise<void> {
+    const writer = createChunkWriter(body.kind, request.requestId, body.model);
+    res.setHeader('x-request-id', request.requestId);
+    res.setHeader('traceparent', request.span.traceparent);
+    const have = reconnect?.haveTokens ?? 0;
+    const caller = body.isStream
+      ? createSseCaller(res, writer, have)
+      : createJsonCaller(res, writer);
+    const outcome: OpenOutcome =
+      reconnect === undefined
+        ? streams.open(request, caller)
+        : await streams.reopen(request, have, caller);
+    if (outcome.kind === 'error') {
+      request.span.end(outcome.error.code);
+      return refuse(res, body.kind, outcome.error);
+    }
+    requests.inc({ kind: body.kind, outcome: 'accepted' });
+    caller.bind(outcome.stream);
+    // The caller may have gone while its stream was being looked up.
+    if (res.destroyed) outcome.stream.detach(caller);
+  }
+
+  function toStreamRequest(
+    req: IncomingMessage,
+    body: CompletionBody,
+    service: EngineServiceConfig,
+    settings: FleetDefaults,
+    customer: CustomerConfig,
+    reconnect: Reconnect | undefined,
+  ): StreamRequest {
+    const requestId = reconnect?.requestId ?? options.createRequestId();
+    const span = options.tracer.start('request', headerOf(req, 'traceparent'), {
+      request: requestId,
+      service: service.name,
+      customer: customer.id,
+    });
+    const maxTokens = body.maxTokens ?? settings.maxTokens;
+    return {
+      requestId,
+      service,
+      adapter: body.adapter,
+      prompt: body.prompt,
+      maxTokens,
+      seed: body.seed,
+      priority: body.priority,
+      deadlineAtMs: clock.monotonicMs() + (body.deadlineMs ?? settings.deadlineMs),
+      reconnectWindowMs: settings.reconnectWindowMs,
+      silenceMinMs: settings.silenceMinMs,
+      silenceMaxMs: settings.silenceMaxMs,
+      // The customer is part of it, so nobody continues the stream of somebody else.
+      bodyHash: sha256Hex(
+        JSON.stringify([
+          customer.id,
+          service.name,
+          body.adapter,
+          body.prompt,
+          maxTokens,
+          body.seed,
+        ]),
+      ),
+      span,
+    };
+  }
+
+  async function call(req: IncomingMessage, res: ServerResponse, path: CallPath): Promise<void> {
+    const caller = auth.authenticate(req);
+    if (caller.kind === 'error') return refuse(res, 'call', caller.error);
+    const body = await readJsonBody(req, limits.maxBodyBytes);
+    if (body.kind === 'error') return refuse(res, 'call', body.error);
+    const found = caller.config.services[path.service];
+    if (found?.kind !== 'plain') {
+      return refuse(res, 'call', createServeError('unknown_service', 'no such plain service'));
+    }
+    if (!mayUse(caller.customer, found.name)) {
+      return refuse(res, 'call', createServeError('forbidden', 'the key may not use this service'));
+    }
+    const gateError = await options.gate.admit(caller.customer, {
+      service: found.name,
+      priority: 'normal',
+      tokens: 0,
+    });
+    if (gateError !== undefined) return refuse(res, 'call', gateError);
+    const settings = options.settingsFor(caller.config, found.name, caller.customer);
+    const span = options.tracer.start('call', headerOf(req, 'traceparent'), {
+      service: found.name,
+      operation: path.operation,
+    });
+    const key = headerOf(req, 'idempotency-key');
+    const result = await calls.run({
+      service: found.name,
+      operation: path.operation,
+      ...(key === undefined ? {} : { key }),
+      body: body.text,
+      customerId: caller.customer.id,
+      deadlineMs: Number(
+        headerOf(req, 'x-deadline-ms') ?? Math.min(settings.deadlineMs, CALL_DEADLINE_MS),
+      ),
+      traceparent: span.traceparent,
+    });
+    span.end(result.kind === 'ok' ? undefined : result.error.code);
+    sendCallResult(res, result);
+  }
+
+  function sendCallResult(res: ServerResponse, result: CallResult): void {
+    if (result.kind === 'error') return refuse(res, 'call', result.error);
+    requests.inc({ kind: 'call', outcome: 'ok' });
+    sendText(res, result.status, 'application/json', result.body);
+  }
+
+  shell.app.post('/v1/completions', (req, res) => complete('completion', req, res));
+  shell.app.post('/v1/chat/completions', (req, res) => complete('chat', req, res));
+
+  shell.app.get('/v1/services/:service/calls/:key', async (req, res) => {
+    const caller = auth.authenticate(req);
+    if (caller.kind === 'error') return refuse(res, 'lookup', caller.error);
+    const service = asId<ServiceName>(req.params['service'] ?? '');
+    if (!mayUse(caller.customer, service)) {
+      return refuse(
+        res,
+        'lookup',
+        createServeError('forbidden', 'the key may not use this service'),
+      );
+    }
+    sendCallResult(res, await calls.lookup(caller.customer.id, service, req.params['key'] ?? ''));
+  });
+
+  shell.app.post('/v1/services/:service/:operation', (req, res) =>
+    call(req, res, {
+      service: req.params['service'] ?? '',
+      operation: req.params['operation'] ?? '',
+    }),
+  );
+
+  shell.app.get('/healthz', (_req, res) => sendJson(res, 200, { status: 'ok' }));
+
+  shell.app.get('/readyz', (_req, res) => {
+    const reason = options.notReadyReason();
+    if (reason === undefined) sendJson(res, 200, { status: 'ready' });
+    else sendJson(res, 503, { status: 'not_ready', reason });
+  });
+
+  shell.app.get('/metrics', async (_req, res) => {
+    sendText(res, 200, options.metrics.contentType, await options.metrics.text());
+  });
+
+  return shell;
+}
+
+interface CallPath {
+  readonly service: string;
+  readonly operation: string;
+}
+
+const CALL_DEADLINE_MS = 10_000;
+
+function headerOf(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function checkSize(body: CompletionBody, settings: FleetDefaults): ServeError | undefined {
+  if (body.maxTokens === undefined || body.maxTokens <= settings.maxTokens) return undefined;
+  return createServeError('bad_request', `max_tokens may be at most ${settings.maxTokens}`);
+}
+
+/** `REQUEST_ID/INDEX` of the last event that the caller received. */
+function parseLastEventId(header: string | string[] | undefined): Reconnect | undefined {
+  const match = /^([\w-]{1,128})\/(\d{1,9})$/u.exec(typeof header === 'string' ? header : '');
+  if (match === null) return undefined;
+  return { requestId: asId<RequestId>(match[1] ?? ''), haveTokens: Number(match[2]) + 1 };
+}
--- /dev/null
+++ b/packages/router/src/route/backends.ts
@@ -0,0 +1,195 @@
+import { asId, createPicker } from '@mimosamill/core';
+import type {
+  Clock,
+  EngineClient,
+  HostList,
+  ListedHost,
+  Log,
+  Metrics,
+  ServiceClient,
+} from '@mimosamill/adapters';
+import type { EngineId, PickerSettings, Send, ServiceName } from '@mimosamill/core';
+import type { ServerPicker } from '../call/ports';
+import type { EngineDirectory, EnginePlace } from '../stream/ports';
+
+export interface BackendsOptions {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly hosts: HostList;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  readonly picker: PickerSettings;
+  /** Periods of reading the host list and the load of every backend server. */
+  readonly hostListPeriodMs: number;
+  readonly loadPeriodMs: number;
+}
+
+/** Backend servers from the host list, with their latest known load. */
+export interface Backends extends EngineDirectory {
+  readonly servers: ServerPicker;
+  readonly start: () => Promise<void>;
+  readonly stop: () => void;
+}
+
+interface KnownEngine extends EnginePlace {
+  readonly service: ServiceName;
+  isPolling: boolean;
+}
+
+interface KnownServer {
+  readonly address: string;
+  readonly service: ServiceName;
+  isLeaving: boolean;
+  running: number;
+  isPolling: boolean;
+  /** Not used again before this time, after a refused connection. */
+  refusedUntilMs: number;
+}
+
+/** How long a server that refused a connection is passed over. */
+const REFUSED_MS = 2_000;
+
+export function createBackends(options: BackendsOptions): Backends {
+  const { clock, random } = options;
+  const picker = createPicker(options.picker);
+  const engines = new Map<EngineId, KnownEngine>();
+  const servers = new Map<string, KnownServer>();
+  const cancels: (() => void)[] = [];
+  const unreachable = options.metrics.counter(
+    'mimosamill_load_reads_failed_total',
+    'Load reports that could not be read',
+    ['service'],
+  );
+
+  async function readHosts(): Promise<void> {
+    const answer = await options.hosts.read();
+    if (answer.kind === 'unavailable') return;
+    setEngines(answer.hosts.filter(({ role }) => role === 'engine'));
+    setServers(answer.hosts.filter(({ role }) => role === 'service'));
+  }
+
+  function setEngines(listed: readonly ListedHost[]): void {
+    const ids = new Set<string>(listed.map(({ hostId }) => hostId));
+    [...engines.keys()].forEach((engineId) => {
+      if (!ids.has(engineId)) engines.delete(engineId);
+    });
+    listed.forEach((host) => {
+      const engineId = asId<EngineId>(host.hostId);
+      const service = asId<ServiceName>(host.service);
+      const known = engines.get(engineId);
+      if (known?.address === host.address) return;
+      engines.set(engineId, { engineId, address: host.address, service, isPolling: false });
+    });
+    picker.setEngines(
+      listed.map((host) => ({
+        engineId: asId<EngineId>(host.hostId),
+        service: host.service,
+        region: host.region,
+        failureDomain: host.failureDomain,
+        state: host.state,
+      })),
+    );
+  }
+
+  function setServers(listed: readonly ListedHost[]): void {
+    const addresses = new Set(listed.map(({ address }) => address));
+    [...servers.keys()].forEach((address) => {
+      if (!addresses.has(address)) servers.delete(address);
+    });
+    listed.forEach((host) => {
+      const known = servers.get(host.address) ?? {
+        address: host.address,
+        service: asId<ServiceName>(host.service),
+        isLeaving: false,
+        running: 0,
+        isPolling: false,
+        refusedUntilMs: 0,
+      };
+      known.isLeaving ||= host.state === 'leaving';
+      servers.set(host.address, known);
+    });
+  }
+
+  async function readLoads(): Promise<void> {
+    await Promise.all([
+      ...[...engines.values()].map(readEngine),
+      ...[...servers.values()].map(readServer),
+    ]);
+  }
+
+  async function readEngine(engine: KnownEngine): Promise<void> {
+    // A paused engine answers late; one question at a time bounds what waits for it.
+    if (engine.isPolling) return;
+    engine.isPolling = true;
+    const answer = await options.engines.load(engine.address);
+    engine.isPolling = false;
+    if (answer.kind === 'ok') picker.onLoad(engine.engineId, answer.value, clock.monotonicMs());
+    else unreachable.inc({ service: engine.service });
+  }
+
+  async function readServer(server: KnownServer): Promise<void> {
+    if (server.isPolling) return;
+    server.isPolling = true;
+    const load = await options.services.load(server.address);
+    server.isPolling = false;
+    if (load === undefined) {
+      unreachable.inc({ service: server.service });
+      return;
+    }
+    server.isLeaving = load.state === 'leaving';
+    server.running = load.running;
+  }
+
+  function pickServer(service: ServiceName, excluded: ReadonlySet<string>): string | undefined {
+    const nowMs = clock.monotonicMs();
+    const usable = [...servers.values()].filter(
+      (server) => server.service === service && !server.isLeaving && !excluded.has(server.address),
+    );
+    const healthy = usable.filter(({ refusedUntilMs }) => refusedUntilMs <= nowMs);
+    const candidates = healthy.length > 0 ? healthy : usable;
+    const first = candidates[Math.floor(random() * candidates.length)];
+    const second = candidates[Math.floor(random() * candidates.length)];
+    if (first === undefined || second === undefined) return undefined;
+    return first.running <= second.running ? first.address : second.address;
+  }
+
+  return {
+    pick: (request) => {
+      const found = picker.pick(request, clock.monotonicMs(), random);
+      if (found.kind === 'none') return found;
+      const engine = engines.get(found.engine);
+      if (engine === undefined) return { kind: 'none', reason: 'no_version' };
+      const { engineId, address } = engine;
+      return { kind: 'ok', engineId, address, expectedTtftMs: found.expectedTtftMs };
+    },
+    onSent: (engineId, request): Send => picker.onSent(engineId, request, clock.monotonicMs()),
+    onFirstToken: (send) => picker.onFirstToken(send, clock.monotonicMs()),
+    onEnd: (send, result) => picker.onEnd(send, result, clock.monotonicMs()),
+    onLeaving: (engineId) => picker.onLeaving(engineId, clock.monotonicMs()),
+    enginesOf: (service) => [...engines.values()].filter((engine) => engine.service === service),
+    servers: {
+      pick: pickServer,
+      onRefused: (_service, address) => {
+        const server = servers.get(address);
+        if (server !== undefined) server.refusedUntilMs = clock.monotonicMs() + REFUSED_MS;
+      },
+    },
+    start: async () => {
+      await readHosts();
+      await readLoads();
+      cancels.push(
+        clock.every(options.hostListPeriodMs, () => {
+          void readHosts();
+        }),
+      );
+      cancels.push(
+        clock.every(options.loadPeriodMs, () => {
+          void readLoads();
+        }),
+      );
+    },
+    stop: () => cancels.forEach((cancel) => cancel()),
+  };
+}
--- /dev/null
+++ b/packages/router/src/stream/stream.ts
@@ -0,0 +1,445 @@
+import { assertNever, createServeError, createSession } from '@mimosamill/core';
+import type { Attempt, AttemptEvent, TraceSpan } from '@mimosamill/adapters';
+import type {
+  AttemptNo,
+  EngineId,
+  FinishReason,
+  Fingerprint,
+  Journal,
+  LossCause,
+  RouteRequest,
+  Send,
+  SendResult,
+  ServeError,
+  Session,
+  SessionEffect,
+  VersionName,
+} from '@mimosamill/core';
+import type {
+  EnginePlace,
+  ReplicatedStream,
+  StreamPorts,
+  StreamReader,
+  StreamRequest,
+} from './ports';
+
+/** How a stream ended. */
+export type StreamEnd =
+  | { readonly kind: 'finish'; readonly reason: FinishReason }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
+/** One request's generation at this router, with or without a connected caller. */
+export interface RunningStream {
+  readonly request: StreamRequest;
+  readonly journal: () => Journal;
+  readonly ended: () => StreamEnd | undefined;
+  readonly start: () => void;
+  /** Goes on with what another router left. */
+  readonly takeOver: (left: ReplicatedStream, haveTokens: number) => void;
+  /** Connects the caller; an earlier connection is dropped. */
+  readonly attach: (reader: StreamReader) => void;
+  readonly detach: (reader: StreamReader) => void;
+  readonly wakeAtMs: () => number | undefined;
+  readonly wake: () => void;
+  readonly detachedSinceMs: () => number | undefined;
+  /** Ends the stream because its caller will not come back. */
+  readonly abandon: () => void;
+}
+
+interface OpenAttempt {
+  readonly attemptNo: AttemptNo;
+  readonly place: EnginePlace;
+  readonly handle: Attempt;
+  readonly send: Send;
+  readonly span: TraceSpan;
+  readonly startedAtMs: number;
+  hasToken: boolean;
+}
+
+const MAX_ATTEMPTS = 12;
+/** Allowed wait for a first token; beyond it another engine is tried as well. */
+const FIRST_TOKEN_MS = 2_000;
+const PLACE_RETRY_MS = 25;
+/** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
+const PLACE_TIMEOUT_MS = 2_500;
+
+export function createRunningStream(ports: StreamPorts, request: StreamRequest): RunningStream {
+  const { clock, directory, engines, replicas, suspects, versions } = ports;
+  const { requestId, service } = request;
+  const fingerprint: Fingerprint = ports.fingerprintOf(
+    `${service.model}\n${request.adapter}\n${request.seed}\n${request.maxTokens}\n${request.prompt}`,
+  );
+  const promptTokens = request.prompt.split(/\s+/u).length;
+  const open = new Map<AttemptNo, OpenAttempt>();
+  /** Engines that were lost or refused this request; tried again only if no other is left. */
+  const avoided = new Set<EngineId>();
+  /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
+  let deferred: (() => void)[] = [];
+  let session = createSessionAfter([]);
+  let version: VersionName | undefined;
+  let reader: StreamReader | undefined;
+  let detachedSinceMs: number | undefined = clock.monotonicMs();
+  let end: StreamEnd | undefined;
+  let lossAtMs: number | undefined;
+  /** Tokens that the caller already has. A new attempt before them could generate others. */
+  let callerTokens = 0;
+
+  function createSessionAfter(known: readonly string[]): Session {
+    return createSession(
+      {
+        requestId,
+        maxAttempts: MAX_ATTEMPTS,
+        silence: {
+          minMs: request.silenceMinMs,
+          maxMs: request.silenceMaxMs,
+          firstTokenMs: FIRST_TOKEN_MS,
+        },
+        deadlineAtMs: request.deadlineAtMs,
+      },
+      known,
+      clock.monotonicMs(),
+    );
+  }
+
+  function apply(effects: readonly SessionEffect[]): void {
+    effects.forEach((effect) => {
+      switch (effect.kind) {
+        case 'deliver':
+          replicas.onToken(requestId, effect.index, effect.text);
+          suspects.onToken(fingerprint, effect.index);
+          noteResumed();
+          break;
+        case 'start_attempt':
+          onStartAttempt(effect.attemptNo, effect.cause);
+          break;
+        case 'cancel_attempt':
+          closeAttempt(effect.attemptNo, 'cancelled');
+          break;
+        case 'finish':
+          finish({ kind: 'finish', reason: effect.reason });
+          break;
+        case 'fail':
+          finish({ kind: 'error', error: effect.error });
+          break;
+        default:
+          assertNever(effect);
+      }
+    });
+    if (effects.length > 0) reader?.onProgress();
+  }
+
+  function onStartAttempt(attemptNo: AttemptNo, cause: LossCause | 'first'): void {
+    if (session.journal().length() < callerTokens) {
+      const message = 'the caller has tokens of which no copy is left';
+      finish({ kind: 'error', error: createServeError('journal_lost', message, 'ran') });
+      return;
+    }
+    if (cause !== 'first') {
+      lossAtMs ??= clock.monotonicMs();
+      streamCounters(ports).resumes.inc({ cause });
+    }
+    place(attemptNo, clock.monotonicMs() + PLACE_TIMEOUT_MS);
+  }
+
+  function noteResumed(): void {
+    if (lossAtMs === undefined) return;
+    streamCounters(ports).resumeMs.observe(clock.monotonicMs() - lossAtMs);
+    lossAtMs = undefined;
+  }
+
+  function finish(outcome: StreamEnd): void {
+    end = outcome;
+    [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
+    const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
+    streamCounters(ports).ended.inc({ outcome: failure ?? 'ok' });
+    request.span.set({ tokens: session.journal().length(), attempts: session.attemptCount() });
+    request.span.end(failure);
+    replicas.onEnd(requestId);
+  }
+
+  function place(attemptNo: AttemptNo, untilMs: number): void {
+    if (end !== undefined || !session.liveAttempts().includes(attemptNo)) return;
+    version ??= versions.choose(service, requestId);
+    const routeRequest = toRouteRequest(version);
+    const found = directory.pick(routeRequest);
+    if (found.kind === 'ok') {
+      startAttempt(attemptNo, found, routeRequest, version);
+      return;
+    }
+    if (found.reason === 'all_excluded') avoided.clear();
+    // Nothing has been generated yet, so the request may still start on another version.
+    if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
+    if (clock.monotonicMs() >= untilMs) {
+      const error = noEngine(found.reason, session.journal().length() > 0);
+      apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
+      return;
+    }
+    clock.after(PLACE_RETRY_MS, () => place(attemptNo, untilMs));
+  }
+
+  function toRouteRequest(chosen: VersionName): RouteRequest {
+    const busy = [...open.values()].map(({ place: { engineId } }) => engineId);
+    return {
+      model: service.model,
+      version: chosen,
+      adapter: request.adapter,
+      priority: request.priority,
+      promptTokens: promptTokens + session.journal().length(),
+      blockKeys: ports.blockKeysOf(request.prompt),
+      excluded: new Set([...avoided, ...busy, ...suspects.avoid(fingerprint)]),
+    };
+  }
+
+  function startAttempt(
+    attemptNo: AttemptNo,
+    where: EnginePlace,
+    routeRequest: RouteRequest,
+    chosen: VersionName,
+  ): void {
+    const span = request.span.child('attempt', { engine: where.engineId, attempt: attemptNo });
+    const texts = session.journal().texts();
+    suspects.onSent(fingerprint, where.engineId);
+    const handle = engines.generate(
+      where.address,
+      {
+        requestId,
+        attemptNo,
+        model: service.model,
+        version: chosen,
+        adapter: request.adapter,
+        prompt: request.prompt,
+        prefix: texts,
+        maxTokens: request.maxTokens,
+        seed: request.seed,
+        priority: request.priority,
+        traceparent: span.traceparent,
+      },
+      onAttemptEvent,
+    );
+    register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    replicas.onStart(requestId, {
+      bodyHash: request.bodyHash,
+      engineId: where.engineId,
+      address: where.address,
+      version: chosen,
+      attemptNo,
+      texts,
+    });
+  }
+
+  function register(
+    attemptNo: AttemptNo,
+    where: EnginePlace,
+    handle: Attempt,
+    send: Send,
+    span: TraceSpan,
+  ): void {
+    const startedAtMs = clock.monotonicMs();
+    const attempt = { attemptNo, place: where, handle, send, span, startedAtMs, hasToken: false };
+    open.set(attemptNo, attempt);
+  }
+
+  function onAttemptEvent(event: AttemptEvent): void {
+    if (end !== undefined) return;
+    switch (event.kind) {
+      case 'token':
+        onToken(event);
+        break;
+      case 'finish':
+        onFinish(event.attemptNo, event.reason);
+        break;
+      case 'lost':
+        onLost(event.attemptNo, event.cause);
+        break;
+      case 'refused':
+        onRefused(event.attemptNo, event.cause);
+        break;
+      default:
+        assertNever(event);
+    }
+  }
+
+  function onToken(event: Extract<AttemptEvent, { kind: 'token' }>): void {
+    const attempt = open.get(event.attemptNo);
+    if (attempt !== undefined && !attempt.hasToken) {
+      attempt.hasToken = true;
+      directory.onFirstToken(attempt.send);
+      const afterMs = clock.monotonicMs() - attempt.startedAtMs;
+      observe(attempt, { kind: 'first_token', afterMs });
+    }
+    apply(session.on(event, clock.monotonicMs()));
+  }
+
+  function onFinish(attemptNo: AttemptNo, reason: FinishReason): void {
+    const attempt = open.get(attemptNo);
+    if (attempt !== undefined) observe(attempt, { kind: 'ended', meanGapMs: session.meanGapMs() });
+    closeAttempt(attemptNo, 'ok');
+    apply(session.on({ kind: 'finish', attemptNo, reason }, clock.monotonicMs()));
+  }
+
+  function onLost(attemptNo: AttemptNo, cause: 'connect_failed' | 'reset' | 'ended_early'): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    avoided.add(attempt.place.engineId);
+    if (cause !== 'connect_failed') {
+      suspects.onEngineLost(fingerprint, attempt.place.engineId, session.journal().length());
+    }
+    observe(attempt, { kind: 'failed' });
+    closeAttempt(attemptNo, 'failed');
+    whileConnected(() => loseAttempt(attemptNo, cause));
+  }
+
+  function onRefused(
+    attemptNo: AttemptNo,
+    cause: Extract<AttemptEvent, { kind: 'refused' }>['cause'],
+  ): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    avoided.add(attempt.place.engineId);
+    if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
+    if (cause === 'failed') observe(attempt, { kind: 'failed' });
+    closeAttempt(attemptNo, cause === 'failed' ? 'failed' : 'refused');
+    whileConnected(() => loseAttempt(attemptNo, 'refused'));
+  }
+
+  function loseAttempt(attemptNo: AttemptNo, cause: LossCause): void {
+    apply(session.on({ kind: 'attempt_lost', attemptNo, cause }, clock.monotonicMs()));
+  }
+
+  /** Runs now, or once a caller is connected again. */
+  function whileConnected(fn: () => void): void {
+    if (reader !== undefined) fn();
+    else deferred.push(fn);
+  }
+
+  function observe(
+    attempt: OpenAttempt,
+    event: Parameters<typeof versions.observe>[0]['event'],
+  ): void {
+    if (version === undefined) return;
+    const { engineId } = attempt.place;
+    const { adapter } = request;
+    versions.observe({ service: service.name, version, adapter, engineId, event });
+  }
+
+  function closeAttempt(attemptNo: AttemptNo, result: SendResult): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    open.delete(attemptNo);
+    attempt.handle.close();
+    directory.onEnd(attempt.send, result);
+    suspects.onEnd(fingerprint, attempt.place.engineId);
+    attempt.span.end(result === 'ok' ? undefined : result);
+    if (result === 'cancelled') {
+      void engines.cancel(attempt.place.address, requestId, attemptNo);
+    }
+  }
+
+  function takeOver(left: ReplicatedStream, haveTokens: number): void {
+    version = left.version;
+    callerTokens = haveTokens;
+    session = createSessionAfter(left.texts);
+    if (left.texts.length >= request.maxTokens) {
+      finish({ kind: 'finish', reason: 'length' });
+      return;
+    }
+    const [effect] = session.start(clock.monotonicMs());
+    if (effect?.kind !== 'start_attempt') throw new Error('a new session must start an attempt');
+    const routeRequest = toRouteRequest(left.version);
+    const span = request.span.child('attach', { engine: left.engineId });
+    const handle = engines.attach(
+      left.address,
+      requestId,
+      effect.attemptNo,
+      left.texts.length,
+      onAttemptEvent,
+    );
+    const send = directory.onSent(left.engineId, routeRequest);
+    register(effect.attemptNo, left, handle, send, span);
+    replicas.onStart(requestId, {
+      ...left,
+      bodyHash: request.bodyHash,
+      attemptNo: effect.attemptNo,
+    });
+  }
+
+  return {
+    request,
+    journal: () => session.journal(),
+    ended: () => end,
+    start: () => {
+      const error = suspects.check(fingerprint);
+      if (error !== undefined) finish({ kind: 'error', error });
+      else apply(session.start(clock.monotonicMs()));
+    },
+    takeOver,
+    attach: (next) => {
+      reader = next;
+      detachedSinceMs = undefined;
+      const waiting = deferred;
+      deferred = [];
+      waiting.forEach((fn) => fn());
+      next.onProgress();
+    },
+    detach: (gone) => {
+      if (reader !== gone) return;
+      reader = undefined;
+      detachedSinceMs = clock.monotonicMs();
+    },
+    wakeAtMs: () => (end === undefined ? session.wakeAtMs() : undefined),
+    wake: () => {
+      if (end !== undefined || reader === undefined) return;
+      apply(session.on({ kind: 'tick' }, clock.monotonicMs()));
+    },
+    detachedSinceMs: () => detachedSinceMs,
+    abandon: () => {
+      if (end !== undefined) return;
+      finish({
+        kind: 'error',
+        error: createServeError('request_timeout', 'the caller left', 'ran'),
+      });
+    },
+  };
+}
+
+function noEngine(reason: string, hasTokens: boolean): ServeError {
+  const runState = hasTokens ? 'ran' : 'not_run';
+  if (reason === 'no_version' && hasTokens) {
+    return createServeError('version_gone', 'no engine has the version of this stream', runState);
+  }
+  return createServeError(
+    'no_backend',
+    `no engine can take the request (${reason})`,
+    runState,
+    1_000,
+  );
+}
+
+interface StreamCounters {
+  readonly resumes: ReturnType<StreamPorts['metrics']['counter']>;
+  readonly resumeMs: ReturnType<StreamPorts['metrics']['histogram']>;
+  readonly ended: ReturnType<StreamPorts['metrics']['counter']>;
+}
+
+const countersByPorts = new WeakMap<StreamPorts, StreamCounters>();
+const RESUME_BUCKETS_MS = [25, 50, 100, 200, 300, 500, 750, 1_000, 1_500, 2_000, 3_000, 5_000];
+
+/** Counters are registered once per router. */
+function streamCounters(ports: StreamPorts): StreamCounters {
+  const known = countersByPorts.get(ports);
+  if (known !== undefined) return known;
+  const { metrics } = ports;
+  const created: StreamCounters = {
+    resumes: metrics.counter('mimosamill_stream_resumes_total', 'Attempts after the first', [
+      'cause',
+    ]),
+    resumeMs: metrics.histogram(
+      'mimosamill_stream_resume_milliseconds',
+      'Time from a noticed loss to the next token',
+      RESUME_BUCKETS_MS,
+    ),
+    ended: metrics.counter('mimosamill_streams_ended_total', 'Streams by outcome', ['outcome']),
+  };
+  countersByPorts.set(ports, created);
+  return created;
+}
--- /dev/null
+++ b/packages/router/src/stream/streams.ts
@@ -0,0 +1,136 @@
+import { createServeError } from '@mimosamill/core';
+import { createRunningStream } from './stream';
+import type { RequestId, ServeError } from '@mimosamill/core';
+import type { StreamPorts, StreamReader, StreamRequest } from './ports';
+import type { RunningStream } from './stream';
+
+export type OpenOutcome =
+  | { readonly kind: 'ok'; readonly stream: RunningStream }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
+/** Every stream of this router. */
+export interface Streams {
+  readonly open: (request: StreamRequest, reader: StreamReader) => OpenOutcome;
+  /** Connects a caller that has already received `haveTokens` tokens. */
+  readonly reopen: (
+    request: StreamRequest,
+    haveTokens: number,
+    reader: StreamReader,
+  ) => Promise<OpenOutcome>;
+  readonly runningCount: () => number;
+  /** Resolves once no stream is running. */
+  readonly drained: () => Promise<void>;
+  readonly stop: () => void;
+}
+
+const SWEEP_PERIOD_MS = 20;
+/** Ended streams are kept for callers that lost the end of the answer. */
+const MAX_KEPT = 10_000;
+
+export function createStreams(ports: StreamPorts): Streams {
+  const { clock } = ports;
+  const streams = new Map<RequestId, RunningStream>();
+  const running = ports.metrics.gauge('mimosamill_streams_running', 'Streams that have not ended');
+  let drainWaiters: (() => void)[] = [];
+
+  const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
+
+  function sweep(): void {
+    const nowMs = clock.monotonicMs();
+    streams.forEach((stream, requestId) => {
+      const wakeAtMs = stream.wakeAtMs();
+      if (wakeAtMs !== undefined && nowMs >= wakeAtMs) stream.wake();
+      const sinceMs = stream.detachedSinceMs();
+      const isGone = sinceMs !== undefined && nowMs - sinceMs > stream.request.reconnectWindowMs;
+      if (!isGone) return;
+      stream.abandon();
+      streams.delete(requestId);
+    });
+    forgetOldest();
+    const count = runningCount();
+    running.set(count);
+    if (count > 0) return;
+    drainWaiters.forEach((resolve) => resolve());
+    drainWaiters = [];
+  }
+
+  function forgetOldest(): void {
+    if (streams.size <= MAX_KEPT) return;
+    const ended = [...streams].filter(([, stream]) => stream.ended() !== undefined);
+    ended.slice(0, streams.size - MAX_KEPT).forEach(([requestId]) => streams.delete(requestId));
+  }
+
+  function runningCount(): number {
+    let count = 0;
+    streams.forEach((stream) => {
+      if (stream.ended() === undefined) count += 1;
+    });
+    return count;
+  }
+
+  function open(request: StreamRequest, reader: StreamReader): OpenOutcome {
+    if (streams.has(request.requestId)) {
+      const error = createServeError('bad_request', 'the request id is already in use');
+      return { kind: 'error', error };
+    }
+    const stream = createRunningStream(ports, request);
+    streams.set(request.requestId, stream);
+    stream.attach(reader);
+    stream.start();
+    return { kind: 'ok', stream };
+  }
+
+  async function reopen(
+    request: StreamRequest,
+    haveTokens: number,
+    reader: StreamReader,
+  ): Promise<OpenOutcome> {
+    const local = streams.get(request.requestId);
+    if (local !== undefined) return reattach(local, request, haveTokens, reader);
+    const left = await ports.replicas.find(request.requestId);
+    // Another connection of the same caller may have been faster.
+    const raced = streams.get(request.requestId);
+    if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
+    if (left === undefined) return lost('no copy of the stream is left');
+    if (left.bodyHash !== request.bodyHash) return differs();
+    const stream = createRunningStream(ports, request);
+    streams.set(request.requestId, stream);
+    stream.takeOver(left, haveTokens);
+    stream.attach(reader);
+    return { kind: 'ok', stream };
+  }
+
+  function reattach(
+    stream: RunningStream,
+    request: StreamRequest,
+    haveTokens: number,
+    reader: StreamReader,
+  ): OpenOutcome {
+    if (stream.request.bodyHash !== request.bodyHash) return differs();
+    if (stream.ended() !== undefined && haveTokens > stream.journal().length()) {
+      return lost('the caller has more tokens than this router');
+    }
+    stream.attach(reader);
+    return { kind: 'ok', stream };
+  }
+
+  return {
+    open,
+    reopen,
+    runningCount,
+    drained: () =>
+      new Promise((resolve) => {
+        drainWaiters.push(resolve);
+      }),
+    stop: stopSweep,
+  };
+}
+
+function lost(message: string): OpenOutcome {
+  return { kind: 'error', error: createServeError('journal_lost', message, 'unknown') };
+}
+
+function differs(): OpenOutcome {
+  const message = 'the body differs from the one that started this stream';
+  return { kind: 'error', error: createServeError('bad_request', message) };
+}
