Measure the router's cost per streamed token beside a plain pass-through

Cause: the router parses, checks, journals and re-encodes every token; nobody knew at what price. Change: measurement "relay": 96 streams of 1,200 tokens through one router process and through a pass-through on the same libraries, alternating rounds in one run, medians of three. Before: not measured.

--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -55,6 +55,10 @@
   readonly post: (address: string, path: string, body: unknown) => Promise<unknown>;
   readonly get: (address: string, path: string) => Promise<unknown>;
   readonly routerPeers: () => readonly string[];
+  /** Stops a process with the fleet that was started outside it. */
+  readonly adopt: (process: FleetProcess) => void;
+  /** Waits until the nodes say that they are ready. */
+  readonly waitReady: (nodes: readonly FleetNode[]) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -69,6 +73,8 @@
 
 const IP = '127.0.0.1';
 const REQUEST_TIMEOUT_MS = 5_000;
+const READY_TIMEOUT_MS = 15_000;
+const READY_POLL_MS = 25;
 
 export async function startFleet(overrides: Partial<FleetOptions> = {}): Promise<Fleet> {
   const options = { ...FLEET_DEFAULTS, ...overrides };
@@ -191,6 +197,18 @@
     return { process: started, address: `${IP}:${port}`, failureDomain: '', relay: undefined };
   }
 
+  async function waitReady(nodes: readonly FleetNode[]): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    for (;;) {
+      const states = await Promise.all(nodes.map(({ address }) => get(address, '/readyz')));
+      if (states.every((state) => (state as { status: string }).status === 'ready')) return;
+      if (performance.now() > untilMs) throw new Error(`not ready: ${JSON.stringify(states)}`);
+      await new Promise((resolve) => {
+        setTimeout(resolve, READY_POLL_MS);
+      });
+    }
+  }
+
   async function stop(): Promise<void> {
     // A paused process would not see the signal.
     processes.forEach((running) => running.resume());
@@ -217,6 +235,10 @@
     post,
     get,
     routerPeers: () => routerPeers,
+    adopt: (other) => {
+      processes.push(other);
+    },
+    waitReady,
     stop,
   };
 }
--- a/packages/bench/src/fleet/process.ts
+++ b/packages/bench/src/fleet/process.ts
@@ -23,7 +23,13 @@
 }
 
 export type BinaryName =
-  'router' | 'controller' | 'admin' | 'fake-engine' | 'fake-service' | 'fake-platform';
+  | 'router'
+  | 'controller'
+  | 'admin'
+  | 'fake-engine'
+  | 'fake-service'
+  | 'fake-platform'
+  | 'baseline-relay';
 
 const READY_TIMEOUT_MS = 15_000;
 const MAX_STDERR_CHARS = 200_000;
--- /dev/null
+++ b/packages/bench/src/measure/relay/relay.ts
@@ -0,0 +1,206 @@
+import { request } from 'undici';
+import { basicChanges, commitChanges } from '../../fleet/config';
+import { startFleet } from '../../fleet/fleet';
+import { findFreePort, startBinary } from '../../fleet/process';
+import { medianOf, quantileOf, round } from '../stats';
+import type { Fleet } from '../../fleet/fleet';
+import type { Measurement, MeasureOptions, MeasureResult } from '../measurement';
+
+const KEY = 'relay-key';
+const MODEL = 'guide';
+const VERSION = 'v1';
+const PROMPT = 'Which clamp for the fourth rib?';
+const ENGINES = 3;
+const STREAMS = 96;
+const TOKENS = 1_200;
+const ROUNDS = 3;
+const FULL_ROUNDS = 9;
+const LIGHT_REQUESTS = 400;
+const LIGHT_STREAMS = 4;
+
+interface Round {
+  readonly tokensPerSec: number;
+  readonly cpuUsPerToken: number;
+  readonly firstTokenMs: readonly number[];
+  readonly residentBytes: number;
+}
+
+interface Target {
+  readonly address: string;
+  readonly body: string;
+}
+
+/** Cost of a streamed token at a router, beside a plain pass-through in the same run. */
+export const relay: Measurement = {
+  name: 'relay',
+  summary: 'CPU per streamed token at one router, beside a plain pass-through',
+  run: measureRelay,
+};
+
+async function measureRelay(options: MeasureOptions): Promise<MeasureResult> {
+  const fleet = await startFleet({ seed: options.seed });
+  try {
+    const targets = await start(fleet);
+    const routerRounds: Round[] = [];
+    const baselineRounds: Round[] = [];
+    // One unmeasured round each, so that both run compiled code.
+    await runRound(fleet, targets.router);
+    await runRound(fleet, targets.baseline);
+    const idleBytes = await readMetric(fleet, targets.router, 'process_resident_memory_bytes');
+    const rounds = options.isFull ? FULL_ROUNDS : ROUNDS;
+    for (let index = 0; index < rounds; index += 1) {
+      routerRounds.push(await runRound(fleet, targets.router));
+      baselineRounds.push(await runRound(fleet, targets.baseline));
+    }
+    const light = {
+      routerMs: await runLight(fleet, targets.router),
+      baselineMs: await runLight(fleet, targets.baseline),
+    };
+    return { ...summarise(routerRounds, baselineRounds, idleBytes), ...summariseLight(light) };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function start(fleet: Fleet): Promise<{ router: Target; baseline: Target }> {
+  const engines = await Promise.all(
+    Array.from({ length: ENGINES }, (_, index) =>
+      fleet.startEngine({
+        id: `engine-${index}`,
+        service: 'bench-guide',
+        model: MODEL,
+        versions: [VERSION],
+        failureDomain: 'marka',
+        modelSettings: { baseStepMs: 1, stepMsPerRequest: 0, maxRunning: 256 },
+      }),
+    ),
+  );
+  const changes = basicChanges({
+    engineService: 'bench-guide',
+    model: MODEL,
+    version: VERSION,
+    plainService: 'guild-shop',
+    customer: 'rib-gluers',
+    key: KEY,
+  });
+  await commitChanges(fleet.platformAddress, [
+    ...changes,
+    {
+      kind: 'set_defaults',
+      defaults: { requestsPerSec: 10_000, tokensPerSec: 100_000_000, concurrentStreams: 10_000 },
+    },
+  ]);
+  const router = await fleet.startRouter({ id: 'router-0', failureDomain: 'marka' });
+  const port = await findFreePort();
+  const baseline = await startBinary('baseline-relay', 'baseline', {
+    ip: '127.0.0.1',
+    port,
+    engines: engines.map(({ address }) => address),
+  });
+  fleet.adopt(baseline);
+  await fleet.waitReady([router]);
+  const body = { model: MODEL, prompt: PROMPT, max_tokens: TOKENS, stream: true };
+  return {
+    router: { address: router.address, body: JSON.stringify(body) },
+    baseline: {
+      address: `127.0.0.1:${port}`,
+      body: JSON.stringify({ ...body, request_id: '', attempt: 1, version: VERSION }),
+    },
+  };
+}
+
+/** Short answers, a few at a time: the first token's delay without a saturated router. */
+async function runLight(fleet: Fleet, target: Target): Promise<number[]> {
+  const short = { ...target, body: target.body.replace(`:${TOKENS}`, ':4') };
+  const firstTokenMs: number[] = [];
+  while (firstTokenMs.length < LIGHT_REQUESTS) {
+    const some = Array.from({ length: LIGHT_STREAMS }, () => consume(fleet, short));
+    firstTokenMs.push(...(await Promise.all(some)));
+  }
+  return firstTokenMs;
+}
+
+function summariseLight(light: { routerMs: readonly number[]; baselineMs: readonly number[] }) {
+  const addedMs = quantileOf(light.routerMs, 0.95) - quantileOf(light.baselineMs, 0.95);
+  return { added_first_token_ms_p95: round(addedMs) };
+}
+
+let requestNo = 0;
+
+async function runRound(fleet: Fleet, target: Target): Promise<Round> {
+  const cpuBefore = await readMetric(fleet, target, 'process_cpu_seconds_total');
+  const startedMs = performance.now();
+  const firstTokenMs = await Promise.all(
+    Array.from({ length: STREAMS }, () => consume(fleet, target)),
+  );
+  const seconds = (performance.now() - startedMs) / 1_000;
+  const cpuSeconds = (await readMetric(fleet, target, 'process_cpu_seconds_total')) - cpuBefore;
+  const tokens = STREAMS * TOKENS;
+  return {
+    tokensPerSec: tokens / seconds,
+    cpuUsPerToken: (cpuSeconds * 1e6) / tokens,
+    firstTokenMs,
+    residentBytes: await readMetric(fleet, target, 'process_resident_memory_bytes'),
+  };
+}
+
+/** Reads a whole answer without looking into it; returns the time to its first byte. */
+async function consume(fleet: Fleet, target: Target): Promise<number> {
+  requestNo += 1;
+  const startedMs = performance.now();
+  const answer = await request(`http://${target.address}/v1/completions`, {
+    dispatcher: fleet.http.dispatcher,
+    method: 'POST',
+    headers: { 'content-type': 'application/json', authorization: `Bearer ${KEY}` },
+    body: target.body.replace('"request_id":""', `"request_id":"r${requestNo}"`),
+  });
+  let firstMs = 0;
+  let tail = '';
+  for await (const chunk of answer.body) {
+    if (firstMs === 0) firstMs = performance.now() - startedMs;
+    tail = (tail + (chunk as Buffer).toString('latin1')).slice(-64);
+  }
+  if (!tail.includes('[DONE]')) throw new Error(`the answer was cut: ${tail}`);
+  return firstMs;
+}
+
+async function readMetric(fleet: Fleet, target: Target, name: string): Promise<number> {
+  const answer = await fleet.http.fetch(`http://${target.address}/metrics`, {
+    method: 'GET',
+    timeoutMs: 5_000,
+  });
+  if (answer.kind !== 'ok') throw new Error(answer.message);
+  const line = answer.body.split('\n').find((text) => text.startsWith(`${name} `));
+  return Number(line?.split(' ')[1]);
+}
+
+function summarise(
+  routerRounds: readonly Round[],
+  baselineRounds: readonly Round[],
+  idleBytes: number,
+): MeasureResult {
+  const cpuUs = medianOf(routerRounds.map((entry) => entry.cpuUsPerToken));
+  const baselineUs = medianOf(baselineRounds.map((entry) => entry.cpuUsPerToken));
+  const firstMs = quantileOf(
+    routerRounds.flatMap((entry) => entry.firstTokenMs),
+    0.95,
+  );
+  const baselineFirstMs = quantileOf(
+    baselineRounds.flatMap((entry) => entry.firstTokenMs),
+    0.95,
+  );
+  const peakBytes = Math.max(...routerRounds.map((entry) => entry.residentBytes));
+  return {
+    rounds: routerRounds.length,
+    streams: STREAMS,
+    tokens_per_stream: TOKENS,
+    tokens_per_sec: round(medianOf(routerRounds.map((entry) => entry.tokensPerSec)), 0),
+    baseline_tokens_per_sec: round(medianOf(baselineRounds.map((e) => e.tokensPerSec)), 0),
+    cpu_us_per_token: round(cpuUs),
+    baseline_cpu_us_per_token: round(baselineUs),
+    ratio: round(cpuUs / baselineUs),
+    tokens_per_sec_per_core: round(1e6 / cpuUs, 0),
+    saturated_added_first_token_ms_p95: round(firstMs - baselineFirstMs),
+    memory_kb_per_open_stream: round(Math.max(0, peakBytes - idleBytes) / STREAMS / 1_024, 1),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/measure/stats.ts
@@ -0,0 +1,16 @@
+import { median, quantile } from 'simple-statistics';
+
+/** Rounds for printing; more digits than a noisy machine repeats say nothing. */
+export function round(value: number, digits = 2): number {
+  const factor = 10 ** digits;
+  return Math.round(value * factor) / factor;
+}
+
+/** A quantile, or 0 of nothing. */
+export function quantileOf(values: readonly number[], ratio: number): number {
+  return values.length === 0 ? 0 : quantile([...values], ratio);
+}
+
+export function medianOf(values: readonly number[]): number {
+  return values.length === 0 ? 0 : median([...values]);
+}
--- a/packages/bench/test/path.spec.ts
+++ b/packages/bench/test/path.spec.ts
@@ -46,22 +46,11 @@
     for (const [index, failureDomain] of DOMAINS.entries()) {
       routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
     }
-    await waitUntil(async () => {
-      const states = await Promise.all(routers.map(({ address }) => fleet.get(address, '/readyz')));
-      return states.every((state) => (state as { status: string }).status === 'ready');
-    });
+    await fleet.waitReady(routers);
   });
 
   afterAll(() => fleet.stop());
 
-  async function waitUntil(isTrue: () => Promise<boolean>): Promise<void> {
-    while (!(await isTrue())) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 50);
-      });
-    }
-  }
-
   function expected(maxTokens: number): string[] {
     const source = { model: 'guide', version: 'v1', adapter: '', prompt: PROMPT, seed: 0 };
     return wholeText(source, maxTokens, hashes.hash32);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,7 @@
   'fake-engine': 'packages/fakes/src/engine/main.ts',
   'fake-service': 'packages/fakes/src/service/main.ts',
   'fake-platform': 'packages/fakes/src/platform/main.ts',
+  'baseline-relay': 'packages/bench/src/baseline/main.ts',
   demo: 'packages/bench/src/demo/main.ts',
   measure: 'packages/bench/src/measure/main.ts',
 };
