--- a/packages/admin/src/api/errors.ts
+++ b/packages/admin/src/api/errors.ts
@@ -15,6 +15,7 @@
   | 'move_refused'
   | 'store_unavailable'
   | 'outcome_unknown'
+  | 'router_unavailable'
   | 'too_many_watchers';
 
 /** An error with details for programs, for example both sides of a conflict. */
@@ -41,6 +42,7 @@
   move_refused: 422,
   store_unavailable: 503,
   outcome_unknown: 502,
+  router_unavailable: 503,
   too_many_watchers: 503,
 };
 
@@ -50,7 +52,10 @@
 }
 
 export function storeUnavailable(message: string): AdminError {
-  return adminError('store_unavailable', `nothing was changed: ${message}`);
+  return adminError(
+    'store_unavailable',
+    `the store is unavailable, and this request changed nothing: ${message}`,
+  );
 }
 
 /** The operation may have taken effect; sending it again with the same id is safe. */
--- /dev/null
+++ b/packages/admin/src/api/routes.ts
@@ -0,0 +1,173 @@
+import { CHANGE_LIST_SCHEMA, CONFIG_SECTIONS } from '@mimosamill/core';
+import { z } from 'zod';
+
+/** Who may call a route: everyone with a key, those who may change something, or the fleet role. */
+export type Permission = 'read' | 'change' | 'fleet';
+
+export interface RouteSpec {
+  readonly name: string;
+  readonly method: 'get' | 'post';
+  readonly path: string;
+  readonly summary: string;
+  readonly permission: Permission;
+  readonly query: z.ZodObject;
+  readonly body?: z.ZodObject;
+}
+
+const MAX_PAGE = 500;
+const DEFAULT_PAGE = 100;
+export const MAX_WAIT_MS = 30_000;
+
+const name = z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,59}$/, 'expected a short name');
+const why = z.string().trim().min(1, 'expected a reason').max(500);
+const operationId = name.describe('Chosen by the caller; a repeated request with it has no effect');
+const revision = z.number().int().min(0);
+const revisionText = z.coerce.number().int().min(0);
+const limit = z.coerce.number().int().min(1).max(MAX_PAGE).default(DEFAULT_PAGE);
+const waitMs = z.coerce.number().int().min(0).max(MAX_WAIT_MS).default(0);
+const dryRun = z.boolean().default(false).describe('Only check and show what would change');
+const place = z.string().max(63).optional();
+
+const EMPTY = z.object({});
+
+export const ROUTES = {
+  list: {
+    name: 'list',
+    method: 'get',
+    path: '/v1/config/:section',
+    summary: `List the entries of a section (${CONFIG_SECTIONS.join(', ')})`,
+    permission: 'read',
+    query: z.object({ after: z.string().default(''), limit }),
+  },
+  show: {
+    name: 'show',
+    method: 'get',
+    path: '/v1/config/:section/:id',
+    summary: 'Show one entry',
+    permission: 'read',
+    query: EMPTY,
+  },
+  effective: {
+    name: 'effective',
+    method: 'get',
+    path: '/v1/effective',
+    summary: 'Show the settings in effect for a service, customer and failure domain',
+    permission: 'read',
+    query: z.object({ service: place, customer: place, failureDomain: place }),
+  },
+  export: {
+    name: 'export',
+    method: 'get',
+    path: '/v1/export',
+    summary: 'Return the whole configuration',
+    permission: 'fleet',
+    query: z.object({ revision: revisionText.optional() }),
+  },
+  diff: {
+    name: 'diff',
+    method: 'get',
+    path: '/v1/diff',
+    summary: 'Show what differs between two revisions',
+    permission: 'read',
+    query: z.object({ from: revisionText, to: revisionText.optional() }),
+  },
+  apply: {
+    name: 'apply',
+    method: 'post',
+    path: '/v1/revisions',
+    summary: 'Apply a change list as the revision after the one that was read',
+    permission: 'change',
+    query: EMPTY,
+    body: z.object({
+      operationId,
+      baseRevision: revision.describe('The revision that the operator read'),
+      why,
+      dryRun,
+      changes: z.array(z.unknown()).meta(CHANGE_LIST_SCHEMA),
+    }),
+  },
+  history: {
+    name: 'history',
+    method: 'get',
+    path: '/v1/revisions',
+    summary: 'List revisions, newest first',
+    permission: 'read',
+    query: z.object({ before: revisionText.optional(), limit }),
+  },
+  revision: {
+    name: 'revision',
+    method: 'get',
+    path: '/v1/revisions/:revision',
+    summary: 'Show one revision',
+    permission: 'read',
+    query: EMPTY,
+  },
+  undo: {
+    name: 'undo',
+    method: 'post',
+    path: '/v1/revisions/:revision/undo',
+    summary: 'Restore, as a new revision, what a revision replaced',
+    permission: 'change',
+    query: EMPTY,
+    body: z.object({ operationId, why, dryRun }),
+  },
+  watch: {
+    name: 'watch',
+    method: 'get',
+    path: '/v1/watch',
+    summary: 'Wait for revisions after the given one',
+    permission: 'read',
+    query: z.object({ after: revisionText, waitMs }),
+  },
+  status: {
+    name: 'status',
+    method: 'get',
+    path: '/v1/status',
+    summary: 'Show, by region, where a revision is in force',
+    permission: 'read',
+    query: z.object({ revision: revisionText.optional() }),
+  },
+  moveOrder: {
+    name: 'moveOrder',
+    method: 'post',
+    path: '/v1/moves',
+    summary: 'Order a version move',
+    permission: 'change',
+    query: EMPTY,
+    body: z.object({
+      operationId,
+      service: name,
+      toVersion: name,
+      byMs: z.number().int().min(0).describe('Deadline in milliseconds since 1970'),
+      reason: why,
+    }),
+  },
+  moveList: {
+    name: 'moveList',
+    method: 'get',
+    path: '/v1/moves',
+    summary: 'List version moves',
+    permission: 'read',
+    query: z.object({ after: z.string().default(''), limit }),
+  },
+  moveShow: {
+    name: 'moveShow',
+    method: 'get',
+    path: '/v1/moves/:id',
+    summary:
+      'Show a version move, or wait until it differs from the version of its row seen before',
+    permission: 'read',
+    query: z.object({ seen: revisionText.default(0), waitMs }),
+  },
+  moveCancel: {
+    name: 'moveCancel',
+    method: 'post',
+    path: '/v1/moves/:id/cancel',
+    summary: 'Cancel a running version move',
+    permission: 'change',
+    query: EMPTY,
+    body: z.object({ reason: why }),
+  },
+} as const satisfies Readonly<Record<string, RouteSpec>>;
+
+export type RouteName = keyof typeof ROUTES;
--- /dev/null
+++ b/packages/admin/src/api/server.ts
@@ -0,0 +1,166 @@
+import {
+  createHttpShell,
+  DEFAULT_HTTP_LIMITS,
+  readJsonBody,
+  sendJson,
+  sendText,
+  sha256Hex,
+} from '@mimosamill/adapters';
+import { findAdministrator } from '@mimosamill/core';
+import { ADMIN_STATUS, adminError } from './errors';
+import { createHandlers } from './handlers';
+import { createOpenApi } from './openapi';
+import { ROUTES } from './routes';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { HttpShell, Log, Metrics } from '@mimosamill/adapters';
+import type { Administrator, FleetConfig } from '@mimosamill/core';
+import type { AdminError } from './errors';
+import type { AdminAnswer, AdminCall, HandlerDeps } from './handlers';
+import type { RouteName, RouteSpec } from './routes';
+
+export interface AdminServerDeps extends HandlerDeps {
+  readonly metrics: Metrics;
+  readonly log: Log;
+  readonly version: string;
+}
+
+interface AdminRequest extends IncomingMessage {
+  readonly params: Readonly<Record<string, string>>;
+  readonly query: Readonly<Record<string, unknown>>;
+}
+
+const MAX_BODY_BYTES = 256 * 1024;
+
+/** Creates the administration API's server. */
+export function createAdminServer(deps: AdminServerDeps): HttpShell {
+  const shell = createHttpShell({ ...DEFAULT_HTTP_LIMITS, maxConnections: 1_000 });
+  const handlers = createHandlers(deps);
+  const denials = deps.metrics.counter(
+    'mimosamill_admin_denials_total',
+    'Calls that were not authenticated or not allowed',
+    ['code', 'route'],
+  );
+  const calls = deps.metrics.counter('mimosamill_admin_calls_total', 'Calls by outcome', [
+    'code',
+    'route',
+  ]);
+
+  async function authenticate(
+    req: AdminRequest,
+  ): Promise<{ admin: Administrator; config: FleetConfig } | AdminError> {
+    const key = /^Bearer (\S+)$/i.exec(req.headers.authorization ?? '')?.[1];
+    if (key === undefined) return adminError('unauthorized', 'a bearer key is required');
+    const config = await deps.config.refresh();
+    if ('kind' in config) return config;
+    const admin = findAdministrator(config, sha256Hex(key));
+    return admin === undefined
+      ? adminError('unauthorized', 'the key is not known')
+      : { admin, config };
+  }
+
+  async function answer(route: RouteSpec, req: AdminRequest): Promise<AdminAnswer> {
+    const identity = await authenticate(req);
+    if ('kind' in identity) return identity;
+    const { admin, config } = identity;
+    if (!isPermitted(admin, route)) {
+      return adminError('forbidden', `the role ${admin.role} may not use ${route.name}`);
+    }
+    const query = route.query.safeParse(req.query);
+    if (!query.success) return badRequest(query.error.issues);
+    const body = await readBody(route, req);
+    if (body.kind === 'error') return body;
+    const call = { admin, config, params: req.params, query: query.data, body: body.value };
+    const handler = handlers[route.name as RouteName] as (
+      checked: AdminCall<RouteName>,
+    ) => AdminAnswer | Promise<AdminAnswer>;
+    const result = await handler(call as unknown as AdminCall<RouteName>);
+    return admin.role === 'viewer' ? (redact(result) as AdminAnswer) : result;
+  }
+
+  function register(route: RouteSpec): void {
+    shell.app[route.method](route.path, async (req, res) => {
+      const result = await answer(route, req as unknown as AdminRequest);
+      const code = isError(result) ? result.code : 'ok';
+      calls.inc({ code, route: route.name });
+      if (code === 'unauthorized' || code === 'forbidden') {
+        denials.inc({ code, route: route.name });
+      }
+      if (isError(result)) {
+        sendAdminError(res as unknown as ServerResponse, result);
+        return;
+      }
+      if (route.method === 'post') deps.log.info('order accepted', { route: route.name });
+      sendJson(res as unknown as ServerResponse, 200, result);
+    });
+  }
+
+  const openApi = createOpenApi(deps.version);
+  // Probes, metrics and the description of the API hold nothing confidential.
+  shell.app.get('/healthz', (_req, res) => sendJson(res, 200, { status: 'ok' }));
+  shell.app.get('/readyz', async (_req, res) => {
+    const config = await deps.config.refresh();
+    if ('kind' in config) sendAdminError(res, config);
+    else sendJson(res, 200, { status: 'ready', revision: config.revision });
+  });
+  shell.app.get('/metrics', async (_req, res) => {
+    sendText(res, 200, deps.metrics.contentType, await deps.metrics.text());
+  });
+  shell.app.get('/openapi.json', (_req, res) => sendJson(res, 200, openApi));
+  Object.values(ROUTES).forEach(register);
+  return shell;
+}
+
+function isPermitted(admin: Administrator, route: RouteSpec): boolean {
+  switch (route.permission) {
+    case 'read':
+      return true;
+    case 'change':
+      return admin.role !== 'viewer';
+    case 'fleet':
+      return admin.role === 'fleet';
+    default:
+      return route.permission satisfies never;
+  }
+}
+
+type CheckedBody = { readonly kind: 'ok'; readonly value: unknown } | AdminError;
+
+async function readBody(route: RouteSpec, req: IncomingMessage): Promise<CheckedBody> {
+  if (route.body === undefined) return { kind: 'ok', value: undefined };
+  const read = await readJsonBody(req, MAX_BODY_BYTES);
+  if (read.kind === 'error') {
+    const isTooLarge = read.error.code === 'body_too_large';
+    return adminError(isTooLarge ? 'body_too_large' : 'bad_json', read.error.message);
+  }
+  const parsed = route.body.safeParse(read.json);
+  return parsed.success ? { kind: 'ok', value: parsed.data } : badRequest(parsed.error.issues);
+}
+
+function badRequest(
+  issues: readonly { path: readonly PropertyKey[]; message: string }[],
+): AdminError {
+  const problems = issues.map(({ path, message }) => ({ path: path.join('.'), message }));
+  return adminError('bad_request', 'the request is not valid', { problems });
+}
+
+function isError(answer: AdminAnswer): answer is AdminError {
+  return 'kind' in answer && answer.kind === 'error';
+}
+
+function sendAdminError(res: ServerResponse, error: AdminError): void {
+  const { code, message, details } = error;
+  // The rest of an oversized body is not read, so the connection cannot be used again.
+  if (code === 'body_too_large') res.setHeader('connection', 'close');
+  const body = details === undefined ? { code, message } : { code, message, details };
+  sendJson(res, ADMIN_STATUS[code], { error: body });
+}
+
+/** Viewers see only the beginning of key hashes. */
+function redact(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(redact);
+  if (typeof value === 'string') {
+    return /^[0-9a-f]{64}$/.test(value) ? `${value.slice(0, 8)}…` : value;
+  }
+  if (typeof value !== 'object' || value === null) return value;
+  return Object.fromEntries(Object.entries(value).map(([key, entry]) => [key, redact(entry)]));
+}
--- /dev/null
+++ b/packages/admin/src/cli/commands.ts
@@ -0,0 +1,358 @@
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { parse } from 'jsonc-parser';
+import { EXIT, exitCodeOf } from './exit';
+import { formatShare, formatTable, formatTime, formatValue } from './output';
+import type { AdminClient, ClientAnswer } from './client';
+
+/** Options of all commands, as the command line gives them. */
+export interface CommandOptions {
+  readonly json?: boolean;
+  readonly after?: string;
+  readonly limit?: number;
+  readonly before?: number;
+  readonly base?: number;
+  readonly why?: string;
+  readonly operationId?: string;
+  readonly dryRun?: boolean;
+  readonly revision?: number;
+  readonly service?: string;
+  readonly customer?: string;
+  readonly failureDomain?: string;
+  readonly to?: string;
+  readonly by?: string;
+  readonly reason?: string;
+}
+
+export interface CommandContext {
+  readonly client: AdminClient;
+  readonly print: (text: string) => void;
+  readonly printError: (text: string) => void;
+  readonly nowMs: () => number;
+}
+
+type Value = Readonly<Record<string, unknown>>;
+type Show = (value: Value) => string;
+
+const WAIT_MS = 20_000;
+
+interface MoveView {
+  readonly id: string;
+  readonly service: string;
+  readonly fromVersion: string;
+  readonly toVersion: string;
+  readonly state: string;
+  readonly reason: string;
+  readonly byMs: number;
+  readonly stepShareRatio: number;
+}
+
+/** Creates the commands; each returns an exit code. */
+export function createCommands(context: CommandContext) {
+  const { client, print, printError } = context;
+
+  function fail(answer: Extract<ClientAnswer, { kind: 'error' }>, options: CommandOptions): number {
+    const { code, message, details } = answer;
+    if (options.json === true) print(JSON.stringify({ error: { code, message, details } }));
+    else {
+      printError(`${code}: ${message}`);
+      if (details !== undefined) printError(JSON.stringify(details, null, 2));
+    }
+    return exitCodeOf(code);
+  }
+
+  function finish(answer: ClientAnswer, options: CommandOptions, show: Show): number {
+    if (answer.kind === 'error') return fail(answer, options);
+    print(options.json === true ? JSON.stringify(answer.value) : show(answer.value));
+    return EXIT.ok;
+  }
+
+  function usage(message: string): number {
+    printError(message);
+    return EXIT.usage;
+  }
+
+  async function currentRevision(): Promise<number | ClientAnswer> {
+    const answer = await client.get('/v1/watch', { after: 0, waitMs: 0 });
+    return answer.kind === 'ok' ? Number(answer.value['revision']) : answer;
+  }
+
+  function newOperationId(options: CommandOptions): string {
+    return options.operationId === undefined ? `cli-${randomUUID()}` : String(options.operationId);
+  }
+
+  async function apply(file: string, options: CommandOptions): Promise<number> {
+    if (options.why === undefined) return usage('apply needs --why');
+    const input = readChanges(file);
+    if (typeof input === 'string') return usage(input);
+    const baseRevision = options.base ?? input.baseRevision ?? (await currentRevision());
+    if (typeof baseRevision === 'object') return finish(baseRevision, options, () => '');
+    const body = {
+      operationId: newOperationId(options),
+      baseRevision,
+      why: String(options.why),
+      dryRun: options.dryRun === true,
+      changes: input.changes,
+    };
+    return finish(await client.post('/v1/revisions', body), options, showChange);
+  }
+
+  async function undo(revision: string, options: CommandOptions): Promise<number> {
+    if (options.why === undefined) return usage('undo needs --why');
+    const body = {
+      operationId: newOperationId(options),
+      why: String(options.why),
+      dryRun: options.dryRun === true,
+    };
+    const answer = await client.post(`/v1/revisions/${encodeURIComponent(revision)}/undo`, body);
+    return finish(answer, options, showChange);
+  }
+
+  async function watch(options: CommandOptions): Promise<number> {
+    let after = Number(options.after ?? (await currentRevision()));
+    if (Number.isNaN(after)) after = 0;
+    for (;;) {
+      const answer = await client.get('/v1/watch', { after, waitMs: WAIT_MS });
+      if (answer.kind === 'error') return fail(answer, options);
+      const revisions = answer.value['revisions'] as readonly Value[];
+      revisions.forEach((revision) =>
+        print(options.json === true ? JSON.stringify(revision) : showRevisionLine(revision)),
+      );
+      after = Math.max(after, ...revisions.map(({ revision }) => Number(revision)));
+    }
+  }
+
+  async function orderMove(
+    service: string,
+    version: string,
+    options: CommandOptions,
+  ): Promise<number> {
+    const byMs = parseDeadline(options.by ?? '', context.nowMs());
+    if (byMs === undefined) return usage('move order needs --by, e.g. 30m, 2h or an ISO time');
+    if (options.reason === undefined) return usage('move order needs --reason');
+    const body = {
+      operationId: newOperationId(options),
+      service,
+      toVersion: version,
+      byMs,
+      reason: String(options.reason),
+    };
+    return finish(await client.post('/v1/moves', body), options, showMove);
+  }
+
+  async function watchMove(id: string, options: CommandOptions): Promise<number> {
+    let seen = 0;
+    for (;;) {
+      const path = `/v1/moves/${encodeURIComponent(id)}`;
+      const answer = await client.get(path, { seen, waitMs: seen === 0 ? 0 : WAIT_MS });
+      if (answer.kind === 'error') return fail(answer, options);
+      const move = answer.value['move'] as MoveView;
+      const rowVersion = Number(answer.value['rowVersion']);
+      if (rowVersion > seen) {
+        const time = formatTime(context.nowMs());
+        print(options.json === true ? JSON.stringify(move) : showProgress(move, time));
+      }
+      seen = rowVersion;
+      if (move.state !== 'running') return move.state === 'done' ? EXIT.ok : EXIT.moveNotDone;
+    }
+  }
+
+  return {
+    list: async (section: string, options: CommandOptions) => {
+      const { after, limit } = options;
+      const answer = await client.get(`/v1/config/${section}`, { after, limit });
+      return finish(answer, options, showList);
+    },
+    show: async (section: string, id: string, options: CommandOptions) => {
+      const path = `/v1/config/${section}/${encodeURIComponent(id)}`;
+      return finish(await client.get(path), options, showValue);
+    },
+    effective: async (options: CommandOptions) => {
+      const { service, customer, failureDomain } = options;
+      const answer = await client.get('/v1/effective', { service, customer, failureDomain });
+      return finish(answer, options, ({ settings }) => showPairs(settings as Value));
+    },
+    export: async (options: CommandOptions) => {
+      const answer = await client.get('/v1/export', { revision: options.revision });
+      return finish(answer, options, (value) => JSON.stringify(value, null, 2));
+    },
+    diff: async (from: string, to: string | undefined, options: CommandOptions) =>
+      finish(await client.get('/v1/diff', { from, to }), options, showDiff),
+    history: async (options: CommandOptions) => {
+      const { before, limit } = options;
+      return finish(await client.get('/v1/revisions', { before, limit }), options, showHistory);
+    },
+    apply,
+    undo,
+    watch,
+    status: async (options: CommandOptions) => {
+      const answer = await client.get('/v1/status', { revision: options.revision });
+      return finish(answer, options, showStatus);
+    },
+    orderMove,
+    watchMove,
+    listMoves: async (options: CommandOptions) => {
+      const { after, limit } = options;
+      return finish(await client.get('/v1/moves', { after, limit }), options, showMoves);
+    },
+    cancelMove: async (id: string, options: CommandOptions) => {
+      if (options.reason === undefined) return usage('move cancel needs --reason');
+      const path = `/v1/moves/${encodeURIComponent(id)}/cancel`;
+      return finish(await client.post(path, { reason: String(options.reason) }), options, showMove);
+    },
+  };
+}
+
+interface ChangeFile {
+  readonly changes: unknown;
+  readonly baseRevision?: number;
+}
+
+/** A file holds a list of changes, or an object with `changes` and `baseRevision`. */
+function readChanges(file: string): ChangeFile | string {
+  let text: string;
+  try {
+    text = readFileSync(file === '-' ? 0 : file, 'utf8');
+  } catch (error) {
+    return `${file}: ${(error as Error).message}`;
+  }
+  const errors: unknown[] = [];
+  const value = parse(text, errors as never, { allowTrailingComma: true }) as unknown;
+  if (errors.length > 0) return `${file}: not valid JSON with comments`;
+  return Array.isArray(value) ? { changes: value } : (value as ChangeFile);
+}
+
+const UNIT_MS: Readonly<Record<string, number>> = { s: 1_000, m: 60_000, h: 3_600_000 };
+
+/** "30m" from now, or a point in time. */
+function parseDeadline(text: string, nowMs: number): number | undefined {
+  const relative = /^(\d+)([smh])$/.exec(text);
+  if (relative !== null) {
+    return nowMs + Number(relative[1]) * (UNIT_MS[relative[2] ?? ''] ?? 0);
+  }
+  const atMs = Date.parse(text);
+  return Number.isNaN(atMs) ? undefined : atMs;
+}
+
+function showList(value: Value): string {
+  const items = value['items'] as readonly { id: string; value: unknown }[];
+  const rows = items.map(({ id, value: entry }) => ({ id, ...toColumns(entry) }) as Value);
+  const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
+  const cells = rows.map((row) => columns.map((column) => formatValue(row[column], column)));
+  const table = formatTable(columns, cells);
+  return `${table}\n${nextLine(value, 'after')}revision ${value['revision'] as number}`;
+}
+
+/** An entry's fields become columns; its name or id is the first one. */
+function toColumns(entry: unknown): Value {
+  if (typeof entry !== 'object' || entry === null) return { value: entry };
+  const hidden = ['id', 'name'];
+  return Object.fromEntries(Object.entries(entry).filter(([key]) => !hidden.includes(key)));
+}
+
+function showValue(value: Value): string {
+  const shown = value['value'];
+  return typeof shown === 'object' && shown !== null
+    ? showPairs(shown as Value)
+    : formatValue(shown);
+}
+
+function showPairs(value: Value): string {
+  const rows = Object.entries(value).map(([key, entry]) => [key, formatValue(entry, key)]);
+  return formatTable(['field', 'value'], rows);
+}
+
+function showDiff(value: Value): string {
+  const entries = value['entries'] as readonly {
+    section: string;
+    id: string;
+    kind: string;
+    fields: readonly { path: string; before: unknown; after: unknown }[];
+  }[];
+  if (entries.length === 0) return 'no difference';
+  const rows = entries.flatMap((entry) =>
+    entry.fields.map((field) => [
+      `${entry.section}/${entry.id}`,
+      entry.kind,
+      field.path,
+      formatValue(field.before),
+      formatValue(field.after),
+    ]),
+  );
+  return formatTable(['entry', 'change', 'field', 'before', 'after'], rows);
+}
+
+function showChange(value: Value): string {
+  return value['dryRun'] === true ? showDiff(value) : `accepted: ${showRevisionLine(value)}`;
+}
+
+function showRevisionLine(value: Value): string {
+  const kinds = (value['changes'] as readonly { kind: string }[]).map(({ kind }) => kind);
+  const by = `${formatValue(value['who'])}: ${formatValue(value['why'])}`;
+  const revision = formatValue(value['revision']);
+  return `revision ${revision} at ${formatTime(value['atMs'])} by ${by} (${kinds.join(', ')})`;
+}
+
+function showHistory(value: Value): string {
+  const items = value['items'] as readonly Value[];
+  const rows = items.map((item) => [
+    formatValue(item['revision']),
+    formatTime(item['atMs']),
+    formatValue(item['who']),
+    formatValue(item['why']),
+    (item['changes'] as readonly { kind: string }[]).map(({ kind }) => kind).join(', '),
+  ]);
+  const table = formatTable(['revision', 'at', 'who', 'why', 'changes'], rows);
+  return `${table}\n${nextLine(value, 'before')}`.trimEnd();
+}
+
+function showStatus(value: Value): string {
+  const regions = value['regions'] as readonly {
+    region: string;
+    nodes: number;
+    inForce: number;
+    lowestRevision: number | null;
+    behind: readonly string[];
+    notAnswering: readonly string[];
+  }[];
+  const rows = regions.map((region) => [
+    region.region,
+    `${region.inForce}/${region.nodes}`,
+    formatValue(region.lowestRevision),
+    region.behind.join(' ') || '-',
+    region.notAnswering.join(' ') || '-',
+  ]);
+  const table = formatTable(['region', 'in force', 'lowest', 'behind', 'not answering'], rows);
+  const where = value['isEverywhere'] === true ? 'everywhere' : 'not everywhere';
+  return `${table}\nrevision ${formatValue(value['revision'])} is in force ${where}`;
+}
+
+function showMove(value: Value): string {
+  return showPairs(value['move'] as Value);
+}
+
+function showMoves(value: Value): string {
+  const rows = (value['items'] as readonly MoveView[]).map((move) => [
+    move.id,
+    move.service,
+    `${move.fromVersion} → ${move.toVersion}`,
+    move.state,
+    formatShare(move.stepShareRatio),
+    formatTime(move.byMs),
+    move.reason,
+  ]);
+  const head = ['id', 'service', 'versions', 'state', 'share', 'by', 'reason'];
+  return `${formatTable(head, rows)}\n${nextLine(value, 'after')}`.trimEnd();
+}
+
+function showProgress(move: MoveView, time: string): string {
+  const share = formatShare(move.stepShareRatio).padStart(4);
+  const versions = `${move.service} ${move.fromVersion} → ${move.toVersion}`;
+  const suffix = move.state === 'running' ? `due ${formatTime(move.byMs)}` : move.reason;
+  return `${time}  ${versions}  ${share}  ${move.state}  ${suffix}`;
+}
+
+function nextLine(value: Value, option: string): string {
+  const { next } = value;
+  return next === null || next === undefined ? '' : `more: --${option} ${formatValue(next)}\n`;
+}
--- /dev/null
+++ b/packages/admin/src/cli/output.ts
@@ -0,0 +1,49 @@
+import Table from 'cli-table3';
+
+type Cell = string | number;
+
+/** A plain table that is readable without colours and easy to cut apart. */
+export function formatTable(head: readonly string[], rows: readonly (readonly Cell[])[]): string {
+  const table = new Table({
+    head: [...head],
+    style: { head: [], border: [], compact: true },
+    wordWrap: true,
+  });
+  rows.forEach((row) => table.push([...row]));
+  return table.toString();
+}
+
+/** Longer cells are cut; --json shows them in full. */
+const MAX_CELL_CHARS = 48;
+
+/** One cell for any value; times are recognised by the name of their field. */
+export function formatValue(value: unknown, field = ''): string {
+  if (value === null || value === undefined) return '-';
+  if (/[aA]tMs$|^byMs$/.test(field)) return formatTime(value);
+  return cut(formatPlain(value));
+}
+
+function formatPlain(value: unknown): string {
+  if (Array.isArray(value)) return value.length === 0 ? '-' : value.map(formatPlain).join(' ');
+  if (typeof value !== 'object' || value === null) return String(value);
+  const pairs = Object.entries(value).map(([key, entry]) => `${key}=${formatPlain(entry)}`);
+  return pairs.join(',');
+}
+
+function cut(text: string): string {
+  return text.length > MAX_CELL_CHARS ? `${text.slice(0, MAX_CELL_CHARS - 1)}…` : text;
+}
+
+/** A time of today or another day, in UTC. */
+export function formatTime(ms: unknown): string {
+  return typeof ms === 'number'
+    ? new Date(ms)
+        .toISOString()
+        .replace('T', ' ')
+        .replace(/\.\d+Z$/, ' UTC')
+    : '-';
+}
+
+export function formatShare(ratio: unknown): string {
+  return `${Math.round(Number(ratio) * 100)}%`;
+}
--- a/packages/admin/src/config/admin.ts
+++ b/packages/admin/src/config/admin.ts
@@ -195,6 +195,12 @@
   };
 }
 
+/** A revision as the API shows it; its inverse is only of use to an undo. */
+export function toPublic(revision: ConfigRevision): Omit<ConfigRevision, 'inverse'> {
+  const { revision: number, who, why, operationId, atMs, changes } = revision;
+  return { revision: number, who, why, operationId, atMs, changes };
+}
+
 function preview(base: FleetConfig, changes: readonly ConfigChange[]): ChangeResult {
   const applied = applyChecked(base, changes);
   if (applied.kind === 'invalid') return invalidChange(applied.problems);
@@ -229,5 +235,5 @@
 /** Both changes, so that the operator can decide without asking again. */
 function conflict(yours: readonly ConfigChange[], theirs: readonly ConfigRevision[]): AdminError {
   const message = 'the configuration was changed after the revision you read; nothing was applied';
-  return adminError('conflict', message, { yours, theirs });
+  return adminError('conflict', message, { yours, theirs: theirs.map(toPublic) });
 }
--- /dev/null
+++ b/packages/admin/src/fleet/view.ts
@@ -0,0 +1,64 @@
+import { createTRPCClient, httpLink } from '@trpc/client';
+import { describeError } from '@mimosamill/adapters';
+import type { Revision } from '@mimosamill/core';
+import type { ConfigRouter, Member } from '@mimosamill/router';
+import type { TRPCClient } from '@trpc/client';
+import type { FleetView, NodeRevision } from './status';
+
+/** Routers asked at the same time. */
+const CONCURRENCY = 16;
+const TIMEOUT_MS = 2_000;
+
+/** Asks the router on this host for the members, and each of them for its revision. */
+export function createFleetView(routerPeerAddress: string): FleetView {
+  async function revisionOf(member: Member): Promise<Revision | undefined> {
+    if (member.state === 'dead') return undefined;
+    try {
+      const state = await clientOf(member.peerAddress).state.query(undefined, {
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      return state.revision;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function toNode(member: Member): Promise<NodeRevision> {
+    const { routerId, region, failureDomain, state } = member;
+    return { routerId, region, failureDomain, state, revision: await revisionOf(member) };
+  }
+
+  return async () => {
+    try {
+      const members = await clientOf(routerPeerAddress).members.query(undefined, {
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      const nodes = await mapBounded(members as readonly Member[], toNode);
+      return { kind: 'ok', nodes };
+    } catch (error) {
+      return { kind: 'unavailable', message: describeError(error) };
+    }
+  };
+}
+
+function clientOf(peerAddress: string): TRPCClient<ConfigRouter> {
+  // The peer server mounts the procedures under "config." and takes inputs in bodies.
+  const link = httpLink({ url: `http://${peerAddress}`, methodOverride: 'POST' });
+  const client = createTRPCClient<never>({ links: [link] as never }) as unknown;
+  return (client as { config: TRPCClient<ConfigRouter> }).config;
+}
+
+async function mapBounded<T, R>(items: readonly T[], map: (item: T) => Promise<R>): Promise<R[]> {
+  const results: R[] = [];
+  let next = 0;
+  async function work(): Promise<void> {
+    while (next < items.length) {
+      const index = next;
+      next += 1;
+      const item = items[index];
+      if (item !== undefined) results[index] = await map(item);
+    }
+  }
+  await Promise.all(Array.from({ length: CONCURRENCY }, work));
+  return results;
+}
--- /dev/null
+++ b/packages/admin/src/main.ts
@@ -0,0 +1,147 @@
+import 'reflect-metadata';
+import { cac } from 'cac';
+import { container, instanceCachingFactory } from 'tsyringe';
+import {
+  createConfigStore,
+  createHostList,
+  createHttpClient,
+  createLog,
+  createMetrics,
+  createObjects,
+  createSystemClock,
+  createTables,
+  createWeightStore,
+  runProgram,
+} from '@mimosamill/adapters';
+import { createAdminServer } from './api/server';
+import { createConfigAdmin } from './config/admin';
+import { createFirstAdministrator } from './config/first';
+import { createFleetView } from './fleet/view';
+import { createMoveAdmin } from './move/admin';
+import { createFeasibility } from './move/feasibility';
+import { settingsSchema } from './settings';
+import type {
+  Clock,
+  ConfigStore,
+  HttpClient,
+  HttpShell,
+  Log,
+  Metrics,
+  ProgramOptions,
+  RunningProgram,
+  Tables,
+} from '@mimosamill/adapters';
+import type { DependencyContainer, InjectionToken } from 'tsyringe';
+import type { ConfigAdmin } from './config/admin';
+import type { MoveAdmin } from './move/admin';
+import type { AdminSettings } from './settings';
+
+const VERSION = '0.1.0';
+const FIRST_RETRY_MS = 2_000;
+const DRAIN_MS = 5_000;
+
+const TOKENS = {
+  clock: Symbol('clock'),
+  log: Symbol('log'),
+  metrics: Symbol('metrics'),
+  http: Symbol('http'),
+  tables: Symbol('tables'),
+  store: Symbol('store'),
+  config: Symbol('config'),
+  moves: Symbol('moves'),
+  server: Symbol('server'),
+} as const;
+
+/** Registers what the binary is made of; nothing else knows the container. */
+function compose(settings: AdminSettings): DependencyContainer {
+  const root = container.createChildContainer();
+  const platform = { address: settings.platformAddress, timeoutMs: settings.platformTimeoutMs };
+  const add = <T>(token: InjectionToken<T>, create: (c: DependencyContainer) => T): void => {
+    root.register(token, { useFactory: instanceCachingFactory(create) });
+  };
+  add<Clock>(TOKENS.clock, createSystemClock);
+  add<Log>(TOKENS.log, () => createLog('admin', settings.logLevel));
+  add<Metrics>(TOKENS.metrics, createMetrics);
+  add<HttpClient>(TOKENS.http, () => createHttpClient());
+  add<Tables>(TOKENS.tables, (c) => createTables(c.resolve(TOKENS.http), platform));
+  add<ConfigStore>(TOKENS.store, (c) =>
+    createConfigStore(
+      c.resolve(TOKENS.tables),
+      createObjects(c.resolve(TOKENS.http), platform),
+      c.resolve(TOKENS.clock),
+    ),
+  );
+  add<ConfigAdmin>(TOKENS.config, (c) =>
+    createConfigAdmin(c.resolve(TOKENS.store), c.resolve(TOKENS.clock)),
+  );
+  add<MoveAdmin>(TOKENS.moves, (c) => {
+    const http = c.resolve<HttpClient>(TOKENS.http);
+    const clock = c.resolve<Clock>(TOKENS.clock);
+    const feasibility = createFeasibility(
+      createHostList(http, platform),
+      createWeightStore(http, platform),
+      clock,
+    );
+    return createMoveAdmin(c.resolve(TOKENS.tables), clock, feasibility);
+  });
+  add<HttpShell>(TOKENS.server, (c) =>
+    createAdminServer({
+      config: c.resolve(TOKENS.config),
+      moves: c.resolve(TOKENS.moves),
+      fleet: createFleetView(settings.routerPeerAddress),
+      clock: c.resolve(TOKENS.clock),
+      metrics: c.resolve(TOKENS.metrics),
+      log: c.resolve(TOKENS.log),
+      version: VERSION,
+    }),
+  );
+  return root;
+}
+
+/** Tries until there is a configuration, which may need the store to come back. */
+async function ensureFirst(settings: AdminSettings, root: DependencyContainer): Promise<void> {
+  const { firstAdministrator } = settings;
+  if (firstAdministrator === undefined) return;
+  const clock = root.resolve<Clock>(TOKENS.clock);
+  const log = root.resolve<Log>(TOKENS.log);
+  const outcome = await createFirstAdministrator(
+    root.resolve(TOKENS.store),
+    clock,
+    firstAdministrator,
+  );
+  if (outcome === 'retry') {
+    clock.after(FIRST_RETRY_MS, () => {
+      void ensureFirst(settings, root);
+    });
+  } else if (outcome === 'created') {
+    log.info('the first administrator was created', { name: firstAdministrator.name });
+  } else if (outcome !== 'not_needed') {
+    log.error('the first administrator in the settings is not valid', {
+      message: outcome.message,
+    });
+  }
+}
+
+async function start(settings: AdminSettings): Promise<RunningProgram> {
+  const root = compose(settings);
+  const server = root.resolve<HttpShell>(TOKENS.server);
+  const port = await server.listen(settings.ip, settings.port);
+  root.resolve<Log>(TOKENS.log).info('listening', { ip: settings.ip, port });
+  void ensureFirst(settings, root);
+  return {
+    stop: async () => {
+      await server.drain(DRAIN_MS);
+      await root.resolve<HttpClient>(TOKENS.http).close();
+    },
+  };
+}
+
+const cli = cac('mimosamill-admin');
+cli
+  .command('', 'Serve the administration API')
+  .option('--config <file>', 'Settings file')
+  .option('--check-config', 'Check the settings and exit')
+  .action((options: ProgramOptions) => runProgram(options, settingsSchema, start));
+cli.help();
+cli.version(VERSION);
+cli.parse();
--- a/packages/admin/src/move/admin.ts
+++ b/packages/admin/src/move/admin.ts
@@ -35,7 +35,10 @@
 }
 
 /** Says why an order certainly cannot be met; undefined if it may be. */
-export type MoveFeasibility = (order: MoveOrder) => Promise<string | undefined>;
+export type MoveFeasibility = (
+  order: MoveOrder,
+  config: FleetConfig,
+) => Promise<string | undefined>;
 
 /** Orders, shows and cancels version moves; the controller runs them. */
 export interface MoveAdmin {
@@ -221,7 +224,7 @@
     return adminError('move_refused', `${request.service} already runs ${request.toVersion}`);
   }
   if (request.byMs <= nowMs) return adminError('move_refused', 'the deadline has passed');
-  const obstacle = await findObstacle(request);
+  const obstacle = await findObstacle(request, config);
   return obstacle === undefined ? undefined : adminError('move_refused', obstacle);
 }
 
--- /dev/null
+++ b/packages/admin/src/settings.ts
@@ -0,0 +1,25 @@
+import { z } from 'zod';
+
+const address = z.string().regex(/^\S+:\d+$/, 'expected IP:PORT');
+
+/** Settings of the admin binary. */
+export const settingsSchema = z.strictObject({
+  ip: z.string(),
+  port: z.number().int().min(0).max(65_535),
+  /** Tables, object store, host list and weight store. */
+  platformAddress: address,
+  platformTimeoutMs: z.number().int().positive().default(2_000),
+  /** Peer server of the router on this host. */
+  routerPeerAddress: address,
+  logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  /** Used once, while there is no configuration. */
+  firstAdministrator: z
+    .strictObject({
+      team: z.string(),
+      name: z.string(),
+      keyHash: z.string().regex(/^[0-9a-f]{64}$/, 'expected a SHA-256 in lower-case hexadecimal'),
+    })
+    .optional(),
+});
+
+export type AdminSettings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/admin/test/admin.spec.ts
@@ -0,0 +1,249 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { sha256Hex } from '@mimosamill/adapters';
+import { createAdminWorld, FLEET_KEY } from './world';
+import type { AdminWorld } from './world';
+
+const TEAM_KEY = 'team-key';
+const VIEWER_KEY = 'viewer-key';
+
+const SETUP = [
+  {
+    kind: 'put_team',
+    team: {
+      id: 'guides',
+      admins: [
+        { name: 'bo', keyHash: sha256Hex(TEAM_KEY), role: 'team' },
+        { name: 'vi', keyHash: sha256Hex(VIEWER_KEY), role: 'viewer' },
+      ],
+    },
+  },
+  {
+    kind: 'put_service',
+    service: {
+      kind: 'engine',
+      name: 'bench-guide',
+      team: 'guides',
+      model: 'guide',
+      adapters: [],
+      stableVersion: 'v1',
+      fencing: 'enforced',
+    },
+  },
+  {
+    kind: 'put_customer',
+    customer: {
+      id: 'workshop',
+      team: 'guides',
+      keyHashes: [sha256Hex('workshop')],
+      weight: 1,
+      services: ['bench-guide'],
+    },
+  },
+];
+
+const EXCEPTION = {
+  kind: 'put_exception',
+  exception: {
+    id: 'workshop-tokens',
+    scope: { customer: 'workshop' },
+    setting: 'tokensPerSec',
+    value: 40_000,
+    reason: 'exhibition week',
+  },
+};
+
+function limit(value: number): unknown {
+  return { kind: 'set_defaults', defaults: { requestsPerSec: value } };
+}
+
+describe('administration', () => {
+  let world: AdminWorld;
+  let dir: string;
+
+  beforeEach(async () => {
+    world = await createAdminWorld();
+    dir = mkdtempSync(join(tmpdir(), 'mimosamill-admin-'));
+  });
+
+  afterEach(async () => {
+    await world.close();
+    rmSync(dir, { recursive: true, force: true });
+  });
+
+  function fileOf(changes: unknown): string {
+    const file = join(dir, 'changes.json');
+    writeFileSync(file, JSON.stringify(changes));
+    return file;
+  }
+
+  function body(operationId: string, baseRevision: number, changes: readonly unknown[]): object {
+    return { operationId, baseRevision, why: 'test', changes };
+  }
+
+  // Guards against changes in what operators and their scripts see.
+  it('serves a whole session of an operator', async () => {
+    const session: string[] = [];
+    const step = async (
+      title: string,
+      key: string,
+      command: Parameters<AdminWorld['run']>[1],
+    ): Promise<void> => {
+      session.push(`$ ${title}`, await world.run(key, command), '');
+    };
+    const why = { why: 'opening', operationId: 'op-1' };
+    await step('apply setup --dry-run', FLEET_KEY, (c) =>
+      c.apply(fileOf(SETUP), { ...why, dryRun: true }),
+    );
+    await step('apply setup', FLEET_KEY, (c) => c.apply(fileOf(SETUP), why));
+    await step('apply setup again', FLEET_KEY, (c) => c.apply(fileOf(SETUP), why));
+    await step('apply exception', TEAM_KEY, (c) =>
+      c.apply(fileOf([EXCEPTION]), { why: 'more room', operationId: 'op-2' }),
+    );
+    await step('apply defaults as a team', TEAM_KEY, (c) =>
+      c.apply(fileOf([limit(9)]), { why: 'mine', operationId: 'op-3' }),
+    );
+    await step('apply defaults on an old base', FLEET_KEY, (c) =>
+      c.apply(fileOf([limit(9)]), { why: 'late', operationId: 'op-4', base: 2 }),
+    );
+    await step('effective', TEAM_KEY, (c) => c.effective({ customer: 'workshop' }));
+    await step('undo 3', TEAM_KEY, (c) => c.undo('3', { why: 'over', operationId: 'op-5' }));
+    await step('undo 3 again', TEAM_KEY, (c) => c.undo('3', { why: 'over', operationId: 'op-6' }));
+    await step('diff 2 3', VIEWER_KEY, (c) => c.diff('2', '3', {}));
+    await step('history', VIEWER_KEY, (c) => c.history({ limit: 3 }));
+    await step('list services', VIEWER_KEY, (c) => c.list('services', {}));
+    await step('show customer', VIEWER_KEY, (c) => c.show('customers', 'workshop', {}));
+    await step('status', VIEWER_KEY, (c) => c.status({}));
+    const order = { by: '30m', reason: 'better answers', operationId: 'op-7' };
+    await step('impossible move', FLEET_KEY, (c) =>
+      c.orderMove('bench-guide', 'missing', { ...order, operationId: 'op-9' }),
+    );
+    await step('move order', TEAM_KEY, (c) => c.orderMove('bench-guide', 'v2', order));
+    await step('move order again', TEAM_KEY, (c) => c.orderMove('bench-guide', 'v2', order));
+    await step('second move', TEAM_KEY, (c) =>
+      c.orderMove('bench-guide', 'v3', { ...order, operationId: 'op-8' }),
+    );
+    await step('move cancel', TEAM_KEY, (c) => c.cancelMove('m-op-7', { reason: 'wrong version' }));
+    await step('move watch', VIEWER_KEY, (c) => c.watchMove('m-op-7', {}));
+    await step('move list', VIEWER_KEY, (c) => c.listMoves({}));
+    expect(session.join('\n')).toMatchSnapshot();
+  });
+
+  // Guards against a call that is answered without a valid key or role, and against silent denials.
+  it('refuses calls without the right key or role and counts them', async () => {
+    const anonymous = await fetch(`http://${world.address}/v1/export`);
+    expect(anonymous.status).toBe(401);
+    await world.clientOf(FLEET_KEY).post('/v1/revisions', body('op-1', 1, SETUP));
+    const codes = await Promise.all(
+      [
+        world.clientOf('wrong').get('/v1/export'),
+        world.clientOf(TEAM_KEY).get('/v1/export'),
+        world.clientOf(VIEWER_KEY).post('/v1/revisions', body('op-2', 2, [EXCEPTION])),
+        world.clientOf(TEAM_KEY).post('/v1/revisions', body('op-3', 2, [limit(1)])),
+        world.clientOf(FLEET_KEY).get('/v1/export'),
+      ].map(async (call) => {
+        const answer = await call;
+        return answer.kind === 'ok' ? 'ok' : answer.code;
+      }),
+    );
+    expect(codes).toEqual(['unauthorized', 'forbidden', 'forbidden', 'forbidden', 'ok']);
+    const denials = await world.metrics.registry
+      .getSingleMetric('mimosamill_admin_denials_total')
+      ?.get();
+    const total = denials?.values.reduce((sum, { value }) => sum + value, 0);
+    expect(total).toBe(5);
+  });
+
+  // Guards against two operators who are both told that their change was accepted.
+  it('accepts exactly one of two operators who read the same revision', async () => {
+    const client = world.clientOf(FLEET_KEY);
+    const answers = await Promise.all(
+      [1, 2].map((value) => client.post('/v1/revisions', body(`op-${value}`, 1, [limit(value)]))),
+    );
+    expect(answers.map(({ kind }) => kind).sort()).toEqual(['error', 'ok']);
+    const refused = answers.find(({ kind }) => kind === 'error');
+    expect(refused).toMatchObject({
+      code: 'conflict',
+      details: { yours: [{ kind: 'set_defaults' }], theirs: [{ revision: 2 }] },
+    });
+  });
+
+  // Guards against an order that is lost, or carried out twice, because its answer was lost.
+  it('finds an accepted change and an accepted move whose answers were lost', async () => {
+    const client = world.clientOf(FLEET_KEY);
+    world.setFaults({ lostAnswerRatio: 1 });
+    const applied = await client.post('/v1/revisions', body('op-1', 1, SETUP));
+    expect(applied).toMatchObject({ value: { revision: 2, wasLookedUp: true } });
+    const order = {
+      operationId: 'op-2',
+      service: 'bench-guide',
+      toVersion: 'v2',
+      byMs: Date.UTC(2026, 11, 5),
+      reason: 'test',
+    };
+    const moved = await client.post('/v1/moves', order);
+    expect(moved).toMatchObject({ value: { move: { id: 'm-op-2', state: 'running' } } });
+    const moves = await world.tables.scan('moves/', '', 10);
+    expect(moves.kind === 'ok' && moves.rows.length).toBe(1);
+  });
+
+  // Guards against an outage that is mistaken for an acceptance or for missing configuration.
+  it('answers reads and refuses changes while the store is down', async () => {
+    const client = world.clientOf(FLEET_KEY);
+    await client.post('/v1/revisions', body('op-1', 1, SETUP));
+    world.setFaults({ isDown: true });
+    expect((await client.get('/v1/config/services/bench-guide')).kind).toBe('ok');
+    const refused = await client.post('/v1/revisions', body('op-2', 2, [limit(1)]));
+    expect(refused).toMatchObject({ code: 'store_unavailable' });
+    world.setFaults({});
+    const retried = await client.post('/v1/revisions', body('op-2', 2, [limit(1)]));
+    expect(retried).toMatchObject({ value: { revision: 3 } });
+  });
+
+  // Guards against settings that create a second administrator after the first revision.
+  it('creates the first administrator only once', async () => {
+    expect(await world.createFirst('another-key')).toBe('not_needed');
+    expect(await world.clientOf('another-key').get('/v1/export')).toMatchObject({
+      code: 'unauthorized',
+    });
+  });
+
+  // Guards against lists that lose or repeat entries between pages, and unchecked input.
+  it('pages lists and refuses malformed requests', async () => {
+    const client = world.clientOf(FLEET_KEY);
+    const teams = ['a', 'b', 'c', 'd'].map((id) => ({
+      kind: 'put_team',
+      team: { id, admins: [] },
+    }));
+    await client.post('/v1/revisions', body('op-1', 1, teams));
+    const first = await client.get('/v1/config/teams', { limit: 3 });
+    expect(first).toMatchObject({
+      value: { items: [{ id: 'a' }, { id: 'b' }, { id: 'c' }], next: 'c' },
+    });
+    const second = await client.get('/v1/config/teams', { limit: 3, after: 'c' });
+    expect(second).toMatchObject({
+      value: { items: [{ id: 'd' }, { id: 'operators' }], next: null },
+    });
+    const noReason = { operationId: 'op-2', baseRevision: 2, why: ' ', changes: [limit(1)] };
+    expect(await client.post('/v1/revisions', noReason)).toMatchObject({ code: 'bad_request' });
+    const wrong = await client.post('/v1/revisions', body('op-3', 2, [{ kind: 'set_defaults' }]));
+    expect(wrong).toMatchObject({
+      code: 'invalid_change',
+      details: { problems: [{ path: 'changes.0.defaults', message: 'is required' }] },
+    });
+    expect(await client.get('/v1/config/nothing')).toMatchObject({ code: 'not_found' });
+  });
+
+  // Guards against an API whose description misses a route or the change kinds.
+  it('describes itself in OpenAPI', async () => {
+    const answer = await fetch(`http://${world.address}/openapi.json`);
+    const description = (await answer.json()) as { paths: Record<string, object> };
+    const routes = Object.entries(description.paths).flatMap(([path, methods]) =>
+      Object.keys(methods).map((method) => `${method} ${path}`),
+    );
+    expect(routes.sort()).toMatchSnapshot();
+    expect(JSON.stringify(description)).toContain('put_exception');
+  });
+});
--- /dev/null
+++ b/packages/admin/test/world.ts
@@ -0,0 +1,128 @@
+import {
+  createConfigStore,
+  createLog,
+  createMetrics,
+  createSystemClock,
+  sha256Hex,
+} from '@mimosamill/adapters';
+import { asRevision } from '@mimosamill/core';
+import {
+  createFakeObjects,
+  createFakeTables,
+  createTablesModel,
+  NO_FAULTS,
+} from '@mimosamill/fakes';
+import {
+  createAdminClient,
+  createAdminServer,
+  createCommands,
+  createConfigAdmin,
+  createFirstAdministrator,
+  createMoveAdmin,
+} from '../src/index';
+import type { Clock, Metrics, Tables } from '@mimosamill/adapters';
+import type { Region } from '@mimosamill/core';
+import type { StoreFaults } from '@mimosamill/fakes';
+import type { AdminClient, NodeRevision } from '../src/index';
+
+export const FLEET_KEY = 'fleet-key';
+const NOW_MS = Date.UTC(2026, 11, 4, 12, 0, 0);
+
+export interface AdminWorld {
+  readonly metrics: Metrics;
+  readonly tables: Tables;
+  readonly address: string;
+  readonly clientOf: (key: string) => AdminClient;
+  /** Runs a command and returns what it printed, with its exit code. */
+  readonly run: (
+    key: string,
+    command: (commands: ReturnType<typeof createCommands>) => Promise<number>,
+  ) => Promise<string>;
+  readonly setFaults: (faults: Partial<StoreFaults>) => void;
+  /** Creates the first administrator again, as a restarted process would. */
+  readonly createFirst: (key: string) => Promise<unknown>;
+  readonly close: () => Promise<void>;
+}
+
+function node(routerId: string, region: string, revision: number | undefined): NodeRevision {
+  return {
+    routerId,
+    region: region as Region,
+    failureDomain: `${region}-1`,
+    state: 'alive',
+    revision: revision === undefined ? undefined : asRevision(revision),
+  };
+}
+
+/** The administration API on loopback over in-process stand-ins, at a fixed wall-clock time. */
+export async function createAdminWorld(): Promise<AdminWorld> {
+  const system = createSystemClock();
+  const clock: Clock = { ...system, nowMs: () => NOW_MS };
+  let faults: StoreFaults = NO_FAULTS;
+  const tables = createFakeTables(
+    createTablesModel(),
+    clock,
+    () => faults,
+    () => 0,
+  );
+  const objects = createFakeObjects(
+    clock,
+    () => faults,
+    () => 0,
+  );
+  const store = createConfigStore(tables, objects, clock);
+  const metrics = createMetrics();
+  const server = createAdminServer({
+    config: createConfigAdmin(store, clock),
+    moves: createMoveAdmin(tables, clock, async (order) =>
+      order.toVersion === 'missing' ? 'the weight store has no version missing' : undefined,
+    ),
+    fleet: async () => ({
+      kind: 'ok',
+      nodes: [node('r1', 'guild', 4), node('r2', 'guild', 3), node('r3', 'traunsee', undefined)],
+    }),
+    clock,
+    metrics,
+    log: createLog('test', 'silent'),
+    version: '0.0.0',
+  });
+  const createFirst = (key: string): Promise<unknown> =>
+    createFirstAdministrator(store, clock, {
+      team: 'operators',
+      name: 'ana',
+      keyHash: sha256Hex(key),
+    });
+  await createFirst(FLEET_KEY);
+  const address = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
+  const clients = new Map<string, AdminClient>();
+
+  function clientOf(key: string): AdminClient {
+    const known = clients.get(key) ?? createAdminClient({ server: address, key });
+    clients.set(key, known);
+    return known;
+  }
+
+  return {
+    metrics,
+    tables,
+    address,
+    clientOf,
+    createFirst,
+    run: async (key, command) => {
+      const lines: string[] = [];
+      const print = (text: string): void => {
+        lines.push(text);
+      };
+      const context = { client: clientOf(key), print, printError: print, nowMs: () => NOW_MS };
+      const code = await command(createCommands(context));
+      return `${lines.join('\n')}\nexit ${code}`;
+    },
+    setFaults: (next) => {
+      faults = { ...NO_FAULTS, ...next };
+    },
+    close: async () => {
+      await Promise.all([...clients.values()].map((client) => client.close()));
+      await server.close();
+    },
+  };
+}
--- a/packages/core/src/config/diff.ts
+++ b/packages/core/src/config/diff.ts
@@ -50,12 +50,19 @@
 }
 
 function diffValues(before: unknown, after: unknown, path: string): FieldDiff[] {
-  if (isRecord(before) && isRecord(after)) {
-    const keys = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
+  if (isRecord(before ?? after) && isComparable(before) && isComparable(after)) {
+    const old = before ?? {};
+    const now = after ?? {};
+    const keys = [...new Set([...Object.keys(old), ...Object.keys(now)])].sort();
     return keys.flatMap((key) =>
-      diffValues(entryOf(before, key), entryOf(after, key), path === '' ? key : `${path}.${key}`),
+      diffValues(entryOf(old, key), entryOf(now, key), path === '' ? key : `${path}.${key}`),
     );
   }
   if (JSON.stringify(before) === JSON.stringify(after)) return [];
   return [{ path, before: before ?? null, after: after ?? null }];
 }
+
+/** An absent object is compared field by field like an empty one. */
+function isComparable(value: unknown): value is Readonly<Record<string, unknown>> | undefined {
+  return value === undefined || isRecord(value);
+}
--- a/packages/core/src/config/validate.ts
+++ b/packages/core/src/config/validate.ts
@@ -2,7 +2,7 @@
 import { byKind, fields, flag, listOf, mapOf, nullOr, numberIn, oneOf, text } from './shape';
 import type { ConfigChange } from './change';
 import type { ConfigException, FleetConfig, FleetDefaults, ServiceConfig } from './model';
-import type { ConfigProblem, Report, Shape } from './shape';
+import type { ConfigProblem, JsonSchema, Report, Shape } from './shape';
 
 export type ParsedChanges =
   | { readonly kind: 'ok'; readonly changes: readonly ConfigChange[] }
@@ -34,41 +34,42 @@
 
 const RESERVED_IDS = Object.getOwnPropertyNames(Object.prototype);
 
-const name: Shape = (value, path, report) => {
-  text(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/, 'a name of 1 to 63 letters, digits, ".", "_" or "-"')(
-    value,
-    path,
-    report,
-  );
-  if (RESERVED_IDS.includes(String(value))) report(path, 'is a reserved name');
+const nameText = text(
+  /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/,
+  'a name of 1 to 63 letters, digits, ".", "_" or "-"',
+);
+const name: Shape = {
+  schema: nameText.schema,
+  check: (value, path, report) => {
+    nameText.check(value, path, report);
+    if (RESERVED_IDS.includes(String(value))) report(path, 'is a reserved name');
+  },
 };
 const line = text(/^\S(.{0,198}\S)?$/, 'a text of 1 to 200 characters on one line');
 const keyHash = text(/^[0-9a-f]{64}$/, 'a SHA-256 in lower-case hexadecimal');
-const ratio = numberIn(0, 1);
 
-const engineService = fields({
-  required: {
-    kind: oneOf(['engine']),
-    name,
-    team: name,
-    model: line,
-    adapters: listOf(line, MAX_LIST),
-    stableVersion: name,
-    fencing: oneOf(['enforced', 'ignored']),
+const serviceShape = byKind({
+  engine: {
+    required: {
+      name,
+      team: name,
+      model: line,
+      adapters: listOf(line, MAX_LIST),
+      stableVersion: name,
+      fencing: oneOf(['enforced', 'ignored']),
+    },
   },
-});
-
-const plainService = fields({
-  required: {
-    kind: oneOf(['plain']),
-    name,
-    team: name,
-    operations: mapOf(name, fields({ required: { idempotent: flag } })),
-    hasLookup: flag,
+  plain: {
+    required: {
+      name,
+      team: name,
+      operations: mapOf(name, fields({ required: { idempotent: flag } })),
+      hasLookup: flag,
+    },
   },
 });
 
-const customer = fields({
+const customerShape = fields({
   required: {
     id: name,
     team: name,
@@ -78,17 +79,12 @@
   },
 });
 
-const team = fields({
-  required: {
-    id: name,
-    admins: listOf(
-      fields({ required: { name, keyHash, role: oneOf(['fleet', 'team', 'viewer']) } }),
-      MAX_LIST,
-    ),
-  },
+const adminShape = fields({
+  required: { name, keyHash, role: oneOf(['fleet', 'team', 'viewer']) },
 });
+const teamShape = fields({ required: { id: name, admins: listOf(adminShape, MAX_LIST) } });
 
-const exception = fields({
+const exceptionShape = fields({
   required: {
     id: name,
     scope: fields({
@@ -101,44 +97,42 @@
   },
 });
 
-const defaults = fields({
+const defaultsShape = fields({
   required: {},
   optional: Object.fromEntries(
     Object.entries(SETTING_RANGES).map(([setting, [min, max]]) => [setting, numberIn(min, max)]),
   ),
 });
 
-const candidate = fields({ required: { moveId: name, version: name, shareRatio: ratio } });
-
-const kind: Shape = () => {};
+const candidateShape = fields({
+  required: { moveId: name, version: name, shareRatio: numberIn(0, 1) },
+});
 
-const change = byKind({
-  put_service: fields({
-    required: { kind, service: byKind({ engine: engineService, plain: plainService }) },
+const changeList = listOf(
+  byKind({
+    put_service: { required: { service: serviceShape } },
+    remove_service: { required: { service: name } },
+    put_customer: { required: { customer: customerShape } },
+    remove_customer: { required: { customer: name } },
+    put_team: { required: { team: teamShape } },
+    remove_team: { required: { team: name } },
+    put_exception: { required: { exception: exceptionShape } },
+    remove_exception: { required: { exception: name } },
+    set_defaults: { required: { defaults: defaultsShape } },
+    set_stable_version: { required: { service: name, version: name } },
+    set_candidate_version: { required: { service: name, candidate: nullOr(candidateShape) } },
   }),
-  remove_service: fields({ required: { kind, service: name } }),
-  put_customer: fields({ required: { kind, customer } }),
-  remove_customer: fields({ required: { kind, customer: name } }),
-  put_team: fields({ required: { kind, team } }),
-  remove_team: fields({ required: { kind, team: name } }),
-  put_exception: fields({ required: { kind, exception } }),
-  remove_exception: fields({ required: { kind, exception: name } }),
-  set_defaults: fields({ required: { kind, defaults } }),
-  set_stable_version: fields({ required: { kind, service: name, version: name } }),
-  set_candidate_version: fields({
-    required: { kind, service: name, candidate: nullOr(candidate) },
-  }),
-});
+  MAX_CHANGES,
+  1,
+);
+
+/** JSON Schema of a change list. */
+export const CHANGE_LIST_SCHEMA: JsonSchema = changeList.schema;
 
 /** Checks the shape of a change list that came from outside. */
 export function parseChanges(value: unknown): ParsedChanges {
   const problems: ConfigProblem[] = [];
-  listOf(change, MAX_CHANGES)(value, 'changes', (path, message) =>
-    problems.push({ path, message }),
-  );
-  if (Array.isArray(value) && value.length === 0) {
-    problems.push({ path: 'changes', message: 'has no entry' });
-  }
+  changeList.check(value, 'changes', (path, message) => problems.push({ path, message }));
   if (problems.length > 0) return { kind: 'invalid', problems };
   return { kind: 'ok', changes: value as readonly ConfigChange[] };
 }
@@ -212,17 +206,17 @@
 
 function checkPutService(
   existing: ServiceConfig | undefined,
-  service: ServiceConfig,
+  next: ServiceConfig,
   path: string,
   report: Report,
 ): void {
   if (existing === undefined) return;
-  if (existing.kind !== service.kind) {
-    report(`${path}.service.kind`, `service ${service.name} is of the kind ${existing.kind}`);
+  if (existing.kind !== next.kind) {
+    report(`${path}.service.kind`, `service ${next.name} is of the kind ${existing.kind}`);
   } else if (
     existing.kind === 'engine' &&
-    service.kind === 'engine' &&
-    existing.stableVersion !== service.stableVersion
+    next.kind === 'engine' &&
+    existing.stableVersion !== next.stableVersion
   ) {
     report(
       `${path}.service.stableVersion`,
@@ -241,12 +235,12 @@
 }
 
 function checkServices(config: FleetConfig, report: Report): void {
-  Object.values(config.services).forEach((service) => {
-    const path = `services.${service.name}`;
-    if (entryOf(config.teams, service.team) === undefined) {
-      report(`${path}.team`, `there is no team ${service.team}`);
+  Object.values(config.services).forEach((entry) => {
+    const path = `services.${entry.name}`;
+    if (entryOf(config.teams, entry.team) === undefined) {
+      report(`${path}.team`, `there is no team ${entry.team}`);
     }
-    if (service.kind === 'engine' && service.candidate?.version === service.stableVersion) {
+    if (entry.kind === 'engine' && entry.candidate?.version === entry.stableVersion) {
       report(`${path}.candidate`, 'is the stable version');
     }
   });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -101,10 +101,10 @@
 export type { ReaderCandidate } from './config/readers';
 export { EMPTY_CONFIG, createReplica } from './config/replica';
 export type { Replica, ReplicaEffect } from './config/replica';
-export type { ConfigProblem } from './config/shape';
+export type { ConfigProblem, JsonSchema } from './config/shape';
 export { planUndo } from './config/undo';
 export type { UndoPlan } from './config/undo';
-export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export { CHANGE_LIST_SCHEMA, SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
 // membership
--- a/packages/core/test/config.spec.ts
+++ b/packages/core/test/config.spec.ts
@@ -188,7 +188,7 @@
     [[{ kind: 'set_defaults', defaults: { silenceMinMs: 2_000 } }], 'is above silenceMaxMs'],
     [[{ kind: 'remove_customer', customer: 'constructor' }], 'is a reserved name'],
     [[{ kind: 'drop_everything' }], 'changes.0.kind expected one of'],
-    [[], 'has no entry'],
+    [[], 'changes expected 1 to 100 entries'],
     [
       [
         {
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -1,7 +1,7 @@
 import { asRevision, chooseReaders, createReplica } from '@mimosamill/core';
 import { fitMessage, MAX_MESSAGE_CHARS } from './peers';
 import type { Clock, ConfigReader, Log, Metrics } from '@mimosamill/adapters';
-import type { FleetConfig, Hash32, ReplicaEffect, Revision, RouterId } from '@mimosamill/core';
+import type { FleetConfig, Hash32, ReplicaEffect, Revision } from '@mimosamill/core';
 import type { Member, Membership } from '../peer/member';
 import type { ConfigPeerHandler, ConfigPeers, ConfigPush, SnapshotPart } from './peers';
 import type { ConfigSource } from './source';
@@ -33,8 +33,8 @@
   readonly start: () => void;
   readonly stop: () => void;
   readonly revision: () => Revision;
-  /** A member was heard to be at a revision, for example in a membership message. */
-  readonly hear: (revision: Revision, from: RouterId) => void;
+  /** A peer was heard to be at a revision, for example in a membership message. */
+  readonly hear: (revision: Revision, peerAddress: string) => void;
   readonly handler: ConfigPeerHandler;
 }
 
@@ -62,7 +62,7 @@
     return chooseReaders(membership.members(), failureDomain, hash).includes(routerId);
   }
 
-  function perform(effects: readonly ReplicaEffect[], from?: RouterId): void {
+  function perform(effects: readonly ReplicaEffect[], from?: string): void {
     effects.forEach((effect) => {
       switch (effect.kind) {
         case 'changed':
@@ -108,11 +108,11 @@
   async function pushTo(member: Member, push: ConfigPush): Promise<void> {
     const answer = await peers.push(member, push);
     counters.pushes.inc({ outcome: answer.kind });
-    if (answer.kind === 'ok') hear(answer.revision, member.routerId);
+    if (answer.kind === 'ok') hear(answer.revision, member.peerAddress);
   }
 
   /** Tries the member that knows of the revision, then others, then the store. */
-  async function pull(from: RouterId | undefined): Promise<void> {
+  async function pull(from: string | undefined): Promise<void> {
     if (isPulling || replica.current() === undefined) return;
     isPulling = true;
     const candidates = choosePeers(from, PULL_PEERS);
@@ -142,7 +142,7 @@
   }
 
   /** Random reachable members, those of the own failure domain first. */
-  function choosePeers(first: RouterId | undefined, count: number): Member[] {
+  function choosePeers(first: string | undefined, count: number): Member[] {
     const self = membership.self();
     const scored = membership
       .members()
@@ -198,8 +198,8 @@
     isPolling = false;
   }
 
-  function hear(revision: Revision, from: RouterId): void {
-    perform(replica.hear(revision), from);
+  function hear(revision: Revision, peerAddress: string): void {
+    perform(replica.hear(revision), peerAddress);
   }
 
   function snapshotPart(revision: Revision | undefined, offset: number): SnapshotPart {
@@ -273,7 +273,7 @@
   return member.state !== 'dead' && member.state !== 'unreachable';
 }
 
-function peerScore(member: Member, self: Member, first: RouterId | undefined): number {
-  if (member.routerId === first) return 0;
+function peerScore(member: Member, self: Member, first: string | undefined): number {
+  if (member.peerAddress === first) return 0;
   return member.failureDomain === self.failureDomain ? 1 : 2;
 }
--- a/packages/router/src/config/peer.ts
+++ b/packages/router/src/config/peer.ts
@@ -1,11 +1,9 @@
-import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
+import { createPeerRouter, peerProcedure } from '../peer/trpc';
 import { fitMessage } from './peers';
 import type { ConfigRevision, Revision } from '@mimosamill/core';
 import type { ConfigPeerHandler } from './peers';
 
-const trpc = initTRPC.create();
-
 const revisionNumber = z
   .number()
   .int()
@@ -23,24 +21,24 @@
 
 const pushSchema = z.object({ revision: revisionNumber, revisions: z.array(revisionSchema) });
 
-/** Procedures below `config` of the peer server. */
+/** The sub-router to be mounted as 'config'. */
 export function createConfigRouter(handler: ConfigPeerHandler) {
-  return trpc.router({
-    state: trpc.procedure.query(() => ({
+  return createPeerRouter({
+    state: peerProcedure.query(() => ({
       revision: handler.revision(),
       isReady: handler.isReady(),
     })),
-    members: trpc.procedure.query(() => [...handler.members()]),
-    tail: trpc.procedure.input(z.object({ after: revisionNumber })).query(({ input }) => {
+    members: peerProcedure.query(() => [...handler.members()]),
+    tail: peerProcedure.input(z.object({ after: revisionNumber })).query(({ input }) => {
       const revisions = handler.tailAfter(input.after);
       const revision = handler.revision();
       if (revisions === undefined) return { kind: 'gone' as const, revision };
       return { kind: 'tail' as const, revision, revisions: [...fitMessage(revisions)] };
     }),
-    snapshot: trpc.procedure
+    snapshot: peerProcedure
       .input(z.object({ revision: revisionNumber.optional(), offset: z.number().int().min(0) }))
       .query(({ input }) => handler.snapshotPart(input.revision, input.offset)),
-    push: trpc.procedure
+    push: peerProcedure
       .input(pushSchema)
       .mutation(({ input }) => ({ revision: handler.acceptPush(input) })),
   });
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,3 +22,20 @@
 export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
 export { createCallRouter, createOwnerClient } from './call/peer';
 export type { AskPeer, CallRouter } from './call/peer';
+
+// configuration
+export { createConfigPeers } from './config/client';
+export type { ConfigClientOf } from './config/client';
+export { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
+export type { ConfigFeed, ConfigFeedOptions, ConfigFeedSettings } from './config/feed';
+export { createConfigRouter } from './config/peer';
+export type { ConfigRouter } from './config/peer';
+export type {
+  ConfigPeerHandler,
+  ConfigPeers,
+  ConfigPush,
+  PullOutcome,
+  PushOutcome,
+  SnapshotPart,
+} from './config/peers';
+export type { ConfigSource } from './config/source';
