Replicate stream journals to a peer in another failure domain

A router that dies must not take its streams with it. The label in the request id makes a router's streams share one holder, so that tails need one message per flush instead of one per stream. A takeover count keeps the tokens of a paused router apart from those of its successor. Properties cover lost batches, lost answers and restarted holders; no load figures yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -154,3 +154,28 @@
 // leases and orders to engines
 export { createLease } from './order/lease';
 export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
+
+// journal replicas
+export { placementKey, planLookup, rankHolders, toRequestId } from './stream/placement';
+export type { LookupBounds, ReplicaPeer } from './stream/placement';
+export {
+  createReplicaHolder,
+  createReplicaSender,
+  HOLDER_DEFAULTS,
+  isBetter,
+  SENDER_DEFAULTS,
+} from './stream/replica';
+export type {
+  HeldReplica,
+  HolderSettings,
+  Outgoing,
+  OwnStream,
+  ReplicaAnswer,
+  ReplicaBatch,
+  ReplicaEnd,
+  ReplicaHolder,
+  ReplicaSender,
+  ReplicaStart,
+  ReplicaTail,
+  SenderSettings,
+} from './stream/replica';
--- /dev/null
+++ b/packages/core/src/stream/replica.ts
@@ -0,0 +1,580 @@
+import { placementKey, rankHolders } from './placement';
+import type { Hash32 } from '../hash/rendezvous';
+import type { AttemptNo, EngineId, RequestId, RouterId, VersionName } from '../ids';
+import type { ReplicaPeer } from './placement';
+import type { FinishReason } from './session';
+
+/** What another router needs to continue a stream, apart from its tokens. */
+export interface ReplicaStart {
+  readonly requestId: RequestId;
+  /** Hash of the request's body; the caller sends the body again. */
+  readonly bodyHash: string;
+  readonly engineId: EngineId;
+  readonly engineAddress: string;
+  readonly version: VersionName;
+  readonly attemptNo: AttemptNo;
+  /** Routers that served the stream before this one; 0 where it began. */
+  readonly adoptionCount: number;
+}
+
+/** Tokens of one stream from an index on. */
+export interface ReplicaTail {
+  readonly slot: number;
+  readonly fromIndex: number;
+  readonly texts: readonly string[];
+}
+
+export interface ReplicaEnd {
+  readonly slot: number;
+  /** Undefined if the stream ended without a complete answer; it is then forgotten at once. */
+  readonly reason: FinishReason | undefined;
+}
+
+/**
+ * Everything that one router tells a holder at a time. Slots are small numbers that stand for
+ * request ids: at three tokens a message the ids would outweigh the tokens.
+ */
+export interface ReplicaBatch {
+  readonly origin: RouterId;
+  readonly incarnation: number;
+  readonly starts: readonly (ReplicaStart & { readonly slot: number })[];
+  readonly tails: readonly ReplicaTail[];
+  readonly ends: readonly ReplicaEnd[];
+}
+
+/** The holder's answer. */
+export interface ReplicaAnswer {
+  /** Slots whose whole journal the holder needs. */
+  readonly missing: readonly number[];
+  /** Slots that the holder has no room for. */
+  readonly refused: readonly number[];
+  /** Slots whose request another router has taken over since. */
+  readonly superseded: readonly number[];
+}
+
+export interface SenderSettings {
+  readonly self: ReplicaPeer;
+  readonly incarnation: number;
+  readonly hash: Hash32;
+  readonly maxBatchBytes: number;
+  /** Messages per flush; streams beyond them wait for the next one. */
+  readonly maxBatches: number;
+  /** Time during which a holder that did not answer is passed over. */
+  readonly avoidMs: number;
+  /** An idle stream is shown to its holder this often. */
+  readonly touchEveryMs: number;
+}
+
+export const SENDER_DEFAULTS = {
+  maxBatchBytes: 16_384,
+  maxBatches: 4,
+  avoidMs: 10_000,
+  touchEveryMs: 30_000,
+} as const;
+
+export interface Outgoing {
+  readonly to: ReplicaPeer;
+  readonly batch: ReplicaBatch;
+}
+
+/** A running stream as its own router knows it. */
+export interface OwnStream {
+  readonly start: ReplicaStart;
+  readonly texts: readonly string[];
+  readonly reason: FinishReason | undefined;
+}
+
+/** Sends the tails of this router's streams. */
+export interface ReplicaSender {
+  readonly onStart: (start: ReplicaStart, texts: readonly string[]) => void;
+  /** The stream moved to another engine or attempt. */
+  readonly onAttempt: (start: ReplicaStart) => void;
+  readonly onToken: (requestId: RequestId, index: number, text: string) => void;
+  readonly onEnd: (requestId: RequestId, reason: FinishReason | undefined) => void;
+  readonly onPeers: (peers: readonly ReplicaPeer[]) => void;
+  readonly flush: (nowMs: number) => Outgoing[];
+  /** Returns the requests that another router has taken over. */
+  readonly onAnswer: (to: RouterId, answer: ReplicaAnswer, nowMs: number) => RequestId[];
+  readonly onFailure: (to: RouterId, nowMs: number) => void;
+  readonly find: (requestId: RequestId) => OwnStream | undefined;
+  /** Stops sending a stream that another router has taken over. */
+  readonly release: (requestId: RequestId) => void;
+  readonly size: () => number;
+}
+
+interface Stream {
+  start: ReplicaStart;
+  readonly slot: number;
+  readonly texts: string[];
+  holder: ReplicaPeer | undefined;
+  /** Tokens that were sent to the present holder. */
+  sentCount: number;
+  isStartSent: boolean;
+  touchedMs: number;
+  /** Passed over until then, because the holder had no room. */
+  waitUntilMs: number;
+  end: ReplicaEnd | undefined;
+}
+
+interface HolderState {
+  isBusy: boolean;
+  avoidUntilMs: number;
+  /** Streams whose end the message under way contains. */
+  ending: Stream[];
+}
+
+const START_BYTES = 64;
+const TAIL_BYTES = 8;
+/** Pause before a stream is offered again to a holder that had no room for it. */
+const REFUSED_WAIT_MS = 5_000;
+
+export function createReplicaSender(settings: SenderSettings): ReplicaSender {
+  const streams = new Map<RequestId, Stream>();
+  const bySlot = new Map<number, Stream>();
+  const holders = new Map<RouterId, HolderState>();
+  const ranks = new Map<string, readonly ReplicaPeer[]>();
+  let peers: readonly ReplicaPeer[] = [];
+  let lastSlot = 0;
+  let rotation = 0;
+
+  function holderState(routerId: RouterId): HolderState {
+    const known = holders.get(routerId);
+    if (known !== undefined) return known;
+    const created: HolderState = { isBusy: false, avoidUntilMs: 0, ending: [] };
+    holders.set(routerId, created);
+    return created;
+  }
+
+  function ranked(requestId: RequestId): readonly ReplicaPeer[] {
+    const key = placementKey(requestId);
+    const known = ranks.get(key);
+    if (known !== undefined) return known;
+    const found = rankHolders(key, settings.self, peers, settings.hash);
+    ranks.set(key, found);
+    return found;
+  }
+
+  function chooseHolder(stream: Stream, nowMs: number): ReplicaPeer | undefined {
+    return ranked(stream.start.requestId).find(
+      (peer) => (holders.get(peer.routerId)?.avoidUntilMs ?? 0) <= nowMs,
+    );
+  }
+
+  /** Whether the holder lacks something; a new holder lacks everything. */
+  function refresh(stream: Stream, nowMs: number): boolean {
+    if (stream.waitUntilMs > nowMs) return false;
+    const holder = chooseHolder(stream, nowMs);
+    if (holder?.routerId !== stream.holder?.routerId) {
+      stream.holder = holder;
+      resend(stream);
+    }
+    if (holder === undefined) {
+      if (stream.end !== undefined) remove(stream);
+      return false;
+    }
+    const isIdle = nowMs - stream.touchedMs >= settings.touchEveryMs;
+    const hasNews = !stream.isStartSent || stream.sentCount < stream.texts.length;
+    return hasNews || isIdle || stream.end !== undefined;
+  }
+
+  function resend(stream: Stream): void {
+    stream.sentCount = 0;
+    stream.isStartSent = false;
+  }
+
+  function flush(nowMs: number): Outgoing[] {
+    const groups = new Map<RouterId, Stream[]>();
+    streams.forEach((stream) => {
+      if (!refresh(stream, nowMs) || stream.holder === undefined) return;
+      const { routerId } = stream.holder;
+      if (holderState(routerId).isBusy) return;
+      const group = groups.get(routerId) ?? [];
+      group.push(stream);
+      groups.set(routerId, group);
+    });
+    const ids = [...groups.keys()];
+    rotation += 1;
+    const offset = ids.length > settings.maxBatches ? rotation * settings.maxBatches : 0;
+    return ids.slice(0, settings.maxBatches).flatMap((_, step) => {
+      const routerId = ids[(offset + step) % ids.length];
+      const group = routerId === undefined ? undefined : groups.get(routerId);
+      return group === undefined ? [] : (createBatch(group, nowMs) ?? []);
+    });
+  }
+
+  function createBatch(group: readonly Stream[], nowMs: number): Outgoing | undefined {
+    const to = group[0]?.holder;
+    if (to === undefined) return undefined;
+    const starts: (ReplicaStart & { slot: number })[] = [];
+    const tails: ReplicaTail[] = [];
+    const ends: ReplicaEnd[] = [];
+    const ending: Stream[] = [];
+    let roomBytes = settings.maxBatchBytes;
+    // The longest-waiting streams come first, so that one long journal holds up nobody for ever.
+    [...group]
+      .sort((a, b) => a.touchedMs - b.touchedMs)
+      .forEach((stream) => {
+        if (roomBytes <= 0) return;
+        if (!stream.isStartSent) {
+          starts.push({ ...stream.start, slot: stream.slot });
+          roomBytes -= startSizeBytes(stream.start);
+          stream.isStartSent = true;
+        }
+        const tail = takeTail(stream, roomBytes);
+        roomBytes -= tailSizeBytes(tail);
+        tails.push(tail);
+        stream.touchedMs = nowMs;
+        if (stream.end !== undefined && stream.sentCount === stream.texts.length) {
+          ends.push(stream.end);
+          ending.push(stream);
+        }
+      });
+    Object.assign(holderState(to.routerId), { isBusy: true, ending });
+    const { incarnation } = settings;
+    const batch = { origin: settings.self.routerId, incarnation, starts, tails, ends };
+    return { to, batch };
+  }
+
+  function takeTail(stream: Stream, roomBytes: number): ReplicaTail {
+    const texts: string[] = [];
+    let bytes = TAIL_BYTES;
+    const fromIndex = stream.sentCount;
+    for (let index = fromIndex; index < stream.texts.length && bytes < roomBytes; index += 1) {
+      const text = stream.texts[index] ?? '';
+      texts.push(text);
+      bytes += textSizeBytes(text);
+    }
+    stream.sentCount += texts.length;
+    return { slot: stream.slot, fromIndex, texts };
+  }
+
+  function onAnswer(to: RouterId, answer: ReplicaAnswer, nowMs: number): RequestId[] {
+    const state = holderState(to);
+    const { ending } = state;
+    Object.assign(state, { isBusy: false, ending: [] });
+    answer.missing.forEach((slot) => {
+      const stream = bySlot.get(slot);
+      if (stream?.holder?.routerId === to) resend(stream);
+    });
+    answer.refused.forEach((slot) => {
+      const stream = bySlot.get(slot);
+      if (stream === undefined) return;
+      resend(stream);
+      stream.waitUntilMs = nowMs + REFUSED_WAIT_MS;
+    });
+    // A refused stream that has ended needs no holder any more.
+    ending
+      .filter((stream) => !answer.missing.includes(stream.slot))
+      .forEach((stream) => remove(stream));
+    return answer.superseded.flatMap((slot) => {
+      const stream = bySlot.get(slot);
+      if (stream === undefined) return [];
+      remove(stream);
+      return [stream.start.requestId];
+    });
+  }
+
+  function onFailure(to: RouterId, nowMs: number): void {
+    Object.assign(holderState(to), {
+      isBusy: false,
+      ending: [],
+      avoidUntilMs: nowMs + settings.avoidMs,
+    });
+    // Nobody knows which part of the message arrived.
+    streams.forEach((stream) => {
+      if (stream.holder?.routerId !== to) return;
+      stream.holder = undefined;
+      resend(stream);
+    });
+  }
+
+  function remove(stream: Stream): void {
+    bySlot.delete(stream.slot);
+    if (streams.get(stream.start.requestId) === stream) streams.delete(stream.start.requestId);
+  }
+
+  return {
+    onStart: (start, texts) => {
+      const earlier = streams.get(start.requestId);
+      if (earlier !== undefined) remove(earlier);
+      lastSlot += 1;
+      const stream: Stream = {
+        start,
+        slot: lastSlot,
+        texts: [...texts],
+        holder: undefined,
+        sentCount: 0,
+        isStartSent: false,
+        touchedMs: 0,
+        waitUntilMs: 0,
+        end: undefined,
+      };
+      streams.set(start.requestId, stream);
+      bySlot.set(stream.slot, stream);
+    },
+    onAttempt: (start) => {
+      const stream = streams.get(start.requestId);
+      if (stream === undefined) return;
+      stream.start = start;
+      stream.isStartSent = false;
+    },
+    onToken: (requestId, index, text) => {
+      const stream = streams.get(requestId);
+      if (stream?.texts.length === index) stream.texts.push(text);
+    },
+    onEnd: (requestId, reason) => {
+      const stream = streams.get(requestId);
+      if (stream === undefined) return;
+      stream.end = { slot: stream.slot, reason };
+    },
+    onPeers: (next) => {
+      peers = next;
+      ranks.clear();
+      const ids = new Set(next.map(({ routerId }) => routerId));
+      holders.forEach((state, routerId) => {
+        if (!ids.has(routerId) && !state.isBusy) holders.delete(routerId);
+      });
+    },
+    flush,
+    onAnswer,
+    onFailure,
+    find: (requestId) => {
+      const stream = streams.get(requestId);
+      if (stream === undefined) return undefined;
+      return { start: stream.start, texts: stream.texts, reason: stream.end?.reason };
+    },
+    release: (requestId) => {
+      const stream = streams.get(requestId);
+      if (stream !== undefined) remove(stream);
+    },
+    size: () => streams.size,
+  };
+}
+
+export interface HolderSettings {
+  readonly maxBytes: number;
+  /** Time for which a finished stream is kept for callers that come back. */
+  readonly windowMs: number;
+  /** A stream that was not heard of for this long has lost its router, and its caller as well. */
+  readonly idleMs: number;
+}
+
+export const HOLDER_DEFAULTS: HolderSettings = {
+  maxBytes: 16_777_216,
+  windowMs: 30_000,
+  idleMs: 90_000,
+};
+
+/** A replica as the holder knows it. */
+export interface HeldReplica {
+  readonly origin: RouterId;
+  readonly start: ReplicaStart;
+  readonly texts: readonly string[];
+  /** Set once the answer is complete. */
+  readonly reason: FinishReason | undefined;
+}
+
+/** Keeps the tails of other routers' streams. */
+export interface ReplicaHolder {
+  readonly onBatch: (batch: ReplicaBatch, nowMs: number) => ReplicaAnswer;
+  readonly find: (requestId: RequestId) => HeldReplica | undefined;
+  /** Forgets what is too old. */
+  readonly expire: (nowMs: number) => void;
+  readonly sizeBytes: () => number;
+  readonly size: () => number;
+}
+
+interface Held {
+  readonly origin: RouterId;
+  start: ReplicaStart;
+  readonly texts: string[];
+  sizeBytes: number;
+  reason: FinishReason | undefined;
+  expiresAtMs: number;
+}
+
+/** Memory of an entry without its tokens. */
+const ENTRY_BYTES = 512;
+/** Memory of a token without its text: a pointer and a string header. */
+const TOKEN_BYTES = 24;
+
+export function createReplicaHolder(settings: HolderSettings): ReplicaHolder {
+  const origins = new Map<RouterId, { incarnation: number; slots: Map<number, Held> }>();
+  const byRequest = new Map<RequestId, Set<Held>>();
+  let totalBytes = 0;
+
+  function slotsOf(batch: ReplicaBatch): Map<number, Held> | undefined {
+    const known = origins.get(batch.origin);
+    if (known !== undefined && known.incarnation > batch.incarnation) return undefined;
+    if (known !== undefined && known.incarnation === batch.incarnation) return known.slots;
+    // Slots of an earlier life of the router stay findable until they expire.
+    const slots = new Map<number, Held>();
+    origins.set(batch.origin, { incarnation: batch.incarnation, slots });
+    return slots;
+  }
+
+  function open(slot: number, slots: Map<number, Held>, origin: RouterId, start: ReplicaStart) {
+    const known = slots.get(slot);
+    if (known !== undefined) {
+      known.start = start;
+      return known;
+    }
+    const held: Held = {
+      origin,
+      start,
+      texts: [],
+      sizeBytes: ENTRY_BYTES,
+      reason: undefined,
+      expiresAtMs: 0,
+    };
+    slots.set(slot, held);
+    totalBytes += ENTRY_BYTES;
+    const sameRequest = byRequest.get(start.requestId) ?? new Set();
+    byRequest.set(start.requestId, sameRequest.add(held));
+    return held;
+  }
+
+  function append(held: Held, tail: ReplicaTail): boolean {
+    if (tail.fromIndex > held.texts.length) return false;
+    const known = held.texts.length - tail.fromIndex;
+    tail.texts.slice(known).forEach((text) => {
+      const bytes = TOKEN_BYTES + textSizeBytes(text);
+      held.texts.push(text);
+      held.sizeBytes += bytes;
+      totalBytes += bytes;
+    });
+    return true;
+  }
+
+  function forget(held: Held): void {
+    const sameRequest = byRequest.get(held.start.requestId);
+    if (sameRequest?.delete(held) !== true) return;
+    totalBytes -= held.sizeBytes;
+    if (sameRequest.size === 0) byRequest.delete(held.start.requestId);
+  }
+
+  function onBatch(batch: ReplicaBatch, nowMs: number): ReplicaAnswer {
+    const slots = slotsOf(batch);
+    // A message of an earlier life of the router changes nothing.
+    if (slots === undefined) return { missing: [], refused: [], superseded: [] };
+    const refused = new Set<number>();
+    const missing = new Set<number>();
+    batch.starts.forEach((start) => {
+      const hasRoom = slots.has(start.slot) || totalBytes < settings.maxBytes;
+      if (hasRoom) open(start.slot, slots, batch.origin, withoutSlot(start));
+      else refused.add(start.slot);
+    });
+    batch.tails.forEach((tail) => {
+      if (refused.has(tail.slot)) return;
+      const held = slots.get(tail.slot);
+      if (held === undefined || !append(held, tail)) missing.add(tail.slot);
+      else held.expiresAtMs = nowMs + settings.idleMs;
+    });
+    batch.ends.forEach(({ slot, reason }) => {
+      const held = slots.get(slot);
+      if (held === undefined || missing.has(slot)) return;
+      held.reason = reason;
+      held.expiresAtMs = nowMs + settings.windowMs;
+      slots.delete(slot);
+      if (reason === undefined) forget(held);
+    });
+    // A stream that outgrows the memory goes, rather than all others.
+    if (totalBytes > settings.maxBytes) shrink(slots, refused);
+    const superseded = batch.tails
+      .map(({ slot }) => slot)
+      .filter((slot) => isSuperseded(slots.get(slot)));
+    return { missing: [...missing], refused: [...refused], superseded };
+  }
+
+  function isSuperseded(held: Held | undefined): boolean {
+    if (held === undefined) return false;
+    const sameRequest = [...(byRequest.get(held.start.requestId) ?? [])];
+    return sameRequest.some((other) => other.start.adoptionCount > held.start.adoptionCount);
+  }
+
+  function shrink(slots: Map<number, Held>, refused: Set<number>): void {
+    byRequest.forEach((sameRequest) => {
+      sameRequest.forEach((held) => {
+        if (held.reason !== undefined && totalBytes > settings.maxBytes) forget(held);
+      });
+    });
+    [...slots.entries()]
+      .sort(([, a], [, b]) => b.sizeBytes - a.sizeBytes)
+      .forEach(([slot, held]) => {
+        if (totalBytes <= settings.maxBytes) return;
+        slots.delete(slot);
+        forget(held);
+        refused.add(slot);
+      });
+  }
+
+  function expire(nowMs: number): void {
+    byRequest.forEach((sameRequest) => {
+      sameRequest.forEach((held) => {
+        if (held.expiresAtMs <= nowMs) forget(held);
+      });
+    });
+    origins.forEach(({ slots }, origin) => {
+      slots.forEach((held, slot) => {
+        if (held.expiresAtMs <= nowMs) slots.delete(slot);
+      });
+      if (slots.size === 0 && !hasEntries(origin)) origins.delete(origin);
+    });
+  }
+
+  function hasEntries(origin: RouterId): boolean {
+    return [...byRequest.values()].some((held) => [...held].some((one) => one.origin === origin));
+  }
+
+  return {
+    onBatch,
+    find: (requestId) => {
+      const found = [...(byRequest.get(requestId) ?? [])];
+      return found.reduce<Held | undefined>(
+        (best, held) => (best === undefined || isBetter(held, best) ? held : best),
+        undefined,
+      );
+    },
+    expire,
+    sizeBytes: () => totalBytes,
+    size: () => byRequest.size,
+  };
+}
+
+/**
+ * Whether `next` serves better than `known`. After a takeover the earlier router may go on, with
+ * tokens that the caller never gets, so the latest takeover counts before the length.
+ */
+export function isBetter(
+  next: Pick<HeldReplica, 'start' | 'texts' | 'reason'>,
+  known: Pick<HeldReplica, 'start' | 'texts' | 'reason'>,
+): boolean {
+  const [takenOver, before] = [next.start.adoptionCount, known.start.adoptionCount];
+  if (takenOver !== before) return takenOver > before;
+  if (next.texts.length !== known.texts.length) return next.texts.length > known.texts.length;
+  return next.reason !== undefined && known.reason === undefined;
+}
+
+function withoutSlot(start: ReplicaStart & { readonly slot: number }): ReplicaStart {
+  const { requestId, bodyHash, engineId, engineAddress, version, attemptNo, adoptionCount } = start;
+  return { requestId, bodyHash, engineId, engineAddress, version, attemptNo, adoptionCount };
+}
+
+function startSizeBytes(start: ReplicaStart): number {
+  const { requestId, bodyHash, engineId, engineAddress, version } = start;
+  const texts = [requestId, bodyHash, engineId, engineAddress, version];
+  return texts.reduce((sum, text) => sum + textSizeBytes(text), START_BYTES);
+}
+
+function tailSizeBytes(tail: ReplicaTail): number {
+  return tail.texts.reduce((sum, text) => sum + textSizeBytes(text), TAIL_BYTES);
+}
+
+/** Upper estimate without encoding the text: one header, and three bytes a non-ASCII unit. */
+function textSizeBytes(text: string): number {
+  let bytes = 1;
+  for (let index = 0; index < text.length; index += 1) {
+    bytes += text.charCodeAt(index) < 128 ? 1 : 3;
+  }
+  return bytes;
+}
--- /dev/null
+++ b/packages/core/test/replica.spec.ts
@@ -0,0 +1,177 @@
+import { createHashes } from '@mimosamill/adapters';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  asAttemptNo,
+  asId,
+  createReplicaHolder,
+  createReplicaSender,
+  HOLDER_DEFAULTS,
+  placementKey,
+  planLookup,
+  SENDER_DEFAULTS,
+  toRequestId,
+} from '../src/index';
+import type { ReplicaHolder, ReplicaPeer, ReplicaSender, ReplicaStart, RequestId } from '../src';
+
+const { hash32 } = await createHashes();
+
+function createPeer(name: string, failureDomain: string): ReplicaPeer {
+  return {
+    routerId: asId(name),
+    peerAddress: name,
+    region: asId('north'),
+    failureDomain: asId(failureDomain),
+  };
+}
+
+const SELF = createPeer('self', 'a');
+const PEERS = [createPeer('p1', 'b'), createPeer('p2', 'b'), createPeer('p3', 'c')];
+
+function createStart(requestId: RequestId, adoptionCount = 0): ReplicaStart {
+  return {
+    requestId,
+    bodyHash: 'h',
+    engineId: asId('e1'),
+    engineAddress: '10.0.0.1:80',
+    version: asId('v1'),
+    attemptNo: asAttemptNo(1),
+    adoptionCount,
+  };
+}
+
+function createSender(self = SELF, maxBatchBytes = 200): ReplicaSender {
+  const sender = createReplicaSender({
+    ...SENDER_DEFAULTS,
+    self,
+    incarnation: 1,
+    hash: hash32,
+    maxBatchBytes,
+  });
+  sender.onPeers([SELF, ...PEERS]);
+  return sender;
+}
+
+/** What happens to one flush: delivered, or lost before or after the holder has it. */
+const fateArbitrary = fc.constantFrom('ok', 'ok', 'ok', 'lost', 'answer lost', 'restart');
+
+function deliver(
+  sender: ReplicaSender,
+  holders: Map<string, ReplicaHolder>,
+  fate: string,
+  nowMs: number,
+): void {
+  sender.flush(nowMs).forEach(({ to, batch }) => {
+    if (fate === 'restart') holders.set(to.routerId, createReplicaHolder(HOLDER_DEFAULTS));
+    if (fate === 'lost') {
+      sender.onFailure(to.routerId, nowMs);
+      return;
+    }
+    const answer = holders.get(to.routerId)?.onBatch(batch, nowMs);
+    if (fate === 'answer lost' || answer === undefined) sender.onFailure(to.routerId, nowMs);
+    else sender.onAnswer(to.routerId, answer, nowMs);
+  });
+}
+
+function createHolders(maxBytes = HOLDER_DEFAULTS.maxBytes): Map<string, ReplicaHolder> {
+  return new Map(
+    PEERS.map(({ routerId }) => [routerId, createReplicaHolder({ ...HOLDER_DEFAULTS, maxBytes })]),
+  );
+}
+
+describe('journal replicas', () => {
+  // Guards against a replica with a gap or a wrong token after lost messages and new holders.
+  it('are always a prefix of the journal, and whole once the network works again', () => {
+    const property = fc.property(
+      fc.array(fc.tuple(fc.nat({ max: 5 }), fateArbitrary), { maxLength: 60 }),
+      fc.integer({ min: 1, max: 5 }),
+      (steps, streamCount) => {
+        const sender = createSender();
+        const holders = createHolders();
+        const ids = Array.from({ length: streamCount }, (_, n) => toRequestId('self', `${n}`));
+        const texts = new Map<RequestId, string[]>(ids.map((id) => [id, []]));
+        ids.forEach((id) => sender.onStart(createStart(id), []));
+        let nowMs = 0;
+        const check = (): void => {
+          holders.forEach((holder) => {
+            ids.forEach((id) => {
+              const held = holder.find(id)?.texts ?? [];
+              expect(held).toEqual(texts.get(id)?.slice(0, held.length));
+            });
+          });
+        };
+        steps.forEach(([count, fate]) => {
+          ids.forEach((id) => {
+            for (let n = 0; n < count; n += 1) {
+              const known = texts.get(id) ?? [];
+              sender.onToken(id, known.length, ` t${known.length}`);
+              known.push(` t${known.length}`);
+            }
+          });
+          nowMs += 100;
+          deliver(sender, holders, fate, nowMs);
+          check();
+        });
+        for (let n = 0; n < 200; n += 1) {
+          nowMs += 100;
+          deliver(sender, holders, 'ok', nowMs);
+        }
+        ids.forEach((id) => {
+          const lengths = [...holders.values()].map((holder) => holder.find(id)?.texts.length ?? 0);
+          expect(Math.max(...lengths)).toBe(texts.get(id)?.length);
+        });
+      },
+    );
+    fc.assert(property, { seed: 31, numRuns: 200 });
+  });
+
+  // Guards against a holder whose memory grows with the load, or that keeps what has ended.
+  it('stay within the memory of the holder and go a window after the end', () => {
+    const sender = createSender(SELF, 16_384);
+    const holders = createHolders(20_000);
+    const ids = Array.from({ length: 100 }, (_, n) => toRequestId('self', `${n}`));
+    ids.forEach((id) => sender.onStart(createStart(id), ['one', 'two']));
+    deliver(sender, holders, 'ok', 100);
+    const busy = [...holders.values()].find((holder) => holder.size() > 0) as ReplicaHolder;
+    expect(busy.sizeBytes()).toBeLessThanOrEqual(20_000 + 1_024);
+    expect(busy.size()).toBeGreaterThan(10);
+    ids.forEach((id) => sender.onEnd(id, 'stop'));
+    for (let nowMs = 200; nowMs < 20_000; nowMs += 100) deliver(sender, holders, 'ok', nowMs);
+    expect(sender.size()).toBe(0);
+    const kept = ids.filter((id) => busy.find(id)?.reason === 'stop');
+    expect(kept.length).toBeGreaterThan(10);
+    busy.expire(20_000 + HOLDER_DEFAULTS.windowMs);
+    expect(busy.size()).toBe(0);
+    expect(busy.sizeBytes()).toBe(0);
+  });
+
+  // Guards against joining the tokens of a paused router to those of its successor.
+  it('prefer the latest takeover and tell the earlier router of it', () => {
+    const id = toRequestId('self', '1');
+    const holder = createReplicaHolder(HOLDER_DEFAULTS);
+    const before = createSender();
+    before.onStart(createStart(id), ['a', 'b', 'late', 'tokens']);
+    const after = createSender(createPeer('other', 'a'));
+    after.onStart(createStart(id, 1), ['a', 'b', 'c']);
+    const [first] = before.flush(0);
+    const [second] = after.flush(0);
+    if (first === undefined || second === undefined) throw new Error('nothing was sent');
+    expect(holder.onBatch(first.batch, 0).superseded).toEqual([]);
+    holder.onBatch(second.batch, 0);
+    expect(holder.find(id)?.texts).toEqual(['a', 'b', 'c']);
+    const answer = holder.onBatch(first.batch, 10);
+    expect(before.onAnswer(first.to.routerId, answer, 10)).toEqual([id]);
+    expect(before.size()).toBe(0);
+  });
+
+  // Guards against a lookup that misses the holder or floods the region.
+  it('are looked up at the best of each failure domain first, then at a bounded rest', () => {
+    const peers = Array.from({ length: 120 }, (_, n) => createPeer(`r${n}`, `d${n % 3}`));
+    const groups = planLookup('label', asId('north'), peers, hash32);
+    expect(groups[0]?.length).toBe(9);
+    expect(groups.flat().length).toBe(9 + 32);
+    expect(new Set(groups.flat().map(({ routerId }) => routerId)).size).toBe(9 + 32);
+    expect(placementKey(asId('label.1'))).toBe('label');
+    expect(placementKey(asId('plain'))).toBe('plain');
+  });
+});
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,3 +22,7 @@
 export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
 export { createCallRouter, createOwnerClient } from './call/peer';
 export type { AskPeer, CallRouter } from './call/peer';
+
+// journal replicas
+export { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
+export type { FindOutcome, ReplicaDeps, Replicas, ReplicaSettings } from './stream/replica';
