Pass quantised engine loads down a tree within the region

Reading 600 engines from every router would cost each engine 340 requests per report. Two assigned readers an engine publish changes in 12 bytes an engine; they rise to the root of a tree of fan-out 3 and go down from there. Sequence numbers per reader show losses, and a full digest from the parent or the reader repairs them. The second reader stays silent while the first one's entries are right.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -207,3 +207,17 @@
   ReplicaTail,
   SenderSettings,
 } from './stream/replica';
+
+// load digests
+export { createDigests, DIGEST_DEFAULTS, toSection } from './member/digest';
+export type {
+  DigestName,
+  DigestOutcome,
+  Digests,
+  DigestSection,
+  DigestSettings,
+} from './member/digest';
+export { ENTRY_BYTES, packEntries, quantise, toReport, unpackEntries } from './member/load-entry';
+export type { EngineReport, LoadEntry } from './member/load-entry';
+export { findReaders, findTreePlace } from './member/tree';
+export type { TreeMember, TreePlace } from './member/tree';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -35,3 +35,7 @@
 // journal replicas
 export { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
 export type { FindOutcome, ReplicaDeps, Replicas, ReplicaSettings } from './stream/replica';
+
+// load digests
+export { createLoadDigests } from './peer/digest';
+export type { DigestDeps, DigestEngine, LoadDigests } from './peer/digest';
--- /dev/null
+++ b/packages/router/src/peer/digest.ts
@@ -0,0 +1,307 @@
+import {
+  createDigests,
+  DIGEST_DEFAULTS,
+  findReaders,
+  findTreePlace,
+  packEntries,
+  shuffle,
+  toSection,
+} from '@mimosamill/core';
+import { octetInputParser } from '@trpc/server/http';
+import { pack, unpack } from 'msgpackr';
+import { z } from 'zod';
+import { readBytes } from './binary';
+import { createPeerRouter, peerProcedure } from './trpc';
+import type { Clock } from '@mimosamill/adapters';
+import type {
+  DigestSection,
+  EngineId,
+  EngineReport,
+  Hash32,
+  Region,
+  TreePlace,
+} from '@mimosamill/core';
+import type { Member, Membership } from './member';
+import type { PeerPool } from './pool';
+
+/** An engine whose load is to be read. */
+export interface DigestEngine {
+  readonly engineId: EngineId;
+  readonly region: Region;
+}
+
+export interface DigestDeps {
+  readonly membership: Membership;
+  readonly pool: PeerPool;
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  readonly random: () => number;
+  /** Engines of all regions; those of other regions are left to their own routers. */
+  readonly engines: () => readonly DigestEngine[];
+  /** Reads one engine's load; undefined if it does not answer. */
+  readonly readLoad: (engineId: EngineId) => Promise<EngineReport | undefined>;
+}
+
+/** Loads of the region's engines, of which this router reads only a few. */
+export interface LoadDigests {
+  /** To be mounted as 'digest'. */
+  readonly router: DigestRouter;
+  readonly start: () => void;
+  readonly stop: () => void;
+  readonly loads: () => ReadonlyMap<EngineId, EngineReport>;
+  /** Calls back when loads have been read or received. */
+  readonly onLoads: (fn: () => void) => void;
+}
+
+const PERIOD_MS = 1_000;
+/** Each level of the tree sends this much later than the one below it. */
+const LEVEL_MS = 80;
+const MAX_MESSAGE_BYTES = 262_144;
+const MAX_PENDING_SECTIONS = 1_024;
+const CALL_TIMEOUT_MS = 1_000;
+const REPAIR_SPREAD_MS = 500;
+/** Engines and members change rarely; this bounds the cost of assigning readers anew. */
+const ASSIGN_EVERY_MS = 2_000;
+
+const count = z.number().int().nonnegative();
+const versionTuple = z.tuple([z.string(), z.string(), z.array(z.string())]);
+const nameTuple = z.tuple([count, z.string().max(256), z.array(versionTuple)]);
+const sectionTuple = z.tuple([count, count, z.instanceof(Uint8Array), z.array(nameTuple)]);
+const sectionsSchema = z.array(sectionTuple).max(MAX_PENDING_SECTIONS);
+
+interface DigestHandlers {
+  readonly onUp: (sections: readonly DigestSection[]) => void;
+  readonly onDown: (sections: readonly DigestSection[]) => void;
+  readonly full: (readerKeys: readonly number[]) => readonly DigestSection[];
+}
+
+function createDigestRouter(handlers: DigestHandlers) {
+  const read = async (input: ReadableStream<Uint8Array>): Promise<DigestSection[]> =>
+    unpackSections(await readBytes(input, MAX_MESSAGE_BYTES));
+  return createPeerRouter({
+    up: peerProcedure.input(octetInputParser).mutation(async ({ input }): Promise<null> => {
+      handlers.onUp(await read(input));
+      return null;
+    }),
+    down: peerProcedure.input(octetInputParser).mutation(async ({ input }): Promise<null> => {
+      handlers.onDown(await read(input));
+      return null;
+    }),
+    full: peerProcedure
+      .input(z.array(count).max(MAX_PENDING_SECTIONS))
+      .query(({ input }) => Buffer.from(packSections(handlers.full(input))).toString('base64')),
+  });
+}
+
+export type DigestRouter = ReturnType<typeof createDigestRouter>;
+
+/** Creates the digests; nothing is read or sent before start(). */
+export function createLoadDigests(deps: DigestDeps): LoadDigests {
+  const { membership, pool, clock, hash } = deps;
+  const self = membership.self();
+  const digests = createDigests({
+    ...DIGEST_DEFAULTS,
+    readerKey: hash(self.routerId),
+    firstSeq: Math.floor(clock.nowMs() / 1_000),
+    hash,
+  });
+  const hooks: (() => void)[] = [];
+  const cancels = new Map<string, () => void>();
+  let pending: DigestSection[] = [];
+  let peers: readonly Member[] = [];
+  let place: TreePlace<Member> | undefined;
+  let assigned: readonly EngineId[] = [];
+
+  function onMembers(members: readonly Member[]): void {
+    peers = members.filter(
+      ({ region, state }) => region === self.region && (state === 'alive' || state === 'suspect'),
+    );
+    place = undefined;
+  }
+
+  function findPlace(): TreePlace<Member> {
+    place ??= findTreePlace(self.routerId, peers, hash);
+    return place;
+  }
+
+  function assign(): void {
+    const engines = new Map<EngineId, { isFirst: boolean }>();
+    deps.engines().forEach(({ engineId, region }) => {
+      if (region !== self.region) return;
+      const rank = findReaders(engineId, peers, hash).findIndex(
+        ({ routerId }) => routerId === self.routerId,
+      );
+      if (rank >= 0) engines.set(engineId, { isFirst: rank === 0 });
+    });
+    assigned = [...engines.keys()];
+    digests.assign(engines);
+  }
+
+  async function readAll(): Promise<void> {
+    await Promise.all(
+      assigned.map(async (engineId) => {
+        const report = await deps.readLoad(engineId);
+        if (report !== undefined) digests.onReport(engineId, report, clock.monotonicMs());
+      }),
+    );
+    notify();
+  }
+
+  function notify(): void {
+    hooks.forEach((fn) => fn());
+  }
+
+  function client(peerAddress: string) {
+    return pool.client<DigestRouter>('digest', peerAddress);
+  }
+
+  /** Sends what has come from below one level up, or down from the root. */
+  function flush(): void {
+    const own = digests.takeOwn(clock.monotonicMs());
+    const sections = own === undefined ? pending : [...pending, own];
+    pending = [];
+    if (sections.length === 0) return;
+    const { parent } = findPlace();
+    if (parent === undefined) {
+      onDown(sections);
+      return;
+    }
+    const context = { timeoutMs: CALL_TIMEOUT_MS };
+    client(parent.peerAddress)
+      .up.mutate(packSections(sections) as never, { context })
+      // The gap in the readers' sequence numbers makes other routers ask for a full digest.
+      .catch(() => undefined);
+  }
+
+  function onDown(sections: readonly DigestSection[]): void {
+    const { fresh, incomplete } = digests.onSections(sections, clock.monotonicMs());
+    if (fresh.length > 0) {
+      const bytes = packSections(fresh);
+      const context = { timeoutMs: CALL_TIMEOUT_MS };
+      findPlace().children.forEach(({ peerAddress }) => {
+        client(peerAddress)
+          .down.mutate(bytes as never, { context })
+          .catch(() => undefined);
+      });
+      notify();
+    }
+    if (incomplete.length > 0) repairSoon();
+  }
+
+  function repairSoon(): void {
+    if (cancels.has('repair')) return;
+    later('repair', REPAIR_SPREAD_MS * (0.5 + deps.random()), () => {
+      void repair();
+    });
+  }
+
+  /** Asks the parent first, then any router, so that no reader is asked by a whole subtree. */
+  async function repair(): Promise<void> {
+    const missing = digests.incomplete();
+    if (missing.length === 0) return;
+    const others = peers.filter(({ routerId }) => routerId !== self.routerId);
+    const sources = [findPlace().parent, shuffle(others, deps.random)[0]];
+    const readers = others.filter(({ routerId }) => missing.includes(hash(routerId)));
+    const source = sources.find((candidate) => candidate !== undefined);
+    if (source !== undefined) await askFull(source, missing);
+    const still = readers.find(({ routerId }) => digests.incomplete().includes(hash(routerId)));
+    if (still !== undefined) await askFull(still, [hash(still.routerId)]);
+    notify();
+  }
+
+  async function askFull(source: Member, readerKeys: readonly number[]): Promise<void> {
+    const context = { timeoutMs: CALL_TIMEOUT_MS };
+    try {
+      const text = await client(source.peerAddress).full.query([...readerKeys], { context });
+      digests.onFull(unpackSections(Buffer.from(text, 'base64')), clock.monotonicMs());
+    } catch {
+      // The next section shows the gap again, and another router is asked.
+    }
+  }
+
+  function later(name: string, delayMs: number, fn: () => void): void {
+    const run = (): void => {
+      cancels.delete(name);
+      fn();
+    };
+    cancels.set(name, clock.after(delayMs, run));
+  }
+
+  /** Lower levels send first within each second, so that one second's news rise in one wave. */
+  function scheduleFlush(): void {
+    const { depth, maxDepth } = findPlace();
+    const phaseMs = (maxDepth - depth) * LEVEL_MS;
+    const intoPeriodMs = clock.nowMs() % PERIOD_MS;
+    const waitMs = (phaseMs - intoPeriodMs + 2 * PERIOD_MS) % PERIOD_MS;
+    later('flush', waitMs < LEVEL_MS / 2 ? waitMs + PERIOD_MS : waitMs, () => {
+      flush();
+      scheduleFlush();
+    });
+  }
+
+  function scheduleRead(): void {
+    later('read', PERIOD_MS * (0.9 + 0.2 * deps.random()), () => {
+      readAll()
+        .catch(() => undefined)
+        .finally(() => {
+          if (cancels.size > 0) scheduleRead();
+        });
+    });
+  }
+
+  return {
+    router: createDigestRouter({
+      onUp: (sections) => {
+        pending = [...pending, ...sections].slice(-MAX_PENDING_SECTIONS);
+      },
+      onDown,
+      full: (readerKeys) => digests.full(readerKeys, clock.monotonicMs()),
+    }),
+    start: () => {
+      onMembers(membership.members());
+      membership.onChange(onMembers);
+      assign();
+      cancels.set('assign', clock.every(ASSIGN_EVERY_MS, assign));
+      scheduleFlush();
+      scheduleRead();
+    },
+    stop: () => {
+      cancels.forEach((cancel) => cancel());
+      cancels.clear();
+    },
+    loads: () => digests.loads(clock.monotonicMs()),
+    onLoads: (fn) => {
+      hooks.push(fn);
+    },
+  };
+}
+
+function packSections(sections: readonly DigestSection[]): Uint8Array {
+  return pack(
+    sections.map(({ readerKey, seq, entries, names }) => [
+      readerKey,
+      seq,
+      packEntries(entries),
+      names.map(({ slot, engineId, loaded }) => [
+        slot,
+        engineId,
+        loaded.map(({ model, version, adapters }) => [model, version, [...adapters]]),
+      ]),
+    ]),
+  );
+}
+
+function unpackSections(bytes: Uint8Array): DigestSection[] {
+  return sectionsSchema.parse(unpack(bytes)).map(([readerKey, seq, packed, names]) =>
+    toSection(
+      readerKey,
+      seq,
+      packed,
+      names.map(([slot, engineId, loaded]) => ({
+        slot,
+        engineId: engineId as EngineId,
+        loaded: loaded.map(([model, version, adapters]) => ({ model, version, adapters })),
+      })),
+    ),
+  );
+}
--- a/packages/router/src/stream/peer.ts
+++ b/packages/router/src/stream/peer.ts
@@ -2,6 +2,7 @@
 import { octetInputParser } from '@trpc/server/http';
 import { pack, unpack } from 'msgpackr';
 import { z } from 'zod';
+import { readBytes } from '../peer/binary';
 import { createPeerRouter, peerProcedure } from '../peer/trpc';
 import type {
   FinishReason,
@@ -54,7 +55,7 @@
     push: peerProcedure
       .input(octetInputParser)
       .mutation(async ({ input }): Promise<AnswerTuple> => {
-        const batch = unpackBatch(await readBytes(input));
+        const batch = unpackBatch(await readBytes(input, MAX_BATCH_BYTES));
         const { missing, refused, superseded } = handlers.onBatch(batch);
         return [[...missing], [...refused], [...superseded]];
       }),
@@ -133,20 +134,3 @@
 function reasonOf(code: number): FinishReason | undefined {
   return code === 0 ? undefined : REASONS[code - 1];
 }
-
-async function readBytes(stream: ReadableStream<Uint8Array>): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let sizeBytes = 0;
-  const reader = stream.getReader();
-  for (;;) {
-    const { done, value } = await reader.read();
-    if (done) break;
-    sizeBytes += value.byteLength;
-    if (sizeBytes > MAX_BATCH_BYTES) {
-      await reader.cancel();
-      throw new Error(`a batch of replicas exceeds ${MAX_BATCH_BYTES} bytes`);
-    }
-    chunks.push(value);
-  }
-  return Buffer.concat(chunks);
-}
