--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -83,7 +83,48 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+export { checkChangeAccess, checkServiceAccess, findAdministrator } from './config/access';
+export type { AccessDecision, Administrator } from './config/access';
+export {
+  CHANGE_KINDS,
+  applyChanges,
+  entryOf,
+  invertChanges,
+  touchedEntries,
+} from './config/change';
+export type { ConfigChange, ConfigChangeKind, ConfigRevision } from './config/change';
+export { CONFIG_SECTIONS, diffConfigs } from './config/diff';
+export type { ConfigSection, EntryDiff, FieldDiff } from './config/diff';
+export { effectiveSettings } from './config/effective';
+export type { SettingsPlace } from './config/effective';
+export { READERS_PER_DOMAIN, chooseReaders } from './config/readers';
+export type { ReaderCandidate } from './config/readers';
+export { EMPTY_CONFIG, createReplica } from './config/replica';
+export type { Replica, ReplicaEffect } from './config/replica';
+export type { ConfigProblem } from './config/shape';
+export { planUndo } from './config/undo';
+export type { UndoPlan } from './config/undo';
+export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export type { AppliedChanges, ParsedChanges } from './config/validate';
 
+// membership
+export { createSwim, shownState, spareBytes } from './member/swim';
+export { SWIM_DEFAULTS } from './member/message';
+export { pick, shuffle } from './member/random';
+export type {
+  ProbeTarget,
+  Swim,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimSettings,
+  SwimTimes,
+  SyncReply,
+  SyncRequest,
+} from './member/message';
+export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
+export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
+export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
@@ -102,13 +143,42 @@
   Send,
   SendResult,
 } from './route/types';
+
 // version moves
+export { chooseVersion, enginesToAvoid } from './move/choose';
+export type { EngineVersions, SplitInput, VersionChoice, VersionGroup } from './move/choose';
+export {
+  CELL_BYTES,
+  createEvidencePool,
+  decodeCells,
+  encodeCells,
+  epochAt,
+  epochLengthMs,
+  EVIDENCE_SIGNALS,
+  LOAD_LEVELS,
+} from './move/evidence';
+export type {
+  EngineDeath,
+  EvidenceCell,
+  EvidencePool,
+  EvidenceSettings,
+  EvidenceSignal,
+  EvidenceVerdict,
+  LoadLevel,
+  PairCounts,
+} from './move/evidence';
 export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
 export type { MoveEffect, MoveView } from './move/machine';
-export { planMove, STEP_SHARES } from './move/plan';
+export { createPairing } from './move/pairing';
+export type { AttemptObserver, AttemptOutcome, AttemptScope, Pairing } from './move/pairing';
+export { packedEngineCount, planMove, STEP_SHARES } from './move/plan';
 export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
 export type { MoveRecord } from './move/record';
+export { createWithdrawals } from './move/withdrawals';
+export type { Withdrawal, Withdrawals } from './move/withdrawals';
 
 // leases and orders to engines
+export { decideOrder } from './order/converge';
+export type { EngineView, HolderView, OrderDecision, OrderLimits } from './order/converge';
 export { createLease } from './order/lease';
 export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,33 @@
+// membership and the server for peers
+export { createPeers } from './peer/member';
+export type {
+  Member,
+  Membership,
+  Peers,
+  PeersDeps,
+  PeersSettings,
+  PublishedItem,
+} from './peer/member';
+export { createPeerServer, SERVER_DEFAULTS } from './peer/server';
+export type { PeerRouters, PeerServer, PeerServerSettings } from './peer/server';
+export { createPeerTraffic } from './peer/traffic';
+export type { PeerTraffic } from './peer/traffic';
+export { createPeerRouter, peerProcedure } from './peer/trpc';
+export type { PeerContext } from './peer/trpc';
+export type { PeerPool } from './peer/pool';
+
 // plain calls
 export { createCalls } from './call/calls';
 export type { CallRequest, Calls } from './call/calls';
 export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
+
+// version moves
+export type { WithdrawalGossip } from './move/gossip';
+export { evidenceSchema } from './move/message';
+export type { EvidenceMessage, EvidenceReply } from './move/message';
+export { createMovePeerRouter } from './move/peer';
+export type { MovePeerRouter } from './move/peer';
+export { createMoveWatch, FALSE_ALARM_RATIO, loadLevelOf } from './move/watch';
+export type { MoveWatch, MoveWatchPorts, WatchedAttempt } from './move/watch';
 export { createCallRouter, createOwnerClient } from './call/peer';
 export type { AskPeer, CallRouter } from './call/peer';
