--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -101,10 +101,10 @@
 export type { ReaderCandidate } from './config/readers';
 export { EMPTY_CONFIG, createReplica } from './config/replica';
 export type { Replica, ReplicaEffect } from './config/replica';
-export type { ConfigProblem } from './config/shape';
+export type { ConfigProblem, JsonSchema } from './config/shape';
 export { planUndo } from './config/undo';
 export type { UndoPlan } from './config/undo';
-export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export { CHANGE_LIST_SCHEMA, SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
 // membership
@@ -182,3 +182,42 @@
 export type { EngineView, HolderView, OrderDecision, OrderLimits } from './order/converge';
 export { createLease } from './order/lease';
 export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
+
+// journal replicas
+export { placementKey, planLookup, rankHolders, toRequestId } from './stream/placement';
+export type { LookupBounds, ReplicaPeer } from './stream/placement';
+export {
+  createReplicaHolder,
+  createReplicaSender,
+  HOLDER_DEFAULTS,
+  isBetter,
+  SENDER_DEFAULTS,
+} from './stream/replica';
+export type {
+  HeldReplica,
+  HolderSettings,
+  Outgoing,
+  OwnStream,
+  ReplicaAnswer,
+  ReplicaBatch,
+  ReplicaEnd,
+  ReplicaHolder,
+  ReplicaSender,
+  ReplicaStart,
+  ReplicaTail,
+  SenderSettings,
+} from './stream/replica';
+
+// load digests
+export { createDigests, DIGEST_DEFAULTS, toSection } from './member/digest';
+export type {
+  DigestName,
+  DigestOutcome,
+  Digests,
+  DigestSection,
+  DigestSettings,
+} from './member/digest';
+export { ENTRY_BYTES, packEntries, quantise, toReport, unpackEntries } from './member/load-entry';
+export type { EngineReport, LoadEntry } from './member/load-entry';
+export { findReaders, findTreePlace } from './member/tree';
+export type { TreeMember, TreePlace } from './member/tree';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -32,3 +32,27 @@
 export type { MoveWatch, MoveWatchPorts, WatchedAttempt } from './move/watch';
 export { createCallRouter, createOwnerClient } from './call/peer';
 export type { AskPeer, CallRouter } from './call/peer';
+
+// configuration
+export { createConfigPeers } from './config/client';
+export type { ConfigClientOf } from './config/client';
+export { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
+export type { ConfigFeed, ConfigFeedOptions, ConfigFeedSettings } from './config/feed';
+export { createConfigRouter } from './config/peer';
+export type { ConfigRouter } from './config/peer';
+export type {
+  ConfigPeerHandler,
+  ConfigPeers,
+  ConfigPush,
+  PullOutcome,
+  PushOutcome,
+  SnapshotPart,
+} from './config/peers';
+export type { ConfigSource } from './config/source';
+// journal replicas
+export { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
+export type { FindOutcome, ReplicaDeps, Replicas, ReplicaSettings } from './stream/replica';
+
+// load digests
+export { createLoadDigests } from './peer/digest';
+export type { DigestDeps, DigestEngine, LoadDigests } from './peer/digest';
