--- a/packages/bench/src/measure/moves/measure.ts
+++ b/packages/bench/src/measure/moves/measure.ts
@@ -15,7 +15,7 @@
 const FULL_MOVES = 2_000;
 
 /** Good and bad versions moved under every kind of fault, load, noise and deadline. */
-export const MOVES_MEASUREMENT: Measurement = {
+export const movesMeasurement: Measurement = {
   name: 'moves',
   summary: 'Version moves: good ones done on time, bad ones taken back, beside two baselines',
   run: async ({ seed, isFull }) => {
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,14 +1,7 @@
-import { MOVES_MEASUREMENT } from './moves/measure';
-import type { Measurement } from './measurement';
-
-/** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [MOVES_MEASUREMENT];
 import { callsMeasurement } from './calls';
+import { movesMeasurement } from './moves/measure';
 import { relay } from './relay/relay';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [
-  callsMeasurement,
-  relay,
-];
+export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, relay];
