--- a/packages/bench/src/measure/moves/paired.ts
+++ b/packages/bench/src/measure/moves/paired.ts
@@ -120,7 +120,10 @@
       lease,
       config: config.port,
       fleet: fleet.port,
-      withdrawnReason: () => routers[index]?.watch.withdrawals()[0]?.reason,
+      withdrawals: {
+        reasonFor: () => routers[index]?.watch.withdrawals()[0]?.reason,
+        isFresh: () => true,
+      },
       onEnded: (record) => ended.push(record),
       onReversed: () => undefined,
     });
@@ -351,7 +354,7 @@
       loadedCount();
       wanted = Math.max(wanted, count);
     },
-    unload: async () => undefined,
+    unload: async () => true,
   };
   return { port, loadedCount };
 }
--- a/packages/controller/src/move/runner.ts
+++ b/packages/controller/src/move/runner.ts
@@ -1,7 +1,6 @@
-import { nextMoveEffects, planMove } from '@mimosamill/core';
+import { KEEP_WARM_MS, nextMoveEffects, planMove } from '@mimosamill/core';
 import type { Clock, JsonValue, Tables } from '@mimosamill/adapters';
 import type {
-  EngineServiceConfig,
   MoveEffect,
   MoveId,
   MoveRecord,
@@ -12,32 +11,9 @@
   VersionName,
 } from '@mimosamill/core';
 import type { LeaseKeeper } from '../lease/keeper';
+import type { EngineFleet, ServiceEngines } from './fleet';
 import type { VersionConfig } from './version-config';
-
-/** What a plan needs to know of a service's engines. */
-export interface ServiceEngines {
-  readonly engineCount: number;
-  readonly busyRatio: number;
-  readonly sizeBytes: number;
-  readonly bytesPerSec: number;
-  readonly loadedCount: (version: VersionName) => number;
-}
-
-/** Engines of a service, and which versions they should hold. */
-export interface EngineFleet {
-  /** Undefined while the engines or the weight store cannot be read. */
-  readonly describe: (
-    config: ServiceConfig,
-    toVersion: VersionName,
-  ) => Promise<ServiceEngines | undefined>;
-  readonly load: (
-    config: EngineServiceConfig,
-    version: VersionName,
-    engineCount: number,
-    concurrency: number,
-  ) => Promise<void>;
-  readonly unload: (config: EngineServiceConfig, version: VersionName) => Promise<void>;
-}
+import type { WithdrawalView } from './withdrawals';
 
 export interface MoveRunnerPorts {
   readonly tables: Tables;
@@ -45,8 +21,7 @@
   readonly lease: LeaseKeeper;
   readonly config: VersionConfig;
   readonly fleet: EngineFleet;
-  /** Why a move's new version was withdrawn by a router, as far as known here. */
-  readonly withdrawnReason: (move: MoveRecord) => string | undefined;
+  readonly withdrawals: Pick<WithdrawalView, 'reasonFor' | 'isFresh'>;
   /** Called once per move and deployment, by the process that claimed the report. */
   readonly onEnded: (record: MoveRecord) => void;
   readonly onReversed: (record: MoveRecord, reason: string) => void;
@@ -69,6 +44,9 @@
 /** A write is started only with this much of the lease left. */
 const MIN_REMAINING_MS = 1_000;
 
+/** Ended moves are not looked at again after this time. */
+const FORGET_MS = KEEP_WARM_MS + 3_600_000;
+
 export function createMoveRunner(ports: MoveRunnerPorts): MoveRunner {
   const { tables, clock, lease, config, fleet } = ports;
   const plans = new Map<MoveId, PlanOutcome>();
@@ -95,25 +73,28 @@
 
   async function runMove(move: StoredMove): Promise<void> {
     const { record } = move;
+    if (isForgotten(record) || settled.has(record.id)) return;
     if (record.state !== 'running') await report(record);
-    if (settled.has(record.id)) return;
     const service = await config.read(record.service);
     if (service === undefined) return;
     const engines = await fleet.describe(service, record.toVersion);
-    if (engines === undefined && record.state === 'running' && !isOverdue(record)) return;
+    const isBlind = engines === undefined || !ports.withdrawals.isFresh();
+    if (isBlind && record.state === 'running' && !isOverdue(record)) return;
     const view = createView(record, service, engines);
     const effects = nextMoveEffects(view, planFor(record, engines), clock.nowMs());
     for (const effect of effects) {
       if (!mayAct()) return;
       await perform(effect, move, service);
     }
-    if (record.state !== 'running' && effects.some((each) => each.kind === 'unload')) {
-      settled.add(record.id);
-    }
+  }
+
+  /** Every end is reported, and the old version unloaded, long before this. */
+  function isForgotten(record: MoveRecord): boolean {
+    return clock.nowMs() > (record.endedAtMs ?? Number.POSITIVE_INFINITY) + FORGET_MS;
   }
 
   function isOverdue(record: MoveRecord): boolean {
-    return clock.nowMs() >= record.byMs || ports.withdrawnReason(record) !== undefined;
+    return clock.nowMs() >= record.byMs || ports.withdrawals.reasonFor(record) !== undefined;
   }
 
   function createView(
@@ -124,7 +105,7 @@
     const isEngine = service.kind === 'engine';
     return {
       record,
-      withdrawnReason: ports.withdrawnReason(record),
+      withdrawnReason: ports.withdrawals.reasonFor(record),
       loadedCount: engines?.loadedCount(record.toVersion) ?? 0,
       stableVersion: isEngine ? service.stableVersion : record.fromVersion,
       candidate: isEngine ? service.candidate : undefined,
@@ -136,6 +117,7 @@
     const known = plans.get(record.id);
     if (known !== undefined) return known;
     if (engines === undefined) return { kind: 'refused', reason: 'the engines are unknown' };
+    if (engines.obstacle !== undefined) return { kind: 'refused', reason: engines.obstacle };
     const input: PlanInput = {
       nowMs: clock.nowMs(),
       byMs: record.byMs,
@@ -182,7 +164,8 @@
         await setStable(record, effect.version, effect.isReversal);
         return;
       case 'unload':
-        if (service.kind === 'engine') await fleet.unload(service, effect.version);
+        if (service.kind !== 'engine') return;
+        if (await fleet.unload(service, effect.version)) settled.add(record.id);
         return;
       default:
         effect satisfies never;
@@ -241,7 +224,7 @@
     const id = operationId(record, isReversal ? 'reverse' : 'done');
     const outcome = await config.setStable(record.service, version, id);
     if (!isReversal || outcome !== 'ok') return;
-    ports.onReversed(record, ports.withdrawnReason(record) ?? '');
+    ports.onReversed(record, ports.withdrawals.reasonFor(record) ?? '');
   }
 
   return {
--- a/packages/controller/src/move/version-config.ts
+++ b/packages/controller/src/move/version-config.ts
@@ -1,4 +1,14 @@
-import type { CandidateVersion, ServiceConfig, ServiceName, VersionName } from '@mimosamill/core';
+import { entryOf } from '@mimosamill/core';
+import type { Clock, ConfigStore } from '@mimosamill/adapters';
+import type {
+  CandidateVersion,
+  ConfigChange,
+  FleetConfig,
+  OperationId,
+  ServiceConfig,
+  ServiceName,
+  VersionName,
+} from '@mimosamill/core';
 
 export type ConfigChangeOutcome = 'ok' | 'conflict' | 'unavailable' | 'unknown';
 
@@ -19,3 +29,70 @@
     operationId: string,
   ) => Promise<ConfigChangeOutcome>;
 }
+
+const WHO = 'controller';
+
+/** Reads and changes the versions through the configuration store. */
+export function createVersionConfig(store: ConfigStore, clock: Clock): VersionConfig {
+  let cached: FleetConfig | undefined;
+
+  /** Without a new revision, one read of the head row is enough. */
+  async function readConfig(): Promise<FleetConfig | undefined> {
+    const head = await store.readHead();
+    if (head.kind !== 'ok') return undefined;
+    if (cached?.revision === head.head.revision) return cached;
+    const answer = await store.readConfig();
+    cached = answer.kind === 'ok' ? answer.config : undefined;
+    return cached;
+  }
+
+  async function commit(
+    changes: readonly ConfigChange[],
+    operationId: string,
+  ): Promise<ConfigChangeOutcome> {
+    const base = await readConfig();
+    if (base === undefined) return 'unavailable';
+    const outcome = await store.commit({
+      base,
+      changes,
+      who: WHO,
+      why: operationId,
+      operationId: operationId as OperationId,
+      digest: JSON.stringify(changes),
+      atMs: clock.nowMs(),
+    });
+    switch (outcome.kind) {
+      case 'accepted':
+        return 'ok';
+      case 'invalid':
+      case 'conflict':
+      case 'operation_reused':
+        return 'conflict';
+      case 'unavailable':
+      case 'unknown':
+        return outcome.kind;
+      default:
+        return outcome satisfies never;
+    }
+  }
+
+  return {
+    read: async (service) => {
+      const config = await readConfig();
+      return config === undefined ? undefined : entryOf(config.services, service);
+    },
+    setCandidate: (service, candidate, operationId) =>
+      commit(
+        [{ kind: 'set_candidate_version', service, candidate: candidate ?? null }],
+        operationId,
+      ),
+    setStable: (service, version, operationId) =>
+      commit(
+        [
+          { kind: 'set_candidate_version', service, candidate: null },
+          { kind: 'set_stable_version', service, version },
+        ],
+        operationId,
+      ),
+  };
+}
--- /dev/null
+++ b/packages/controller/src/move/withdrawals.ts
@@ -0,0 +1,40 @@
+import type { Clock, HttpClient } from '@mimosamill/adapters';
+import type { MoveRecord, Withdrawal } from '@mimosamill/core';
+
+/** The withdrawals that the router on this host knows. */
+export interface WithdrawalView {
+  readonly poll: () => Promise<void>;
+  readonly reasonFor: (move: MoveRecord) => string | undefined;
+  /** False when the router has not answered lately; a move then goes no further. */
+  readonly isFresh: () => boolean;
+}
+
+const FRESH_MS = 5_000;
+const TIMEOUT_MS = 1_000;
+const STATUS_OK = 200;
+
+export function createWithdrawalView(
+  http: HttpClient,
+  routerPeerAddress: string,
+  clock: Clock,
+): WithdrawalView {
+  const url = `http://${routerPeerAddress}/move.withdrawals`;
+  let items: readonly Withdrawal[] = [];
+  let readAtMs = Number.NEGATIVE_INFINITY;
+  return {
+    poll: async () => {
+      const sentAtMs = clock.monotonicMs();
+      const answer = await http.fetch(url, { method: 'GET', timeoutMs: TIMEOUT_MS });
+      if (answer.kind !== 'ok' || answer.status !== STATUS_OK) return;
+      items = (JSON.parse(answer.body) as { result: { data: Withdrawal[] } }).result.data;
+      readAtMs = sentAtMs;
+    },
+    reasonFor: (move) => {
+      const isSame = (item: Withdrawal): boolean =>
+        item.service === move.service && item.version === move.toVersion;
+      const found = items.find(isSame);
+      return found === undefined ? undefined : `withdrawn: ${found.reason}`;
+    },
+    isFresh: () => clock.monotonicMs() - readAtMs <= FRESH_MS,
+  };
+}
--- /dev/null
+++ b/packages/controller/src/order/row.ts
@@ -0,0 +1,39 @@
+import type { EngineTarget, JsonValue, LoadedModel, Row } from '@mimosamill/adapters';
+
+/** The row `orders/ENGINE`: the state in which the engine should be. */
+export interface OrderRow {
+  readonly engineId: string;
+  readonly service: string;
+  readonly target: EngineTarget;
+}
+
+export const ORDER_PREFIX = 'orders/';
+
+export function orderKey(engineId: string): string {
+  return `${ORDER_PREFIX}${engineId}`;
+}
+
+export function toOrderRow(row: Row): OrderRow {
+  return row.value as unknown as OrderRow;
+}
+
+export function toOrderValue(row: OrderRow): JsonValue {
+  return { ...row } as unknown as JsonValue;
+}
+
+/** The same text for the same target, whatever the order of its parts. */
+export function targetText(target: EngineTarget): string {
+  const parts = target.loaded.map((entry) => {
+    const adapters = [...entry.adapters].sort().join(',');
+    return `${entry.model}/${entry.version}[${adapters}]`;
+  });
+  return `${target.role} ${parts.sort().join(' ')}`;
+}
+
+export function hasVersion(
+  loaded: readonly LoadedModel[],
+  model: string,
+  version: string,
+): boolean {
+  return loaded.some((entry) => entry.model === model && entry.version === version);
+}
--- /dev/null
+++ b/packages/controller/src/order/runner.ts
@@ -0,0 +1,128 @@
+import { decideOrder } from '@mimosamill/core';
+import { ORDER_PREFIX, targetText, toOrderRow } from './row';
+import type { Clock, EngineClient, HostList, OrderOutcome, Tables } from '@mimosamill/adapters';
+import type { EngineView, OrderLimits, ServiceName } from '@mimosamill/core';
+import type { LeaseKeeper } from '../lease/keeper';
+import type { VersionConfig } from '../move/version-config';
+import type { OrderRow } from './row';
+
+export interface OrderRunnerPorts {
+  readonly tables: Tables;
+  readonly clock: Clock;
+  readonly lease: LeaseKeeper;
+  readonly hosts: HostList;
+  readonly engines: Pick<EngineClient, 'state' | 'order'>;
+  readonly config: Pick<VersionConfig, 'read'>;
+  readonly limits: OrderLimits;
+  readonly onOrder: (outcome: OrderOutcome['kind']) => void;
+}
+
+/** Brings engines to the states in the `orders/` rows. */
+export interface OrderRunner {
+  /** One round; resolves when every order of it was answered or timed out. */
+  readonly poll: () => Promise<void>;
+}
+
+type Fencing = EngineView['fencing'];
+
+const PAGE_ROWS = 200;
+const PARALLEL_ENGINES = 16;
+
+/**
+ * An engine in its wanted state is read again after this time, because a paused former holder may
+ * still send an order to an engine that ignores fencing numbers.
+ */
+const SETTLED_READ_MS = 5_000;
+
+export function createOrderRunner(ports: OrderRunnerPorts): OrderRunner {
+  const { tables, clock, lease, engines, limits } = ports;
+  const settledUntilMs = new Map<string, number>();
+  let settledUnder = 0;
+
+  async function readRows(): Promise<OrderRow[]> {
+    const rows: OrderRow[] = [];
+    let afterKey = '';
+    for (;;) {
+      const page = await tables.scan(ORDER_PREFIX, afterKey, PAGE_ROWS);
+      if (page.kind !== 'ok') return [];
+      rows.push(...page.rows.map(toOrderRow));
+      if (page.rows.length < PAGE_ROWS) return rows;
+      afterKey = page.rows.at(-1)?.key ?? '';
+    }
+  }
+
+  async function readAddresses(): Promise<Map<string, string>> {
+    const outcome = await ports.hosts.read();
+    if (outcome.kind !== 'ok') return new Map();
+    const hosts = outcome.hosts.filter((host) => host.role === 'engine');
+    return new Map(hosts.map((host) => [host.hostId, host.address]));
+  }
+
+  /** Without the configuration the engines of a service are taken to ignore the numbers. */
+  async function readFencing(rows: readonly OrderRow[]): Promise<Map<string, Fencing>> {
+    const fencing = new Map<string, Fencing>();
+    for (const service of new Set(rows.map((row) => row.service))) {
+      const config = await ports.config.read(service as ServiceName);
+      fencing.set(service, config?.kind === 'engine' ? config.fencing : 'ignored');
+    }
+    return fencing;
+  }
+
+  async function converge(row: OrderRow, address: string, fencing: Fencing): Promise<void> {
+    const answer = await engines.state(address);
+    if (answer.kind !== 'ok' || String(answer.value.engineId) !== row.engineId) return;
+    const view: EngineView = {
+      wanted: targetText(row.target),
+      actual: targetText(answer.value.target),
+      highestFencingNumber: answer.value.highestFencingNumber,
+      fencing,
+    };
+    // The lease is checked last: reading the state may have taken long.
+    const decision = decideOrder(view, holderView(), limits);
+    if (decision.kind === 'none') {
+      settledUntilMs.set(row.engineId, clock.monotonicMs() + SETTLED_READ_MS);
+      return;
+    }
+    if (decision.kind === 'wait') return;
+    const { fencingNumber } = decision;
+    const orderId = `${row.engineId}/${fencingNumber}/${view.wanted}`;
+    const outcome = await engines.order(address, { orderId, fencingNumber, target: row.target });
+    ports.onOrder(outcome.kind);
+  }
+
+  function holderView() {
+    return {
+      fencingNumber: lease.fencingNumber(),
+      remainingMs: lease.remainingMs(),
+      heldForMs: lease.heldForMs(),
+      wasHandedOver: lease.wasHandedOver(),
+    };
+  }
+
+  function isDue(row: OrderRow): boolean {
+    return clock.monotonicMs() >= (settledUntilMs.get(row.engineId) ?? 0);
+  }
+
+  return {
+    poll: async () => {
+      if (lease.remainingMs() === 0) return;
+      // What an earlier holding found says nothing about orders sent since.
+      if (settledUnder !== lease.fencingNumber()) settledUntilMs.clear();
+      settledUnder = lease.fencingNumber();
+      const rows = (await readRows()).filter(isDue);
+      if (rows.length === 0) return;
+      const addresses = await readAddresses();
+      const fencing = await readFencing(rows);
+      for (let i = 0; i < rows.length; i += PARALLEL_ENGINES) {
+        const batch = rows.slice(i, i + PARALLEL_ENGINES);
+        await Promise.all(
+          batch.map(async (row) => {
+            const address = addresses.get(row.engineId);
+            if (address === undefined) return;
+            await converge(row, address, fencing.get(row.service) ?? 'ignored');
+          }),
+        );
+      }
+    },
+  };
+}
--- a/packages/controller/test/move.spec.ts
+++ b/packages/controller/test/move.spec.ts
@@ -24,7 +24,7 @@
       lease,
       config,
       fleet: createMemoryFleet(10),
-      withdrawnReason: () => undefined,
+      withdrawals: { reasonFor: () => undefined, isFresh: () => true },
       onEnded: (record) => ended.push(record),
       onReversed: () => undefined,
     });
--- a/packages/controller/test/world.ts
+++ b/packages/controller/test/world.ts
@@ -152,6 +152,7 @@
     },
     unload: async (_config, version) => {
       if (version === NEW) loaded = 0;
+      return true;
     },
   };
 }
