--- /dev/null
+++ b/packages/bench/src/measure/orders/trial.ts
@@ -0,0 +1,268 @@
+import {
+  createLeaseKeeper,
+  createOrderRunner,
+  orderKey,
+  runDuties,
+  targetText,
+  toOrderValue,
+} from '@mimosamill/controller';
+import { asId } from '@mimosamill/core';
+import {
+  createEngineModel,
+  createFakeTables,
+  createRandom,
+  createTablesModel,
+  createVirtualTime,
+  DEFAULT_ENGINE_MODEL,
+} from '@mimosamill/fakes';
+import type {
+  Clock,
+  EngineAnswer,
+  EngineOrder,
+  EngineState,
+  EngineTarget,
+  ListedHost,
+  Log,
+  OrderOutcome,
+  Tables,
+} from '@mimosamill/adapters';
+import type {
+  EngineId,
+  EngineServiceConfig,
+  FailureDomain,
+  Hash32,
+  HostId,
+  Region,
+  ServiceName,
+  TeamId,
+  VersionName,
+} from '@mimosamill/core';
+import type { EngineModel, VirtualProcess } from '@mimosamill/fakes';
+
+/** What happened in one trial. */
+export interface TrialResult {
+  /** Engines whose target is not the wanted one after everything has come to rest. */
+  readonly wrongFinalStates: number;
+  /** Orders of a former holder that an engine applied after one of a later holder. */
+  readonly staleApplied: number;
+  readonly staleRefused: number;
+  readonly ordersSent: number;
+  readonly takeovers: number;
+  /** Longest time an engine was away from its wanted state because of a stale order. */
+  readonly longestWrongMs: number;
+}
+
+type Fencing = 'enforced' | 'ignored';
+
+const SERVICE = asId<ServiceName>('lackschrift');
+const ENGINE_COUNT = 4;
+const CONTROLLER_COUNT = 3;
+const CHANGES = 4;
+const ACTIVE_MS = 120_000;
+/** Longer than a takeover, the wait for orders in flight and the next reading of an engine. */
+const REST_MS = 60_000;
+const ORDER_TIMEOUT_MS = 2_000;
+const LINGER_MS = 3_000;
+const LEASE_TERM_MS = 10_000;
+const MAX_TABLE_DELAY_MS = 300;
+const LOST_ANSWER_RATIO = 0.15;
+/** Orders before which the sender pauses, after its check of the lease. */
+const PAUSED_ORDER_RATIO = 0.15;
+const MAX_PAUSE_MS = 40_000;
+const LOAD_MS = 2_000;
+const CHECK_MS = 250;
+const LOG: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+/** Runs controllers that pause, die and lose answers, and looks at the engines afterwards. */
+export async function runTrial(seed: number, fencing: Fencing, hash: Hash32): Promise<TrialResult> {
+  const random = createRandom(seed);
+  const time = createVirtualTime();
+  const model = createTablesModel();
+  const engines = Array.from({ length: ENGINE_COUNT }, (_, i) => createEngine(`e-${i}`));
+  const wanted = new Map<string, EngineTarget>();
+  const counts = { staleApplied: 0, staleRefused: 0, ordersSent: 0, longestWrongMs: 0 };
+  const fencingNumbers = new Set<number>();
+  let isResting = false;
+
+  function createEngine(name: string) {
+    const loaded = [{ model: 'm', version: 'v0', adapters: [] }];
+    const engineId = asId<EngineId>(name);
+    const settings = { ...DEFAULT_ENGINE_MODEL, engineId, loaded, fencing };
+    return {
+      name,
+      model: createEngineModel(settings, hash),
+      wrongSinceMs: undefined as number | undefined,
+    };
+  }
+
+  function apply(engine: { model: EngineModel }, order: EngineOrder): OrderOutcome {
+    const before = engine.model.state().highestFencingNumber;
+    const result = engine.model.order(order);
+    if (result.kind === 'stale') {
+      counts.staleRefused += 1;
+      return result;
+    }
+    if (order.fencingNumber < before) counts.staleApplied += 1;
+    result.toFetch.forEach((entry) => {
+      time.clock.after(LOAD_MS, () => {
+        engine.model.onWeights(entry.model, entry.version, time.clock.monotonicMs());
+      });
+    });
+    return { kind: 'ok' };
+  }
+
+  /** An order may arrive long after its sender has given it up. */
+  function sendOrder(
+    process: VirtualProcess,
+    address: string,
+    order: EngineOrder,
+  ): Promise<OrderOutcome> {
+    counts.ordersSent += 1;
+    fencingNumbers.add(order.fencingNumber);
+    const engine = engines.find((each) => each.name === address);
+    if (random() < PAUSED_ORDER_RATIO && !isResting) process.pause(random() * MAX_PAUSE_MS);
+    const answer = new Promise<OrderOutcome>((resolve) => {
+      process.clock.after(0, () => {
+        const delayMs = random() < 0.2 ? random() * (ORDER_TIMEOUT_MS + LINGER_MS) : random() * 50;
+        time.clock.after(delayMs, () => {
+          const outcome: OrderOutcome =
+            engine === undefined ? { kind: 'unavailable', message: '' } : apply(engine, order);
+          const isLost = random() < LOST_ANSWER_RATIO;
+          resolve(isLost ? { kind: 'unknown', message: 'the answer was lost' } : outcome);
+        });
+        time.clock.after(ORDER_TIMEOUT_MS, () => resolve({ kind: 'unknown', message: 'timeout' }));
+      });
+    });
+    return process.receive(answer);
+  }
+
+  function readState(process: VirtualProcess, address: string): Promise<EngineAnswer<EngineState>> {
+    const engine = engines.find((each) => each.name === address);
+    const answer = new Promise<EngineAnswer<EngineState>>((resolve) => {
+      time.clock.after(random() * 20, () => {
+        const value = engine?.model.state();
+        resolve(value === undefined ? { kind: 'unavailable', message: '' } : { kind: 'ok', value });
+      });
+    });
+    return process.receive(answer);
+  }
+
+  function startController(index: number): VirtualProcess {
+    const process = time.createProcess();
+    const settings = { duty: 'orders', holder: `c-${index}`, termMs: LEASE_TERM_MS };
+    const tables = inProcess(process, createSlowTables(time.clock));
+    const lease = createLeaseKeeper(settings, tables, process.clock);
+    const runner = createOrderRunner({
+      tables,
+      clock: process.clock,
+      lease,
+      hosts: { read: async () => ({ kind: 'ok', hosts: listHosts(), asOfMs: 0 }) },
+      engines: {
+        state: (address) => readState(process, address),
+        order: (address, order) => sendOrder(process, address, order),
+      },
+      config: { read: async () => createService(fencing) },
+      limits: { orderTimeoutMs: ORDER_TIMEOUT_MS, lingerMs: LINGER_MS },
+      onOrder: () => undefined,
+    });
+    runDuties([{ name: 'orders', lease, poll: runner.poll }], process.clock, LOG);
+    return process;
+  }
+
+  function createSlowTables(clock: Clock): Tables {
+    const faults = () => ({
+      isDown: false,
+      delayMs: random() * MAX_TABLE_DELAY_MS,
+      lostAnswerRatio: LOST_ANSWER_RATIO,
+    });
+    return createFakeTables(model, clock, faults, random);
+  }
+
+  /** An operator's change: every engine gets another wanted state. */
+  function change(number: number): void {
+    engines.forEach(({ name }) => {
+      const loaded = [{ model: 'm', version: `v${number}`, adapters: [] }];
+      const target: EngineTarget = { loaded, role: 'mixed' };
+      wanted.set(name, target);
+      const value = toOrderValue({ engineId: name, service: SERVICE, target });
+      const writes = [{ kind: 'put', key: orderKey(name), value } as const];
+      model.commit({ conditions: [], writes }, time.clock.nowMs());
+    });
+  }
+
+  function isWrong(engine: { name: string; model: EngineModel }): boolean {
+    const target = wanted.get(engine.name);
+    const actual = engine.model.state().target;
+    return target !== undefined && targetText(target) !== targetText(actual);
+  }
+
+  /** Times how long engines are wrong once no wanted state changes any more. */
+  function watch(): void {
+    if (!isResting) return;
+    const nowMs = time.clock.monotonicMs();
+    engines.forEach((engine) => {
+      if (!isWrong(engine)) {
+        engine.wrongSinceMs = undefined;
+        return;
+      }
+      engine.wrongSinceMs ??= nowMs;
+      counts.longestWrongMs = Math.max(counts.longestWrongMs, nowMs - engine.wrongSinceMs);
+    });
+  }
+
+  const processes = Array.from({ length: CONTROLLER_COUNT }, (_, i) => startController(i));
+  time.clock.every(CHECK_MS, watch);
+  for (let i = 1; i <= CHANGES; i += 1) {
+    time.clock.after(random() * ACTIVE_MS, () => change(i));
+  }
+  processes.forEach((process, i) => {
+    time.clock.after(random() * ACTIVE_MS, () => process.pause(random() * MAX_PAUSE_MS));
+    // One controller stays alive, so that someone can bring the engines to rest.
+    if (i > 0 && random() < 0.5) time.clock.after(random() * ACTIVE_MS, process.kill);
+  });
+  await time.run(ACTIVE_MS);
+  isResting = true;
+  await time.run(ACTIVE_MS + MAX_PAUSE_MS + REST_MS);
+  return {
+    ...counts,
+    wrongFinalStates: engines.filter(isWrong).length,
+    takeovers: Math.max(0, fencingNumbers.size - 1),
+  };
+}
+
+function inProcess(process: VirtualProcess, tables: Tables): Tables {
+  return {
+    read: (keys) => process.receive(tables.read(keys)),
+    scan: (prefix, afterKey, limit) => process.receive(tables.scan(prefix, afterKey, limit)),
+    commit: (transaction) => process.receive(tables.commit(transaction)),
+  };
+}
+
+function listHosts(): ListedHost[] {
+  return Array.from({ length: ENGINE_COUNT }, (_, i) => ({
+    hostId: asId<HostId>(`e-${i}`),
+    role: 'engine',
+    service: SERVICE,
+    address: `e-${i}`,
+    region: asId<Region>('region'),
+    failureDomain: asId<FailureDomain>('domain'),
+    state: 'live',
+  }));
+}
+
+function createService(fencing: Fencing): EngineServiceConfig {
+  return {
+    kind: 'engine',
+    name: SERVICE,
+    team: asId<TeamId>('team'),
+    model: 'm',
+    adapters: [],
+    stableVersion: asId<VersionName>('v0'),
+    fencing,
+  };
+}
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,7 +1,8 @@
 import { callsMeasurement } from './calls';
 import { movesMeasurement } from './moves/measure';
+import { ordersMeasurement } from './orders/measure';
 import { relay } from './relay/relay';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, relay];
+export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, ordersMeasurement, relay];
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,3 +1,7 @@
+// duties
+export { runDuties } from './duties';
+export type { Duties, Duty } from './duties';
+
 // leases
 export { createLeaseKeeper } from './lease/keeper';
 export type { LeaseKeeper, LeaseKeeperSettings } from './lease/keeper';
