Keep a move's timetable over takeovers and test its end under interleavings

The timetable now follows from the order's time, with a wait between overdue steps, and a move that has begun waits for room instead of being taken back. Adds property tests of the end, the paused-holder tests for both kinds of engines, and tests of the router's part.

--- a/packages/controller/src/move/runner.ts
+++ b/packages/controller/src/move/runner.ts
@@ -74,7 +74,10 @@
   async function runMove(move: StoredMove): Promise<void> {
     const { record } = move;
     if (isForgotten(record) || settled.has(record.id)) return;
-    if (record.state !== 'running') await report(record);
+    if (record.state !== 'running') {
+      plans.delete(record.id);
+      await report(record);
+    }
     const service = await config.read(record.service);
     if (service === undefined) return;
     const engines = await fleet.describe(service, record.toVersion);
@@ -120,6 +123,7 @@
     if (engines.obstacle !== undefined) return { kind: 'refused', reason: engines.obstacle };
     const input: PlanInput = {
       nowMs: clock.nowMs(),
+      orderedAtMs: record.orderedAtMs,
       byMs: record.byMs,
       reachedShareRatio: record.stepShareRatio,
       engineCount: engines.engineCount,
@@ -129,7 +133,7 @@
       bytesPerSec: engines.bytesPerSec,
     };
     const plan = planMove(input);
-    plans.set(record.id, plan);
+    if (plan.kind === 'ok') plans.set(record.id, plan);
     return plan;
   }
 
@@ -179,7 +183,6 @@
     const { state, reason } = effect;
     const ended = { ...move.record, state, reason, endedAtMs: clock.nowMs() };
     const isStored = await put(move, ended);
-    plans.delete(move.record.id);
     if (isStored) await report(ended);
   }
 
--- a/packages/controller/test/move.spec.ts
+++ b/packages/controller/test/move.spec.ts
@@ -1,3 +1,4 @@
+import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { createLeaseKeeper, createMoveRunner } from '../src/index';
 import {
@@ -7,42 +8,276 @@
   createMemoryTables,
   createMove,
 } from './world';
-import type { JsonValue } from '@mimosamill/adapters';
+import type { JsonValue, Tables } from '@mimosamill/adapters';
 import type { MoveRecord } from '@mimosamill/core';
+import type { LeaseKeeper, MoveRunner } from '../src/index';
+import type { CommitFault, ManualClock, MemoryConfig, MemoryTables } from './world';
 
-describe('move runner', () => {
-  it('steps an ordered move to the end and records it done once, before its deadline', async () => {
-    const clock = createManualClock();
-    const tables = createMemoryTables();
-    const config = createMemoryConfig();
-    const ended: MoveRecord[] = [];
-    const settings = { duty: 'moves', holder: 'host-1', termMs: 10_000 };
-    const lease = createLeaseKeeper(settings, tables, clock);
-    const runner = createMoveRunner({
-      tables,
-      clock,
-      lease,
-      config,
-      fleet: createMemoryFleet(10),
-      withdrawals: { reasonFor: () => undefined, isFresh: () => true },
-      onEnded: (record) => ended.push(record),
-      onReversed: () => undefined,
+interface Host {
+  readonly lease: LeaseKeeper;
+  readonly runner: MoveRunner;
+  poll: () => Promise<void>;
+}
+
+interface HostOptions {
+  readonly lease?: LeaseKeeper;
+  readonly reasonFor?: () => string | undefined;
+}
+
+interface World {
+  readonly clock: ManualClock;
+  readonly tables: MemoryTables;
+  readonly config: MemoryConfig;
+  readonly ended: MoveRecord[];
+  readonly reversed: string[];
+  readonly createHost: (name: string, through?: Tables, own?: HostOptions) => Host;
+  readonly record: () => MoveRecord;
+  withdrawnReason: string | undefined;
+}
+
+const BY_MS = 600_000;
+
+async function createWorld(): Promise<World> {
+  const clock = createManualClock();
+  const tables = createMemoryTables();
+  const config = createMemoryConfig();
+  const fleet = createMemoryFleet(10);
+  const value = { ...createMove(BY_MS) } as unknown as JsonValue;
+  await tables.commit({ conditions: [], writes: [{ kind: 'put', key: 'moves/m-1', value }] });
+  const world: World = {
+    clock,
+    tables,
+    config,
+    ended: [],
+    reversed: [],
+    withdrawnReason: undefined,
+    record: () => tables.rows.get('moves/m-1')?.value as unknown as MoveRecord,
+    createHost: (holder, through = tables, own = {}) => {
+      const settings = { duty: 'moves', holder, termMs: 10_000 };
+      const lease = own.lease ?? createLeaseKeeper(settings, through, clock);
+      const reasonFor = own.reasonFor ?? (() => world.withdrawnReason);
+      const runner = createMoveRunner({
+        tables: through,
+        clock,
+        lease,
+        config,
+        fleet,
+        withdrawals: { reasonFor, isFresh: () => true },
+        onEnded: (record) => world.ended.push(record),
+        onReversed: (_record, reason) => world.reversed.push(reason),
+      });
+      const poll = async (): Promise<void> => {
+        await lease.poll();
+        await runner.poll();
+      };
+      return { lease, runner, poll };
+    },
+  };
+  return world;
+}
+
+/** Polls every host twice a second and notes each change that is visible from outside. */
+async function runSession(
+  world: World,
+  hosts: readonly Host[],
+  untilMs: number,
+  onSecond: (nowMs: number) => void = () => undefined,
+): Promise<string[]> {
+  const lines: string[] = [];
+  while (world.clock.nowMs() < untilMs) {
+    world.clock.advance(500);
+    onSecond(world.clock.nowMs());
+    for (const host of hosts) await host.poll();
+    const { stableVersion, candidate } = world.config.current();
+    const { state, reason, stepShareRatio } = world.record();
+    const share = candidate === undefined ? 'none' : `${candidate.version} ${candidate.shareRatio}`;
+    const why = state === 'running' ? '' : ` (${reason})`;
+    const line = `record ${state} ${stepShareRatio}${why}; stable ${stableVersion}; candidate ${share}`;
+    if (lines.at(-1)?.endsWith(line) !== true) lines.push(`${world.clock.nowMs()} ms: ${line}`);
+  }
+  return lines;
+}
+
+describe('session of a move', () => {
+  it('steps through the shares and ends done before the deadline', async () => {
+    const world = await createWorld();
+    const lines = await runSession(world, [world.createHost('a')], 700_000);
+    expect(world.ended.map(({ state }) => state)).toEqual(['done']);
+    expect(world.ended[0]?.endedAtMs).toBeLessThanOrEqual(BY_MS);
+    expect(lines).toMatchSnapshot();
+  });
+
+  it('ends taken back after a withdrawal, through a lost answer and a change of holder', async () => {
+    const world = await createWorld();
+    const first = world.createHost('a');
+    const second = world.createHost('b');
+    const paused: Host = {
+      ...first,
+      poll: async () => {
+        if (world.clock.nowMs() < 250_000) await first.poll();
+      },
+    };
+    const lines = await runSession(world, [paused, second], 700_000, (nowMs) => {
+      if (nowMs === 400_000) {
+        world.withdrawnReason = 'withdrawn: failure on all routes: 20 pairs against, 0 for';
+        world.tables.failNext(['lost']);
+      }
+    });
+    expect(world.ended.map(({ state }) => state)).toEqual(['taken_back']);
+    expect(lines).toMatchSnapshot();
+  });
+
+  it('turns the traffic back when a withdrawal arrives after the end, and keeps the record', async () => {
+    // Guards against a partitioned router's withdrawal being ignored, or rewriting the outcome.
+    const world = await createWorld();
+    await runSession(world, [world.createHost('a')], 800_000, (nowMs) => {
+      if (nowMs === 700_000) world.withdrawnReason = 'withdrawn: late';
     });
-    const value = { ...createMove(600_000) } as unknown as JsonValue;
-    await tables.commit({ conditions: [], writes: [{ kind: 'put', key: 'moves/m-1', value }] });
-    const shares: string[] = [];
-    while (clock.nowMs() < 700_000) {
-      clock.advance(500);
-      await lease.poll();
-      await runner.poll();
-      const share = config.current().candidate?.shareRatio ?? 0;
-      const line = `${config.current().stableVersion} ${share}`;
-      if (shares.at(-1)?.endsWith(line) !== true) shares.push(`${clock.nowMs()} ms ${line}`);
+    expect(world.record().state).toBe('done');
+    expect(world.config.current().stableVersion).toBe('v1');
+    expect(world.reversed).toEqual(['withdrawn: late']);
+    expect(world.ended).toHaveLength(1);
+  });
+
+  it('takes back a move whose deadline passed while no controller was alive', async () => {
+    const world = await createWorld();
+    const host = world.createHost('a');
+    await runSession(world, [host], 300_000);
+    world.clock.advance(BY_MS);
+    await runSession(world, [world.createHost('b')], world.clock.nowMs() + 30_000);
+    expect(world.record().state).toBe('taken_back');
+    expect(world.config.current().candidate).toBeUndefined();
+  });
+});
+
+describe('end of a move', () => {
+  type Step =
+    | { readonly kind: 'poll'; readonly host: number }
+    /** Lets one table operation arrive or be answered. */
+    | { readonly kind: 'advance' }
+    | { readonly kind: 'wait'; readonly ms: number }
+    | { readonly kind: 'faults'; readonly faults: readonly CommitFault[] }
+    /** The host's process dies and another one starts. */
+    | { readonly kind: 'replace'; readonly host: number }
+    /** The router on one of the hosts learns of a withdrawal. */
+    | { readonly kind: 'withdraw'; readonly host: number };
+
+  const host = fc.nat(1);
+  const faultArbitrary = fc.constantFrom<CommitFault>('none', 'lost', 'dropped', 'unavailable');
+  const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant('poll' as const), host }) },
+    { weight: 10, arbitrary: fc.constant({ kind: 'advance' as const }) },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constant('wait' as const),
+        ms: fc.integer({ min: 1, max: 5_000 }),
+      }),
+    },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: fc.constant('faults' as const),
+        faults: fc.array(faultArbitrary, { maxLength: 4 }),
+      }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('replace' as const), host }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('withdraw' as const), host }) },
+  );
+
+  /** A paused holder takes its lease for valid, so here both hosts always do. */
+  const ALWAYS_HELD = {
+    remainingMs: () => 10_000,
+    heldForMs: () => 10_000,
+    fencingNumber: () => 1,
+    wasHandedOver: () => false,
+    poll: async () => undefined,
+    stop: () => undefined,
+  };
+
+  async function runInterleaved(
+    steps: readonly Step[],
+    startMs: number,
+    scheduler: fc.Scheduler,
+  ): Promise<MoveRecord['state']> {
+    const world = await createWorld();
+    // The move stands before its last decision: done, withdrawn, or out of time.
+    await runSession(world, [world.createHost('first')], startMs);
+    const through = throughScheduler(world.tables, scheduler);
+    const knowsWithdrawal = [false, false];
+    const start = (index: number, name: string): Host =>
+      world.createHost(name, through, {
+        lease: { ...ALWAYS_HELD, holder: name },
+        reasonFor: () => (knowsWithdrawal[index] ? 'withdrawn: test' : undefined),
+      });
+    const hosts = [start(0, 'a'), start(1, 'b')];
+    const busy = [false, false];
+    const states = new Set<string>();
+    const look = (): void => {
+      const { state } = world.record();
+      if (state !== 'running') states.add(state);
+      expect(states.size).toBeLessThanOrEqual(1);
+      expect(world.ended.length).toBeLessThanOrEqual(1);
+    };
+    for (const [i, step] of steps.entries()) {
+      if (step.kind === 'wait') world.clock.advance(step.ms);
+      else if (step.kind === 'faults') world.tables.failNext(step.faults);
+      else if (step.kind === 'withdraw') knowsWithdrawal[step.host] = true;
+      else if (step.kind === 'replace') {
+        hosts[step.host] = start(step.host, `host-${i}`);
+        busy[step.host] = false;
+      } else if (step.kind === 'poll') {
+        if (!busy[step.host]) {
+          const polled = hosts[step.host];
+          busy[step.host] = true;
+          void polled?.poll().then(() => {
+            if (hosts[step.host] === polled) busy[step.host] = false;
+          });
+        }
+      } else if (scheduler.count() > 0) await scheduler.waitOne();
+      await Promise.resolve();
+      look();
     }
-    expect(ended.map(({ state, reason }) => ({ state, reason }))).toEqual([
-      { state: 'done', reason: 'all steps passed' },
-    ]);
-    expect(ended[0]?.endedAtMs).toBeLessThanOrEqual(600_000);
-    expect(shares).toMatchSnapshot();
+    await scheduler.waitAll();
+    world.tables.failNext([]);
+    const isWithdrawn = knowsWithdrawal.includes(true);
+    world.withdrawnReason = isWithdrawn ? 'withdrawn: test' : undefined;
+    await runSession(world, [world.createHost('last')], BY_MS + 100_000, look);
+    const { state } = world.record();
+    expect([...states]).toEqual([state]);
+    const { stableVersion, candidate } = world.config.current();
+    const isNew = state === 'done' && !isWithdrawn;
+    expect([stableVersion, candidate]).toEqual([isNew ? 'v2' : 'v1', undefined]);
+    return state;
+  }
+
+  it('is exactly one, reported at most once, under any interleaving of two holders', async () => {
+    // Guards against two outcomes when a holder pauses inside a round, dies, or loses an answer.
+    const ends = new Set<string>();
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, { minLength: 60, maxLength: 160 }),
+        fc.constantFrom(569_500, 570_000, 570_500),
+        fc.scheduler(),
+        async (steps, startMs, scheduler) => {
+          ends.add(await runInterleaved(steps, startMs, scheduler));
+        },
+      ),
+      { numRuns: 200 },
+    );
+    expect([...ends].sort()).toEqual(['done', 'taken_back']);
   });
 });
+
+function throughScheduler(tables: Tables, scheduler: fc.Scheduler): Tables {
+  async function run<T>(name: string, operation: () => Promise<T>): Promise<T> {
+    await scheduler.schedule(Promise.resolve(), `${name} arrives`);
+    const answer = await operation();
+    return scheduler.schedule(Promise.resolve(answer), `${name} is answered`);
+  }
+  return {
+    read: (keys) => run('read', () => tables.read(keys)),
+    scan: (prefix, after, limit) => run('scan', () => tables.scan(prefix, after, limit)),
+    commit: (transaction) => run('commit', () => tables.commit(transaction)),
+  };
+}
--- /dev/null
+++ b/packages/controller/test/orders.spec.ts
@@ -0,0 +1,257 @@
+import { describe, expect, it } from 'vitest';
+import { asId } from '@mimosamill/core';
+import {
+  createFakeTables,
+  createTablesModel,
+  createVirtualTime,
+  NO_FAULTS,
+} from '@mimosamill/fakes';
+import {
+  createEngineFleet,
+  createLeaseKeeper,
+  createOrderRunner,
+  orderKey,
+  runDuties,
+  targetText,
+  toOrderValue,
+} from '../src/index';
+import { NEW, OLD, SERVICE } from './world';
+import type {
+  EngineOrder,
+  EngineTarget,
+  ListedHost,
+  Log,
+  OrderOutcome,
+  Tables,
+} from '@mimosamill/adapters';
+import type {
+  EngineId,
+  EngineServiceConfig,
+  FailureDomain,
+  HostId,
+  Region,
+  TeamId,
+} from '@mimosamill/core';
+import type { VirtualProcess } from '@mimosamill/fakes';
+import type { Duties } from '../src/index';
+
+const HOST: ListedHost = {
+  hostId: asId<HostId>('e-1'),
+  role: 'engine',
+  service: SERVICE,
+  address: '10.0.0.1:1',
+  region: asId<Region>('region'),
+  failureDomain: asId<FailureDomain>('domain'),
+  state: 'live',
+};
+const LOG: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+function targetOf(...versions: string[]): EngineTarget {
+  const loaded = versions.map((version) => ({ model: 'm', version, adapters: [] }));
+  return { loaded, role: 'mixed' };
+}
+
+function createService(fencing: 'enforced' | 'ignored'): EngineServiceConfig {
+  return {
+    kind: 'engine',
+    name: SERVICE,
+    team: asId<TeamId>('team'),
+    model: 'm',
+    adapters: [],
+    stableVersion: OLD,
+    fencing,
+  };
+}
+
+/** One engine and two controllers; the first one's orders wait in the paused process. */
+function createWorld(fencing: 'enforced' | 'ignored') {
+  const time = createVirtualTime();
+  const model = createTablesModel();
+  const tables = createFakeTables(
+    model,
+    time.clock,
+    () => NO_FAULTS,
+    () => 0.5,
+  );
+  const engine = { target: targetOf(OLD), highestFencingNumber: 0 };
+  const log: string[] = [];
+  let pauseBeforeOrderMs = 0;
+
+  function apply(order: EngineOrder): OrderOutcome {
+    const { highestFencingNumber } = engine;
+    const isStale = order.fencingNumber < highestFencingNumber;
+    const versions = order.target.loaded.map((entry) => entry.version).join('+');
+    const seconds = Math.floor(time.clock.monotonicMs() / 1_000);
+    const isRefused = isStale && fencing === 'enforced';
+    const verb = isRefused ? 'refused' : 'applied';
+    log.push(`${seconds} s: ${verb} ${versions} with number ${order.fencingNumber}`);
+    if (isRefused) return { kind: 'stale', highestFencingNumber };
+    engine.target = order.target;
+    engine.highestFencingNumber = Math.max(order.fencingNumber, highestFencingNumber);
+    return { kind: 'ok' };
+  }
+
+  function start(holder: string): { process: VirtualProcess; duties: Duties } {
+    const process = time.createProcess();
+    const own: Tables = {
+      read: (keys) => process.receive(tables.read(keys)),
+      scan: (prefix, after, limit) => process.receive(tables.scan(prefix, after, limit)),
+      commit: (transaction) => process.receive(tables.commit(transaction)),
+    };
+    const settings = { duty: 'orders', holder, termMs: 10_000 };
+    const lease = createLeaseKeeper(settings, own, process.clock);
+    const runner = createOrderRunner({
+      tables: own,
+      clock: process.clock,
+      lease,
+      hosts: { read: async () => ({ kind: 'ok', hosts: [HOST], asOfMs: 0 }) },
+      engines: {
+        state: async () => ({
+          kind: 'ok',
+          value: { engineId: asId<EngineId>('e-1'), ...engine, loaded: [], loading: [] },
+        }),
+        order: (_address, order) => {
+          // The process stops between its check of the lease and the sending of the order.
+          if (pauseBeforeOrderMs > 0) process.pause(pauseBeforeOrderMs);
+          pauseBeforeOrderMs = 0;
+          return new Promise((resolve) => {
+            process.clock.after(0, () => resolve(apply(order)));
+          });
+        },
+      },
+      config: { read: async () => createService(fencing) },
+      limits: { orderTimeoutMs: 2_000, lingerMs: 3_000 },
+      onOrder: () => undefined,
+    });
+    const duties = runDuties([{ name: 'orders', lease, poll: runner.poll }], process.clock, LOG);
+    return { process, duties };
+  }
+
+  return {
+    time,
+    log,
+    engine,
+    start,
+    want: (target: EngineTarget) => {
+      const value = toOrderValue({ engineId: 'e-1', service: SERVICE, target });
+      const writes = [{ kind: 'put', key: orderKey('e-1'), value } as const];
+      model.commit({ conditions: [], writes }, time.clock.nowMs());
+    },
+    pauseBeforeNextOrder: (forMs: number) => {
+      pauseBeforeOrderMs = forMs;
+    },
+  };
+}
+
+describe('orders of a holder that was paused', () => {
+  // Guards against the old target winning when its sender wakes up after another host took over.
+  async function runPaused(fencing: 'enforced' | 'ignored') {
+    const world = createWorld(fencing);
+    world.start('a');
+    await world.time.run(2_000);
+    world.pauseBeforeNextOrder(40_000);
+    world.want(targetOf(OLD, NEW));
+    world.start('b');
+    await world.time.run(5_000);
+    world.want(targetOf(OLD));
+    await world.time.run(20_000);
+    world.want(targetOf(NEW));
+    await world.time.run(90_000);
+    expect(targetText(world.engine.target)).toBe(targetText(targetOf(NEW)));
+    return world.log;
+  }
+
+  it('are refused by an engine that checks fencing numbers', async () => {
+    expect(await runPaused('enforced')).toMatchInlineSnapshot(`
+      [
+        "15 s: applied v1 with number 2",
+        "21 s: applied v2 with number 2",
+        "43 s: refused v1+v2 with number 1",
+      ]
+    `);
+  });
+
+  it('are undone by the new holder at an engine that ignores fencing numbers', async () => {
+    expect(await runPaused('ignored')).toMatchInlineSnapshot(`
+      [
+        "25 s: applied v2 with number 2",
+        "43 s: applied v1+v2 with number 1",
+        "46 s: applied v2 with number 2",
+      ]
+    `);
+  });
+
+  it('do not delay the next holder after a planned stop', async () => {
+    const world = createWorld('ignored');
+    const first = world.start('a');
+    await world.time.run(2_000);
+    void first.duties.stop();
+    world.start('b');
+    await world.time.run(4_000);
+    world.want(targetOf(NEW));
+    await world.time.run(6_000);
+    expect(targetText(world.engine.target)).toBe(targetText(targetOf(NEW)));
+  });
+});
+
+describe('engine fleet', () => {
+  it('orders a version onto no more engines than may load at a time', async () => {
+    const time = createVirtualTime();
+    const model = createTablesModel();
+    const hosts = Array.from({ length: 6 }, (_, i) => ({
+      ...HOST,
+      hostId: asId<HostId>(`e-${i}`),
+    }));
+    const { loaded } = targetOf(OLD);
+    const fleet = createEngineFleet({
+      hosts: { read: async () => ({ kind: 'ok', hosts, asOfMs: 0 }) },
+      engines: {
+        load: async () => ({ kind: 'ok', value: createLoad(loaded) }),
+        state: async () => ({
+          kind: 'ok',
+          value: {
+            engineId: asId<EngineId>(''),
+            target: targetOf(OLD),
+            loaded,
+            loading: [],
+            highestFencingNumber: 0,
+          },
+        }),
+      },
+      weights: { describe: async () => ({ kind: 'ok', sizeBytes: 1, bytesPerSec: 1 }) },
+      tables: createFakeTables(
+        model,
+        time.clock,
+        () => NO_FAULTS,
+        () => 0.5,
+      ),
+      hash: (text) => text.length + text.charCodeAt(0),
+    });
+    for (let round = 0; round < 3; round += 1) {
+      await fleet.load(createService('ignored'), NEW, 4, 2);
+    }
+    const rows = model.scan('orders/', '', 10, 0);
+    const targets = rows.map((row) => (row.value as unknown as { target: EngineTarget }).target);
+    expect(targets.map(targetText)).toEqual(Array(2).fill(targetText(targetOf(OLD, NEW))));
+  });
+});
+
+function createLoad(loaded: EngineTarget['loaded']) {
+  return {
+    engineId: asId<EngineId>(''),
+    state: 'live',
+    role: 'mixed',
+    running: 3,
+    queued: 0,
+    maxRunning: 10,
+    cacheUsedRatio: 0,
+    stepMs: 10,
+    loaded,
+    reportAgeMs: 0,
+  } as const;
+}
--- a/packages/core/src/move/machine.ts
+++ b/packages/core/src/move/machine.ts
@@ -57,7 +57,10 @@
     return [takeBack(`the stable version is ${view.stableVersion}, not ${record.fromVersion}`)];
   }
   if (isFullyShifted(view)) return [{ kind: 'end', state: 'done', reason: 'all steps passed' }];
-  if (planned.kind === 'refused') return [takeBack(planned.reason)];
+  if (planned.kind === 'refused') {
+    // A move that has begun goes on when the engines have room again, or ends at its deadline.
+    return record.stepShareRatio === 0 ? [takeBack(planned.reason)] : [];
+  }
   const configured = view.candidate?.shareRatio ?? 0;
   if (configured !== record.stepShareRatio) return [setCandidate(record)];
   return advance(view, planned.plan, nowMs);
--- a/packages/core/src/move/plan.ts
+++ b/packages/core/src/move/plan.ts
@@ -1,6 +1,8 @@
 /** What a move's timetable depends on. */
 export interface PlanInput {
   readonly nowMs: number;
+  /** When the move was ordered; the same as `nowMs` for a new one. */
+  readonly orderedAtMs?: number;
   readonly byMs: number;
   /** Share that was already reached; 0 for a new move. */
   readonly reachedShareRatio: number;
@@ -73,19 +75,21 @@
       `no engine can be spared for loading: ${input.engineCount} engines are ${busyPercent}% busy`,
     );
   }
-  const shares = STEP_SHARES.filter((share) => share > input.reachedShareRatio);
-  const readyAtMs = shares.map((share) => loadedAtMs(input, share, loadConcurrency));
-  const earliestMs = earliestTimes(readyAtMs, input.nowMs);
+  const finishMs = input.byMs - FINISH_MARGIN_MS;
+  const timetable = spreadTimes(timesFromOrder(input, loadConcurrency), finishMs);
+  const firstStep = STEP_SHARES.findIndex((share) => share > input.reachedShareRatio);
+  const shares = firstStep < 0 ? [] : STEP_SHARES.slice(firstStep);
+  const earliestMs = timesFromNow(input, shares, loadConcurrency);
+  // A new holder keeps to the move's timetable, and waits between steps that are overdue.
+  const times = earliestMs.map((ms, i) => Math.max(ms, timetable[firstStep + i] ?? ms));
   // The margin is for takeovers, so a move that was taken over may use it up.
   const marginMs = input.reachedShareRatio === 0 ? FINISH_MARGIN_MS : LAST_MARGIN_MS;
-  const earliestFinishMs = earliestMs.at(-1) ?? input.nowMs;
-  const finishMs = Math.max(earliestFinishMs, input.byMs - FINISH_MARGIN_MS);
-  if (earliestFinishMs > input.byMs - marginMs) {
-    const neededSec = Math.ceil((earliestFinishMs + marginMs - input.nowMs) / 1_000);
+  const lastMs = times.at(-1) ?? input.nowMs;
+  if (lastMs > input.byMs - marginMs) {
+    const neededSec = Math.ceil((lastMs + marginMs - input.nowMs) / 1_000);
     const givenSec = Math.floor((input.byMs - input.nowMs) / 1_000);
     return refuse(`the move needs ${neededSec} s and the deadline leaves ${givenSec} s`);
   }
-  const times = spreadTimes(earliestMs, finishMs);
   const steps = shares.map((shareRatio, i) => ({
     shareRatio,
     atMs: times[i] ?? finishMs,
@@ -126,6 +130,33 @@
   return busyEngines / enginesAt(input, shareRatio);
 }
 
+/** Earliest times of all steps, as they were when the move was ordered. */
+function timesFromOrder(input: PlanInput, concurrency: number): number[] {
+  const isNew = input.reachedShareRatio === 0;
+  const loadedCount = isNew ? input.loadedCount : 0;
+  const nowMs = input.orderedAtMs ?? input.nowMs;
+  return earliestTimes({ ...input, nowMs, loadedCount }, STEP_SHARES, concurrency, nowMs);
+}
+
+/** Earliest times of the steps that are left; it is unknown how long the last one was held. */
+function timesFromNow(input: PlanInput, shares: readonly number[], concurrency: number): number[] {
+  const startMs = input.reachedShareRatio === 0 ? input.nowMs : input.nowMs + MIN_HOLD_MS;
+  return earliestTimes(input, shares, concurrency, startMs);
+}
+
+function earliestTimes(
+  input: PlanInput,
+  shares: readonly number[],
+  concurrency: number,
+  startMs: number,
+): number[] {
+  let previousMs = startMs - MIN_HOLD_MS;
+  return shares.map((share) => {
+    previousMs = Math.max(loadedAtMs(input, share, concurrency), previousMs + MIN_HOLD_MS);
+    return previousMs;
+  });
+}
+
 function loadedAtMs(input: PlanInput, shareRatio: number, concurrency: number): number {
   if (input.sizeBytes === 0) return input.nowMs;
   const missing = Math.max(0, enginesAt(input, shareRatio) - input.loadedCount);
@@ -134,24 +165,14 @@
   return input.nowMs + transferMs + rounds * LOAD_OVERHEAD_MS;
 }
 
-function earliestTimes(readyAtMs: readonly number[], nowMs: number): number[] {
-  let previousMs = nowMs - MIN_HOLD_MS;
-  return readyAtMs.map((readyMs) => {
-    previousMs = Math.max(readyMs, previousMs + MIN_HOLD_MS);
-    return previousMs;
-  });
-}
-
 /** Walks back from the finish; no step is earlier than its earliest time. */
 function spreadTimes(earliestMs: readonly number[], finishMs: number): number[] {
-  const weights = HOLD_WEIGHTS.slice(HOLD_WEIGHTS.length - (earliestMs.length - 1));
-  const weightSum = weights.reduce((sum, weight) => sum + weight, 0);
   const spanMs = finishMs - (earliestMs[0] ?? finishMs);
   const times = [...earliestMs];
   let nextMs = finishMs;
   for (let i = times.length - 1; i >= 0; i -= 1) {
     times[i] = Math.max(earliestMs[i] ?? nextMs, nextMs);
-    const holdMs = i > 0 ? ((weights[i - 1] ?? 0) / weightSum) * spanMs : 0;
+    const holdMs = (HOLD_WEIGHTS[i - 1] ?? 0) * spanMs;
     nextMs = (times[i] ?? finishMs) - Math.max(MIN_HOLD_MS, holdMs);
   }
   return times;
