Continue streams at another router; choose versions by the move watch

Cause: a stream died with its router, and routers ignored candidate versions. Before: a killed router lost its streams.

--- a/packages/bench/src/fleet/caller.ts
+++ b/packages/bench/src/fleet/caller.ts
@@ -23,8 +23,12 @@
   readonly routerFor: (connection: number) => string | undefined;
   readonly onToken?: (index: number) => void;
   readonly reconnectDelayMs?: number;
+  readonly maxConnections?: number;
 }
 
+/** A caller that finds no router gives up after this many connections. */
+const MAX_CONNECTIONS = 40;
+
 interface Progress {
   readonly texts: string[];
   readonly gapsMs: number[];
@@ -49,7 +53,7 @@
     error: '',
   };
   let connection = 0;
-  for (;;) {
+  while (connection < (options.maxConnections ?? MAX_CONNECTIONS)) {
     const address = options.routerFor(connection);
     if (address === undefined) break;
     progress.end = 'cut';
--- a/packages/bench/test/path.spec.ts
+++ b/packages/bench/test/path.spec.ts
@@ -118,4 +118,16 @@
     expect(result).toMatchObject({ end: 'done', misnumbered: 0, reconnects: 0 });
     expect(result.texts).toEqual(expected(300));
   });
+
+  // Guards against losing a stream whose router dies: the journal's copy and the engine go on.
+  it('continues an answer at another router when its router is killed', async () => {
+    const killed: Promise<void>[] = [];
+    const result = await read(300, (index) => {
+      if (index === 120) killed.push(routers[0]?.process.kill() ?? Promise.resolve());
+    });
+    await Promise.all(killed);
+    expect(result).toMatchObject({ end: 'done', misnumbered: 0, error: expect.any(String) });
+    expect(result.reconnects).toBeGreaterThan(0);
+    expect(result.texts).toEqual(expected(300));
+  });
 });
--- a/packages/core/src/stream/session.ts
+++ b/packages/core/src/stream/session.ts
@@ -43,6 +43,8 @@
 export interface SessionSettings {
   readonly requestId: RequestId;
   readonly maxAttempts: number;
+  /** Attempts that another router made; the numbers go on after them. */
+  readonly earlierAttempts: number;
   readonly silence: SilenceBounds;
   readonly deadlineAtMs: number;
 }
@@ -86,7 +88,7 @@
       );
     }
     attemptCount += 1;
-    const attemptNo = asAttemptNo(attemptCount);
+    const attemptNo = asAttemptNo(settings.earlierAttempts + attemptCount);
     const fromIndex = journal.length();
     live.push({ attemptNo, startedAtIndex: fromIndex, isSilent: false });
     pace.onAttempt(atMs);
--- a/packages/core/test/session.spec.ts
+++ b/packages/core/test/session.spec.ts
@@ -16,6 +16,7 @@
     {
       requestId: REQUEST,
       maxAttempts: 8,
+      earlierAttempts: 0,
       silence: { minMs: 250, maxMs: 1_000, firstTokenMs: 2_000 },
       deadlineAtMs: 60_000,
     },
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -30,10 +30,14 @@
 import { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
 import { createConfigRouter } from './config/peer';
 import { createCallerServer } from './http/server';
+import { createWithdrawalGossip } from './move/gossip';
+import { createMovePeerRouter } from './move/peer';
+import { createMoveWatch } from './move/watch';
 import { createPeers } from './peer/member';
 import { createPeerServer, SERVER_DEFAULTS } from './peer/server';
 import { createPeerTraffic } from './peer/traffic';
 import { createBackends } from './route/backends';
+import { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
 import { createStreams } from './stream/streams';
 import type { InjectionToken } from 'tsyringe';
 import type {
@@ -54,6 +58,8 @@
 import type {
   FailureDomain,
   Fingerprint,
+  MoveId,
+  MoveRecord,
   Region,
   RequestId,
   RetryBudget,
@@ -63,11 +69,14 @@
 import type { Calls } from './call/calls';
 import type { ConfigFeed } from './config/feed';
 import type { ConfigRouter } from './config/peer';
+import type { MovePeerRouter } from './move/peer';
+import type { MoveWatch } from './move/watch';
 import type { Peers } from './peer/member';
 import type { PeerServer } from './peer/server';
 import type { PeerTraffic } from './peer/traffic';
 import type { Backends } from './route/backends';
 import type { RouterSettings } from './settings';
+import type { Replicas } from './stream/replica';
 import type { Streams } from './stream/streams';
 
 const CLOCK: InjectionToken<Clock> = Symbol('Clock');
@@ -84,6 +93,8 @@
 const PEERS: InjectionToken<Peers> = Symbol('Peers');
 const PEER_SERVER: InjectionToken<PeerServer> = Symbol('PeerServer');
 const FEED: InjectionToken<ConfigFeed> = Symbol('ConfigFeed');
+const REPLICAS: InjectionToken<Replicas> = Symbol('Replicas');
+const MOVES: InjectionToken<MoveWatch> = Symbol('MoveWatch');
 const BACKENDS: InjectionToken<Backends> = Symbol('Backends');
 const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
 const CALLS: InjectionToken<Calls> = Symbol('Calls');
@@ -183,6 +194,30 @@
       settings: DEFAULT_FEED_SETTINGS,
     }),
   );
+  provide(REPLICAS, () =>
+    createReplicas(REPLICA_DEFAULTS, {
+      membership: use(PEERS),
+      pool: use(PEERS).pool,
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+    }),
+  );
+  provide(MOVES, () =>
+    createMoveWatch({
+      config: use(FEED),
+      membership: use(PEERS),
+      gossip: createWithdrawalGossip(use(PEERS)),
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      readRecord: (moveId) => readMoveRecord(use(TABLES), moveId),
+      sendEvidence: (peer, message) =>
+        use(PEERS)
+          .pool.client<MovePeerRouter>('moves', peer.peerAddress)
+          .evidence.mutate(message)
+          .catch(() => undefined),
+      onWithdrawn: (item, origin) => use(LOG).warn('version withdrawn', { ...item, origin }),
+    }),
+  );
   provide(PEER_SERVER, () =>
     createPeerServer(
       { host: settings.ip, port: settings.peerPort, ...SERVER_DEFAULTS },
@@ -191,6 +226,8 @@
         config: createConfigRouter(use(FEED).handler),
         // tRPC reserves the name 'call'.
         calls: createCallRouter(use(CALLS)),
+        replica: use(REPLICAS).router,
+        moves: createMovePeerRouter(use(MOVES)),
       },
       use(TRAFFIC),
     ),
@@ -262,24 +299,15 @@
       random: Math.random,
       engines: use(ENGINES),
       directory: use(BACKENDS),
-      replicas: {
-        onStart: () => undefined,
-        onToken: () => undefined,
-        onEnd: () => undefined,
-        find: () => Promise.resolve(undefined),
-      },
+      replicas: use(REPLICAS),
       suspects: {
-        check: () => undefined,
+        admit: () => ({ kind: 'run' }),
         avoid: () => new Set(),
-        onSent: () => undefined,
-        onToken: () => undefined,
-        onEngineLost: () => undefined,
+        onProgress: () => undefined,
+        onDeath: () => undefined,
         onEnd: () => undefined,
       },
-      versions: {
-        choose: (service) => service.stableVersion,
-        observe: () => undefined,
-      },
+      versions: use(MOVES),
       metrics: use(METRICS),
       log: use(LOG),
       blockKeysOf: (text) => {
@@ -330,6 +358,8 @@
   feed.onChange((config) => peers.setRevision(config.revision));
   peers.start();
   feed.start();
+  use(REPLICAS).start();
+  const stopMoves = use(MOVES).start();
   await use(BACKENDS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
@@ -344,6 +374,8 @@
       await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
       use(BACKENDS).stop();
       use(STREAMS).stop();
+      use(REPLICAS).stop();
+      stopMoves();
       feed.stop();
       await use(CALLER_SERVER).close();
       await peers.stop();
@@ -355,6 +387,12 @@
   };
 }
 
+async function readMoveRecord(tables: Tables, moveId: MoveId): Promise<MoveRecord | undefined> {
+  const answer = await tables.read([`moves/${moveId}`]);
+  const [row] = answer.kind === 'ok' ? answer.rows : [];
+  return row?.value as unknown as MoveRecord | undefined;
+}
+
 async function drain(settings: RouterSettings, use: Use): Promise<void> {
   const calls = use(CALLS).drain(0, settings.drainTimeoutMs);
   await Promise.all([use(STREAMS).drained(), calls]);
--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -10,7 +10,7 @@
 } from '@mimosamill/adapters';
 import type { EngineId, PickerSettings, Send, ServiceName } from '@mimosamill/core';
 import type { ServerPicker } from '../call/ports';
-import type { EngineDirectory, EnginePlace } from '../stream/ports';
+import type { EngineDirectory, KnownEngine } from '../stream/ports';
 
 export interface BackendsOptions {
   readonly clock: Clock;
@@ -33,9 +33,13 @@
   readonly stop: () => void;
 }
 
-interface KnownEngine extends EnginePlace {
-  readonly service: ServiceName;
+interface EngineRecord extends KnownEngine {
+  versions: readonly string[];
+  loadRatio: number;
   isPolling: boolean;
+  isDown: boolean;
+  /** The running check of whether it is down. */
+  check: Promise<boolean> | undefined;
 }
 
 interface KnownServer {
@@ -50,11 +54,14 @@
 
 /** How long a server that refused a connection is passed over. */
 const REFUSED_MS = 2_000;
+/** Wait for an engine that dropped a connection to show that it is alive. */
+const DOWN_CHECK_MS = 100;
 
 export function createBackends(options: BackendsOptions): Backends {
   const { clock, random } = options;
   const picker = createPicker(options.picker);
-  const engines = new Map<EngineId, KnownEngine>();
+  const engines = new Map<EngineId, EngineRecord>();
+  const downHooks: ((engine: KnownEngine) => void)[] = [];
   const servers = new Map<string, KnownServer>();
   const cancels: (() => void)[] = [];
   const unreachable = options.metrics.counter(
@@ -80,7 +87,17 @@
       const service = asId<ServiceName>(host.service);
       const known = engines.get(engineId);
       if (known?.address === host.address) return;
-      engines.set(engineId, { engineId, address: host.address, service, isPolling: false });
+      engines.set(engineId, {
+        engineId,
+        address: host.address,
+        service,
+        failureDomain: host.failureDomain,
+        versions: known?.versions ?? [],
+        loadRatio: 0,
+        isPolling: false,
+        isDown: false,
+        check: undefined,
+      });
     });
     picker.setEngines(
       listed.map((host) => ({
@@ -119,14 +136,44 @@
     ]);
   }
 
-  async function readEngine(engine: KnownEngine): Promise<void> {
+  async function readEngine(engine: EngineRecord): Promise<void> {
     // A paused engine answers late; one question at a time bounds what waits for it.
     if (engine.isPolling) return;
     engine.isPolling = true;
     const answer = await options.engines.load(engine.address);
     engine.isPolling = false;
-    if (answer.kind === 'ok') picker.onLoad(engine.engineId, answer.value, clock.monotonicMs());
-    else unreachable.inc({ service: engine.service });
+    if (answer.kind === 'unavailable') {
+      unreachable.inc({ service: engine.service });
+      return;
+    }
+    const { running, maxRunning, loaded } = answer.value;
+    engine.isDown = false;
+    engine.loadRatio = running / maxRunning;
+    engine.versions = loaded.map(({ version }) => version);
+    picker.onLoad(engine.engineId, answer.value, clock.monotonicMs());
+  }
+
+  function confirmDown(engineId: EngineId): Promise<boolean> {
+    const engine = engines.get(engineId);
+    if (engine === undefined) return Promise.resolve(true);
+    if (engine.isDown) return Promise.resolve(true);
+    engine.check ??= checkDown(engine).finally(() => {
+      engine.check = undefined;
+    });
+    return engine.check;
+  }
+
+  async function checkDown(engine: EngineRecord): Promise<boolean> {
+    const timeout = new Promise<'silent'>((resolve) => {
+      clock.after(DOWN_CHECK_MS, () => resolve('silent'));
+    });
+    const answer = await Promise.race([options.engines.load(engine.address), timeout]);
+    if (answer !== 'silent' && answer.kind === 'ok') return false;
+    if (!engine.isDown) {
+      engine.isDown = true;
+      downHooks.forEach((fn) => fn(engine));
+    }
+    return true;
   }
 
   async function readServer(server: KnownServer): Promise<void> {
@@ -168,6 +215,11 @@
     onFirstToken: (send) => picker.onFirstToken(send, clock.monotonicMs()),
     onEnd: (send, result) => picker.onEnd(send, result, clock.monotonicMs()),
     onLeaving: (engineId) => picker.onLeaving(engineId, clock.monotonicMs()),
+    loadRatioOf: (engineId) => engines.get(engineId)?.loadRatio ?? 0,
+    confirmDown,
+    onDown: (fn) => {
+      downHooks.push(fn);
+    },
     enginesOf: (service) => [...engines.values()].filter((engine) => engine.service === service),
     servers: {
       pick: pickServer,
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -1,17 +1,17 @@
 import type { Clock, EngineClient, Log, Metrics, TraceSpan } from '@mimosamill/adapters';
 import type {
-  AttemptNo,
   EngineId,
   EngineServiceConfig,
+  FailureDomain,
   Fingerprint,
   RequestId,
   RouteRequest,
   Send,
   SendResult,
-  ServeError,
   ServiceName,
-  VersionName,
 } from '@mimosamill/core';
+import type { MoveWatch } from '../move/watch';
+import type { Replicas } from './replica';
 
 export interface EnginePlace {
   readonly engineId: EngineId;
@@ -29,76 +29,66 @@
   readonly onFirstToken: (send: Send) => void;
   readonly onEnd: (send: Send, result: SendResult) => void;
   readonly onLeaving: (engineId: EngineId) => void;
-  readonly enginesOf: (service: ServiceName) => readonly EnginePlace[];
+  readonly enginesOf: (service: ServiceName) => readonly KnownEngine[];
+  /** Running requests of an engine per place. */
+  readonly loadRatioOf: (engineId: EngineId) => number;
+  /** Whether an engine that dropped a connection no longer accepts any. */
+  readonly confirmDown: (engineId: EngineId) => Promise<boolean>;
+  /** Calls back once for every engine found down. */
+  readonly onDown: (fn: (engine: KnownEngine) => void) => void;
 }
 
-/** What another router left of a stream. */
-export interface ReplicatedStream {
-  readonly bodyHash: string;
-  readonly engineId: EngineId;
-  readonly address: string;
-  readonly version: VersionName;
-  readonly attemptNo: AttemptNo;
-  readonly texts: readonly string[];
-  readonly hasFinished: boolean;
+export interface KnownEngine extends EnginePlace {
+  readonly service: ServiceName;
+  readonly failureDomain: FailureDomain;
+  readonly versions: readonly string[];
 }
 
-/** Copies of running streams at other routers. */
-export interface StreamReplicas {
-  readonly onStart: (
-    requestId: RequestId,
-    start: {
-      readonly bodyHash: string;
-      readonly engineId: EngineId;
-      readonly address: string;
-      readonly version: VersionName;
-      readonly attemptNo: AttemptNo;
-      readonly texts: readonly string[];
-    },
-  ) => void;
-  readonly onToken: (requestId: RequestId, index: number, text: string) => void;
-  readonly onEnd: (requestId: RequestId) => void;
-  readonly find: (requestId: RequestId) => Promise<ReplicatedStream | undefined>;
+/** A request that was on an engine when it died. */
+export interface LostRequest {
+  readonly fingerprint: Fingerprint;
+  readonly requestId: RequestId;
+  /** Tokens that the request had. */
+  readonly index: number;
 }
 
+export type GuardAdmission =
+  | { readonly kind: 'run' }
+  | { readonly kind: 'wait'; readonly delayMs: number }
+  | { readonly kind: 'condemned' };
+
 /** Judges which requests may be killing engines. */
 export interface SuspectGuard {
-  /** An error if the content is known to kill engines. */
-  readonly check: (fingerprint: Fingerprint) => ServeError | undefined;
+  /** Asked before each attempt. */
+  readonly admit: (fingerprint: Fingerprint, requestId: RequestId) => GuardAdmission;
   /** Engines to avoid, to keep suspects apart. */
-  readonly avoid: (fingerprint: Fingerprint) => ReadonlySet<EngineId>;
-  readonly onSent: (fingerprint: Fingerprint, engineId: EngineId) => void;
-  readonly onToken: (fingerprint: Fingerprint, index: number) => void;
-  readonly onEngineLost: (fingerprint: Fingerprint, engineId: EngineId, index: number) => void;
-  readonly onEnd: (fingerprint: Fingerprint, engineId: EngineId) => void;
-}
-
-/** Chooses the version of a new request and hears how it went. */
-export interface VersionChooser {
-  readonly choose: (service: EngineServiceConfig, requestId: RequestId) => VersionName;
-  readonly observe: (observation: VersionObservation) => void;
+  readonly avoid: (
+    fingerprint: Fingerprint,
+    engines: readonly KnownEngine[],
+  ) => ReadonlySet<EngineId>;
+  readonly onProgress: (fingerprint: Fingerprint, index: number) => void;
+  readonly onDeath: (engine: KnownEngine, requests: readonly LostRequest[]) => void;
+  readonly onEnd: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+  ) => void;
 }
 
-export interface VersionObservation {
-  readonly service: ServiceName;
-  readonly version: VersionName;
-  readonly adapter: string;
-  readonly engineId: EngineId;
-  /** What happened. */
-  readonly event:
-    | { readonly kind: 'first_token'; readonly afterMs: number }
-    | { readonly kind: 'ended'; readonly meanGapMs: number }
-    | { readonly kind: 'failed' };
-}
+/** Chooses the version of a new request and compares versions during a move. */
+export type VersionWatch = Pick<MoveWatch, 'choose' | 'avoid' | 'onAttempt' | 'onEngineDown'>;
 
 export interface StreamPorts {
   readonly clock: Clock;
   readonly random: () => number;
   readonly engines: EngineClient;
   readonly directory: EngineDirectory;
-  readonly replicas: StreamReplicas;
+  readonly replicas: Pick<
+    Replicas,
+    'onStart' | 'onAttempt' | 'onToken' | 'onEnd' | 'find' | 'takeOver' | 'onRelease'
+  >;
   readonly suspects: SuspectGuard;
-  readonly versions: VersionChooser;
+  readonly versions: VersionWatch;
   readonly metrics: Metrics;
   readonly log: Log;
   /** Routing keys of a prompt's blocks. */
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -3,8 +3,11 @@
 import type {
   AttemptNo,
   EngineId,
+  AttemptObserver,
+  AttemptOutcome,
   FinishReason,
   Fingerprint,
+  HeldReplica,
   Journal,
   LossCause,
   RouteRequest,
@@ -12,16 +15,12 @@
   SendResult,
   ServeError,
   Session,
+  ReplicaStart,
   SessionEffect,
+  VersionGroup,
   VersionName,
 } from '@mimosamill/core';
-import type {
-  EnginePlace,
-  ReplicatedStream,
-  StreamPorts,
-  StreamReader,
-  StreamRequest,
-} from './ports';
+import type { EnginePlace, LostRequest, StreamPorts, StreamReader, StreamRequest } from './ports';
 
 /** How a stream ended. */
 export type StreamEnd =
@@ -35,7 +34,11 @@
   readonly ended: () => StreamEnd | undefined;
   readonly start: () => void;
   /** Goes on with what another router left. */
-  readonly takeOver: (left: ReplicatedStream, haveTokens: number) => void;
+  readonly takeOver: (left: HeldReplica, haveTokens: number) => void;
+  /** Another router serves the stream now; nothing is cancelled at the engine. */
+  readonly release: () => void;
+  readonly isOn: (engineId: EngineId) => boolean;
+  readonly lostRequest: () => LostRequest;
   /** Connects the caller; an earlier connection is dropped. */
   readonly attach: (reader: StreamReader) => void;
   readonly detach: (reader: StreamReader) => void;
@@ -52,7 +55,8 @@
   readonly handle: Attempt;
   readonly send: Send;
   readonly span: TraceSpan;
-  readonly startedAtMs: number;
+  readonly observer: AttemptObserver;
+  lastTokenMs: number;
   hasToken: boolean;
 }
 
@@ -62,6 +66,8 @@
 const PLACE_RETRY_MS = 25;
 /** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
 const PLACE_TIMEOUT_MS = 2_500;
+/** Engines busier than this are left to the version that needs them. */
+const BUSY_RATIO = 0.8;
 
 export function createRunningStream(ports: StreamPorts, request: StreamRequest): RunningStream {
   const { clock, directory, engines, replicas, suspects, versions } = ports;
@@ -75,8 +81,13 @@
   const avoided = new Set<EngineId>();
   /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
   let deferred: (() => void)[] = [];
-  let session = createSessionAfter([]);
   let version: VersionName | undefined;
+  let group: VersionGroup = 'other';
+  /** Routers that served the stream before this one. */
+  let adoptionCount = 0;
+  let hasReplica = false;
+  let earlierAttempts = 0;
+  let session = createSessionAfter([]);
   let reader: StreamReader | undefined;
   let detachedSinceMs: number | undefined = clock.monotonicMs();
   let end: StreamEnd | undefined;
@@ -89,6 +100,7 @@
       {
         requestId,
         maxAttempts: MAX_ATTEMPTS,
+        earlierAttempts,
         silence: {
           minMs: request.silenceMinMs,
           maxMs: request.silenceMaxMs,
@@ -106,7 +118,7 @@
       switch (effect.kind) {
         case 'deliver':
           replicas.onToken(requestId, effect.index, effect.text);
-          suspects.onToken(fingerprint, effect.index);
+          suspects.onProgress(fingerprint, effect.index);
           noteResumed();
           break;
         case 'start_attempt':
@@ -154,31 +166,67 @@
     streamCounters(ports).ended.inc({ outcome: failure ?? 'ok' });
     request.span.set({ tokens: session.journal().length(), attempts: session.attemptCount() });
     request.span.end(failure);
-    replicas.onEnd(requestId);
+    suspects.onEnd(fingerprint, requestId, outcome.kind === 'finish' ? 'finished' : 'given_up');
+    replicas.onEnd(requestId, outcome.kind === 'finish' ? outcome.reason : undefined);
   }
 
   function place(attemptNo: AttemptNo, untilMs: number): void {
     if (end !== undefined || !session.liveAttempts().includes(attemptNo)) return;
-    version ??= versions.choose(service, requestId);
-    const routeRequest = toRouteRequest(version);
+    const admission = suspects.admit(fingerprint, requestId);
+    switch (admission.kind) {
+      case 'condemned':
+        failAttempt(attemptNo, condemned());
+        break;
+      case 'wait':
+        clock.after(admission.delayMs, () => place(attemptNo, untilMs + admission.delayMs));
+        break;
+      case 'run':
+        placeNow(attemptNo, untilMs);
+        break;
+      default:
+        assertNever(admission);
+    }
+  }
+
+  function placeNow(attemptNo: AttemptNo, untilMs: number): void {
+    const chosen = version ?? chooseVersion();
+    if (chosen === undefined) {
+      failAttempt(attemptNo, noEngine('no_version', false));
+      return;
+    }
+    const routeRequest = toRouteRequest(chosen);
     const found = directory.pick(routeRequest);
     if (found.kind === 'ok') {
-      startAttempt(attemptNo, found, routeRequest, version);
+      startAttempt(attemptNo, found, routeRequest, chosen);
       return;
     }
     if (found.reason === 'all_excluded') avoided.clear();
     // Nothing has been generated yet, so the request may still start on another version.
     if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
     if (clock.monotonicMs() >= untilMs) {
-      const error = noEngine(found.reason, session.journal().length() > 0);
-      apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
+      failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
       return;
     }
     clock.after(PLACE_RETRY_MS, () => place(attemptNo, untilMs));
   }
 
+  function failAttempt(attemptNo: AttemptNo, error: ServeError): void {
+    apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
+  }
+
+  function chooseVersion(): VersionName | undefined {
+    const choice = versions.choose(service, requestId);
+    if (choice.kind === 'none') return undefined;
+    version = choice.version;
+    group = choice.group;
+    return version;
+  }
+
   function toRouteRequest(chosen: VersionName): RouteRequest {
-    const busy = [...open.values()].map(({ place: { engineId } }) => engineId);
+    const inUse = [...open.values()].map(({ place: { engineId } }) => engineId);
+    const known = directory.enginesOf(service.name);
+    const apart = suspects.avoid(fingerprint, known);
+    const reserved = versions.avoid(service, group, known, BUSY_RATIO);
     return {
       model: service.model,
       version: chosen,
@@ -186,7 +234,7 @@
       priority: request.priority,
       promptTokens: promptTokens + session.journal().length(),
       blockKeys: ports.blockKeysOf(request.prompt),
-      excluded: new Set([...avoided, ...busy, ...suspects.avoid(fingerprint)]),
+      excluded: new Set([...avoided, ...inUse, ...apart, ...reserved]),
     };
   }
 
@@ -198,7 +246,6 @@
   ): void {
     const span = request.span.child('attempt', { engine: where.engineId, attempt: attemptNo });
     const texts = session.journal().texts();
-    suspects.onSent(fingerprint, where.engineId);
     const handle = engines.generate(
       where.address,
       {
@@ -217,16 +264,23 @@
       onAttemptEvent,
     );
     register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
-    replicas.onStart(requestId, {
+    replicate({
+      requestId,
       bodyHash: request.bodyHash,
       engineId: where.engineId,
-      address: where.address,
+      engineAddress: where.address,
       version: chosen,
       attemptNo,
-      texts,
+      adoptionCount,
     });
   }
 
+  function replicate(start: ReplicaStart): void {
+    if (hasReplica) replicas.onAttempt(start);
+    else replicas.onStart(start, session.journal().texts());
+    hasReplica = true;
+  }
+
   function register(
     attemptNo: AttemptNo,
     where: EnginePlace,
@@ -234,9 +288,24 @@
     send: Send,
     span: TraceSpan,
   ): void {
-    const startedAtMs = clock.monotonicMs();
-    const attempt = { attemptNo, place: where, handle, send, span, startedAtMs, hasToken: false };
-    open.set(attemptNo, attempt);
+    const observer = versions.onAttempt({
+      service: service.name,
+      version: version ?? service.stableVersion,
+      route: request.adapter,
+      engineLoadRatio: directory.loadRatioOf(where.engineId),
+      engineId: where.engineId,
+    });
+    const lastTokenMs = clock.monotonicMs();
+    open.set(attemptNo, {
+      attemptNo,
+      place: where,
+      handle,
+      send,
+      span,
+      observer,
+      lastTokenMs,
+      hasToken: false,
+    });
   }
 
   function onAttemptEvent(event: AttemptEvent): void {
@@ -261,18 +330,23 @@
 
   function onToken(event: Extract<AttemptEvent, { kind: 'token' }>): void {
     const attempt = open.get(event.attemptNo);
-    if (attempt !== undefined && !attempt.hasToken) {
+    if (attempt !== undefined) noteToken(attempt);
+    apply(session.on(event, clock.monotonicMs()));
+  }
+
+  function noteToken(attempt: OpenAttempt): void {
+    const nowMs = clock.monotonicMs();
+    if (attempt.hasToken) {
+      attempt.observer.onGap(nowMs - attempt.lastTokenMs);
+    } else {
       attempt.hasToken = true;
       directory.onFirstToken(attempt.send);
-      const afterMs = clock.monotonicMs() - attempt.startedAtMs;
-      observe(attempt, { kind: 'first_token', afterMs });
+      attempt.observer.onFirstToken(clock.nowMs());
     }
-    apply(session.on(event, clock.monotonicMs()));
+    attempt.lastTokenMs = nowMs;
   }
 
   function onFinish(attemptNo: AttemptNo, reason: FinishReason): void {
-    const attempt = open.get(attemptNo);
-    if (attempt !== undefined) observe(attempt, { kind: 'ended', meanGapMs: session.meanGapMs() });
     closeAttempt(attemptNo, 'ok');
     apply(session.on({ kind: 'finish', attemptNo, reason }, clock.monotonicMs()));
   }
@@ -280,13 +354,13 @@
   function onLost(attemptNo: AttemptNo, cause: 'connect_failed' | 'reset' | 'ended_early'): void {
     const attempt = open.get(attemptNo);
     if (attempt === undefined) return;
-    avoided.add(attempt.place.engineId);
-    if (cause !== 'connect_failed') {
-      suspects.onEngineLost(fingerprint, attempt.place.engineId, session.journal().length());
-    }
-    observe(attempt, { kind: 'failed' });
-    closeAttempt(attemptNo, 'failed');
-    whileConnected(() => loseAttempt(attemptNo, cause));
+    const { engineId } = attempt.place;
+    avoided.add(engineId);
+    // Whether the engine died decides if its requests are suspects, so it is settled first.
+    void directory.confirmDown(engineId).then((isDown) => {
+      closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
+      whileConnected(() => loseAttempt(attemptNo, cause));
+    });
   }
 
   function onRefused(
@@ -297,8 +371,8 @@
     if (attempt === undefined) return;
     avoided.add(attempt.place.engineId);
     if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
-    if (cause === 'failed') observe(attempt, { kind: 'failed' });
-    closeAttempt(attemptNo, cause === 'failed' ? 'failed' : 'refused');
+    if (cause === 'failed') closeAttempt(attemptNo, 'failed');
+    else closeAttempt(attemptNo, 'refused', 'void');
     whileConnected(() => loseAttempt(attemptNo, 'refused'));
   }
 
@@ -312,67 +386,62 @@
     else deferred.push(fn);
   }
 
-  function observe(
-    attempt: OpenAttempt,
-    event: Parameters<typeof versions.observe>[0]['event'],
+  function closeAttempt(
+    attemptNo: AttemptNo,
+    result: SendResult,
+    outcome: AttemptOutcome = OUTCOME_BY_RESULT[result],
   ): void {
-    if (version === undefined) return;
-    const { engineId } = attempt.place;
-    const { adapter } = request;
-    versions.observe({ service: service.name, version, adapter, engineId, event });
-  }
-
-  function closeAttempt(attemptNo: AttemptNo, result: SendResult): void {
     const attempt = open.get(attemptNo);
     if (attempt === undefined) return;
     open.delete(attemptNo);
     attempt.handle.close();
     directory.onEnd(attempt.send, result);
-    suspects.onEnd(fingerprint, attempt.place.engineId);
+    attempt.observer.onOutcome(outcome, clock.nowMs());
     attempt.span.end(result === 'ok' ? undefined : result);
     if (result === 'cancelled') {
       void engines.cancel(attempt.place.address, requestId, attemptNo);
     }
   }
 
-  function takeOver(left: ReplicatedStream, haveTokens: number): void {
-    version = left.version;
+  function takeOver(left: HeldReplica, haveTokens: number): void {
+    const { engineId, engineAddress, version: leftVersion, attemptNo: leftNo } = left.start;
+    version = leftVersion;
     callerTokens = haveTokens;
+    adoptionCount = left.start.adoptionCount + 1;
+    earlierAttempts = leftNo;
     session = createSessionAfter(left.texts);
-    if (left.texts.length >= request.maxTokens) {
-      finish({ kind: 'finish', reason: 'length' });
+    if (left.reason !== undefined || left.texts.length >= request.maxTokens) {
+      finish({ kind: 'finish', reason: left.reason ?? 'length' });
       return;
     }
     const [effect] = session.start(clock.monotonicMs());
     if (effect?.kind !== 'start_attempt') throw new Error('a new session must start an attempt');
-    const routeRequest = toRouteRequest(left.version);
-    const span = request.span.child('attach', { engine: left.engineId });
-    const handle = engines.attach(
-      left.address,
-      requestId,
-      effect.attemptNo,
-      left.texts.length,
-      onAttemptEvent,
-    );
-    const send = directory.onSent(left.engineId, routeRequest);
-    register(effect.attemptNo, left, handle, send, span);
-    replicas.onStart(requestId, {
-      ...left,
-      bodyHash: request.bodyHash,
-      attemptNo: effect.attemptNo,
-    });
+    const { attemptNo } = effect;
+    const span = request.span.child('attach', { engine: engineId, attempt: attemptNo });
+    const fromIndex = left.texts.length;
+    const handle = engines.attach(engineAddress, requestId, attemptNo, fromIndex, onAttemptEvent);
+    const send = directory.onSent(engineId, toRouteRequest(leftVersion));
+    register(attemptNo, { engineId, address: engineAddress }, handle, send, span);
+    replicate({ ...left.start, attemptNo, adoptionCount });
+  }
+
+  function release(): void {
+    if (end !== undefined) return;
+    open.forEach((attempt) => attempt.handle.close());
+    open.clear();
+    end = { kind: 'error', error: createServeError('shutting_down', 'another router serves it') };
+    request.span.end('released');
   }
 
   return {
     request,
     journal: () => session.journal(),
     ended: () => end,
-    start: () => {
-      const error = suspects.check(fingerprint);
-      if (error !== undefined) finish({ kind: 'error', error });
-      else apply(session.start(clock.monotonicMs()));
-    },
+    start: () => apply(session.start(clock.monotonicMs())),
     takeOver,
+    release,
+    isOn: (engineId) => [...open.values()].some((attempt) => attempt.place.engineId === engineId),
+    lostRequest: () => ({ fingerprint, requestId, index: session.journal().length() }),
     attach: (next) => {
       reader = next;
       detachedSinceMs = undefined;
@@ -402,6 +471,18 @@
   };
 }
 
+const OUTCOME_BY_RESULT: Readonly<Record<SendResult, AttemptOutcome>> = {
+  ok: 'ok',
+  failed: 'failed',
+  refused: 'failed',
+  cancelled: 'void',
+};
+
+function condemned(): ServeError {
+  const message = 'requests with this content have crashed engines';
+  return createServeError('request_condemned', message, 'ran');
+}
+
 function noEngine(reason: string, hasTokens: boolean): ServeError {
   const runState = hasTokens ? 'ran' : 'not_run';
   if (reason === 'no_version' && hasTokens) {
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -35,6 +35,21 @@
 
   const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
 
+  ports.replicas.onRelease((requestId) => {
+    const stream = streams.get(requestId);
+    if (stream === undefined) return;
+    streams.delete(requestId);
+    stream.release();
+  });
+
+  ports.directory.onDown((engine) => {
+    const lostRequests = [...streams.values()]
+      .filter((stream) => stream.ended() === undefined && stream.isOn(engine.engineId))
+      .map((stream) => stream.lostRequest());
+    if (lostRequests.length > 0) ports.suspects.onDeath(engine, lostRequests);
+    ports.versions.onEngineDown(engine.service, engine, ports.directory.enginesOf(engine.service));
+  });
+
   function sweep(): void {
     const nowMs = clock.monotonicMs();
     streams.forEach((stream, requestId) => {
@@ -87,12 +102,17 @@
   ): Promise<OpenOutcome> {
     const local = streams.get(request.requestId);
     if (local !== undefined) return reattach(local, request, haveTokens, reader);
-    const left = await ports.replicas.find(request.requestId);
+    const found = await ports.replicas.find(request.requestId);
+    if (found.kind === 'absent') {
+      return lost(
+        `no copy of the stream was found; ${found.unansweredCount} routers did not answer`,
+      );
+    }
+    if (found.replica.start.bodyHash !== request.bodyHash) return differs();
+    const left = await ports.replicas.takeOver(found.replica);
     // Another connection of the same caller may have been faster.
     const raced = streams.get(request.requestId);
     if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
-    if (left === undefined) return lost('no copy of the stream is left');
-    if (left.bodyHash !== request.bodyHash) return differs();
     const stream = createRunningStream(ports, request);
     streams.set(request.requestId, stream);
     stream.takeOver(left, haveTokens);
