--- a/packages/admin/src/config/admin.ts
+++ b/packages/admin/src/config/admin.ts
@@ -59,7 +59,11 @@
 /** An undo looks for overlaps in at most this many later revisions. */
 const MAX_LATER = 1_000;
 
-export function createConfigAdmin(store: ConfigStore, clock: Clock): ConfigAdmin {
+export function createConfigAdmin(
+  store: ConfigStore,
+  clock: Clock,
+  onAccepted: (revision: ConfigRevision) => void,
+): ConfigAdmin {
   const replica = createReplica(1);
 
   async function refresh(): Promise<FleetConfig | AdminError> {
@@ -119,7 +123,10 @@
       digest,
       atMs: clock.nowMs(),
     });
-    if (outcome.kind === 'accepted') replica.offer([outcome.revision]);
+    if (outcome.kind === 'accepted') {
+      replica.offer([outcome.revision]);
+      onAccepted(outcome.revision);
+    }
     return toResult(outcome, request.operationId, changes);
   }
 
--- a/packages/admin/src/fleet/view.ts
+++ b/packages/admin/src/fleet/view.ts
@@ -1,6 +1,6 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { describeError } from '@mimosamill/adapters';
-import type { Revision } from '@mimosamill/core';
+import type { ConfigRevision, Revision } from '@mimosamill/core';
 import type { ConfigRouter, Member } from '@mimosamill/router';
 import type { TRPCClient } from '@trpc/client';
 import type { FleetView, NodeRevision } from './status';
@@ -41,6 +41,20 @@
   };
 }
 
+/**
+ * Gives an accepted revision to the router on this host, which spreads it. Nothing depends on
+ * the answer: the readers' polls find the revision as well.
+ */
+export function createAnnouncer(routerPeerAddress: string): (revision: ConfigRevision) => void {
+  return (entry) => {
+    const push = { from: routerPeerAddress, revision: entry.revision, revisions: [entry] };
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    clientOf(routerPeerAddress)
+      .announce.mutate(push as never, { signal })
+      .catch(() => undefined);
+  };
+}
+
 function clientOf(peerAddress: string): TRPCClient<ConfigRouter> {
   // The peer server mounts the procedures under "config." and takes inputs in bodies.
   const link = httpLink({ url: `http://${peerAddress}`, methodOverride: 'POST' });
--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -12,7 +12,7 @@
 export { createFeasibility } from './move/feasibility';
 export { summarise } from './fleet/status';
 export type { FleetView, NodeRevision, RegionStatus } from './fleet/status';
-export { createFleetView } from './fleet/view';
+export { createAnnouncer, createFleetView } from './fleet/view';
 
 // mimosactl
 export { createAdminClient } from './cli/client';
--- a/packages/admin/src/main.ts
+++ b/packages/admin/src/main.ts
@@ -16,7 +16,7 @@
 import { createAdminServer } from './api/server';
 import { createConfigAdmin } from './config/admin';
 import { createFirstAdministrator } from './config/first';
-import { createFleetView } from './fleet/view';
+import { createAnnouncer, createFleetView } from './fleet/view';
 import { createMoveAdmin } from './move/admin';
 import { createFeasibility } from './move/feasibility';
 import { settingsSchema } from './settings';
@@ -55,7 +55,7 @@
 /** Registers what the binary is made of; nothing else knows the container. */
 function compose(settings: AdminSettings): DependencyContainer {
   const root = container.createChildContainer();
-  const platform = { address: settings.platformAddress, timeoutMs: settings.platformTimeoutMs };
+  const platform = { address: settings.platform, timeoutMs: settings.platformTimeoutMs };
   const add = <T>(token: InjectionToken<T>, create: (c: DependencyContainer) => T): void => {
     root.register(token, { useFactory: instanceCachingFactory(create) });
   };
@@ -72,7 +72,11 @@
     ),
   );
   add<ConfigAdmin>(TOKENS.config, (c) =>
-    createConfigAdmin(c.resolve(TOKENS.store), c.resolve(TOKENS.clock)),
+    createConfigAdmin(
+      c.resolve(TOKENS.store),
+      c.resolve(TOKENS.clock),
+      createAnnouncer(settings.routerPeer),
+    ),
   );
   add<MoveAdmin>(TOKENS.moves, (c) => {
     const http = c.resolve<HttpClient>(TOKENS.http);
@@ -88,7 +92,7 @@
     createAdminServer({
       config: c.resolve(TOKENS.config),
       moves: c.resolve(TOKENS.moves),
-      fleet: createFleetView(settings.routerPeerAddress),
+      fleet: createFleetView(settings.routerPeer),
       clock: c.resolve(TOKENS.clock),
       metrics: c.resolve(TOKENS.metrics),
       log: c.resolve(TOKENS.log),
@@ -112,6 +116,7 @@
   if (outcome === 'retry') {
     clock.after(FIRST_RETRY_MS, () => {
       void ensureFirst(settings, root);
+      process.stdout.write('ready\n');
     });
   } else if (outcome === 'created') {
     log.info('the first administrator was created', { name: firstAdministrator.name });
@@ -128,6 +133,7 @@
   const port = await server.listen(settings.ip, settings.port);
   root.resolve<Log>(TOKENS.log).info('listening', { ip: settings.ip, port });
   void ensureFirst(settings, root);
+  process.stdout.write('ready\n');
   return {
     stop: async () => {
       await server.drain(DRAIN_MS);
--- a/packages/admin/src/settings.ts
+++ b/packages/admin/src/settings.ts
@@ -7,10 +7,10 @@
   ip: z.string(),
   port: z.number().int().min(0).max(65_535),
   /** Tables, object store, host list and weight store. */
-  platformAddress: address,
+  platform: address,
   platformTimeoutMs: z.number().int().positive().default(2_000),
   /** Peer server of the router on this host. */
-  routerPeerAddress: address,
+  routerPeer: address,
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
   /** Used once, while there is no configuration. */
   firstAdministrator: z
--- a/packages/admin/test/world.ts
+++ b/packages/admin/test/world.ts
@@ -73,7 +73,7 @@
   const store = createConfigStore(tables, objects, clock);
   const metrics = createMetrics();
   const server = createAdminServer({
-    config: createConfigAdmin(store, clock),
+    config: createConfigAdmin(store, clock, () => undefined),
     moves: createMoveAdmin(tables, clock, async (order) =>
       order.toVersion === 'missing' ? 'the weight store has no version missing' : undefined,
     ),
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -323,10 +323,7 @@
   const peers = use(PEERS);
   const feed = use(FEED);
   await use(PEER_SERVER).listen();
-  peers.onNewerRevision((revision, peerAddress) => {
-    const member = peers.members().find((other) => other.peerAddress === peerAddress);
-    if (member !== undefined) feed.hear(revision, member.routerId);
-  });
+  peers.onNewerRevision(feed.hear);
   feed.onChange((config) => peers.setRevision(config.revision));
   peers.start();
   feed.start();
--- a/packages/router/src/config/client.ts
+++ b/packages/router/src/config/client.ts
@@ -46,7 +46,7 @@
     },
     push: async (member, push) => {
       try {
-        const input = { revision: push.revision, revisions: [...push.revisions] };
+        const input = { ...push, revisions: [...push.revisions] };
         const answer = await clientOf(member.peerAddress).push.mutate(input as never);
         return { kind: 'ok', revision: answer.revision };
       } catch (error) {
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -95,7 +95,11 @@
     const self = membership.self();
     const held = replica.tailAfter(pushedRevision) ?? [];
     pushedRevision = replica.revision();
-    const push: ConfigPush = { revision: replica.revision(), revisions: fitMessage(held) };
+    const push: ConfigPush = {
+      from: self.peerAddress,
+      revision: replica.revision(),
+      revisions: fitMessage(held),
+    };
     membership
       .members()
       .filter((member) => member.failureDomain === self.failureDomain)
@@ -105,6 +109,25 @@
       });
   }
 
+  /** Readers of every failure domain push on to the routers of theirs. */
+  function pushToReaders(push: ConfigPush): void {
+    const { routerId } = membership.self();
+    const members = membership.members();
+    const domains = [...new Set(members.map(({ failureDomain }) => failureDomain))];
+    const readers = domains.flatMap((domain) => chooseReaders(members, domain, hash));
+    members
+      .filter((member) => member.routerId !== routerId && readers.includes(member.routerId))
+      .forEach((member) => {
+        void pushTo(member, push);
+      });
+  }
+
+  function acceptPush(push: ConfigPush): Revision {
+    replica.hear(push.revision);
+    perform(replica.offer(push.revisions), push.from);
+    return replica.revision();
+  }
+
   async function pushTo(member: Member, push: ConfigPush): Promise<void> {
     const answer = await peers.push(member, push);
     counters.pushes.inc({ outcome: answer.kind });
@@ -244,10 +267,11 @@
       isReady: () => notReadyReason === undefined,
       tailAfter: replica.tailAfter,
       snapshotPart,
-      acceptPush: (push) => {
-        perform(replica.offer(push.revisions));
-        perform(replica.hear(push.revision));
-        return replica.revision();
+      acceptPush,
+      announce: (push) => {
+        // The store may fail before a reader polls it, so an accepted revision travels at once.
+        pushToReaders({ ...push, from: membership.self().peerAddress });
+        return acceptPush(push);
       },
       members: membership.members,
     },
--- a/packages/router/src/config/peer.ts
+++ b/packages/router/src/config/peer.ts
@@ -19,7 +19,11 @@
   })
   .transform((value) => value as unknown as ConfigRevision);
 
-const pushSchema = z.object({ revision: revisionNumber, revisions: z.array(revisionSchema) });
+const pushSchema = z.object({
+  from: z.string(),
+  revision: revisionNumber,
+  revisions: z.array(revisionSchema),
+});
 
 /** The sub-router to be mounted as 'config'. */
 export function createConfigRouter(handler: ConfigPeerHandler) {
@@ -41,6 +45,9 @@
     push: peerProcedure
       .input(pushSchema)
       .mutation(({ input }) => ({ revision: handler.acceptPush(input) })),
+    announce: peerProcedure
+      .input(pushSchema)
+      .mutation(({ input }) => ({ revision: handler.announce(input) })),
   });
 }
 
--- a/packages/router/src/config/peers.ts
+++ b/packages/router/src/config/peers.ts
@@ -16,8 +16,10 @@
   | { readonly kind: 'ok'; readonly revision: Revision }
   | { readonly kind: 'unavailable'; readonly message: string };
 
-/** What a reader sends to the routers of its failure domain. */
+/** What a reader sends to the routers of its failure domain, and admin to its host's router. */
 export interface ConfigPush {
+  /** Peer address of the sender, from which missing revisions can be pulled. */
+  readonly from: string;
   /** The sender's revision. */
   readonly revision: Revision;
   /** The last revisions, as far as they fit into one message. */
@@ -52,6 +54,8 @@
   /** A `revision` of undefined asks for the current configuration. */
   readonly snapshotPart: (revision: Revision | undefined, offset: number) => SnapshotPart;
   readonly acceptPush: (push: ConfigPush) => Revision;
+  /** Takes a revision that was just accepted on this host and spreads it to all readers. */
+  readonly announce: (push: ConfigPush) => Revision;
   readonly members: () => readonly Member[];
 }
 
