--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -48,3 +48,10 @@
   SnapshotPart,
 } from './config/peers';
 export type { ConfigSource } from './config/source';
+// journal replicas
+export { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
+export type { FindOutcome, ReplicaDeps, Replicas, ReplicaSettings } from './stream/replica';
+
+// load digests
+export { createLoadDigests } from './peer/digest';
+export type { DigestDeps, DigestEngine, LoadDigests } from './peer/digest';
