--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -5,3 +5,8 @@
 
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, relay];
+import { routeMeasurement } from './route/measure';
+import type { Measurement } from './measurement';
+
+/** Every measurement by name. */
+export const MEASUREMENTS: readonly Measurement[] = [routeMeasurement];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -126,6 +126,17 @@
 export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
 export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
+export { CACHE_VIEW_BLOCKS, createCacheIndex, createCacheView } from './route/cache';
+export type {
+  CacheBatch,
+  CacheChange,
+  CacheContent,
+  CacheEffect,
+  CacheIndex,
+  CacheView,
+} from './route/cache';
+export { createOutlierJudge } from './route/outlier';
+export type { OutlierJudge, OutlierSettings, ServerResult } from './route/outlier';
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
 export { createPicker } from './route/picker';
