--- /dev/null
+++ b/packages/bench/src/measure/poison.ts
@@ -0,0 +1,67 @@
+import { createHashes } from '@mimosamill/adapters';
+import { quantileSorted } from 'simple-statistics';
+import { runPoisonWorld } from '../poison/world';
+import type { PoisonFigures, PoisonOptions } from '../poison/world';
+import type { Measurement, MeasureOptions, MeasureResult } from './measurement';
+
+const RUNS = 1;
+const FULL_RUNS = 20;
+
+/** Requests that kill engines, among ordinary streams, in simulated time. */
+export const poisonMeasurement: Measurement = {
+  name: 'poison',
+  summary: 'requests that kill engines: engines lost, streams failed and delayed',
+  run: measure,
+};
+
+async function measure({ seed, isFull }: MeasureOptions): Promise<MeasureResult> {
+  const { hash32 } = await createHashes();
+  const base: Omit<PoisonOptions, 'seed'> = {
+    routers: 8,
+    engines: 13,
+    durationMs: 90_000,
+    culpritEveryMs: 15_000,
+    culpritsAtOnce: 1,
+    copies: 1,
+    reportMs: 5,
+    isGuarded: true,
+    hash: hash32,
+  };
+  const runs = isFull ? FULL_RUNS : RUNS;
+  const run = (options: Partial<PoisonOptions>): MeasureResult => {
+    const figures: PoisonFigures[] = [];
+    for (let index = 0; index < runs; index += 1) {
+      figures.push(runPoisonWorld({ ...base, ...options, seed: seed + index }));
+    }
+    return summarise(figures);
+  };
+  return {
+    ...run({}),
+    two_culprits_at_once: run({ culpritsAtOnce: 2 }),
+    three_copies_at_once: run({ copies: 3 }),
+    reports_after_500_ms: run({ reportMs: 500 }),
+    baseline_plain_retry: run({ isGuarded: false }),
+  };
+}
+
+function summarise(runs: readonly PoisonFigures[]): MeasureResult {
+  const delaysMs = runs.flatMap((run) => run.delaysMs).sort((a, b) => a - b);
+  const sum = (value: (run: PoisonFigures) => number): number =>
+    runs.reduce((total, run) => total + value(run), 0);
+  const culprits = sum((run) => run.culprits);
+  return {
+    engines_lost_per_culprit_max: Math.max(...runs.map((run) => run.enginesLostPerCulpritMax)),
+    engines_lost_per_culprit_mean: Number(
+      (sum((run) => run.enginesLostPerCulpritMean * run.culprits) / culprits).toFixed(2),
+    ),
+    innocent_failed: sum((run) => run.innocentFailed),
+    innocent_condemned: sum((run) => run.innocentCondemned),
+    innocent_delay_p95_ms: delaysMs.length === 0 ? 0 : Math.round(quantileSorted(delaysMs, 0.95)),
+    innocent_delay_max_ms: Math.round(delaysMs.at(-1) ?? 0),
+    innocents: sum((run) => run.innocents),
+    innocent_losses: delaysMs.length,
+    culprits,
+    culprits_condemned: sum((run) => run.culpritsCondemned),
+    engines_lost: sum((run) => run.enginesLost),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/poison/world.ts
@@ -0,0 +1,331 @@
+import { createRandom, createVirtualTime } from '@mimosamill/fakes';
+import { asId, createSuspects, SUSPECT_DEFAULTS } from '@mimosamill/core';
+import type {
+  EngineId,
+  FailureDomain,
+  Fingerprint,
+  Hash32,
+  RequestId,
+  RouterId,
+  SuspectItem,
+  Suspects,
+} from '@mimosamill/core';
+
+export interface PoisonOptions {
+  readonly seed: number;
+  readonly routers: number;
+  readonly engines: number;
+  readonly durationMs: number;
+  /** Mean time between culprits. */
+  readonly culpritEveryMs: number;
+  /** Culprits that arrive at the same time. */
+  readonly culpritsAtOnce: number;
+  /** Routers to which a culprit's caller sends it at once. */
+  readonly copies: number;
+  /** Time for a router's report to reach the others. */
+  readonly reportMs: number;
+  /** False for the baseline: every lost stream is retried on any engine. */
+  readonly isGuarded: boolean;
+  readonly hash: Hash32;
+}
+
+export interface PoisonFigures {
+  readonly culprits: number;
+  readonly culpritsCondemned: number;
+  readonly enginesLost: number;
+  readonly enginesLostPerCulpritMax: number;
+  readonly enginesLostPerCulpritMean: number;
+  readonly innocents: number;
+  readonly innocentFailed: number;
+  readonly innocentCondemned: number;
+  /** From the loss of an engine to the stream's next token. */
+  readonly delaysMs: readonly number[];
+}
+
+interface Stream {
+  readonly requestId: RequestId;
+  readonly fingerprint: Fingerprint;
+  readonly router: Router;
+  readonly culprit: Culprit | undefined;
+  readonly tokens: number;
+  /** Next index. */
+  index: number;
+  attempts: number;
+  lostAtMs: number | undefined;
+  isDone: boolean;
+}
+
+interface Culprit {
+  readonly fingerprint: Fingerprint;
+  /** The engine that computes this token dies. */
+  readonly killsAtIndex: number;
+  enginesLost: number;
+  isCondemned: boolean;
+}
+
+interface Engine {
+  readonly engineId: EngineId;
+  readonly failureDomain: FailureDomain;
+  isAlive: boolean;
+  running: Set<Stream>;
+}
+
+interface Router {
+  readonly routerId: RouterId;
+  readonly rank: number;
+  readonly suspects: Suspects;
+}
+
+const STEP_MS = 32;
+const PREFILL_MS = 150;
+const NOTICE_MS = 5;
+const RESTART_MS = 20_000;
+const STREAMS_PER_ENGINE = 8;
+const TOKENS_MIN = 60;
+const TOKENS_SPAN = 400;
+const KILL_INDEX_SPAN = 80;
+/** As in the stream session. */
+const ATTEMPTS_MAX = 8;
+const CALLER_RESENDS = 10;
+const RESEND_EVERY_MS = 400;
+const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
+const EPOCH_MS = 1_796_342_400_000;
+
+/** Ordinary streams and culprits on engines of three failure domains, in simulated time. */
+export function runPoisonWorld(options: PoisonOptions): PoisonFigures {
+  const random = createRandom(options.seed);
+  const time = createVirtualTime();
+  const engines = Array.from({ length: options.engines }, (_, index) => createEngine(index));
+  const routers = Array.from({ length: options.routers }, (_, index) => createRouter(index));
+  const culprits: Culprit[] = [];
+  const streams: Stream[] = [];
+  const delaysMs: number[] = [];
+  const failed = new Set<Stream>();
+  const condemned = new Set<Stream>();
+  let enginesLost = 0;
+  let ids = 0;
+
+  function wallMs(): number {
+    return EPOCH_MS + time.clock.monotonicMs();
+  }
+
+  function createEngine(index: number): Engine {
+    return {
+      engineId: asId<EngineId>(`e${index}`),
+      failureDomain: asId<FailureDomain>(DOMAINS[index % DOMAINS.length] ?? ''),
+      isAlive: true,
+      running: new Set(),
+    };
+  }
+
+  function createRouter(rank: number): Router {
+    const routerId = asId<RouterId>(`r${rank}`);
+    // A router waits for reports a little longer than they take to arrive.
+    const settings = {
+      ...SUSPECT_DEFAULTS,
+      settleMs: Math.min(SUSPECT_DEFAULTS.settleMs, options.reportMs * 4),
+      exchangeMs: Math.max(SUSPECT_DEFAULTS.exchangeMs, options.reportMs * 2),
+      routerId,
+      hash: options.hash,
+    };
+    return { routerId, rank, suspects: createSuspects(settings) };
+  }
+
+  function pickOne<T>(items: readonly T[]): T {
+    const item = items[Math.floor(random() * items.length)];
+    if (item === undefined) throw new Error('nothing to pick from');
+    return item;
+  }
+
+  function spread(router: Router): void {
+    const items: SuspectItem[] = router.suspects.takeItems();
+    if (items.length === 0) return;
+    routers
+      .filter((other) => other !== router)
+      .forEach((other) => {
+        time.clock.after(options.reportMs * (0.5 + random()), () => {
+          items.forEach((item) => other.suspects.onItem(item, wallMs()));
+        });
+      });
+  }
+
+  function startStream(router: Router, culprit: Culprit | undefined): Stream {
+    ids += 1;
+    const stream: Stream = {
+      requestId: asId<RequestId>(`q${ids}`),
+      fingerprint: culprit?.fingerprint ?? asId<Fingerprint>(`f${ids}`),
+      router,
+      culprit,
+      tokens: TOKENS_MIN + Math.floor(random() * TOKENS_SPAN),
+      index: 0,
+      attempts: 0,
+      lostAtMs: undefined,
+      isDone: false,
+    };
+    streams.push(stream);
+    place(stream);
+    return stream;
+  }
+
+  function place(stream: Stream): void {
+    const { suspects, rank } = stream.router;
+    if (options.isGuarded) {
+      const admission = suspects.admit(stream.fingerprint, stream.requestId, rank, wallMs());
+      spread(stream.router);
+      if (admission.kind === 'condemned') {
+        end(stream, condemned);
+        return;
+      }
+      if (admission.kind === 'wait') {
+        time.clock.after(Math.max(1, admission.untilMs - wallMs()), () => place(stream));
+        return;
+      }
+    }
+    if (stream.attempts >= ATTEMPTS_MAX) {
+      end(stream, failed);
+      return;
+    }
+    stream.attempts += 1;
+    startAttempt(stream);
+  }
+
+  function end(stream: Stream, as: Set<Stream>): void {
+    stream.isDone = true;
+    as.add(stream);
+    if (as === condemned && stream.culprit !== undefined) stream.culprit.isCondemned = true;
+    stream.router.suspects.onEnd(stream.fingerprint, stream.requestId, 'given_up', wallMs());
+  }
+
+  function startAttempt(stream: Stream): void {
+    const alive = engines.filter(({ isAlive }) => isAlive);
+    const avoided = options.isGuarded
+      ? stream.router.suspects.avoid(stream.fingerprint, alive, wallMs())
+      : new Set<EngineId>();
+    const allowed = alive.filter(({ engineId }) => !avoided.has(engineId));
+    if (allowed.length === 0) {
+      time.clock.after(STEP_MS, () => startAttempt(stream));
+      return;
+    }
+    const first = pickOne(allowed);
+    const second = pickOne(allowed);
+    const engine = first.running.size <= second.running.size ? first : second;
+    engine.running.add(stream);
+    time.clock.after(PREFILL_MS, () => step(stream, engine));
+  }
+
+  function step(stream: Stream, engine: Engine): void {
+    if (!engine.running.has(stream)) return;
+    const { culprit } = stream;
+    if (culprit !== undefined && stream.index >= culprit.killsAtIndex) {
+      culprit.enginesLost += 1;
+      if (culprit.enginesLost === 1) resendOften(culprit);
+      kill(engine);
+      return;
+    }
+    if (stream.lostAtMs !== undefined) {
+      if (culprit === undefined) delaysMs.push(time.clock.monotonicMs() - stream.lostAtMs);
+      stream.lostAtMs = undefined;
+    }
+    stream.router.suspects.onProgress(stream.fingerprint, stream.index, wallMs());
+    stream.index += 1;
+    if (stream.index >= stream.tokens) {
+      stream.isDone = true;
+      engine.running.delete(stream);
+      stream.router.suspects.onEnd(stream.fingerprint, stream.requestId, 'finished', wallMs());
+    } else {
+      time.clock.after(STEP_MS, () => step(stream, engine));
+    }
+    spread(stream.router);
+  }
+
+  function kill(engine: Engine): void {
+    const lost = [...engine.running];
+    engine.isAlive = false;
+    engine.running = new Set();
+    enginesLost += 1;
+    const atMs = time.clock.monotonicMs();
+    time.clock.after(RESTART_MS, () => {
+      engine.isAlive = true;
+    });
+    routers.forEach((router) => {
+      const own = lost.filter((stream) => stream.router === router);
+      if (own.length > 0) time.clock.after(NOTICE_MS * random(), () => notice(router, own));
+    });
+
+    function notice(router: Router, own: readonly Stream[]): void {
+      const { engineId, failureDomain } = engine;
+      const running = own.map(({ fingerprint, index }) => ({ fingerprint, index }));
+      router.suspects.onDeath({ engineId, failureDomain, atMs: wallMs(), running }, wallMs());
+      spread(router);
+      own.forEach((stream) => {
+        stream.lostAtMs ??= atMs;
+        place(stream);
+      });
+    }
+  }
+
+  /** A caller sends its culprit to one or several routers at once. */
+  function startCulprit(): void {
+    ids += 1;
+    const culprit: Culprit = {
+      fingerprint: asId<Fingerprint>(`c${ids}`),
+      killsAtIndex: Math.floor(random() * KILL_INDEX_SPAN),
+      enginesLost: 0,
+      isCondemned: false,
+    };
+    culprits.push(culprit);
+    const order = [...routers].sort(() => random() - 0.5);
+    order.slice(0, options.copies).forEach((router) => startStream(router, culprit));
+  }
+
+  /** A caller that lost patience sends the culprit again and again, to two routers each time. */
+  function resendOften(culprit: Culprit): void {
+    for (let resend = 1; resend <= CALLER_RESENDS; resend += 1) {
+      time.clock.after(resend * RESEND_EVERY_MS, () => {
+        startStream(pickOne(routers), culprit);
+        startStream(pickOne(routers), culprit);
+      });
+    }
+  }
+
+  function keepBusy(): void {
+    const target = engines.filter(({ isAlive }) => isAlive).length * STREAMS_PER_ENGINE;
+    const ordinary = streams.filter(({ isDone, culprit }) => !isDone && culprit === undefined);
+    for (let count = ordinary.length; count < target; count += 1) {
+      startStream(pickOne(routers), undefined);
+    }
+  }
+
+  const { clock } = time;
+  clock.every(STEP_MS * 4, () => {
+    if (clock.monotonicMs() < options.durationMs) keepBusy();
+  });
+  keepBusy();
+  for (let atMs = 3_000; atMs < options.durationMs - 30_000; atMs += options.culpritEveryMs) {
+    const jitterMs = random() * options.culpritEveryMs * 0.5;
+    for (let index = 0; index < options.culpritsAtOnce; index += 1) {
+      clock.after(atMs + jitterMs + random() * 300, startCulprit);
+    }
+  }
+  // One failure domain loses all its engines within a second: no request is to blame.
+  clock.after(options.durationMs / 2, () => {
+    engines
+      .filter(({ failureDomain, isAlive }) => failureDomain === DOMAINS[1] && isAlive)
+      .forEach((engine) => clock.after(random() * 1_000, () => engine.isAlive && kill(engine)));
+  });
+  time.runSync(options.durationMs + 30_000);
+
+  const innocents = streams.filter(({ culprit }) => culprit === undefined);
+  const lostBy = culprits.map((culprit) => culprit.enginesLost);
+  return {
+    culprits: culprits.length,
+    culpritsCondemned: culprits.filter(({ isCondemned }) => isCondemned).length,
+    enginesLost,
+    enginesLostPerCulpritMax: Math.max(0, ...lostBy),
+    enginesLostPerCulpritMean: lostBy.reduce((sum, lost) => sum + lost, 0) / lostBy.length,
+    innocents: innocents.length,
+    innocentFailed: innocents.filter((s) => failed.has(s) || condemned.has(s)).length,
+    innocentCondemned: innocents.filter((s) => condemned.has(s)).length,
+    delaysMs,
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,25 @@
   SessionEvent,
   SessionSettings,
 } from './stream/session';
+export { createDeathTable } from './stream/deaths';
+export type {
+  Candidate,
+  Death,
+  DeathReport,
+  DeathTable,
+  DeathTableSettings,
+} from './stream/deaths';
+export { createResumeQueue, RESUME_DEFAULTS } from './stream/resumes';
+export type { ResumeQueue, ResumeSettings } from './stream/resumes';
+export { createSuspects, SUSPECT_DEFAULTS } from './stream/suspects';
+export type {
+  Admission,
+  PlacedEngine,
+  Standing,
+  SuspectItem,
+  Suspects,
+  SuspectSettings,
+} from './stream/suspects';
 
 // plain calls
 export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
--- /dev/null
+++ b/packages/core/src/stream/suspects.ts
@@ -0,0 +1,452 @@
+import { asId } from '../ids';
+import { createDeathTable } from './deaths';
+import type { EngineId, FailureDomain, Fingerprint, RequestId, RouterId } from '../ids';
+import type { Hash32 } from '../hash/rendezvous';
+import type { Death, DeathReport } from './deaths';
+
+export interface SuspectSettings {
+  readonly routerId: RouterId;
+  readonly hash: Hash32;
+  /** Tokens beyond the index of the death after which a stream is not its cause. */
+  readonly clearTokens: number;
+  /** Engines of one failure domain lost within this time share a cause that is no request. */
+  readonly infrastructureMs: number;
+  /** Wait before a suspect resumes, for other routers' reports of the same death. */
+  readonly settleMs: number;
+  /** Wait before a request is condemned, for the reports of routers that are slow to tell. */
+  readonly exchangeMs: number;
+  /** Longest wait for the other suspects to be cleared. */
+  readonly holdMs: number;
+  /** Turn of each router that waits to run a suspect nobody runs any longer. */
+  readonly turnMs: number;
+  /** How long a router counts as running a suspect after its last sign. */
+  readonly runnerMs: number;
+  readonly culpritExpiryMs: number;
+  readonly maxSuspects: number;
+}
+
+export const SUSPECT_DEFAULTS = {
+  clearTokens: 32,
+  infrastructureMs: 2_000,
+  settleMs: 50,
+  exchangeMs: 300,
+  holdMs: 3_000,
+  turnMs: 1_000,
+  runnerMs: 5_000,
+  culpritExpiryMs: 600_000,
+  maxSuspects: 1_024,
+} as const satisfies Partial<SuspectSettings>;
+
+/** Something every router has to learn; spread by gossip, and at once to the nearest peers. */
+export interface SuspectItem {
+  readonly kind: 'death' | 'cleared' | 'runner' | 'culprit';
+  readonly key: string;
+  readonly payload: string;
+  readonly expiresAtMs: number;
+}
+
+export interface PlacedEngine {
+  readonly engineId: EngineId;
+  readonly failureDomain: FailureDomain;
+}
+
+/** Whether a request may run now. */
+export type Admission =
+  | { readonly kind: 'run' }
+  /** The outcome of the same request elsewhere, or of the other suspects, decides. */
+  | { readonly kind: 'wait'; readonly untilMs: number }
+  | { readonly kind: 'condemned' };
+
+export type Standing = 'clear' | 'suspect' | 'held' | 'condemned';
+
+/**
+ * Requests that were on engines that died, and those found to be the cause. Times are wall-clock
+ * times, because they are compared with those of other routers.
+ */
+export interface Suspects {
+  /** An engine that ran requests of this router has died: reset or refused, not merely silent. */
+  readonly onDeath: (death: DeathReport, nowMs: number) => void;
+  /** An item of another router. */
+  readonly onItem: (item: SuspectItem, nowMs: number) => void;
+  /** A request of this router has received the token with this index. */
+  readonly onProgress: (fingerprint: Fingerprint, index: number, nowMs: number) => void;
+  /** A request of this router has ended: completely, or given up by its caller. */
+  readonly onEnd: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+    nowMs: number,
+  ) => void;
+  /** Asked before each attempt; `rank` is this router's place in an order all routers share. */
+  readonly admit: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    rank: number,
+    nowMs: number,
+  ) => Admission;
+  /** Engines that an attempt has to leave to the other suspects of the same death. */
+  readonly avoid: (
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    nowMs: number,
+  ) => ReadonlySet<EngineId>;
+  readonly standing: (fingerprint: Fingerprint, nowMs: number) => Standing;
+  /** Items to be spread, each returned once. */
+  readonly takeItems: () => SuspectItem[];
+  readonly sizes: () => { readonly suspects: number; readonly deaths: number };
+}
+
+interface Suspect {
+  clearedAtMs: number;
+  runner: { readonly routerId: string; readonly requestId: string; untilMs: number } | undefined;
+  /** When a run ended without a verdict. */
+  idleSinceMs: number;
+}
+
+const MERGE_MS = 5_000;
+const MAX_DEATHS = 256;
+const MAX_FINGERPRINTS = 256;
+/** Keeps an item of reports below the largest item that gossip carries. */
+const REPORTS_PER_ITEM = 6;
+const SEPARATOR = ' ';
+
+export function createSuspects(settings: SuspectSettings): Suspects {
+  const deaths = createDeathTable({
+    mergeMs: MERGE_MS,
+    infrastructureMs: settings.infrastructureMs,
+    expiryMs: settings.culpritExpiryMs,
+    maxDeaths: MAX_DEATHS,
+    maxFingerprints: MAX_FINGERPRINTS,
+  });
+  const suspects = new Map<Fingerprint, Suspect>();
+  /** Culprits with the time until which they are refused. */
+  const culprits = new Map<Fingerprint, number>();
+  let items: SuspectItem[] = [];
+  /** Blame by fingerprint, until something changes. */
+  const blames = new Map<Fingerprint, readonly Death[]>();
+
+  function suspectOf(fingerprint: Fingerprint): Suspect {
+    const known = suspects.get(fingerprint);
+    if (known !== undefined) return known;
+    const created: Suspect = {
+      clearedAtMs: -Infinity,
+      runner: undefined,
+      idleSinceMs: -Infinity,
+    };
+    suspects.set(fingerprint, created);
+    bound(suspects, settings.maxSuspects);
+    return created;
+  }
+
+  function isCondemned(fingerprint: Fingerprint, nowMs: number): boolean {
+    return (culprits.get(fingerprint) ?? -Infinity) > nowMs;
+  }
+
+  function isClearedOf(fingerprint: Fingerprint, death: Death): boolean {
+    return (suspects.get(fingerprint)?.clearedAtMs ?? -Infinity) >= death.atMs;
+  }
+
+  /** Deaths of which this request is a possible cause, and no condemned request is another. */
+  function blamedFor(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
+    const known = blames.get(fingerprint);
+    if (known !== undefined) return known;
+    const blamed = deaths
+      .of(fingerprint)
+      .filter(
+        (death) =>
+          !isClearedOf(fingerprint, death) &&
+          !deaths.isInfrastructureLoss(death) &&
+          !othersOf(fingerprint, death).some((other) => isCondemned(other, nowMs)),
+      );
+    blames.set(fingerprint, blamed);
+    return blamed;
+  }
+
+  function othersOf(fingerprint: Fingerprint, death: Death): Fingerprint[] {
+    return [...death.candidates.keys()].filter((other) => other !== fingerprint);
+  }
+
+  function isLast(fingerprint: Fingerprint, death: Death): boolean {
+    return othersOf(fingerprint, death).every((other) => isClearedOf(other, death));
+  }
+
+  function standing(fingerprint: Fingerprint, nowMs: number): Standing {
+    if (isCondemned(fingerprint, nowMs)) return 'condemned';
+    const blamed = blamedFor(fingerprint, nowMs);
+    const latest = blamed.at(-1);
+    if (latest === undefined) return 'clear';
+    if (blamed.length < 2 || !isMostBlamed(fingerprint, blamed.length, latest, nowMs)) {
+      return 'suspect';
+    }
+    const waitedMs = nowMs - latest.atMs;
+    if (waitedMs < settings.exchangeMs) return 'held';
+    // It was on every one of these deaths. Once all others of one of them are cleared, it is the
+    // cause of that one; without that certainty, only after the others had their time.
+    const isCause = blamed.some((death) => isLast(fingerprint, death));
+    if (!isCause && waitedMs < settings.holdMs) return 'held';
+    condemn(fingerprint, nowMs);
+    return 'condemned';
+  }
+
+  function isMostBlamed(
+    fingerprint: Fingerprint,
+    count: number,
+    death: Death,
+    nowMs: number,
+  ): boolean {
+    return othersOf(fingerprint, death).every(
+      (other) => isClearedOf(other, death) || blamedFor(other, nowMs).length < count,
+    );
+  }
+
+  function condemn(fingerprint: Fingerprint, nowMs: number): void {
+    const expiresAtMs = nowMs + settings.culpritExpiryMs;
+    culprits.set(fingerprint, expiresAtMs);
+    bound(culprits, settings.maxSuspects);
+    blames.clear();
+    items.push({ kind: 'culprit', key: fingerprint, payload: '', expiresAtMs });
+  }
+
+  function clear(fingerprint: Fingerprint, nowMs: number): void {
+    const suspect = suspectOf(fingerprint);
+    suspect.clearedAtMs = nowMs;
+    blames.clear();
+    suspect.runner = undefined;
+    items.push({
+      kind: 'cleared',
+      key: fingerprint,
+      payload: String(nowMs),
+      expiresAtMs: nowMs + settings.culpritExpiryMs,
+    });
+  }
+
+  function onDeath(death: DeathReport, nowMs: number): void {
+    deaths.add(death, settings.routerId, nowMs);
+    blames.clear();
+    death.running.forEach(({ fingerprint }) => suspectOf(fingerprint));
+    for (let from = 0; from < death.running.length; from += REPORTS_PER_ITEM) {
+      const part = death.running.slice(from, from + REPORTS_PER_ITEM);
+      items.push(deathItem(death, settings.routerId, part, nowMs + settings.culpritExpiryMs));
+    }
+  }
+
+  function onItem(item: SuspectItem, nowMs: number): void {
+    if (item.expiresAtMs <= nowMs) return;
+    blames.clear();
+    const fingerprint = asId<Fingerprint>(item.key);
+    switch (item.kind) {
+      case 'death': {
+        const report = parseDeathItem(item);
+        if (report === undefined) return;
+        deaths.add(report.death, report.routerId, nowMs);
+        report.death.running.forEach((running) => suspectOf(running.fingerprint));
+        return;
+      }
+      case 'cleared': {
+        const suspect = suspectOf(fingerprint);
+        suspect.clearedAtMs = Math.max(suspect.clearedAtMs, Number(item.payload));
+        return;
+      }
+      case 'runner':
+        onRunnerItem(fingerprint, item, nowMs);
+        return;
+      case 'culprit':
+        culprits.set(fingerprint, Math.max(item.expiresAtMs, culprits.get(fingerprint) ?? 0));
+        bound(culprits, settings.maxSuspects);
+        break;
+      default:
+      // An item of a kind that a newer router sends.
+    }
+  }
+
+  function onRunnerItem(fingerprint: Fingerprint, item: SuspectItem, nowMs: number): void {
+    const [routerId = '', requestId = ''] = item.payload.split(SEPARATOR);
+    const suspect = suspectOf(fingerprint);
+    if (requestId === '') {
+      if (suspect.runner?.routerId === routerId) suspect.runner = undefined;
+      suspect.idleSinceMs = nowMs;
+      return;
+    }
+    const { runner } = suspect;
+    const isTaken = runner !== undefined && runner.untilMs > nowMs && runner.routerId < routerId;
+    if (!isTaken) suspect.runner = { routerId, requestId, untilMs: item.expiresAtMs };
+  }
+
+  function onProgress(fingerprint: Fingerprint, index: number, nowMs: number): void {
+    if (!suspects.has(fingerprint)) return;
+    const blamed = blamedFor(fingerprint, nowMs);
+    const diedAt = blamed.map((death) => death.candidates.get(fingerprint)?.index ?? 0);
+    if (blamed.length === 0 || index < Math.max(...diedAt) + settings.clearTokens) return;
+    clear(fingerprint, nowMs);
+  }
+
+  function onEnd(
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+    nowMs: number,
+  ): void {
+    const suspect = suspects.get(fingerprint);
+    const isRunner =
+      suspect?.runner?.routerId === settings.routerId && suspect.runner.requestId === requestId;
+    if (suspect === undefined || !isRunner) return;
+    if (how === 'finished') {
+      clear(fingerprint, nowMs);
+      return;
+    }
+    suspect.runner = undefined;
+    suspect.idleSinceMs = nowMs;
+    items.push(runnerItem(fingerprint, settings.routerId, '', nowMs + settings.runnerMs));
+  }
+
+  function admit(
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    rank: number,
+    nowMs: number,
+  ): Admission {
+    const current = standing(fingerprint, nowMs);
+    if (current === 'condemned') return { kind: 'condemned' };
+    const latest = blamedFor(fingerprint, nowMs).at(-1);
+    if (current === 'clear' || latest === undefined) return { kind: 'run' };
+    if (current === 'held') return { kind: 'wait', untilMs: nowMs + settings.settleMs };
+    const suspect = suspectOf(fingerprint);
+    const { runner } = suspect;
+    if (runner !== undefined && runner.untilMs > nowMs) {
+      const isOwn = runner.routerId === settings.routerId && runner.requestId === requestId;
+      if (!isOwn) return { kind: 'wait', untilMs: nowMs + settings.settleMs };
+    }
+    const turnAtMs = turnOf(fingerprint, suspect, latest, rank);
+    if (nowMs < turnAtMs) return { kind: 'wait', untilMs: turnAtMs };
+    const untilMs = nowMs + settings.runnerMs;
+    suspect.runner = { routerId: settings.routerId, requestId, untilMs };
+    items.push(runnerItem(fingerprint, settings.routerId, requestId, untilMs));
+    return { kind: 'run' };
+  }
+
+  /**
+   * Routers that had the request on the dead engine come first, in the order of their ids, then
+   * the others by rank. Each sees the earlier one's start before its own turn comes.
+   */
+  function turnOf(fingerprint: Fingerprint, suspect: Suspect, latest: Death, rank: number): number {
+    const reporters = [...(latest.candidates.get(fingerprint)?.reporters ?? [])].sort();
+    const place = reporters.indexOf(settings.routerId);
+    const turn = place >= 0 ? place : reporters.length + rank;
+    const startMs = Math.max(latest.atMs + settings.settleMs, suspect.idleSinceMs);
+    return startMs + turn * settings.turnMs;
+  }
+
+  function avoid(
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    nowMs: number,
+  ): ReadonlySet<EngineId> {
+    const latest = blamedFor(fingerprint, nowMs).at(-1);
+    if (latest === undefined || engines.length === 0) return new Set();
+    const usable = outsideLosses(engines, nowMs);
+    // Each further death shuffles suspects and engines anew, so that two that were together part.
+    const salt = latest.engineId;
+    const group = [...latest.candidates.keys()].filter(
+      (other) => !isClearedOf(other, latest) && !isCondemned(other, nowMs),
+    );
+    const place = sortByHash(group, salt).indexOf(fingerprint);
+    const ranked = sortByHash(usable, salt);
+    const count = Math.min(group.length, ranked.length);
+    const own = new Set(ranked.filter((_, index) => index % count === place % count));
+    const ids = engines.map(({ engineId }) => engineId);
+    return new Set(ids.filter((engineId) => !own.has(engineId)));
+  }
+
+  /**
+   * A failure domain that is losing engines may lose the next one to the same cause, which would
+   * make its suspects look like culprits.
+   */
+  function outsideLosses(engines: readonly PlacedEngine[], nowMs: number): EngineId[] {
+    const losing = deaths.domainsLosingSince(nowMs - settings.infrastructureMs);
+    const outside = engines.filter(({ failureDomain }) => !losing.has(failureDomain));
+    return (outside.length > 0 ? outside : engines).map(({ engineId }) => engineId);
+  }
+
+  function sortByHash<T extends string>(ids: readonly T[], salt: string): T[] {
+    const scored = ids.map((id) => ({ id, score: settings.hash(`${salt}${SEPARATOR}${id}`) }));
+    scored.sort((a, b) => a.score - b.score || (a.id < b.id ? -1 : 1));
+    return scored.map(({ id }) => id);
+  }
+
+  return {
+    onDeath,
+    onItem,
+    onProgress,
+    onEnd,
+    admit,
+    avoid,
+    standing,
+    takeItems: () => {
+      const taken = items;
+      items = [];
+      return taken;
+    },
+    sizes: () => ({ suspects: suspects.size + culprits.size, deaths: deaths.size() }),
+  };
+}
+
+/** Drops the oldest entries of a map that has grown beyond its bound. */
+function bound<K, V>(map: Map<K, V>, maxSize: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= maxSize) return;
+    map.delete(key);
+  }
+}
+
+function runnerItem(
+  fingerprint: Fingerprint,
+  routerId: RouterId,
+  requestId: string,
+  expiresAtMs: number,
+): SuspectItem {
+  const payload = `${routerId}${SEPARATOR}${requestId}`;
+  return { kind: 'runner', key: fingerprint, payload, expiresAtMs };
+}
+
+function deathItem(
+  death: DeathReport,
+  routerId: RouterId,
+  running: DeathReport['running'],
+  expiresAtMs: number,
+): SuspectItem {
+  const streams = running.map(({ fingerprint, index }) => `${fingerprint}:${index}`);
+  return {
+    kind: 'death',
+    key: [death.engineId, routerId, String(death.atMs), running[0]?.fingerprint ?? ''].join(
+      SEPARATOR,
+    ),
+    payload: [death.failureDomain, ...streams].join(SEPARATOR),
+    expiresAtMs,
+  };
+}
+
+function parseDeathItem(
+  item: SuspectItem,
+): { readonly death: DeathReport; readonly routerId: RouterId } | undefined {
+  const [engineId, routerId, atText] = item.key.split(SEPARATOR);
+  const [failureDomain, ...streams] = item.payload.split(SEPARATOR);
+  const atMs = Number(atText);
+  if (engineId === undefined || routerId === undefined || failureDomain === undefined) {
+    return undefined;
+  }
+  if (!Number.isFinite(atMs)) return undefined;
+  return {
+    routerId: asId<RouterId>(routerId),
+    death: {
+      engineId: asId<EngineId>(engineId),
+      failureDomain: asId<FailureDomain>(failureDomain),
+      atMs,
+      running: streams.map(parseStream),
+    },
+  };
+}
+
+function parseStream(text: string): DeathReport['running'][number] {
+  const [fingerprint = '', index] = text.split(':');
+  return { fingerprint: asId<Fingerprint>(fingerprint), index: Number(index ?? 0) || 0 };
+}
--- a/packages/fakes/src/clock.ts
+++ b/packages/fakes/src/clock.ts
@@ -21,6 +21,8 @@
   readonly createProcess: () => VirtualProcess;
   /** Runs events until the time, or until there are none. */
   readonly run: (untilMs: number) => Promise<void>;
+  /** The same for a simulation without promises, several times faster. */
+  readonly runSync: (untilMs: number) => void;
 }
 
 interface TimedEvent {
@@ -66,22 +68,30 @@
     every: repeat,
   };
 
+  /** Runs the next event; false if there is none until the time. */
+  function runNext(untilMs: number): boolean {
+    const event = queue.peek();
+    if (event === undefined || event.atMs > untilMs) return false;
+    queue.pop();
+    if (!event.isCancelled) {
+      nowMs = Math.max(nowMs, event.atMs);
+      event.fn();
+    }
+    return true;
+  }
+
+  function runSync(untilMs: number): void {
+    while (runNext(untilMs));
+    if (untilMs !== Infinity) nowMs = Math.max(nowMs, untilMs);
+  }
+
   async function run(untilMs: number): Promise<void> {
     await settlePromises();
-    for (;;) {
-      const event = queue.peek();
-      if (event === undefined || event.atMs > untilMs) break;
-      queue.pop();
-      if (!event.isCancelled) {
-        nowMs = Math.max(nowMs, event.atMs);
-        event.fn();
-        await settlePromises();
-      }
-    }
-    nowMs = Math.max(nowMs, untilMs === Infinity ? nowMs : untilMs);
+    while (runNext(untilMs)) await settlePromises();
+    if (untilMs !== Infinity) nowMs = Math.max(nowMs, untilMs);
   }
 
-  return { clock, createProcess: () => createProcess(clock), run };
+  return { clock, createProcess: () => createProcess(clock), run, runSync };
 }
 
 function createProcess(outer: Clock): VirtualProcess {
