--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -10,3 +10,8 @@
 
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [routeMeasurement];
+import { poisonMeasurement } from './poison';
+import type { Measurement } from './measurement';
+
+/** Every measurement by name. */
+export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, poisonMeasurement];
