Judge suspects and bound resumes in the stream shell

Cause: the suspect table and the resume queue existed in the core only. Before: a request that crashes engines was retried up to 12 times. Conclusion: wired; "poison" over real processes follows.

--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -20,6 +20,7 @@
   asId,
   chainBlockHashes,
   createRetryBudget,
+  DEFAULTS,
   effectiveSettings,
   RETRY_BUDGET_DEFAULTS,
   toBlockKeys,
@@ -37,6 +38,7 @@
 import { createPeerServer, SERVER_DEFAULTS } from './peer/server';
 import { createPeerTraffic } from './peer/traffic';
 import { createBackends } from './route/backends';
+import { createSuspectGuard } from './stream/guard';
 import { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
 import { createStreams } from './stream/streams';
 import type { InjectionToken } from 'tsyringe';
@@ -254,10 +256,9 @@
       picker: {
         region: asId<Region>(settings.region),
         failureDomain: asId<FailureDomain>(settings.failureDomain),
-        routerCount: () => use(PEERS).members().length,
+        hash: hashes.hash32,
         blockTokens: BLOCK_TOKENS,
         prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
-        agingMs: 2_000,
         ownDomainMs: OWN_DOMAIN_MS,
         ownRegionMs: OWN_REGION_MS,
         otherRegionMs: OTHER_REGION_MS,
@@ -300,13 +301,15 @@
       engines: use(ENGINES),
       directory: use(BACKENDS),
       replicas: use(REPLICAS),
-      suspects: {
-        admit: () => ({ kind: 'run' }),
-        avoid: () => new Set(),
-        onProgress: () => undefined,
-        onDeath: () => undefined,
-        onEnd: () => undefined,
-      },
+      suspects: createSuspectGuard({
+        clock: use(CLOCK),
+        hash: hashes.hash32,
+        membership: use(PEERS),
+        gossip: use(PEERS),
+        metrics: use(METRICS),
+        log: use(LOG),
+        culpritExpiryMs: use(FEED).current()?.defaults.culpritExpiryMs ?? DEFAULTS.culpritExpiryMs,
+      }),
       versions: use(MOVES),
       metrics: use(METRICS),
       log: use(LOG),
--- /dev/null
+++ b/packages/router/src/stream/guard.ts
@@ -0,0 +1,92 @@
+import { createSuspects, rankByRendezvous, SUSPECT_DEFAULTS } from '@mimosamill/core';
+import type { Clock, Log, Metrics } from '@mimosamill/adapters';
+import type { Fingerprint, Hash32, SuspectItem } from '@mimosamill/core';
+import type { Membership, Peers } from '../peer/member';
+import type { SuspectGuard } from './ports';
+
+export interface SuspectGuardDeps {
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  readonly membership: Membership;
+  readonly gossip: Pick<Peers, 'publish' | 'onItem'>;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  /** How long a culprit is refused. */
+  readonly culpritExpiryMs: number;
+}
+
+const ITEM_KINDS = ['death', 'cleared', 'runner', 'culprit'] as const;
+
+/** Judges requests together with the other routers, whose reports arrive by gossip. */
+export function createSuspectGuard(deps: SuspectGuardDeps): SuspectGuard {
+  const { clock, hash, membership, gossip, log } = deps;
+  const suspects = createSuspects({
+    ...SUSPECT_DEFAULTS,
+    routerId: membership.self().routerId,
+    hash,
+    culpritExpiryMs: deps.culpritExpiryMs,
+  });
+  const refused = deps.metrics.counter(
+    'mimosamill_condemned_requests_total',
+    'Attempts refused because their content crashes engines',
+  );
+  const deaths = deps.metrics.counter('mimosamill_engine_deaths_total', 'Engines found dead', [
+    'failure_domain',
+  ]);
+
+  ITEM_KINDS.forEach((kind) => {
+    gossip.onItem(kind, ({ key, payload, expiresAtMs }) => {
+      suspects.onItem({ kind, key, payload, expiresAtMs }, clock.nowMs());
+      spread();
+    });
+  });
+
+  function spread(): void {
+    suspects.takeItems().forEach(publish);
+  }
+
+  function publish({ kind, key, payload, expiresAtMs }: SuspectItem): void {
+    if (kind === 'culprit') log.warn('request condemned', { fingerprint: key });
+    gossip.publish({ kind, key, payload, ttlMs: Math.max(1, expiresAtMs - clock.nowMs()) });
+  }
+
+  /** This router's place in an order that all routers share. */
+  function rankOf(fingerprint: Fingerprint): number {
+    const { routerId } = membership.self();
+    const alive = membership.members().filter(({ state }) => state === 'alive');
+    const ranked = rankByRendezvous(fingerprint, alive, (member) => member.routerId, hash);
+    return Math.max(
+      0,
+      ranked.findIndex((member) => member.routerId === routerId),
+    );
+  }
+
+  return {
+    admit: (fingerprint, requestId) => {
+      const nowMs = clock.nowMs();
+      const admission = suspects.admit(fingerprint, requestId, rankOf(fingerprint), nowMs);
+      spread();
+      if (admission.kind === 'condemned') refused.inc();
+      if (admission.kind !== 'wait') return admission;
+      return { kind: 'wait', delayMs: Math.max(1, admission.untilMs - nowMs) };
+    },
+    avoid: (fingerprint, engines) => suspects.avoid(fingerprint, engines, clock.nowMs()),
+    onProgress: (fingerprint, index) => {
+      suspects.onProgress(fingerprint, index, clock.nowMs());
+      spread();
+    },
+    onDeath: (engine, requests) => {
+      const { engineId, failureDomain } = engine;
+      deaths.inc({ failure_domain: failureDomain });
+      log.warn('engine died', { engine: engineId, requests: requests.length });
+      const atMs = clock.nowMs();
+      const running = requests.map(({ fingerprint, index }) => ({ fingerprint, index }));
+      suspects.onDeath({ engineId, failureDomain, atMs, running }, atMs);
+      spread();
+    },
+    onEnd: (fingerprint, requestId, how) => {
+      suspects.onEnd(fingerprint, requestId, how, clock.nowMs());
+      spread();
+    },
+  };
+}
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -20,7 +20,15 @@
   VersionGroup,
   VersionName,
 } from '@mimosamill/core';
-import type { EnginePlace, LostRequest, StreamPorts, StreamReader, StreamRequest } from './ports';
+import type { ResumeGate } from './resumes';
+import type {
+  EnginePlace,
+  KnownEngine,
+  LostRequest,
+  StreamPorts,
+  StreamReader,
+  StreamRequest,
+} from './ports';
 
 /** How a stream ended. */
 export type StreamEnd =
@@ -66,10 +74,12 @@
 const PLACE_RETRY_MS = 25;
 /** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
 const PLACE_TIMEOUT_MS = 2_500;
-/** Engines busier than this are left to the version that needs them. */
-const BUSY_RATIO = 0.8;
 
-export function createRunningStream(ports: StreamPorts, request: StreamRequest): RunningStream {
+export function createRunningStream(
+  ports: StreamPorts,
+  resumes: ResumeGate,
+  request: StreamRequest,
+): RunningStream {
   const { clock, directory, engines, replicas, suspects, versions } = ports;
   const { requestId, service } = request;
   const fingerprint: Fingerprint = ports.fingerprintOf(
@@ -146,21 +156,26 @@
       finish({ kind: 'error', error: createServeError('journal_lost', message, 'ran') });
       return;
     }
-    if (cause !== 'first') {
-      lossAtMs ??= clock.monotonicMs();
-      streamCounters(ports).resumes.inc({ cause });
+    const untilMs = clock.monotonicMs() + PLACE_TIMEOUT_MS;
+    if (cause === 'first') {
+      place(attemptNo, untilMs);
+      return;
     }
-    place(attemptNo, clock.monotonicMs() + PLACE_TIMEOUT_MS);
+    lossAtMs ??= clock.monotonicMs();
+    streamCounters(ports).resumes.inc({ cause });
+    resumes.schedule(requestId, lossAtMs, () => place(attemptNo, untilMs));
   }
 
   function noteResumed(): void {
     if (lossAtMs === undefined) return;
+    resumes.onEnded(requestId);
     streamCounters(ports).resumeMs.observe(clock.monotonicMs() - lossAtMs);
     lossAtMs = undefined;
   }
 
   function finish(outcome: StreamEnd): void {
     end = outcome;
+    resumes.onEnded(requestId);
     [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
     const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
     streamCounters(ports).ended.inc({ outcome: failure ?? 'ok' });
@@ -171,7 +186,10 @@
   }
 
   function place(attemptNo: AttemptNo, untilMs: number): void {
-    if (end !== undefined || !session.liveAttempts().includes(attemptNo)) return;
+    if (end !== undefined || !session.liveAttempts().includes(attemptNo)) {
+      resumes.onEnded(requestId);
+      return;
+    }
     const admission = suspects.admit(fingerprint, requestId);
     switch (admission.kind) {
       case 'condemned':
@@ -207,7 +225,10 @@
       failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
       return;
     }
-    clock.after(PLACE_RETRY_MS, () => place(attemptNo, untilMs));
+    clock.after(PLACE_RETRY_MS, () => {
+      if (lossAtMs === undefined) place(attemptNo, untilMs);
+      else resumes.schedule(requestId, lossAtMs, () => place(attemptNo, untilMs));
+    });
   }
 
   function failAttempt(attemptNo: AttemptNo, error: ServeError): void {
@@ -225,8 +246,9 @@
   function toRouteRequest(chosen: VersionName): RouteRequest {
     const inUse = [...open.values()].map(({ place: { engineId } }) => engineId);
     const known = directory.enginesOf(service.name);
+    const full = lossAtMs === undefined ? [] : resumes.fullEngines();
     const apart = suspects.avoid(fingerprint, known);
-    const reserved = versions.avoid(service, group, known, BUSY_RATIO);
+    const reserved = versions.avoid(service, group, known, meanLoadOf(known));
     return {
       model: service.model,
       version: chosen,
@@ -234,7 +256,7 @@
       priority: request.priority,
       promptTokens: promptTokens + session.journal().length(),
       blockKeys: ports.blockKeysOf(request.prompt),
-      excluded: new Set([...avoided, ...inUse, ...apart, ...reserved]),
+      excluded: new Set([...avoided, ...inUse, ...apart, ...reserved, ...full]),
     };
   }
 
@@ -264,6 +286,7 @@
       onAttemptEvent,
     );
     register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
     replicate({
       requestId,
       bodyHash: request.bodyHash,
@@ -292,7 +315,8 @@
       service: service.name,
       version: version ?? service.stableVersion,
       route: request.adapter,
-      engineLoadRatio: directory.loadRatioOf(where.engineId),
+      group,
+      controlLoadRatio: controlLoadRatio(),
       engineId: where.engineId,
     });
     const lastTokenMs = clock.monotonicMs();
@@ -308,6 +332,18 @@
     });
   }
 
+  function meanLoadOf(some: readonly KnownEngine[]): number {
+    if (some.length === 0) return 0;
+    const sum = some.reduce((total, { engineId }) => total + directory.loadRatioOf(engineId), 0);
+    return sum / some.length;
+  }
+
+  function controlLoadRatio(): number {
+    const known = directory.enginesOf(service.name);
+    const others = versions.avoid(service, 'control', known, meanLoadOf(known));
+    return meanLoadOf(known.filter(({ engineId }) => !others.has(engineId)));
+  }
+
   function onAttemptEvent(event: AttemptEvent): void {
     if (end !== undefined) return;
     switch (event.kind) {
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -1,4 +1,5 @@
 import { createServeError } from '@mimosamill/core';
+import { createResumeGate } from './resumes';
 import { createRunningStream } from './stream';
 import type { RequestId, ServeError } from '@mimosamill/core';
 import type { StreamPorts, StreamReader, StreamRequest } from './ports';
@@ -33,6 +34,8 @@
   const running = ports.metrics.gauge('mimosamill_streams_running', 'Streams that have not ended');
   let drainWaiters: (() => void)[] = [];
 
+  const resumes = createResumeGate(clock);
+
   const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
 
   ports.replicas.onRelease((requestId) => {
@@ -61,6 +64,7 @@
       stream.abandon();
       streams.delete(requestId);
     });
+    resumes.pump();
     forgetOldest();
     const count = runningCount();
     running.set(count);
@@ -88,7 +92,7 @@
       const error = createServeError('bad_request', 'the request id is already in use');
       return { kind: 'error', error };
     }
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.attach(reader);
     stream.start();
@@ -113,7 +117,7 @@
     // Another connection of the same caller may have been faster.
     const raced = streams.get(request.requestId);
     if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.takeOver(left, haveTokens);
     stream.attach(reader);
