--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,8 +1,17 @@
 import { callsMeasurement } from './calls';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
+import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
+import { routeMeasurement } from './route/measure';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, ordersMeasurement, relay];
+export const MEASUREMENTS: readonly Measurement[] = [
+  callsMeasurement,
+  movesMeasurement,
+  poisonMeasurement,
+  relay,
+  routeMeasurement,
+];
