Pack the half step above the final load and hold the large steps longer

The half step is now packed so that its engines work above the load that all engines will have in the end, and more of the time goes to the 20% and 50% steps, from which most pairs come.

--- a/packages/bench/src/measure/moves/paired.ts
+++ b/packages/bench/src/measure/moves/paired.ts
@@ -364,7 +364,7 @@
   const used = packedEngineCount(share, engineCount, busyRatio);
   const newLoad = (share * engineCount * busyRatio) / used;
   const oldShare = Math.min(share, 1 - share);
-  const oldUsed = share >= 0.5 ? Math.max(1, engineCount - used) : used;
+  const oldUsed = Math.max(1, Math.min(used, engineCount - used));
   return { newLoad, oldLoad: (oldShare * engineCount * busyRatio) / oldUsed, engineCount: used };
 }
 
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -7,10 +7,10 @@
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, movesMeasurement, ordersMeasurement, relay];
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
   movesMeasurement,
+  ordersMeasurement,
   poisonMeasurement,
   relay,
   routeMeasurement,
--- a/packages/core/src/move/choose.ts
+++ b/packages/core/src/move/choose.ts
@@ -68,8 +68,8 @@
   const oldEngines = rank(engines.filter((engine) => !isNew(engine)));
   const packedCount = packedEngineCount(shareRatio, engines.length, busyRatio);
   // From half of the traffic on, there are no requests besides those two groups.
-  const isHalf = shareRatio >= 0.5;
-  const controlCount = isHalf ? oldEngines.length : Math.min(packedCount, oldEngines.length - 1);
+  const keptForOthers = shareRatio >= 0.5 ? 0 : 1;
+  const controlCount = Math.min(packedCount, oldEngines.length - keptForOthers);
   const used = {
     new: newEngines.slice(0, packedCount),
     control: oldEngines.slice(0, controlCount),
--- a/packages/core/src/move/plan.ts
+++ b/packages/core/src/move/plan.ts
@@ -38,8 +38,11 @@
 
 export const STEP_SHARES: readonly number[] = [0.01, 0.05, 0.2, 0.5, 1];
 
-/** Parts of the spare time spent at 1, 5, 20 and 50%: long where a fault harms few requests. */
-const HOLD_WEIGHTS: readonly number[] = [0.3, 0.25, 0.25, 0.2];
+/**
+ * Parts of the spare time spent at 1, 5, 20 and 50%. Most pairs come from the last two, on which
+ * faults of one route or with little traffic are found.
+ */
+const HOLD_WEIGHTS: readonly number[] = [0.2, 0.25, 0.3, 0.25];
 
 /** A step takes effect everywhere within 8 s; a shorter hold would show nothing. */
 const MIN_HOLD_MS = 15_000;
@@ -59,12 +62,15 @@
 /** Capacity that an engine loses while it loads; it goes on serving more slowly. */
 const LOADING_LOSS_RATIO = 0.2;
 
-/** Up to this share the new version's traffic is packed onto few engines. */
+/** Up to this share the traffic is packed as tightly as is safe. */
 const PACKED_UP_TO_RATIO = 0.2;
 
 /** Load that packed engines should reach, to show what appears only under load. */
 const PACKED_LOAD_RATIO = 0.9;
 
+/** From then on the load only has to exceed the one that all engines will have in the end. */
+const ABOVE_FINAL_FACTOR = 1.15;
+
 /** Plans the steps backwards from the deadline, or says why it cannot be met. */
 export function planMove(input: PlanInput): PlanOutcome {
   if (input.engineCount === 0) return refuse('the service has no engines');
@@ -99,15 +105,26 @@
   return { kind: 'ok', plan: { steps, loadConcurrency } };
 }
 
-/** Engines onto which a small share is packed, so that they work under a high load. */
+/**
+ * Engines onto which a share is packed, so that they work under a load that the service's engines
+ * have not yet reached with the new version.
+ */
 export function packedEngineCount(
   shareRatio: number,
   engineCount: number,
   busyRatio: number,
 ): number {
-  if (shareRatio > PACKED_UP_TO_RATIO) return Math.ceil(engineCount * shareRatio);
+  if (shareRatio >= 1) return engineCount;
+  const isSmall = shareRatio <= PACKED_UP_TO_RATIO;
+  const aboveFinal = Math.max(
+    busyRatio,
+    Math.min(PACKED_LOAD_RATIO, busyRatio * ABOVE_FINAL_FACTOR),
+  );
+  const loadRatio = isSmall ? PACKED_LOAD_RATIO : aboveFinal;
   const busyEngines = shareRatio * engineCount * busyRatio;
-  return Math.max(1, Math.ceil(busyEngines / PACKED_LOAD_RATIO));
+  if (busyEngines === 0) return Math.max(1, Math.ceil(shareRatio * engineCount));
+  // Rounding errors must not cost an engine.
+  return Math.max(1, Math.ceil(busyEngines / loadRatio - 1e-9));
 }
 
 function refuse(reason: string): PlanOutcome {
