Measure resumes after six kinds of loss over real processes

Cause: resume latency is what the users weigh most, and nothing measured it. Change: measurement "resume": 200 streams a round over six engines behind relays and three routers; kill, pause, partition, slow, domain and router losses; slow streams move to another engine; later attempts wait 650 ms for a first token. Before: not measured.

--- a/packages/bench/src/fleet/caller.ts
+++ b/packages/bench/src/fleet/caller.ts
@@ -21,6 +21,7 @@
   readonly body: object;
   /** Address of the router for each connection; undefined stops reconnecting. */
   readonly routerFor: (connection: number) => string | undefined;
+  readonly onOpen?: (requestId: string) => void;
   readonly onToken?: (index: number) => void;
   readonly reconnectDelayMs?: number;
   readonly maxConnections?: number;
@@ -89,6 +90,7 @@
       return;
     }
     progress.requestId = String(answer.headers['x-request-id'] ?? '');
+    options.onOpen?.(progress.requestId);
     const parser = createParser({ onEvent: (event) => onEvent(event, options, progress) });
     const decoder = new TextDecoder();
     for await (const chunk of answer.body) {
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -9,6 +9,8 @@
 export interface FleetNode {
   readonly process: FleetProcess;
   readonly address: string;
+  /** Past the relay. */
+  readonly ownAddress: string;
   readonly failureDomain: string;
   /** Between routers and this node, if the fleet has relays. */
   readonly relay: Relay | undefined;
@@ -154,9 +156,10 @@
       model: spec.modelSettings ?? {},
     });
     const relay = await relayTo(`${IP}:${port}`);
-    const address = relay?.address ?? `${IP}:${port}`;
+    const ownAddress = `${IP}:${port}`;
+    const address = relay?.address ?? ownAddress;
     await list(spec.id, 'engine', spec.service, address, spec.failureDomain);
-    return { process: engine, address, failureDomain: spec.failureDomain, relay };
+    return { process: engine, address, ownAddress, failureDomain: spec.failureDomain, relay };
   }
 
   async function startService(id: string, service: string, domain: string): Promise<FleetNode> {
@@ -164,7 +167,13 @@
     const server = await start('fake-service', id, { ip: IP, port, seed: options.seed });
     const address = `${IP}:${port}`;
     await list(id, 'service', service, address, domain);
-    return { process: server, address, failureDomain: domain, relay: undefined };
+    return {
+      process: server,
+      address,
+      ownAddress: address,
+      failureDomain: domain,
+      relay: undefined,
+    };
   }
 
   async function startRouter(spec: RouterSpec): Promise<FleetNode> {
@@ -187,14 +196,21 @@
     routerPeers.push(peerAddress);
     await list(spec.id, 'router', '', peerAddress, spec.failureDomain);
     const address = `${IP}:${port}`;
-    return { process: router, address, failureDomain: spec.failureDomain, relay: undefined };
+    return {
+      process: router,
+      address,
+      ownAddress: address,
+      failureDomain: spec.failureDomain,
+      relay: undefined,
+    };
   }
 
   async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
     const port = await findFreePort();
     const own = { ip: IP, port, platform: platformAddress, ...settings };
     const started = await start(binary, binary, own);
-    return { process: started, address: `${IP}:${port}`, failureDomain: '', relay: undefined };
+    const address = `${IP}:${port}`;
+    return { process: started, address, ownAddress: address, failureDomain: '', relay: undefined };
   }
 
   async function waitReady(nodes: readonly FleetNode[]): Promise<void> {
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -2,6 +2,7 @@
 import { movesMeasurement } from './moves/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
+import { resume } from './resume/resume';
 import { routeMeasurement } from './route/measure';
 import type { Measurement } from './measurement';
 
@@ -11,5 +12,6 @@
   movesMeasurement,
   poisonMeasurement,
   relay,
+  resume,
   routeMeasurement,
 ];
--- a/packages/core/src/stream/pace.ts
+++ b/packages/core/src/stream/pace.ts
@@ -6,15 +6,17 @@
 export interface SilenceBounds {
   readonly minMs: number;
   readonly maxMs: number;
-  /** Allowed wait for an attempt's first token. */
+  /** Allowed wait for the first token of the first attempt. */
   readonly firstTokenMs: number;
+  /** The same for later attempts, which have to fit several times into the bound on a resume. */
+  readonly resumeTokenMs: number;
 }
 
 /** A stream's own token pace, from which the allowed silence follows. */
 export interface Pace {
   readonly onToken: (nowMs: number) => void;
   /** Called when an attempt starts: the wait for its first token is not a gap. */
-  readonly onAttempt: (nowMs: number) => void;
+  readonly onAttempt: (nowMs: number, isFirst: boolean) => void;
   readonly meanGapMs: () => number;
   /** Time from which the attempt counts as silent. */
   readonly silentAtMs: () => number;
@@ -25,6 +27,7 @@
   let meanMs = 0;
   let deviationMs = 0;
   let isWaitingForFirst = true;
+  let waitMs = bounds.firstTokenMs;
 
   function learn(gapMs: number): void {
     if (meanMs === 0) {
@@ -38,7 +41,7 @@
   }
 
   function allowedMs(): number {
-    if (isWaitingForFirst) return bounds.firstTokenMs;
+    if (isWaitingForFirst) return waitMs;
     const byPaceMs = Math.max(GAP_FACTOR * meanMs, meanMs + DEVIATION_FACTOR * deviationMs);
     return Math.min(bounds.maxMs, Math.max(bounds.minMs, byPaceMs));
   }
@@ -49,8 +52,9 @@
       isWaitingForFirst = false;
       lastMs = nowMs;
     },
-    onAttempt: (nowMs) => {
+    onAttempt: (nowMs, isFirst) => {
       isWaitingForFirst = true;
+      waitMs = isFirst ? bounds.firstTokenMs : bounds.resumeTokenMs;
       lastMs = nowMs;
     },
     meanGapMs: () => meanMs,
--- a/packages/core/src/stream/session.ts
+++ b/packages/core/src/stream/session.ts
@@ -47,6 +47,9 @@
   readonly earlierAttempts: number;
   readonly silence: SilenceBounds;
   readonly deadlineAtMs: number;
+  readonly maxTokens: number;
+  /** Gap between tokens at the service's other engines; undefined if none is known. */
+  readonly typicalGapMs: () => number | undefined;
 }
 
 /** One request's stream: its journal, its attempts and when to start another. */
@@ -61,9 +64,19 @@
   readonly meanGapMs: () => number;
 }
 
+/** Inter-token time that callers are promised. */
+const PROMISED_GAP_MS = 32;
+/** A stream is slow from this many times the typical gap on; less is ordinary variation. */
+const SLOW_FACTOR = 3;
+/** Tokens of an attempt before its pace is judged. */
+const PACE_TOKENS = 8;
+/** Tokens after which earlier attempts no longer count towards the limit. */
+const PROGRESS_TOKENS = 64;
+
 interface LiveAttempt {
   readonly attemptNo: AttemptNo;
-  readonly startedAtIndex: number;
+  readonly cause: LossCause | 'first';
+  tokens: number;
   /** A silent attempt may still win the race for the next token. */
   isSilent: boolean;
 }
@@ -78,23 +91,30 @@
   const pace: Pace = createPace(settings.silence, nowMs);
   let live: LiveAttempt[] = [];
   let attemptCount = 0;
+  let recentAttempts = 0;
+  let progressIndex = known.length;
   let hasEnded = false;
 
   function startAttempt(cause: LossCause | 'first', atMs: number): SessionEffect[] {
-    if (attemptCount >= settings.maxAttempts) {
+    if (!mayStart()) {
       if (live.length > 0) return [];
       return fail(
-        createServeError('backend_failed', `${attemptCount} attempts were lost`, 'unknown'),
+        createServeError('backend_failed', `${recentAttempts} attempts were lost`, 'unknown'),
       );
     }
     attemptCount += 1;
+    recentAttempts += 1;
     const attemptNo = asAttemptNo(settings.earlierAttempts + attemptCount);
     const fromIndex = journal.length();
-    live.push({ attemptNo, startedAtIndex: fromIndex, isSilent: false });
-    pace.onAttempt(atMs);
+    live.push({ attemptNo, cause, tokens: 0, isSilent: false });
+    pace.onAttempt(atMs, cause === 'first');
     return [{ kind: 'start_attempt', attemptNo, fromIndex, cause }];
   }
 
+  function mayStart(): boolean {
+    return recentAttempts < settings.maxAttempts;
+  }
+
   function fail(error: ServeError): SessionEffect[] {
     const cancels = cancelAll();
     hasEnded = true;
@@ -119,10 +139,49 @@
       return onLost(event.attemptNo, 'ended_early', atMs);
     }
     attempt.isSilent = false;
+    attempt.tokens += 1;
     pace.onToken(atMs);
-    // The first attempt to deliver the next token wins; the others are older or slower.
-    const cancels = live.length > 1 ? cancelAll(event.attemptNo) : [];
-    return [{ kind: 'deliver', index: event.index, text: event.text }, ...cancels];
+    noteProgress();
+    const deliver: SessionEffect = { kind: 'deliver', index: event.index, text: event.text };
+    return [deliver, ...cancelLosers(attempt), ...leaveSlow(attempt, atMs)];
+  }
+
+  function noteProgress(): void {
+    if (journal.length() - progressIndex < PROGRESS_TOKENS) return;
+    progressIndex = journal.length();
+    recentAttempts = live.length;
+  }
+
+  /**
+   * The first attempt to deliver the next token wins. A newer attempt that was started because the
+   * winner is slow goes on until it catches up.
+   */
+  function cancelLosers(winner: LiveAttempt): SessionEffect[] {
+    const losers = live.filter(
+      (attempt) =>
+        attempt.attemptNo < winner.attemptNo ||
+        (attempt.attemptNo > winner.attemptNo && attempt.cause !== 'slow'),
+    );
+    live = live.filter((attempt) => !losers.includes(attempt));
+    return losers.map(({ attemptNo }) => ({ kind: 'cancel_attempt', attemptNo }));
+  }
+
+  function leaveSlow(attempt: LiveAttempt, atMs: number): SessionEffect[] {
+    if (live.length > 1 || !isSlow(attempt, atMs) || !mayStart()) return [];
+    return startAttempt('slow', atMs);
+  }
+
+  /** Slow: the deadline or the promised pace is lost, and another engine would keep it. */
+  function isSlow(attempt: LiveAttempt, atMs: number): boolean {
+    if (attempt.tokens < PACE_TOKENS) return false;
+    const typicalMs = settings.typicalGapMs();
+    const gapMs = pace.meanGapMs();
+    if (typicalMs === undefined || gapMs < SLOW_FACTOR * typicalMs) return false;
+    const tokensLeft = settings.maxTokens - journal.length();
+    const leftMs = settings.deadlineAtMs - atMs;
+    const losesDeadline = tokensLeft * gapMs > leftMs && tokensLeft * typicalMs < leftMs;
+    const losesPace = gapMs > PROMISED_GAP_MS && typicalMs <= PROMISED_GAP_MS;
+    return losesDeadline || losesPace;
   }
 
   function onLost(attemptNo: AttemptNo, cause: LossCause, atMs: number): SessionEffect[] {
@@ -176,8 +235,7 @@
     journal: () => journal,
     wakeAtMs: () => {
       if (hasEnded) return undefined;
-      const canAddAttempt = attemptCount < settings.maxAttempts;
-      return canAddAttempt
+      return mayStart()
         ? Math.min(settings.deadlineAtMs, pace.silentAtMs())
         : settings.deadlineAtMs;
     },
--- a/packages/core/test/session.spec.ts
+++ b/packages/core/test/session.spec.ts
@@ -11,14 +11,16 @@
   return `t${index}`;
 }
 
-function createTestSession(): Session {
+function createTestSession(typicalGapMs?: number): Session {
   return createSession(
     {
       requestId: REQUEST,
       maxAttempts: 8,
       earlierAttempts: 0,
-      silence: { minMs: 250, maxMs: 1_000, firstTokenMs: 2_000 },
+      silence: { minMs: 250, maxMs: 1_000, firstTokenMs: 2_000, resumeTokenMs: 700 },
       deadlineAtMs: 60_000,
+      maxTokens: 1_000,
+      typicalGapMs: () => typicalGapMs,
     },
     [],
     0,
@@ -89,4 +91,28 @@
       [],
     );
   });
+
+  // Guards against staying with an engine that still sends, but far below the promised pace.
+  it('moves a slow stream once the new attempt has caught up', () => {
+    const session = createTestSession(10);
+    session.start(0);
+    const token = { kind: 'token', requestId: REQUEST } as const;
+    const send = (attempt: number, index: number, nowMs: number): SessionEffect[] =>
+      session.on({ ...token, attemptNo: asAttemptNo(attempt), index, text: tokenAt(index) }, nowMs);
+    const effects = Array.from({ length: 8 }, (_, index) =>
+      send(1, index, 100 + index * 80),
+    ).flat();
+    expect(effects.at(-1)).toEqual({
+      kind: 'start_attempt',
+      attemptNo: 2,
+      fromIndex: 8,
+      cause: 'slow',
+    });
+    expect(delivered(send(1, 8, 740))).toEqual(['t8']);
+    expect(send(2, 8, 745)).toEqual([]);
+    expect(send(2, 9, 750)).toEqual([
+      { kind: 'deliver', index: 9, text: 't9' },
+      { kind: 'cancel_attempt', attemptNo: 1 },
+    ]);
+  });
 });
--- a/packages/fakes/src/engine/model.ts
+++ b/packages/fakes/src/engine/model.ts
@@ -116,6 +116,9 @@
   readonly onWeights: (model: string, version: string, nowMs: number) => void;
   readonly state: () => EngineState;
   readonly leave: () => void;
+  /** Multiplies every step's duration, as a failing accelerator would. */
+  readonly setSlowFactor: (factor: number) => void;
+  readonly running: () => readonly RequestId[];
   readonly isIdle: () => boolean;
   readonly work: () => EngineWork;
 }
@@ -159,6 +162,7 @@
   let cacheSeq = 0;
   let isLeaving = false;
   let slowFactor = 1;
+  let deviceSlowFactor = 1;
 
   function hasVersion(request: GenerateRequest): boolean {
     return loaded.some(
@@ -294,7 +298,7 @@
 
   function stepMs(): number {
     const batchMs = settings.baseStepMs + settings.stepMsPerRequest * running.length;
-    return batchMs * slowFactor;
+    return batchMs * slowFactor * deviceSlowFactor;
   }
 
   function currentLoad(): EngineLoad {
@@ -390,6 +394,10 @@
     leave: () => {
       isLeaving = true;
     },
+    setSlowFactor: (factor) => {
+      deviceSlowFactor = factor;
+    },
+    running: () => running.map(({ request }) => request.requestId),
     isIdle: () => running.length + queue.length === 0,
     work: () => ({ ...work }),
   };
--- a/packages/fakes/src/engine/server.ts
+++ b/packages/fakes/src/engine/server.ts
@@ -35,6 +35,7 @@
     role: z.enum(['mixed', 'prefill', 'decode']),
   }),
 });
+const slowSchema = z.object({ factor: z.number().positive() });
 const cancelSchema = z.object({ attempt: z.number() });
 
 export interface EngineServerOptions {
@@ -233,6 +234,19 @@
     });
   });
 
+  shell.app.get('/v1/running', (_req, res) => {
+    sendJson(res, 200, { request_ids: model.running() });
+  });
+
+  shell.app.post('/v1/slow-factor', async (req, res) => {
+    const body = await readJsonBody(req, MAX_BODY_BYTES);
+    if (body.kind === 'error') return sendError(res, body.error);
+    const parsed = slowSchema.safeParse(body.json);
+    if (!parsed.success) return sendRefusal(res, 400, 'bad_request');
+    model.setSlowFactor(parsed.data.factor);
+    sendJson(res, 200, {});
+  });
+
   return shell;
 }
 
--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -36,6 +36,7 @@
 interface EngineRecord extends KnownEngine {
   versions: readonly string[];
   loadRatio: number;
+  stepMs: number | undefined;
   isPolling: boolean;
   isDown: boolean;
   /** The running check of whether it is down. */
@@ -94,6 +95,7 @@
         failureDomain: host.failureDomain,
         versions: known?.versions ?? [],
         loadRatio: 0,
+        stepMs: undefined,
         isPolling: false,
         isDown: false,
         check: undefined,
@@ -146,7 +148,8 @@
       unreachable.inc({ service: engine.service });
       return;
     }
-    const { running, maxRunning, loaded } = answer.value;
+    const { running, maxRunning, loaded, stepMs } = answer.value;
+    engine.stepMs = stepMs;
     engine.isDown = false;
     engine.loadRatio = running / maxRunning;
     engine.versions = loaded.map(({ version }) => version);
@@ -202,7 +205,18 @@
     return first.running <= second.running ? first.address : second.address;
   }
 
+  function typicalStepMs(service: ServiceName): number | undefined {
+    const steps = [...engines.values()].flatMap((engine) =>
+      engine.service === service && !engine.isDown && engine.stepMs !== undefined
+        ? [engine.stepMs]
+        : [],
+    );
+    steps.sort((a, b) => a - b);
+    return steps[Math.floor(steps.length / 2)];
+  }
+
   return {
+    typicalStepMs,
     pick: (request) => {
       const found = picker.pick(request, clock.monotonicMs(), random);
       if (found.kind === 'none') return found;
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -32,6 +32,8 @@
   readonly enginesOf: (service: ServiceName) => readonly KnownEngine[];
   /** Running requests of an engine per place. */
   readonly loadRatioOf: (engineId: EngineId) => number;
+  /** Median time between tokens at the service's engines; undefined without reports. */
+  readonly typicalStepMs: (service: ServiceName) => number | undefined;
   /** Whether an engine that dropped a connection no longer accepts any. */
   readonly confirmDown: (engineId: EngineId) => Promise<boolean>;
   /** Calls back once for every engine found down. */
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -71,6 +71,8 @@
 const MAX_ATTEMPTS = 12;
 /** Allowed wait for a first token; beyond it another engine is tried as well. */
 const FIRST_TOKEN_MS = 2_000;
+/** Three waits of this length after the longest silence stay within the 3 s bound on a resume. */
+const RESUME_TOKEN_MS = 650;
 const PLACE_RETRY_MS = 25;
 /** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
 const PLACE_TIMEOUT_MS = 2_500;
@@ -115,8 +117,11 @@
           minMs: request.silenceMinMs,
           maxMs: request.silenceMaxMs,
           firstTokenMs: FIRST_TOKEN_MS,
+          resumeTokenMs: RESUME_TOKEN_MS,
         },
         deadlineAtMs: request.deadlineAtMs,
+        maxTokens: request.maxTokens,
+        typicalGapMs: () => directory.typicalStepMs(service.name),
       },
       known,
       clock.monotonicMs(),
