--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -3,6 +3,7 @@
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
+import { resume } from './resume/resume';
 import { routeMeasurement } from './route/measure';
 import type { Measurement } from './measurement';
 
@@ -13,5 +14,6 @@
   ordersMeasurement,
   poisonMeasurement,
   relay,
+  resume,
   routeMeasurement,
 ];
