Compare first attempts only and let a group use reserved engines when it has none

One request that fails on every engine was counted once for each of its retries, all on one version, which the e-process takes for independent pairs. Watched attempts now carry their number, and only first attempts are compared. A group whose engines were all excluded kept its requests waiting while engines of another group were free; the stream shell now drops the reservation. The split of the engines is reused for 500 ms instead of being ranked for each attempt. The controller reads the withdrawals under the name the router mounts them.

--- a/packages/bench/src/measure/moves/paired.ts
+++ b/packages/bench/src/measure/moves/paired.ts
@@ -1,5 +1,5 @@
 import { createLeaseKeeper, createMoveRunner } from '@mimosamill/controller';
-import { asId, asRevision, DEFAULTS, packedEngineCount } from '@mimosamill/core';
+import { asAttemptNo, asId, asRevision, DEFAULTS, packedEngineCount } from '@mimosamill/core';
 import { createFakeTables, createTablesModel } from '@mimosamill/fakes';
 import { createMoveWatch } from '@mimosamill/router';
 import { createHarmCounter } from './result';
@@ -149,6 +149,7 @@
     const observer = router.watch.onAttempt({
       service: SERVICE,
       version: choice.version,
+      attemptNo: asAttemptNo(1),
       route: `route-${attempt.route}`,
       group: choice.group,
       controlLoadRatio: loads.oldLoad,
--- a/packages/controller/src/move/withdrawals.ts
+++ b/packages/controller/src/move/withdrawals.ts
@@ -18,7 +18,7 @@
   routerPeerAddress: string,
   clock: Clock,
 ): WithdrawalView {
-  const url = `http://${routerPeerAddress}/move.withdrawals`;
+  const url = `http://${routerPeerAddress}/moves.withdrawals`;
   let items: readonly Withdrawal[] = [];
   let readAtMs = Number.NEGATIVE_INFINITY;
   return {
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -11,7 +11,9 @@
 } from '@mimosamill/core';
 import type { Clock } from '@mimosamill/adapters';
 import type {
+  AttemptNo,
   AttemptObserver,
+  CandidateVersion,
   EngineDeath,
   EngineId,
   EngineServiceConfig,
@@ -41,6 +43,8 @@
 export interface WatchedAttempt {
   readonly service: ServiceName;
   readonly version: VersionName;
+  /** Only first attempts are compared: one bad request would count once for each of its retries. */
+  readonly attemptNo: AttemptNo;
   /** Adapter of the request; empty for the base model. */
   readonly route: string;
   readonly group: VersionGroup;
@@ -118,8 +122,18 @@
   lastMessageMs: number;
 }
 
+/** A service's engines by group, as computed at `atMs`. */
+interface EngineSplit {
+  readonly candidate: CandidateVersion;
+  readonly atMs: number;
+  readonly avoided: Readonly<Record<VersionGroup, ReadonlySet<EngineId>>>;
+}
+
 const TICK_MS = 1_000;
 
+/** Ranking 600 engines for every request would take most of the time of its placement. */
+const SPLIT_REUSE_MS = 500;
+
 /**
  * Bound on the probability that a version no worse than the old one is withdrawn. Half belongs to
  * the merged evidence, half to the routers' own evidence, which decides in a partition.
@@ -153,6 +167,7 @@
   const withdrawals = createWithdrawals();
   const active = new Map<ServiceName, ActiveMove>();
   const merged = new Map<string, MergedMove>();
+  const splits = new Map<ServiceName, EngineSplit>();
 
   function takeIn(item: Withdrawal, origin: 'own_evidence' | 'peer'): void {
     if (!withdrawals.add(item)) return;
@@ -305,15 +320,22 @@
       if (candidate === undefined) return new Set();
       const { moveId, version, shareRatio } = candidate;
       if (withdrawals.find(service.name, version) !== undefined) return new Set();
-      return enginesToAvoid(
-        group,
-        { engines, newVersion: version, moveId, shareRatio, busyRatio },
-        hash,
-      );
+      const split = splits.get(service.name);
+      const isCurrent =
+        split?.candidate === candidate && clock.monotonicMs() - split.atMs < SPLIT_REUSE_MS;
+      if (split !== undefined && isCurrent) return split.avoided[group];
+      const input = { engines, newVersion: version, moveId, shareRatio, busyRatio };
+      const avoided = {
+        new: enginesToAvoid('new', input, hash),
+        control: enginesToAvoid('control', input, hash),
+        other: enginesToAvoid('other', input, hash),
+      };
+      splits.set(service.name, { candidate, atMs: clock.monotonicMs(), avoided });
+      return avoided[group];
     },
     onAttempt: (attempt) => {
       const move = active.get(attempt.service);
-      if (move?.watched === undefined) return NO_OBSERVER;
+      if (move?.watched === undefined || attempt.attemptNo > 1) return NO_OBSERVER;
       const isNew = attempt.version === move.toVersion;
       const isControl = attempt.version === move.fromVersion && attempt.group === 'control';
       if (!isNew && !isControl) return NO_OBSERVER;
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -95,6 +95,8 @@
   let deferred: (() => void)[] = [];
   let version: VersionName | undefined;
   let group: VersionGroup = 'other';
+  /** No engine of the group is left, so those reserved for other groups may be used. */
+  let mayUseReserved = false;
   /** Routers that served the stream before this one. */
   let adoptionCount = 0;
   let hasReplica = false;
@@ -223,7 +225,10 @@
       startAttempt(attemptNo, found, routeRequest, chosen);
       return;
     }
-    if (found.reason === 'all_excluded') avoided.clear();
+    if (found.reason === 'all_excluded') {
+      avoided.clear();
+      mayUseReserved = true;
+    }
     // Nothing has been generated yet, so the request may still start on another version.
     if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
     if (clock.monotonicMs() >= untilMs) {
@@ -253,7 +258,7 @@
     const known = directory.enginesOf(service.name);
     const full = lossAtMs === undefined ? [] : resumes.fullEngines();
     const apart = suspects.avoid(fingerprint, known);
-    const reserved = versions.avoid(service, group, known, meanLoadOf(known));
+    const reserved = mayUseReserved ? [] : versions.avoid(service, group, known, meanLoadOf(known));
     return {
       model: service.model,
       version: chosen,
@@ -319,6 +324,7 @@
     const observer = versions.onAttempt({
       service: service.name,
       version: version ?? service.stableVersion,
+      attemptNo,
       route: request.adapter,
       group,
       controlLoadRatio: controlLoadRatio(),
--- a/packages/router/test/move/watch.spec.ts
+++ b/packages/router/test/move/watch.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { asId, asRevision, DEFAULTS } from '@mimosamill/core';
+import { asAttemptNo, asId, asRevision, DEFAULTS } from '@mimosamill/core';
 import { createRandom } from '@mimosamill/fakes';
 import { createMovePeerRouter, createMoveWatch, createWithdrawalGossip } from '../../src/index';
 import type { Clock } from '@mimosamill/adapters';
@@ -106,10 +106,11 @@
     }),
   );
 
-  function attempt(watch: MoveWatch, isNew: boolean): void {
+  function attempt(watch: MoveWatch, isNew: boolean, attemptNo: number): void {
     const observer = watch.onAttempt({
       service: SERVICE,
       version: isNew ? NEW : OLD,
+      attemptNo: asAttemptNo(attemptNo),
       route: 'a',
       group: isNew ? 'new' : 'control',
       controlLoadRatio: 0.3,
@@ -119,12 +120,12 @@
     observer.onOutcome(isNew ? 'failed' : 'ok', nowMs + 200);
   }
 
-  async function run(seconds: number): Promise<void> {
+  async function run(seconds: number, attemptNo = 1): Promise<void> {
     for (let i = 0; i < seconds; i += 1) {
       nowMs += 1_000;
       watches.forEach((watch) => {
-        attempt(watch, random() < 0.5);
-        attempt(watch, random() < 0.5);
+        attempt(watch, random() < 0.5, attemptNo);
+        attempt(watch, random() < 0.5, attemptNo);
       });
       for (const watch of watches) await watch.tick();
     }
@@ -163,6 +164,13 @@
     expect(fleet.withdrawn.filter(({ origin }) => origin === 'own_evidence')).toHaveLength(3);
   });
 
+  it('takes no evidence from the retries of a request', async () => {
+    // Guards against one request that fails everywhere counting as many failures of a version.
+    const fleet = createFleet(6, true, () => true);
+    await fleet.run(60, 2);
+    expect(fleet.withdrawn).toEqual([]);
+  });
+
   it('refuses evidence that is not packed whole', async () => {
     const fleet = createFleet(2, true, () => true);
     const [watch] = fleet.watches;
