--- a/packages/bench/src/measure/moves/measure.ts
+++ b/packages/bench/src/measure/moves/measure.ts
@@ -53,6 +53,18 @@
     good_taken_back_ratio: ratio(good, ({ result }) => result.end === 'taken_back'),
     bad_taken_back_ratio: ratio(bad, ({ result }) => result.end === 'taken_back'),
     bad_share_of_traffic_p95: quantile(bad.map(badShare), 0.95),
+    bad_requests_p50: quantile(
+      bad.map(({ result }) => result.badRequests),
+      0.5,
+    ),
+    bad_requests_p95: quantile(
+      bad.map(({ result }) => result.badRequests),
+      0.95,
+    ),
+    take_back_p50_ms: quantile(
+      bad.flatMap(({ result }) => result.takeBackMs ?? []),
+      0.5,
+    ),
     take_back_p95_ms: quantile(
       bad.flatMap(({ result }) => result.takeBackMs ?? []),
       0.95,
--- /dev/null
+++ b/packages/bench/test/moves.spec.ts
@@ -0,0 +1,24 @@
+import { describe, expect, it } from 'vitest';
+import { createHashes } from '@mimosamill/adapters';
+import { runPaired } from '../src/measure/moves/paired';
+import { createScenario } from '../src/measure/moves/scenario';
+
+const SEED = 11;
+const MOVES = 36;
+
+describe('simulated version moves', () => {
+  it('end good versions done on time and bad ones taken back, once each', async () => {
+    // Guards against routers, tests of the evidence and controllers that no longer fit together.
+    const { hash32 } = await createHashes();
+    const wrong: string[] = [];
+    for (let i = 0; i < MOVES; i += 1) {
+      const scenario = createScenario(i, SEED);
+      if (scenario.isSparse && scenario.fault !== undefined) continue;
+      const result = await runPaired(scenario, hash32);
+      const isRight = scenario.fault === undefined ? result.isOnTime : result.end === 'taken_back';
+      const name = `${i} ${scenario.fault?.kind ?? 'good'}: ${result.end} (${result.reason})`;
+      if (!isRight || result.reports !== 1 || result.hasBothEnds) wrong.push(name);
+    }
+    expect(wrong).toEqual([]);
+  });
+});
--- a/packages/controller/src/compose.ts
+++ b/packages/controller/src/compose.ts
@@ -71,6 +71,7 @@
     log,
   );
   log.info('listening', { ip: settings.ip, port });
+  process.stdout.write('ready\n');
   return {
     stop: async () => {
       await duties.stop();
@@ -83,7 +84,7 @@
 /** Registers what the binary is made of; nothing else knows the container. */
 function compose(settings: ControllerSettings, hashes: Hashes): DependencyContainer {
   const root = container.createChildContainer();
-  const platform = { address: settings.platformAddress, timeoutMs: settings.platformTimeoutMs };
+  const platform = { address: settings.platform, timeoutMs: settings.platformTimeoutMs };
   // Unique to the process, so that a restarted controller is another holder.
   const holder = `${settings.hostId}/${randomUUID()}`;
   const add = <T>(token: InjectionToken<T>, create: (c: DependencyContainer) => T): void => {
@@ -130,7 +131,7 @@
   const clock = c.resolve<Clock>(TOKENS.clock);
   const log = c.resolve<Log>(TOKENS.log);
   const withdrawals = c.resolve<WithdrawalView>(TOKENS.withdrawals);
-  const platform = { address: settings.platformAddress, timeoutMs: settings.platformTimeoutMs };
+  const platform = { address: settings.platform, timeoutMs: settings.platformTimeoutMs };
   const metrics = c.resolve<Metrics>(TOKENS.metrics);
   const ended = metrics.counter('moves_ended_total', 'Version moves ended', ['state']);
   const reversed = metrics.counter(
--- a/packages/controller/src/settings.ts
+++ b/packages/controller/src/settings.ts
@@ -9,7 +9,7 @@
   /** Port of /healthz, /readyz and /metrics. */
   port: z.number().int().min(0).max(65_535),
   /** Tables, object store, host list and weight store. */
-  platformAddress: address,
+  platform: address,
   platformTimeoutMs: z.number().int().positive().default(2_000),
   /** Peer server of the router on this host, which knows the withdrawals. */
   routerPeerAddress: address,
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -292,7 +292,24 @@
     if (withdrawals.find(item.service, item.version) !== undefined) return;
     const verdict = pool.verdict(nowMs);
     if (verdict === undefined) return;
-    takeIn({ ...item, reason: describeVerdict(verdict) }, 'own_evidence');
+    takeIn({ ...item, reason: describeVerdict(verdict, item.service) }, 'own_evidence');
+  }
+
+  function describeVerdict(verdict: EvidenceVerdict, service: ServiceName): string {
+    const { againstNew, againstOld } = verdict.counts;
+    const scope =
+      verdict.routeHash === undefined ? 'all routes' : nameRoute(verdict.routeHash, service);
+    const level = verdict.level === undefined ? '' : `, ${verdict.level} load`;
+    return `${verdict.signal} on ${scope}${level}: ${againstNew} against, ${againstOld} for`;
+  }
+
+  /** Messages carry hashes of the routes; their names are in the configuration. */
+  function nameRoute(routeHash: number, service: ServiceName): string {
+    const found = config.current()?.services[service];
+    const adapters = found?.kind === 'engine' ? found.adapters : [];
+    const name = adapters.find((adapter) => hash(adapter) === routeHash);
+    if (name !== undefined) return `adapter ${name}`;
+    return routeHash === hash('') ? 'the base model' : `route ${routeHash}`;
   }
 
   async function tick(): Promise<void> {
@@ -381,10 +398,3 @@
   const pairs = Object.values(cell.counts).map((each) => each.againstNew + each.againstOld);
   return pairs.reduce((sum, each) => sum + each, cell.newStarts + cell.oldStarts);
 }
-
-function describeVerdict(verdict: EvidenceVerdict): string {
-  const { againstNew, againstOld } = verdict.counts;
-  const scope = verdict.routeHash === undefined ? 'all routes' : `route ${verdict.routeHash}`;
-  const level = verdict.level === undefined ? '' : `, ${verdict.level} load`;
-  return `${verdict.signal} on ${scope}${level}: ${againstNew} pairs against, ${againstOld} for`;
-}
