Keep a replica somewhere when every peer has failed once; look for it more than once

The peer in one domain had died and the other had missed one deadline on a busy machine; both were passed over for 10 s, so the journals of the killed router were nowhere. Besides, 66 callers coming back at once met the limit of calls to one peer. Ruled out: tails that lag (the engine has them), attaching at the engine (no refusal was seen). Change: with all peers avoided the one that failed longest ago is used; they are avoided for 2 s; lookups repeat for up to 2 s; the replicas of one router share a holder. The existing property test then found an idle stream whose restarted holder stayed empty for 30 s; idle streams are now shown to their holder every 5 s.

--- a/packages/bench/src/measure/resume/resume.ts
+++ b/packages/bench/src/measure/resume/resume.ts
@@ -89,7 +89,7 @@
     }
     await fleet.waitReady(routers);
     const figures: Record<string, Figures> = {};
-    for (const kind of LOSS_KINDS) {
+    for (const kind of kindsOf(process.env['LOSS_KIND'])) {
       const tally = createTally();
       await measureKind({ fleet, kind, engines, routers, hashes, random, tally }, options);
       figures[kind] = summarise(tally);
@@ -100,6 +100,11 @@
   }
 }
 
+/** All kinds, or the one named in the environment, to look into it. */
+function kindsOf(name: string | undefined): readonly LossKind[] {
+  return name === undefined ? LOSS_KINDS : LOSS_KINDS.filter((kind) => kind === name);
+}
+
 function engineSpec(index: number): EngineSpec {
   return {
     id: `engine-${index}`,
--- a/packages/core/src/stream/replica.ts
+++ b/packages/core/src/stream/replica.ts
@@ -68,8 +68,8 @@
 export const SENDER_DEFAULTS = {
   maxBatchBytes: 16_384,
   maxBatches: 4,
-  avoidMs: 10_000,
-  touchEveryMs: 30_000,
+  avoidMs: 2_000,
+  touchEveryMs: 5_000,
 } as const;
 
 export interface Outgoing {
@@ -155,9 +155,13 @@
   }
 
   function chooseHolder(stream: Stream, nowMs: number): ReplicaPeer | undefined {
-    return ranked(stream.start.requestId).find(
-      (peer) => (holders.get(peer.routerId)?.avoidUntilMs ?? 0) <= nowMs,
-    );
+    const avoidUntilMs = (peer: ReplicaPeer): number =>
+      holders.get(peer.routerId)?.avoidUntilMs ?? 0;
+    const candidates = ranked(stream.start.requestId);
+    const usable = candidates.find((peer) => avoidUntilMs(peer) <= nowMs);
+    if (usable !== undefined) return usable;
+    // With all of them avoided, a peer that failed long ago is better than no replica at all.
+    return [...candidates].sort((a, b) => avoidUntilMs(a) - avoidUntilMs(b))[0];
   }
 
   /** Whether the holder lacks something; a new holder lacks everything. */
--- a/packages/core/test/replica.spec.ts
+++ b/packages/core/test/replica.spec.ts
@@ -125,6 +125,21 @@
     fc.assert(property, { seed: 31, numRuns: 200 });
   });
 
+  // Guards against streams without any replica after every peer has failed once, as happened when
+  // one peer had died and the other one had missed a deadline on an overloaded machine.
+  it('are sent to the peer that failed longest ago when all have failed', () => {
+    const sender = createSender();
+    sender.onStart(createStart(toRequestId('self', '1')), ['a']);
+    const tried = PEERS.map((_, step) => {
+      const [outgoing] = sender.flush(step);
+      const holder = outgoing?.to.routerId;
+      if (holder !== undefined) sender.onFailure(holder, step);
+      return holder;
+    });
+    expect(new Set(tried).size).toBe(PEERS.length);
+    expect(sender.flush(PEERS.length)[0]?.to.routerId).toBe(tried[0]);
+  });
+
   // Guards against a holder whose memory grows with the load, or that keeps what has ended.
   it('stay within the memory of the holder and go a window after the end', () => {
     const sender = createSender(SELF, 16_384);
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -24,6 +24,7 @@
   effectiveSettings,
   RETRY_BUDGET_DEFAULTS,
   toBlockKeys,
+  toRequestId,
 } from '@mimosamill/core';
 import { createCalls } from './call/calls';
 import { createCallRouter, createOwnerClient } from './call/peer';
@@ -63,7 +64,6 @@
   MoveId,
   MoveRecord,
   Region,
-  RequestId,
   RetryBudget,
   RouterId,
 } from '@mimosamill/core';
@@ -110,6 +110,7 @@
 const OWN_DOMAIN_MS = 0.5;
 const OWN_REGION_MS = 1;
 const OTHER_REGION_MS = 40;
+const LABEL_CHARS = 8;
 
 /** Whether the router takes new work, and why not. */
 interface Readiness {
@@ -321,6 +322,7 @@
       fingerprintOf: (text) => asId<Fingerprint>(hashes.hash64(text)),
     }),
   );
+  const requestLabel = randomUUID().slice(0, LABEL_CHARS);
   provide(CALLER_SERVER, () =>
     createCallerServer({
       config: use(FEED),
@@ -332,7 +334,8 @@
       metrics: use(METRICS),
       log: use(LOG),
       limits: { maxBodyBytes: settings.maxBodyBytes },
-      createRequestId: () => asId<RequestId>(randomUUID()),
+      // One label a router, so that one peer holds the replicas of all its streams.
+      createRequestId: () => toRequestId(requestLabel, randomUUID()),
       settingsFor: (config, service, customer) =>
         effectiveSettings(config, {
           service,
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -300,7 +300,7 @@
 
 /** `REQUEST_ID/INDEX` of the last event that the caller received. */
 function parseLastEventId(header: string | string[] | undefined): Reconnect | undefined {
-  const match = /^([\w-]{1,128})\/(\d{1,9})$/u.exec(typeof header === 'string' ? header : '');
+  const match = /^([\w.-]{1,128})\/(\d{1,9})$/u.exec(typeof header === 'string' ? header : '');
   if (match === null) return undefined;
   return { requestId: asId<RequestId>(match[1] ?? ''), haveTokens: Number(match[2]) + 1 };
 }
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -3,6 +3,7 @@
 import { createRunningStream } from './stream';
 import type { RequestId, ServeError } from '@mimosamill/core';
 import type { StreamPorts, StreamReader, StreamRequest } from './ports';
+import type { FindOutcome } from './replica';
 import type { RunningStream } from './stream';
 
 export type OpenOutcome =
@@ -25,6 +26,11 @@
 }
 
 const SWEEP_PERIOD_MS = 20;
+const FIND_RETRY_MS = 100;
+/** Leaves the rest of the 3 s bound to the resume itself. */
+const FIND_LIMIT_MS = 2_000;
+/** Every router has answered; only a tail that was on its way can still turn up. */
+const FIND_ABSENT_LIMIT_MS = 300;
 /** Ended streams are kept for callers that lost the end of the answer. */
 const MAX_KEPT = 10_000;
 
@@ -106,7 +112,7 @@
   ): Promise<OpenOutcome> {
     const local = streams.get(request.requestId);
     if (local !== undefined) return reattach(local, request, haveTokens, reader);
-    const found = await ports.replicas.find(request.requestId);
+    const found = await findReplica(request.requestId);
     if (found.kind === 'absent') {
       return lost(
         `no copy of the stream was found; ${found.unansweredCount} routers did not answer`,
@@ -124,6 +130,23 @@
     return { kind: 'ok', stream };
   }
 
+  /**
+   * Looks more than once: after the loss of a router many callers come back at the same moment, a
+   * peer may refuse to be asked by all of them at once, and a restarted peer has a new address.
+   */
+  async function findReplica(requestId: RequestId): Promise<FindOutcome> {
+    const startedAtMs = clock.monotonicMs();
+    for (;;) {
+      const found = await ports.replicas.find(requestId);
+      if (found.kind === 'found') return found;
+      const limitMs = found.unansweredCount > 0 ? FIND_LIMIT_MS : FIND_ABSENT_LIMIT_MS;
+      if (clock.monotonicMs() - startedAtMs >= limitMs) return found;
+      await new Promise<void>((resolve) => {
+        clock.after(FIND_RETRY_MS, resolve);
+      });
+    }
+  }
+
   function reattach(
     stream: RunningStream,
     request: StreamRequest,
