Keep suspects apart, and condemn only what elimination leaves

Change: a death is explained by a condemned request; a request on two dead engines is held until the others of one death are cleared; deaths of one domain within 2 s count once; a suspect's run is announced when admitted; reports are awaited before any resume; waiting for an engine only after a death with a request in common.

--- a/packages/bench/src/measure/poison.ts
+++ b/packages/bench/src/measure/poison.ts
@@ -4,7 +4,7 @@
 import type { PoisonFigures, PoisonOptions } from '../poison/world';
 import type { Measurement, MeasureOptions, MeasureResult } from './measurement';
 
-const RUNS = 1;
+const RUNS = 4;
 const FULL_RUNS = 20;
 
 /** Requests that kill engines, among ordinary streams, in simulated time. */
@@ -23,6 +23,8 @@
     culpritEveryMs: 15_000,
     culpritsAtOnce: 1,
     copies: 1,
+    hasPlainDeaths: false,
+    hasDomainLoss: false,
     reportMs: 5,
     isGuarded: true,
     hash: hash32,
@@ -37,10 +39,13 @@
   };
   return {
     ...run({}),
+    engine_deaths_without_culprit: run({ culpritsAtOnce: 0, hasPlainDeaths: true }),
+    with_domain_loss: run({ hasDomainLoss: true }),
     two_culprits_at_once: run({ culpritsAtOnce: 2 }),
     three_copies_at_once: run({ copies: 3 }),
     reports_after_500_ms: run({ reportMs: 500 }),
     baseline_plain_retry: run({ isGuarded: false }),
+    baseline_plain_retry_with_domain_loss: run({ isGuarded: false, hasDomainLoss: true }),
   };
 }
 
@@ -52,8 +57,11 @@
   return {
     engines_lost_per_culprit_max: Math.max(...runs.map((run) => run.enginesLostPerCulpritMax)),
     engines_lost_per_culprit_mean: Number(
-      (sum((run) => run.enginesLostPerCulpritMean * run.culprits) / culprits).toFixed(2),
+      (sum((run) => run.enginesLostPerCulpritMean * run.culprits) / Math.max(1, culprits)).toFixed(
+        2,
+      ),
     ),
+    culprits_over_bound: sum((run) => run.culpritsOverBound),
     innocent_failed: sum((run) => run.innocentFailed),
     innocent_condemned: sum((run) => run.innocentCondemned),
     innocent_delay_p95_ms: delaysMs.length === 0 ? 0 : Math.round(quantileSorted(delaysMs, 0.95)),
--- a/packages/bench/src/poison/world.ts
+++ b/packages/bench/src/poison/world.ts
@@ -22,11 +22,17 @@
   readonly culpritsAtOnce: number;
   /** Routers to which a culprit's caller sends it at once. */
   readonly copies: number;
+  /** An engine dies in place of each culprit's arrival, for no request's fault. */
+  readonly hasPlainDeaths: boolean;
+  /** One failure domain is lost halfway. */
+  readonly hasDomainLoss: boolean;
   /** Time for a router's report to reach the others. */
   readonly reportMs: number;
   /** False for the baseline: every lost stream is retried on any engine. */
   readonly isGuarded: boolean;
   readonly hash: Hash32;
+  /** Receives a line for each death, and for each verdict on a request. */
+  readonly onLine?: (line: string) => void;
 }
 
 export interface PoisonFigures {
@@ -35,6 +41,7 @@
   readonly enginesLost: number;
   readonly enginesLostPerCulpritMax: number;
   readonly enginesLostPerCulpritMean: number;
+  readonly culpritsOverBound: number;
   readonly innocents: number;
   readonly innocentFailed: number;
   readonly innocentCondemned: number;
@@ -60,6 +67,8 @@
   /** The engine that computes this token dies. */
   readonly killsAtIndex: number;
   enginesLost: number;
+  /** What the design allows, from the suspects and engines at the first death. */
+  enginesAllowed: number;
   isCondemned: boolean;
 }
 
@@ -91,6 +100,12 @@
 const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
 const EPOCH_MS = 1_796_342_400_000;
 
+/** Further engines until one suspect is alone: each death leaves 1 in `engines` of them together. */
+export function roundsToPart(suspects: number, engines: number): number {
+  if (suspects <= engines) return 1;
+  return Math.ceil(Math.log(suspects) / Math.log(Math.max(2, engines)));
+}
+
 /** Ordinary streams and culprits on engines of three failure domains, in simulated time. */
 export function runPoisonWorld(options: PoisonOptions): PoisonFigures {
   const random = createRandom(options.seed);
@@ -105,6 +120,10 @@
   let enginesLost = 0;
   let ids = 0;
 
+  function note(line: string): void {
+    options.onLine?.(`${time.clock.monotonicMs().toFixed(0)} ms ${line}`);
+  }
+
   function wallMs(): number {
     return EPOCH_MS + time.clock.monotonicMs();
   }
@@ -173,6 +192,7 @@
       const admission = suspects.admit(stream.fingerprint, stream.requestId, rank, wallMs());
       spread(stream.router);
       if (admission.kind === 'condemned') {
+        note(`${stream.router.routerId} refuses ${stream.fingerprint}: request_condemned`);
         end(stream, condemned);
         return;
       }
@@ -209,7 +229,12 @@
     const first = pickOne(allowed);
     const second = pickOne(allowed);
     const engine = first.running.size <= second.running.size ? first : second;
+    if (stream.attempts > 1 || avoided.size > 0) {
+      note(`${stream.router.routerId} resumes ${stream.fingerprint} on ${engine.engineId}`);
+    }
     engine.running.add(stream);
+    stream.router.suspects.onPlaced(stream.fingerprint, engine.engineId);
+    spread(stream.router);
     time.clock.after(PREFILL_MS, () => step(stream, engine));
   }
 
@@ -218,7 +243,7 @@
     const { culprit } = stream;
     if (culprit !== undefined && stream.index >= culprit.killsAtIndex) {
       culprit.enginesLost += 1;
-      if (culprit.enginesLost === 1) resendOften(culprit);
+      if (culprit.enginesLost === 1) onFirstLoss(culprit, engine);
       kill(engine);
       return;
     }
@@ -240,6 +265,8 @@
 
   function kill(engine: Engine): void {
     const lost = [...engine.running];
+    const names = lost.map(({ fingerprint, router }) => `${fingerprint}@${router.routerId}`);
+    note(`${engine.engineId} in ${engine.failureDomain} dies, running ${names.join(' ')}`);
     engine.isAlive = false;
     engine.running = new Set();
     enginesLost += 1;
@@ -271,6 +298,7 @@
       fingerprint: asId<Fingerprint>(`c${ids}`),
       killsAtIndex: Math.floor(random() * KILL_INDEX_SPAN),
       enginesLost: 0,
+      enginesAllowed: 0,
       isCondemned: false,
     };
     culprits.push(culprit);
@@ -278,6 +306,14 @@
     order.slice(0, options.copies).forEach((router) => startStream(router, culprit));
   }
 
+  function onFirstLoss(culprit: Culprit, engine: Engine): void {
+    const apart = engines.filter(
+      ({ isAlive, failureDomain }) => isAlive && failureDomain !== engine.failureDomain,
+    );
+    culprit.enginesAllowed = options.copies + roundsToPart(engine.running.size, apart.length);
+    resendOften(culprit);
+  }
+
   /** A caller that lost patience sends the culprit again and again, to two routers each time. */
   function resendOften(culprit: Culprit): void {
     for (let resend = 1; resend <= CALLER_RESENDS; resend += 1) {
@@ -303,12 +339,16 @@
   keepBusy();
   for (let atMs = 3_000; atMs < options.durationMs - 30_000; atMs += options.culpritEveryMs) {
     const jitterMs = random() * options.culpritEveryMs * 0.5;
+    if (options.hasPlainDeaths) {
+      clock.after(atMs + jitterMs, () => kill(pickOne(engines.filter(({ isAlive }) => isAlive))));
+    }
     for (let index = 0; index < options.culpritsAtOnce; index += 1) {
       clock.after(atMs + jitterMs + random() * 300, startCulprit);
     }
   }
   // One failure domain loses all its engines within a second: no request is to blame.
   clock.after(options.durationMs / 2, () => {
+    if (!options.hasDomainLoss) return;
     engines
       .filter(({ failureDomain, isAlive }) => failureDomain === DOMAINS[1] && isAlive)
       .forEach((engine) => clock.after(random() * 1_000, () => engine.isAlive && kill(engine)));
@@ -322,7 +362,9 @@
     culpritsCondemned: culprits.filter(({ isCondemned }) => isCondemned).length,
     enginesLost,
     enginesLostPerCulpritMax: Math.max(0, ...lostBy),
-    enginesLostPerCulpritMean: lostBy.reduce((sum, lost) => sum + lost, 0) / lostBy.length,
+    enginesLostPerCulpritMean:
+      lostBy.reduce((sum, lost) => sum + lost, 0) / Math.max(1, lostBy.length),
+    culpritsOverBound: culprits.filter((c) => c.enginesLost > c.enginesAllowed).length,
     innocents: innocents.length,
     innocentFailed: innocents.filter((s) => failed.has(s) || condemned.has(s)).length,
     innocentCondemned: innocents.filter((s) => condemned.has(s)).length,
--- a/packages/core/src/stream/deaths.ts
+++ b/packages/core/src/stream/deaths.ts
@@ -29,16 +29,14 @@
   readonly add: (report: DeathReport, reporter: RouterId, nowMs: number) => Death;
   /** Newest last. */
   readonly of: (fingerprint: Fingerprint) => readonly Death[];
-  readonly isInfrastructureLoss: (death: Death) => boolean;
-  /** Failure domains that lost an engine since the time. */
-  readonly domainsLosingSince: (sinceMs: number) => ReadonlySet<FailureDomain>;
+  /** Other deaths in the same failure domain at about the same time. */
+  readonly near: (death: Death, withinMs: number) => readonly Death[];
   readonly size: () => number;
 }
 
 export interface DeathTableSettings {
   /** Reports of one engine within this time are of one death; a restart takes longer. */
   readonly mergeMs: number;
-  readonly infrastructureMs: number;
   readonly expiryMs: number;
   readonly maxDeaths: number;
   readonly maxFingerprints: number;
@@ -98,28 +96,15 @@
     return death;
   }
 
-  /**
-   * Engines that die together by another cause than a request have no request in common, neither
-   * with each other nor with another death.
-   */
-  function isInfrastructureLoss(death: Death): boolean {
-    const isAlone = !deaths.some(
-      (other) =>
-        other !== death &&
-        other.failureDomain === death.failureDomain &&
-        Math.abs(other.atMs - death.atMs) <= settings.infrastructureMs,
-    );
-    if (isAlone) return false;
-    return [...death.candidates.keys()].every((fingerprint) => of(fingerprint).length === 1);
-  }
-
   return {
     add,
     of,
-    isInfrastructureLoss,
-    domainsLosingSince: (sinceMs) =>
-      new Set(
-        deaths.filter(({ atMs }) => atMs >= sinceMs).map(({ failureDomain }) => failureDomain),
+    near: (death, withinMs) =>
+      deaths.filter(
+        (other) =>
+          other !== death &&
+          other.failureDomain === death.failureDomain &&
+          Math.abs(other.atMs - death.atMs) <= withinMs,
       ),
     size: () => deaths.length,
   };
--- a/packages/core/src/stream/suspects.ts
+++ b/packages/core/src/stream/suspects.ts
@@ -15,6 +15,10 @@
   readonly settleMs: number;
   /** Wait before a request is condemned, for the reports of routers that are slow to tell. */
   readonly exchangeMs: number;
+  /** Time for a suspect to be cleared: a prefill and 32 tokens at 32 ms. */
+  readonly waveMs: number;
+  /** Longest wait for an engine without another suspect: two waves, to stay within 3 s. */
+  readonly engineWaitMs: number;
   /** Longest wait for the other suspects to be cleared. */
   readonly holdMs: number;
   /** Turn of each router that waits to run a suspect nobody runs any longer. */
@@ -30,6 +34,8 @@
   infrastructureMs: 2_000,
   settleMs: 50,
   exchangeMs: 300,
+  waveMs: 1_200,
+  engineWaitMs: 2_400,
   holdMs: 3_000,
   turnMs: 1_000,
   runnerMs: 5_000,
@@ -84,6 +90,8 @@
     rank: number,
     nowMs: number,
   ) => Admission;
+  /** An admitted request was given to an engine. */
+  readonly onPlaced: (fingerprint: Fingerprint, engineId: EngineId) => void;
   /** Engines that an attempt has to leave to the other suspects of the same death. */
   readonly avoid: (
     fingerprint: Fingerprint,
@@ -96,9 +104,17 @@
   readonly sizes: () => { readonly suspects: number; readonly deaths: number };
 }
 
+/** Who runs a suspect, and where; an empty request id stands for nobody. */
+interface Runner {
+  readonly routerId: string;
+  readonly requestId: string;
+  engineId: string;
+  readonly untilMs: number;
+}
+
 interface Suspect {
   clearedAtMs: number;
-  runner: { readonly routerId: string; readonly requestId: string; untilMs: number } | undefined;
+  runner: Runner | undefined;
   /** When a run ended without a verdict. */
   idleSinceMs: number;
 }
@@ -113,7 +129,6 @@
 export function createSuspects(settings: SuspectSettings): Suspects {
   const deaths = createDeathTable({
     mergeMs: MERGE_MS,
-    infrastructureMs: settings.infrastructureMs,
     expiryMs: settings.culpritExpiryMs,
     maxDeaths: MAX_DEATHS,
     maxFingerprints: MAX_FINGERPRINTS,
@@ -146,22 +161,57 @@
     return (suspects.get(fingerprint)?.clearedAtMs ?? -Infinity) >= death.atMs;
   }
 
-  /** Deaths of which this request is a possible cause, and no condemned request is another. */
+  /** Deaths of which this request is a possible cause. */
   function blamedFor(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
     const known = blames.get(fingerprint);
     if (known !== undefined) return known;
     const blamed = deaths
       .of(fingerprint)
-      .filter(
-        (death) =>
-          !isClearedOf(fingerprint, death) &&
-          !deaths.isInfrastructureLoss(death) &&
-          !othersOf(fingerprint, death).some((other) => isCondemned(other, nowMs)),
-      );
+      .filter((death) => isOpen(fingerprint, death, nowMs) && !isInfrastructureLoss(death, nowMs));
     blames.set(fingerprint, blamed);
     return blamed;
   }
 
+  function openDeathsOf(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
+    return deaths.of(fingerprint).filter((death) => isOpen(fingerprint, death, nowMs));
+  }
+
+  /** Not cleared of this death, which no condemned request explains. */
+  function isOpen(fingerprint: Fingerprint, death: Death, nowMs: number): boolean {
+    if (isClearedOf(fingerprint, death)) return false;
+    return !othersOf(fingerprint, death).some((other) => isCondemned(other, nowMs));
+  }
+
+  /**
+   * Engines that die together by another cause than a request have no request in common, neither
+   * with each other nor with another death.
+   */
+  function isInfrastructureLoss(death: Death, nowMs: number): boolean {
+    if (hasCommonRequest(death, nowMs)) return false;
+    const near = deaths.near(death, settings.infrastructureMs);
+    return near.some((other) => !hasCommonRequest(other, nowMs));
+  }
+
+  function hasCommonRequest(death: Death, nowMs: number): boolean {
+    return [...death.candidates.keys()].some((fingerprint) => {
+      const isRepeated = deaths.of(fingerprint).length > 1;
+      return isRepeated && openDeathsOf(fingerprint, nowMs).length > 1;
+    });
+  }
+
+  /**
+   * Deaths in one failure domain within a short time count once: the domain may be failing, and a
+   * stream that was resumed within it meets the next loss without being its cause.
+   */
+  function countIncidents(blamed: readonly Death[]): number {
+    const counted: Death[] = [];
+    blamed.forEach((death) => {
+      const near = deaths.near(death, settings.infrastructureMs);
+      if (!near.some((other) => counted.includes(other))) counted.push(death);
+    });
+    return counted.length;
+  }
+
   function othersOf(fingerprint: Fingerprint, death: Death): Fingerprint[] {
     return [...death.candidates.keys()].filter((other) => other !== fingerprint);
   }
@@ -175,19 +225,35 @@
     const blamed = blamedFor(fingerprint, nowMs);
     const latest = blamed.at(-1);
     if (latest === undefined) return 'clear';
-    if (blamed.length < 2 || !isMostBlamed(fingerprint, blamed.length, latest, nowMs)) {
+    if (countIncidents(blamed) < 2 || hasTwin(fingerprint, blamed, latest, nowMs)) {
       return 'suspect';
     }
     const waitedMs = nowMs - latest.atMs;
     if (waitedMs < settings.exchangeMs) return 'held';
     // It was on every one of these deaths. Once all others of one of them are cleared, it is the
-    // cause of that one; without that certainty, only after the others had their time.
+    // cause of that one.
     const isCause = blamed.some((death) => isLast(fingerprint, death));
     if (!isCause && waitedMs < settings.holdMs) return 'held';
+    // The others had their time: now the number of deaths decides, or one more run.
+    if (!isCause && !isMostBlamed(fingerprint, blamed.length, latest, nowMs)) return 'suspect';
     condemn(fingerprint, nowMs);
     return 'condemned';
   }
 
+  /** Another suspect of the same deaths, from which only a run apart can tell this one. */
+  function hasTwin(
+    fingerprint: Fingerprint,
+    blamed: readonly Death[],
+    latest: Death,
+    nowMs: number,
+  ): boolean {
+    return othersOf(fingerprint, latest).some((other) => {
+      if (isClearedOf(other, latest)) return false;
+      const otherBlamed = blamedFor(other, nowMs);
+      return blamed.every((death) => otherBlamed.includes(death));
+    });
+  }
+
   function isMostBlamed(
     fingerprint: Fingerprint,
     count: number,
@@ -260,7 +326,7 @@
   }
 
   function onRunnerItem(fingerprint: Fingerprint, item: SuspectItem, nowMs: number): void {
-    const [routerId = '', requestId = ''] = item.payload.split(SEPARATOR);
+    const [routerId = '', requestId = '', engineId = ''] = item.payload.split(SEPARATOR);
     const suspect = suspectOf(fingerprint);
     if (requestId === '') {
       if (suspect.runner?.routerId === routerId) suspect.runner = undefined;
@@ -269,14 +335,14 @@
     }
     const { runner } = suspect;
     const isTaken = runner !== undefined && runner.untilMs > nowMs && runner.routerId < routerId;
-    if (!isTaken) suspect.runner = { routerId, requestId, untilMs: item.expiresAtMs };
+    if (!isTaken) suspect.runner = { routerId, requestId, engineId, untilMs: item.expiresAtMs };
   }
 
   function onProgress(fingerprint: Fingerprint, index: number, nowMs: number): void {
     if (!suspects.has(fingerprint)) return;
-    const blamed = blamedFor(fingerprint, nowMs);
-    const diedAt = blamed.map((death) => death.candidates.get(fingerprint)?.index ?? 0);
-    if (blamed.length === 0 || index < Math.max(...diedAt) + settings.clearTokens) return;
+    const open = openDeathsOf(fingerprint, nowMs);
+    const diedAt = open.map((death) => death.candidates.get(fingerprint)?.index ?? 0);
+    if (open.length === 0 || index < Math.max(...diedAt) + settings.clearTokens) return;
     clear(fingerprint, nowMs);
   }
 
@@ -296,7 +362,9 @@
     }
     suspect.runner = undefined;
     suspect.idleSinceMs = nowMs;
-    items.push(runnerItem(fingerprint, settings.routerId, '', nowMs + settings.runnerMs));
+    const untilMs = nowMs + settings.runnerMs;
+    const { routerId } = settings;
+    items.push(runnerItem(fingerprint, { routerId, requestId: '', engineId: '', untilMs }));
   }
 
   function admit(
@@ -307,6 +375,10 @@
   ): Admission {
     const current = standing(fingerprint, nowMs);
     if (current === 'condemned') return { kind: 'condemned' };
+    // Also before a loss of infrastructure is believed: the reports may show a common request.
+    const lastDeathMs = openDeathsOf(fingerprint, nowMs).at(-1)?.atMs ?? -Infinity;
+    const settledAtMs = lastDeathMs + settings.settleMs;
+    if (nowMs < settledAtMs) return { kind: 'wait', untilMs: settledAtMs };
     const latest = blamedFor(fingerprint, nowMs).at(-1);
     if (current === 'clear' || latest === undefined) return { kind: 'run' };
     if (current === 'held') return { kind: 'wait', untilMs: nowMs + settings.settleMs };
@@ -319,11 +391,19 @@
     const turnAtMs = turnOf(fingerprint, suspect, latest, rank);
     if (nowMs < turnAtMs) return { kind: 'wait', untilMs: turnAtMs };
     const untilMs = nowMs + settings.runnerMs;
-    suspect.runner = { routerId: settings.routerId, requestId, untilMs };
-    items.push(runnerItem(fingerprint, settings.routerId, requestId, untilMs));
+    suspect.runner = { routerId: settings.routerId, requestId, engineId: '', untilMs };
+    // Others wait from now on, although the request may have to wait for an engine.
+    items.push(runnerItem(fingerprint, suspect.runner));
     return { kind: 'run' };
   }
 
+  function onPlaced(fingerprint: Fingerprint, engineId: EngineId): void {
+    const runner = suspects.get(fingerprint)?.runner;
+    if (runner?.routerId !== settings.routerId) return;
+    runner.engineId = engineId;
+    items.push(runnerItem(fingerprint, runner));
+  }
+
   /**
    * Routers that had the request on the dead engine come first, in the order of their ids, then
    * the others by rank. Each sees the earlier one's start before its own turn comes.
@@ -341,30 +421,71 @@
     engines: readonly PlacedEngine[],
     nowMs: number,
   ): ReadonlySet<EngineId> {
-    const latest = blamedFor(fingerprint, nowMs).at(-1);
-    if (latest === undefined || engines.length === 0) return new Set();
-    const usable = outsideLosses(engines, nowMs);
-    // Each further death shuffles suspects and engines anew, so that two that were together part.
-    const salt = latest.engineId;
-    const group = [...latest.candidates.keys()].filter(
-      (other) => !isClearedOf(other, latest) && !isCondemned(other, nowMs),
-    );
-    const place = sortByHash(group, salt).indexOf(fingerprint);
-    const ranked = sortByHash(usable, salt);
-    const count = Math.min(group.length, ranked.length);
-    const own = new Set(ranked.filter((_, index) => index % count === place % count));
+    const latest = openDeathsOf(fingerprint, nowMs).at(-1);
     const ids = engines.map(({ engineId }) => engineId);
-    return new Set(ids.filter((engineId) => !own.has(engineId)));
+    if (latest === undefined || ids.length === 0) return new Set();
+    const { own, wave } = ownPart(fingerprint, engines, latest, nowMs);
+    if (isInfrastructureLoss(latest, nowMs)) return without(ids, own);
+    // A first death is mostly a failure of the engine, and its streams go on at once. After a
+    // death with a request in common, waiting for an engine is cheaper than losing another.
+    const mayWait = hasCommonRequest(latest, nowMs);
+    const sinceMs = nowMs - latest.atMs;
+    const waveAtMs = Math.min(wave * settings.waveMs, settings.engineWaitMs);
+    if (mayWait && sinceMs < waveAtMs) return new Set(ids);
+    const taken = enginesOfOthers(fingerprint, nowMs);
+    const free = own.filter((engineId) => !taken.has(engineId));
+    const anyFree = ids.filter((engineId) => !taken.has(engineId));
+    if (free.length > 0) return without(ids, free);
+    if (anyFree.length > 0) return without(ids, anyFree);
+    const isWaiting = mayWait && sinceMs < settings.engineWaitMs;
+    return isWaiting ? new Set(ids) : without(ids, own);
   }
 
   /**
-   * A failure domain that is losing engines may lose the next one to the same cause, which would
-   * make its suspects look like culprits.
+   * A share of the engines that no other suspect of the death has. With more suspects than
+   * engines, the later waves take the engines once the earlier ones are cleared. Each further
+   * death shuffles anew, so that two that had to share an engine part.
    */
-  function outsideLosses(engines: readonly PlacedEngine[], nowMs: number): EngineId[] {
-    const losing = deaths.domainsLosingSince(nowMs - settings.infrastructureMs);
-    const outside = engines.filter(({ failureDomain }) => !losing.has(failureDomain));
-    return (outside.length > 0 ? outside : engines).map(({ engineId }) => engineId);
+  function ownPart(
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    death: Death,
+    nowMs: number,
+  ): { readonly own: readonly EngineId[]; readonly wave: number } {
+    const group = sortByHash([...death.candidates.keys()], death.engineId);
+    const usable = outsideLoss(engines, death, group.length, nowMs);
+    const ranked = sortByHash(usable, death.engineId);
+    const count = Math.min(group.length, ranked.length);
+    const place = Math.max(0, group.indexOf(fingerprint));
+    const own = ranked.filter((_, index) => index % count === place % count);
+    return { own, wave: Math.floor(place / count) };
+  }
+
+  /** Engines that run another suspect: a death there would make both look like culprits. */
+  function enginesOfOthers(fingerprint: Fingerprint, nowMs: number): ReadonlySet<EngineId> {
+    const taken = [...suspects].flatMap(([other, { runner }]) => {
+      const isRunning = other !== fingerprint && runner !== undefined && runner.untilMs > nowMs;
+      return isRunning && runner.engineId !== '' ? [asId<EngineId>(runner.engineId)] : [];
+    });
+    return new Set(taken);
+  }
+
+  /**
+   * A failure domain that has just lost an engine may lose the next one to the same cause, so it
+   * is avoided while the other domains take the suspects in two waves.
+   */
+  function outsideLoss(
+    engines: readonly PlacedEngine[],
+    latest: Death,
+    groupSize: number,
+    nowMs: number,
+  ): EngineId[] {
+    const isRecent = nowMs - latest.atMs <= settings.infrastructureMs;
+    const outside = engines.filter(
+      ({ failureDomain }) => !isRecent || failureDomain !== latest.failureDomain,
+    );
+    const isEnough = 2 * outside.length >= Math.min(groupSize, engines.length);
+    return (isEnough ? outside : engines).map(({ engineId }) => engineId);
   }
 
   function sortByHash<T extends string>(ids: readonly T[], salt: string): T[] {
@@ -379,6 +500,7 @@
     onProgress,
     onEnd,
     admit,
+    onPlaced,
     avoid,
     standing,
     takeItems: () => {
@@ -398,14 +520,13 @@
   }
 }
 
-function runnerItem(
-  fingerprint: Fingerprint,
-  routerId: RouterId,
-  requestId: string,
-  expiresAtMs: number,
-): SuspectItem {
-  const payload = `${routerId}${SEPARATOR}${requestId}`;
-  return { kind: 'runner', key: fingerprint, payload, expiresAtMs };
+function without<T>(all: readonly T[], kept: readonly T[]): ReadonlySet<T> {
+  return new Set(all.filter((item) => !kept.includes(item)));
+}
+
+function runnerItem(fingerprint: Fingerprint, runner: Runner): SuspectItem {
+  const payload = [runner.routerId, runner.requestId, runner.engineId].join(SEPARATOR);
+  return { kind: 'runner', key: fingerprint, payload, expiresAtMs: runner.untilMs };
 }
 
 function deathItem(
