--- a/packages/admin/src/config/admin.ts
+++ b/packages/admin/src/config/admin.ts
@@ -59,7 +59,11 @@
 /** An undo looks for overlaps in at most this many later revisions. */
 const MAX_LATER = 1_000;
 
-export function createConfigAdmin(store: ConfigStore, clock: Clock): ConfigAdmin {
+export function createConfigAdmin(
+  store: ConfigStore,
+  clock: Clock,
+  onAccepted: (revision: ConfigRevision) => void,
+): ConfigAdmin {
   const replica = createReplica(1);
 
   async function refresh(): Promise<FleetConfig | AdminError> {
@@ -119,7 +123,10 @@
       digest,
       atMs: clock.nowMs(),
     });
-    if (outcome.kind === 'accepted') replica.offer([outcome.revision]);
+    if (outcome.kind === 'accepted') {
+      replica.offer([outcome.revision]);
+      onAccepted(outcome.revision);
+    }
     return toResult(outcome, request.operationId, changes);
   }
 
@@ -195,6 +202,12 @@
   };
 }
 
+/** A revision as the API shows it; its inverse is only of use to an undo. */
+export function toPublic(revision: ConfigRevision): Omit<ConfigRevision, 'inverse'> {
+  const { revision: number, who, why, operationId, atMs, changes } = revision;
+  return { revision: number, who, why, operationId, atMs, changes };
+}
+
 function preview(base: FleetConfig, changes: readonly ConfigChange[]): ChangeResult {
   const applied = applyChecked(base, changes);
   if (applied.kind === 'invalid') return invalidChange(applied.problems);
@@ -229,5 +242,5 @@
 /** Both changes, so that the operator can decide without asking again. */
 function conflict(yours: readonly ConfigChange[], theirs: readonly ConfigRevision[]): AdminError {
   const message = 'the configuration was changed after the revision you read; nothing was applied';
-  return adminError('conflict', message, { yours, theirs });
+  return adminError('conflict', message, { yours, theirs: theirs.map(toPublic) });
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -120,10 +120,10 @@
 export type { ReaderCandidate } from './config/readers';
 export { EMPTY_CONFIG, createReplica } from './config/replica';
 export type { Replica, ReplicaEffect } from './config/replica';
-export type { ConfigProblem } from './config/shape';
+export type { ConfigProblem, JsonSchema } from './config/shape';
 export { planUndo } from './config/undo';
 export type { UndoPlan } from './config/undo';
-export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export { CHANGE_LIST_SCHEMA, SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
 // membership
@@ -145,6 +145,17 @@
 export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
 export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
+export { CACHE_VIEW_BLOCKS, createCacheIndex, createCacheView } from './route/cache';
+export type {
+  CacheBatch,
+  CacheChange,
+  CacheContent,
+  CacheEffect,
+  CacheIndex,
+  CacheView,
+} from './route/cache';
+export { createOutlierJudge } from './route/outlier';
+export type { OutlierJudge, OutlierSettings, ServerResult } from './route/outlier';
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
 export { createPicker } from './route/picker';
@@ -201,3 +212,42 @@
 export type { EngineView, HolderView, OrderDecision, OrderLimits } from './order/converge';
 export { createLease } from './order/lease';
 export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
+
+// journal replicas
+export { placementKey, planLookup, rankHolders, toRequestId } from './stream/placement';
+export type { LookupBounds, ReplicaPeer } from './stream/placement';
+export {
+  createReplicaHolder,
+  createReplicaSender,
+  HOLDER_DEFAULTS,
+  isBetter,
+  SENDER_DEFAULTS,
+} from './stream/replica';
+export type {
+  HeldReplica,
+  HolderSettings,
+  Outgoing,
+  OwnStream,
+  ReplicaAnswer,
+  ReplicaBatch,
+  ReplicaEnd,
+  ReplicaHolder,
+  ReplicaSender,
+  ReplicaStart,
+  ReplicaTail,
+  SenderSettings,
+} from './stream/replica';
+
+// load digests
+export { createDigests, DIGEST_DEFAULTS, toSection } from './member/digest';
+export type {
+  DigestName,
+  DigestOutcome,
+  Digests,
+  DigestSection,
+  DigestSettings,
+} from './member/digest';
+export { ENTRY_BYTES, packEntries, quantise, toReport, unpackEntries } from './member/load-entry';
+export type { EngineReport, LoadEntry } from './member/load-entry';
+export { findReaders, findTreePlace } from './member/tree';
+export type { TreeMember, TreePlace } from './member/tree';
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -1,7 +1,7 @@
 import { asRevision, chooseReaders, createReplica } from '@mimosamill/core';
 import { fitMessage, MAX_MESSAGE_CHARS } from './peers';
 import type { Clock, ConfigReader, Log, Metrics } from '@mimosamill/adapters';
-import type { FleetConfig, Hash32, ReplicaEffect, Revision, RouterId } from '@mimosamill/core';
+import type { FleetConfig, Hash32, ReplicaEffect, Revision } from '@mimosamill/core';
 import type { Member, Membership } from '../peer/member';
 import type { ConfigPeerHandler, ConfigPeers, ConfigPush, SnapshotPart } from './peers';
 import type { ConfigSource } from './source';
@@ -33,8 +33,8 @@
   readonly start: () => void;
   readonly stop: () => void;
   readonly revision: () => Revision;
-  /** A member was heard to be at a revision, for example in a membership message. */
-  readonly hear: (revision: Revision, from: RouterId) => void;
+  /** A peer was heard to be at a revision, for example in a membership message. */
+  readonly hear: (revision: Revision, peerAddress: string) => void;
   readonly handler: ConfigPeerHandler;
 }
 
@@ -62,7 +62,7 @@
     return chooseReaders(membership.members(), failureDomain, hash).includes(routerId);
   }
 
-  function perform(effects: readonly ReplicaEffect[], from?: RouterId): void {
+  function perform(effects: readonly ReplicaEffect[], from?: string): void {
     effects.forEach((effect) => {
       switch (effect.kind) {
         case 'changed':
@@ -95,7 +95,11 @@
     const self = membership.self();
     const held = replica.tailAfter(pushedRevision) ?? [];
     pushedRevision = replica.revision();
-    const push: ConfigPush = { revision: replica.revision(), revisions: fitMessage(held) };
+    const push: ConfigPush = {
+      from: self.peerAddress,
+      revision: replica.revision(),
+      revisions: fitMessage(held),
+    };
     membership
       .members()
       .filter((member) => member.failureDomain === self.failureDomain)
@@ -105,14 +109,33 @@
       });
   }
 
+  /** Readers of every failure domain push on to the routers of theirs. */
+  function pushToReaders(push: ConfigPush): void {
+    const { routerId } = membership.self();
+    const members = membership.members();
+    const domains = [...new Set(members.map(({ failureDomain }) => failureDomain))];
+    const readers = domains.flatMap((domain) => chooseReaders(members, domain, hash));
+    members
+      .filter((member) => member.routerId !== routerId && readers.includes(member.routerId))
+      .forEach((member) => {
+        void pushTo(member, push);
+      });
+  }
+
+  function acceptPush(push: ConfigPush): Revision {
+    replica.hear(push.revision);
+    perform(replica.offer(push.revisions), push.from);
+    return replica.revision();
+  }
+
   async function pushTo(member: Member, push: ConfigPush): Promise<void> {
     const answer = await peers.push(member, push);
     counters.pushes.inc({ outcome: answer.kind });
-    if (answer.kind === 'ok') hear(answer.revision, member.routerId);
+    if (answer.kind === 'ok') hear(answer.revision, member.peerAddress);
   }
 
   /** Tries the member that knows of the revision, then others, then the store. */
-  async function pull(from: RouterId | undefined): Promise<void> {
+  async function pull(from: string | undefined): Promise<void> {
     if (isPulling || replica.current() === undefined) return;
     isPulling = true;
     const candidates = choosePeers(from, PULL_PEERS);
@@ -142,7 +165,7 @@
   }
 
   /** Random reachable members, those of the own failure domain first. */
-  function choosePeers(first: RouterId | undefined, count: number): Member[] {
+  function choosePeers(first: string | undefined, count: number): Member[] {
     const self = membership.self();
     const scored = membership
       .members()
@@ -198,8 +221,8 @@
     isPolling = false;
   }
 
-  function hear(revision: Revision, from: RouterId): void {
-    perform(replica.hear(revision), from);
+  function hear(revision: Revision, peerAddress: string): void {
+    perform(replica.hear(revision), peerAddress);
   }
 
   function snapshotPart(revision: Revision | undefined, offset: number): SnapshotPart {
@@ -244,10 +267,11 @@
       isReady: () => notReadyReason === undefined,
       tailAfter: replica.tailAfter,
       snapshotPart,
-      acceptPush: (push) => {
-        perform(replica.offer(push.revisions));
-        perform(replica.hear(push.revision));
-        return replica.revision();
+      acceptPush,
+      announce: (push) => {
+        // The store may fail before a reader polls it, so an accepted revision travels at once.
+        pushToReaders({ ...push, from: membership.self().peerAddress });
+        return acceptPush(push);
       },
       members: membership.members,
     },
@@ -273,7 +297,7 @@
   return member.state !== 'dead' && member.state !== 'unreachable';
 }
 
-function peerScore(member: Member, self: Member, first: RouterId | undefined): number {
-  if (member.routerId === first) return 0;
+function peerScore(member: Member, self: Member, first: string | undefined): number {
+  if (member.peerAddress === first) return 0;
   return member.failureDomain === self.failureDomain ? 1 : 2;
 }
--- /dev/null
+++ b/packages/router/src/stream/stream.ts
@@ -0,0 +1,562 @@
+import { assertNever, createServeError, createSession } from '@mimosamill/core';
+import type { Attempt, AttemptEvent, TraceSpan } from '@mimosamill/adapters';
+import type {
+  AttemptNo,
+  EngineId,
+  AttemptObserver,
+  AttemptOutcome,
+  FinishReason,
+  Fingerprint,
+  HeldReplica,
+  Journal,
+  LossCause,
+  RouteRequest,
+  Send,
+  SendResult,
+  ServeError,
+  Session,
+  ReplicaStart,
+  SessionEffect,
+  VersionGroup,
+  VersionName,
+} from '@mimosamill/core';
+import type { ResumeGate } from './resumes';
+import type {
+  EnginePlace,
+  KnownEngine,
+  LostRequest,
+  StreamPorts,
+  StreamReader,
+  StreamRequest,
+} from './ports';
+
+/** How a stream ended. */
+export type StreamEnd =
+  | { readonly kind: 'finish'; readonly reason: FinishReason }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
+/** One request's generation at this router, with or without a connected caller. */
+export interface RunningStream {
+  readonly request: StreamRequest;
+  readonly journal: () => Journal;
+  readonly ended: () => StreamEnd | undefined;
+  readonly start: () => void;
+  /** Goes on with what another router left. */
+  readonly takeOver: (left: HeldReplica, haveTokens: number) => void;
+  /** Another router serves the stream now; nothing is cancelled at the engine. */
+  readonly release: () => void;
+  readonly isOn: (engineId: EngineId) => boolean;
+  readonly lostRequest: () => LostRequest;
+  /** Connects the caller; an earlier connection is dropped. */
+  readonly attach: (reader: StreamReader) => void;
+  readonly detach: (reader: StreamReader) => void;
+  readonly wakeAtMs: () => number | undefined;
+  readonly wake: () => void;
+  readonly detachedSinceMs: () => number | undefined;
+  /** Ends the stream because its caller will not come back. */
+  readonly abandon: () => void;
+}
+
+interface OpenAttempt {
+  readonly attemptNo: AttemptNo;
+  readonly place: EnginePlace;
+  readonly handle: Attempt;
+  readonly send: Send;
+  readonly span: TraceSpan;
+  readonly observer: AttemptObserver;
+  lastTokenMs: number;
+  hasToken: boolean;
+}
+
+const MAX_ATTEMPTS = 12;
+/** Allowed wait for a first token; beyond it another engine is tried as well. */
+const FIRST_TOKEN_MS = 2_000;
+const PLACE_RETRY_MS = 25;
+/** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
+const PLACE_TIMEOUT_MS = 2_500;
+
+export function createRunningStream(
+  ports: StreamPorts,
+  resumes: ResumeGate,
+  request: StreamRequest,
+): RunningStream {
+  const { clock, directory, engines, replicas, suspects, versions } = ports;
+  const { requestId, service } = request;
+  const fingerprint: Fingerprint = ports.fingerprintOf(
+    `${service.model}\n${request.adapter}\n${request.seed}\n${request.maxTokens}\n${request.prompt}`,
+  );
+  const promptTokens = request.prompt.split(/\s+/u).length;
+  const open = new Map<AttemptNo, OpenAttempt>();
+  /** Engines that were lost or refused this request; tried again only if no other is left. */
+  const avoided = new Set<EngineId>();
+  /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
+  let deferred: (() => void)[] = [];
+  let version: VersionName | undefined;
+  let group: VersionGroup = 'other';
+  /** Routers that served the stream before this one. */
+  let adoptionCount = 0;
+  let hasReplica = false;
+  let earlierAttempts = 0;
+  let session = createSessionAfter([]);
+  let reader: StreamReader | undefined;
+  let detachedSinceMs: number | undefined = clock.monotonicMs();
+  let end: StreamEnd | undefined;
+  let lossAtMs: number | undefined;
+  /** Tokens that the caller already has. A new attempt before them could generate others. */
+  let callerTokens = 0;
+
+  function createSessionAfter(known: readonly string[]): Session {
+    return createSession(
+      {
+        requestId,
+        maxAttempts: MAX_ATTEMPTS,
+        earlierAttempts,
+        silence: {
+          minMs: request.silenceMinMs,
+          maxMs: request.silenceMaxMs,
+          firstTokenMs: FIRST_TOKEN_MS,
+        },
+        deadlineAtMs: request.deadlineAtMs,
+      },
+      known,
+      clock.monotonicMs(),
+    );
+  }
+
+  function apply(effects: readonly SessionEffect[]): void {
+    effects.forEach((effect) => {
+      switch (effect.kind) {
+        case 'deliver':
+          replicas.onToken(requestId, effect.index, effect.text);
+          suspects.onProgress(fingerprint, effect.index);
+          noteResumed();
+          break;
+        case 'start_attempt':
+          onStartAttempt(effect.attemptNo, effect.cause);
+          break;
+        case 'cancel_attempt':
+          closeAttempt(effect.attemptNo, 'cancelled');
+          break;
+        case 'finish':
+          finish({ kind: 'finish', reason: effect.reason });
+          break;
+        case 'fail':
+          finish({ kind: 'error', error: effect.error });
+          break;
+        default:
+          assertNever(effect);
+      }
+    });
+    if (effects.length > 0) reader?.onProgress();
+  }
+
+  function onStartAttempt(attemptNo: AttemptNo, cause: LossCause | 'first'): void {
+    if (session.journal().length() < callerTokens) {
+      const message = 'the caller has tokens of which no copy is left';
+      finish({ kind: 'error', error: createServeError('journal_lost', message, 'ran') });
+      return;
+    }
+    const untilMs = clock.monotonicMs() + PLACE_TIMEOUT_MS;
+    if (cause === 'first') {
+      place(attemptNo, untilMs);
+      return;
+    }
+    lossAtMs ??= clock.monotonicMs();
+    streamCounters(ports).resumes.inc({ cause });
+    resumes.schedule(requestId, lossAtMs, () => place(attemptNo, untilMs));
+  }
+
+  function noteResumed(): void {
+    if (lossAtMs === undefined) return;
+    resumes.onEnded(requestId);
+    streamCounters(ports).resumeMs.observe(clock.monotonicMs() - lossAtMs);
+    lossAtMs = undefined;
+  }
+
+  function finish(outcome: StreamEnd): void {
+    end = outcome;
+    resumes.onEnded(requestId);
+    [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
+    const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
+    streamCounters(ports).ended.inc({ outcome: failure ?? 'ok' });
+    request.span.set({ tokens: session.journal().length(), attempts: session.attemptCount() });
+    request.span.end(failure);
+    suspects.onEnd(fingerprint, requestId, outcome.kind === 'finish' ? 'finished' : 'given_up');
+    replicas.onEnd(requestId, outcome.kind === 'finish' ? outcome.reason : undefined);
+  }
+
+  function place(attemptNo: AttemptNo, untilMs: number): void {
+    if (end !== undefined || !session.liveAttempts().includes(attemptNo)) {
+      resumes.onEnded(requestId);
+      return;
+    }
+    const admission = suspects.admit(fingerprint, requestId);
+    switch (admission.kind) {
+      case 'condemned':
+        failAttempt(attemptNo, condemned());
+        break;
+      case 'wait':
+        clock.after(admission.delayMs, () => place(attemptNo, untilMs + admission.delayMs));
+        break;
+      case 'run':
+        placeNow(attemptNo, untilMs);
+        break;
+      default:
+        assertNever(admission);
+    }
+  }
+
+  function placeNow(attemptNo: AttemptNo, untilMs: number): void {
+    const chosen = version ?? chooseVersion();
+    if (chosen === undefined) {
+      failAttempt(attemptNo, noEngine('no_version', false));
+      return;
+    }
+    const routeRequest = toRouteRequest(chosen);
+    const found = directory.pick(routeRequest);
+    if (found.kind === 'ok') {
+      startAttempt(attemptNo, found, routeRequest, chosen);
+      return;
+    }
+    if (found.reason === 'all_excluded') avoided.clear();
+    // Nothing has been generated yet, so the request may still start on another version.
+    if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
+    if (clock.monotonicMs() >= untilMs) {
+      failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
+      return;
+    }
+    clock.after(PLACE_RETRY_MS, () => {
+      if (lossAtMs === undefined) place(attemptNo, untilMs);
+      else resumes.schedule(requestId, lossAtMs, () => place(attemptNo, untilMs));
+    });
+  }
+
+  function failAttempt(attemptNo: AttemptNo, error: ServeError): void {
+    apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
+  }
+
+  function chooseVersion(): VersionName | undefined {
+    const choice = versions.choose(service, requestId);
+    if (choice.kind === 'none') return undefined;
+    version = choice.version;
+    group = choice.group;
+    return version;
+  }
+
+  function toRouteRequest(chosen: VersionName): RouteRequest {
+    const inUse = [...open.values()].map(({ place: { engineId } }) => engineId);
+    const known = directory.enginesOf(service.name);
+    const full = lossAtMs === undefined ? [] : resumes.fullEngines();
+    const apart = suspects.avoid(fingerprint, known);
+    const reserved = versions.avoid(service, group, known, meanLoadOf(known));
+    return {
+      model: service.model,
+      version: chosen,
+      adapter: request.adapter,
+      priority: request.priority,
+      promptTokens: promptTokens + session.journal().length(),
+      blockKeys: ports.blockKeysOf(request.prompt),
+      excluded: new Set([...avoided, ...inUse, ...apart, ...reserved, ...full]),
+    };
+  }
+
+  function startAttempt(
+    attemptNo: AttemptNo,
+    where: EnginePlace,
+    routeRequest: RouteRequest,
+    chosen: VersionName,
+  ): void {
+    const span = request.span.child('attempt', { engine: where.engineId, attempt: attemptNo });
+    const texts = session.journal().texts();
+    const handle = engines.generate(
+      where.address,
+      {
+        requestId,
+        attemptNo,
+        model: service.model,
+        version: chosen,
+        adapter: request.adapter,
+        prompt: request.prompt,
+        prefix: texts,
+        maxTokens: request.maxTokens,
+        seed: request.seed,
+        priority: request.priority,
+        traceparent: span.traceparent,
+      },
+      onAttemptEvent,
+    );
+    register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
+    replicate({
+      requestId,
+      bodyHash: request.bodyHash,
+      engineId: where.engineId,
+      engineAddress: where.address,
+      version: chosen,
+      attemptNo,
+      adoptionCount,
+    });
+  }
+
+  function replicate(start: ReplicaStart): void {
+    if (hasReplica) replicas.onAttempt(start);
+    else replicas.onStart(start, session.journal().texts());
+    hasReplica = true;
+  }
+
+  function register(
+    attemptNo: AttemptNo,
+    where: EnginePlace,
+    handle: Attempt,
+    send: Send,
+    span: TraceSpan,
+  ): void {
+    const observer = versions.onAttempt({
+      service: service.name,
+      version: version ?? service.stableVersion,
+      route: request.adapter,
+      group,
+      controlLoadRatio: controlLoadRatio(),
+      engineId: where.engineId,
+    });
+    const lastTokenMs = clock.monotonicMs();
+    open.set(attemptNo, {
+      attemptNo,
+      place: where,
+      handle,
+      send,
+      span,
+      observer,
+      lastTokenMs,
+      hasToken: false,
+    });
+  }
+
+  function meanLoadOf(some: readonly KnownEngine[]): number {
+    if (some.length === 0) return 0;
+    const sum = some.reduce((total, { engineId }) => total + directory.loadRatioOf(engineId), 0);
+    return sum / some.length;
+  }
+
+  function controlLoadRatio(): number {
+    const known = directory.enginesOf(service.name);
+    const others = versions.avoid(service, 'control', known, meanLoadOf(known));
+    return meanLoadOf(known.filter(({ engineId }) => !others.has(engineId)));
+  }
+
+  function onAttemptEvent(event: AttemptEvent): void {
+    if (end !== undefined) return;
+    switch (event.kind) {
+      case 'token':
+        onToken(event);
+        break;
+      case 'finish':
+        onFinish(event.attemptNo, event.reason);
+        break;
+      case 'lost':
+        onLost(event.attemptNo, event.cause);
+        break;
+      case 'refused':
+        onRefused(event.attemptNo, event.cause);
+        break;
+      default:
+        assertNever(event);
+    }
+  }
+
+  function onToken(event: Extract<AttemptEvent, { kind: 'token' }>): void {
+    const attempt = open.get(event.attemptNo);
+    if (attempt !== undefined) noteToken(attempt);
+    apply(session.on(event, clock.monotonicMs()));
+  }
+
+  function noteToken(attempt: OpenAttempt): void {
+    const nowMs = clock.monotonicMs();
+    if (attempt.hasToken) {
+      attempt.observer.onGap(nowMs - attempt.lastTokenMs);
+    } else {
+      attempt.hasToken = true;
+      directory.onFirstToken(attempt.send);
+      attempt.observer.onFirstToken(clock.nowMs());
+    }
+    attempt.lastTokenMs = nowMs;
+  }
+
+  function onFinish(attemptNo: AttemptNo, reason: FinishReason): void {
+    closeAttempt(attemptNo, 'ok');
+    apply(session.on({ kind: 'finish', attemptNo, reason }, clock.monotonicMs()));
+  }
+
+  function onLost(attemptNo: AttemptNo, cause: 'connect_failed' | 'reset' | 'ended_early'): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    const { engineId } = attempt.place;
+    avoided.add(engineId);
+    // Whether the engine died decides if its requests are suspects, so it is settled first.
+    void directory.confirmDown(engineId).then((isDown) => {
+      closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
+      whileConnected(() => loseAttempt(attemptNo, cause));
+    });
+  }
+
+  function onRefused(
+    attemptNo: AttemptNo,
+    cause: Extract<AttemptEvent, { kind: 'refused' }>['cause'],
+  ): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    avoided.add(attempt.place.engineId);
+    if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
+    if (cause === 'failed') closeAttempt(attemptNo, 'failed');
+    else closeAttempt(attemptNo, 'refused', 'void');
+    whileConnected(() => loseAttempt(attemptNo, 'refused'));
+  }
+
+  function loseAttempt(attemptNo: AttemptNo, cause: LossCause): void {
+    apply(session.on({ kind: 'attempt_lost', attemptNo, cause }, clock.monotonicMs()));
+  }
+
+  /** Runs now, or once a caller is connected again. */
+  function whileConnected(fn: () => void): void {
+    if (reader !== undefined) fn();
+    else deferred.push(fn);
+  }
+
+  function closeAttempt(
+    attemptNo: AttemptNo,
+    result: SendResult,
+    outcome: AttemptOutcome = OUTCOME_BY_RESULT[result],
+  ): void {
+    const attempt = open.get(attemptNo);
+    if (attempt === undefined) return;
+    open.delete(attemptNo);
+    attempt.handle.close();
+    directory.onEnd(attempt.send, result);
+    attempt.observer.onOutcome(outcome, clock.nowMs());
+    attempt.span.end(result === 'ok' ? undefined : result);
+    if (result === 'cancelled') {
+      void engines.cancel(attempt.place.address, requestId, attemptNo);
+    }
+  }
+
+  function takeOver(left: HeldReplica, haveTokens: number): void {
+    const { engineId, engineAddress, version: leftVersion, attemptNo: leftNo } = left.start;
+    version = leftVersion;
+    callerTokens = haveTokens;
+    adoptionCount = left.start.adoptionCount + 1;
+    earlierAttempts = leftNo;
+    session = createSessionAfter(left.texts);
+    if (left.reason !== undefined || left.texts.length >= request.maxTokens) {
+      finish({ kind: 'finish', reason: left.reason ?? 'length' });
+      return;
+    }
+    const [effect] = session.start(clock.monotonicMs());
+    if (effect?.kind !== 'start_attempt') throw new Error('a new session must start an attempt');
+    const { attemptNo } = effect;
+    const span = request.span.child('attach', { engine: engineId, attempt: attemptNo });
+    const fromIndex = left.texts.length;
+    const handle = engines.attach(engineAddress, requestId, attemptNo, fromIndex, onAttemptEvent);
+    const send = directory.onSent(engineId, toRouteRequest(leftVersion));
+    register(attemptNo, { engineId, address: engineAddress }, handle, send, span);
+    replicate({ ...left.start, attemptNo, adoptionCount });
+  }
+
+  function release(): void {
+    if (end !== undefined) return;
+    open.forEach((attempt) => attempt.handle.close());
+    open.clear();
+    end = { kind: 'error', error: createServeError('shutting_down', 'another router serves it') };
+    request.span.end('released');
+  }
+
+  return {
+    request,
+    journal: () => session.journal(),
+    ended: () => end,
+    start: () => apply(session.start(clock.monotonicMs())),
+    takeOver,
+    release,
+    isOn: (engineId) => [...open.values()].some((attempt) => attempt.place.engineId === engineId),
+    lostRequest: () => ({ fingerprint, requestId, index: session.journal().length() }),
+    attach: (next) => {
+      reader = next;
+      detachedSinceMs = undefined;
+      const waiting = deferred;
+      deferred = [];
+      waiting.forEach((fn) => fn());
+      next.onProgress();
+    },
+    detach: (gone) => {
+      if (reader !== gone) return;
+      reader = undefined;
+      detachedSinceMs = clock.monotonicMs();
+    },
+    wakeAtMs: () => (end === undefined ? session.wakeAtMs() : undefined),
+    wake: () => {
+      if (end !== undefined || reader === undefined) return;
+      apply(session.on({ kind: 'tick' }, clock.monotonicMs()));
+    },
+    detachedSinceMs: () => detachedSinceMs,
+    abandon: () => {
+      if (end !== undefined) return;
+      finish({
+        kind: 'error',
+        error: createServeError('request_timeout', 'the caller left', 'ran'),
+      });
+    },
+  };
+}
+
+const OUTCOME_BY_RESULT: Readonly<Record<SendResult, AttemptOutcome>> = {
+  ok: 'ok',
+  failed: 'failed',
+  refused: 'failed',
+  cancelled: 'void',
+};
+
+function condemned(): ServeError {
+  const message = 'requests with this content have crashed engines';
+  return createServeError('request_condemned', message, 'ran');
+}
+
+function noEngine(reason: string, hasTokens: boolean): ServeError {
+  const runState = hasTokens ? 'ran' : 'not_run';
+  if (reason === 'no_version' && hasTokens) {
+    return createServeError('version_gone', 'no engine has the version of this stream', runState);
+  }
+  return createServeError(
+    'no_backend',
+    `no engine can take the request (${reason})`,
+    runState,
+    1_000,
+  );
+}
+
+interface StreamCounters {
+  readonly resumes: ReturnType<StreamPorts['metrics']['counter']>;
+  readonly resumeMs: ReturnType<StreamPorts['metrics']['histogram']>;
+  readonly ended: ReturnType<StreamPorts['metrics']['counter']>;
+}
+
+const countersByPorts = new WeakMap<StreamPorts, StreamCounters>();
+const RESUME_BUCKETS_MS = [25, 50, 100, 200, 300, 500, 750, 1_000, 1_500, 2_000, 3_000, 5_000];
+
+/** Counters are registered once per router. */
+function streamCounters(ports: StreamPorts): StreamCounters {
+  const known = countersByPorts.get(ports);
+  if (known !== undefined) return known;
+  const { metrics } = ports;
+  const created: StreamCounters = {
+    resumes: metrics.counter('mimosamill_stream_resumes_total', 'Attempts after the first', [
+      'cause',
+    ]),
+    resumeMs: metrics.histogram(
+      'mimosamill_stream_resume_milliseconds',
+      'Time from a noticed loss to the next token',
+      RESUME_BUCKETS_MS,
+    ),
+    ended: metrics.counter('mimosamill_streams_ended_total', 'Streams by outcome', ['outcome']),
+  };
+  countersByPorts.set(ports, created);
+  return created;
+}
