Blame a stream only for engines it ran on

Cause: when two engines died together, a stream of the first was refused by the second, counted as running there too and was condemned (path.spec 'completes an answer whose engine is killed' failed once and the following test twice with request_condemned). Change: an attempt whose connection was refused is closed before the engine's death is reported; engines that died within 5 s are left out when suspects are placed; a condemnation waits 1 s for reports, as gossip needs; the stream shell tells where it placed a suspect.

--- a/packages/core/src/stream/deaths.ts
+++ b/packages/core/src/stream/deaths.ts
@@ -31,6 +31,7 @@
   readonly of: (fingerprint: Fingerprint) => readonly Death[];
   /** Other deaths in the same failure domain at about the same time. */
   readonly near: (death: Death, withinMs: number) => readonly Death[];
+  readonly hasDiedSince: (engineId: EngineId, sinceMs: number) => boolean;
   readonly size: () => number;
 }
 
@@ -106,6 +107,8 @@
           other.failureDomain === death.failureDomain &&
           Math.abs(other.atMs - death.atMs) <= withinMs,
       ),
+    hasDiedSince: (engineId, sinceMs) =>
+      deaths.some((death) => death.engineId === engineId && death.atMs >= sinceMs),
     size: () => deaths.length,
   };
 }
--- a/packages/core/src/stream/suspects.ts
+++ b/packages/core/src/stream/suspects.ts
@@ -33,7 +33,7 @@
   clearTokens: 32,
   infrastructureMs: 2_000,
   settleMs: 50,
-  exchangeMs: 300,
+  exchangeMs: 1_000,
   waveMs: 1_200,
   engineWaitMs: 2_400,
   holdMs: 3_000,
@@ -424,7 +424,10 @@
     const latest = openDeathsOf(fingerprint, nowMs).at(-1);
     const ids = engines.map(({ engineId }) => engineId);
     if (latest === undefined || ids.length === 0) return new Set();
-    const { own, wave } = ownPart(fingerprint, engines, latest, nowMs);
+    // The caller's view of its engines may be older than the deaths.
+    const up = engines.filter(({ engineId }) => !deaths.hasDiedSince(engineId, nowMs - MERGE_MS));
+    if (up.length === 0) return new Set();
+    const { own, wave } = ownPart(fingerprint, up, latest, nowMs);
     if (isInfrastructureLoss(latest, nowMs)) return without(ids, own);
     // A first death is mostly a failure of the engine, and its streams go on at once. After a
     // death with a request in common, waiting for an engine is cheaper than losing another.
@@ -434,7 +437,7 @@
     if (mayWait && sinceMs < waveAtMs) return new Set(ids);
     const taken = enginesOfOthers(fingerprint, nowMs);
     const free = own.filter((engineId) => !taken.has(engineId));
-    const anyFree = ids.filter((engineId) => !taken.has(engineId));
+    const anyFree = up.map(({ engineId }) => engineId).filter((id) => !taken.has(id));
     if (free.length > 0) return without(ids, free);
     if (anyFree.length > 0) return without(ids, anyFree);
     const isWaiting = mayWait && sinceMs < settings.engineWaitMs;
--- a/packages/router/src/stream/guard.ts
+++ b/packages/router/src/stream/guard.ts
@@ -70,6 +70,10 @@
       if (admission.kind !== 'wait') return admission;
       return { kind: 'wait', delayMs: Math.max(1, admission.untilMs - nowMs) };
     },
+    onPlaced: (fingerprint, engineId) => {
+      suspects.onPlaced(fingerprint, engineId);
+      spread();
+    },
     avoid: (fingerprint, engines) => suspects.avoid(fingerprint, engines, clock.nowMs()),
     onProgress: (fingerprint, index) => {
       suspects.onProgress(fingerprint, index, clock.nowMs());
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -61,6 +61,8 @@
 export interface SuspectGuard {
   /** Asked before each attempt. */
   readonly admit: (fingerprint: Fingerprint, requestId: RequestId) => GuardAdmission;
+  /** An admitted request was given to an engine. */
+  readonly onPlaced: (fingerprint: Fingerprint, engineId: EngineId) => void;
   /** Engines to avoid, to keep suspects apart. */
   readonly avoid: (
     fingerprint: Fingerprint,
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -286,6 +286,7 @@
       onAttemptEvent,
     );
     register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    suspects.onPlaced(fingerprint, where.engineId);
     if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
     replicate({
       requestId,
@@ -392,6 +393,14 @@
     if (attempt === undefined) return;
     const { engineId } = attempt.place;
     avoided.add(engineId);
+    if (cause === 'connect_failed') {
+      // The request never ran on this engine, so it is closed before it could count as a suspect
+      // of the engine's death: two engines that die together would condemn an innocent stream.
+      closeAttempt(attemptNo, 'failed');
+      void directory.confirmDown(engineId);
+      whileConnected(() => loseAttempt(attemptNo, cause));
+      return;
+    }
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
