--- a/packages/core/src/stream/deaths.ts
+++ b/packages/core/src/stream/deaths.ts
@@ -27,6 +27,8 @@
 /** Deaths of the recent past. */
 export interface DeathTable {
   readonly add: (report: DeathReport, reporter: RouterId, nowMs: number) => Death;
+  /** Forgets old deaths; true if there were any. */
+  readonly expire: (nowMs: number) => boolean;
   /** Newest last. */
   readonly of: (fingerprint: Fingerprint) => readonly Death[];
   /** Other deaths in the same failure domain at about the same time. */
@@ -82,8 +84,16 @@
     return death;
   }
 
-  function add(report: DeathReport, reporter: RouterId, nowMs: number): Death {
+  function expire(nowMs: number): boolean {
+    const [oldest] = deaths;
+    if (oldest === undefined || nowMs - oldest.atMs < settings.expiryMs) return false;
     deaths = deaths.filter(({ atMs }) => nowMs - atMs < settings.expiryMs);
+    index();
+    return true;
+  }
+
+  function add(report: DeathReport, reporter: RouterId, nowMs: number): Death {
+    expire(nowMs);
     const death = find(report) ?? insert(report);
     report.running.forEach(({ fingerprint, index: reported }) => {
       const known = death.candidates.get(fingerprint);
@@ -99,6 +109,7 @@
 
   return {
     add,
+    expire,
     of,
     near: (death, withinMs) =>
       deaths.filter(
--- a/packages/core/src/stream/suspects.ts
+++ b/packages/core/src/stream/suspects.ts
@@ -161,6 +161,17 @@
     return (suspects.get(fingerprint)?.clearedAtMs ?? -Infinity) >= death.atMs;
   }
 
+  /** Forgets deaths and culprits whose time is over, and what followed from them. */
+  function expire(nowMs: number): void {
+    let hasChanged = deaths.expire(nowMs);
+    for (const [fingerprint, untilMs] of culprits) {
+      if (untilMs > nowMs) break;
+      culprits.delete(fingerprint);
+      hasChanged = true;
+    }
+    if (hasChanged) blames.clear();
+  }
+
   /** Deaths of which this request is a possible cause. */
   function blamedFor(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
     const known = blames.get(fingerprint);
@@ -221,6 +232,7 @@
   }
 
   function standing(fingerprint: Fingerprint, nowMs: number): Standing {
+    expire(nowMs);
     if (isCondemned(fingerprint, nowMs)) return 'condemned';
     const blamed = blamedFor(fingerprint, nowMs);
     const latest = blamed.at(-1);
@@ -340,6 +352,7 @@
 
   function onProgress(fingerprint: Fingerprint, index: number, nowMs: number): void {
     if (!suspects.has(fingerprint)) return;
+    expire(nowMs);
     const open = openDeathsOf(fingerprint, nowMs);
     const diedAt = open.map((death) => death.candidates.get(fingerprint)?.index ?? 0);
     if (open.length === 0 || index < Math.max(...diedAt) + settings.clearTokens) return;
