--- a/packages/core/src/stream/deaths.ts
+++ b/packages/core/src/stream/deaths.ts
@@ -27,18 +27,19 @@
 /** Deaths of the recent past. */
 export interface DeathTable {
   readonly add: (report: DeathReport, reporter: RouterId, nowMs: number) => Death;
+  /** Forgets old deaths; true if there were any. */
+  readonly expire: (nowMs: number) => boolean;
   /** Newest last. */
   readonly of: (fingerprint: Fingerprint) => readonly Death[];
-  readonly isInfrastructureLoss: (death: Death) => boolean;
-  /** Failure domains that lost an engine since the time. */
-  readonly domainsLosingSince: (sinceMs: number) => ReadonlySet<FailureDomain>;
+  /** Other deaths in the same failure domain at about the same time. */
+  readonly near: (death: Death, withinMs: number) => readonly Death[];
+  readonly hasDiedSince: (engineId: EngineId, sinceMs: number) => boolean;
   readonly size: () => number;
 }
 
 export interface DeathTableSettings {
   /** Reports of one engine within this time are of one death; a restart takes longer. */
   readonly mergeMs: number;
-  readonly infrastructureMs: number;
   readonly expiryMs: number;
   readonly maxDeaths: number;
   readonly maxFingerprints: number;
@@ -83,8 +84,16 @@
     return death;
   }
 
-  function add(report: DeathReport, reporter: RouterId, nowMs: number): Death {
+  function expire(nowMs: number): boolean {
+    const [oldest] = deaths;
+    if (oldest === undefined || nowMs - oldest.atMs < settings.expiryMs) return false;
     deaths = deaths.filter(({ atMs }) => nowMs - atMs < settings.expiryMs);
+    index();
+    return true;
+  }
+
+  function add(report: DeathReport, reporter: RouterId, nowMs: number): Death {
+    expire(nowMs);
     const death = find(report) ?? insert(report);
     report.running.forEach(({ fingerprint, index: reported }) => {
       const known = death.candidates.get(fingerprint);
@@ -98,29 +107,19 @@
     return death;
   }
 
-  /**
-   * Engines that die together by another cause than a request have no request in common, neither
-   * with each other nor with another death.
-   */
-  function isInfrastructureLoss(death: Death): boolean {
-    const isAlone = !deaths.some(
-      (other) =>
-        other !== death &&
-        other.failureDomain === death.failureDomain &&
-        Math.abs(other.atMs - death.atMs) <= settings.infrastructureMs,
-    );
-    if (isAlone) return false;
-    return [...death.candidates.keys()].every((fingerprint) => of(fingerprint).length === 1);
-  }
-
   return {
     add,
+    expire,
     of,
-    isInfrastructureLoss,
-    domainsLosingSince: (sinceMs) =>
-      new Set(
-        deaths.filter(({ atMs }) => atMs >= sinceMs).map(({ failureDomain }) => failureDomain),
+    near: (death, withinMs) =>
+      deaths.filter(
+        (other) =>
+          other !== death &&
+          other.failureDomain === death.failureDomain &&
+          Math.abs(other.atMs - death.atMs) <= withinMs,
       ),
+    hasDiedSince: (engineId, sinceMs) =>
+      deaths.some((death) => death.engineId === engineId && death.atMs >= sinceMs),
     size: () => deaths.length,
   };
 }
