Do not suspect a request whose connection to a dead engine failed

Change: an attempt whose connection failed is closed before the engine's death is reported. Conclusion: only streams that were on an engine are suspects.

--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -398,14 +398,8 @@
     if (attempt === undefined) return;
     const { engineId } = attempt.place;
     avoided.add(engineId);
-    if (cause === 'connect_failed') {
-      // The request never ran on this engine, so it is closed before it could count as a suspect
-      // of the engine's death: two engines that die together would condemn an innocent stream.
-      closeAttempt(attemptNo, 'failed');
-      void directory.confirmDown(engineId);
-      whileConnected(() => loseAttempt(attemptNo, cause));
-      return;
-    }
+    // A request that never reached the engine is no suspect, even if the engine is down.
+    if (cause === 'connect_failed') closeAttempt(attemptNo, 'failed', 'void');
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
