--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,5 +1,6 @@
 import { callsMeasurement } from './calls';
 import { movesMeasurement } from './moves/measure';
+import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
 import { resume } from './resume/resume';
@@ -10,6 +11,7 @@
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
   movesMeasurement,
+  ordersMeasurement,
   poisonMeasurement,
   relay,
   resume,
