Add allocator, leases, fair queue and admission gate

Cause: limits apply to the whole fleet without a shared counter, and a service past saturation must refuse early instead of answering late. Change: core/src/limit: allocator with short leases and max-min shares, leases with token buckets, duty (who allocates a scope, and until when it has to hold off), fair queue by customer and then by priority and length with admission by deadline, a window on running requests that follows the delay.

--- a/packages/bench/src/measure/route/measure.ts
+++ b/packages/bench/src/measure/route/measure.ts
@@ -10,6 +10,9 @@
 const LAGS_MS = [200, 1_000, 5_000];
 const LOADS = [0.3, 0.8, 0.95];
 const FULL_LOADS = [0.1, 0.2, 0.3, 0.5, 0.65, 0.8, 0.95];
+/** The records of all routers do not fit the default minute. */
+const ALL_ROUTERS = 340;
+const REGION_ROUTERS = 113;
 const STATED_LOAD = 0.8;
 const BASELINES: readonly PolicyName[] = ['random', 'round_robin', 'least_reported', 'two_choices'];
 
@@ -34,6 +37,7 @@
   const base = {
     seed,
     hash: hash32,
+    routerCount: isFull ? ALL_ROUTERS : REGION_ROUTERS,
     warmUpMs: isFull ? 20_000 : 8_000,
     measuredMs: isFull ? 30_000 : 10_000,
   };
--- a/packages/bench/src/measure/route/run.ts
+++ b/packages/bench/src/measure/route/run.ts
@@ -8,7 +8,6 @@
   engineCounts,
   MEAN_OUTPUT_TOKENS,
   residualTokens,
-  ROUTER_COUNT,
 } from './workload';
 import type { CacheChange, FailureDomain, Hash32, Region, RouteEngine } from '@mimosamill/core';
 import type { PolicyName, SeenReport } from './policy';
@@ -19,6 +18,7 @@
   /** Arrivals as a part of what the engines can decode. */
   readonly loadRatio: number;
   readonly seed: number;
+  readonly routerCount: number;
   readonly warmUpMs: number;
   readonly measuredMs: number;
   readonly hash: Hash32;
@@ -43,7 +43,7 @@
   const random = createRandom(options.seed);
   const choiceRandom = createRandom(options.seed + 1);
   const timeline = createTimeline();
-  const nextArrival = createWorkload(random);
+  const nextArrival = createWorkload(options.routerCount, random);
   const engineAtsByModel: number[][] = [];
   const engines = engineCounts().flatMap((count, modelAt) => {
     const firstAt = engineAtsByModel.flat().length;
@@ -57,7 +57,7 @@
     failureDomain: `d${at % 3}` as FailureDomain,
     state: 'live',
   }));
-  const policy = createPolicy(options.policy, directory, ROUTER_COUNT, options.hash);
+  const policy = createPolicy(options.policy, directory, options.routerCount, options.hash);
   const reports: SeenReport[][] = engines.map(() => []);
   const ttfts: number[] = [];
   let sharedTokens = 0;
--- a/packages/bench/src/measure/route/workload.ts
+++ b/packages/bench/src/measure/route/workload.ts
@@ -15,7 +15,6 @@
 }
 
 export const MODEL_COUNT = 20;
-export const ROUTER_COUNT = 340;
 export const ENGINE_COUNT = 600;
 /** 7% of generations run for minutes; the mean of all is the design page's 430 tokens. */
 const LONG_RATIO = 0.07;
@@ -47,7 +46,7 @@
 }
 
 /** Creates a generator of arrivals with skewed models and shared prefixes. */
-export function createWorkload(random: Random): () => Arrival {
+export function createWorkload(routerCount: number, random: Random): () => Arrival {
   const pickModel = createZipf(MODEL_COUNT, MODEL_SKEW);
   const pickPrefix = createZipf(PREFIXES_PER_MODEL, PREFIX_SKEW);
   let uniqueCount = 0;
@@ -80,7 +79,7 @@
     const draw = random();
     return {
       modelAt,
-      routerAt: intBelow(ROUTER_COUNT, random),
+      routerAt: intBelow(routerCount, random),
       promptTokens,
       sharedTokens,
       blockKeys: [
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -87,3 +87,26 @@
   Send,
   SendResult,
 } from './route/types';
+
+// limits
+export { createAllocator, LEASE_MS } from './limit/allocator';
+export type { Allocator, ShareAnswer, ShareRequest } from './limit/allocator';
+export { mapAmounts, METERS, NO_AMOUNTS, scaleAmounts } from './limit/amounts';
+export type { Amounts, Meter } from './limit/amounts';
+export { createDuty } from './limit/duty';
+export type { Duty } from './limit/duty';
+export { createGate } from './limit/gate';
+export type { Gate, GateEffect, GateSettings } from './limit/gate';
+export { BASE_RATIO, createLease } from './limit/lease';
+export type { AcquireOutcome, Lease, LeaseRequest } from './limit/lease';
+export { createFairQueue } from './limit/queue';
+export type {
+  Dequeued,
+  EnqueueOutcome,
+  FairQueue,
+  QueueSettings,
+  RefuseReason,
+  Waiting,
+} from './limit/queue';
+export { createWindow } from './limit/window';
+export type { Window, WindowSettings } from './limit/window';
--- a/packages/core/src/route/cache.ts
+++ b/packages/core/src/route/cache.ts
@@ -60,6 +60,7 @@
   const blocks: BlockSet = createBlockSet(capacity);
   let phase: Phase = { kind: 'unknown' };
   let cursor = 0;
+  let isTrusted = false;
 
   /**
    * The tip is noted before the snapshot is read. Whatever happens between the two is then either
@@ -68,7 +69,7 @@
    */
   function rebuild(tipSeq: number): CacheEffect {
     blocks.clear();
-    phase = { kind: 'rebuilding', tipSeq };
+    setPhase({ kind: 'rebuilding', tipSeq });
     return { kind: 'fetch_snapshot' };
   }
 
@@ -78,32 +79,41 @@
     cursor = change.seq;
   }
 
-  function follow(batch: CacheBatch, tipSeq: number, since: number | undefined, nowMs: number) {
+  function follow(
+    batch: CacheBatch,
+    tipSeq: number,
+    since: number | undefined,
+    nowMs: number,
+  ): CacheEffect {
     const hasRestarted = batch.latestSeq < cursor;
     const isGone = batch.oldestSeq > cursor + 1;
     if (hasRestarted || isGone) return rebuild(batch.latestSeq);
+    const startSeq = cursor;
     const changes = [...batch.changes].sort((a, b) => a.seq - b.seq);
     for (const change of changes) {
       if (change.seq === cursor + 1) apply(change);
     }
     if (cursor >= batch.latestSeq) {
-      phase = { kind: 'following', tipSeq };
-      return { kind: 'none' } as const;
+      setPhase({ kind: 'following', tipSeq });
+      return { kind: 'none' };
     }
-    const missingSinceMs = since ?? nowMs;
+    const missingSinceMs = cursor > startSeq ? nowMs : (since ?? nowMs);
     if (nowMs - missingSinceMs >= LATE_EVENT_MS) return rebuild(batch.latestSeq);
-    phase = { kind: 'following', tipSeq: Math.max(tipSeq, batch.latestSeq), missingSinceMs };
-    return { kind: 'fetch_events' } as const;
+    // A later event shows a gap. Without one, the newest events are only late.
+    const seenSeq = changes.at(-1)?.seq ?? 0;
+    setPhase({ kind: 'following', tipSeq: Math.max(tipSeq, seenSeq), missingSinceMs });
+    return { kind: 'fetch_events' };
   }
 
-  function isTrusted(): boolean {
-    return phase.kind === 'following' && cursor >= phase.tipSeq;
+  function setPhase(next: Phase): void {
+    phase = next;
+    isTrusted = next.kind === 'following' && cursor >= next.tipSeq;
   }
 
   return {
     cursor: () => cursor,
-    isTrusted,
-    has: (blockKey) => isTrusted() && blocks.has(blockKey),
+    isTrusted: () => isTrusted,
+    has: (blockKey) => isTrusted && blocks.has(blockKey),
     onBatch: (batch, nowMs) => {
       if (phase.kind === 'unknown') return rebuild(batch.latestSeq);
       if (phase.kind === 'rebuilding') return { kind: 'fetch_snapshot' };
@@ -114,12 +124,12 @@
       blocks.clear();
       content.blockKeys.forEach((blockKey) => blocks.add(blockKey));
       cursor = content.asOfSeq;
-      phase = { kind: 'following', tipSeq: phase.tipSeq };
-      return isTrusted() ? { kind: 'none' } : { kind: 'fetch_events' };
+      setPhase({ kind: 'following', tipSeq: phase.tipSeq });
+      return isTrusted ? { kind: 'none' } : { kind: 'fetch_events' };
     },
     reset: () => {
       blocks.clear();
-      phase = { kind: 'unknown' };
+      setPhase({ kind: 'unknown' });
     },
     sizeBytes: blocks.sizeBytes,
   };
