--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,6 +1,17 @@
+import { callsMeasurement } from './calls';
 import { overloadMeasurement } from './limit/overload';
+import { movesMeasurement } from './moves/measure';
+import { poisonMeasurement } from './poison';
+import { relay } from './relay/relay';
 import { routeMeasurement } from './route/measure';
 import type { Measurement } from './measurement';
 
 /** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [routeMeasurement, overloadMeasurement];
+export const MEASUREMENTS: readonly Measurement[] = [
+  callsMeasurement,
+  movesMeasurement,
+  overloadMeasurement,
+  poisonMeasurement,
+  relay,
+  routeMeasurement,
+];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,51 @@
   SessionEvent,
   SessionSettings,
 } from './stream/session';
+export { createDeathTable } from './stream/deaths';
+export type {
+  Candidate,
+  Death,
+  DeathReport,
+  DeathTable,
+  DeathTableSettings,
+} from './stream/deaths';
+export { createResumeQueue, RESUME_DEFAULTS } from './stream/resumes';
+export type { ResumeQueue, ResumeSettings } from './stream/resumes';
+export { createSuspects, SUSPECT_DEFAULTS } from './stream/suspects';
+export type {
+  Admission,
+  PlacedEngine,
+  Standing,
+  SuspectItem,
+  Suspects,
+  SuspectSettings,
+} from './stream/suspects';
+
+// plain calls
+export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
+export type { RetryBudget, RetryBudgetSettings } from './call/budget';
+export { createDirectCall } from './call/direct';
+export type {
+  DirectCall,
+  DirectCallEffect,
+  DirectCallEvent,
+  DirectCallSettings,
+  SendCause,
+  ServerAnswer,
+} from './call/direct';
+export { createKeyedCall } from './call/keyed';
+export type {
+  KeyedCall,
+  KeyedCallEffect,
+  KeyedCallEvent,
+  KeyedCallSettings,
+  WritePurpose,
+} from './call/keyed';
+export { createLatencyWindow } from './call/latency';
+export type { LatencyWindow } from './call/latency';
+export { CALL_EXPIRY_MS, callRowKey, callServiceKey, parseCallRecord } from './call/record';
+export type { CallRecord, CallState, VersionedRecord } from './call/record';
+export type { CallResult, OwnerAnswer } from './call/result';
 
 // configuration
 export { DEFAULTS } from './config/model';
@@ -57,7 +102,48 @@
   TeamAdmin,
   TeamConfig,
 } from './config/model';
+export { checkChangeAccess, checkServiceAccess, findAdministrator } from './config/access';
+export type { AccessDecision, Administrator } from './config/access';
+export {
+  CHANGE_KINDS,
+  applyChanges,
+  entryOf,
+  invertChanges,
+  touchedEntries,
+} from './config/change';
+export type { ConfigChange, ConfigChangeKind, ConfigRevision } from './config/change';
+export { CONFIG_SECTIONS, diffConfigs } from './config/diff';
+export type { ConfigSection, EntryDiff, FieldDiff } from './config/diff';
+export { effectiveSettings } from './config/effective';
+export type { SettingsPlace } from './config/effective';
+export { READERS_PER_DOMAIN, chooseReaders } from './config/readers';
+export type { ReaderCandidate } from './config/readers';
+export { EMPTY_CONFIG, createReplica } from './config/replica';
+export type { Replica, ReplicaEffect } from './config/replica';
+export type { ConfigProblem, JsonSchema } from './config/shape';
+export { planUndo } from './config/undo';
+export type { UndoPlan } from './config/undo';
+export { CHANGE_LIST_SCHEMA, SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export type { AppliedChanges, ParsedChanges } from './config/validate';
 
+// membership
+export { createSwim, shownState, spareBytes } from './member/swim';
+export { SWIM_DEFAULTS } from './member/message';
+export { pick, shuffle } from './member/random';
+export type {
+  ProbeTarget,
+  Swim,
+  SwimEffect,
+  SwimEvent,
+  SwimMessage,
+  SwimSettings,
+  SwimTimes,
+  SyncReply,
+  SyncRequest,
+} from './member/message';
+export type { MemberUpdate, SpreadState, ViewEntry } from './member/view';
+export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
+export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
 export { CACHE_VIEW_BLOCKS, createCacheIndex, createCacheView } from './route/cache';
 export type {
@@ -97,8 +183,8 @@
 export type { Duty } from './limit/duty';
 export { createGate } from './limit/gate';
 export type { Gate, GateEffect, GateSettings } from './limit/gate';
-export { BASE_RATIO, createLease } from './limit/lease';
-export type { AcquireOutcome, Lease, LeaseRequest } from './limit/lease';
+export { BASE_RATIO, createShare } from './limit/share';
+export type { AcquireOutcome, Share, ShareClaim } from './limit/share';
 export { createFairQueue } from './limit/queue';
 export type {
   Dequeued,
@@ -110,3 +196,81 @@
 } from './limit/queue';
 export { createWindow } from './limit/window';
 export type { Window, WindowSettings } from './limit/window';
+
+// version moves
+export { chooseVersion, enginesToAvoid } from './move/choose';
+export type { EngineVersions, SplitInput, VersionChoice, VersionGroup } from './move/choose';
+export {
+  CELL_BYTES,
+  createEvidencePool,
+  decodeCells,
+  encodeCells,
+  epochAt,
+  epochLengthMs,
+  EVIDENCE_SIGNALS,
+  LOAD_LEVELS,
+} from './move/evidence';
+export type {
+  EngineDeath,
+  EvidenceCell,
+  EvidencePool,
+  EvidenceSettings,
+  EvidenceSignal,
+  EvidenceVerdict,
+  LoadLevel,
+  PairCounts,
+} from './move/evidence';
+export { KEEP_WARM_MS, nextMoveEffects } from './move/machine';
+export type { MoveEffect, MoveView } from './move/machine';
+export { createPairing } from './move/pairing';
+export type { AttemptObserver, AttemptOutcome, AttemptScope, Pairing } from './move/pairing';
+export { packedEngineCount, planMove, STEP_SHARES } from './move/plan';
+export type { MovePlan, PlanInput, PlannedStep, PlanOutcome } from './move/plan';
+export type { MoveRecord } from './move/record';
+export { createWithdrawals } from './move/withdrawals';
+export type { Withdrawal, Withdrawals } from './move/withdrawals';
+
+// leases and orders to engines
+export { decideOrder } from './order/converge';
+export type { EngineView, HolderView, OrderDecision, OrderLimits } from './order/converge';
+export { createLease } from './order/lease';
+export type { Lease, LeaseAction, LeaseRow, LeaseSettings, LeaseWriteOutcome } from './order/lease';
+
+// journal replicas
+export { placementKey, planLookup, rankHolders, toRequestId } from './stream/placement';
+export type { LookupBounds, ReplicaPeer } from './stream/placement';
+export {
+  createReplicaHolder,
+  createReplicaSender,
+  HOLDER_DEFAULTS,
+  isBetter,
+  SENDER_DEFAULTS,
+} from './stream/replica';
+export type {
+  HeldReplica,
+  HolderSettings,
+  Outgoing,
+  OwnStream,
+  ReplicaAnswer,
+  ReplicaBatch,
+  ReplicaEnd,
+  ReplicaHolder,
+  ReplicaSender,
+  ReplicaStart,
+  ReplicaTail,
+  SenderSettings,
+} from './stream/replica';
+
+// load digests
+export { createDigests, DIGEST_DEFAULTS, toSection } from './member/digest';
+export type {
+  DigestName,
+  DigestOutcome,
+  Digests,
+  DigestSection,
+  DigestSettings,
+} from './member/digest';
+export { ENTRY_BYTES, packEntries, quantise, toReport, unpackEntries } from './member/load-entry';
+export type { EngineReport, LoadEntry } from './member/load-entry';
+export { findReaders, findTreePlace } from './member/tree';
+export type { TreeMember, TreePlace } from './member/tree';
--- a/packages/core/src/limit/lease.ts
+++ b/packages/core/src/limit/share.ts
@@ -2,20 +2,15 @@
 import type { Amounts, Meter } from './amounts';
 
 /** One holder's part of a scope's limit. */
-export interface Lease {
+export interface Share {
   readonly tryAcquire: (nowMs: number) => AcquireOutcome;
   /** Tokens are charged as they stream; a debt keeps new requests out. */
   readonly onTokens: (count: number, nowMs: number) => void;
   readonly onStreamEnd: () => void;
   /** The share to ask for, if a request is due; the caller then sends it. */
-  readonly dueRequest: (nowMs: number) => LeaseRequest | undefined;
+  readonly dueRequest: (nowMs: number) => ShareClaim | undefined;
   /** `sentAtMs`: when the request was sent, from which the holder counts the lease. */
-  readonly onGrant: (
-    request: LeaseRequest,
-    amounts: Amounts,
-    leaseMs: number,
-    nowMs: number,
-  ) => void;
+  readonly onGrant: (request: ShareClaim, amounts: Amounts, leaseMs: number, nowMs: number) => void;
   /** The allocator could not be reached, or is not ready. */
   readonly onNoAnswer: (nowMs: number, retryAfterMs?: number) => void;
   readonly setLimit: (limit: Amounts, holderCount: number, nowMs: number) => void;
@@ -24,7 +19,7 @@
   readonly isIdle: (nowMs: number) => boolean;
 }
 
-export interface LeaseRequest {
+export interface ShareClaim {
   readonly seq: number;
   readonly sentAtMs: number;
   readonly wanted: Amounts;
@@ -54,7 +49,7 @@
 const INITIAL_TOKENS_PER_REQUEST = 400;
 
 /** Creates a holder's state for one scope. `holderCount`: holders that share the limit. */
-export function createLease(limit: Amounts, holderCount: number, startMs: number): Lease {
+export function createShare(limit: Amounts, holderCount: number, startMs: number): Share {
   let base = scaleAmounts(limit, BASE_RATIO / holderCount);
   let fallback = scaleAmounts(limit, 1 / holderCount);
   let whole = limit;
--- /dev/null
+++ b/packages/router/src/stream/ports.ts
@@ -0,0 +1,121 @@
+import type { Clock, EngineClient, Log, Metrics, TraceSpan } from '@mimosamill/adapters';
+import type {
+  EngineId,
+  EngineServiceConfig,
+  FailureDomain,
+  Fingerprint,
+  RequestId,
+  RouteRequest,
+  Send,
+  SendResult,
+  ServiceName,
+} from '@mimosamill/core';
+import type { MoveWatch } from '../move/watch';
+import type { Replicas } from './replica';
+
+export interface EnginePlace {
+  readonly engineId: EngineId;
+  readonly address: string;
+}
+
+export type PlaceOutcome =
+  | ({ readonly kind: 'ok'; readonly expectedTtftMs: number } & EnginePlace)
+  | { readonly kind: 'none'; readonly reason: string };
+
+/** The engines this router knows, and what it learns of them while it uses them. */
+export interface EngineDirectory {
+  readonly pick: (request: RouteRequest) => PlaceOutcome;
+  readonly onSent: (engineId: EngineId, request: RouteRequest) => Send;
+  readonly onFirstToken: (send: Send) => void;
+  readonly onEnd: (send: Send, result: SendResult) => void;
+  readonly onLeaving: (engineId: EngineId) => void;
+  readonly enginesOf: (service: ServiceName) => readonly KnownEngine[];
+  /** Running requests of an engine per place. */
+  readonly loadRatioOf: (engineId: EngineId) => number;
+  /** Whether an engine that dropped a connection no longer accepts any. */
+  readonly confirmDown: (engineId: EngineId) => Promise<boolean>;
+  /** Calls back once for every engine found down. */
+  readonly onDown: (fn: (engine: KnownEngine) => void) => void;
+}
+
+export interface KnownEngine extends EnginePlace {
+  readonly service: ServiceName;
+  readonly failureDomain: FailureDomain;
+  readonly versions: readonly string[];
+}
+
+/** A request that was on an engine when it died. */
+export interface LostRequest {
+  readonly fingerprint: Fingerprint;
+  readonly requestId: RequestId;
+  /** Tokens that the request had. */
+  readonly index: number;
+}
+
+export type GuardAdmission =
+  | { readonly kind: 'run' }
+  | { readonly kind: 'wait'; readonly delayMs: number }
+  | { readonly kind: 'condemned' };
+
+/** Judges which requests may be killing engines. */
+export interface SuspectGuard {
+  /** Asked before each attempt. */
+  readonly admit: (fingerprint: Fingerprint, requestId: RequestId) => GuardAdmission;
+  /** Engines to avoid, to keep suspects apart. */
+  readonly avoid: (
+    fingerprint: Fingerprint,
+    engines: readonly KnownEngine[],
+  ) => ReadonlySet<EngineId>;
+  readonly onProgress: (fingerprint: Fingerprint, index: number) => void;
+  readonly onDeath: (engine: KnownEngine, requests: readonly LostRequest[]) => void;
+  readonly onEnd: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+  ) => void;
+}
+
+/** Chooses the version of a new request and compares versions during a move. */
+export type VersionWatch = Pick<MoveWatch, 'choose' | 'avoid' | 'onAttempt' | 'onEngineDown'>;
+
+export interface StreamPorts {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly engines: EngineClient;
+  readonly directory: EngineDirectory;
+  readonly replicas: Pick<
+    Replicas,
+    'onStart' | 'onAttempt' | 'onToken' | 'onEnd' | 'find' | 'takeOver' | 'onRelease'
+  >;
+  readonly suspects: SuspectGuard;
+  readonly versions: VersionWatch;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  /** Routing keys of a prompt's blocks. */
+  readonly blockKeysOf: (text: string) => readonly number[];
+  readonly fingerprintOf: (text: string) => Fingerprint;
+}
+
+/** A generation that a caller asked for, after all checks. */
+export interface StreamRequest {
+  readonly requestId: RequestId;
+  readonly service: EngineServiceConfig;
+  readonly adapter: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly seed: number;
+  readonly priority: 'urgent' | 'normal' | 'batch';
+  readonly deadlineAtMs: number;
+  readonly reconnectWindowMs: number;
+  readonly silenceMinMs: number;
+  readonly silenceMaxMs: number;
+  /** Tells whether a reconnecting caller sends the same request. */
+  readonly bodyHash: string;
+  readonly span: TraceSpan;
+}
+
+/** Where a stream's output goes. It pulls tokens from the journal at its own speed. */
+export interface StreamReader {
+  /** The journal has grown, or the stream has ended. */
+  readonly onProgress: () => void;
+}
