--- /dev/null
+++ b/packages/bench/src/measure/limit/nodes.ts
@@ -0,0 +1,345 @@
+import {
+  BASE_RATIO,
+  createAllocator,
+  createDuty,
+  createPool,
+  createShare,
+  LEASE_MS,
+  REGION_BASE_RATIO,
+  scaleAmounts,
+} from '@mimosamill/core';
+import type {
+  AcquireOutcome,
+  Allocator,
+  Amounts,
+  Duty,
+  Hash32,
+  Permit,
+  Pool,
+  Share,
+} from '@mimosamill/core';
+import type { Random } from '../random';
+import type { Timeline } from '../timeline';
+
+export interface FleetOptions {
+  readonly nodeCount: number;
+  readonly regionCount: number;
+  readonly timeline: Timeline;
+  readonly hash: Hash32;
+  readonly random: Random;
+  readonly limitOf: (customer: string) => Amounts;
+}
+
+/** Nodes that share limits, with a network between them that can be cut. */
+export interface Fleet {
+  /** Calls back once, at once or after the answer to a claim. */
+  readonly acquire: (
+    nodeAt: number,
+    customer: string,
+    maxTokens: number,
+    done: (permit: Permit | undefined) => void,
+  ) => void;
+  readonly regionOf: (nodeAt: number) => number;
+  readonly isUp: (nodeAt: number) => boolean;
+  /** Cuts the nodes off from all others; both sides notice after the detection time. */
+  readonly cut: (nodeAts: readonly number[]) => void;
+  readonly heal: () => void;
+  readonly stop: (nodeAts: readonly number[]) => void;
+  readonly restart: (nodeAts: readonly number[]) => void;
+  readonly allocatorOf: (customer: string, region: number) => number;
+  readonly sentBytes: () => number;
+}
+
+interface Node {
+  readonly at: number;
+  readonly region: number;
+  shares: Map<string, NodeShare>;
+  allocator: Allocator;
+  pools: Map<string, Pool>;
+  startedAtMs: number;
+  isUp: boolean;
+  side: number;
+}
+
+interface NodeShare {
+  readonly share: Share;
+  waiting: { readonly maxTokens: number; readonly done: (permit: Permit | undefined) => void }[];
+}
+
+/** Membership as the nodes on one side of a cut see it. */
+interface View {
+  reachable: Set<number>;
+  countByRegion: number[];
+  readonly regions: readonly Duty[];
+  readonly root: Duty;
+}
+
+const DETECTION_MS = 5_000;
+const TICK_MS = 250;
+const OWN_REGION_MS = 1;
+const OTHER_REGION_MS = 20;
+const TIMEOUT_MS = 500;
+/** Headers of a request and of its answer on an open connection between peers. */
+const HTTP_BYTES = 250;
+const IDLE_SWEEP_MS = 5_000;
+
+export function createFleet(options: FleetOptions): Fleet {
+  const { timeline, hash, nodeCount, regionCount, limitOf, random } = options;
+  const nodes = Array.from({ length: nodeCount }, (_, at) => createNode(at, at % regionCount));
+  const all = new Set(nodes.map(({ at }) => at));
+  let bytes = 0;
+  const views: View[] = [createView(all), createView(all)];
+  nodes.forEach(startTicks);
+
+  function createView(reachable: Set<number>): View {
+    const view: View = {
+      reachable,
+      countByRegion: [],
+      regions: Array.from({ length: regionCount }, () => createDuty(hash, -LEASE_MS * 2)),
+      root: createDuty(hash, -LEASE_MS * 2),
+    };
+    setReachable(view, reachable, -LEASE_MS * 2);
+    return view;
+  }
+
+  function setReachable(view: View, reachable: Set<number>, nowMs: number): void {
+    view.reachable = reachable;
+    const names = (ats: number[]): string[] => ats.map((at) => `n${at}`);
+    view.root.setHosts(names([...reachable]), nowMs);
+    view.regions.forEach((duty, region) => {
+      const members = [...reachable].filter((at) => nodes[at]?.region === region);
+      duty.setHosts(names(members), nowMs);
+      view.countByRegion[region] = members.length;
+    });
+  }
+
+  function viewOf(node: Node): View {
+    return views[node.side] ?? views[0] ?? createView(all);
+  }
+
+  function shareOf(node: Node, customer: string): NodeShare {
+    const known = node.shares.get(customer);
+    if (known !== undefined) return known;
+    const share = createShare(limitOf(customer), nodeCount, timeline.nowMs(), random());
+    const created: NodeShare = { share, waiting: [] };
+    node.shares.set(customer, created);
+    return created;
+  }
+
+  function regionPart(node: Node): number {
+    return (viewOf(node).countByRegion[node.region] ?? 0) / nodeCount;
+  }
+
+  function poolOf(node: Node, customer: string): Pool {
+    const known = node.pools.get(customer);
+    const limit = scaleAmounts(limitOf(customer), 1 - BASE_RATIO);
+    if (known !== undefined) {
+      known.setLimit(limit, regionPart(node));
+      return known;
+    }
+    const created = createPool(limit, regionPart(node));
+    node.pools.set(customer, created);
+    return created;
+  }
+
+  /** Delivers a question and its answer, or reports the timeout. */
+  function ask<T>(
+    from: Node,
+    toAt: number,
+    sizeBytes: number,
+    answer: (to: Node) => T | undefined,
+    done: (answer: T | undefined) => void,
+  ): void {
+    const to = nodes[toAt];
+    const nowMs = timeline.nowMs();
+    bytes += HTTP_BYTES + sizeBytes;
+    if (to === undefined || !to.isUp || to.side !== from.side) {
+      timeline.at(nowMs + TIMEOUT_MS, () => {
+        if (from.isUp) done(undefined);
+      });
+      return;
+    }
+    const wayMs = to.region === from.region ? OWN_REGION_MS : OTHER_REGION_MS;
+    timeline.at(nowMs + wayMs, () => {
+      const given = to.isUp && to.side === from.side ? answer(to) : undefined;
+      timeline.at(timeline.nowMs() + (given === undefined ? TIMEOUT_MS : wayMs), () => {
+        if (from.isUp) done(from.side === to.side ? given : undefined);
+      });
+    });
+  }
+
+  function claim(node: Node, customer: string, entry: NodeShare): void {
+    const due = entry.share.dueClaim(timeline.nowMs());
+    if (due === undefined) return;
+    const target = viewOf(node).regions[node.region]?.allocatorOf(customer) ?? '';
+    const { startedAtMs } = node;
+    ask(
+      node,
+      Number(target.slice(1)),
+      JSON.stringify([[customer, Object.values(due.wanted), due.streamsInUse]]).length + 40,
+      (to) => allocate(to, customer, node, due),
+      (answer) => {
+        if (startedAtMs !== node.startedAtMs) return;
+        const nowMs = timeline.nowMs();
+        if (answer?.kind === 'granted') {
+          entry.share.onGrant(due, answer.amounts, answer.leaseMs, nowMs);
+        } else {
+          entry.share.onNoAnswer(nowMs, answer?.kind === 'not_ready' ? answer.retryAfterMs : 500);
+        }
+        const { waiting } = entry;
+        entry.waiting = [];
+        waiting.forEach(({ maxTokens, done }) =>
+          done(permitOf(entry.share.tryAcquire(nowMs, maxTokens))),
+        );
+      },
+    );
+  }
+
+  function allocate(
+    to: Node,
+    customer: string,
+    holder: Node,
+    due: { wanted: Amounts; streamsInUse: number },
+  ) {
+    const nowMs = timeline.nowMs();
+    const duty = viewOf(to).regions[to.region];
+    if (duty?.allocatorOf(customer) !== `n${to.at}`) return { kind: 'not_responsible' as const };
+    to.allocator.holdOff(customer, heldOffUntil(to, duty, customer, nowMs));
+    const pool = poolOf(to, customer);
+    const request = { scope: customer, holder: `n${holder.at}`, ...due };
+    const answer = to.allocator.request(request, pool.amounts(nowMs), nowMs);
+    claimPool(to, customer, pool);
+    return answer;
+  }
+
+  function heldOffUntil(node: Node, duty: Duty, scope: string, nowMs: number): number {
+    const restartMs = node.startedAtMs > 0 ? node.startedAtMs + LEASE_MS : 0;
+    return Math.max(restartMs, duty.heldOffUntilMs(scope, `n${node.at}`, nowMs));
+  }
+
+  function claimPool(node: Node, customer: string, pool: Pool): void {
+    const due = pool.dueClaim(node.allocator.wanted(customer, timeline.nowMs()), timeline.nowMs());
+    if (due === undefined) return;
+    const scope = `root/${customer}`;
+    const target = viewOf(node).root.allocatorOf(scope) ?? '';
+    const { startedAtMs } = node;
+    ask(
+      node,
+      Number(target.slice(1)),
+      JSON.stringify([[scope, Object.values(due.wanted), 0]]).length + 40,
+      (to) => {
+        const nowMs = timeline.nowMs();
+        const { root, reachable } = viewOf(to);
+        if (root.allocatorOf(scope) !== `n${to.at}`) return { kind: 'not_responsible' as const };
+        to.allocator.holdOff(scope, heldOffUntil(to, root, scope, nowMs));
+        const ratio = (1 - BASE_RATIO) * (1 - REGION_BASE_RATIO) * (reachable.size / nodeCount);
+        return to.allocator.request(
+          { scope, holder: `r${node.region}`, wanted: due.wanted, streamsInUse: 0 },
+          scaleAmounts(limitOf(customer), ratio),
+          nowMs,
+        );
+      },
+      (answer) => {
+        if (startedAtMs !== node.startedAtMs) return;
+        if (answer?.kind === 'granted') pool.onGrant(due, answer.amounts, answer.leaseMs);
+        else pool.onNoAnswer(timeline.nowMs());
+      },
+    );
+  }
+
+  function startTicks(node: Node): void {
+    const tick = (): void => {
+      if (node.isUp) {
+        node.shares.forEach((entry, customer) => claim(node, customer, entry));
+        node.pools.forEach((pool, customer) => claimPool(node, customer, pool));
+      }
+      timeline.at(timeline.nowMs() + TICK_MS, tick);
+    };
+    const sweep = (): void => {
+      node.shares.forEach((entry, customer) => {
+        if (entry.share.isIdle(timeline.nowMs())) node.shares.delete(customer);
+      });
+      timeline.at(timeline.nowMs() + IDLE_SWEEP_MS, sweep);
+    };
+    timeline.at((TICK_MS * node.at) / nodeCount, tick);
+    timeline.at(IDLE_SWEEP_MS, sweep);
+  }
+
+  return {
+    acquire: (nodeAt, customer, maxTokens, done) => {
+      const node = nodes[nodeAt];
+      if (node === undefined || !node.isUp) {
+        done(undefined);
+        return;
+      }
+      const entry = shareOf(node, customer);
+      const outcome = entry.share.tryAcquire(timeline.nowMs(), maxTokens);
+      if (outcome.kind === 'ok') done(outcome.permit);
+      claim(node, customer, entry);
+      if (outcome.kind === 'ok') return;
+      // Without a claim under way there is nothing to wait for.
+      if (entry.share.isClaiming(timeline.nowMs())) entry.waiting.push({ maxTokens, done });
+      else done(undefined);
+    },
+    regionOf: (nodeAt) => nodes[nodeAt]?.region ?? 0,
+    isUp: (nodeAt) => nodes[nodeAt]?.isUp ?? false,
+    cut: (nodeAts) => {
+      nodeAts.forEach((at) => {
+        const node = nodes[at];
+        if (node !== undefined) node.side = 1;
+      });
+      timeline.at(timeline.nowMs() + DETECTION_MS, () => {
+        const cutOff = new Set(nodeAts);
+        const rest = new Set([...all].filter((at) => !cutOff.has(at)));
+        if (views[0] !== undefined) setReachable(views[0], rest, timeline.nowMs());
+        if (views[1] !== undefined) setReachable(views[1], cutOff, timeline.nowMs());
+      });
+    },
+    heal: () => {
+      nodes.forEach((node) => {
+        node.side = 0;
+      });
+      if (views[0] !== undefined) setReachable(views[0], all, timeline.nowMs());
+    },
+    stop: (nodeAts) => {
+      nodeAts.forEach((at) => {
+        const node = nodes[at];
+        if (node !== undefined) node.isUp = false;
+      });
+      const stopped = new Set(nodeAts);
+      timeline.at(timeline.nowMs() + DETECTION_MS, () => {
+        const rest = new Set([...all].filter((at) => !stopped.has(at)));
+        if (views[0] !== undefined) setReachable(views[0], rest, timeline.nowMs());
+      });
+    },
+    restart: (nodeAts) => {
+      nodeAts.forEach((at) => {
+        const node = nodes[at];
+        if (node === undefined) return;
+        const fresh = createNode(at, node.region);
+        Object.assign(node, fresh, { startedAtMs: timeline.nowMs() });
+      });
+      if (views[0] !== undefined) setReachable(views[0], all, timeline.nowMs());
+    },
+    allocatorOf: (customer, region) =>
+      Number((views[0]?.regions[region]?.allocatorOf(customer) ?? 'n0').slice(1)),
+    sentBytes: () => bytes,
+  };
+}
+
+function permitOf(outcome: AcquireOutcome): Permit | undefined {
+  return outcome.kind === 'ok' ? outcome.permit : undefined;
+}
+
+function createNode(at: number, region: number): Node {
+  return {
+    at,
+    region,
+    shares: new Map(),
+    allocator: createAllocator(),
+    pools: new Map(),
+    startedAtMs: -Infinity,
+    isUp: true,
+    side: 0,
+  };
+}
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,4 +1,5 @@
 import { callsMeasurement } from './calls';
+import { limitsMeasurement } from './limit/limits';
 import { overloadMeasurement } from './limit/overload';
 import { movesMeasurement } from './moves/measure';
 import { poisonMeasurement } from './poison';
@@ -9,6 +10,7 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
+  limitsMeasurement,
   movesMeasurement,
   overloadMeasurement,
   poisonMeasurement,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -183,8 +183,10 @@
 export type { Duty } from './limit/duty';
 export { createGate } from './limit/gate';
 export type { Gate, GateEffect, GateSettings } from './limit/gate';
+export { createPool, REGION_BASE_RATIO } from './limit/pool';
+export type { Pool, PoolClaim } from './limit/pool';
 export { BASE_RATIO, createShare } from './limit/share';
-export type { AcquireOutcome, Share, ShareClaim } from './limit/share';
+export type { AcquireOutcome, Permit, Share, ShareClaim } from './limit/share';
 export { createFairQueue } from './limit/queue';
 export type {
   Dequeued,
--- a/packages/core/src/limit/share.ts
+++ b/packages/core/src/limit/share.ts
@@ -1,33 +1,38 @@
 import { mapAmounts, scaleAmounts } from './amounts';
+import { CLAIM_RETRY_MS, createHold } from './hold';
 import type { Amounts, Meter } from './amounts';
+import type { ClaimMark } from './hold';
 
 /** One holder's part of a scope's limit. */
 export interface Share {
-  readonly tryAcquire: (nowMs: number) => AcquireOutcome;
-  /** Tokens are charged as they stream; a debt keeps new requests out. */
-  readonly onTokens: (count: number, nowMs: number) => void;
-  readonly onStreamEnd: () => void;
+  /** The caller expects at most `maxTokens`; fewer are reserved if the customer's are usually few. */
+  readonly tryAcquire: (nowMs: number, maxTokens: number) => AcquireOutcome;
   /** The share to ask for, if a request is due; the caller then sends it. */
-  readonly dueRequest: (nowMs: number) => ShareClaim | undefined;
-  /** `sentAtMs`: when the request was sent, from which the holder counts the lease. */
-  readonly onGrant: (request: ShareClaim, amounts: Amounts, leaseMs: number, nowMs: number) => void;
+  readonly dueClaim: (nowMs: number) => ShareClaim | undefined;
+  readonly onGrant: (claim: ShareClaim, amounts: Amounts, leaseMs: number, nowMs: number) => void;
   /** The allocator could not be reached, or is not ready. */
   readonly onNoAnswer: (nowMs: number, retryAfterMs?: number) => void;
   readonly setLimit: (limit: Amounts, holderCount: number, nowMs: number) => void;
   readonly amounts: (nowMs: number) => Amounts;
   readonly streamsInUse: () => number;
+  /** Whether an answer to a claim may still come. */
+  readonly isClaiming: (nowMs: number) => boolean;
   readonly isIdle: (nowMs: number) => boolean;
 }
 
-export interface ShareClaim {
-  readonly seq: number;
-  readonly sentAtMs: number;
+export interface ShareClaim extends ClaimMark {
   readonly wanted: Amounts;
   readonly streamsInUse: number;
 }
 
+/** A request that runs under a share. */
+export interface Permit {
+  readonly onTokens: (count: number, nowMs: number) => void;
+  readonly onEnd: (nowMs: number) => void;
+}
+
 export type AcquireOutcome =
-  | { readonly kind: 'ok' }
+  | { readonly kind: 'ok'; readonly permit: Permit }
   | { readonly kind: 'over'; readonly meter: Meter; readonly retryAfterMs: number };
 
 /**
@@ -36,48 +41,56 @@
  */
 export const BASE_RATIO = 0.05;
 const RENEW_MS = 1_000;
+/** A holder that refuses requests, or no longer has any, does not wait for the renewal. */
+const HURRY_MS = 250;
+/** The smallest wish lets one request pass within a lease. */
+const MIN_WISH = 0.6;
+/** Smaller shares are not worth a message to give them back. */
+const MIN_RETURN = 1;
+const MIN_QUIET_MS = 300;
+const QUIET_GAPS = 4;
 /** A bucket holds this much of its rate. It bounds the burst after a quiet time. */
 const BURST_SEC = 0.5;
 /** Demand may grow by this before the next renewal. */
 const HEADROOM_RATIO = 1.3;
-const DEMAND_SMOOTHING = 0.3;
+const DEMAND_SMOOTHING = 0.5;
 const DEMAND_PERIOD_MS = 250;
-const IDLE_MS = 10_000;
-const RETRY_MS = 500;
+const IDLE_MS = 60_000;
 const MAX_RETRY_AFTER_MS = 10_000;
 /** Tokens of a request before any has been measured. */
 const INITIAL_TOKENS_PER_REQUEST = 400;
+const TOKENS_SMOOTHING = 0.1;
 
-/** Creates a holder's state for one scope. `holderCount`: holders that share the limit. */
-export function createShare(limit: Amounts, holderCount: number, startMs: number): Share {
+/**
+ * Creates a holder's state for one scope. `holderCount`: holders that share the limit. `firstLevel`
+ * is a random number below 1: among many holders with slow rates, some have to start soon.
+ */
+export function createShare(
+  limit: Amounts,
+  holderCount: number,
+  startMs: number,
+  firstLevel: number,
+): Share {
   let base = scaleAmounts(limit, BASE_RATIO / holderCount);
   let fallback = scaleAmounts(limit, 1 / holderCount);
   let whole = limit;
-  let granted: Amounts | undefined;
-  let grantedUntilMs = 0;
-  let isUnreachable = false;
-  let requestLevel = 1;
+  const hold = createHold();
+  let requestLevel = 0;
+  let isFirstGrant = true;
   let tokenLevel = 0;
   let filledAtMs = startMs;
   let inUse = 0;
-  let seq = 0;
-  let answeredSeq = 0;
-  let lastSentAtMs = -Infinity;
-  let retryAtMs = 0;
   let lastTriedAtMs = startMs;
   let wasRefused = false;
   let attempts = 0;
-  let tokens = 0;
   let attemptsPerSec = 0;
-  let tokensPerSec = 0;
+  let tokensPerRequest = INITIAL_TOKENS_PER_REQUEST;
   let countedAtMs = startMs;
 
   function amounts(nowMs: number): Amounts {
-    if (granted !== undefined && nowMs < grantedUntilMs) {
-      const lease = granted;
-      return mapAmounts((meter) => base[meter] + lease[meter]);
-    }
-    return isUnreachable ? fallback : base;
+    const granted = hold.current(nowMs);
+    if (granted !== undefined) return mapAmounts((meter) => base[meter] + granted[meter]);
+    return hold.isUnreachable() ? fallback : base;
   }
 
   function fill(nowMs: number): void {
@@ -95,21 +108,59 @@
     if (elapsedMs < DEMAND_PERIOD_MS) return;
     const weight = 1 - (1 - DEMAND_SMOOTHING) ** (elapsedMs / DEMAND_PERIOD_MS);
     attemptsPerSec += weight * ((attempts * 1_000) / elapsedMs - attemptsPerSec);
-    tokensPerSec += weight * ((tokens * 1_000) / elapsedMs - tokensPerSec);
     attempts = 0;
-    tokens = 0;
     countedAtMs = nowMs;
   }
 
-  function wanted(): Amounts {
-    const perRequest =
-      attemptsPerSec > 0 ? tokensPerSec / attemptsPerSec : INITIAL_TOKENS_PER_REQUEST;
-    const requestsPerSec = Math.max(2, attemptsPerSec * HEADROOM_RATIO);
-    const tokenWish = Math.max(tokensPerSec, attemptsPerSec * perRequest) * HEADROOM_RATIO;
+  function wanted(nowMs: number): Amounts {
+    const isQuiet = nowMs - lastTriedAtMs >= quietMs();
+    const requestsPerSec = isQuiet ? 0 : Math.max(MIN_WISH, attemptsPerSec * HEADROOM_RATIO);
+    const streams = isQuiet ? inUse : Math.max(2, Math.ceil((inUse + 1) * HEADROOM_RATIO));
     return {
       requestsPerSec: Math.min(whole.requestsPerSec, requestsPerSec),
-      tokensPerSec: Math.min(whole.tokensPerSec, Math.max(INITIAL_TOKENS_PER_REQUEST, tokenWish)),
-      streams: Math.min(whole.streams, Math.max(2, Math.ceil((inUse + 1) * HEADROOM_RATIO))),
+      tokensPerSec: Math.min(whole.tokensPerSec, requestsPerSec * tokensPerRequest),
+      streams: Math.min(whole.streams, streams),
+    };
+  }
+
+  /** Silence after which the demand counts as gone. */
+  function quietMs(): number {
+    return Math.max(MIN_QUIET_MS, (QUIET_GAPS * 1_000) / Math.max(attemptsPerSec, 1e-3));
+  }
+
+  /** One request may be served ahead of the rate, if the rest of the lease covers it. */
+  function canBorrow(nowMs: number): boolean {
+    if (requestLevel < 0) return false;
+    const granted = hold.current(nowMs);
+    if (granted === undefined) return false;
+    return requestLevel + granted.requestsPerSec * (hold.remainingMs(nowMs) / 1_000) >= 1;
+  }
+
+  /** A debt from before holds up no first request that the rest of the lease covers. */
+  function canBorrowTokens(nowMs: number): boolean {
+    const granted = hold.current(nowMs);
+    if (granted === undefined || inUse > 0) return false;
+    return tokenLevel + granted.tokensPerSec * (hold.remainingMs(nowMs) / 1_000) >= 0;
+  }
+
+  function createPermit(reserved: number): Permit {
+    let used = 0;
+    let hasEnded = false;
+    return {
+      onTokens: (tokens, nowMs) => {
+        fill(nowMs);
+        const before = Math.max(used, reserved);
+        used += tokens;
+        tokenLevel -= Math.max(used, reserved) - before;
+      },
+      onEnd: (nowMs) => {
+        if (hasEnded) return;
+        hasEnded = true;
+        fill(nowMs);
+        tokenLevel += Math.max(0, reserved - used);
+        tokensPerRequest += TOKENS_SMOOTHING * (used - tokensPerRequest);
+        inUse = Math.max(0, inUse - 1);
+      },
     };
   }
 
@@ -120,58 +171,59 @@
   }
 
   function isDue(nowMs: number): boolean {
-    if (nowMs < retryAtMs) return false;
+    if (!hold.canClaim(nowMs)) return false;
     if (nowMs - lastTriedAtMs > RENEW_MS && inUse === 0) return false;
-    const isWaiting = seq > answeredSeq;
-    if (isWaiting) return nowMs - lastSentAtMs >= RETRY_MS;
-    if (granted !== undefined && nowMs < grantedUntilMs) return nowMs - lastSentAtMs >= RENEW_MS;
-    return wasRefused || requestLevel < 1 || inUse + 1 > base.streams;
+    const granted = hold.current(nowMs);
+    if (granted === undefined) {
+      const isRecent = nowMs - lastTriedAtMs < RENEW_MS;
+      return (isRecent && (wasRefused || requestLevel < 1)) || inUse > base.streams;
+    }
+    const sinceMs = hold.sinceClaimMs(nowMs);
+    if (sinceMs >= RENEW_MS) return true;
+    // A share that is no longer used is given back, so that another holder can have it.
+    const isIdleShare = granted.requestsPerSec > MIN_RETURN && nowMs - lastTriedAtMs >= quietMs();
+    return sinceMs >= HURRY_MS && (wasRefused || isIdleShare);
   }
 
   return {
-    tryAcquire: (nowMs) => {
+    tryAcquire: (nowMs, maxTokens) => {
       fill(nowMs);
       attempts += 1;
       lastTriedAtMs = nowMs;
       const now = amounts(nowMs);
-      if (requestLevel < 1) return over('requestsPerSec', 1 - requestLevel, now.requestsPerSec);
-      if (tokenLevel < 0) return over('tokensPerSec', -tokenLevel, now.tokensPerSec);
+      if (requestLevel < 1 && !canBorrow(nowMs)) {
+        return over('requestsPerSec', 1 - requestLevel, now.requestsPerSec);
+      }
+      if (tokenLevel < 0 && !canBorrowTokens(nowMs)) {
+        return over('tokensPerSec', -tokenLevel, now.tokensPerSec);
+      }
       // One stream per holder is part of the stated bound.
       if (inUse >= Math.max(1, Math.floor(now.streams + 1e-9))) return over('streams', 1, 1);
+      const reserved = Math.min(maxTokens, tokensPerRequest);
       requestLevel -= 1;
+      tokenLevel -= reserved;
       inUse += 1;
-      return { kind: 'ok' };
-    },
-    onTokens: (number, nowMs) => {
-      fill(nowMs);
-      tokens += number;
-      tokenLevel -= number;
-    },
-    onStreamEnd: () => {
-      inUse = Math.max(0, inUse - 1);
+      return { kind: 'ok', permit: createPermit(reserved) };
     },
-    dueRequest: (nowMs) => {
+    dueClaim: (nowMs) => {
       fill(nowMs);
       count(nowMs);
       if (!isDue(nowMs)) return undefined;
-      seq += 1;
-      lastSentAtMs = nowMs;
       wasRefused = false;
-      return { seq, sentAtMs: nowMs, wanted: wanted(), streamsInUse: inUse };
+      return { ...hold.claim(nowMs), wanted: wanted(nowMs), streamsInUse: inUse };
     },
-    onGrant: (request, given, leaseMs, nowMs) => {
-      if (request.seq <= answeredSeq) return;
+    onGrant: (claim, given, leaseMs, nowMs) => {
       fill(nowMs);
-      answeredSeq = request.seq;
-      isUnreachable = false;
-      granted = given;
-      grantedUntilMs = request.sentAtMs + leaseMs;
+      hold.onGrant(claim, given, leaseMs);
+      const isSlow = (given.requestsPerSec * leaseMs) / 1_000 < 1;
+      if (isFirstGrant && isSlow && given.requestsPerSec > 0) {
+        requestLevel = Math.max(requestLevel, firstLevel);
+      }
+      isFirstGrant = false;
     },
-    onNoAnswer: (nowMs, retryAfterMs = RETRY_MS) => {
+    onNoAnswer: (nowMs, retryAfterMs = CLAIM_RETRY_MS) => {
       fill(nowMs);
-      answeredSeq = seq;
-      isUnreachable = true;
-      retryAtMs = nowMs + Math.min(RETRY_MS, retryAfterMs);
+      hold.onNoAnswer(nowMs, retryAfterMs);
     },
     setLimit: (next, nextCount, nowMs) => {
       fill(nowMs);
@@ -181,6 +233,7 @@
     },
     amounts,
     streamsInUse: () => inUse,
+    isClaiming: hold.isClaiming,
     isIdle: (nowMs) => inUse === 0 && nowMs - lastTriedAtMs > IDLE_MS,
   };
 }
