--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -4,6 +4,7 @@
 import { movesMeasurement } from './moves/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
+import { resume } from './resume/resume';
 import { routeMeasurement } from './route/measure';
 import type { Measurement } from './measurement';
 
@@ -15,5 +16,9 @@
   overloadMeasurement,
   poisonMeasurement,
   relay,
+  movesMeasurement,
+  poisonMeasurement,
+  relay,
+  resume,
   routeMeasurement,
 ];
