--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,4 +1,6 @@
 import { callsMeasurement } from './calls';
+import { limitsMeasurement } from './limit/limits';
+import { overloadMeasurement } from './limit/overload';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
@@ -10,8 +12,10 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
+  limitsMeasurement,
   movesMeasurement,
   ordersMeasurement,
+  overloadMeasurement,
   poisonMeasurement,
   relay,
   resume,
