Measure configuration changes over real router processes

Trial runs showed two causes of slow delivery: a resumed router waited for the next membership message (about 1 s), and a router started during an outage knew no peers until its next poll. Both are now handled when they occur.

--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -323,8 +323,8 @@
     region.notAnswering.join(' ') || '-',
   ]);
   const table = formatTable(['region', 'in force', 'lowest', 'behind', 'not answering'], rows);
-  const where = value['isEverywhere'] === true ? 'everywhere' : 'not everywhere';
-  return `${table}\nrevision ${formatValue(value['revision'])} is in force ${where}`;
+  const verb = value['isEverywhere'] === true ? 'is' : 'is not yet';
+  return `${table}\nrevision ${formatValue(value['revision'])} ${verb} in force everywhere`;
 }
 
 function showMove(value: Value): string {
--- a/packages/admin/src/main.ts
+++ b/packages/admin/src/main.ts
@@ -119,7 +119,7 @@
       process.stdout.write('ready\n');
     });
   } else if (outcome === 'created') {
-    log.info('the first administrator was created', { name: firstAdministrator.name });
+    log.info('the first administrator was created', { administrator: firstAdministrator.name });
   } else if (outcome !== 'not_needed') {
     log.error('the first administrator in the settings is not valid', {
       message: outcome.message,
@@ -129,10 +129,10 @@
 
 async function start(settings: AdminSettings): Promise<RunningProgram> {
   const root = compose(settings);
+  await ensureFirst(settings, root);
   const server = root.resolve<HttpShell>(TOKENS.server);
   const port = await server.listen(settings.ip, settings.port);
   root.resolve<Log>(TOKENS.log).info('listening', { ip: settings.ip, port });
-  void ensureFirst(settings, root);
   process.stdout.write('ready\n');
   return {
     stop: async () => {
--- /dev/null
+++ b/packages/bench/src/config/chaos.ts
@@ -0,0 +1,120 @@
+import type { Fleet, FleetNode, RouterSpec } from '../fleet/fleet';
+import type { Observer } from './observer';
+
+/** Routers that are paused and restarted, and a store that fails, one fault after another. */
+export interface Chaos {
+  readonly stop: () => Promise<void>;
+  readonly counts: () => Readonly<Record<string, number>>;
+}
+
+export interface ChaosOptions {
+  readonly fleet: Fleet;
+  readonly observer: Observer;
+  readonly routers: Map<string, FleetNode>;
+  readonly specOf: (routerId: string) => RouterSpec;
+  /** Routers whose address other processes have in their settings. */
+  readonly keptIds: readonly string[];
+  readonly random: () => number;
+  readonly everyMs: number;
+}
+
+const LOST_ANSWER_RATIO = 0.15;
+const PAUSE_MS = [500, 3_000] as const;
+const OUTAGE_MS = [500, 3_000] as const;
+const SLOW_MS = 300;
+
+export const HEALTHY_FAULTS = { isDown: false, delayMs: 0, lostAnswerRatio: LOST_ANSWER_RATIO };
+
+export function startChaos(options: ChaosOptions): Chaos {
+  const { fleet, observer, random, routers } = options;
+  const counts = { store_outages: 0, store_slow: 0, pauses: 0, restarts: 0 };
+  const busy = new Set<string>();
+  const running = new Set<Promise<void>>();
+  let isStopped = false;
+  let isStoreFaulty = false;
+
+  function sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    });
+  }
+
+  function between([min, max]: readonly [number, number]): number {
+    return min + random() * (max - min);
+  }
+
+  function pickRouter(ids: readonly string[]): string | undefined {
+    const free = ids.filter((id) => !busy.has(id));
+    return free[Math.floor(random() * free.length)];
+  }
+
+  async function failStore(faults: object, count: 'store_outages' | 'store_slow'): Promise<void> {
+    if (isStoreFaulty) return;
+    isStoreFaulty = true;
+    counts[count] += 1;
+    await fleet.setFaults({ ...HEALTHY_FAULTS, ...faults });
+    await sleep(between(OUTAGE_MS));
+    await fleet.setFaults(HEALTHY_FAULTS);
+    isStoreFaulty = false;
+  }
+
+  async function pauseRouter(): Promise<void> {
+    const id = pickRouter([...routers.keys()]);
+    const node = id === undefined ? undefined : routers.get(id);
+    if (id === undefined || node === undefined) return;
+    busy.add(id);
+    counts.pauses += 1;
+    observer.interrupt(id);
+    node.process.pause();
+    await sleep(between(PAUSE_MS));
+    node.process.resume();
+    observer.expect(id);
+    busy.delete(id);
+  }
+
+  async function restartRouter(): Promise<void> {
+    const id = pickRouter([...routers.keys()].filter((each) => !options.keptIds.includes(each)));
+    const node = id === undefined ? undefined : routers.get(id);
+    if (id === undefined || node === undefined) return;
+    busy.add(id);
+    counts.restarts += 1;
+    observer.interrupt(id);
+    await node.process.kill();
+    const started = await fleet.startRouter(options.specOf(id));
+    routers.set(id, started);
+    observer.watch(id, started.peerAddress ?? '');
+    busy.delete(id);
+  }
+
+  function nextFault(): Promise<void> {
+    const kind = Math.floor(random() * 4);
+    switch (kind) {
+      case 0:
+        return failStore({ isDown: true }, 'store_outages');
+      case 1:
+        return failStore({ delayMs: SLOW_MS }, 'store_slow');
+      case 2:
+        return pauseRouter();
+      default:
+        return restartRouter();
+    }
+  }
+
+  async function run(): Promise<void> {
+    while (!isStopped) {
+      await sleep(options.everyMs);
+      const fault = nextFault().finally(() => running.delete(fault));
+      running.add(fault);
+    }
+  }
+
+  const done = run();
+  return {
+    stop: async () => {
+      isStopped = true;
+      await done;
+      await Promise.all(running);
+    },
+    counts: () => counts,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/config/observer.ts
@@ -0,0 +1,130 @@
+import type { HttpClient } from '@mimosamill/adapters';
+
+/** What was seen of one router process. */
+interface Sighting {
+  readonly revision: number;
+  readonly atMs: number;
+}
+
+/** Reads every router's revision again and again, and remembers when each came into force. */
+export interface Observer {
+  /** A process that took the place of an earlier one starts anew. */
+  readonly watch: (routerId: string, peerAddress: string) => void;
+  /** From now on the router is not expected to answer. */
+  readonly interrupt: (routerId: string) => void;
+  /** From now on it is expected to be up to date within the usual time. */
+  readonly expect: (routerId: string) => void;
+  /**
+   * Time until every router had the revision in force, counted from its acceptance, or for a
+   * router that was not running then, from its return. Undefined if one has not got there.
+   */
+  readonly inForceMs: (revision: number, acceptedAtMs: number) => number | undefined;
+  readonly lowestRevision: () => number;
+  readonly counts: () => ObserverCounts;
+  readonly stop: () => void;
+}
+
+export interface ObserverCounts {
+  /** A process showed a lower revision than it had shown before. */
+  readonly reverts: number;
+  /** A restarted process first showed a lower revision than the one before it. */
+  readonly restartedBehind: number;
+}
+
+interface Watched {
+  readonly routerId: string;
+  readonly peerAddress: string;
+  readonly sightings: Sighting[];
+  /** Times from which the router was running again. */
+  readonly returns: number[];
+  isExpected: boolean;
+  isOver: boolean;
+}
+
+const PERIOD_MS = 50;
+const TIMEOUT_MS = 400;
+
+export function createObserver(http: HttpClient): Observer {
+  const current = new Map<string, Watched>();
+  // Processes of each router, oldest first.
+  const processes = new Map<string, Watched[]>();
+  let reverts = 0;
+  let restartedBehind = 0;
+  let isStopped = false;
+
+  function note(router: Watched, revision: number, before: number): void {
+    const last = router.sightings.at(-1);
+    if (last === undefined && revision < before) restartedBehind += 1;
+    if (last !== undefined && revision < last.revision) reverts += 1;
+    if (last === undefined || revision > last.revision) {
+      router.sightings.push({ revision, atMs: performance.now() });
+    }
+  }
+
+  async function follow(router: Watched, before: number): Promise<void> {
+    while (!isStopped && !router.isOver) {
+      const url = `http://${router.peerAddress}/config.state`;
+      const answer = await http.fetch(url, { method: 'GET', timeoutMs: TIMEOUT_MS });
+      if (answer.kind === 'ok' && answer.status === 200 && !router.isOver) {
+        const { result } = JSON.parse(answer.body) as {
+          result: { data: { revision: number; isReady: boolean } };
+        };
+        if (result.data.isReady) note(router, result.data.revision, before);
+      }
+      await new Promise((resolve) => {
+        setTimeout(resolve, PERIOD_MS);
+      });
+    }
+  }
+
+  function reachedMs(id: string, revision: number, acceptedAtMs: number): number | undefined {
+    const all = processes.get(id) ?? [];
+    const seen = all
+      .flatMap(({ sightings }) => sightings)
+      .find((sighting) => sighting.revision >= revision);
+    if (seen === undefined) return undefined;
+    const returns = all.flatMap((router) => router.returns).filter((atMs) => atMs <= seen.atMs);
+    return Math.max(0, seen.atMs - Math.max(acceptedAtMs, ...returns));
+  }
+
+  return {
+    watch: (routerId, peerAddress) => {
+      const earlier = current.get(routerId);
+      if (earlier !== undefined) earlier.isOver = true;
+      const router: Watched = {
+        routerId,
+        peerAddress,
+        sightings: [],
+        returns: [performance.now()],
+        isExpected: true,
+        isOver: false,
+      };
+      current.set(routerId, router);
+      processes.set(routerId, [...(processes.get(routerId) ?? []), router]);
+      void follow(router, earlier?.sightings.at(-1)?.revision ?? 0);
+    },
+    interrupt: (routerId) => {
+      const router = current.get(routerId);
+      if (router !== undefined) router.isExpected = false;
+    },
+    expect: (routerId) => {
+      const router = current.get(routerId);
+      if (router === undefined) return;
+      router.isExpected = true;
+      router.returns.push(performance.now());
+    },
+    inForceMs: (revision, acceptedAtMs) => {
+      const times = [...current.values()]
+        .filter(({ isExpected }) => isExpected)
+        .map((router) => reachedMs(router.routerId, revision, acceptedAtMs));
+      const known = times.filter((ms) => ms !== undefined);
+      return known.length < times.length ? undefined : Math.max(...known);
+    },
+    lowestRevision: () =>
+      Math.min(...[...current.values()].map(({ sightings }) => sightings.at(-1)?.revision ?? 0)),
+    counts: () => ({ reverts, restartedBehind }),
+    stop: () => {
+      isStopped = true;
+    },
+  };
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -10,6 +10,8 @@
   readonly process: FleetProcess;
   readonly address: string;
   readonly failureDomain: string;
+  /** Address for peers; routers only. */
+  readonly peerAddress?: string;
   /** Between routers and this node, if the fleet has relays. */
   readonly relay: Relay | undefined;
 }
@@ -187,7 +189,8 @@
     routerPeers.push(peerAddress);
     await list(spec.id, 'router', '', peerAddress, spec.failureDomain);
     const address = `${IP}:${port}`;
-    return { process: router, address, failureDomain: spec.failureDomain, relay: undefined };
+    const { failureDomain } = spec;
+    return { process: router, address, peerAddress, failureDomain, relay: undefined };
   }
 
   async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -38,6 +38,8 @@
   readonly handler: ConfigPeerHandler;
 }
 
+/** Missed poll periods after which the process must have been paused. */
+const PAUSED_PERIODS = 3;
 /** Peers asked at start; one alone may lag behind, and the newest answer is taken. */
 const START_PEERS = 3;
 /** Peers tried for a missing tail before the store is asked. */
@@ -55,6 +57,7 @@
   let isPulling = false;
   let isStoreUp = true;
   let pushedRevision = asRevision(0);
+  let polledAtMs = clock.monotonicMs();
   let snapshot: { readonly revision: Revision; readonly text: string } | undefined;
 
   function isReader(): boolean {
@@ -164,6 +167,12 @@
     }
   }
 
+  /** What was pushed during a pause is lost, and the next membership message may take a second. */
+  async function catchUp(): Promise<void> {
+    const [member] = choosePeers(undefined, 1);
+    if (member !== undefined) await pullFrom(member);
+  }
+
   /** Random reachable members, those of the own failure domain first. */
   function choosePeers(first: string | undefined, count: number): Member[] {
     const self = membership.self();
@@ -215,8 +224,11 @@
   async function poll(): Promise<void> {
     if (isPolling) return;
     isPolling = true;
+    const wasPaused = clock.monotonicMs() - polledAtMs > PAUSED_PERIODS * settings.pollMs;
+    polledAtMs = clock.monotonicMs();
     if (replica.current() === undefined) await bootstrap();
     else if (isReader()) await pollHead();
+    else if (wasPaused) await catchUp();
     if (replica.revision() < replica.highestHeard()) await pull(undefined);
     isPolling = false;
   }
@@ -240,6 +252,11 @@
     return { kind: 'part', revision: snapshot.revision, text, nextOffset, totalChars };
   }
 
+  // A router that starts while the store is down needs peers, and learns of them a moment later.
+  membership.onChange(() => {
+    if (replica.current() === undefined && cancels.length > 0) void poll();
+  });
+
   return {
     current: replica.current,
     onChange: (fn) => {
