--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,25 @@
   SessionEvent,
   SessionSettings,
 } from './stream/session';
+export { createDeathTable } from './stream/deaths';
+export type {
+  Candidate,
+  Death,
+  DeathReport,
+  DeathTable,
+  DeathTableSettings,
+} from './stream/deaths';
+export { createResumeQueue, RESUME_DEFAULTS } from './stream/resumes';
+export type { ResumeQueue, ResumeSettings } from './stream/resumes';
+export { createSuspects, SUSPECT_DEFAULTS } from './stream/suspects';
+export type {
+  Admission,
+  PlacedEngine,
+  Standing,
+  SuspectItem,
+  Suspects,
+  SuspectSettings,
+} from './stream/suspects';
 
 // plain calls
 export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
@@ -126,6 +145,17 @@
 export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
 export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
+export { CACHE_VIEW_BLOCKS, createCacheIndex, createCacheView } from './route/cache';
+export type {
+  CacheBatch,
+  CacheChange,
+  CacheContent,
+  CacheEffect,
+  CacheIndex,
+  CacheView,
+} from './route/cache';
+export { createOutlierJudge } from './route/outlier';
+export type { OutlierJudge, OutlierSettings, ServerResult } from './route/outlier';
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
 export { createPicker } from './route/picker';
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -1,4 +1,5 @@
 import { createServeError } from '@mimosamill/core';
+import { createResumeGate } from './resumes';
 import { createRunningStream } from './stream';
 import type { RequestId, ServeError } from '@mimosamill/core';
 import type { StreamPorts, StreamReader, StreamRequest } from './ports';
@@ -33,8 +34,25 @@
   const running = ports.metrics.gauge('mimosamill_streams_running', 'Streams that have not ended');
   let drainWaiters: (() => void)[] = [];
 
+  const resumes = createResumeGate(clock);
+
   const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
 
+  ports.replicas.onRelease((requestId) => {
+    const stream = streams.get(requestId);
+    if (stream === undefined) return;
+    streams.delete(requestId);
+    stream.release();
+  });
+
+  ports.directory.onDown((engine) => {
+    const lostRequests = [...streams.values()]
+      .filter((stream) => stream.ended() === undefined && stream.isOn(engine.engineId))
+      .map((stream) => stream.lostRequest());
+    if (lostRequests.length > 0) ports.suspects.onDeath(engine, lostRequests);
+    ports.versions.onEngineDown(engine.service, engine, ports.directory.enginesOf(engine.service));
+  });
+
   function sweep(): void {
     const nowMs = clock.monotonicMs();
     streams.forEach((stream, requestId) => {
@@ -46,6 +64,7 @@
       stream.abandon();
       streams.delete(requestId);
     });
+    resumes.pump();
     forgetOldest();
     const count = runningCount();
     running.set(count);
@@ -73,7 +92,7 @@
       const error = createServeError('bad_request', 'the request id is already in use');
       return { kind: 'error', error };
     }
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.attach(reader);
     stream.start();
@@ -87,13 +106,18 @@
   ): Promise<OpenOutcome> {
     const local = streams.get(request.requestId);
     if (local !== undefined) return reattach(local, request, haveTokens, reader);
-    const left = await ports.replicas.find(request.requestId);
+    const found = await ports.replicas.find(request.requestId);
+    if (found.kind === 'absent') {
+      return lost(
+        `no copy of the stream was found; ${found.unansweredCount} routers did not answer`,
+      );
+    }
+    if (found.replica.start.bodyHash !== request.bodyHash) return differs();
+    const left = await ports.replicas.takeOver(found.replica);
     // Another connection of the same caller may have been faster.
     const raced = streams.get(request.requestId);
     if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
-    if (left === undefined) return lost('no copy of the stream is left');
-    if (left.bodyHash !== request.bodyHash) return differs();
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.takeOver(left, haveTokens);
     stream.attach(reader);
