--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -12,6 +12,8 @@
   /** Past the relay. */
   readonly ownAddress: string;
   readonly failureDomain: string;
+  /** Address for peers; routers only. */
+  readonly peerAddress?: string;
   /** Between routers and this node, if the fleet has relays. */
   readonly relay: Relay | undefined;
 }
@@ -200,6 +202,7 @@
       process: router,
       address,
       ownAddress: address,
+      peerAddress,
       failureDomain: spec.failureDomain,
       relay: undefined,
     };
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,6 +1,7 @@
 import { callsMeasurement } from './calls';
 import { limitsMeasurement } from './limit/limits';
 import { overloadMeasurement } from './limit/overload';
+import { configMeasurement } from './config';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
@@ -13,6 +14,7 @@
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
   limitsMeasurement,
+  configMeasurement,
   movesMeasurement,
   ordersMeasurement,
   overloadMeasurement,
