Shorten detection, quicken joins and measure the membership with real processes

At 64 nodes a join took over 15 s, a paused router was declared dead although it had refuted, and full messages went on for a minute.

--- /dev/null
+++ b/packages/bench/src/member/fleet.ts
@@ -0,0 +1,217 @@
+import { spawn } from 'node:child_process';
+import { createServer } from 'node:net';
+import { dirname, join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+import type { ChildProcess } from 'node:child_process';
+import type { Server } from 'node:net';
+
+/** What the processes of one fleet have in common. */
+export interface FleetSpec {
+  readonly binary: 'bench-node' | 'bench-idle';
+  readonly nodes: number;
+  readonly seed: number;
+  readonly engines: number;
+  /** Running streams per node. */
+  readonly streams: number;
+  readonly customers: number;
+}
+
+export interface Stats {
+  readonly atMs: number;
+  readonly cpuMs: number;
+  readonly rssBytes: number;
+  readonly wireIn: number;
+  readonly wireOut: number;
+  readonly states: Readonly<Record<string, number>>;
+  readonly held: number;
+  readonly loads: number;
+}
+
+/** A change that a node has seen in another one. */
+export interface Sighting {
+  readonly observer: string;
+  readonly routerId: string;
+  readonly state: string;
+  readonly atMs: number;
+}
+
+/** Processes on loopback. */
+export interface Fleet {
+  readonly ids: readonly string[];
+  readonly sightings: readonly Sighting[];
+  readonly stats: (id: string) => readonly Stats[];
+  /** Ids whose process runs. */
+  readonly running: () => readonly string[];
+  readonly signal: (id: string, name: NodeJS.Signals) => void;
+  readonly stop: () => Promise<void>;
+}
+
+interface NodeProcess {
+  readonly id: string;
+  readonly process: ChildProcess;
+  readonly stats: Stats[];
+  isReady: boolean;
+}
+
+const DOMAINS = 3;
+const READY_TIMEOUT_MS = 20_000;
+const FIRST_PORT = 18_000;
+const PORTS = 12_000;
+
+/** Starts a fleet in one region with three failure domains. */
+export async function startFleet(spec: FleetSpec): Promise<Fleet> {
+  const ports = await findPorts(spec.nodes);
+  const sightings: Sighting[] = [];
+  const nodes = ports.map((port, n) => startNode(spec, n, port, ports, sightings));
+  const fleet = toFleet(nodes, sightings);
+  const isReady = await until(() => nodes.every((node) => node.isReady), READY_TIMEOUT_MS);
+  if (isReady) return fleet;
+  await fleet.stop();
+  throw new Error('a node did not start');
+}
+
+function startNode(
+  spec: FleetSpec,
+  n: number,
+  port: number,
+  ports: readonly number[],
+  sightings: Sighting[],
+): NodeProcess {
+  const id = `router-${String(n).padStart(3, '0')}`;
+  const seeds = ports.slice(0, 3).map((seed) => `127.0.0.1:${seed}`);
+  const options: Readonly<Record<string, string | number>> = {
+    id,
+    peer: `127.0.0.1:${port}`,
+    region: 'guild',
+    domain: ['jabal-weibdeh', 'marka', 'sweileh'][n % DOMAINS] ?? '',
+    seeds: seeds.join(','),
+    seed: spec.seed + n,
+    engines: spec.engines,
+    streams: spec.streams,
+    customers: spec.customers,
+  };
+  const args = Object.entries(options).map(([name, value]) => `--${name}=${value}`);
+  const file = join(dirname(fileURLToPath(import.meta.url)), `${spec.binary}.mjs`);
+  const child = spawn(process.execPath, [file, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  const node: NodeProcess = { id, process: child, stats: [], isReady: false };
+  createInterface({ input: child.stdout as NodeJS.ReadableStream }).on('line', (line) => {
+    const { event, ...fields } = JSON.parse(line) as { event: string };
+    if (event === 'ready') node.isReady = true;
+    if (event === 'stats') node.stats.push(fields as unknown as Stats);
+    if (event === 'member') {
+      sightings.push({ ...(fields as unknown as Omit<Sighting, 'observer'>), observer: id });
+    }
+  });
+  return node;
+}
+
+function toFleet(nodes: readonly NodeProcess[], sightings: readonly Sighting[]): Fleet {
+  const isRunning = ({ process: child }: NodeProcess): boolean =>
+    child.exitCode === null && child.signalCode === null;
+  const find = (id: string): NodeProcess => {
+    const node = nodes.find((candidate) => candidate.id === id);
+    if (node === undefined) throw new Error(`no node ${id}`);
+    return node;
+  };
+  return {
+    ids: nodes.map(({ id }) => id),
+    sightings,
+    stats: (id) => find(id).stats,
+    running: () => nodes.filter(isRunning).map(({ id }) => id),
+    signal: (id, name) => {
+      find(id).process.kill(name);
+    },
+    stop: async () => {
+      nodes.filter(isRunning).forEach((node) => node.process.kill('SIGKILL'));
+      await until(() => !nodes.some(isRunning), READY_TIMEOUT_MS);
+    },
+  };
+}
+
+/** Waits until the condition holds; false if it did not in time. */
+export async function until(isTrue: () => boolean, timeoutMs: number): Promise<boolean> {
+  const endMs = Date.now() + timeoutMs;
+  while (!isTrue()) {
+    if (Date.now() > endMs) return false;
+    await wait(50);
+  }
+  return true;
+}
+
+export function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+let nextPort = FIRST_PORT + ((process.pid * 97) % PORTS);
+
+/** Free ports below the range from which the system takes those of outgoing connections. */
+async function findPorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = nextPort;
+    nextPort = FIRST_PORT + ((nextPort + 1 - FIRST_PORT) % PORTS);
+    const server = await listen(port);
+    if (server !== undefined) {
+      ports.push(port);
+      await close(server);
+    }
+  }
+  return ports;
+}
+
+function listen(port: number): Promise<Server | undefined> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+  });
+}
+
+/** Means per node over a window. */
+export interface Usage {
+  readonly cpuRatio: number;
+  readonly outBytesPerSec: number;
+  readonly inBytesPerSec: number;
+  readonly rssMb: number;
+}
+
+const BYTES_PER_MB = 1_048_576;
+
+/** Usage per node between two times. */
+export function measureUsage(fleet: Fleet, fromMs: number, toMs: number): Usage {
+  const rates = fleet.running().flatMap((id) => {
+    const within = fleet.stats(id).filter(({ atMs }) => atMs >= fromMs && atMs <= toMs);
+    const [first, last] = [within[0], within.at(-1)];
+    if (first === undefined || last === undefined || first === last) return [];
+    const elapsedMs = last.atMs - first.atMs;
+    return [
+      {
+        cpuRatio: (last.cpuMs - first.cpuMs) / elapsedMs,
+        outBytesPerSec: (1_000 * (last.wireOut - first.wireOut)) / elapsedMs || 0,
+        inBytesPerSec: (1_000 * (last.wireIn - first.wireIn)) / elapsedMs || 0,
+        rssMb: last.rssBytes / BYTES_PER_MB,
+      },
+    ];
+  });
+  const mean = (pick: (rate: Usage) => number): number =>
+    rates.reduce((sum, rate) => sum + pick(rate), 0) / Math.max(1, rates.length);
+  return {
+    cpuRatio: mean(({ cpuRatio }) => cpuRatio),
+    outBytesPerSec: mean(({ outBytesPerSec }) => outBytesPerSec),
+    inBytesPerSec: mean(({ inBytesPerSec }) => inBytesPerSec),
+    rssMb: mean(({ rssMb }) => rssMb),
+  };
+}
+
+export function round(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
--- a/packages/core/src/member/spread.ts
+++ b/packages/core/src/member/spread.ts
@@ -7,6 +7,8 @@
   readonly add: (update: MemberUpdate) => void;
   /** Takes the least-sent updates; each counts as sent once more. */
   readonly take: (maxCount: number, maxBytes: number, sendLimit: number) => MemberUpdate[];
+  /** Drops updates that were sent at least that often. */
+  readonly trim: (minSends: number) => void;
   readonly size: () => number;
 }
 
@@ -41,6 +43,11 @@
       queue.set(update.routerId, { update, sends: 0 });
     },
     take,
+    trim: (minSends) => {
+      queue.forEach(({ sends }, routerId) => {
+        if (sends >= minSends) queue.delete(routerId);
+      });
+    },
     size: () => queue.size,
   };
 }
--- a/packages/core/src/member/swim.ts
+++ b/packages/core/src/member/swim.ts
@@ -21,22 +21,30 @@
 const UPDATE_BYTES = 800;
 const MAX_SYNC_UPDATES = 64;
 const INDIRECT_PROBES = 2;
+const TELL_FANOUT = 3;
 /** Every fifth probe leaves the own failure domain. */
 const DOMAIN_CYCLE = 5;
 /** Each update is sent this often per doubling of the fleet. */
-const SENDS_PER_DOUBLING = 3;
+const SENDS_PER_DOUBLING = 2;
+const MIN_SENDS = 3;
 /** Failures in a row, of different members, after which a whole region counts as unreachable. */
 const REGION_FAILURES = 3;
 /** Independent suspicions after which the timeout is halved. */
 const CONFIRMATIONS = 2;
 /** A later tick than this many periods means that this process itself was paused. */
 const STALL_PERIODS = 2.5;
+/** Equal views in a row after which anti-entropy slows down. */
+const SETTLED_SYNCS = 3;
 const RELAY_FACTOR = 2;
 /** Bound on addresses kept from the host list. */
 const MAX_CANDIDATES = 2_048;
 
 type Pending =
-  | { readonly kind: 'direct' | 'reconnect'; readonly target: ProbeTarget; readonly sentMs: number }
+  | {
+      readonly kind: 'direct' | 'reconnect' | 'final';
+      readonly target: ProbeTarget;
+      readonly sentMs: number;
+    }
   | { readonly kind: 'indirect'; readonly target: ProbeTarget; readonly group: IndirectGroup }
   | { readonly kind: 'relay'; readonly target: ProbeTarget; readonly replyId: number }
   | { readonly kind: 'sync'; readonly peerAddress: string };
@@ -65,6 +73,7 @@
   let tickCount = 0;
   let lastTickMs = startedAtMs;
   let nextSyncMs = startedAtMs;
+  let equalSyncs = 0;
   let nextReconnectMs = startedAtMs;
 
   function self(): MemberUpdate {
@@ -85,7 +94,7 @@
 
   /** Larger fleets need more rounds until the suspect hears of it and can answer. */
   function suspicionMs(): number {
-    return settings.periodMs * (2 + Math.log2(view.size + 2) / 2);
+    return settings.periodMs * (1.5 + Math.log2(view.size + 2) / 4);
   }
 
   function createMessage(to: RouterId | undefined): SwimMessage {
@@ -108,7 +117,11 @@
     return lastSeq;
   }
 
-  function ping(kind: 'direct' | 'reconnect', target: ProbeTarget, nowMs: number): SwimEffect {
+  function ping(
+    kind: 'direct' | 'reconnect' | 'final',
+    target: ProbeTarget,
+    nowMs: number,
+  ): SwimEffect {
     const seq = nextSeq({ kind, target, sentMs: nowMs });
     const message = createMessage(target.routerId);
     return { kind: 'ping', seq, target, message, timeoutMs: settings.probeTimeoutMs };
@@ -134,18 +147,18 @@
     return region !== settings.region && (regionFailures.get(region)?.size ?? 0) >= REGION_FAILURES;
   }
 
-  function refute(update: MemberUpdate): void {
-    if (update.incarnation < ownIncarnation) return;
+  function refute(update: MemberUpdate): SwimEffect[] {
+    if (update.incarnation < ownIncarnation) return [];
     const isSame = update.incarnation === ownIncarnation && update.state === ownState;
-    if (isSame || (ownState === 'dead' && update.incarnation === ownIncarnation)) return;
+    if (isSame || (ownState === 'dead' && update.incarnation === ownIncarnation)) return [];
     ownIncarnation = update.incarnation + 1;
     spread.add(self());
+    return tell([], update.accuser);
   }
 
   function merge(update: MemberUpdate, nowMs: number): SwimEffect[] {
     if (update.routerId === settings.routerId) {
-      refute(update);
-      return [];
+      return refute(update);
     }
     const known = view.get(update.routerId);
     if (known === undefined) {
@@ -251,8 +264,9 @@
       }
       // Only members of the same region can tell a death from a partition between regions.
       const isDue = update.state === 'suspect' && nowMs >= entry.suspectUntilMs;
+      // The last probe gives a member that has returned the chance to refute at once.
       if (isDue && update.region === settings.region) {
-        effects.push(...merge({ ...withoutAccuser(update), state: 'dead' }, nowMs));
+        effects.push(ping('final', targetOf(update), nowMs));
       }
     });
     return effects;
@@ -368,6 +382,11 @@
     const { effects, isCurrent } = hear(reply.from, reply.updates, nowMs);
     if (!isCurrent) return effects;
     const differing = differingBuckets(buckets(), reply.buckets);
+    equalSyncs = differing.size === 0 ? equalSyncs + 1 : 0;
+    // Views that differed lately, as after a start or a partition, are compared again soon.
+    if (equalSyncs < SETTLED_SYNCS) nextSyncMs = nowMs + settings.periodMs * (1 + random());
+    // Others know what this node would still repeat.
+    if (equalSyncs >= SETTLED_SYNCS) spread.trim(MIN_SENDS);
     if (differing.size === 0) return effects;
     // The answer was cut off at its bound, or the other node lacks entries of this one.
     if (reply.updates.length >= MAX_SYNC_UPDATES) nextSyncMs = nowMs;
@@ -398,8 +417,10 @@
       return effects;
     }
     // Another router has taken over the address.
-    if (!isTarget) return [...effects, ...onProbeFailed(target, nowMs)];
-    return effects;
+    if (isTarget) return effects;
+    const failed =
+      probed.kind === 'final' ? declareDead(target, nowMs) : onProbeFailed(target, nowMs);
+    return [...effects, ...failed];
   }
 
   function onNoAck(seq: number, nowMs: number): SwimEffect[] {
@@ -418,6 +439,10 @@
         if (isLate(group.sentMs, RELAY_FACTOR * settings.probeTimeoutMs, nowMs)) return [];
         return onProbeFailed(target, nowMs);
       }
+      case 'final':
+        return isLate(probed.sentMs, settings.probeTimeoutMs, nowMs)
+          ? []
+          : declareDead(probed.target, nowMs);
       case 'relay':
         return [{ kind: 'refuse', replyId: probed.replyId }];
       case 'reconnect':
@@ -456,7 +481,18 @@
     if (entry === undefined || entry.update.state === 'dead') return [];
     if (entry.update.region !== settings.region) return onFarFailure(entry, nowMs);
     const accuser = settings.routerId;
-    return merge({ ...entry.update, state: 'suspect', accuser }, nowMs);
+    const isNew = entry.update.state !== 'suspect';
+    const suspicion: MemberUpdate = { ...entry.update, state: 'suspect', accuser };
+    const effects = merge(suspicion, nowMs);
+    return isNew ? [...effects, ...tell([suspicion])] : effects;
+  }
+
+  function declareDead(target: ProbeTarget, nowMs: number): SwimEffect[] {
+    const entry = target.routerId === undefined ? undefined : view.get(target.routerId);
+    const isDue = entry?.update.state === 'suspect' && nowMs >= entry.suspectUntilMs;
+    if (entry === undefined || !isDue) return [];
+    const death: MemberUpdate = { ...withoutAccuser(entry.update), state: 'dead' };
+    return [...merge(death, nowMs), ...tell([death])];
   }
 
   function onFarFailure(entry: ViewEntry, nowMs: number): SwimEffect[] {
@@ -504,25 +540,30 @@
     ownState = 'leaving';
     ownIncarnation += 1;
     spread.add(self());
-    return tell();
+    return tell([]);
   }
 
   function stop(): SwimEffect[] {
     if (ownState === 'dead') return [];
     ownState = 'dead';
-    return tell();
-  }
-
-  /** Sends the own state at once to a few members, which spread it. */
-  function tell(): SwimEffect[] {
-    return shuffle(liveEntries(), random)
-      .slice(0, INDIRECT_PROBES + 1)
-      .map((entry) => ({
-        kind: 'push',
-        to: entry.update.peerAddress,
-        from: self(),
-        updates: [],
-      }));
+    return tell([]);
+  }
+
+  /**
+   * Sends the own state and news of this node's own at once to a few members, which saves the
+   * first rounds of spreading by probes.
+   */
+  function tell(updates: readonly MemberUpdate[], first?: RouterId): SwimEffect[] {
+    const live = liveEntries().filter((entry) => entry.update.state !== 'suspect');
+    const chosen = shuffle(live, random)
+      .sort((a, b) => Number(b.update.routerId === first) - Number(a.update.routerId === first))
+      .slice(0, TELL_FANOUT);
+    return chosen.map((entry) => ({
+      kind: 'push',
+      to: entry.update.peerAddress,
+      from: self(),
+      updates,
+    }));
   }
 
   return {
--- a/packages/core/src/stream/replica.ts
+++ b/packages/core/src/stream/replica.ts
@@ -88,7 +88,7 @@
 export interface ReplicaSender {
   readonly onStart: (start: ReplicaStart, texts: readonly string[]) => void;
   /** The stream moved to another engine or attempt. */
-  readonly onAttempt: (start: ReplicaStart) => void;
+  readonly onAttempt: (start: Omit<ReplicaStart, 'adoptionCount'>) => void;
   readonly onToken: (requestId: RequestId, index: number, text: string) => void;
   readonly onEnd: (requestId: RequestId, reason: FinishReason | undefined) => void;
   readonly onPeers: (peers: readonly ReplicaPeer[]) => void;
@@ -315,7 +315,7 @@
     onAttempt: (start) => {
       const stream = streams.get(start.requestId);
       if (stream === undefined) return;
-      stream.start = start;
+      stream.start = { ...start, adoptionCount: stream.start.adoptionCount };
       stream.isStartSent = false;
     },
     onToken: (requestId, index, text) => {
--- a/packages/router/src/peer/member.ts
+++ b/packages/router/src/peer/member.ts
@@ -112,7 +112,7 @@
 const FLUSH_DELAY_MS = 100;
 const FLUSH_BYTES = 4_096;
 const MAX_SYNC_ITEMS = 64;
-const SENDS_PER_DOUBLING = 3;
+const SENDS_PER_DOUBLING = 2;
 const CALL_SLACK_MS = 100;
 
 /** Creates the membership; nothing is sent before start(). */
--- a/packages/router/src/peer/server.ts
+++ b/packages/router/src/peer/server.ts
@@ -62,7 +62,7 @@
     // Date and Keep-Alive would be a third of the answer to a probe.
     response.sendDate = false;
     response.setHeader('connection', 'keep-alive');
-    countAnswer(response, kind);
+    countAnswer(request, response, kind);
     if (isBinary(request)) {
       traffic.count('in', kind, Number(request.headers['content-length'] ?? 0));
       handler(request, response);
@@ -79,11 +79,12 @@
     });
   }
 
-  function countAnswer(response: ServerResponse, kind: string): void {
-    const before = response.socket?.bytesWritten ?? 0;
+  /** Counts what goes over the wire, headers included. */
+  function countAnswer(request: IncomingMessage, response: ServerResponse, kind: string): void {
+    const { socket } = request;
+    const before = socket.bytesWritten;
     response.once('finish', () => {
-      const sent = (response.socket?.bytesWritten ?? before) - before;
-      traffic.count('out', `${kind} answer`, sent);
+      traffic.count('out', `${kind} answer`, socket.bytesWritten - before);
     });
   }
 
--- a/packages/router/src/stream/replica.ts
+++ b/packages/router/src/stream/replica.ts
@@ -56,7 +56,7 @@
   readonly stop: () => void;
   /** `texts` are the tokens known from an earlier router. */
   readonly onStart: (start: ReplicaStart, texts?: readonly string[]) => void;
-  readonly onAttempt: (start: ReplicaStart) => void;
+  readonly onAttempt: (start: Omit<ReplicaStart, 'adoptionCount'>) => void;
   readonly onToken: (requestId: RequestId, index: number, text: string) => void;
   /** Without a reason if there is no complete answer. */
   readonly onEnd: (requestId: RequestId, reason?: FinishReason) => void;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -17,6 +17,8 @@
   'fake-platform': 'packages/fakes/src/platform/main.ts',
   demo: 'packages/bench/src/demo/main.ts',
   measure: 'packages/bench/src/measure/main.ts',
+  'bench-node': 'packages/bench/src/member/node.ts',
+  'bench-idle': 'packages/bench/src/member/idle.ts',
 };
 
 const entryPoints = Object.entries(BINARIES)
