Let members that think each other dead refute, and join groups at the start

Two nodes that each held the other for dead ignored each other's messages, the accusations in them included, so neither ever refuted: a property test ended with four live members all dead to each other.

--- a/packages/core/src/member/swim.ts
+++ b/packages/core/src/member/swim.ts
@@ -35,6 +35,8 @@
 const STALL_PERIODS = 2.5;
 /** Equal views in a row after which anti-entropy slows down. */
 const SETTLED_SYNCS = 3;
+/** Time after the start in which seeds and listed hosts are tried every period. */
+const START_MS = 30_000;
 const RELAY_FACTOR = 2;
 /** Bound on addresses kept from the host list. */
 const MAX_CANDIDATES = 2_048;
@@ -201,7 +203,11 @@
       known !== undefined &&
       (from.incarnation < known.update.incarnation ||
         (known.update.state === 'dead' && from.incarnation === known.update.incarnation));
-    if (isOutdated) return { effects: [], isCurrent: false };
+    if (isOutdated) {
+      // Two nodes that think each other dead must still be able to refute.
+      const own = updates.filter(({ routerId }) => routerId === settings.routerId);
+      return { effects: own.flatMap((update) => refute(update)), isCurrent: false };
+    }
     const effects = [
       ...merge(from, nowMs),
       ...updates.flatMap((update) => merge(update, nowMs)),
@@ -306,13 +312,17 @@
 
   /** Probes one address that may have become reachable, so that separated parts join again. */
   function reconnect(nowMs: number): SwimEffect[] {
-    nextReconnectMs = nowMs + settings.reconnectEveryMs * (0.5 + random());
+    const unknown = candidates();
+    // Routers started together form several groups, which only the seeds can join.
+    const isStarting = nowMs - startedAtMs < START_MS && unknown.length > 0;
+    const everyMs = isStarting ? settings.periodMs : settings.reconnectEveryMs;
+    nextReconnectMs = nowMs + everyMs * (0.5 + random());
     const lost = [...view.values()].filter(
       (entry) => entry.update.state === 'dead' || entry.isUnreachable,
     );
     const targets: ProbeTarget[] = [
       ...lost.map((entry) => targetOf(entry.update)),
-      ...candidates().map((peerAddress) => ({ routerId: undefined, peerAddress })),
+      ...unknown.map((peerAddress) => ({ routerId: undefined, peerAddress })),
     ];
     const target = pick(targets, random);
     if (target === undefined) return [];
