--- a/packages/bench/src/fleet/caller.ts
+++ b/packages/bench/src/fleet/caller.ts
@@ -21,10 +21,15 @@
   readonly body: object;
   /** Address of the router for each connection; undefined stops reconnecting. */
   readonly routerFor: (connection: number) => string | undefined;
+  readonly onOpen?: (requestId: string) => void;
   readonly onToken?: (index: number) => void;
   readonly reconnectDelayMs?: number;
+  readonly maxConnections?: number;
 }
 
+/** A caller that finds no router gives up after this many connections. */
+const MAX_CONNECTIONS = 40;
+
 interface Progress {
   readonly texts: string[];
   readonly gapsMs: number[];
@@ -49,7 +54,7 @@
     error: '',
   };
   let connection = 0;
-  for (;;) {
+  while (connection < (options.maxConnections ?? MAX_CONNECTIONS)) {
     const address = options.routerFor(connection);
     if (address === undefined) break;
     progress.end = 'cut';
@@ -85,6 +90,7 @@
       return;
     }
     progress.requestId = String(answer.headers['x-request-id'] ?? '');
+    options.onOpen?.(progress.requestId);
     const parser = createParser({ onEvent: (event) => onEvent(event, options, progress) });
     const decoder = new TextDecoder();
     for await (const chunk of answer.body) {
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -9,6 +9,8 @@
 export interface FleetNode {
   readonly process: FleetProcess;
   readonly address: string;
+  /** Past the relay. */
+  readonly ownAddress: string;
   readonly failureDomain: string;
   /** Between routers and this node, if the fleet has relays. */
   readonly relay: Relay | undefined;
@@ -55,6 +57,10 @@
   readonly post: (address: string, path: string, body: unknown) => Promise<unknown>;
   readonly get: (address: string, path: string) => Promise<unknown>;
   readonly routerPeers: () => readonly string[];
+  /** Stops a process with the fleet that was started outside it. */
+  readonly adopt: (process: FleetProcess) => void;
+  /** Waits until the nodes say that they are ready. */
+  readonly waitReady: (nodes: readonly FleetNode[]) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -69,6 +75,8 @@
 
 const IP = '127.0.0.1';
 const REQUEST_TIMEOUT_MS = 5_000;
+const READY_TIMEOUT_MS = 15_000;
+const READY_POLL_MS = 25;
 
 export async function startFleet(overrides: Partial<FleetOptions> = {}): Promise<Fleet> {
   const options = { ...FLEET_DEFAULTS, ...overrides };
@@ -148,9 +156,10 @@
       model: spec.modelSettings ?? {},
     });
     const relay = await relayTo(`${IP}:${port}`);
-    const address = relay?.address ?? `${IP}:${port}`;
+    const ownAddress = `${IP}:${port}`;
+    const address = relay?.address ?? ownAddress;
     await list(spec.id, 'engine', spec.service, address, spec.failureDomain);
-    return { process: engine, address, failureDomain: spec.failureDomain, relay };
+    return { process: engine, address, ownAddress, failureDomain: spec.failureDomain, relay };
   }
 
   async function startService(id: string, service: string, domain: string): Promise<FleetNode> {
@@ -158,7 +167,13 @@
     const server = await start('fake-service', id, { ip: IP, port, seed: options.seed });
     const address = `${IP}:${port}`;
     await list(id, 'service', service, address, domain);
-    return { process: server, address, failureDomain: domain, relay: undefined };
+    return {
+      process: server,
+      address,
+      ownAddress: address,
+      failureDomain: domain,
+      relay: undefined,
+    };
   }
 
   async function startRouter(spec: RouterSpec): Promise<FleetNode> {
@@ -181,14 +196,33 @@
     routerPeers.push(peerAddress);
     await list(spec.id, 'router', '', peerAddress, spec.failureDomain);
     const address = `${IP}:${port}`;
-    return { process: router, address, failureDomain: spec.failureDomain, relay: undefined };
+    return {
+      process: router,
+      address,
+      ownAddress: address,
+      failureDomain: spec.failureDomain,
+      relay: undefined,
+    };
   }
 
   async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
     const port = await findFreePort();
     const own = { ip: IP, port, platform: platformAddress, ...settings };
     const started = await start(binary, binary, own);
-    return { process: started, address: `${IP}:${port}`, failureDomain: '', relay: undefined };
+    const address = `${IP}:${port}`;
+    return { process: started, address, ownAddress: address, failureDomain: '', relay: undefined };
+  }
+
+  async function waitReady(nodes: readonly FleetNode[]): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    for (;;) {
+      const states = await Promise.all(nodes.map(({ address }) => get(address, '/readyz')));
+      if (states.every((state) => (state as { status: string }).status === 'ready')) return;
+      if (performance.now() > untilMs) throw new Error(`not ready: ${JSON.stringify(states)}`);
+      await new Promise((resolve) => {
+        setTimeout(resolve, READY_POLL_MS);
+      });
+    }
   }
 
   async function stop(): Promise<void> {
@@ -217,6 +251,10 @@
     post,
     get,
     routerPeers: () => routerPeers,
+    adopt: (other) => {
+      processes.push(other);
+    },
+    waitReady,
     stop,
   };
 }
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -4,3 +4,19 @@
 
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, membershipMeasurement];
+import { movesMeasurement } from './moves/measure';
+import { poisonMeasurement } from './poison';
+import { relay } from './relay/relay';
+import { resume } from './resume/resume';
+import { routeMeasurement } from './route/measure';
+import type { Measurement } from './measurement';
+
+/** Every measurement by name. */
+export const MEASUREMENTS: readonly Measurement[] = [
+  callsMeasurement,
+  movesMeasurement,
+  poisonMeasurement,
+  relay,
+  resume,
+  routeMeasurement,
+];
--- a/packages/bench/test/path.spec.ts
+++ b/packages/bench/test/path.spec.ts
@@ -46,22 +46,11 @@
     for (const [index, failureDomain] of DOMAINS.entries()) {
       routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
     }
-    await waitUntil(async () => {
-      const states = await Promise.all(routers.map(({ address }) => fleet.get(address, '/readyz')));
-      return states.every((state) => (state as { status: string }).status === 'ready');
-    });
+    await fleet.waitReady(routers);
   });
 
   afterAll(() => fleet.stop());
 
-  async function waitUntil(isTrue: () => Promise<boolean>): Promise<void> {
-    while (!(await isTrue())) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 50);
-      });
-    }
-  }
-
   function expected(maxTokens: number): string[] {
     const source = { model: 'guide', version: 'v1', adapter: '', prompt: PROMPT, seed: 0 };
     return wholeText(source, maxTokens, hashes.hash32);
@@ -129,4 +118,16 @@
     expect(result).toMatchObject({ end: 'done', misnumbered: 0, reconnects: 0 });
     expect(result.texts).toEqual(expected(300));
   });
+
+  // Guards against losing a stream whose router dies: the journal's copy and the engine go on.
+  it('continues an answer at another router when its router is killed', async () => {
+    const killed: Promise<void>[] = [];
+    const result = await read(300, (index) => {
+      if (index === 120) killed.push(routers[0]?.process.kill() ?? Promise.resolve());
+    });
+    await Promise.all(killed);
+    expect(result).toMatchObject({ end: 'done', misnumbered: 0, error: expect.any(String) });
+    expect(result.reconnects).toBeGreaterThan(0);
+    expect(result.texts).toEqual(expected(300));
+  });
 });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,25 @@
   SessionEvent,
   SessionSettings,
 } from './stream/session';
+export { createDeathTable } from './stream/deaths';
+export type {
+  Candidate,
+  Death,
+  DeathReport,
+  DeathTable,
+  DeathTableSettings,
+} from './stream/deaths';
+export { createResumeQueue, RESUME_DEFAULTS } from './stream/resumes';
+export type { ResumeQueue, ResumeSettings } from './stream/resumes';
+export { createSuspects, SUSPECT_DEFAULTS } from './stream/suspects';
+export type {
+  Admission,
+  PlacedEngine,
+  Standing,
+  SuspectItem,
+  Suspects,
+  SuspectSettings,
+} from './stream/suspects';
 
 // plain calls
 export { createRetryBudget, RETRY_BUDGET_DEFAULTS } from './call/budget';
@@ -101,10 +120,10 @@
 export type { ReaderCandidate } from './config/readers';
 export { EMPTY_CONFIG, createReplica } from './config/replica';
 export type { Replica, ReplicaEffect } from './config/replica';
-export type { ConfigProblem } from './config/shape';
+export type { ConfigProblem, JsonSchema } from './config/shape';
 export { planUndo } from './config/undo';
 export type { UndoPlan } from './config/undo';
-export { SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
+export { CHANGE_LIST_SCHEMA, SETTING_RANGES, applyChecked, parseChanges } from './config/validate';
 export type { AppliedChanges, ParsedChanges } from './config/validate';
 
 // membership
@@ -126,6 +145,17 @@
 export { createGossip, GOSSIP_DEFAULTS, itemSizeBytes } from './member/gossip';
 export type { Gossip, GossipItem, GossipSettings } from './member/gossip';
 // routing
+export { CACHE_VIEW_BLOCKS, createCacheIndex, createCacheView } from './route/cache';
+export type {
+  CacheBatch,
+  CacheChange,
+  CacheContent,
+  CacheEffect,
+  CacheIndex,
+  CacheView,
+} from './route/cache';
+export { createOutlierJudge } from './route/outlier';
+export type { OutlierJudge, OutlierSettings, ServerResult } from './route/outlier';
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
 export type { Hash64Text, PrefixScope } from './route/prefix';
 export { createPicker } from './route/picker';
--- /dev/null
+++ b/packages/core/src/stream/suspects.ts
@@ -0,0 +1,589 @@
+import { asId } from '../ids';
+import { createDeathTable } from './deaths';
+import type { EngineId, FailureDomain, Fingerprint, RequestId, RouterId } from '../ids';
+import type { Hash32 } from '../hash/rendezvous';
+import type { Death, DeathReport } from './deaths';
+
+export interface SuspectSettings {
+  readonly routerId: RouterId;
+  readonly hash: Hash32;
+  /** Tokens beyond the index of the death after which a stream is not its cause. */
+  readonly clearTokens: number;
+  /** Engines of one failure domain lost within this time share a cause that is no request. */
+  readonly infrastructureMs: number;
+  /** Wait before a suspect resumes, for other routers' reports of the same death. */
+  readonly settleMs: number;
+  /** Wait before a request is condemned, for the reports of routers that are slow to tell. */
+  readonly exchangeMs: number;
+  /** Time for a suspect to be cleared: a prefill and 32 tokens at 32 ms. */
+  readonly waveMs: number;
+  /** Longest wait for an engine without another suspect: two waves, to stay within 3 s. */
+  readonly engineWaitMs: number;
+  /** Longest wait for the other suspects to be cleared. */
+  readonly holdMs: number;
+  /** Turn of each router that waits to run a suspect nobody runs any longer. */
+  readonly turnMs: number;
+  /** How long a router counts as running a suspect after its last sign. */
+  readonly runnerMs: number;
+  readonly culpritExpiryMs: number;
+  readonly maxSuspects: number;
+}
+
+export const SUSPECT_DEFAULTS = {
+  clearTokens: 32,
+  infrastructureMs: 2_000,
+  settleMs: 50,
+  exchangeMs: 1_000,
+  waveMs: 1_200,
+  engineWaitMs: 2_400,
+  holdMs: 3_000,
+  turnMs: 1_000,
+  runnerMs: 5_000,
+  culpritExpiryMs: 600_000,
+  maxSuspects: 1_024,
+} as const satisfies Partial<SuspectSettings>;
+
+/** Something every router has to learn; spread by gossip, and at once to the nearest peers. */
+export interface SuspectItem {
+  readonly kind: 'death' | 'cleared' | 'runner' | 'culprit';
+  readonly key: string;
+  readonly payload: string;
+  readonly expiresAtMs: number;
+}
+
+export interface PlacedEngine {
+  readonly engineId: EngineId;
+  readonly failureDomain: FailureDomain;
+}
+
+/** Whether a request may run now. */
+export type Admission =
+  | { readonly kind: 'run' }
+  /** The outcome of the same request elsewhere, or of the other suspects, decides. */
+  | { readonly kind: 'wait'; readonly untilMs: number }
+  | { readonly kind: 'condemned' };
+
+export type Standing = 'clear' | 'suspect' | 'held' | 'condemned';
+
+/**
+ * Requests that were on engines that died, and those found to be the cause. Times are wall-clock
+ * times, because they are compared with those of other routers.
+ */
+export interface Suspects {
+  /** An engine that ran requests of this router has died: reset or refused, not merely silent. */
+  readonly onDeath: (death: DeathReport, nowMs: number) => void;
+  /** An item of another router. */
+  readonly onItem: (item: SuspectItem, nowMs: number) => void;
+  /** A request of this router has received the token with this index. */
+  readonly onProgress: (fingerprint: Fingerprint, index: number, nowMs: number) => void;
+  /** A request of this router has ended: completely, or given up by its caller. */
+  readonly onEnd: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+    nowMs: number,
+  ) => void;
+  /** Asked before each attempt; `rank` is this router's place in an order all routers share. */
+  readonly admit: (
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    rank: number,
+    nowMs: number,
+  ) => Admission;
+  /** An admitted request was given to an engine. */
+  readonly onPlaced: (fingerprint: Fingerprint, engineId: EngineId) => void;
+  /** Engines that an attempt has to leave to the other suspects of the same death. */
+  readonly avoid: (
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    nowMs: number,
+  ) => ReadonlySet<EngineId>;
+  readonly standing: (fingerprint: Fingerprint, nowMs: number) => Standing;
+  /** Items to be spread, each returned once. */
+  readonly takeItems: () => SuspectItem[];
+  readonly sizes: () => { readonly suspects: number; readonly deaths: number };
+}
+
+/** Who runs a suspect, and where; an empty request id stands for nobody. */
+interface Runner {
+  readonly routerId: string;
+  readonly requestId: string;
+  engineId: string;
+  readonly untilMs: number;
+}
+
+interface Suspect {
+  clearedAtMs: number;
+  runner: Runner | undefined;
+  /** When a run ended without a verdict. */
+  idleSinceMs: number;
+}
+
+const MERGE_MS = 5_000;
+const MAX_DEATHS = 256;
+const MAX_FINGERPRINTS = 256;
+/** Keeps an item of reports below the largest item that gossip carries. */
+const REPORTS_PER_ITEM = 6;
+const SEPARATOR = ' ';
+
+export function createSuspects(settings: SuspectSettings): Suspects {
+  const deaths = createDeathTable({
+    mergeMs: MERGE_MS,
+    expiryMs: settings.culpritExpiryMs,
+    maxDeaths: MAX_DEATHS,
+    maxFingerprints: MAX_FINGERPRINTS,
+  });
+  const suspects = new Map<Fingerprint, Suspect>();
+  /** Culprits with the time until which they are refused. */
+  const culprits = new Map<Fingerprint, number>();
+  let items: SuspectItem[] = [];
+  /** Blame by fingerprint, until something changes. */
+  const blames = new Map<Fingerprint, readonly Death[]>();
+
+  function suspectOf(fingerprint: Fingerprint): Suspect {
+    const known = suspects.get(fingerprint);
+    if (known !== undefined) return known;
+    const created: Suspect = {
+      clearedAtMs: -Infinity,
+      runner: undefined,
+      idleSinceMs: -Infinity,
+    };
+    suspects.set(fingerprint, created);
+    bound(suspects, settings.maxSuspects);
+    return created;
+  }
+
+  function isCondemned(fingerprint: Fingerprint, nowMs: number): boolean {
+    return (culprits.get(fingerprint) ?? -Infinity) > nowMs;
+  }
+
+  function isClearedOf(fingerprint: Fingerprint, death: Death): boolean {
+    return (suspects.get(fingerprint)?.clearedAtMs ?? -Infinity) >= death.atMs;
+  }
+
+  /** Forgets deaths and culprits whose time is over, and what followed from them. */
+  function expire(nowMs: number): void {
+    let hasChanged = deaths.expire(nowMs);
+    for (const [fingerprint, untilMs] of culprits) {
+      if (untilMs > nowMs) break;
+      culprits.delete(fingerprint);
+      hasChanged = true;
+    }
+    if (hasChanged) blames.clear();
+  }
+
+  /** Deaths of which this request is a possible cause. */
+  function blamedFor(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
+    const known = blames.get(fingerprint);
+    if (known !== undefined) return known;
+    const blamed = deaths
+      .of(fingerprint)
+      .filter((death) => isOpen(fingerprint, death, nowMs) && !isInfrastructureLoss(death, nowMs));
+    blames.set(fingerprint, blamed);
+    return blamed;
+  }
+
+  function openDeathsOf(fingerprint: Fingerprint, nowMs: number): readonly Death[] {
+    return deaths.of(fingerprint).filter((death) => isOpen(fingerprint, death, nowMs));
+  }
+
+  /** Not cleared of this death, which no condemned request explains. */
+  function isOpen(fingerprint: Fingerprint, death: Death, nowMs: number): boolean {
+    if (isClearedOf(fingerprint, death)) return false;
+    return !othersOf(fingerprint, death).some((other) => isCondemned(other, nowMs));
+  }
+
+  /**
+   * Engines that die together by another cause than a request have no request in common, neither
+   * with each other nor with another death.
+   */
+  function isInfrastructureLoss(death: Death, nowMs: number): boolean {
+    if (hasCommonRequest(death, nowMs)) return false;
+    const near = deaths.near(death, settings.infrastructureMs);
+    return near.some((other) => !hasCommonRequest(other, nowMs));
+  }
+
+  function hasCommonRequest(death: Death, nowMs: number): boolean {
+    return [...death.candidates.keys()].some((fingerprint) => {
+      const isRepeated = deaths.of(fingerprint).length > 1;
+      return isRepeated && openDeathsOf(fingerprint, nowMs).length > 1;
+    });
+  }
+
+  /**
+   * Deaths in one failure domain within a short time count once: the domain may be failing, and a
+   * stream that was resumed within it meets the next loss without being its cause.
+   */
+  function countIncidents(blamed: readonly Death[]): number {
+    const counted: Death[] = [];
+    blamed.forEach((death) => {
+      const near = deaths.near(death, settings.infrastructureMs);
+      if (!near.some((other) => counted.includes(other))) counted.push(death);
+    });
+    return counted.length;
+  }
+
+  function othersOf(fingerprint: Fingerprint, death: Death): Fingerprint[] {
+    return [...death.candidates.keys()].filter((other) => other !== fingerprint);
+  }
+
+  function isLast(fingerprint: Fingerprint, death: Death): boolean {
+    return othersOf(fingerprint, death).every((other) => isClearedOf(other, death));
+  }
+
+  function standing(fingerprint: Fingerprint, nowMs: number): Standing {
+    expire(nowMs);
+    if (isCondemned(fingerprint, nowMs)) return 'condemned';
+    const blamed = blamedFor(fingerprint, nowMs);
+    const latest = blamed.at(-1);
+    if (latest === undefined) return 'clear';
+    if (countIncidents(blamed) < 2 || hasTwin(fingerprint, blamed, latest, nowMs)) {
+      return 'suspect';
+    }
+    const waitedMs = nowMs - latest.atMs;
+    if (waitedMs < settings.exchangeMs) return 'held';
+    // It was on every one of these deaths. Once all others of one of them are cleared, it is the
+    // cause of that one.
+    const isCause = blamed.some((death) => isLast(fingerprint, death));
+    if (!isCause && waitedMs < settings.holdMs) return 'held';
+    // The others had their time: now the number of deaths decides, or one more run.
+    if (!isCause && !isMostBlamed(fingerprint, blamed.length, latest, nowMs)) return 'suspect';
+    condemn(fingerprint, nowMs);
+    return 'condemned';
+  }
+
+  /** Another suspect of the same deaths, from which only a run apart can tell this one. */
+  function hasTwin(
+    fingerprint: Fingerprint,
+    blamed: readonly Death[],
+    latest: Death,
+    nowMs: number,
+  ): boolean {
+    return othersOf(fingerprint, latest).some((other) => {
+      if (isClearedOf(other, latest)) return false;
+      const otherBlamed = blamedFor(other, nowMs);
+      return blamed.every((death) => otherBlamed.includes(death));
+    });
+  }
+
+  function isMostBlamed(
+    fingerprint: Fingerprint,
+    count: number,
+    death: Death,
+    nowMs: number,
+  ): boolean {
+    return othersOf(fingerprint, death).every(
+      (other) => isClearedOf(other, death) || blamedFor(other, nowMs).length < count,
+    );
+  }
+
+  function condemn(fingerprint: Fingerprint, nowMs: number): void {
+    const expiresAtMs = nowMs + settings.culpritExpiryMs;
+    culprits.set(fingerprint, expiresAtMs);
+    bound(culprits, settings.maxSuspects);
+    blames.clear();
+    items.push({ kind: 'culprit', key: fingerprint, payload: '', expiresAtMs });
+  }
+
+  function clear(fingerprint: Fingerprint, nowMs: number): void {
+    const suspect = suspectOf(fingerprint);
+    suspect.clearedAtMs = nowMs;
+    blames.clear();
+    suspect.runner = undefined;
+    items.push({
+      kind: 'cleared',
+      key: fingerprint,
+      payload: String(nowMs),
+      expiresAtMs: nowMs + settings.culpritExpiryMs,
+    });
+  }
+
+  function onDeath(death: DeathReport, nowMs: number): void {
+    deaths.add(death, settings.routerId, nowMs);
+    blames.clear();
+    death.running.forEach(({ fingerprint }) => suspectOf(fingerprint));
+    for (let from = 0; from < death.running.length; from += REPORTS_PER_ITEM) {
+      const part = death.running.slice(from, from + REPORTS_PER_ITEM);
+      items.push(deathItem(death, settings.routerId, part, nowMs + settings.culpritExpiryMs));
+    }
+  }
+
+  function onItem(item: SuspectItem, nowMs: number): void {
+    if (item.expiresAtMs <= nowMs) return;
+    blames.clear();
+    const fingerprint = asId<Fingerprint>(item.key);
+    switch (item.kind) {
+      case 'death': {
+        const report = parseDeathItem(item);
+        if (report === undefined) return;
+        deaths.add(report.death, report.routerId, nowMs);
+        report.death.running.forEach((running) => suspectOf(running.fingerprint));
+        return;
+      }
+      case 'cleared': {
+        const suspect = suspectOf(fingerprint);
+        suspect.clearedAtMs = Math.max(suspect.clearedAtMs, Number(item.payload));
+        return;
+      }
+      case 'runner':
+        onRunnerItem(fingerprint, item, nowMs);
+        return;
+      case 'culprit':
+        culprits.set(fingerprint, Math.max(item.expiresAtMs, culprits.get(fingerprint) ?? 0));
+        bound(culprits, settings.maxSuspects);
+        break;
+      default:
+      // An item of a kind that a newer router sends.
+    }
+  }
+
+  function onRunnerItem(fingerprint: Fingerprint, item: SuspectItem, nowMs: number): void {
+    const [routerId = '', requestId = '', engineId = ''] = item.payload.split(SEPARATOR);
+    const suspect = suspectOf(fingerprint);
+    if (requestId === '') {
+      if (suspect.runner?.routerId === routerId) suspect.runner = undefined;
+      suspect.idleSinceMs = nowMs;
+      return;
+    }
+    const { runner } = suspect;
+    const isTaken = runner !== undefined && runner.untilMs > nowMs && runner.routerId < routerId;
+    if (!isTaken) suspect.runner = { routerId, requestId, engineId, untilMs: item.expiresAtMs };
+  }
+
+  function onProgress(fingerprint: Fingerprint, index: number, nowMs: number): void {
+    if (!suspects.has(fingerprint)) return;
+    expire(nowMs);
+    const open = openDeathsOf(fingerprint, nowMs);
+    const diedAt = open.map((death) => death.candidates.get(fingerprint)?.index ?? 0);
+    if (open.length === 0 || index < Math.max(...diedAt) + settings.clearTokens) return;
+    clear(fingerprint, nowMs);
+  }
+
+  function onEnd(
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    how: 'finished' | 'given_up',
+    nowMs: number,
+  ): void {
+    const suspect = suspects.get(fingerprint);
+    const isRunner =
+      suspect?.runner?.routerId === settings.routerId && suspect.runner.requestId === requestId;
+    if (suspect === undefined || !isRunner) return;
+    if (how === 'finished') {
+      clear(fingerprint, nowMs);
+      return;
+    }
+    suspect.runner = undefined;
+    suspect.idleSinceMs = nowMs;
+    const untilMs = nowMs + settings.runnerMs;
+    const { routerId } = settings;
+    items.push(runnerItem(fingerprint, { routerId, requestId: '', engineId: '', untilMs }));
+  }
+
+  function admit(
+    fingerprint: Fingerprint,
+    requestId: RequestId,
+    rank: number,
+    nowMs: number,
+  ): Admission {
+    const current = standing(fingerprint, nowMs);
+    if (current === 'condemned') return { kind: 'condemned' };
+    // Also before a loss of infrastructure is believed: the reports may show a common request.
+    const lastDeathMs = openDeathsOf(fingerprint, nowMs).at(-1)?.atMs ?? -Infinity;
+    const settledAtMs = lastDeathMs + settings.settleMs;
+    if (nowMs < settledAtMs) return { kind: 'wait', untilMs: settledAtMs };
+    const latest = blamedFor(fingerprint, nowMs).at(-1);
+    if (current === 'clear' || latest === undefined) return { kind: 'run' };
+    if (current === 'held') return { kind: 'wait', untilMs: nowMs + settings.settleMs };
+    const suspect = suspectOf(fingerprint);
+    const { runner } = suspect;
+    if (runner !== undefined && runner.untilMs > nowMs) {
+      const isOwn = runner.routerId === settings.routerId && runner.requestId === requestId;
+      if (!isOwn) return { kind: 'wait', untilMs: nowMs + settings.settleMs };
+    }
+    const turnAtMs = turnOf(fingerprint, suspect, latest, rank);
+    if (nowMs < turnAtMs) return { kind: 'wait', untilMs: turnAtMs };
+    const untilMs = nowMs + settings.runnerMs;
+    suspect.runner = { routerId: settings.routerId, requestId, engineId: '', untilMs };
+    // Others wait from now on, although the request may have to wait for an engine.
+    items.push(runnerItem(fingerprint, suspect.runner));
+    return { kind: 'run' };
+  }
+
+  function onPlaced(fingerprint: Fingerprint, engineId: EngineId): void {
+    const runner = suspects.get(fingerprint)?.runner;
+    if (runner?.routerId !== settings.routerId) return;
+    runner.engineId = engineId;
+    items.push(runnerItem(fingerprint, runner));
+  }
+
+  /**
+   * Routers that had the request on the dead engine come first, in the order of their ids, then
+   * the others by rank. Each sees the earlier one's start before its own turn comes.
+   */
+  function turnOf(fingerprint: Fingerprint, suspect: Suspect, latest: Death, rank: number): number {
+    const reporters = [...(latest.candidates.get(fingerprint)?.reporters ?? [])].sort();
+    const place = reporters.indexOf(settings.routerId);
+    const turn = place >= 0 ? place : reporters.length + rank;
+    const startMs = Math.max(latest.atMs + settings.settleMs, suspect.idleSinceMs);
+    return startMs + turn * settings.turnMs;
+  }
+
+  function avoid(
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    nowMs: number,
+  ): ReadonlySet<EngineId> {
+    const latest = openDeathsOf(fingerprint, nowMs).at(-1);
+    const ids = engines.map(({ engineId }) => engineId);
+    if (latest === undefined || ids.length === 0) return new Set();
+    // The caller's view of its engines may be older than the deaths.
+    const up = engines.filter(({ engineId }) => !deaths.hasDiedSince(engineId, nowMs - MERGE_MS));
+    if (up.length === 0) return new Set();
+    const { own, wave } = ownPart(fingerprint, up, latest, nowMs);
+    if (isInfrastructureLoss(latest, nowMs)) return without(ids, own);
+    // A first death is mostly a failure of the engine, and its streams go on at once. After a
+    // death with a request in common, waiting for an engine is cheaper than losing another.
+    const mayWait = hasCommonRequest(latest, nowMs);
+    const sinceMs = nowMs - latest.atMs;
+    const waveAtMs = Math.min(wave * settings.waveMs, settings.engineWaitMs);
+    if (mayWait && sinceMs < waveAtMs) return new Set(ids);
+    const taken = enginesOfOthers(fingerprint, nowMs);
+    const free = own.filter((engineId) => !taken.has(engineId));
+    const anyFree = up.map(({ engineId }) => engineId).filter((id) => !taken.has(id));
+    if (free.length > 0) return without(ids, free);
+    if (anyFree.length > 0) return without(ids, anyFree);
+    const isWaiting = mayWait && sinceMs < settings.engineWaitMs;
+    return isWaiting ? new Set(ids) : without(ids, own);
+  }
+
+  /**
+   * A share of the engines that no other suspect of the death has. With more suspects than
+   * engines, the later waves take the engines once the earlier ones are cleared. Each further
+   * death shuffles anew, so that two that had to share an engine part.
+   */
+  function ownPart(
+    fingerprint: Fingerprint,
+    engines: readonly PlacedEngine[],
+    death: Death,
+    nowMs: number,
+  ): { readonly own: readonly EngineId[]; readonly wave: number } {
+    const group = sortByHash([...death.candidates.keys()], death.engineId);
+    const usable = outsideLoss(engines, death, group.length, nowMs);
+    const ranked = sortByHash(usable, death.engineId);
+    const count = Math.min(group.length, ranked.length);
+    const place = Math.max(0, group.indexOf(fingerprint));
+    const own = ranked.filter((_, index) => index % count === place % count);
+    return { own, wave: Math.floor(place / count) };
+  }
+
+  /** Engines that run another suspect: a death there would make both look like culprits. */
+  function enginesOfOthers(fingerprint: Fingerprint, nowMs: number): ReadonlySet<EngineId> {
+    const taken = [...suspects].flatMap(([other, { runner }]) => {
+      const isRunning = other !== fingerprint && runner !== undefined && runner.untilMs > nowMs;
+      return isRunning && runner.engineId !== '' ? [asId<EngineId>(runner.engineId)] : [];
+    });
+    return new Set(taken);
+  }
+
+  /**
+   * A failure domain that has just lost an engine may lose the next one to the same cause, so it
+   * is avoided while the other domains take the suspects in two waves.
+   */
+  function outsideLoss(
+    engines: readonly PlacedEngine[],
+    latest: Death,
+    groupSize: number,
+    nowMs: number,
+  ): EngineId[] {
+    const isRecent = nowMs - latest.atMs <= settings.infrastructureMs;
+    const outside = engines.filter(
+      ({ failureDomain }) => !isRecent || failureDomain !== latest.failureDomain,
+    );
+    const isEnough = 2 * outside.length >= Math.min(groupSize, engines.length);
+    return (isEnough ? outside : engines).map(({ engineId }) => engineId);
+  }
+
+  function sortByHash<T extends string>(ids: readonly T[], salt: string): T[] {
+    const scored = ids.map((id) => ({ id, score: settings.hash(`${salt}${SEPARATOR}${id}`) }));
+    scored.sort((a, b) => a.score - b.score || (a.id < b.id ? -1 : 1));
+    return scored.map(({ id }) => id);
+  }
+
+  return {
+    onDeath,
+    onItem,
+    onProgress,
+    onEnd,
+    admit,
+    onPlaced,
+    avoid,
+    standing,
+    takeItems: () => {
+      const taken = items;
+      items = [];
+      return taken;
+    },
+    sizes: () => ({ suspects: suspects.size + culprits.size, deaths: deaths.size() }),
+  };
+}
+
+/** Drops the oldest entries of a map that has grown beyond its bound. */
+function bound<K, V>(map: Map<K, V>, maxSize: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= maxSize) return;
+    map.delete(key);
+  }
+}
+
+function without<T>(all: readonly T[], kept: readonly T[]): ReadonlySet<T> {
+  return new Set(all.filter((item) => !kept.includes(item)));
+}
+
+function runnerItem(fingerprint: Fingerprint, runner: Runner): SuspectItem {
+  const payload = [runner.routerId, runner.requestId, runner.engineId].join(SEPARATOR);
+  return { kind: 'runner', key: fingerprint, payload, expiresAtMs: runner.untilMs };
+}
+
+function deathItem(
+  death: DeathReport,
+  routerId: RouterId,
+  running: DeathReport['running'],
+  expiresAtMs: number,
+): SuspectItem {
+  const streams = running.map(({ fingerprint, index }) => `${fingerprint}:${index}`);
+  return {
+    kind: 'death',
+    key: [death.engineId, routerId, String(death.atMs), running[0]?.fingerprint ?? ''].join(
+      SEPARATOR,
+    ),
+    payload: [death.failureDomain, ...streams].join(SEPARATOR),
+    expiresAtMs,
+  };
+}
+
+function parseDeathItem(
+  item: SuspectItem,
+): { readonly death: DeathReport; readonly routerId: RouterId } | undefined {
+  const [engineId, routerId, atText] = item.key.split(SEPARATOR);
+  const [failureDomain, ...streams] = item.payload.split(SEPARATOR);
+  const atMs = Number(atText);
+  if (engineId === undefined || routerId === undefined || failureDomain === undefined) {
+    return undefined;
+  }
+  if (!Number.isFinite(atMs)) return undefined;
+  return {
+    routerId: asId<RouterId>(routerId),
+    death: {
+      engineId: asId<EngineId>(engineId),
+      failureDomain: asId<FailureDomain>(failureDomain),
+      atMs,
+      running: streams.map(parseStream),
+    },
+  };
+}
+
+function parseStream(text: string): DeathReport['running'][number] {
+  const [fingerprint = '', index] = text.split(':');
+  return { fingerprint: asId<Fingerprint>(fingerprint), index: Number(index ?? 0) || 0 };
+}
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -20,9 +20,11 @@
   asId,
   chainBlockHashes,
   createRetryBudget,
+  DEFAULTS,
   effectiveSettings,
   RETRY_BUDGET_DEFAULTS,
   toBlockKeys,
+  toRequestId,
 } from '@mimosamill/core';
 import { createCalls } from './call/calls';
 import { createCallRouter, createOwnerClient } from './call/peer';
@@ -30,10 +32,15 @@
 import { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
 import { createConfigRouter } from './config/peer';
 import { createCallerServer } from './http/server';
+import { createWithdrawalGossip } from './move/gossip';
+import { createMovePeerRouter } from './move/peer';
+import { createMoveWatch } from './move/watch';
 import { createPeers } from './peer/member';
 import { createPeerServer, SERVER_DEFAULTS } from './peer/server';
 import { createPeerTraffic } from './peer/traffic';
 import { createBackends } from './route/backends';
+import { createSuspectGuard } from './stream/guard';
+import { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
 import { createStreams } from './stream/streams';
 import type { InjectionToken } from 'tsyringe';
 import type {
@@ -54,8 +61,9 @@
 import type {
   FailureDomain,
   Fingerprint,
+  MoveId,
+  MoveRecord,
   Region,
-  RequestId,
   RetryBudget,
   RouterId,
 } from '@mimosamill/core';
@@ -63,11 +71,14 @@
 import type { Calls } from './call/calls';
 import type { ConfigFeed } from './config/feed';
 import type { ConfigRouter } from './config/peer';
+import type { MovePeerRouter } from './move/peer';
+import type { MoveWatch } from './move/watch';
 import type { Peers } from './peer/member';
 import type { PeerServer } from './peer/server';
 import type { PeerTraffic } from './peer/traffic';
 import type { Backends } from './route/backends';
 import type { RouterSettings } from './settings';
+import type { Replicas } from './stream/replica';
 import type { Streams } from './stream/streams';
 
 const CLOCK: InjectionToken<Clock> = Symbol('Clock');
@@ -84,6 +95,8 @@
 const PEERS: InjectionToken<Peers> = Symbol('Peers');
 const PEER_SERVER: InjectionToken<PeerServer> = Symbol('PeerServer');
 const FEED: InjectionToken<ConfigFeed> = Symbol('ConfigFeed');
+const REPLICAS: InjectionToken<Replicas> = Symbol('Replicas');
+const MOVES: InjectionToken<MoveWatch> = Symbol('MoveWatch');
 const BACKENDS: InjectionToken<Backends> = Symbol('Backends');
 const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
 const CALLS: InjectionToken<Calls> = Symbol('Calls');
@@ -97,6 +110,7 @@
 const OWN_DOMAIN_MS = 0.5;
 const OWN_REGION_MS = 1;
 const OTHER_REGION_MS = 40;
+const LABEL_CHARS = 8;
 
 /** Whether the router takes new work, and why not. */
 interface Readiness {
@@ -183,6 +197,30 @@
       settings: DEFAULT_FEED_SETTINGS,
     }),
   );
+  provide(REPLICAS, () =>
+    createReplicas(REPLICA_DEFAULTS, {
+      membership: use(PEERS),
+      pool: use(PEERS).pool,
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+    }),
+  );
+  provide(MOVES, () =>
+    createMoveWatch({
+      config: use(FEED),
+      membership: use(PEERS),
+      gossip: createWithdrawalGossip(use(PEERS)),
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      readRecord: (moveId) => readMoveRecord(use(TABLES), moveId),
+      sendEvidence: (peer, message) =>
+        use(PEERS)
+          .pool.client<MovePeerRouter>('moves', peer.peerAddress)
+          .evidence.mutate(message)
+          .catch(() => undefined),
+      onWithdrawn: (item, origin) => use(LOG).warn('version withdrawn', { ...item, origin }),
+    }),
+  );
   provide(PEER_SERVER, () =>
     createPeerServer(
       { host: settings.ip, port: settings.peerPort, ...SERVER_DEFAULTS },
@@ -191,6 +229,8 @@
         config: createConfigRouter(use(FEED).handler),
         // tRPC reserves the name 'call'.
         calls: createCallRouter(use(CALLS)),
+        replica: use(REPLICAS).router,
+        moves: createMovePeerRouter(use(MOVES)),
       },
       use(TRAFFIC),
     ),
@@ -217,10 +257,9 @@
       picker: {
         region: asId<Region>(settings.region),
         failureDomain: asId<FailureDomain>(settings.failureDomain),
-        routerCount: () => use(PEERS).members().length,
+        hash: hashes.hash32,
         blockTokens: BLOCK_TOKENS,
         prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
-        agingMs: 2_000,
         ownDomainMs: OWN_DOMAIN_MS,
         ownRegionMs: OWN_REGION_MS,
         otherRegionMs: OTHER_REGION_MS,
@@ -262,24 +301,17 @@
       random: Math.random,
       engines: use(ENGINES),
       directory: use(BACKENDS),
-      replicas: {
-        onStart: () => undefined,
-        onToken: () => undefined,
-        onEnd: () => undefined,
-        find: () => Promise.resolve(undefined),
-      },
-      suspects: {
-        check: () => undefined,
-        avoid: () => new Set(),
-        onSent: () => undefined,
-        onToken: () => undefined,
-        onEngineLost: () => undefined,
-        onEnd: () => undefined,
-      },
-      versions: {
-        choose: (service) => service.stableVersion,
-        observe: () => undefined,
-      },
+      replicas: use(REPLICAS),
+      suspects: createSuspectGuard({
+        clock: use(CLOCK),
+        hash: hashes.hash32,
+        membership: use(PEERS),
+        gossip: use(PEERS),
+        metrics: use(METRICS),
+        log: use(LOG),
+        culpritExpiryMs: use(FEED).current()?.defaults.culpritExpiryMs ?? DEFAULTS.culpritExpiryMs,
+      }),
+      versions: use(MOVES),
       metrics: use(METRICS),
       log: use(LOG),
       blockKeysOf: (text) => {
@@ -290,6 +322,7 @@
       fingerprintOf: (text) => asId<Fingerprint>(hashes.hash64(text)),
     }),
   );
+  const requestLabel = randomUUID().slice(0, LABEL_CHARS);
   provide(CALLER_SERVER, () =>
     createCallerServer({
       config: use(FEED),
@@ -301,7 +334,8 @@
       metrics: use(METRICS),
       log: use(LOG),
       limits: { maxBodyBytes: settings.maxBodyBytes },
-      createRequestId: () => asId<RequestId>(randomUUID()),
+      // One label a router, so that one peer holds the replicas of all its streams.
+      createRequestId: () => toRequestId(requestLabel, randomUUID()),
       settingsFor: (config, service, customer) =>
         effectiveSettings(config, {
           service,
@@ -323,13 +357,12 @@
   const peers = use(PEERS);
   const feed = use(FEED);
   await use(PEER_SERVER).listen();
-  peers.onNewerRevision((revision, peerAddress) => {
-    const member = peers.members().find((other) => other.peerAddress === peerAddress);
-    if (member !== undefined) feed.hear(revision, member.routerId);
-  });
+  peers.onNewerRevision(feed.hear);
   feed.onChange((config) => peers.setRevision(config.revision));
   peers.start();
   feed.start();
+  use(REPLICAS).start();
+  const stopMoves = use(MOVES).start();
   await use(BACKENDS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
@@ -344,6 +377,8 @@
       await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
       use(BACKENDS).stop();
       use(STREAMS).stop();
+      use(REPLICAS).stop();
+      stopMoves();
       feed.stop();
       await use(CALLER_SERVER).close();
       await peers.stop();
@@ -355,6 +390,12 @@
   };
 }
 
+async function readMoveRecord(tables: Tables, moveId: MoveId): Promise<MoveRecord | undefined> {
+  const answer = await tables.read([`moves/${moveId}`]);
+  const [row] = answer.kind === 'ok' ? answer.rows : [];
+  return row?.value as unknown as MoveRecord | undefined;
+}
+
 async function drain(settings: RouterSettings, use: Use): Promise<void> {
   const calls = use(CALLS).drain(0, settings.drainTimeoutMs);
   await Promise.all([use(STREAMS).drained(), calls]);
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -1,7 +1,9 @@
 import { createServeError } from '@mimosamill/core';
+import { createResumeGate } from './resumes';
 import { createRunningStream } from './stream';
 import type { RequestId, ServeError } from '@mimosamill/core';
 import type { StreamPorts, StreamReader, StreamRequest } from './ports';
+import type { FindOutcome } from './replica';
 import type { RunningStream } from './stream';
 
 export type OpenOutcome =
@@ -24,6 +26,11 @@
 }
 
 const SWEEP_PERIOD_MS = 20;
+const FIND_RETRY_MS = 100;
+/** Leaves the rest of the 3 s bound to the resume itself. */
+const FIND_LIMIT_MS = 2_000;
+/** Every router has answered; only a tail that was on its way can still turn up. */
+const FIND_ABSENT_LIMIT_MS = 300;
 /** Ended streams are kept for callers that lost the end of the answer. */
 const MAX_KEPT = 10_000;
 
@@ -33,8 +40,25 @@
   const running = ports.metrics.gauge('mimosamill_streams_running', 'Streams that have not ended');
   let drainWaiters: (() => void)[] = [];
 
+  const resumes = createResumeGate(clock);
+
   const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
 
+  ports.replicas.onRelease((requestId) => {
+    const stream = streams.get(requestId);
+    if (stream === undefined) return;
+    streams.delete(requestId);
+    stream.release();
+  });
+
+  ports.directory.onDown((engine) => {
+    const lostRequests = [...streams.values()]
+      .filter((stream) => stream.ended() === undefined && stream.isOn(engine.engineId))
+      .map((stream) => stream.lostRequest());
+    if (lostRequests.length > 0) ports.suspects.onDeath(engine, lostRequests);
+    ports.versions.onEngineDown(engine.service, engine, ports.directory.enginesOf(engine.service));
+  });
+
   function sweep(): void {
     const nowMs = clock.monotonicMs();
     streams.forEach((stream, requestId) => {
@@ -46,6 +70,7 @@
       stream.abandon();
       streams.delete(requestId);
     });
+    resumes.pump();
     forgetOldest();
     const count = runningCount();
     running.set(count);
@@ -73,7 +98,7 @@
       const error = createServeError('bad_request', 'the request id is already in use');
       return { kind: 'error', error };
     }
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.attach(reader);
     stream.start();
@@ -87,19 +112,41 @@
   ): Promise<OpenOutcome> {
     const local = streams.get(request.requestId);
     if (local !== undefined) return reattach(local, request, haveTokens, reader);
-    const left = await ports.replicas.find(request.requestId);
+    const found = await findReplica(request.requestId);
+    if (found.kind === 'absent') {
+      return lost(
+        `no copy of the stream was found; ${found.unansweredCount} routers did not answer`,
+      );
+    }
+    if (found.replica.start.bodyHash !== request.bodyHash) return differs();
+    const left = await ports.replicas.takeOver(found.replica);
     // Another connection of the same caller may have been faster.
     const raced = streams.get(request.requestId);
     if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
-    if (left === undefined) return lost('no copy of the stream is left');
-    if (left.bodyHash !== request.bodyHash) return differs();
-    const stream = createRunningStream(ports, request);
+    const stream = createRunningStream(ports, resumes, request);
     streams.set(request.requestId, stream);
     stream.takeOver(left, haveTokens);
     stream.attach(reader);
     return { kind: 'ok', stream };
   }
 
+  /**
+   * Looks more than once: after the loss of a router many callers come back at the same moment, a
+   * peer may refuse to be asked by all of them at once, and a restarted peer has a new address.
+   */
+  async function findReplica(requestId: RequestId): Promise<FindOutcome> {
+    const startedAtMs = clock.monotonicMs();
+    for (;;) {
+      const found = await ports.replicas.find(requestId);
+      if (found.kind === 'found') return found;
+      const limitMs = found.unansweredCount > 0 ? FIND_LIMIT_MS : FIND_ABSENT_LIMIT_MS;
+      if (clock.monotonicMs() - startedAtMs >= limitMs) return found;
+      await new Promise<void>((resolve) => {
+        clock.after(FIND_RETRY_MS, resolve);
+      });
+    }
+  }
+
   function reattach(
     stream: RunningStream,
     request: StreamRequest,
