--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,12 +1,8 @@
 import { callsMeasurement } from './calls';
+import { configMeasurement } from './config';
 import { limitsMeasurement } from './limit/limits';
 import { overloadMeasurement } from './limit/overload';
-import { configMeasurement } from './config';
 import { membershipMeasurement } from './membership';
-import type { Measurement } from './measurement';
-
-/** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, membershipMeasurement];
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
@@ -18,8 +14,9 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
-  limitsMeasurement,
   configMeasurement,
+  limitsMeasurement,
+  membershipMeasurement,
   movesMeasurement,
   ordersMeasurement,
   overloadMeasurement,
