--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,4 +1,8 @@
 import { callsMeasurement } from './calls';
+import { configMeasurement } from './config';
+import { limitsMeasurement } from './limit/limits';
+import { overloadMeasurement } from './limit/overload';
+import { membershipMeasurement } from './membership';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
@@ -10,8 +14,12 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
+  configMeasurement,
+  limitsMeasurement,
+  membershipMeasurement,
   movesMeasurement,
   ordersMeasurement,
+  overloadMeasurement,
   poisonMeasurement,
   relay,
   resume,
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -296,6 +296,7 @@
       onAttemptEvent,
     );
     register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    suspects.onPlaced(fingerprint, where.engineId);
     if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
     replicate({
       requestId,
@@ -403,6 +404,8 @@
     if (attempt === undefined) return;
     const { engineId } = attempt.place;
     avoided.add(engineId);
+    // A request that never reached the engine is no suspect, even if the engine is down.
+    if (cause === 'connect_failed') closeAttempt(attemptNo, 'failed', 'void');
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
