Read open moves each second and all moves every five

Ended moves stay as history, so a scan of all rows each second grows with the age of the deployment. Routers also retry an unreadable record every 5 s instead of every second, and send the open epochs again when an aggregator changes.

--- a/packages/controller/src/move/runner.ts
+++ b/packages/controller/src/move/runner.ts
@@ -1,5 +1,5 @@
 import { KEEP_WARM_MS, nextMoveEffects, planMove } from '@mimosamill/core';
-import type { Clock, JsonValue, Tables } from '@mimosamill/adapters';
+import type { Clock, JsonValue, Row, Tables } from '@mimosamill/adapters';
 import type {
   MoveEffect,
   MoveId,
@@ -41,6 +41,9 @@
 const REPORT_PREFIX = 'move-reports/';
 const PAGE_ROWS = 200;
 
+/** The rows of ended moves stay as history, so all rows are read less often than the open ones. */
+const SCAN_EVERY_MS = 5_000;
+
 /** A write is started only with this much of the lease left. */
 const MIN_REMAINING_MS = 1_000;
 
@@ -52,28 +55,40 @@
   const plans = new Map<MoveId, PlanOutcome>();
   const settled = new Set<MoveId>();
   const reported = new Set<MoveId>();
+  let openIds: readonly MoveId[] = [];
+  let nextScanMs = 0;
 
   function mayAct(): boolean {
     return lease.remainingMs() >= MIN_REMAINING_MS;
   }
 
+  /** Looks for new moves now and then, and otherwise reads those with something left to do. */
+  async function readMoves(): Promise<StoredMove[]> {
+    if (clock.monotonicMs() >= nextScanMs) return scanMoves();
+    if (openIds.length === 0) return [];
+    const answer = await tables.read(openIds.map((id) => `${PREFIX}${id}`));
+    return answer.kind === 'ok' ? answer.rows.map(toStored) : [];
+  }
+
   async function scanMoves(): Promise<StoredMove[]> {
     const moves: StoredMove[] = [];
     let afterKey = '';
     for (;;) {
       const page = await tables.scan(PREFIX, afterKey, PAGE_ROWS);
       if (page.kind !== 'ok') return [];
-      page.rows.forEach((row) => {
-        moves.push({ record: row.value as unknown as MoveRecord, version: row.version });
-      });
-      if (page.rows.length < PAGE_ROWS) return moves;
+      moves.push(...page.rows.map(toStored));
+      if (page.rows.length < PAGE_ROWS) break;
       afterKey = page.rows.at(-1)?.key ?? '';
     }
+    nextScanMs = clock.monotonicMs() + SCAN_EVERY_MS;
+    const open = moves.filter(({ record }) => !isForgotten(record) && !settled.has(record.id));
+    openIds = open.map(({ record }) => record.id);
+    return open;
   }
 
   async function runMove(move: StoredMove): Promise<void> {
     const { record } = move;
-    if (isForgotten(record) || settled.has(record.id)) return;
+    if (settled.has(record.id)) return;
     if (record.state !== 'running') {
       plans.delete(record.id);
       await report(record);
@@ -233,7 +248,7 @@
   return {
     poll: async () => {
       if (!mayAct()) return;
-      const moves = await scanMoves();
+      const moves = await readMoves();
       for (const move of moves) {
         if (!mayAct()) return;
         await runMove(move);
@@ -242,6 +257,10 @@
   };
 }
 
+function toStored(row: Row): StoredMove {
+  return { record: row.value as unknown as MoveRecord, version: row.version };
+}
+
 function operationId(record: MoveRecord, step: string): string {
   return `move/${record.id}/${step}`;
 }
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -103,6 +103,7 @@
   readonly toVersion: VersionName;
   readonly fromVersion: VersionName;
   readonly routeCount: number;
+  nextReadMs: number;
   watched: WatchedMove | undefined;
 }
 
@@ -112,6 +113,7 @@
   readonly pairing: Pairing;
   readonly own: EvidencePool;
   deaths: EngineDeath[];
+  receiverIds: string;
   /** Sums of the cells that both aggregators have, by cell. */
   sent: Map<string, number>;
 }
@@ -131,6 +133,9 @@
 
 const TICK_MS = 1_000;
 
+/** With 340 routers, a candidate without a readable record costs 68 reads/s. */
+const RECORD_RETRY_MS = 5_000;
+
 /** Ranking 600 engines for every request would take most of the time of its placement. */
 const SPLIT_REUSE_MS = 500;
 
@@ -190,6 +195,7 @@
         toVersion: version,
         fromVersion: service.stableVersion,
         routeCount: service.adapters.length + 1,
+        nextReadMs: 0,
         watched: undefined,
       });
     });
@@ -199,6 +205,8 @@
   }
 
   async function learnTimes(move: ActiveMove): Promise<void> {
+    if (clock.monotonicMs() < move.nextReadMs) return;
+    move.nextReadMs = clock.monotonicMs() + RECORD_RETRY_MS;
     const record = await ports.readRecord(move.moveId);
     if (record === undefined || move.watched !== undefined) return;
     const settings = {
@@ -212,6 +220,7 @@
       pairing: createPairing(settings),
       own: createEvidencePool(settings),
       deaths: [],
+      receiverIds: '',
       sent: new Map(),
     };
   }
@@ -240,6 +249,11 @@
     const cells = watched.pairing.cells(nowMs);
     watched.own.merge(routerId, cells);
     judge(itemOf(move), watched.own, nowMs);
+    const receivers = aggregators(move.moveId);
+    const receiverIds = receivers.map((each) => each.routerId).join();
+    // A new aggregator gets the open epochs from the start.
+    if (receiverIds !== watched.receiverIds) watched.sent = new Map();
+    watched.receiverIds = receiverIds;
     const changed = cells.filter((cell) => watched.sent.get(cellKey(cell)) !== cellSum(cell));
     const { deaths } = watched;
     if (changed.length === 0 && deaths.length === 0) return;
@@ -253,7 +267,7 @@
       deaths,
     };
     const replies = await Promise.all(
-      aggregators(move.moveId).map((peer) =>
+      receivers.map((peer) =>
         peer.routerId === routerId ? onEvidence(message) : ports.sendEvidence(peer, message),
       ),
     );
