Start a request on the old version when the new one fails it before a token

A request without tokens may now start again on the old version once no attempt is left that could deliver the first token. The same condition now guards the change of version when no engine has it: an open attempt of the other version could have delivered the first token, and a later resume would then have continued it on another version. Also adds an example of the controller's settings.

--- /dev/null
+++ b/packages/controller/test/settings.spec.ts
@@ -0,0 +1,19 @@
+import { fileURLToPath } from 'node:url';
+import { describe, expect, it } from 'vitest';
+import { loadSettings, parseSettings } from '@mimosamill/adapters';
+import { controllerSettingsSchema } from '../src/settings';
+
+const EXAMPLE = fileURLToPath(new URL('../controller.example.jsonc', import.meta.url));
+
+describe('settings of the controller', () => {
+  it('accept the example file', () => {
+    // Guards against an example that no longer matches the schema.
+    expect(loadSettings(EXAMPLE, controllerSettingsSchema).kind).toBe('ok');
+  });
+
+  it('refuse a lease term that leaves no time for an order', () => {
+    const outcome = parseSettings('c.jsonc', '{ "leaseTermMs": 100 }', controllerSettingsSchema);
+    const problems = outcome.kind === 'invalid' ? outcome.problems : [];
+    expect(problems.map(({ key }) => key)).toContain('leaseTermMs');
+  });
+});
--- a/packages/core/src/move/choose.ts
+++ b/packages/core/src/move/choose.ts
@@ -22,19 +22,26 @@
 }
 
 const HASH_RANGE = 2 ** 32;
+const NONE_FAILED: ReadonlySet<VersionName> = new Set();
 
-/** Chooses a new request's version; a request that has started stays on its version. */
+/**
+ * Chooses a new request's version; a request that has started stays on its version. `failed` are
+ * versions that no engine has, or that failed the request before its first token.
+ */
 export function chooseVersion(
   service: EngineServiceConfig,
   requestId: RequestId,
   withdrawals: Withdrawals,
   hash: Hash32,
+  failed: ReadonlySet<VersionName> = NONE_FAILED,
 ): VersionChoice {
   const { candidate } = service;
   const stable = findUsable(service, withdrawals);
   if (stable === undefined) return { kind: 'none' };
   const isCandidateUsable =
-    candidate !== undefined && withdrawals.find(service.name, candidate.version) === undefined;
+    candidate !== undefined &&
+    !failed.has(candidate.version) &&
+    withdrawals.find(service.name, candidate.version) === undefined;
   if (!isCandidateUsable) return { kind: 'ok', version: stable, group: 'other' };
   // The move's id makes every move choose other requests.
   const position = hash(`${candidate.moveId}\u0000${requestId}`) / HASH_RANGE;
--- a/packages/core/test/move/choose.spec.ts
+++ b/packages/core/test/move/choose.spec.ts
@@ -95,6 +95,18 @@
     expect(counts.control / 20_000).toBeCloseTo(0.2, 1);
   });
 
+  it('lets a request that the new version failed start on the old one', () => {
+    const [stable, next] = VERSIONS;
+    if (stable === undefined || next === undefined) throw new Error('no versions');
+    const candidate = { moveId: asId<MoveId>('m-1'), version: next, shareRatio: 1 };
+    const service = createService(stable, candidate);
+    const choose = (failed: VersionName[]) =>
+      chooseVersion(service, asId('r-1'), createWithdrawals(), hash, new Set(failed));
+    expect(choose([])).toEqual({ kind: 'ok', version: next, group: 'new' });
+    expect(choose([next])).toEqual({ kind: 'ok', version: stable, group: 'other' });
+    expect(choose([next, stable])).toEqual({ kind: 'ok', version: stable, group: 'other' });
+  });
+
   it('leaves every group an engine and keeps the groups apart', () => {
     fc.assert(
       fc.property(
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -74,8 +74,12 @@
 
 /** A router's part in the version moves. */
 export interface MoveWatch {
-  /** Version of a new request. */
-  readonly choose: (service: EngineServiceConfig, requestId: RequestId) => VersionChoice;
+  /** Version of a request without tokens; not the new one if it has failed the request. */
+  readonly choose: (
+    service: EngineServiceConfig,
+    requestId: RequestId,
+    failed?: ReadonlySet<VersionName>,
+  ) => VersionChoice;
   /** Engines that the group should leave to other requests, if it can. */
   readonly avoid: (
     service: EngineServiceConfig,
@@ -345,7 +349,8 @@
   gossip.onItem((item) => takeIn(item, 'peer'));
 
   return {
-    choose: (service, requestId) => chooseVersion(service, requestId, withdrawals, hash),
+    choose: (service, requestId, failed) =>
+      chooseVersion(service, requestId, withdrawals, hash, failed),
     avoid: (service, group, engines, busyRatio) => {
       const { candidate } = service;
       if (candidate === undefined) return new Set();
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -94,6 +94,8 @@
   /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
   let deferred: (() => void)[] = [];
   let version: VersionName | undefined;
+  /** Versions that failed this request before its first token, or that no engine has. */
+  const failedVersions = new Set<VersionName>();
   let group: VersionGroup = 'other';
   /** No engine of the group is left, so those reserved for other groups may be used. */
   let mayUseReserved = false;
@@ -229,8 +231,7 @@
       avoided.clear();
       mayUseReserved = true;
     }
-    // Nothing has been generated yet, so the request may still start on another version.
-    if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
+    if (found.reason === 'no_version') giveUpVersion();
     if (clock.monotonicMs() >= untilMs) {
       failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
       return;
@@ -245,8 +246,19 @@
     apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
   }
 
+  /**
+   * Lets the request start on another version, as long as nothing has been generated and no
+   * attempt is left that could still deliver the first token.
+   */
+  function giveUpVersion(): void {
+    const hasTokens = session.journal().length() > 0 || callerTokens > 0;
+    if (version === undefined || hasTokens || open.size > 0) return;
+    failedVersions.add(version);
+    version = undefined;
+  }
+
   function chooseVersion(): VersionName | undefined {
-    const choice = versions.choose(service, requestId);
+    const choice = versions.choose(service, requestId, failedVersions);
     if (choice.kind === 'none') return undefined;
     version = choice.version;
     group = choice.group;
@@ -409,6 +421,7 @@
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
+      giveUpVersion();
       whileConnected(() => loseAttempt(attemptNo, cause));
     });
   }
@@ -421,8 +434,10 @@
     if (attempt === undefined) return;
     avoided.add(attempt.place.engineId);
     if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
-    if (cause === 'failed') closeAttempt(attemptNo, 'failed');
-    else closeAttempt(attemptNo, 'refused', 'void');
+    if (cause === 'failed') {
+      closeAttempt(attemptNo, 'failed');
+      giveUpVersion();
+    } else closeAttempt(attemptNo, 'refused', 'void');
     whileConnected(() => loseAttempt(attemptNo, 'refused'));
   }
 
