Add the demo: a small fleet taken through its paces

Cause: nobody could see the product work without writing code. Change: "npm run demo" starts the stand-ins, three routers, three controllers and the administration API, configures them with mimosactl, kills an engine in the middle of an answer, books through two routers at once and moves the service to a new version while callers go on. Ruled out on the way: "apply -" failed because the argument parser drops a lone dash; it is named before parsing now and has a test. The controller never said that it was ready. Before: no demo.

--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -203,6 +203,9 @@
   };
 }
 
+/** Stands for "-", which the argument parser drops. */
+export const STANDARD_INPUT = 'stdin:';
+
 interface ChangeFile {
   readonly changes: unknown;
   readonly baseRevision?: number;
@@ -212,7 +215,7 @@
 function readChanges(file: string): ChangeFile | string {
   let text: string;
   try {
-    text = readFileSync(file === '-' ? 0 : file, 'utf8');
+    text = readFileSync(file === STANDARD_INPUT ? 0 : file, 'utf8');
   } catch (error) {
     return `${file}: ${(error as Error).message}`;
   }
--- a/packages/admin/src/cli/main.ts
+++ b/packages/admin/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { cac } from 'cac';
 import { createAdminClient } from './client';
-import { createCommands } from './commands';
+import { createCommands, STANDARD_INPUT } from './commands';
 import { EXIT } from './exit';
 import type { CommandOptions } from './commands';
 
@@ -48,6 +48,11 @@
   await client.close();
 }
 
+/** cac drops a lone "-", which stands for standard input. */
+function nameStandardInput(argv: readonly string[]): string[] {
+  return argv.map((word) => (word === '-' ? STANDARD_INPUT : word));
+}
+
 /** Lets "move order" be written for "move-order"; cac knows commands of one word only. */
 function joinMoveCommand(argv: readonly string[]): string[] {
   const index = argv.indexOf('move', 2);
@@ -146,7 +151,7 @@
 cli.version(VERSION);
 
 try {
-  cli.parse(joinMoveCommand(process.argv), { run: false });
+  cli.parse(nameStandardInput(joinMoveCommand(process.argv)), { run: false });
   const isAnswered = cli.options['help'] === true || cli.options['version'] === true;
   if (cli.matchedCommand === undefined && !isAnswered) {
     cli.outputHelp();
--- /dev/null
+++ b/packages/bench/src/demo/cli.ts
@@ -0,0 +1,54 @@
+import { spawn } from 'node:child_process';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+/** Runs the operators' command line as an operator would. */
+export interface Cli {
+  /** Output of a command; an exit code other than 0 is an error. */
+  readonly run: (args: readonly string[], input?: string) => Promise<string>;
+  /** Passes each line on while the command runs. */
+  readonly follow: (args: readonly string[], onLine: (line: string) => void) => Promise<void>;
+}
+
+export function createCli(server: string, key: string): Cli {
+  const file = join(dirname(fileURLToPath(import.meta.url)), 'mimosactl.mjs');
+  const env = { ...process.env, MIMOSACTL_SERVER: server, MIMOSACTL_KEY: key };
+
+  function execute(
+    args: readonly string[],
+    input: string,
+    onText: (text: string) => void,
+  ): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const child = spawn(process.execPath, [file, ...args], { env, stdio: 'pipe' });
+      let errors = '';
+      child.stdout.on('data', (chunk: Buffer) => onText(chunk.toString('utf8')));
+      child.stderr.on('data', (chunk: Buffer) => {
+        errors += chunk.toString('utf8');
+      });
+      child.once('exit', (code) => {
+        if (code === 0) resolve();
+        else reject(new Error(`mimosactl ${args.join(' ')}: exit code ${String(code)}: ${errors}`));
+      });
+      child.stdin.end(input);
+    });
+  }
+
+  return {
+    run: async (args, input = '') => {
+      let output = '';
+      await execute(args, input, (text) => {
+        output += text;
+      });
+      return output;
+    },
+    follow: async (args, onLine) => {
+      let rest = '';
+      await execute(args, '', (text) => {
+        const lines = (rest + text).split('\n');
+        rest = lines.pop() ?? '';
+        lines.forEach(onLine);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/demo/main.ts
@@ -0,0 +1,32 @@
+import { cac } from 'cac';
+import { runDemo } from './demo';
+
+async function main(isStaying: boolean): Promise<void> {
+  const demo = await runDemo((line) => console.log(line));
+  if (isStaying) {
+    console.log('the fleet stays up until Ctrl-C; try:');
+    demo.hints.forEach((hint) => console.log(`  ${hint}`));
+    console.log(JSON.stringify(demo.result));
+    process.once('SIGINT', () => {
+      void demo.stop().then(() => process.exit(0));
+    });
+    return;
+  }
+  await demo.stop();
+  console.log(JSON.stringify(demo.result));
+  const { result } = demo;
+  const isGood =
+    result.tokens_missing === 0 &&
+    result.tokens_repeated === 0 &&
+    result.bookings_run === result.bookings_requested &&
+    result.move === 'done';
+  process.exit(isGood ? 0 : 1);
+}
+
+const cli = cac('demo');
+cli
+  .command('', 'Start a small fleet and take it through its paces')
+  .option('--stay', 'Leave the fleet up afterwards')
+  .action((options: { stay?: boolean }) => main(options.stay === true));
+cli.help();
+cli.parse();
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -210,8 +210,7 @@
 
   async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
     const port = await findFreePort();
-    const own = { ip: IP, port, platform: platformAddress, ...settings };
-    const started = await start(binary, binary, own);
+    const started = await start(binary, binary, { ip: IP, port, ...settings });
     const address = `${IP}:${port}`;
     return { process: started, address, ownAddress: address, failureDomain: '', relay: undefined };
   }
--- /dev/null
+++ b/packages/bench/test/cli.spec.ts
@@ -0,0 +1,25 @@
+import { spawnSync } from 'node:child_process';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+
+const CLI = join(import.meta.dirname, '../../../dist/mimosactl.mjs');
+
+function runCli(args: readonly string[], input: string): { status: number | null; stderr: string } {
+  const env = { ...process.env, MIMOSACTL_KEY: 'key', MIMOSACTL_SERVER: '127.0.0.1:1' };
+  return spawnSync(process.execPath, [CLI, ...args], { env, input, encoding: 'utf8' });
+}
+
+describe('mimosactl', () => {
+  // Guards against the argument parser dropping "-", which made "apply -" a usage error.
+  it('reads changes from standard input', () => {
+    const broken = runCli(['apply', '-', '--why', 'test'], '[{');
+    expect(broken.stderr).toContain('not valid JSON with comments');
+    const sent = runCli(['apply', '-', '--why', 'test'], '[]');
+    expect(sent.stderr).toContain('ECONNREFUSED');
+  });
+
+  // Guards against scripts that take a mistyped command for a success.
+  it('ends with the usage code for an unknown command', () => {
+    expect(runCli(['aply'], '').status).toBe(2);
+  });
+});
--- a/packages/controller/src/compose.ts
+++ b/packages/controller/src/compose.ts
@@ -71,6 +71,7 @@
     log,
   );
   log.info('listening', { ip: settings.ip, port });
+  process.stdout.write('ready\n');
   return {
     stop: async () => {
       await duties.stop();
