Bound the serialised configuration kept for peers and measure its size

A router kept the 2.4 MB text of the configuration for 5,100 customers after a peer had read it; it is now dropped after 30 s. The measurement 'config' also reports sizes and the time of one change, and a test covers a router that was taken for dead while paused.

--- a/packages/bench/src/measure/config.ts
+++ b/packages/bench/src/measure/config.ts
@@ -6,6 +6,7 @@
 import { HEALTHY_FAULTS, startChaos } from '../config/chaos';
 import { createObserver } from '../config/observer';
 import { createOperators } from '../config/operators';
+import { measureSize } from '../config/size';
 import { startFleet } from '../fleet/fleet';
 import type { FleetConfig } from '@mimosamill/core';
 import type { Chaos } from '../config/chaos';
@@ -46,6 +47,7 @@
 
 async function measure({ seed, isFull }: MeasureOptions): Promise<MeasureResult> {
   const bootstrap = await compareBootstrap(seed, BOOTSTRAP_RUNS);
+  const size = measureSize();
   const random = createRandom(seed);
   const fleet = await startFleet({ seed });
   try {
@@ -66,6 +68,14 @@
     stage.observer.stop();
     return {
       ...result,
+      size: {
+        customers: size.customers,
+        snapshot_kb: Math.round(size.snapshotKb),
+        replica_heap_mb: round2(size.replicaHeapMb),
+        replica_apply_ms: round2(size.replicaApplyMs),
+        checked_apply_ms: round2(size.checkedApplyMs),
+        read_snapshot_ms: round2(size.readSnapshotMs),
+      },
       bootstrap: {
         runs: bootstrap.runs,
         changes: bootstrap.changes,
@@ -82,6 +92,10 @@
   }
 }
 
+function round2(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function routerId(index: number): string {
   return `router-${index}`;
 }
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -40,6 +40,8 @@
 
 /** Missed poll periods after which the process must have been paused. */
 const PAUSED_PERIODS = 3;
+/** A serialised configuration (2.4 MB for 5,100 customers) is kept only while peers read it. */
+const SNAPSHOT_KEEP_MS = 30_000;
 /** Peers asked at start; one alone may lag behind, and the newest answer is taken. */
 const START_PEERS = 3;
 /** Peers tried for a missing tail before the store is asked. */
@@ -242,6 +244,9 @@
     if (config === undefined) return { kind: 'gone' };
     if (revision === undefined && snapshot?.revision !== config.revision) {
       snapshot = { revision: config.revision, text: JSON.stringify(config) };
+      clock.after(SNAPSHOT_KEEP_MS, () => {
+        snapshot = undefined;
+      });
     }
     if (snapshot === undefined || (revision ?? snapshot.revision) !== snapshot.revision) {
       return { kind: 'gone' };
--- a/packages/router/test/config-feed.spec.ts
+++ b/packages/router/test/config-feed.spec.ts
@@ -114,6 +114,20 @@
     expect(revisions(world)).toEqual(allAt(1));
   });
 
+  // Guards against a router that serves an old configuration after a pause in which it was taken
+  // for dead, until a membership message reaches it.
+  it('catches up by itself after a pause', async () => {
+    for (let index = 0; index < NODES; index += 1) {
+      const world = createFeedWorld(NODES, index);
+      await world.run(1_000);
+      world.cutOff(index);
+      world.node(index).process.pause(2_500);
+      await world.change();
+      await world.run(2_900);
+      expect(world.node(index).feed.revision()).toBe(1);
+    }
+  });
+
   // Guards against a router that serves without configuration, or can't start in an outage.
   it('starts from peers while the store is down, and says why it is not ready', async () => {
     const world = createFeedWorld(NODES, 1);
--- a/packages/router/test/config-world.ts
+++ b/packages/router/test/config-world.ts
@@ -40,6 +40,8 @@
   readonly setFaults: (faults: Partial<StoreFaults>) => void;
   /** Part of the messages between routers that get lost. */
   readonly setLossRatio: (ratio: number) => void;
+  /** Drops what is sent to the node, as if it were thought dead; undefined ends this. */
+  readonly cutOff: (index: number | undefined) => void;
   readonly node: (index: number) => FeedNode;
   readonly nodes: () => readonly FeedNode[];
   /** Starts a node, or a new process in the place of one. */
@@ -63,6 +65,7 @@
   const tablesModel = createTablesModel();
   let faults: StoreFaults = NO_FAULTS;
   let lossRatio = 0;
+  let cutOffIndex: number | undefined;
   let runUntilMs = 0;
   let config: FleetConfig = EMPTY_CONFIG;
   let operations = 0;
@@ -90,6 +93,7 @@
         time.clock.after(CALL_TIMEOUT_MS, () => reject(new Error('timeout')));
         const target = nodes.find(({ member }) => member.peerAddress === to);
         if (target === undefined || random() < lossRatio) return;
+        if (target === nodes[cutOffIndex ?? -1]) return;
         time.clock.after(LATENCY_MS, () =>
           target.process.deliver(() => {
             answer(target).then((value) => {
@@ -167,6 +171,7 @@
     nodes.forEach(({ feed, member, process }) => {
       const other = nodes[Math.floor(random() * nodes.length)];
       if (process.isPaused() || other === undefined || random() < lossRatio) return;
+      if (other === nodes[cutOffIndex ?? -1]) return;
       other.process.deliver(() => other.feed.hear(feed.revision(), member.peerAddress));
     });
   }
@@ -203,6 +208,9 @@
     setLossRatio: (ratio) => {
       lossRatio = ratio;
     },
+    cutOff: (index) => {
+      cutOffIndex = index;
+    },
     node: (index) => {
       const found = nodes[index];
       if (found === undefined) throw new Error(`no node ${index}`);
