Bound the store reads that unknown keys and watchers cause

Every call with an unknown key read the head row, so a caller without a key could load the tables that everyone shares. Unknown keys now cause at most one read a second per host, and all watchers of revisions share one read per half second.

--- a/packages/admin/src/api/handlers.ts
+++ b/packages/admin/src/api/handlers.ts
@@ -40,11 +40,21 @@
 };
 
 const WATCH_PERIOD_MS = 500;
-const MAX_WATCHERS = 64;
+const MAX_WATCHERS = 32;
 
 export function createHandlers(deps: HandlerDeps): Handlers {
   const { clock, config: configAdmin, fleet, moves } = deps;
   let watchers = 0;
+  let watchedAtMs = -Infinity;
+
+  /** All watchers of revisions share one read of the store per period. */
+  async function readWatched(): Promise<FleetConfig | AdminError> {
+    const known = configAdmin.current();
+    const nowMs = clock.monotonicMs();
+    if (known !== undefined && nowMs - watchedAtMs < WATCH_PERIOD_MS) return known;
+    watchedAtMs = nowMs;
+    return configAdmin.refresh();
+  }
 
   /** Repeats a read until it has news or the time is over. */
   async function waitFor<T>(
@@ -131,7 +141,7 @@
     watch: async ({ query }) => {
       const read = await waitFor(
         query.waitMs,
-        configAdmin.refresh,
+        readWatched,
         (config) => 'kind' in config || config.revision > query.after,
       );
       if ('kind' in read) return read;
--- a/packages/admin/src/api/server.ts
+++ b/packages/admin/src/api/server.ts
@@ -30,11 +30,14 @@
 }
 
 const MAX_BODY_BYTES = 256 * 1024;
+const UNKNOWN_KEY_PERIOD_MS = 1_000;
+const UNKNOWN_KEY = adminError('unauthorized', 'the key is not known');
 
 /** Creates the administration API's server. */
 export function createAdminServer(deps: AdminServerDeps): HttpShell {
   const shell = createHttpShell({ ...DEFAULT_HTTP_LIMITS, maxConnections: 1_000 });
   const handlers = createHandlers(deps);
+  let unknownKeyAtMs = -Infinity;
   const denials = deps.metrics.counter(
     'mimosamill_admin_denials_total',
     'Calls that were not authenticated or not allowed',
@@ -50,12 +53,22 @@
   ): Promise<{ admin: Administrator; config: FleetConfig } | AdminError> {
     const key = /^Bearer (\S+)$/i.exec(req.headers.authorization ?? '')?.[1];
     if (key === undefined) return adminError('unauthorized', 'a bearer key is required');
+    const keyHash = sha256Hex(key);
+    if (!mayRefresh(keyHash)) return UNKNOWN_KEY;
     const config = await deps.config.refresh();
     if ('kind' in config) return config;
-    const admin = findAdministrator(config, sha256Hex(key));
-    return admin === undefined
-      ? adminError('unauthorized', 'the key is not known')
-      : { admin, config };
+    const admin = findAdministrator(config, keyHash);
+    return admin === undefined ? UNKNOWN_KEY : { admin, config };
+  }
+
+  /** Calls with unknown keys cause at most one read of the store a second. */
+  function mayRefresh(keyHash: string): boolean {
+    const known = deps.config.current();
+    if (known === undefined || findAdministrator(known, keyHash) !== undefined) return true;
+    const nowMs = deps.clock.monotonicMs();
+    if (nowMs - unknownKeyAtMs < UNKNOWN_KEY_PERIOD_MS) return false;
+    unknownKeyAtMs = nowMs;
+    return true;
   }
 
   async function answer(route: RouteSpec, req: AdminRequest): Promise<AdminAnswer> {
--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -73,7 +73,7 @@
   }
 
   async function currentRevision(): Promise<number | ClientAnswer> {
-    const answer = await client.get('/v1/watch', { after: 0, waitMs: 0 });
+    const answer = await client.get('/v1/config/teams', { limit: 1 });
     return answer.kind === 'ok' ? Number(answer.value['revision']) : answer;
   }
 
--- a/packages/admin/src/config/admin.ts
+++ b/packages/admin/src/config/admin.ts
@@ -47,6 +47,8 @@
 
 /** Reads and changes the stored configuration on behalf of administrators. */
 export interface ConfigAdmin {
+  /** The configuration read last, if any. */
+  readonly current: () => FleetConfig | undefined;
   /** Reads what is new; an error if there is no configuration even from before. */
   readonly refresh: () => Promise<FleetConfig | AdminError>;
   readonly apply: (admin: Administrator, request: ApplyRequest) => Promise<ChangeResult>;
@@ -184,6 +186,7 @@
   }
 
   return {
+    current: replica.current,
     refresh,
     apply,
     undo,
--- a/packages/admin/test/admin.spec.ts
+++ b/packages/admin/test/admin.spec.ts
@@ -156,6 +156,16 @@
     expect(total).toBe(5);
   });
 
+  // Guards against a caller without a key who loads the platform's tables.
+  it('reads the store at most once a second for unknown keys', async () => {
+    await world.clientOf(FLEET_KEY).get('/v1/export');
+    const before = world.reads();
+    const startMs = performance.now();
+    for (let call = 0; call < 50; call += 1) await world.clientOf('wrong').get('/v1/export');
+    const seconds = Math.ceil((performance.now() - startMs) / 1_000);
+    expect(world.reads() - before).toBeLessThanOrEqual(seconds + 1);
+  });
+
   // Guards against two operators who are both told that their change was accepted.
   it('accepts exactly one of two operators who read the same revision', async () => {
     const client = world.clientOf(FLEET_KEY);
--- a/packages/admin/test/world.ts
+++ b/packages/admin/test/world.ts
@@ -31,6 +31,8 @@
 export interface AdminWorld {
   readonly metrics: Metrics;
   readonly tables: Tables;
+  /** Reads of the tables so far. */
+  readonly reads: () => number;
   readonly address: string;
   readonly clientOf: (key: string) => AdminClient;
   /** Runs a command and returns what it printed, with its exit code. */
@@ -59,8 +61,9 @@
   const system = createSystemClock();
   const clock: Clock = { ...system, nowMs: () => NOW_MS };
   let faults: StoreFaults = NO_FAULTS;
+  const model = createTablesModel();
   const tables = createFakeTables(
-    createTablesModel(),
+    model,
     clock,
     () => faults,
     () => 0,
@@ -105,6 +108,7 @@
   return {
     metrics,
     tables,
+    reads: () => model.counts().reads,
     address,
     clientOf,
     createFirst,
--- a/packages/bench/src/config/operators.ts
+++ b/packages/bench/src/config/operators.ts
@@ -46,7 +46,7 @@
 
   async function readBase(client: AdminClient): Promise<number> {
     for (;;) {
-      const answer = await client.get('/v1/watch', { after: 0, waitMs: 0 });
+      const answer = await client.get('/v1/config/teams', { limit: 1 });
       if (answer.kind === 'ok') return Number(answer.value['revision']);
       await pause();
     }
