--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,6 +1,10 @@
 import { callsMeasurement } from './calls';
 import { configMeasurement } from './config';
+import { limitsMeasurement } from './limit/limits';
+import { overloadMeasurement } from './limit/overload';
+import { membershipMeasurement } from './membership';
 import { movesMeasurement } from './moves/measure';
+import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
 import { resume } from './resume/resume';
@@ -11,7 +15,11 @@
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
   configMeasurement,
+  limitsMeasurement,
+  membershipMeasurement,
   movesMeasurement,
+  ordersMeasurement,
+  overloadMeasurement,
   poisonMeasurement,
   relay,
   resume,
--- a/packages/core/src/stream/replica.ts
+++ b/packages/core/src/stream/replica.ts
@@ -68,8 +68,8 @@
 export const SENDER_DEFAULTS = {
   maxBatchBytes: 16_384,
   maxBatches: 4,
-  avoidMs: 10_000,
-  touchEveryMs: 30_000,
+  avoidMs: 2_000,
+  touchEveryMs: 5_000,
 } as const;
 
 export interface Outgoing {
@@ -88,7 +88,7 @@
 export interface ReplicaSender {
   readonly onStart: (start: ReplicaStart, texts: readonly string[]) => void;
   /** The stream moved to another engine or attempt. */
-  readonly onAttempt: (start: ReplicaStart) => void;
+  readonly onAttempt: (start: Omit<ReplicaStart, 'adoptionCount'>) => void;
   readonly onToken: (requestId: RequestId, index: number, text: string) => void;
   readonly onEnd: (requestId: RequestId, reason: FinishReason | undefined) => void;
   readonly onPeers: (peers: readonly ReplicaPeer[]) => void;
@@ -155,9 +155,13 @@
   }
 
   function chooseHolder(stream: Stream, nowMs: number): ReplicaPeer | undefined {
-    return ranked(stream.start.requestId).find(
-      (peer) => (holders.get(peer.routerId)?.avoidUntilMs ?? 0) <= nowMs,
-    );
+    const avoidUntilMs = (peer: ReplicaPeer): number =>
+      holders.get(peer.routerId)?.avoidUntilMs ?? 0;
+    const candidates = ranked(stream.start.requestId);
+    const usable = candidates.find((peer) => avoidUntilMs(peer) <= nowMs);
+    if (usable !== undefined) return usable;
+    // With all of them avoided, a peer that failed long ago is better than no replica at all.
+    return [...candidates].sort((a, b) => avoidUntilMs(a) - avoidUntilMs(b))[0];
   }
 
   /** Whether the holder lacks something; a new holder lacks everything. */
@@ -315,7 +319,7 @@
     onAttempt: (start) => {
       const stream = streams.get(start.requestId);
       if (stream === undefined) return;
-      stream.start = start;
+      stream.start = { ...start, adoptionCount: stream.start.adoptionCount };
       stream.isStartSent = false;
     },
     onToken: (requestId, index, text) => {
