--- a/packages/router/src/peer/pool.ts
+++ b/packages/router/src/peer/pool.ts
@@ -38,6 +38,8 @@
 
 interface Peer {
   readonly pool: Pool;
+  /** Clients by sub-router; a probe a second would otherwise build one each time. */
+  readonly clients: Map<string, unknown>;
   inFlight: number;
   usedAtMs: number;
 }
@@ -78,7 +80,7 @@
         });
       },
     });
-    const peer: Peer = { pool, inFlight: 0, usedAtMs: clock.monotonicMs() };
+    const peer: Peer = { pool, clients: new Map(), inFlight: 0, usedAtMs: clock.monotonicMs() };
     peers.set(peerAddress, peer);
     return peer;
   }
@@ -165,10 +167,15 @@
   }
 
   return {
-    client: <TRouter extends AnyRouter>(name: string, peerAddress: string) =>
-      createTRPCClient<TRouter>({
-        links: [createLink(name, peerAddress) as TRPCLink<TRouter>],
-      }),
+    client: <TRouter extends AnyRouter>(name: string, peerAddress: string) => {
+      const { clients } = open(peerAddress);
+      const known = clients.get(name) as TRPCClient<TRouter> | undefined;
+      if (known !== undefined) return known;
+      const links = [createLink(name, peerAddress) as TRPCLink<TRouter>];
+      const created = createTRPCClient<TRouter>({ links });
+      clients.set(name, created);
+      return created;
+    },
     size: () => peers.size,
     close: async () => {
       stopSweep();
