--- a/packages/core/src/route/cache.ts
+++ b/packages/core/src/route/cache.ts
@@ -61,6 +61,7 @@
   let phase: Phase = { kind: 'unknown' };
   let cursor = 0;
   let isTrusted = false;
+  let highestTipSeq = 0;
 
   /**
    * The tip is noted before the snapshot is read. Whatever happens between the two is then either
@@ -69,6 +70,7 @@
    */
   function rebuild(tipSeq: number): CacheEffect {
     blocks.clear();
+    highestTipSeq = tipSeq;
     setPhase({ kind: 'rebuilding', tipSeq });
     return { kind: 'fetch_snapshot' };
   }
@@ -85,9 +87,11 @@
     since: number | undefined,
     nowMs: number,
   ): CacheEffect {
-    const hasRestarted = batch.latestSeq < cursor;
+    // A snapshot may be ahead of the events, but the tip itself never goes back.
+    const hasRestarted = batch.latestSeq < highestTipSeq;
     const isGone = batch.oldestSeq > cursor + 1;
     if (hasRestarted || isGone) return rebuild(batch.latestSeq);
+    highestTipSeq = batch.latestSeq;
     const startSeq = cursor;
     const changes = [...batch.changes].sort((a, b) => a.seq - b.seq);
     for (const change of changes) {
--- a/packages/core/test/route-cache.spec.ts
+++ b/packages/core/test/route-cache.spec.ts
@@ -65,6 +65,19 @@
     );
   });
 
+  // Guards against reading snapshots for ever when they are ahead of the late events.
+  it('keeps a snapshot that is newer than the events', () => {
+    const view = createCacheView();
+    view.onBatch({ changes: [], oldestSeq: 1, latestSeq: 95 }, 0);
+    expect(view.onContent({ asOfSeq: 100, blockKeys: [7] })).toEqual({ kind: 'none' });
+    const late = { changes: [], oldestSeq: 1, latestSeq: 97 };
+    expect(view.onBatch(late, 100)).toEqual({ kind: 'none' });
+    expect(view.has(7)).toBe(true);
+    const restarted = { changes: [], oldestSeq: 1, latestSeq: 2 };
+    expect(view.onBatch(restarted, 200)).toEqual({ kind: 'fetch_snapshot' });
+    expect(view.has(7)).toBe(false);
+  });
+
   // Guards against memory that grows with the number of events.
   it('keeps at most its capacity of blocks, the newest ones', () => {
     const view = createCacheView(16);
--- /dev/null
+++ b/packages/router/src/limit/admission.ts
@@ -0,0 +1,220 @@
+import { createGate, createServeError } from '@mimosamill/core';
+import type { Clock, Metrics } from '@mimosamill/adapters';
+import type {
+  Gate,
+  GateEffect,
+  GateSettings,
+  Permit,
+  RoutePriority,
+  ServeError,
+  ServiceName,
+} from '@mimosamill/core';
+import type { Shares } from './shares';
+
+export interface AdmissionRequest {
+  readonly service: ServiceName;
+  readonly customer: string;
+  /** Weight of the customer in the fair queue. */
+  readonly weight: number;
+  /** Scopes whose limits apply: the customer's and, if it has one, the team's. */
+  readonly scopes: readonly string[];
+  readonly priority: RoutePriority;
+  readonly maxTokens: number;
+  readonly deadlineAtMs: number;
+}
+
+/** A request that may run. `onEnd` has to be called exactly once, whatever becomes of it. */
+export interface AdmissionPermit {
+  /** `delayMs`: time to the first token over the time without a queue at the engine. */
+  readonly onFirstToken: (delayMs: number) => void;
+  readonly onTokens: (count: number) => void;
+  /** The engine refused it for lack of room; it may be tried again under the same permit. */
+  readonly onOverloaded: () => void;
+  readonly onEnd: () => void;
+}
+
+export type AdmissionOutcome =
+  | { readonly kind: 'ok'; readonly permit: AdmissionPermit }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
+/** Decides whether and when a request runs: limits first, then the service's fair queue. */
+export interface Admission {
+  readonly admit: (request: AdmissionRequest, signal?: AbortSignal) => Promise<AdmissionOutcome>;
+  /** A part of a service's backend was lost at once. */
+  readonly onCapacityLost: (service: ServiceName, remainingRatio: number) => void;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+export interface AdmissionOptions {
+  readonly clock: Clock;
+  readonly shares: Pick<Shares, 'acquire'>;
+  readonly metrics: Metrics;
+  readonly gate?: GateSettings;
+}
+
+interface Waiter {
+  readonly settle: (error: ServeError | undefined) => void;
+}
+
+/** Measured duration of a service's requests. */
+interface Durations {
+  firstTokenMs: number;
+  tokenMs: number;
+  tokens: number;
+}
+
+const DEFAULT_GATE: GateSettings = {
+  queue: { maxWaiting: 1_024, maxWaitingPerCustomer: 256 },
+  window: { initial: 64, min: 4, max: 4_096, targetDelayMs: 100 },
+};
+const TICK_MS = 100;
+const SMOOTHING_RATIO = 0.05;
+const INITIAL_DURATIONS: Durations = { firstTokenMs: 200, tokenMs: 20, tokens: 200 };
+
+export function createAdmission(options: AdmissionOptions): Admission {
+  const { clock, shares } = options;
+  const gates = new Map<ServiceName, Gate<Waiter>>();
+  const durations = new Map<ServiceName, Durations>();
+  let stopTicks: (() => void) | undefined;
+  const refusals = options.metrics.counter(
+    'mimosamill_admission_refused_total',
+    'Requests refused before they ran',
+    ['service', 'reason'],
+  );
+
+  function gateOf(service: ServiceName): Gate<Waiter> {
+    const known = gates.get(service);
+    if (known !== undefined) return known;
+    const created = createGate<Waiter>(options.gate ?? DEFAULT_GATE);
+    gates.set(service, created);
+    return created;
+  }
+
+  function durationsOf(service: ServiceName): Durations {
+    const known = durations.get(service);
+    if (known !== undefined) return known;
+    const created = { ...INITIAL_DURATIONS };
+    durations.set(service, created);
+    return created;
+  }
+
+  function perform(service: ServiceName, effects: readonly GateEffect<Waiter>[]): void {
+    effects.forEach((effect) => {
+      if (effect.kind === 'start') {
+        effect.item.settle(undefined);
+        return;
+      }
+      const { reason, retryAfterMs } = effect;
+      refusals.inc({ service, reason });
+      effect.item.settle(
+        createServeError('overloaded', `the service is busy: ${reason}`, 'not_run', retryAfterMs),
+      );
+    });
+  }
+
+  /** Takes a part of every scope's limit, or none of any. */
+  async function acquire(
+    request: AdmissionRequest,
+  ): Promise<{ permits: Permit[]; error?: ServeError }> {
+    const permits: Permit[] = [];
+    for (const scope of request.scopes) {
+      const outcome = await shares.acquire(scope, request.maxTokens);
+      if (outcome.kind === 'over') {
+        permits.forEach((permit) => permit.onEnd(clock.monotonicMs()));
+        refusals.inc({ service: request.service, reason: outcome.meter });
+        const message = `${scope} is over its limit of ${outcome.meter}`;
+        const error = createServeError('over_limit', message, 'not_run', outcome.retryAfterMs);
+        return { permits: [], error };
+      }
+      permits.push(outcome.permit);
+    }
+    return { permits };
+  }
+
+  function waitForTurn(
+    request: AdmissionRequest,
+    signal: AbortSignal | undefined,
+  ): Promise<ServeError | undefined> {
+    const { service } = request;
+    const gate = gateOf(service);
+    const { firstTokenMs, tokenMs, tokens } = durationsOf(service);
+    const expectedTokens = Math.min(request.maxTokens, tokens);
+    return new Promise((resolve) => {
+      const waiter: Waiter = { settle: resolve };
+      const onAbort = (): void => {
+        if (!gate.withdraw(waiter)) return;
+        resolve(createServeError('request_timeout', 'the caller went away', 'not_run'));
+      };
+      signal?.addEventListener('abort', onAbort, { once: true });
+      const waiting = {
+        customer: request.customer,
+        weight: request.weight,
+        priority: request.priority,
+        deadlineAtMs: request.deadlineAtMs,
+        expectedMs: firstTokenMs + expectedTokens * tokenMs,
+        cost: Math.max(1, expectedTokens),
+        item: waiter,
+      };
+      perform(service, gate.offer(waiting, clock.monotonicMs()));
+    });
+  }
+
+  function createPermit(request: AdmissionRequest, permits: readonly Permit[]): AdmissionPermit {
+    const { service } = request;
+    const gate = gateOf(service);
+    const startedAtMs = clock.monotonicMs();
+    let firstTokenAtMs: number | undefined;
+    let tokens = 0;
+    let hasEnded = false;
+
+    function learn(nowMs: number): void {
+      if (firstTokenAtMs === undefined || tokens < 2) return;
+      const means = durationsOf(service);
+      const tokenMs = (nowMs - firstTokenAtMs) / (tokens - 1);
+      means.firstTokenMs += SMOOTHING_RATIO * (firstTokenAtMs - startedAtMs - means.firstTokenMs);
+      means.tokenMs += SMOOTHING_RATIO * (tokenMs - means.tokenMs);
+      means.tokens += SMOOTHING_RATIO * (tokens - means.tokens);
+    }
+
+    return {
+      onFirstToken: (delayMs) => {
+        const nowMs = clock.monotonicMs();
+        firstTokenAtMs ??= nowMs;
+        perform(service, gate.onDelay(delayMs, nowMs));
+      },
+      onTokens: (count) => {
+        tokens += count;
+        permits.forEach((permit) => permit.onTokens(count, clock.monotonicMs()));
+      },
+      onOverloaded: () => gate.onRefused(clock.monotonicMs()),
+      onEnd: () => {
+        if (hasEnded) return;
+        hasEnded = true;
+        const nowMs = clock.monotonicMs();
+        learn(nowMs);
+        permits.forEach((permit) => permit.onEnd(nowMs));
+        perform(service, gate.onEnd(nowMs));
+      },
+    };
+  }
+
+  return {
+    admit: async (request, signal) => {
+      const { permits, error } = await acquire(request);
+      if (error !== undefined) return { kind: 'error', error };
+      const refusal = await waitForTurn(request, signal);
+      if (refusal === undefined) return { kind: 'ok', permit: createPermit(request, permits) };
+      permits.forEach((permit) => permit.onEnd(clock.monotonicMs()));
+      return { kind: 'error', error: refusal };
+    },
+    onCapacityLost: (service, remainingRatio) =>
+      gateOf(service).onCapacityLost(remainingRatio, clock.monotonicMs()),
+    start: () => {
+      stopTicks = clock.every(TICK_MS, () => {
+        gates.forEach((gate, service) => perform(service, gate.tick(clock.monotonicMs())));
+      });
+    },
+    stop: () => stopTicks?.(),
+  };
+}
--- /dev/null
+++ b/packages/router/src/limit/shares.ts
@@ -0,0 +1,292 @@
+import {
+  BASE_RATIO,
+  createAllocator,
+  createDuty,
+  createPool,
+  createShare,
+  REGION_BASE_RATIO,
+  scaleAmounts,
+} from '@mimosamill/core';
+import { createLimitRouter, MAX_CLAIMS, packClaim, unpackAnswer } from './peer';
+import type { Clock, Log, Metrics } from '@mimosamill/adapters';
+import type {
+  AcquireOutcome,
+  Amounts,
+  Hash32,
+  Pool,
+  PoolClaim,
+  Share,
+  ShareAnswer,
+  ShareClaim,
+  ShareRequest,
+} from '@mimosamill/core';
+import type { Member, Membership } from '../peer/member';
+import type { PeerPool } from '../peer/pool';
+import type { Claims, LimitRouter } from './peer';
+
+export interface SharesOptions {
+  readonly clock: Clock;
+  readonly hash: Hash32;
+  readonly random: () => number;
+  readonly membership: Membership;
+  readonly pool: PeerPool;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  /** Limit of a scope over the whole fleet; undefined if the scope is not configured. */
+  readonly limitOf: (scope: string) => Amounts | undefined;
+}
+
+/** This router's parts of the fleet-wide limits, and the limits that it allocates for others. */
+export interface Shares {
+  /** To be mounted as 'limits'. */
+  readonly router: LimitRouter;
+  /** Waits for the answer to a claim if the share does not admit the request at once. */
+  readonly acquire: (scope: string, maxTokens: number) => Promise<AcquireOutcome>;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+interface Entry {
+  readonly share: Share;
+  waiting: (() => void)[];
+}
+
+/** A claim of this router, as a holder of a share or for its region's pool. */
+interface Outgoing {
+  readonly scope: string;
+  readonly wanted: Amounts;
+  readonly streamsInUse: number;
+  readonly onAnswer: (answer: ShareAnswer | undefined) => void;
+}
+
+const TICK_MS = 250;
+const CLAIM_TIMEOUT_MS = 500;
+/** A request waits this long for the answer to a claim. */
+const WAIT_MS = 150;
+const ROOT_PREFIX = 'root/';
+const NO_LIMIT: Amounts = { requestsPerSec: 0, tokensPerSec: 0, streams: 0 };
+
+export function createShares(options: SharesOptions): Shares {
+  const { clock, hash, membership, limitOf } = options;
+  const startedAtMs = clock.monotonicMs();
+  const entries = new Map<string, Entry>();
+  const pools = new Map<string, Pool>();
+  const allocator = createAllocator();
+  const regionDuty = createDuty(hash, startedAtMs);
+  const rootDuty = createDuty(hash, startedAtMs);
+  let regionRatio = 1;
+  let reachableRatio = 1;
+  let routerCount = 1;
+  let dutyKey = '';
+  let stopTicks: (() => void) | undefined;
+  const failures = options.metrics.counter(
+    'mimosamill_share_claims_failed_total',
+    'Claims that no allocator answered; the even part of the limit is used meanwhile',
+  );
+
+  function onMembers(members: readonly Member[]): void {
+    const { region } = membership.self();
+    const serving = members.filter(({ state }) => state === 'alive' || state === 'suspect');
+    const inRegion = serving.filter((member) => member.region === region);
+    // Routers that are gone still count for a while, because they may only be out of reach.
+    routerCount = Math.max(1, members.length);
+    reachableRatio = Math.max(1, serving.length) / routerCount;
+    regionRatio = Math.max(1, inRegion.length) / routerCount;
+    setHosts(inRegion.map(idOf), serving.map(idOf));
+  }
+
+  function setHosts(inRegion: string[], serving: string[]): void {
+    const nextKey = [...serving].sort().join(' ');
+    if (nextKey === dutyKey) return;
+    dutyKey = nextKey;
+    regionDuty.setHosts(inRegion, clock.monotonicMs());
+    rootDuty.setHosts(serving, clock.monotonicMs());
+  }
+
+  function entryOf(scope: string): Entry {
+    const known = entries.get(scope);
+    if (known !== undefined) return known;
+    const limit = limitOf(scope) ?? NO_LIMIT;
+    const share = createShare(limit, routerCount, clock.monotonicMs(), options.random());
+    const created: Entry = { share, waiting: [] };
+    entries.set(scope, created);
+    return created;
+  }
+
+  function poolOf(scope: string): Pool {
+    const limit = scaleAmounts(limitOf(scope) ?? NO_LIMIT, 1 - BASE_RATIO);
+    const known = pools.get(scope);
+    known?.setLimit(limit, regionRatio);
+    const pool = known ?? createPool(limit, regionRatio);
+    pools.set(scope, pool);
+    return pool;
+  }
+
+  /** Answers a claim, of another router or of this one. */
+  function onClaim(request: ShareRequest): ShareAnswer {
+    const nowMs = clock.monotonicMs();
+    const { routerId } = membership.self();
+    const isRoot = request.scope.startsWith(ROOT_PREFIX);
+    const duty = isRoot ? rootDuty : regionDuty;
+    if (duty.allocatorOf(request.scope) !== routerId) return { kind: 'not_responsible' };
+    allocator.holdOff(request.scope, duty.heldOffUntilMs(request.scope, routerId, nowMs));
+    const limit = limitOf(isRoot ? request.scope.slice(ROOT_PREFIX.length) : request.scope);
+    if (limit === undefined) return { kind: 'not_responsible' };
+    if (isRoot) {
+      const ratio = (1 - BASE_RATIO) * (1 - REGION_BASE_RATIO) * reachableRatio;
+      return allocator.request(request, scaleAmounts(limit, ratio), nowMs);
+    }
+    const pool = poolOf(request.scope);
+    const answer = allocator.request(request, pool.amounts(nowMs), nowMs);
+    send(poolClaims([request.scope]));
+    return answer;
+  }
+
+  function shareClaims(scopes: Iterable<string>): Outgoing[] {
+    const nowMs = clock.monotonicMs();
+    return [...scopes].flatMap((scope) => {
+      const entry = entries.get(scope);
+      const claim = entry?.share.dueClaim(nowMs);
+      if (entry === undefined || claim === undefined) return [];
+      const onAnswer = (answer: ShareAnswer | undefined): void => applyShare(entry, claim, answer);
+      return [{ scope, wanted: claim.wanted, streamsInUse: claim.streamsInUse, onAnswer }];
+    });
+  }
+
+  function applyShare(entry: Entry, claim: ShareClaim, answer: ShareAnswer | undefined): void {
+    const nowMs = clock.monotonicMs();
+    if (answer?.kind === 'granted') {
+      entry.share.onGrant(claim, answer.amounts, answer.leaseMs, nowMs);
+    } else {
+      failures.inc();
+      entry.share.onNoAnswer(nowMs, answer?.kind === 'not_ready' ? answer.retryAfterMs : undefined);
+    }
+    const { waiting } = entry;
+    entry.waiting = [];
+    waiting.forEach((resume) => resume());
+  }
+
+  function poolClaims(scopes: Iterable<string>): Outgoing[] {
+    const nowMs = clock.monotonicMs();
+    return [...scopes].flatMap((scope) => {
+      const pool = pools.get(scope);
+      const claim = pool?.dueClaim(allocator.wanted(scope, nowMs), nowMs);
+      if (pool === undefined || claim === undefined) return [];
+      const onAnswer = (answer: ShareAnswer | undefined): void => applyPool(pool, claim, answer);
+      const rootScope = `${ROOT_PREFIX}${scope}`;
+      return [{ scope: rootScope, wanted: claim.wanted, streamsInUse: 0, onAnswer }];
+    });
+  }
+
+  function applyPool(pool: Pool, claim: PoolClaim, answer: ShareAnswer | undefined): void {
+    if (answer?.kind === 'granted') pool.onGrant(claim, answer.amounts, answer.leaseMs);
+    else pool.onNoAnswer(clock.monotonicMs());
+  }
+
+  /** Sends claims to their allocators, those for the same one together. */
+  function send(claims: readonly Outgoing[]): void {
+    const byTarget = new Map<string, Outgoing[]>();
+    claims.forEach((claim) => {
+      const duty = claim.scope.startsWith(ROOT_PREFIX) ? rootDuty : regionDuty;
+      const target = duty.allocatorOf(claim.scope) ?? '';
+      const list = byTarget.get(target) ?? [];
+      list.push(claim);
+      byTarget.set(target, list);
+    });
+    byTarget.forEach((list, target) => {
+      for (let at = 0; at < list.length; at += MAX_CLAIMS) {
+        void sendTo(target, list.slice(at, at + MAX_CLAIMS));
+      }
+    });
+  }
+
+  async function sendTo(target: string, claims: readonly Outgoing[]): Promise<void> {
+    const { routerId, region } = membership.self();
+    // A region holds its pool under one name, whichever of its routers allocates at the time.
+    const holderOf = ({ scope }: Outgoing): string =>
+      scope.startsWith(ROOT_PREFIX) ? `region ${region}` : routerId;
+    if (target === routerId) {
+      claims.forEach((claim) => {
+        const { scope, wanted, streamsInUse } = claim;
+        claim.onAnswer(onClaim({ scope, holder: holderOf(claim), wanted, streamsInUse }));
+      });
+      return;
+    }
+    const address = membership.members().find((member) => idOf(member) === target)?.peerAddress;
+    const holders = [...new Set(claims.map(holderOf))];
+    await Promise.all(
+      holders.map(async (holder) => {
+        const own = claims.filter((claim) => holderOf(claim) === holder);
+        const answers = address === undefined ? [] : await post(address, holder, own);
+        own.forEach((claim, at) => claim.onAnswer(unpackAnswer(answers[at])));
+      }),
+    );
+  }
+
+  async function post(address: string, holder: string, claims: readonly Outgoing[]) {
+    const message: Claims = {
+      holder,
+      claims: claims.map(({ scope, wanted, streamsInUse }) =>
+        packClaim(scope, wanted, streamsInUse),
+      ),
+    };
+    try {
+      return await options.pool
+        .client<LimitRouter>('limits', address)
+        .claim.mutate(message, { context: { timeoutMs: CLAIM_TIMEOUT_MS } });
+    } catch (cause) {
+      options.log.debug('no answer to a claim', { address, cause: String(cause) });
+      return [];
+    }
+  }
+
+  function waitForClaim(entry: Entry): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = clock.after(WAIT_MS, resolve);
+      entry.waiting.push(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  async function acquire(scope: string, maxTokens: number): Promise<AcquireOutcome> {
+    const entry = entryOf(scope);
+    const outcome = entry.share.tryAcquire(clock.monotonicMs(), maxTokens);
+    const claims = shareClaims([scope]);
+    const isAnswerDue = claims.length > 0 || entry.share.isClaiming(clock.monotonicMs());
+    if (outcome.kind === 'ok' || !isAnswerDue) {
+      send(claims);
+      return outcome;
+    }
+    const answered = waitForClaim(entry);
+    send(claims);
+    await answered;
+    return entry.share.tryAcquire(clock.monotonicMs(), maxTokens);
+  }
+
+  function tick(): void {
+    const nowMs = clock.monotonicMs();
+    entries.forEach(({ share }, scope) => {
+      const limit = limitOf(scope);
+      if (limit !== undefined) share.setLimit(limit, routerCount, nowMs);
+      if (share.isIdle(nowMs)) entries.delete(scope);
+    });
+    send([...shareClaims(entries.keys()), ...poolClaims(pools.keys())]);
+  }
+
+  return {
+    router: createLimitRouter({ onClaim }),
+    acquire,
+    start: () => {
+      onMembers(membership.members());
+      membership.onChange(onMembers);
+      stopTicks = clock.every(TICK_MS, tick);
+    },
+    stop: () => stopTicks?.(),
+  };
+}
+
+function idOf(member: Member): string {
+  return member.routerId;
+}
--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -1,4 +1,5 @@
 import { asId, createPicker } from '@mimosamill/core';
+import { createCacheReader } from './cache-reader';
 import type {
   Clock,
   EngineClient,
@@ -8,7 +9,7 @@
   Metrics,
   ServiceClient,
 } from '@mimosamill/adapters';
-import type { EngineId, PickerSettings, Send, ServiceName } from '@mimosamill/core';
+import type { EngineId, LoadReport, PickerSettings, Send, ServiceName } from '@mimosamill/core';
 import type { ServerPicker } from '../call/ports';
 import type { EngineDirectory, KnownEngine } from '../stream/ports';
 
@@ -24,11 +25,18 @@
   /** Periods of reading the host list and the load of every backend server. */
   readonly hostListPeriodMs: number;
   readonly loadPeriodMs: number;
+  /**
+   * Engines whose load this router reads itself; by default all of them. The loads of the others
+   * come from digests, by `onReport`.
+   */
+  readonly isPolled?: (engineId: EngineId) => boolean;
 }
 
 /** Backend servers from the host list, with their latest known load. */
 export interface Backends extends EngineDirectory {
   readonly servers: ServerPicker;
+  /** A load report that another router read. */
+  readonly onReport: (engineId: EngineId, report: LoadReport) => void;
   readonly start: () => Promise<void>;
   readonly stop: () => void;
 }
@@ -39,6 +47,8 @@
   stepMs: number | undefined;
   isPolling: boolean;
   isDown: boolean;
+  /** Load reads that failed since the last answer. */
+  failedReads: number;
   /** The running check of whether it is down. */
   check: Promise<boolean> | undefined;
 }
@@ -46,13 +56,19 @@
 interface KnownServer {
   readonly address: string;
   readonly service: ServiceName;
-  isLeaving: boolean;
+  isListedLeaving: boolean;
+  /** Latest report of the server itself that it is leaving. */
+  leavingSinceMs: number | undefined;
   running: number;
   isPolling: boolean;
   /** Not used again before this time, after a refused connection. */
   refusedUntilMs: number;
 }
 
+/** Reads that fail in a row before an engine is used only if no other one answers. */
+const UNREACHABLE_READS = 2;
+/** A server that leaves may report its earlier state for a moment; see the engines' picker. */
+const LEAVING_HOLD_MS = 3_000;
 /** How long a server that refused a connection is passed over. */
 const REFUSED_MS = 2_000;
 /** Wait for an engine that dropped a connection to show that it is alive. */
@@ -61,6 +77,13 @@
 export function createBackends(options: BackendsOptions): Backends {
   const { clock, random } = options;
   const picker = createPicker(options.picker);
+  const cacheReader = createCacheReader({
+    engines: options.engines,
+    picker,
+    clock,
+    hash: options.picker.hash,
+    metrics: options.metrics,
+  });
   const engines = new Map<EngineId, EngineRecord>();
   const downHooks: ((engine: KnownEngine) => void)[] = [];
   const servers = new Map<string, KnownServer>();
@@ -98,6 +121,7 @@
         stepMs: undefined,
         isPolling: false,
         isDown: false,
+        failedReads: 0,
         check: undefined,
       });
     });
@@ -121,39 +145,53 @@
       const known = servers.get(host.address) ?? {
         address: host.address,
         service: asId<ServiceName>(host.service),
-        isLeaving: false,
+        isListedLeaving: false,
+        leavingSinceMs: undefined,
         running: 0,
         isPolling: false,
         refusedUntilMs: 0,
       };
-      known.isLeaving ||= host.state === 'leaving';
+      known.isListedLeaving = host.state === 'leaving';
       servers.set(host.address, known);
     });
   }
 
   async function readLoads(): Promise<void> {
     await Promise.all([
-      ...[...engines.values()].map(readEngine),
+      ...[...engines.values()].filter(isPolled).map(readEngine),
       ...[...servers.values()].map(readServer),
     ]);
   }
 
+  function isPolled({ engineId }: EngineRecord): boolean {
+    return options.isPolled?.(engineId) ?? true;
+  }
+
   async function readEngine(engine: EngineRecord): Promise<void> {
     // A paused engine answers late; one question at a time bounds what waits for it.
     if (engine.isPolling) return;
     engine.isPolling = true;
+    const sentAtMs = clock.monotonicMs();
     const answer = await options.engines.load(engine.address);
     engine.isPolling = false;
     if (answer.kind === 'unavailable') {
       unreachable.inc({ service: engine.service });
+      engine.failedReads += 1;
+      if (engine.failedReads >= UNREACHABLE_READS) picker.onUnreachable(engine.engineId);
       return;
     }
-    const { running, maxRunning, loaded, stepMs } = answer.value;
-    engine.stepMs = stepMs;
+    picker.onRoundTrip(engine.engineId, clock.monotonicMs() - sentAtMs);
+    applyReport(engine, answer.value);
+    await cacheReader.read(engine.engineId, engine.address);
+  }
+
+  function applyReport(engine: EngineRecord, report: LoadReport): void {
     engine.isDown = false;
-    engine.loadRatio = running / maxRunning;
-    engine.versions = loaded.map(({ version }) => version);
-    picker.onLoad(engine.engineId, answer.value, clock.monotonicMs());
+    engine.failedReads = 0;
+    engine.stepMs = report.stepMs;
+    engine.loadRatio = report.running / report.maxRunning;
+    engine.versions = report.loaded.map(({ version }) => version);
+    picker.onLoad(engine.engineId, report, clock.monotonicMs());
   }
 
   function confirmDown(engineId: EngineId): Promise<boolean> {
@@ -174,6 +212,7 @@
     if (answer !== 'silent' && answer.kind === 'ok') return false;
     if (!engine.isDown) {
       engine.isDown = true;
+      picker.onUnreachable(engine.engineId);
       downHooks.forEach((fn) => fn(engine));
     }
     return true;
@@ -188,14 +227,24 @@
       unreachable.inc({ service: server.service });
       return;
     }
-    server.isLeaving = load.state === 'leaving';
+    noteLeaving(server, load.state === 'leaving');
     server.running = load.running;
   }
 
+  function noteLeaving(server: KnownServer, isLeaving: boolean): void {
+    const nowMs = clock.monotonicMs();
+    const sinceMs = server.leavingSinceMs;
+    if (isLeaving) server.leavingSinceMs = nowMs;
+    else if (sinceMs !== undefined && nowMs >= sinceMs + LEAVING_HOLD_MS) {
+      server.leavingSinceMs = undefined;
+    }
+  }
+
   function pickServer(service: ServiceName, excluded: ReadonlySet<string>): string | undefined {
     const nowMs = clock.monotonicMs();
     const usable = [...servers.values()].filter(
-      (server) => server.service === service && !server.isLeaving && !excluded.has(server.address),
+      (server) =>
+        server.service === service && !isServerLeaving(server) && !excluded.has(server.address),
     );
     const healthy = usable.filter(({ refusedUntilMs }) => refusedUntilMs <= nowMs);
     const candidates = healthy.length > 0 ? healthy : usable;
@@ -242,6 +291,10 @@
         if (server !== undefined) server.refusedUntilMs = clock.monotonicMs() + REFUSED_MS;
       },
     },
+    onReport: (engineId, report) => {
+      const engine = engines.get(engineId);
+      if (engine !== undefined) applyReport(engine, report);
+    },
     start: async () => {
       await readHosts();
       await readLoads();
@@ -259,3 +312,7 @@
     stop: () => cancels.forEach((cancel) => cancel()),
   };
 }
+
+function isServerLeaving(server: KnownServer): boolean {
+  return server.isListedLeaving || server.leavingSinceMs !== undefined;
+}
