--- a/packages/bench/src/measure/moves/paired.ts
+++ b/packages/bench/src/measure/moves/paired.ts
@@ -1,5 +1,5 @@
 import { createLeaseKeeper, createMoveRunner } from '@mimosamill/controller';
-import { asId, asRevision, DEFAULTS, packedEngineCount } from '@mimosamill/core';
+import { asAttemptNo, asId, asRevision, DEFAULTS, packedEngineCount } from '@mimosamill/core';
 import { createFakeTables, createTablesModel } from '@mimosamill/fakes';
 import { createMoveWatch } from '@mimosamill/router';
 import { createHarmCounter } from './result';
@@ -120,7 +120,10 @@
       lease,
       config: config.port,
       fleet: fleet.port,
-      withdrawnReason: () => routers[index]?.watch.withdrawals()[0]?.reason,
+      withdrawals: {
+        reasonFor: () => routers[index]?.watch.withdrawals()[0]?.reason,
+        isFresh: () => true,
+      },
       onEnded: (record) => ended.push(record),
       onReversed: () => undefined,
     });
@@ -146,6 +149,7 @@
     const observer = router.watch.onAttempt({
       service: SERVICE,
       version: choice.version,
+      attemptNo: asAttemptNo(1),
       route: `route-${attempt.route}`,
       group: choice.group,
       controlLoadRatio: loads.oldLoad,
@@ -351,7 +355,7 @@
       loadedCount();
       wanted = Math.max(wanted, count);
     },
-    unload: async () => undefined,
+    unload: async () => true,
   };
   return { port, loadedCount };
 }
@@ -361,7 +365,7 @@
   const used = packedEngineCount(share, engineCount, busyRatio);
   const newLoad = (share * engineCount * busyRatio) / used;
   const oldShare = Math.min(share, 1 - share);
-  const oldUsed = share >= 0.5 ? Math.max(1, engineCount - used) : used;
+  const oldUsed = Math.max(1, Math.min(used, engineCount - used));
   return { newLoad, oldLoad: (oldShare * engineCount * busyRatio) / oldUsed, engineCount: used };
 }
 
