Admit requests by fleet-wide limits and a fair queue in the router

Change: packages/router/src/limit: shares (claims, allocator and region pools over the tRPC sub-router 'limits'), admission (limits, then the service's fair queue) and the permit that a stream keeps until its end.

--- a/packages/core/src/limit/share.ts
+++ b/packages/core/src/limit/share.ts
@@ -223,6 +223,9 @@
     },
     onNoAnswer: (nowMs, retryAfterMs = CLAIM_RETRY_MS) => {
       fill(nowMs);
+      // Without an allocator a new holder may serve one request at once.
+      if (isFirstGrant) requestLevel = Math.max(requestLevel, 1);
+      isFirstGrant = false;
       hold.onNoAnswer(nowMs, retryAfterMs);
     },
     setLimit: (next, nextCount, nowMs) => {
--- a/packages/core/src/limit/window.ts
+++ b/packages/core/src/limit/window.ts
@@ -34,7 +34,7 @@
 const INCREASE_DOUBLING_MS = 2_000;
 /** One queue makes many requests late at the same time; it counts once per period. */
 const DECREASE_PERIOD_MS = 1_000;
-/** The window only grows while it is used. */
+/** The window only changes by delay while it is used. */
 const USED_RATIO = 0.8;
 
 export function createWindow(settings: WindowSettings): Window {
@@ -62,9 +62,11 @@
       running = Math.max(0, running - 1);
     },
     onDelay: (delayMs, nowMs) => {
+      // A window that is not used up holds nothing back, so the delay has another cause.
+      if (running < limit * USED_RATIO) return;
       if (delayMs > LONG_DELAYS * settings.targetDelayMs) decrease(LONG_DECREASE_RATIO, nowMs);
       else if (delayMs > settings.targetDelayMs) decrease(DECREASE_RATIO, nowMs);
-      else if (running >= limit * USED_RATIO) limit = Math.min(settings.max, limit + step(nowMs));
+      else limit = Math.min(settings.max, limit + step(nowMs));
     },
     onRefused: (nowMs) => decrease(LONG_DECREASE_RATIO, nowMs),
     scale: (ratio, nowMs) => {
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -32,6 +32,9 @@
 import { createConfigFeed, DEFAULT_FEED_SETTINGS } from './config/feed';
 import { createConfigRouter } from './config/peer';
 import { createCallerServer } from './http/server';
+import { createAdmission } from './limit/admission';
+import { limitOfScope } from './limit/scopes';
+import { createShares } from './limit/shares';
 import { createWithdrawalGossip } from './move/gossip';
 import { createMovePeerRouter } from './move/peer';
 import { createMoveWatch } from './move/watch';
@@ -71,6 +74,8 @@
 import type { Calls } from './call/calls';
 import type { ConfigFeed } from './config/feed';
 import type { ConfigRouter } from './config/peer';
+import type { Admission } from './limit/admission';
+import type { Shares } from './limit/shares';
 import type { MovePeerRouter } from './move/peer';
 import type { MoveWatch } from './move/watch';
 import type { Peers } from './peer/member';
@@ -101,6 +106,8 @@
 const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
 const CALLS: InjectionToken<Calls> = Symbol('Calls');
 const STREAMS: InjectionToken<Streams> = Symbol('Streams');
+const SHARES: InjectionToken<Shares> = Symbol('Shares');
+const ADMISSION: InjectionToken<Admission> = Symbol('Admission');
 const CALLER_SERVER: InjectionToken<HttpShell> = Symbol('CallerServer');
 
 /** Characters of a prompt per cache block; engines count tokens, which the router doesn't see. */
@@ -221,6 +228,18 @@
       onWithdrawn: (item, origin) => use(LOG).warn('version withdrawn', { ...item, origin }),
     }),
   );
+  provide(SHARES, () =>
+    createShares({
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      random: Math.random,
+      membership: use(PEERS),
+      pool: use(PEERS).pool,
+      metrics: use(METRICS),
+      log: use(LOG),
+      limitOf: (scope) => limitOfScope(use(FEED).current(), scope),
+    }),
+  );
   provide(PEER_SERVER, () =>
     createPeerServer(
       { host: settings.ip, port: settings.peerPort, ...SERVER_DEFAULTS },
@@ -230,6 +249,7 @@
         // tRPC reserves the name 'call'.
         calls: createCallRouter(use(CALLS)),
         replica: use(REPLICAS).router,
+        limits: use(SHARES).router,
         moves: createMovePeerRouter(use(MOVES)),
       },
       use(TRAFFIC),
@@ -323,12 +343,15 @@
     }),
   );
   const requestLabel = randomUUID().slice(0, LABEL_CHARS);
+  provide(ADMISSION, () =>
+    createAdmission({ clock: use(CLOCK), shares: use(SHARES), metrics: use(METRICS) }),
+  );
   provide(CALLER_SERVER, () =>
     createCallerServer({
       config: use(FEED),
       streams: use(STREAMS),
       calls: use(CALLS),
-      gate: { admit: () => Promise.resolve(undefined) },
+      admission: use(ADMISSION),
       clock: use(CLOCK),
       tracer: use(TRACER),
       metrics: use(METRICS),
@@ -363,6 +386,8 @@
   feed.start();
   use(REPLICAS).start();
   const stopMoves = use(MOVES).start();
+  use(SHARES).start();
+  use(ADMISSION).start();
   await use(BACKENDS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
@@ -375,6 +400,8 @@
       peers.leave();
       await wait(use(CLOCK), settings.drainNoticeMs);
       await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
+      use(SHARES).stop();
+      use(ADMISSION).stop();
       use(BACKENDS).stop();
       use(STREAMS).stop();
       use(REPLICAS).stop();
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -8,6 +8,7 @@
   sha256Hex,
 } from '@mimosamill/adapters';
 import { asId, createServeError } from '@mimosamill/core';
+import { customerScope } from '../limit/scopes';
 import { createAuthenticator, mayUse } from './auth';
 import { createJsonCaller, createSseCaller } from './caller';
 import { createChunkWriter, findService, parseCompletion } from './completions';
@@ -24,24 +25,17 @@
   CallResult,
 } from '@mimosamill/core';
 import type { Calls } from '../call/calls';
+import type { Admission, AdmissionOutcome, AdmissionRequest } from '../limit/admission';
 import type { ConfigSource } from '../config/source';
 import type { StreamRequest } from '../stream/ports';
 import type { OpenOutcome, Streams } from '../stream/streams';
 import type { CompletionBody, CompletionKind } from './completions';
 
-/** Asked before a request may run. */
-export interface AdmissionGate {
-  readonly admit: (
-    customer: CustomerConfig,
-    request: { readonly service: ServiceName; readonly priority: string; readonly tokens: number },
-  ) => Promise<ServeError | undefined>;
-}
-
 export interface CallerServerOptions {
   readonly config: ConfigSource;
   readonly streams: Streams;
   readonly calls: Calls;
-  readonly gate: AdmissionGate;
+  readonly admission: Pick<Admission, 'admit'>;
   readonly clock: Clock;
   readonly tracer: Tracer;
   readonly metrics: Metrics;
@@ -114,18 +108,31 @@
       caller.customer,
       reconnect,
     );
-    if (reconnect === undefined) {
-      const error = await options.gate.admit(caller.customer, {
-        service: service.name,
-        priority: parsed.body.priority,
-        tokens: request.maxTokens,
-      });
-      if (error !== undefined) {
-        request.span.end(error.code);
-        return refuse(res, kind, error);
-      }
+    if (reconnect !== undefined) return serve(res, parsed.body, request, reconnect);
+    const { priority, maxTokens, deadlineAtMs } = request;
+    const scope = { service: service.name, priority, maxTokens, deadlineAtMs };
+    const admission = await admit(res, caller.customer, scope);
+    if (admission.kind === 'error') {
+      request.span.end(admission.error.code);
+      return refuse(res, kind, admission.error);
     }
-    await serve(res, parsed.body, request, reconnect);
+    await serve(res, parsed.body, { ...request, permit: admission.permit }, undefined);
+  }
+
+  /** Waits for the customer's limits and the service's queue; a caller that leaves stops waiting. */
+  async function admit(
+    res: ServerResponse,
+    customer: CustomerConfig,
+    scope: Pick<AdmissionRequest, 'service' | 'priority' | 'maxTokens' | 'deadlineAtMs'>,
+  ): Promise<AdmissionOutcome> {
+    const gone = new AbortController();
+    const onClose = (): void => gone.abort();
+    res.once('close', onClose);
+    const { id, weight } = customer;
+    const request = { ...scope, customer: id, weight, scopes: [customerScope(id)] };
+    const outcome = await options.admission.admit(request, gone.signal);
+    res.off('close', onClose);
+    return outcome;
   }
 
   async function serve(
@@ -146,6 +153,7 @@
         ? streams.open(request, caller)
         : await streams.reopen(request, have, caller);
     if (outcome.kind === 'error') {
+      request.permit?.onEnd();
       request.span.end(outcome.error.code);
       return refuse(res, body.kind, outcome.error);
     }
@@ -209,31 +217,38 @@
     if (!mayUse(caller.customer, found.name)) {
       return refuse(res, 'call', createServeError('forbidden', 'the key may not use this service'));
     }
-    const gateError = await options.gate.admit(caller.customer, {
+    const settings = options.settingsFor(caller.config, found.name, caller.customer);
+    const deadlineMs = Number(
+      headerOf(req, 'x-deadline-ms') ?? Math.min(settings.deadlineMs, CALL_DEADLINE_MS),
+    );
+    const admission = await admit(res, caller.customer, {
       service: found.name,
       priority: 'normal',
-      tokens: 0,
+      maxTokens: 0,
+      deadlineAtMs: clock.monotonicMs() + deadlineMs,
     });
-    if (gateError !== undefined) return refuse(res, 'call', gateError);
-    const settings = options.settingsFor(caller.config, found.name, caller.customer);
+    if (admission.kind === 'error') return refuse(res, 'call', admission.error);
     const span = options.tracer.start('call', headerOf(req, 'traceparent'), {
       service: found.name,
       operation: path.operation,
     });
     const key = headerOf(req, 'idempotency-key');
-    const result = await calls.run({
-      service: found.name,
-      operation: path.operation,
-      ...(key === undefined ? {} : { key }),
-      body: body.text,
-      customerId: caller.customer.id,
-      deadlineMs: Number(
-        headerOf(req, 'x-deadline-ms') ?? Math.min(settings.deadlineMs, CALL_DEADLINE_MS),
-      ),
-      traceparent: span.traceparent,
-    });
-    span.end(result.kind === 'ok' ? undefined : result.error.code);
-    sendCallResult(res, result);
+    try {
+      const result = await calls.run({
+        service: found.name,
+        operation: path.operation,
+        ...(key === undefined ? {} : { key }),
+        body: body.text,
+        customerId: caller.customer.id,
+        deadlineMs,
+        traceparent: span.traceparent,
+      });
+      admission.permit.onFirstToken();
+      span.end(result.kind === 'ok' ? undefined : result.error.code);
+      sendCallResult(res, result);
+    } finally {
+      admission.permit.onEnd();
+    }
   }
 
   function sendCallResult(res: ServerResponse, result: CallResult): void {
--- a/packages/router/src/limit/admission.ts
+++ b/packages/router/src/limit/admission.ts
@@ -25,8 +25,7 @@
 
 /** A request that may run. `onEnd` has to be called exactly once, whatever becomes of it. */
 export interface AdmissionPermit {
-  /** `delayMs`: time to the first token over the time without a queue at the engine. */
-  readonly onFirstToken: (delayMs: number) => void;
+  readonly onFirstToken: () => void;
   readonly onTokens: (count: number) => void;
   /** The engine refused it for lack of room; it may be tried again under the same permit. */
   readonly onOverloaded: () => void;
@@ -69,6 +68,8 @@
   window: { initial: 64, min: 4, max: 4_096, targetDelayMs: 100 },
 };
 const TICK_MS = 100;
+/** The design page's target; only what exceeds it counts as delay by a queue at the engines. */
+const FIRST_TOKEN_TARGET_MS = 370;
 const SMOOTHING_RATIO = 0.05;
 const INITIAL_DURATIONS: Durations = { firstTokenMs: 200, tokenMs: 20, tokens: 200 };
 
@@ -142,9 +143,13 @@
     const expectedTokens = Math.min(request.maxTokens, tokens);
     return new Promise((resolve) => {
       const waiter: Waiter = { settle: resolve };
+      const callerGone = createServeError('request_timeout', 'the caller went away', 'not_run');
+      if (signal?.aborted === true) {
+        resolve(callerGone);
+        return;
+      }
       const onAbort = (): void => {
-        if (!gate.withdraw(waiter)) return;
-        resolve(createServeError('request_timeout', 'the caller went away', 'not_run'));
+        if (gate.withdraw(waiter)) resolve(callerGone);
       };
       signal?.addEventListener('abort', onAbort, { once: true });
       const waiting = {
@@ -178,9 +183,11 @@
     }
 
     return {
-      onFirstToken: (delayMs) => {
+      onFirstToken: () => {
+        if (firstTokenAtMs !== undefined) return;
         const nowMs = clock.monotonicMs();
-        firstTokenAtMs ??= nowMs;
+        firstTokenAtMs = nowMs;
+        const delayMs = Math.max(0, nowMs - startedAtMs - FIRST_TOKEN_TARGET_MS);
         perform(service, gate.onDelay(delayMs, nowMs));
       },
       onTokens: (count) => {
--- a/packages/router/src/limit/shares.ts
+++ b/packages/router/src/limit/shares.ts
@@ -49,6 +49,8 @@
 interface Entry {
   readonly share: Share;
   waiting: (() => void)[];
+  /** Requests that wait for their turn under the limit. */
+  heldCount: number;
 }
 
 /** A claim of this router, as a holder of a share or for its region's pool. */
@@ -63,6 +65,10 @@
 const CLAIM_TIMEOUT_MS = 500;
 /** A request waits this long for the answer to a claim. */
 const WAIT_MS = 150;
+/** A request over its limit is refused if its turn is further away than this. */
+const MAX_HOLD_MS = 1_000;
+const MAX_HELD = 256;
+const MIN_PAUSE_MS = 5;
 const ROOT_PREFIX = 'root/';
 const NO_LIMIT: Amounts = { requestsPerSec: 0, tokensPerSec: 0, streams: 0 };
 
@@ -108,7 +114,7 @@
     if (known !== undefined) return known;
     const limit = limitOf(scope) ?? NO_LIMIT;
     const share = createShare(limit, routerCount, clock.monotonicMs(), options.random());
-    const created: Entry = { share, waiting: [] };
+    const created: Entry = { share, waiting: [], heldCount: 0 };
     entries.set(scope, created);
     return created;
   }
@@ -250,8 +256,25 @@
     });
   }
 
+  /** Holds a request for a moment instead of refusing a short burst. */
   async function acquire(scope: string, maxTokens: number): Promise<AcquireOutcome> {
     const entry = entryOf(scope);
+    const untilMs = clock.monotonicMs() + MAX_HOLD_MS;
+    entry.heldCount += 1;
+    try {
+      for (;;) {
+        const outcome = await tryOnce(entry, scope, maxTokens);
+        if (outcome.kind === 'ok') return outcome;
+        const isPatient = clock.monotonicMs() + outcome.retryAfterMs < untilMs;
+        if (!isPatient || entry.heldCount > MAX_HELD) return outcome;
+        await pause(Math.max(MIN_PAUSE_MS, outcome.retryAfterMs));
+      }
+    } finally {
+      entry.heldCount -= 1;
+    }
+  }
+
+  async function tryOnce(entry: Entry, scope: string, maxTokens: number): Promise<AcquireOutcome> {
     const outcome = entry.share.tryAcquire(clock.monotonicMs(), maxTokens);
     const claims = shareClaims([scope]);
     const isAnswerDue = claims.length > 0 || entry.share.isClaiming(clock.monotonicMs());
@@ -265,12 +288,18 @@
     return entry.share.tryAcquire(clock.monotonicMs(), maxTokens);
   }
 
+  function pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      clock.after(delayMs, resolve);
+    });
+  }
+
   function tick(): void {
     const nowMs = clock.monotonicMs();
-    entries.forEach(({ share }, scope) => {
+    entries.forEach(({ share, heldCount }, scope) => {
       const limit = limitOf(scope);
       if (limit !== undefined) share.setLimit(limit, routerCount, nowMs);
-      if (share.isIdle(nowMs)) entries.delete(scope);
+      if (share.isIdle(nowMs) && heldCount === 0) entries.delete(scope);
     });
     send([...shareClaims(entries.keys()), ...poolClaims(pools.keys())]);
   }
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -116,6 +116,15 @@
   /** Tells whether a reconnecting caller sends the same request. */
   readonly bodyHash: string;
   readonly span: TraceSpan;
+  /** Accounts for the stream's use of limits; absent if another router admitted it. */
+  readonly permit?: StreamPermit;
+}
+
+/** Told what a stream uses of its customer's limits. */
+export interface StreamPermit {
+  readonly onFirstToken: () => void;
+  readonly onTokens: (count: number) => void;
+  readonly onEnd: () => void;
 }
 
 /** Where a stream's output goes. It pulls tokens from the journal at its own speed. */
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -136,6 +136,8 @@
         case 'deliver':
           replicas.onToken(requestId, effect.index, effect.text);
           suspects.onProgress(fingerprint, effect.index);
+          request.permit?.onFirstToken();
+          request.permit?.onTokens(1);
           noteResumed();
           break;
         case 'start_attempt':
@@ -182,6 +184,7 @@
 
   function finish(outcome: StreamEnd): void {
     end = outcome;
+    request.permit?.onEnd();
     resumes.onEnded(requestId);
     [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
     const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
@@ -479,6 +482,7 @@
     if (end !== undefined) return;
     open.forEach((attempt) => attempt.handle.close());
     open.clear();
+    request.permit?.onEnd();
     end = { kind: 'error', error: createServeError('shutting_down', 'another router serves it') };
     request.span.end('released');
   }
