Test shares over the network and admission

Cause: the limit shell had no test over real connections. Change: three routers on loopback share a limit of 20 requests/s under more demand; admission gives limits back and drops callers that went away.

--- /dev/null
+++ b/packages/router/test/limit.spec.ts
@@ -0,0 +1,128 @@
+import { createMetrics, createLog, createSystemClock } from '@mimosamill/adapters';
+import { asId } from '@mimosamill/core';
+import { createVirtualTime } from '@mimosamill/fakes';
+import { afterEach, describe, expect, it } from 'vitest';
+import { createAdmission } from '../src/limit/admission';
+import { createShares } from '../src/limit/shares';
+import { hash32, startFleet, stopAll, until } from './peer/nodes';
+import type { AcquireOutcome, Amounts, ServiceName } from '@mimosamill/core';
+import type { AdmissionOutcome, AdmissionRequest } from '../src/limit/admission';
+import type { Shares } from '../src/limit/shares';
+import type { Peers } from '../src/peer/member';
+
+const LIMIT: Amounts = { requestsPerSec: 20, tokensPerSec: 1e6, streams: 1_000 };
+const SCOPE = 'customer/acme';
+const ROUTERS = 3;
+const all: Shares[] = [];
+
+function mount(peers: Peers) {
+  const shares = createShares({
+    clock: createSystemClock(),
+    hash: hash32,
+    random: Math.random,
+    membership: peers,
+    pool: peers.pool,
+    metrics: createMetrics(),
+    log: createLog('test', 'silent', {}),
+    limitOf: (scope) => (scope === SCOPE ? LIMIT : undefined),
+  });
+  all.push(shares);
+  return { limits: shares.router };
+}
+
+/** Asks without a pause until the time is over; returns the number of admitted requests. */
+async function offer(shares: Shares, untilMs: number): Promise<number> {
+  const outcome = await shares.acquire(SCOPE, 1);
+  if (outcome.kind === 'ok') outcome.permit.onEnd(performance.now());
+  if (Date.now() >= untilMs) return 0;
+  return (outcome.kind === 'ok' ? 1 : 0) + (await offer(shares, untilMs));
+}
+
+async function offerFor(durationMs: number): Promise<number> {
+  const untilMs = Date.now() + durationMs;
+  const counts = await Promise.all(
+    all.flatMap((shares) => Array.from({ length: 10 }, () => offer(shares, untilMs))),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+afterEach(async () => {
+  all.splice(0).forEach((shares) => shares.stop());
+  await stopAll();
+});
+
+describe('shares over the network', () => {
+  // Guards against routers that each admit the whole limit, and against leases that never arrive.
+  it('admit the limit together, and not much less', async () => {
+    const fleet = await startFleet(ROUTERS, mount);
+    await until(() => fleet.every(({ peers }) => peers.members().length === ROUTERS));
+    all.forEach((shares) => shares.start());
+    // The first leases may only be granted after the hold-off, and demand has to be seen.
+    await offerFor(4_000);
+    const seconds = 4;
+    const admitted = await offerFor(seconds * 1_000);
+    const burst = LIMIT.requestsPerSec * 0.5 + ROUTERS;
+    expect(admitted).toBeLessThanOrEqual(LIMIT.requestsPerSec * seconds + burst);
+    expect(admitted).toBeGreaterThan(LIMIT.requestsPerSec * seconds * 0.5);
+  });
+});
+
+describe('admission', () => {
+  const request: AdmissionRequest = {
+    service: asId<ServiceName>('s'),
+    customer: 'acme',
+    weight: 1,
+    scopes: [SCOPE, 'team/t'],
+    priority: 'normal',
+    maxTokens: 10,
+    deadlineAtMs: 1e9,
+  };
+
+  function createTestAdmission(acquire: (scope: string) => AcquireOutcome) {
+    return createAdmission({
+      clock: createVirtualTime().clock,
+      shares: { acquire: (scope) => Promise.resolve(acquire(scope)) },
+      metrics: createMetrics(),
+      gate: {
+        queue: { maxWaiting: 4, maxWaitingPerCustomer: 4 },
+        window: { initial: 1, min: 1, max: 1, targetDelayMs: 100 },
+      },
+    });
+  }
+
+  // Guards against a limit that stays taken after a request was refused by another limit.
+  it('gives back the first limit if the second one refuses', async () => {
+    let ends = 0;
+    const onEnd = (): void => {
+      ends += 1;
+    };
+    const admission = createTestAdmission((scope) =>
+      scope === SCOPE
+        ? { kind: 'ok', permit: { onTokens: () => undefined, onEnd } }
+        : { kind: 'over', meter: 'streams', retryAfterMs: 7 },
+    );
+    const outcome = await admission.admit(request);
+    expect(outcome).toMatchObject({
+      kind: 'error',
+      error: { code: 'over_limit', runState: 'not_run', retryAfterMs: 7 },
+    });
+    expect(ends).toBe(1);
+  });
+
+  // Guards against a caller that went away and still takes a turn.
+  it('lets the next one run after an end, and drops a caller that went away', async () => {
+    const admission = createTestAdmission(() => ({
+      kind: 'ok',
+      permit: { onTokens: () => undefined, onEnd: () => undefined },
+    }));
+    const first = await admission.admit(request);
+    const gone = new AbortController();
+    const second = admission.admit(request, gone.signal);
+    const third: Promise<AdmissionOutcome> = admission.admit(request);
+    await Promise.resolve();
+    gone.abort();
+    expect(await second).toMatchObject({ kind: 'error', error: { code: 'request_timeout' } });
+    if (first.kind === 'ok') first.permit.onEnd();
+    expect(await third).toMatchObject({ kind: 'ok' });
+  });
+});
