Place the likeliest suspects apart first

Cause: 3 of 80 culprits cost 4 engines, above the bound: suspects of two deaths met on one engine, or the culprit was resumed in the domain that had just lost an engine, where deaths count once. Change: engines that run suspects of other deaths are left out before the rest is shared out; the engines of the losing domain come last; requests with more deaths choose first; a request waits rather than return to the losing domain.

--- a/packages/core/src/stream/suspects.ts
+++ b/packages/core/src/stream/suspects.ts
@@ -440,21 +440,22 @@
     // The caller's view of its engines may be older than the deaths.
     const up = engines.filter(({ engineId }) => !deaths.hasDiedSince(engineId, nowMs - MERGE_MS));
     if (up.length === 0) return new Set();
-    const { own, wave } = ownPart(fingerprint, up, latest, nowMs);
-    if (isInfrastructureLoss(latest, nowMs)) return without(ids, own);
+    if (isInfrastructureLoss(latest, nowMs)) {
+      return without(ids, ownPart(fingerprint, up, latest, nowMs).own);
+    }
     // A first death is mostly a failure of the engine, and its streams go on at once. After a
     // death with a request in common, waiting for an engine is cheaper than losing another.
-    const mayWait = hasCommonRequest(latest, nowMs);
     const sinceMs = nowMs - latest.atMs;
-    const waveAtMs = Math.min(wave * settings.waveMs, settings.engineWaitMs);
-    if (mayWait && sinceMs < waveAtMs) return new Set(ids);
-    const taken = enginesOfOthers(fingerprint, nowMs);
-    const free = own.filter((engineId) => !taken.has(engineId));
-    const anyFree = up.map(({ engineId }) => engineId).filter((id) => !taken.has(id));
-    if (free.length > 0) return without(ids, free);
-    if (anyFree.length > 0) return without(ids, anyFree);
-    const isWaiting = mayWait && sinceMs < settings.engineWaitMs;
-    return isWaiting ? new Set(ids) : without(ids, own);
+    const mayWait = hasCommonRequest(latest, nowMs) && sinceMs < settings.engineWaitMs;
+    const taken = enginesOfOtherDeaths(latest, nowMs);
+    const left = up.filter(({ engineId }) => !taken.has(engineId));
+    const isOutside = ({ failureDomain }: PlacedEngine): boolean =>
+      failureDomain !== latest.failureDomain;
+    const wanted = up.some(isOutside) ? left.filter(isOutside) : left;
+    if (wanted.length === 0 && mayWait) return new Set(ids);
+    const pool = left.length > 0 ? left : up;
+    const { own, wave } = ownPart(fingerprint, pool, latest, nowMs);
+    return mayWait && sinceMs < wave * settings.waveMs ? new Set(ids) : without(ids, own);
   }
 
   /**
@@ -468,42 +469,40 @@
     death: Death,
     nowMs: number,
   ): { readonly own: readonly EngineId[]; readonly wave: number } {
+    // The likelier causes come first, and so outside the domain that is losing engines.
     const group = sortByHash([...death.candidates.keys()], death.engineId);
-    const usable = outsideLoss(engines, death, group.length, nowMs);
-    const ranked = sortByHash(usable, death.engineId);
+    const countOpen = (id: Fingerprint): number => openDeathsOf(id, nowMs).length;
+    group.sort((one, two) => countOpen(two) - countOpen(one));
+    const isRecent = nowMs - death.atMs <= settings.infrastructureMs;
+    const isLosing = (engine: PlacedEngine): boolean =>
+      isRecent && engine.failureDomain === death.failureDomain;
+    const idsOf = (some: readonly PlacedEngine[]): EngineId[] =>
+      sortByHash(
+        some.map(({ engineId }) => engineId),
+        death.engineId,
+      );
+    // A failure domain that has just lost an engine may lose the next one to the same cause, so
+    // its engines come last.
+    const outside = idsOf(engines.filter((engine) => !isLosing(engine)));
+    const ranked = [...outside, ...idsOf(engines.filter(isLosing))];
     const count = Math.min(group.length, ranked.length);
     const place = Math.max(0, group.indexOf(fingerprint));
-    const own = ranked.filter((_, index) => index % count === place % count);
+    const part = ranked.filter((_, index) => index % count === place % count);
+    const outsidePart = part.filter((engineId) => outside.includes(engineId));
+    const own = outsidePart.length > 0 ? outsidePart : part;
     return { own, wave: Math.floor(place / count) };
   }
 
-  /** Engines that run another suspect: a death there would make both look like culprits. */
-  function enginesOfOthers(fingerprint: Fingerprint, nowMs: number): ReadonlySet<EngineId> {
-    const taken = [...suspects].flatMap(([other, { runner }]) => {
-      const isRunning = other !== fingerprint && runner !== undefined && runner.untilMs > nowMs;
-      return isRunning && runner.engineId !== '' ? [asId<EngineId>(runner.engineId)] : [];
+  /** Engines that run suspects of other deaths: a death there would make both look guilty. */
+  function enginesOfOtherDeaths(death: Death, nowMs: number): ReadonlySet<EngineId> {
+    const taken = [...suspects].flatMap(([fingerprint, { runner }]) => {
+      const isRunning = runner !== undefined && runner.untilMs > nowMs && runner.engineId !== '';
+      const isOther = isRunning && !death.candidates.has(fingerprint);
+      return isOther ? [asId<EngineId>(runner.engineId)] : [];
     });
     return new Set(taken);
   }
 
-  /**
-   * A failure domain that has just lost an engine may lose the next one to the same cause, so it
-   * is avoided while the other domains take the suspects in two waves.
-   */
-  function outsideLoss(
-    engines: readonly PlacedEngine[],
-    latest: Death,
-    groupSize: number,
-    nowMs: number,
-  ): EngineId[] {
-    const isRecent = nowMs - latest.atMs <= settings.infrastructureMs;
-    const outside = engines.filter(
-      ({ failureDomain }) => !isRecent || failureDomain !== latest.failureDomain,
-    );
-    const isEnough = 2 * outside.length >= Math.min(groupSize, engines.length);
-    return (isEnough ? outside : engines).map(({ engineId }) => engineId);
-  }
-
   function sortByHash<T extends string>(ids: readonly T[], salt: string): T[] {
     const scored = ids.map((id) => ({ id, score: settings.hash(`${salt}${SEPARATOR}${id}`) }));
     scored.sort((a, b) => a.score - b.score || (a.id < b.id ? -1 : 1));
