--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -174,6 +174,31 @@
   SendResult,
 } from './route/types';
 
+// limits
+export { createAllocator, LEASE_MS } from './limit/allocator';
+export type { Allocator, ShareAnswer, ShareRequest } from './limit/allocator';
+export { mapAmounts, METERS, NO_AMOUNTS, scaleAmounts } from './limit/amounts';
+export type { Amounts, Meter } from './limit/amounts';
+export { createDuty } from './limit/duty';
+export type { Duty } from './limit/duty';
+export { createGate } from './limit/gate';
+export type { Gate, GateEffect, GateSettings } from './limit/gate';
+export { createPool, REGION_BASE_RATIO } from './limit/pool';
+export type { Pool, PoolClaim } from './limit/pool';
+export { BASE_RATIO, createShare } from './limit/share';
+export type { AcquireOutcome, Permit, Share, ShareClaim } from './limit/share';
+export { createFairQueue } from './limit/queue';
+export type {
+  Dequeued,
+  EnqueueOutcome,
+  FairQueue,
+  QueueSettings,
+  RefuseReason,
+  Waiting,
+} from './limit/queue';
+export { createWindow } from './limit/window';
+export type { Window, WindowSettings } from './limit/window';
+
 // version moves
 export { chooseVersion, enginesToAvoid } from './move/choose';
 export type { EngineVersions, SplitInput, VersionChoice, VersionGroup } from './move/choose';
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -71,6 +71,8 @@
 const MAX_ATTEMPTS = 12;
 /** Allowed wait for a first token; beyond it another engine is tried as well. */
 const FIRST_TOKEN_MS = 2_000;
+/** Three waits of this length after the longest silence stay within the 3 s bound on a resume. */
+const RESUME_TOKEN_MS = 650;
 const PLACE_RETRY_MS = 25;
 /** With no engine for this long the stream fails; output must go on within 3 s of a loss. */
 const PLACE_TIMEOUT_MS = 2_500;
@@ -93,6 +95,8 @@
   let deferred: (() => void)[] = [];
   let version: VersionName | undefined;
   let group: VersionGroup = 'other';
+  /** No engine of the group is left, so those reserved for other groups may be used. */
+  let mayUseReserved = false;
   /** Routers that served the stream before this one. */
   let adoptionCount = 0;
   let hasReplica = false;
@@ -115,8 +119,11 @@
           minMs: request.silenceMinMs,
           maxMs: request.silenceMaxMs,
           firstTokenMs: FIRST_TOKEN_MS,
+          resumeTokenMs: RESUME_TOKEN_MS,
         },
         deadlineAtMs: request.deadlineAtMs,
+        maxTokens: request.maxTokens,
+        typicalGapMs: () => directory.typicalStepMs(service.name),
       },
       known,
       clock.monotonicMs(),
@@ -218,7 +225,10 @@
       startAttempt(attemptNo, found, routeRequest, chosen);
       return;
     }
-    if (found.reason === 'all_excluded') avoided.clear();
+    if (found.reason === 'all_excluded') {
+      avoided.clear();
+      mayUseReserved = true;
+    }
     // Nothing has been generated yet, so the request may still start on another version.
     if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
     if (clock.monotonicMs() >= untilMs) {
@@ -248,7 +258,7 @@
     const known = directory.enginesOf(service.name);
     const full = lossAtMs === undefined ? [] : resumes.fullEngines();
     const apart = suspects.avoid(fingerprint, known);
-    const reserved = versions.avoid(service, group, known, meanLoadOf(known));
+    const reserved = mayUseReserved ? [] : versions.avoid(service, group, known, meanLoadOf(known));
     return {
       model: service.model,
       version: chosen,
@@ -315,6 +325,7 @@
     const observer = versions.onAttempt({
       service: service.name,
       version: version ?? service.stableVersion,
+      attemptNo,
       route: request.adapter,
       group,
       controlLoadRatio: controlLoadRatio(),
@@ -393,14 +404,8 @@
     if (attempt === undefined) return;
     const { engineId } = attempt.place;
     avoided.add(engineId);
-    if (cause === 'connect_failed') {
-      // The request never ran on this engine, so it is closed before it could count as a suspect
-      // of the engine's death: two engines that die together would condemn an innocent stream.
-      closeAttempt(attemptNo, 'failed');
-      void directory.confirmDown(engineId);
-      whileConnected(() => loseAttempt(attemptNo, cause));
-      return;
-    }
+    // A request that never reached the engine is no suspect, even if the engine is down.
+    if (cause === 'connect_failed') closeAttempt(attemptNo, 'failed', 'void');
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
