Measure bookings over real processes

Cause: the claim protocol had met faults in simulated time only. Change: measure -- calls also runs three routers, three plain servers and the platform's stand-in as processes, through six pairs of faults; a deadline that is no positive number is refused (it would never pass).

--- /dev/null
+++ b/packages/bench/src/calls/processes.ts
@@ -0,0 +1,307 @@
+import { createRandom } from '@mimosamill/fakes';
+import { commitChanges, basicChanges } from '../fleet/config';
+import { startFleet } from '../fleet/fleet';
+import type { Fleet, FleetNode } from '../fleet/fleet';
+
+/** What became of bookings sent to real processes. */
+export interface ProcessFigures {
+  readonly double_runs: number;
+  /** Bookings all of whose requests were told "not run", and that ran. */
+  readonly false_not_run: number;
+  readonly wrong_answers: number;
+  /** Requests without an answer 2 s after their deadline, pauses of their router added. */
+  readonly unanswered: number;
+  readonly trials: number;
+  readonly bookings_run: number;
+  readonly bookings_answered: number;
+  readonly phases: readonly string[];
+}
+
+interface Sent {
+  readonly booking: number;
+  /** HTTP answer, or how the connection ended. */
+  outcome: Outcome;
+}
+
+type Outcome =
+  | { readonly kind: 'ok'; readonly body: string }
+  | { readonly kind: 'error'; readonly state: string }
+  | { readonly kind: 'connection_lost' }
+  | { readonly kind: 'no_answer' };
+
+interface Phase {
+  readonly name: string;
+  readonly start: (world: ProcessWorld) => Promise<void>;
+  readonly end: (world: ProcessWorld) => Promise<void>;
+}
+
+interface ProcessWorld {
+  readonly fleet: Fleet;
+  readonly routers: FleetNode[];
+  readonly servers: readonly FleetNode[];
+}
+
+const KEY = 'guild-key-1';
+const SERVICE = 'guild-shop';
+const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
+const PHASE_MS = 2_500;
+const BOOKINGS_PER_PHASE = 60;
+const DEADLINE_MS = 2_000;
+const PAUSE_MAX_MS = 2_500;
+const ANSWER_SLACK_MS = 2_000;
+const SENDS_MAX = 6;
+const SETTLE_MS = 3_000;
+
+const TABLES_CALM = { isDown: false, delayMs: 0, lostAnswerRatio: 0 };
+const SERVERS_CALM = { delayMs: 0, answerDelayMs: 0, lostAnswerRatio: 0, crossedAnswerRatio: 0 };
+
+function tables(faults: object): (world: ProcessWorld) => Promise<void> {
+  return ({ fleet }) => fleet.setFaults({ ...TABLES_CALM, ...faults });
+}
+
+function answers(faults: object): (world: ProcessWorld) => Promise<void> {
+  return async ({ fleet, servers }) => {
+    const all = servers.map(({ ownAddress }) =>
+      fleet.post(ownAddress, '/faults', { ...SERVERS_CALM, ...faults }),
+    );
+    await Promise.all(all);
+  };
+}
+
+async function calm(world: ProcessWorld): Promise<void> {
+  world.routers.forEach(({ process }) => process.resume());
+  world.servers.forEach(({ process }) => process.resume());
+  await tables({})(world);
+  await answers({})(world);
+}
+
+async function replaceRouter(world: ProcessWorld): Promise<void> {
+  await world.routers[0]?.process.kill();
+  const [failureDomain = ''] = DOMAINS;
+  const router = await world.fleet.startRouter({ id: 'router-0', failureDomain });
+  await world.fleet.waitReady([router]);
+  world.routers[0] = router;
+}
+
+async function pauseRouter({ routers }: ProcessWorld): Promise<void> {
+  routers[1]?.process.pause();
+}
+
+async function pauseServer({ servers }: ProcessWorld): Promise<void> {
+  servers[0]?.process.pause();
+}
+
+async function both(
+  world: ProcessWorld,
+  first: (world: ProcessWorld) => Promise<void>,
+  second: (world: ProcessWorld) => Promise<void>,
+): Promise<void> {
+  await Promise.all([first(world), second(world)]);
+}
+
+const LOST_COMMITS = tables({ lostAnswerRatio: 0.5 });
+const SLOW_TABLES = tables({ delayMs: 400 });
+const NO_TABLES = tables({ isDown: true });
+const LOST_ANSWERS = answers({ delayMs: 20, lostAnswerRatio: 0.3, crossedAnswerRatio: 0.3 });
+const LATE_ANSWERS = answers({ delayMs: 20, answerDelayMs: 2_500 });
+
+const PHASES: readonly Phase[] = [
+  {
+    name: 'router_killed+tables_slow',
+    start: (world) => both(world, SLOW_TABLES, replaceRouter),
+    end: calm,
+  },
+  {
+    name: 'router_paused+commit_answer_lost',
+    start: (world) => both(world, LOST_COMMITS, pauseRouter),
+    end: calm,
+  },
+  {
+    name: 'server_paused+answers_lost_or_crossed',
+    start: async (world) => {
+      await LOST_ANSWERS(world);
+      await pauseServer(world);
+    },
+    end: calm,
+  },
+  {
+    name: 'tables_outage+router_killed',
+    start: async (world) => {
+      await world.routers[0]?.process.kill();
+      await NO_TABLES(world);
+    },
+    end: async (world) => {
+      await calm(world);
+      await replaceRouter(world);
+    },
+  },
+  {
+    name: 'answers_late+commit_answer_lost',
+    start: (world) => both(world, LATE_ANSWERS, LOST_COMMITS),
+    end: calm,
+  },
+  {
+    name: 'router_paused+router_killed',
+    start: (world) => both(world, pauseRouter, replaceRouter),
+    end: calm,
+  },
+];
+
+/** Bookings to three routers and three servers, resent by their callers, under pairs of faults. */
+export async function measureProcesses(seed: number): Promise<ProcessFigures> {
+  const fleet = await startFleet({ seed });
+  try {
+    const world = await startWorld(fleet);
+    const sent = await runPhases(world, createRandom(seed));
+    return judge(sent, await collectRuns(world));
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function startWorld(fleet: Fleet): Promise<ProcessWorld> {
+  const servers: FleetNode[] = [];
+  const routers: FleetNode[] = [];
+  for (const [index, domain] of DOMAINS.entries()) {
+    servers.push(await fleet.startService(`shop-${index}`, SERVICE, domain));
+  }
+  await commitChanges(
+    fleet.platformAddress,
+    basicChanges({
+      engineService: 'bench-guide',
+      model: 'guide',
+      version: 'v1',
+      plainService: SERVICE,
+      customer: 'rib-gluers',
+      key: KEY,
+    }),
+  );
+  for (const [index, failureDomain] of DOMAINS.entries()) {
+    routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
+  }
+  await fleet.waitReady(routers);
+  return { fleet, routers, servers };
+}
+
+async function runPhases(world: ProcessWorld, random: () => number): Promise<Sent[]> {
+  const sent: Sent[] = [];
+  const callers: Promise<void>[] = [];
+  for (const [phaseIndex, phase] of PHASES.entries()) {
+    for (let index = 0; index < BOOKINGS_PER_PHASE; index += 1) {
+      const booking = phaseIndex * BOOKINGS_PER_PHASE + index;
+      // The first bookings are under way when the fault begins.
+      const startMs = random() * PHASE_MS;
+      callers.push(wait(startMs).then(() => book(world, booking, sent, random)));
+    }
+    await wait(100);
+    await phase.start(world);
+    await wait(PHASE_MS);
+    await phase.end(world);
+  }
+  await Promise.all(callers);
+  await wait(SETTLE_MS);
+  return sent;
+}
+
+/** Resends through any router until the answer is known; now and then twice at once. */
+async function book(
+  world: ProcessWorld,
+  booking: number,
+  sent: Sent[],
+  random: () => number,
+): Promise<void> {
+  for (let sends = 0; sends < SENDS_MAX; sends += 1) {
+    const requests = random() < 0.3 ? 2 : 1;
+    const outcomes = Array.from({ length: requests }, () => send(world, booking, sent, random));
+    const isKnown = (await Promise.all(outcomes)).some(({ kind }) => kind === 'ok');
+    if (isKnown) return;
+    await wait(200 + random() * 400);
+  }
+}
+
+async function send(
+  world: ProcessWorld,
+  booking: number,
+  sent: Sent[],
+  random: () => number,
+): Promise<Outcome> {
+  const router = world.routers[Math.floor(random() * world.routers.length)];
+  const answer = await world.fleet.http.fetch(
+    `http://${router?.address}/v1/services/${SERVICE}/book`,
+    {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        'idempotency-key': keyOf(booking),
+        'x-deadline-ms': String(DEADLINE_MS),
+      },
+      body: JSON.stringify({ slot: booking }),
+      timeoutMs: DEADLINE_MS + PAUSE_MAX_MS + ANSWER_SLACK_MS,
+    },
+  );
+  const outcome = toOutcome(answer);
+  sent.push({ booking, outcome });
+  return outcome;
+}
+
+function toOutcome(answer: Awaited<ReturnType<Fleet['http']['fetch']>>): Outcome {
+  if (answer.kind === 'not_sent') return { kind: 'connection_lost' };
+  if (answer.kind === 'no_answer') {
+    const isTimeout = /timeout|abort/i.test(answer.message);
+    return { kind: isTimeout ? 'no_answer' : 'connection_lost' };
+  }
+  if (answer.status === 200) return { kind: 'ok', body: answer.body };
+  const { error } = JSON.parse(answer.body) as { error: { outcome: string } };
+  return { kind: 'error', state: error.outcome };
+}
+
+interface Run {
+  readonly key: string;
+  readonly runs: number;
+  readonly answer: string;
+}
+
+async function collectRuns({ fleet, servers }: ProcessWorld): Promise<Run[]> {
+  const pages = await Promise.all(servers.map(({ ownAddress }) => fleet.get(ownAddress, '/runs')));
+  return pages.flatMap((page) => (page as { runs: Run[] }).runs);
+}
+
+function judge(sent: readonly Sent[], runs: readonly Run[]): ProcessFigures {
+  const bookings = PHASES.length * BOOKINGS_PER_PHASE;
+  const runsOf = (booking: number): Run[] =>
+    runs.filter(({ key }) => key.endsWith(`/${keyOf(booking)}`));
+  const countRuns = (booking: number): number =>
+    runsOf(booking).reduce((sum, run) => sum + run.runs, 0);
+  const numbers = Array.from({ length: bookings }, (_, index) => index);
+  const isWrong = ({ booking, outcome }: Sent): boolean => {
+    if (outcome.kind === 'error') return outcome.state === 'ran' && countRuns(booking) === 0;
+    return outcome.kind === 'ok' && !runsOf(booking).some(({ answer }) => answer === outcome.body);
+  };
+  const isRefusedAlways = (booking: number): boolean =>
+    sent
+      .filter((request) => request.booking === booking)
+      .every(({ outcome }) => outcome.kind === 'error' && outcome.state === 'not_run');
+  const answered = new Set(
+    sent.filter(({ outcome }) => outcome.kind === 'ok').map(({ booking }) => booking),
+  );
+  return {
+    double_runs: numbers.reduce((sum, booking) => sum + Math.max(0, countRuns(booking) - 1), 0),
+    false_not_run: numbers.filter((n) => isRefusedAlways(n) && countRuns(n) > 0).length,
+    wrong_answers: sent.filter(isWrong).length,
+    unanswered: sent.filter(({ outcome }) => outcome.kind === 'no_answer').length,
+    trials: bookings,
+    bookings_run: numbers.filter((booking) => countRuns(booking) > 0).length,
+    bookings_answered: answered.size,
+    phases: PHASES.map(({ name }) => name),
+  };
+}
+
+function keyOf(booking: number): string {
+  return `booking-${booking}`;
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
--- a/packages/bench/src/measure/calls.ts
+++ b/packages/bench/src/measure/calls.ts
@@ -1,4 +1,5 @@
 import { faultPairs } from '../calls/faults';
+import { measureProcesses } from '../calls/processes';
 import { judge } from '../calls/verdict';
 import { createWorld } from '../calls/world';
 import type { Verdict } from '../calls/verdict';
@@ -52,6 +53,7 @@
       table_reads_per_booking: calm.tableReads / calm.bookingsRun,
     },
     baseline_retry_without_claim: summariseFaults(baseline),
+    real_processes: await measureProcesses(seed),
   };
 }
 
--- a/packages/router/src/call/calls.ts
+++ b/packages/router/src/call/calls.ts
@@ -42,6 +42,7 @@
 
 const LOOKUP_DEADLINE_MS = 5_000;
 const KEY_MAX_CHARS = 256;
+const DEADLINE_MAX_MS = 600_000;
 const RUNNING_MAX = 10_000;
 /** How long an owner remembers that it never sent, while its lost claim may still appear. */
 const NOT_SENT_MEMORY_MS = 600_000;
@@ -73,6 +74,9 @@
     if (key !== undefined && (key === '' || key.length > KEY_MAX_CHARS)) {
       return refuse('bad_request', `an idempotency key has 1 to ${KEY_MAX_CHARS} characters`);
     }
+    if (!(request.deadlineMs > 0 && request.deadlineMs <= DEADLINE_MAX_MS)) {
+      return refuse('bad_request', `the deadline has to be within ${DEADLINE_MAX_MS} ms`);
+    }
     const isKeyed = key !== undefined && !operation.idempotent;
     if (isKeyed) return count(startKeyed({ ...rest, key }, config));
     return count(runDirectCall(ports, request, operation.idempotent, latenciesOf(rest)));
