--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -2,6 +2,7 @@
 import { configMeasurement } from './config';
 import { limitsMeasurement } from './limit/limits';
 import { overloadMeasurement } from './limit/overload';
+import { controlMeasurement } from './control';
 import { membershipMeasurement } from './membership';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
@@ -16,6 +17,7 @@
   callsMeasurement,
   configMeasurement,
   limitsMeasurement,
+  controlMeasurement,
   membershipMeasurement,
   movesMeasurement,
   ordersMeasurement,
