--- a/packages/bench/src/measure/resume/resume.ts
+++ b/packages/bench/src/measure/resume/resume.ts
@@ -34,7 +34,7 @@
   readonly tokens_missing: number;
   readonly tokens_repeated: number;
   readonly unfinished: number;
-  /** Errors that callers saw, by code. */
+  /** Errors that callers saw, by code and message. */
   readonly errors: Readonly<Record<string, number>>;
   readonly recomputed_tokens_ratio: number;
   readonly extra_work_ratio: number;
@@ -291,8 +291,10 @@
   tally.idealDecodeTokens += TOKENS;
   if (result?.end !== 'done') {
     tally.unfinished += 1;
-    const code = /"code":"(\w+)"/u.exec(result?.error ?? '')?.[1] ?? result?.end ?? 'none';
-    tally.errors[code] = (tally.errors[code] ?? 0) + 1;
+    const [, code = result?.end ?? 'none', message = ''] =
+      /"code":"(\w+)","message":"([^"]*)"/u.exec(result?.error ?? '') ?? [];
+    const key = `${code}: ${message}`;
+    tally.errors[key] = (tally.errors[key] ?? 0) + 1;
   }
   tally.missing += expected.filter((text, index) => texts[index] !== text).length;
   tally.repeated += (result?.misnumbered ?? 0) + Math.max(0, texts.length - expected.length);
