--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -22,6 +22,7 @@
   readonly to?: string;
   readonly by?: string;
   readonly reason?: string;
+  readonly wait?: boolean;
 }
 
 export interface CommandContext {
@@ -35,6 +36,8 @@
 type Show = (value: Value) => string;
 
 const WAIT_MS = 20_000;
+const STATUS_PERIOD_MS = 500;
+const STATUS_WAIT_MS = 60_000;
 
 interface MoveView {
   readonly id: string;
@@ -122,6 +125,27 @@
     }
   }
 
+  /** With --wait, prints progress until the revision is in force everywhere. */
+  async function status(options: CommandOptions): Promise<number> {
+    let { revision } = options;
+    let progress = '';
+    const untilMs = context.nowMs() + STATUS_WAIT_MS;
+    for (;;) {
+      const answer = await client.get('/v1/status', { revision });
+      const isDone = answer.kind === 'error' || answer.value['isEverywhere'] === true;
+      if (options.wait !== true || isDone) return finish(answer, options, showStatus);
+      if (context.nowMs() > untilMs) {
+        finish(answer, options, showStatus);
+        return EXIT.failed;
+      }
+      revision = Number(answer.value['revision']);
+      const next = showStatusLine(answer.value);
+      if (next !== progress && options.json !== true) print(next);
+      progress = next;
+      await sleep(STATUS_PERIOD_MS);
+    }
+  }
+
   async function orderMove(
     service: string,
     version: string,
@@ -185,10 +209,7 @@
     apply,
     undo,
     watch,
-    status: async (options: CommandOptions) => {
-      const answer = await client.get('/v1/status', { revision: options.revision });
-      return finish(answer, options, showStatus);
-    },
+    status,
     orderMove,
     watchMove,
     listMoves: async (options: CommandOptions) => {
@@ -203,6 +224,12 @@
   };
 }
 
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 interface ChangeFile {
   readonly changes: unknown;
   readonly baseRevision?: number;
@@ -306,15 +333,23 @@
   return `${table}\n${nextLine(value, 'before')}`.trimEnd();
 }
 
+interface RegionView {
+  readonly region: string;
+  readonly nodes: number;
+  readonly inForce: number;
+  readonly lowestRevision: number | null;
+  readonly behind: readonly string[];
+  readonly notAnswering: readonly string[];
+}
+
+function showStatusLine(value: Value): string {
+  const regions = value['regions'] as readonly RegionView[];
+  const counts = regions.map(({ region, inForce, nodes }) => `${region} ${inForce}/${nodes}`);
+  return `revision ${formatValue(value['revision'])}: ${counts.join(', ')}`;
+}
+
 function showStatus(value: Value): string {
-  const regions = value['regions'] as readonly {
-    region: string;
-    nodes: number;
-    inForce: number;
-    lowestRevision: number | null;
-    behind: readonly string[];
-    notAnswering: readonly string[];
-  }[];
+  const regions = value['regions'] as readonly RegionView[];
   const rows = regions.map((region) => [
     region.region,
     `${region.inForce}/${region.nodes}`,
--- a/packages/admin/src/cli/main.ts
+++ b/packages/admin/src/cli/main.ts
@@ -117,6 +117,7 @@
 cli
   .command('status', 'Show, by region, where a revision is in force')
   .option('--revision <number>', 'This revision instead of the newest')
+  .option('--wait', 'Show the progress until it is in force everywhere, for at most 60 s')
   .action((options: GlobalOptions) => run(options, (commands) => commands.status(options)));
 cli
   .command('move-order <service> <version>', 'Order a version move (also: move order)')
--- a/packages/admin/test/admin.spec.ts
+++ b/packages/admin/test/admin.spec.ts
@@ -1,3 +1,4 @@
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -6,6 +7,8 @@
 import { createAdminWorld, FLEET_KEY } from './world';
 import type { AdminWorld } from './world';
 
+/** Built before the tests run. */
+const MIMOSACTL = join(import.meta.dirname, '../../../dist/mimosactl.mjs');
 const TEAM_KEY = 'team-key';
 const VIEWER_KEY = 'viewer-key';
 
@@ -246,6 +249,23 @@
     expect(await client.get('/v1/config/nothing')).toMatchObject({ code: 'not_found' });
   });
 
+  // Guards against scripts that can't tell wrong arguments from a refused change.
+  it('has help, version and exit codes on its command line', () => {
+    const run = (...args: string[]): { status: number | null; text: string } => {
+      const env = { ...process.env, MIMOSACTL_KEY: '' };
+      const { status, stdout, stderr } = spawnSync(process.execPath, [MIMOSACTL, ...args], { env });
+      return { status, text: `${stdout.toString()}${stderr.toString()}` };
+    };
+    expect(run('--version')).toMatchObject({ status: 0, text: expect.stringContaining('0.1.0') });
+    expect(run('move', 'order', '--help')).toMatchObject({
+      status: 0,
+      text: expect.stringContaining('--by <time>'),
+    });
+    expect(run('move', 'watch').status).toBe(2);
+    expect(run('nothing').status).toBe(2);
+    expect(run('status')).toMatchObject({ status: 2, text: expect.stringContaining('no key') });
+  });
+
   // Guards against an API whose description misses a route or the change kinds.
   it('describes itself in OpenAPI', async () => {
     const answer = await fetch(`http://${world.address}/openapi.json`);
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -59,6 +59,7 @@
   let isPulling = false;
   let isStoreUp = true;
   let pushedRevision = asRevision(0);
+  let unsupportedRevision = asRevision(0);
   let polledAtMs = clock.monotonicMs();
   let snapshot: { readonly revision: Revision; readonly text: string } | undefined;
 
@@ -77,14 +78,19 @@
           void pull(from);
           return;
         default:
-          counters.unsupported.inc();
-          log.error('a configuration revision needs a newer release', {
-            revision: effect.revision,
-          });
+          onUnsupported(effect.revision);
       }
     });
   }
 
+  /** The revision is read again by every poll, and reported once. */
+  function onUnsupported(revision: Revision): void {
+    if (revision === unsupportedRevision) return;
+    unsupportedRevision = revision;
+    counters.unsupported.inc();
+    log.error('a configuration revision needs a newer release', { revision });
+  }
+
   function onChanged(config: FleetConfig): void {
     if (notReadyReason !== undefined) {
       notReadyReason = undefined;
