Measure the cost of the control plane and send replicas every 250 ms

docs/CAPACITY.md needs slopes per node, engine, stream and customer. measure -- control runs fleets of real processes that vary one of them and a router without duties for others. Clients are kept per peer, and answered calls no longer build an abort error.

--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,9 +1,6 @@
 import { callsMeasurement } from './calls';
+import { controlMeasurement } from './control';
 import { membershipMeasurement } from './membership';
-import type { Measurement } from './measurement';
-
-/** Every measurement by name. */
-export const MEASUREMENTS: readonly Measurement[] = [callsMeasurement, membershipMeasurement];
 import { movesMeasurement } from './moves/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
@@ -14,6 +11,8 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
+  controlMeasurement,
+  membershipMeasurement,
   movesMeasurement,
   poisonMeasurement,
   relay,
--- a/packages/bench/src/member/fleet.ts
+++ b/packages/bench/src/member/fleet.ts
@@ -15,6 +15,10 @@
   /** Running streams per node. */
   readonly streams: number;
   readonly customers: number;
+  /** Server of load reports; without it the nodes make their loads up themselves. */
+  readonly loadServer?: string;
+  /** Period of the replicas, if not the usual one. */
+  readonly flushEveryMs?: number;
 }
 
 export interface Stats {
@@ -39,8 +43,11 @@
 /** Processes on loopback. */
 export interface Fleet {
   readonly ids: readonly string[];
+  readonly addresses: readonly string[];
   readonly sightings: readonly Sighting[];
   readonly stats: (id: string) => readonly Stats[];
+  /** Mean memory in use per node after a collection of garbage. */
+  readonly liveMb: () => Promise<number>;
   /** Ids whose process runs. */
   readonly running: () => readonly string[];
   readonly signal: (id: string, name: NodeJS.Signals) => void;
@@ -49,11 +56,14 @@
 
 interface NodeProcess {
   readonly id: string;
+  readonly address: string;
   readonly process: ChildProcess;
   readonly stats: Stats[];
+  liveBytes: number;
   isReady: boolean;
 }
 
+const BYTES_PER_MB = 1_048_576;
 const DOMAINS = 3;
 const READY_TIMEOUT_MS = 20_000;
 const FIRST_PORT = 18_000;
@@ -90,14 +100,27 @@
     engines: spec.engines,
     streams: spec.streams,
     customers: spec.customers,
+    ...(spec.loadServer === undefined ? {} : { loads: spec.loadServer }),
+    ...(spec.flushEveryMs === undefined ? {} : { flush: spec.flushEveryMs }),
   };
   const args = Object.entries(options).map(([name, value]) => `--${name}=${value}`);
   const file = join(dirname(fileURLToPath(import.meta.url)), `${spec.binary}.mjs`);
-  const child = spawn(process.execPath, [file, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
-  const node: NodeProcess = { id, process: child, stats: [], isReady: false };
+  const child = spawn(process.execPath, ['--expose-gc', file, ...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const address = `127.0.0.1:${port}`;
+  const node: NodeProcess = {
+    id,
+    address,
+    process: child,
+    stats: [],
+    liveBytes: 0,
+    isReady: false,
+  };
   createInterface({ input: child.stdout as NodeJS.ReadableStream }).on('line', (line) => {
     const { event, ...fields } = JSON.parse(line) as { event: string };
     if (event === 'ready') node.isReady = true;
+    if (event === 'live') node.liveBytes = (fields as unknown as { bytes: number }).bytes;
     if (event === 'stats') node.stats.push(fields as unknown as Stats);
     if (event === 'member') {
       sightings.push({ ...(fields as unknown as Omit<Sighting, 'observer'>), observer: id });
@@ -116,8 +139,16 @@
   };
   return {
     ids: nodes.map(({ id }) => id),
+    addresses: nodes.map(({ address }) => address),
     sightings,
     stats: (id) => find(id).stats,
+    liveMb: async () => {
+      const live = nodes.filter(isRunning);
+      live.forEach((node) => node.process.kill('SIGUSR2'));
+      await until(() => live.every(({ liveBytes }) => liveBytes > 0), READY_TIMEOUT_MS);
+      const total = live.reduce((sum, { liveBytes }) => sum + liveBytes, 0);
+      return total / live.length / BYTES_PER_MB;
+    },
     running: () => nodes.filter(isRunning).map(({ id }) => id),
     signal: (id, name) => {
       find(id).process.kill(name);
@@ -184,8 +215,6 @@
   readonly rssMb: number;
 }
 
-const BYTES_PER_MB = 1_048_576;
-
 /** Usage per node between two times. */
 export function measureUsage(fleet: Fleet, fromMs: number, toMs: number): Usage {
   const rates = fleet.running().flatMap((id) => {
--- a/packages/bench/src/member/idle.ts
+++ b/packages/bench/src/member/idle.ts
@@ -8,7 +8,8 @@
   createMetrics,
   createSystemClock,
 } from '@mimosamill/adapters';
-import { startLoad } from './load';
+import { createRandom } from '@mimosamill/fakes';
+import { createReport, startLoad } from './load';
 import type { NodeOptions } from './load';
 
 async function start(options: NodeOptions): Promise<void> {
@@ -19,8 +20,25 @@
   const http = createHttpClient();
   const clock = createSystemClock();
   const tokens = metrics.counter('tokens_total', 'Tokens of the running streams');
+  const random = createRandom(Number(options.seed));
+  // Stands in for engines that are asked for their loads.
   const server = createServer((_, response) => {
-    response.end();
+    const report = createReport('engine', random);
+    response.setHeader('content-type', 'application/json');
+    response.end(
+      JSON.stringify({
+        engine_id: 'engine',
+        state: report.state,
+        role: report.role,
+        running: report.running,
+        queued: report.queued,
+        max_running: report.maxRunning,
+        cache_used_ratio: report.cacheUsedRatio,
+        step_ms: report.stepMs,
+        loaded: report.loaded,
+        report_age_ms: report.reportAgeMs,
+      }),
+    );
   });
   server.listen(Number(port), host);
   const load = startLoad(options, {
@@ -49,5 +67,7 @@
   .option('--engines <number>', 'Unused', { default: 0 })
   .option('--streams <number>', 'Running streams of this router', { default: 0 })
   .option('--customers <number>', 'Customers in the configuration', { default: 0 })
+  .option('--loads <address>', 'Unused', { default: '' })
+  .option('--flush <ms>', 'Unused', { default: 0 })
   .action((options: NodeOptions) => start(options));
 cli.parse();
--- a/packages/bench/src/member/load.ts
+++ b/packages/bench/src/member/load.ts
@@ -13,6 +13,10 @@
   readonly engines: string | number;
   readonly streams: string | number;
   readonly customers: string | number;
+  /** Server of load reports; empty if the node makes its loads up itself. */
+  readonly loads: string;
+  /** Period of the replicas in milliseconds. */
+  readonly flush: string | number;
 }
 
 export interface StreamHooks {
@@ -53,6 +57,11 @@
     engines,
     readLoad: (engineId) => Promise.resolve(createReport(engineId, random)),
     report: (figures, print) => {
+      process.on('SIGUSR2', () => {
+        collectGarbage();
+        const { heapUsed, external } = process.memoryUsage();
+        print({ event: 'live', bytes: heapUsed + external });
+      });
       setInterval(() => {
         const { user, system } = process.cpuUsage();
         print({
@@ -90,8 +99,13 @@
   }, TOKEN_EVERY_MS);
 }
 
+/** Only with --expose-gc, which the measurements set. */
+function collectGarbage(): void {
+  (globalThis as { gc?: () => void }).gc?.();
+}
+
 /** A load that moves by about one request a second, as with generations of a minute. */
-function createReport(engineId: string, random: () => number): EngineReport {
+export function createReport(engineId: string, random: () => number): EngineReport {
   const base = 16 + (engineId.length % 8);
   return {
     state: 'live',
--- a/packages/bench/src/member/node.ts
+++ b/packages/bench/src/member/node.ts
@@ -1,6 +1,12 @@
 // A router reduced to what routers do for each other; started by the measurements only.
 import { cac } from 'cac';
-import { createHashes, createMetrics, createSystemClock } from '@mimosamill/adapters';
+import {
+  createEngineClient,
+  createHashes,
+  createHttpClient,
+  createMetrics,
+  createSystemClock,
+} from '@mimosamill/adapters';
 import { asAttemptNo, asId, toRequestId } from '@mimosamill/core';
 import { createRandom } from '@mimosamill/fakes';
 import {
@@ -16,6 +22,8 @@
 import type { RequestId } from '@mimosamill/core';
 import type { NodeOptions } from './load';
 
+const READ_TIMEOUT_MS = 500;
+
 async function start(options: NodeOptions): Promise<void> {
   const { hash32 } = await createHashes();
   const clock = createSystemClock();
@@ -40,12 +48,15 @@
       log: { info: (_, fields = {}) => print({ event: 'member', ...fields }) },
     },
   );
-  const replicas = createReplicas(REPLICA_DEFAULTS, {
-    membership: peers,
-    pool: peers.pool,
-    clock,
-    hash: hash32,
-  });
+  const replicas = createReplicas(
+    { ...REPLICA_DEFAULTS, flushEveryMs: Number(options.flush) },
+    {
+      membership: peers,
+      pool: peers.pool,
+      clock,
+      hash: hash32,
+    },
+  );
   const load = startLoad(options, {
     onStart: (unique) => replicas.onStart(startOf(options.id, unique)),
     onToken: (unique, index, text) =>
@@ -59,7 +70,7 @@
     hash: hash32,
     random,
     engines: () => load.engines.map((engineId) => ({ engineId, region: asId(options.region) })),
-    readLoad: load.readLoad,
+    readLoad: options.loads === '' ? load.readLoad : createReader(options.loads),
   });
   const server = createPeerServer(
     { host, port: Number(port), ...SERVER_DEFAULTS },
@@ -80,12 +91,21 @@
       ...replicas.sizes(),
     };
   }, print);
-  process.on('SIGUSR2', () => {
-    void metrics.text().then((text) => process.stderr.write(text));
-  });
   print({ event: 'ready' });
 }
 
+/** Reads loads over HTTP, as a router reads those of engines. */
+function createReader(address: string) {
+  const engines = createEngineClient(createHttpClient(), {
+    timeoutMs: READ_TIMEOUT_MS,
+    orderTimeoutMs: READ_TIMEOUT_MS,
+  });
+  return async () => {
+    const answer = await engines.load(address);
+    return answer.kind === 'ok' ? answer.value : undefined;
+  };
+}
+
 function startOf(router: string, unique: string) {
   const requestId: RequestId = toRequestId(router, unique);
   return {
@@ -122,5 +142,7 @@
   .option('--engines <number>', 'Engines of the region', { default: 0 })
   .option('--streams <number>', 'Running streams of this router', { default: 0 })
   .option('--customers <number>', 'Customers in the configuration', { default: 0 })
+  .option('--loads <address>', 'Server of load reports', { default: '' })
+  .option('--flush <ms>', 'Period of the replicas', { default: REPLICA_DEFAULTS.flushEveryMs })
   .action((options: NodeOptions) => start(options));
 cli.parse();
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -56,5 +56,3 @@
 // load digests
 export { createLoadDigests } from './peer/digest';
 export type { DigestDeps, DigestEngine, LoadDigests } from './peer/digest';
-export { createReplicatedStreams } from './stream/replicated';
-export type { ReplicatedStreams } from './stream/replicated';
--- a/packages/router/src/peer/pool.ts
+++ b/packages/router/src/peer/pool.ts
@@ -38,6 +38,8 @@
 
 interface Peer {
   readonly pool: Pool;
+  /** Clients by sub-router; a probe a second would otherwise build one each time. */
+  readonly clients: Map<string, unknown>;
   inFlight: number;
   usedAtMs: number;
 }
@@ -78,7 +80,7 @@
         });
       },
     });
-    const peer: Peer = { pool, inFlight: 0, usedAtMs: clock.monotonicMs() };
+    const peer: Peer = { pool, clients: new Map(), inFlight: 0, usedAtMs: clock.monotonicMs() };
     peers.set(peerAddress, peer);
     return peer;
   }
@@ -145,6 +147,7 @@
       ({ op }) =>
         observable((observer) => {
           const controller = new AbortController();
+          let isSettled = false;
           const timeoutMs = Number(op.context['timeoutMs'] ?? settings.callTimeoutMs);
           const cancel = clock.after(timeoutMs, () =>
             controller.abort(new Error(`no answer from ${peerAddress} within ${timeoutMs} ms`)),
@@ -153,22 +156,32 @@
             .then((answer) => {
               const envelope = answer as { result?: { data?: unknown }; error?: unknown };
               if (envelope.error !== undefined) throw envelope;
+              isSettled = true;
               observer.next({ result: { type: 'data', data: envelope.result?.data } });
               observer.complete();
             })
             .catch((cause) => {
+              isSettled = true;
               observer.error(TRPCClientError.from(cause as Error));
             })
             .finally(cancel);
-          return () => controller.abort();
+          return () => {
+            // An abort builds an error with a stack trace, which answered calls need not pay for.
+            if (!isSettled) controller.abort();
+          };
         });
   }
 
   return {
-    client: <TRouter extends AnyRouter>(name: string, peerAddress: string) =>
-      createTRPCClient<TRouter>({
-        links: [createLink(name, peerAddress) as TRPCLink<TRouter>],
-      }),
+    client: <TRouter extends AnyRouter>(name: string, peerAddress: string) => {
+      const { clients } = open(peerAddress);
+      const known = clients.get(name) as TRPCClient<TRouter> | undefined;
+      if (known !== undefined) return known;
+      const links = [createLink(name, peerAddress) as TRPCLink<TRouter>];
+      const created = createTRPCClient<TRouter>({ links });
+      clients.set(name, created);
+      return created;
+    },
     size: () => peers.size,
     close: async () => {
       stopSweep();
--- a/packages/router/src/stream/replica.ts
+++ b/packages/router/src/stream/replica.ts
@@ -29,8 +29,13 @@
   readonly holder: HolderSettings;
 }
 
+/**
+ * A flush every 250 ms rather than 100: each message costs 1 to 2 ms of CPU at both ends together,
+ * so ten a second would take the whole CPU budget of the control plane. What a lost router had not
+ * sent yet, about eight tokens a stream, comes from the engine.
+ */
 export const REPLICA_DEFAULTS: ReplicaSettings = {
-  flushEveryMs: 100,
+  flushEveryMs: 250,
   sendTimeoutMs: 1_000,
   findTimeoutMs: 300,
   holder: HOLDER_DEFAULTS,
