Round streams of small shares by turns

Change: the part of a stream that a share leaves is rounded by a number that differs between holders and moves with time; a first claim asks for one stream instead of two. Conclusion: the sum of the streams follows the limit, and each holder still gets its turn.

--- a/packages/core/src/limit/share.ts
+++ b/packages/core/src/limit/share.ts
@@ -60,6 +60,8 @@
 /** Tokens of a request before any has been measured. */
 const INITIAL_TOKENS_PER_REQUEST = 400;
 const TOKENS_SMOOTHING = 0.1;
+const DITHER_MS = 10_000;
+const EPSILON = 1e-9;
 
 /**
  * Creates a holder's state for one scope. `holderCount`: holders that share the limit. `firstLevel`
@@ -115,7 +117,7 @@
   function wanted(nowMs: number): Amounts {
     const isQuiet = nowMs - lastTriedAtMs >= quietMs();
     const requestsPerSec = isQuiet ? 0 : Math.max(MIN_WISH, attemptsPerSec * HEADROOM_RATIO);
-    const streams = isQuiet ? inUse : Math.max(2, Math.ceil((inUse + 1) * HEADROOM_RATIO));
+    const streams = isQuiet ? inUse : Math.floor(1 + inUse * HEADROOM_RATIO);
     return {
       requestsPerSec: Math.min(whole.requestsPerSec, requestsPerSec),
       tokensPerSec: Math.min(whole.tokensPerSec, requestsPerSec * tokensPerRequest),
@@ -136,6 +138,15 @@
     return requestLevel + granted.requestsPerSec * (hold.remainingMs(nowMs) / 1_000) >= 1;
   }
 
+  /**
+   * Whole streams of a part that need not be whole. Rounding by a number that differs between
+   * holders and moves with time keeps the sum at the limit, and each holder gets its turn.
+   */
+  function streamCap(part: number, nowMs: number): number {
+    const dither = (firstLevel + nowMs / DITHER_MS) % 1;
+    return Math.floor(part + dither + EPSILON);
+  }
+
   /** A debt from before holds up no first request that the rest of the lease covers. */
   function canBorrowTokens(nowMs: number): boolean {
     const granted = hold.current(nowMs);
@@ -197,8 +208,7 @@
       if (tokenLevel < 0 && !canBorrowTokens(nowMs)) {
         return over('tokensPerSec', -tokenLevel, now.tokensPerSec);
       }
-      // One stream per holder is part of the stated bound.
-      if (inUse >= Math.max(1, Math.floor(now.streams + 1e-9))) return over('streams', 1, 1);
+      if (inUse >= streamCap(now.streams, nowMs)) return over('streams', 1, 1);
       const reserved = Math.min(maxTokens, tokensPerRequest);
       requestLevel -= 1;
       tokenLevel -= reserved;
