--- a/packages/bench/src/measure/limit/overload.ts
+++ b/packages/bench/src/measure/limit/overload.ts
@@ -72,7 +72,8 @@
     late_ratio: gated.map((figures) => round(figures.late, 4)),
     small_on_time_ratio: gated.map((figures) => round(figures.small, 4)),
     short_on_time_ratio: gated.map((figures) => round(figures.smallShort, 4)),
-    recovery_s: measureRecovery(seed),
+    recovery_s: measureRecovery(seed, () => true),
+    recovery_small_s: measureRecovery(seed, (customer) => customer !== LARGE),
     baseline_fifo: {
       goodput_ratio: open.map((figures) => round(figures.goodput / openPeak, 3)),
       late_ratio: open.map((figures) => round(figures.late, 4)),
@@ -106,7 +107,7 @@
 }
 
 /** Time after an overload of 3 until requests that arrive are served on time again. */
-function measureRecovery(seed: number): number {
+function measureRecovery(seed: number, isCounted: (customer: string) => boolean): number {
   const overloadEndMs = 60_000;
   const outcomes = run(
     [
@@ -120,7 +121,9 @@
   for (let fromMs = overloadEndMs; fromMs < overloadEndMs + 60_000; fromMs += RECOVERY_STEP_MS) {
     const step = outcomes.filter(
       ({ request }) =>
-        request.arrivedAtMs >= fromMs && request.arrivedAtMs < fromMs + RECOVERY_STEP_MS,
+        isCounted(request.customer) &&
+        request.arrivedAtMs >= fromMs &&
+        request.arrivedAtMs < fromMs + RECOVERY_STEP_MS,
     );
     const onTime = step.filter(({ end }) => end === 'on_time').length;
     if (onTime < RECOVERY_RATIO * step.length) {
