Report engine deaths straight to the region's routers

Cause: suspects resume after 50 ms, but gossip collects items for 100 ms, so routers placed suspects without each other's reports. Change: sub-router 'suspects'; the guard sends its items to the region's routers at once and by gossip as well. The guard is resolved through the composition root, because the peer server mounts its sub-router. The direct reports over real processes are not measured yet.

--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -69,6 +69,7 @@
 } from '@mimosamill/core';
 import type { CallRouter } from './call/peer';
 import type { Calls } from './call/calls';
+import type { SharedSuspectGuard } from './stream/guard';
 import type { ConfigFeed } from './config/feed';
 import type { ConfigRouter } from './config/peer';
 import type { MovePeerRouter } from './move/peer';
@@ -100,6 +101,7 @@
 const BACKENDS: InjectionToken<Backends> = Symbol('Backends');
 const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
 const CALLS: InjectionToken<Calls> = Symbol('Calls');
+const SUSPECTS: InjectionToken<SharedSuspectGuard> = Symbol('SuspectGuard');
 const STREAMS: InjectionToken<Streams> = Symbol('Streams');
 const CALLER_SERVER: InjectionToken<HttpShell> = Symbol('CallerServer');
 
@@ -231,6 +233,7 @@
         calls: createCallRouter(use(CALLS)),
         replica: use(REPLICAS).router,
         moves: createMovePeerRouter(use(MOVES)),
+        suspects: use(SUSPECTS).router,
       },
       use(TRAFFIC),
     ),
@@ -295,6 +298,16 @@
       hashBody: sha256Hex,
     }),
   );
+  provide(SUSPECTS, () =>
+    createSuspectGuard({
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      peers: use(PEERS),
+      metrics: use(METRICS),
+      log: use(LOG),
+      culpritExpiryMs: use(FEED).current()?.defaults.culpritExpiryMs ?? DEFAULTS.culpritExpiryMs,
+    }),
+  );
   provide(STREAMS, () =>
     createStreams({
       clock: use(CLOCK),
@@ -302,15 +315,7 @@
       engines: use(ENGINES),
       directory: use(BACKENDS),
       replicas: use(REPLICAS),
-      suspects: createSuspectGuard({
-        clock: use(CLOCK),
-        hash: hashes.hash32,
-        membership: use(PEERS),
-        gossip: use(PEERS),
-        metrics: use(METRICS),
-        log: use(LOG),
-        culpritExpiryMs: use(FEED).current()?.defaults.culpritExpiryMs ?? DEFAULTS.culpritExpiryMs,
-      }),
+      suspects: use(SUSPECTS),
       versions: use(MOVES),
       metrics: use(METRICS),
       log: use(LOG),
--- a/packages/router/src/stream/guard.ts
+++ b/packages/router/src/stream/guard.ts
@@ -1,14 +1,15 @@
 import { createSuspects, rankByRendezvous, SUSPECT_DEFAULTS } from '@mimosamill/core';
+import { createReporter, createSuspectRouter } from './report';
 import type { Clock, Log, Metrics } from '@mimosamill/adapters';
 import type { Fingerprint, Hash32, SuspectItem } from '@mimosamill/core';
-import type { Membership, Peers } from '../peer/member';
+import type { Peers } from '../peer/member';
 import type { SuspectGuard } from './ports';
+import type { SuspectRouter } from './report';
 
 export interface SuspectGuardDeps {
   readonly clock: Clock;
   readonly hash: Hash32;
-  readonly membership: Membership;
-  readonly gossip: Pick<Peers, 'publish' | 'onItem'>;
+  readonly peers: Pick<Peers, 'self' | 'members' | 'pool' | 'publish' | 'onItem'>;
   readonly metrics: Metrics;
   readonly log: Log;
   /** How long a culprit is refused. */
@@ -17,12 +18,18 @@
 
 const ITEM_KINDS = ['death', 'cleared', 'runner', 'culprit'] as const;
 
-/** Judges requests together with the other routers, whose reports arrive by gossip. */
-export function createSuspectGuard(deps: SuspectGuardDeps): SuspectGuard {
-  const { clock, hash, membership, gossip, log } = deps;
+/** To be mounted as 'suspects'. */
+export interface SharedSuspectGuard extends SuspectGuard {
+  readonly router: SuspectRouter;
+}
+
+/** Judges requests together with the other routers, which report directly and by gossip. */
+export function createSuspectGuard(deps: SuspectGuardDeps): SharedSuspectGuard {
+  const { clock, hash, peers, log } = deps;
+  const report = createReporter(peers);
   const suspects = createSuspects({
     ...SUSPECT_DEFAULTS,
-    routerId: membership.self().routerId,
+    routerId: peers.self().routerId,
     hash,
     culpritExpiryMs: deps.culpritExpiryMs,
   });
@@ -35,25 +42,32 @@
   ]);
 
   ITEM_KINDS.forEach((kind) => {
-    gossip.onItem(kind, ({ key, payload, expiresAtMs }) => {
-      suspects.onItem({ kind, key, payload, expiresAtMs }, clock.nowMs());
-      spread();
+    peers.onItem(kind, ({ key, payload, expiresAtMs }) => {
+      onItems([{ kind, key, payload, expiresAtMs }]);
     });
   });
 
+  function onItems(items: readonly SuspectItem[]): void {
+    items.forEach((item) => suspects.onItem(item, clock.nowMs()));
+    spread();
+  }
+
   function spread(): void {
-    suspects.takeItems().forEach(publish);
+    const items = suspects.takeItems();
+    if (items.length === 0) return;
+    report(items);
+    items.forEach(publish);
   }
 
   function publish({ kind, key, payload, expiresAtMs }: SuspectItem): void {
     if (kind === 'culprit') log.warn('request condemned', { fingerprint: key });
-    gossip.publish({ kind, key, payload, ttlMs: Math.max(1, expiresAtMs - clock.nowMs()) });
+    peers.publish({ kind, key, payload, ttlMs: Math.max(1, expiresAtMs - clock.nowMs()) });
   }
 
   /** This router's place in an order that all routers share. */
   function rankOf(fingerprint: Fingerprint): number {
-    const { routerId } = membership.self();
-    const alive = membership.members().filter(({ state }) => state === 'alive');
+    const { routerId } = peers.self();
+    const alive = peers.members().filter(({ state }) => state === 'alive');
     const ranked = rankByRendezvous(fingerprint, alive, (member) => member.routerId, hash);
     return Math.max(
       0,
@@ -62,6 +76,7 @@
   }
 
   return {
+    router: createSuspectRouter(onItems),
     admit: (fingerprint, requestId) => {
       const nowMs = clock.nowMs();
       const admission = suspects.admit(fingerprint, requestId, rankOf(fingerprint), nowMs);
