Measure poison requests over real processes

Cause: the bound on engines lost had been measured in simulated time only. Change: measure -- poison also runs twelve engines and three routers as processes, sends two culprits among ordinary streams and resends each.

--- a/packages/bench/src/measure/poison.ts
+++ b/packages/bench/src/measure/poison.ts
@@ -1,5 +1,6 @@
 import { createHashes } from '@mimosamill/adapters';
 import { quantileSorted } from 'simple-statistics';
+import { measurePoisonProcesses } from '../poison/processes';
 import { runPoisonWorld } from '../poison/world';
 import type { PoisonFigures, PoisonOptions } from '../poison/world';
 import type { Measurement, MeasureOptions, MeasureResult } from './measurement';
@@ -46,6 +47,7 @@
     reports_after_500_ms: run({ reportMs: 500 }),
     baseline_plain_retry: run({ isGuarded: false }),
     baseline_plain_retry_with_domain_loss: run({ isGuarded: false, hasDomainLoss: true }),
+    real_processes: await measurePoisonProcesses(seed),
   };
 }
 
--- /dev/null
+++ b/packages/bench/src/poison/processes.ts
@@ -0,0 +1,145 @@
+import { basicChanges, commitChanges } from '../fleet/config';
+import { readStream } from '../fleet/caller';
+import { startFleet } from '../fleet/fleet';
+import type { CallerResult } from '../fleet/caller';
+import type { Fleet, FleetNode } from '../fleet/fleet';
+
+/** What culprits did to real engine processes. */
+export interface PoisonProcessFigures {
+  readonly engines: number;
+  readonly culprits: number;
+  readonly culprits_condemned: number;
+  readonly engines_lost_per_culprit_max: number;
+  readonly innocents: number;
+  readonly innocent_failed: number;
+  /** Longest gap between two tokens of a stream. */
+  readonly innocent_gap_max_ms: number;
+}
+
+const KEY = 'guild-key-1';
+const MARKER = 'overclamped';
+const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
+const ENGINES = 12;
+const CULPRITS = 2;
+const STREAMS = 24;
+const TOKENS = 300;
+const STEP_MS = 12;
+const CULPRIT_RESENDS = 6;
+const RESEND_EVERY_MS = 500;
+const WARM_UP_MS = 1_000;
+
+export async function measurePoisonProcesses(seed: number): Promise<PoisonProcessFigures> {
+  const fleet = await startFleet({ seed });
+  try {
+    const engines = await startEngines(fleet);
+    const routers = await startRouters(fleet);
+    return await play(fleet, engines, routers);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function startEngines(fleet: Fleet): Promise<FleetNode[]> {
+  const engines = Array.from({ length: ENGINES }, (_, index) =>
+    fleet.startEngine({
+      id: `engine-${index}`,
+      service: 'bench-guide',
+      model: 'guide',
+      versions: ['v1'],
+      failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
+      modelSettings: { baseStepMs: STEP_MS, poisonMarker: MARKER, poisonAfterTokens: 20 },
+    }),
+  );
+  const started = await Promise.all(engines);
+  await commitChanges(
+    fleet.platformAddress,
+    basicChanges({
+      engineService: 'bench-guide',
+      model: 'guide',
+      version: 'v1',
+      plainService: 'guild-shop',
+      customer: 'rib-gluers',
+      key: KEY,
+    }),
+  );
+  return started;
+}
+
+async function startRouters(fleet: Fleet): Promise<FleetNode[]> {
+  const routers: FleetNode[] = [];
+  for (const [index, failureDomain] of DOMAINS.entries()) {
+    routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
+  }
+  await fleet.waitReady(routers);
+  return routers;
+}
+
+async function play(
+  fleet: Fleet,
+  engines: readonly FleetNode[],
+  routers: readonly FleetNode[],
+): Promise<PoisonProcessFigures> {
+  const send = (router: number, prompt: string): Promise<CallerResult> =>
+    readStream({
+      dispatcher: fleet.http.dispatcher,
+      key: KEY,
+      body: { model: 'guide', prompt, max_tokens: TOKENS },
+      routerFor: (connection) => routers[(router + connection) % routers.length]?.address,
+    });
+  const countDead = (): number => engines.filter(({ process }) => !process.isRunning()).length;
+  const lost: number[] = [];
+  const innocents: Promise<CallerResult>[] = [];
+  let condemned = 0;
+  for (let culprit = 0; culprit < CULPRITS; culprit += 1) {
+    const before = countDead();
+    for (let stream = 0; stream < STREAMS; stream += 1) {
+      innocents.push(sendAdmitted(() => send(stream, `stream ${stream} of round ${culprit}`)));
+    }
+    await wait(WARM_UP_MS);
+    const answers = await sendCulprit((router) => send(router, `${MARKER} ${culprit}`));
+    await Promise.all(innocents);
+    lost.push(countDead() - before);
+    condemned += answers.some(({ error }) => error.includes('request_condemned')) ? 1 : 0;
+  }
+  const results = await Promise.all(innocents);
+  return {
+    engines: ENGINES,
+    culprits: CULPRITS,
+    culprits_condemned: condemned,
+    engines_lost_per_culprit_max: Math.max(...lost),
+    innocents: results.length,
+    innocent_failed: results.filter(isFailed).length,
+    innocent_gap_max_ms: Math.round(Math.max(...results.flatMap(({ gapsMs }) => gapsMs.slice(1)))),
+  };
+}
+
+/** A stream over the customer's limit was not run and is sent again. */
+async function sendAdmitted(send: () => Promise<CallerResult>): Promise<CallerResult> {
+  for (;;) {
+    const result = await send();
+    if (!result.error.includes('over_limit')) return result;
+    await wait(RESEND_EVERY_MS);
+  }
+}
+
+/** A caller that sends the culprit again and again, to two routers each time. */
+async function sendCulprit(
+  send: (router: number) => Promise<CallerResult>,
+): Promise<CallerResult[]> {
+  const answers = [send(0)];
+  for (let resend = 1; resend <= CULPRIT_RESENDS; resend += 1) {
+    await wait(RESEND_EVERY_MS);
+    answers.push(send(resend), send(resend + 1));
+  }
+  return Promise.all(answers);
+}
+
+function isFailed({ end, texts, misnumbered }: CallerResult): boolean {
+  return end !== 'done' || texts.length !== TOKENS || misnumbered > 0;
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
