--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -35,6 +35,9 @@
 type Value = Readonly<Record<string, unknown>>;
 type Show = (value: Value) => string;
 
+/** Stands for "-", which the argument parser drops. */
+export const STANDARD_INPUT = 'stdin:';
+
 const WAIT_MS = 20_000;
 const STATUS_PERIOD_MS = 500;
 const STATUS_WAIT_MS = 60_000;
@@ -239,7 +242,7 @@
 function readChanges(file: string): ChangeFile | string {
   let text: string;
   try {
-    text = readFileSync(file === '-' ? 0 : file, 'utf8');
+    text = readFileSync(file === STANDARD_INPUT ? 0 : file, 'utf8');
   } catch (error) {
     return `${file}: ${(error as Error).message}`;
   }
--- a/packages/router/src/move/watch.ts
+++ b/packages/router/src/move/watch.ts
@@ -74,8 +74,12 @@
 
 /** A router's part in the version moves. */
 export interface MoveWatch {
-  /** Version of a new request. */
-  readonly choose: (service: EngineServiceConfig, requestId: RequestId) => VersionChoice;
+  /** Version of a request without tokens; not the new one if it has failed the request. */
+  readonly choose: (
+    service: EngineServiceConfig,
+    requestId: RequestId,
+    failed?: ReadonlySet<VersionName>,
+  ) => VersionChoice;
   /** Engines that the group should leave to other requests, if it can. */
   readonly avoid: (
     service: EngineServiceConfig,
@@ -103,6 +107,7 @@
   readonly toVersion: VersionName;
   readonly fromVersion: VersionName;
   readonly routeCount: number;
+  nextReadMs: number;
   watched: WatchedMove | undefined;
 }
 
@@ -112,6 +117,7 @@
   readonly pairing: Pairing;
   readonly own: EvidencePool;
   deaths: EngineDeath[];
+  receiverIds: string;
   /** Sums of the cells that both aggregators have, by cell. */
   sent: Map<string, number>;
 }
@@ -131,6 +137,9 @@
 
 const TICK_MS = 1_000;
 
+/** With 340 routers, a candidate without a readable record costs 68 reads/s. */
+const RECORD_RETRY_MS = 5_000;
+
 /** Ranking 600 engines for every request would take most of the time of its placement. */
 const SPLIT_REUSE_MS = 500;
 
@@ -190,6 +199,7 @@
         toVersion: version,
         fromVersion: service.stableVersion,
         routeCount: service.adapters.length + 1,
+        nextReadMs: 0,
         watched: undefined,
       });
     });
@@ -199,6 +209,8 @@
   }
 
   async function learnTimes(move: ActiveMove): Promise<void> {
+    if (clock.monotonicMs() < move.nextReadMs) return;
+    move.nextReadMs = clock.monotonicMs() + RECORD_RETRY_MS;
     const record = await ports.readRecord(move.moveId);
     if (record === undefined || move.watched !== undefined) return;
     const settings = {
@@ -212,6 +224,7 @@
       pairing: createPairing(settings),
       own: createEvidencePool(settings),
       deaths: [],
+      receiverIds: '',
       sent: new Map(),
     };
   }
@@ -240,6 +253,11 @@
     const cells = watched.pairing.cells(nowMs);
     watched.own.merge(routerId, cells);
     judge(itemOf(move), watched.own, nowMs);
+    const receivers = aggregators(move.moveId);
+    const receiverIds = receivers.map((each) => each.routerId).join();
+    // A new aggregator gets the open epochs from the start.
+    if (receiverIds !== watched.receiverIds) watched.sent = new Map();
+    watched.receiverIds = receiverIds;
     const changed = cells.filter((cell) => watched.sent.get(cellKey(cell)) !== cellSum(cell));
     const { deaths } = watched;
     if (changed.length === 0 && deaths.length === 0) return;
@@ -253,7 +271,7 @@
       deaths,
     };
     const replies = await Promise.all(
-      aggregators(move.moveId).map((peer) =>
+      receivers.map((peer) =>
         peer.routerId === routerId ? onEvidence(message) : ports.sendEvidence(peer, message),
       ),
     );
@@ -292,7 +310,24 @@
     if (withdrawals.find(item.service, item.version) !== undefined) return;
     const verdict = pool.verdict(nowMs);
     if (verdict === undefined) return;
-    takeIn({ ...item, reason: describeVerdict(verdict) }, 'own_evidence');
+    takeIn({ ...item, reason: describeVerdict(verdict, item.service) }, 'own_evidence');
+  }
+
+  function describeVerdict(verdict: EvidenceVerdict, service: ServiceName): string {
+    const { againstNew, againstOld } = verdict.counts;
+    const scope =
+      verdict.routeHash === undefined ? 'all routes' : nameRoute(verdict.routeHash, service);
+    const level = verdict.level === undefined ? '' : `, ${verdict.level} load`;
+    return `${verdict.signal} on ${scope}${level}: ${againstNew} against, ${againstOld} for`;
+  }
+
+  /** Messages carry hashes of the routes; their names are in the configuration. */
+  function nameRoute(routeHash: number, service: ServiceName): string {
+    const found = config.current()?.services[service];
+    const adapters = found?.kind === 'engine' ? found.adapters : [];
+    const name = adapters.find((adapter) => hash(adapter) === routeHash);
+    if (name !== undefined) return `adapter ${name}`;
+    return routeHash === hash('') ? 'the base model' : `route ${routeHash}`;
   }
 
   async function tick(): Promise<void> {
@@ -314,7 +349,8 @@
   gossip.onItem((item) => takeIn(item, 'peer'));
 
   return {
-    choose: (service, requestId) => chooseVersion(service, requestId, withdrawals, hash),
+    choose: (service, requestId, failed) =>
+      chooseVersion(service, requestId, withdrawals, hash, failed),
     avoid: (service, group, engines, busyRatio) => {
       const { candidate } = service;
       if (candidate === undefined) return new Set();
@@ -381,10 +417,3 @@
   const pairs = Object.values(cell.counts).map((each) => each.againstNew + each.againstOld);
   return pairs.reduce((sum, each) => sum + each, cell.newStarts + cell.oldStarts);
 }
-
-function describeVerdict(verdict: EvidenceVerdict): string {
-  const { againstNew, againstOld } = verdict.counts;
-  const scope = verdict.routeHash === undefined ? 'all routes' : `route ${verdict.routeHash}`;
-  const level = verdict.level === undefined ? '' : `, ${verdict.level} load`;
-  return `${verdict.signal} on ${scope}${level}: ${againstNew} pairs against, ${againstOld} for`;
-}
