Pass the platform's address to admin and controller in measurement and demo

The fleet harness no longer adds the address, so the measurement 'config' could not start the administration API, and the demo could not start the controllers, which expect 'platform'.

--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -97,8 +97,8 @@
   });
   for (const [index, routerPeerAddress] of fleet.routerPeers().entries()) {
     const hostId = `host-${index}`;
-    const { platformAddress } = fleet;
-    await fleet.startController({ hostId, platformAddress, routerPeerAddress });
+    const platform = fleet.platformAddress;
+    await fleet.startController({ hostId, platform, routerPeerAddress });
   }
   say(`started ${ENGINES} engines, 2 shop servers, 3 routers, 3 controllers and the admin API`);
   return { fleet, engines, servers, routers, admin, cli: createCli(admin.address, ADMIN_KEY) };
--- a/packages/bench/src/measure/config.ts
+++ b/packages/bench/src/measure/config.ts
@@ -122,6 +122,7 @@
   const admins = await Promise.all(
     [routerId(0), routerId(1)].map((id) =>
       fleet.startAdmin({
+        platform: fleet.platformAddress,
         routerPeer: routers.get(id)?.peerAddress,
         logLevel: 'warn',
         firstAdministrator: { team: 'operators', name: 'bench', keyHash: sha256Hex(KEY) },
