--- a/packages/admin/src/cli/commands.ts
+++ b/packages/admin/src/cli/commands.ts
@@ -35,6 +35,9 @@
 type Value = Readonly<Record<string, unknown>>;
 type Show = (value: Value) => string;
 
+/** Stands for "-", which the argument parser drops. */
+export const STANDARD_INPUT = 'stdin:';
+
 const WAIT_MS = 20_000;
 const STATUS_PERIOD_MS = 500;
 const STATUS_WAIT_MS = 60_000;
@@ -224,9 +227,6 @@
   };
 }
 
-/** Stands for "-", which the argument parser drops. */
-export const STANDARD_INPUT = 'stdin:';
-
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
--- a/packages/admin/test/admin.spec.ts
+++ b/packages/admin/test/admin.spec.ts
@@ -1,4 +1,5 @@
-import { spawnSync } from 'node:child_process';
+import { spawn, spawnSync } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -266,6 +267,21 @@
     expect(run('status')).toMatchObject({ status: 2, text: expect.stringContaining('no key') });
   });
 
+  // Guards against a pipe into mimosactl that is ignored.
+  it('applies changes from standard input', async () => {
+    const child = spawn(
+      process.execPath,
+      [MIMOSACTL, 'apply', '-', '--why', 'pipe', '--server', world.address],
+      { env: { ...process.env, MIMOSACTL_KEY: FLEET_KEY }, stdio: ['pipe', 'pipe', 'inherit'] },
+    );
+    child.stdin.end(JSON.stringify(SETUP));
+    const printed: string[] = [];
+    child.stdout.on('data', (chunk: Buffer) => printed.push(chunk.toString()));
+    const [code] = (await once(child, 'close')) as [number];
+    expect(code).toBe(0);
+    expect(printed.join('')).toContain('accepted: revision 2');
+  });
+
   // Guards against an API whose description misses a route or the change kinds.
   it('describes itself in OpenAPI', async () => {
     const answer = await fetch(`http://${world.address}/openapi.json`);
