Hash prompt blocks as the engines do

Cause: the router hashed blocks of characters and the engines blocks of tokens, so no cache event ever matched a prompt, and only own sends told where a prefix was. Change: one function in the core hashes blocks of tokens, and router and engine stand-in both call it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -157,7 +157,6 @@
 export { createOutlierJudge } from './route/outlier';
 export type { OutlierJudge, OutlierSettings, ServerResult } from './route/outlier';
 export { chainBlockHashes, toBlockKeys } from './route/prefix';
-export type { Hash64Text, PrefixScope } from './route/prefix';
 export { createPicker } from './route/picker';
 export type { Picker } from './route/picker';
 export type {
--- a/packages/core/src/route/prefix.ts
+++ b/packages/core/src/route/prefix.ts
@@ -1,30 +1,20 @@
 import type { Hash32 } from '../hash/rendezvous';
 
-/** A 64-bit string hash as hexadecimal text; supplied by a library outside the core. */
-export type Hash64Text = (text: string) => string;
-
-/** What makes two equal prompts share cache blocks. */
-export interface PrefixScope {
-  readonly model: string;
-  readonly version: string;
-  readonly adapter: string;
-}
-
 /**
- * Hashes a prompt's full blocks. Each hash covers the block and everything before it, so an equal
- * hash means an equal prefix. A last block that is not full has no hash.
+ * Hashes a prompt's full blocks, as the engines do. Each hash covers the block and everything before
+ * it, so an equal hash means an equal prefix. A last block that is not full has no hash.
  */
 export function chainBlockHashes(
-  scope: PrefixScope,
-  prompt: string,
-  blockChars: number,
-  hash: Hash64Text,
+  tokens: readonly string[],
+  blockTokens: number,
+  hash: Hash32,
 ): string[] {
   const hashes: string[] = [];
-  let previous = `${scope.model}\u0000${scope.version}\u0000${scope.adapter}`;
-  for (let end = blockChars; end <= prompt.length; end += blockChars) {
-    previous = hash(`${previous}\u0000${prompt.slice(end - blockChars, end)}`);
-    hashes.push(previous);
+  let chained = '';
+  for (let start = 0; start + blockTokens <= tokens.length; start += blockTokens) {
+    const block = tokens.slice(start, start + blockTokens).join(' ');
+    chained = hash(`${chained}/${block}`).toString(16);
+    hashes.push(chained);
   }
   return hashes;
 }
--- a/packages/fakes/src/engine/cache.ts
+++ b/packages/fakes/src/engine/cache.ts
@@ -1,3 +1,4 @@
+import { chainBlockHashes } from '@mimosamill/core';
 import type { Hash32 } from '@mimosamill/core';
 
 export const BLOCK_TOKENS = 16;
@@ -16,18 +17,6 @@
   readonly usedRatio: () => number;
 }
 
-/** Hashes of a token sequence's full blocks, each chained to the one before. */
-export function blockHashes(tokens: readonly string[], hash: Hash32): string[] {
-  const hashes: string[] = [];
-  let chained = '';
-  for (let start = 0; start + BLOCK_TOKENS <= tokens.length; start += BLOCK_TOKENS) {
-    const block = tokens.slice(start, start + BLOCK_TOKENS).join(' ');
-    chained = hash(`${chained}/${block}`).toString(16);
-    hashes.push(chained);
-  }
-  return hashes;
-}
-
 export function createPrefixCache(capacityBlocks: number, hash: Hash32): PrefixCache {
   // A Map keeps insertion order; the oldest entry is first.
   const blocks = new Map<string, true>();
@@ -50,14 +39,14 @@
 
   return {
     match: (tokens) => {
-      const hashes = blockHashes(tokens, hash);
+      const hashes = chainBlockHashes(tokens, BLOCK_TOKENS, hash);
       const missing = hashes.findIndex((blockHash) => !blocks.has(blockHash));
       const count = missing === -1 ? hashes.length : missing;
       hashes.slice(0, count).forEach(touch);
       return count * BLOCK_TOKENS;
     },
     store: (tokens) => {
-      const stored = blockHashes(tokens, hash).filter((blockHash) => {
+      const stored = chainBlockHashes(tokens, BLOCK_TOKENS, hash).filter((blockHash) => {
         const isNew = !blocks.has(blockHash);
         touch(blockHash);
         return isNew;
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,5 +1,5 @@
 // engine
-export { BLOCK_TOKENS, blockHashes, createPrefixCache } from './engine/cache';
+export { BLOCK_TOKENS, createPrefixCache } from './engine/cache';
 export type { CacheChange, PrefixCache } from './engine/cache';
 export { createEngineModel, DEFAULT_ENGINE_MODEL } from './engine/model';
 export type {
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -110,8 +110,7 @@
 const ADMISSION: InjectionToken<Admission> = Symbol('Admission');
 const CALLER_SERVER: InjectionToken<HttpShell> = Symbol('CallerServer');
 
-/** Characters of a prompt per cache block; engines count tokens, which the router doesn't see. */
-const BLOCK_CHARS = 64;
+/** Tokens per cache block of the engines; their tokens are words. */
 const BLOCK_TOKENS = 16;
 const PREFILL_TOKENS_PER_MS = 40;
 const OWN_DOMAIN_MS = 0.5;
@@ -335,9 +334,8 @@
       metrics: use(METRICS),
       log: use(LOG),
       blockKeysOf: (text) => {
-        const scope = { model: '', version: '', adapter: '' };
-        const blocks = chainBlockHashes(scope, text, BLOCK_CHARS, hashes.hash64);
-        return toBlockKeys(blocks, hashes.hash32);
+        const words = text.split(/\s+/u).filter((word) => word !== '');
+        return toBlockKeys(chainBlockHashes(words, BLOCK_TOKENS, hashes.hash32), hashes.hash32);
       },
       fingerprintOf: (text) => asId<Fingerprint>(hashes.hash64(text)),
     }),
--- /dev/null
+++ b/packages/router/test/backends.spec.ts
@@ -0,0 +1,143 @@
+import { createLog, createMetrics } from '@mimosamill/adapters';
+import { asId, chainBlockHashes, toBlockKeys } from '@mimosamill/core';
+import { createRandom, createVirtualTime } from '@mimosamill/fakes';
+import { describe, expect, it } from 'vitest';
+import { createBackends } from '../src/route/backends';
+import { hash32 } from './peer/nodes';
+import type { EngineClient, ListedHost, ServiceClient } from '@mimosamill/adapters';
+import type { EngineId, RouteRequest, ServiceName } from '@mimosamill/core';
+
+const SERVICE = asId<ServiceName>('lackschrift');
+const PLAIN = asId<ServiceName>('werkbuch');
+/** Long enough that its cached part outweighs the width of the best few. */
+const PROMPT = Array.from({ length: 3_200 }, (_, at) => `word${at}`);
+const BLOCKS = chainBlockHashes(PROMPT, 16, hash32);
+const LOAD = {
+  role: 'mixed',
+  running: 4,
+  queued: 0,
+  maxRunning: 16,
+  cacheUsedRatio: 0,
+  stepMs: 20,
+  loaded: [{ model: 'm', version: 'v1', adapters: [] }],
+  reportAgeMs: 100,
+} as const;
+
+function hostAt(at: number, role: 'engine' | 'service'): ListedHost {
+  return {
+    hostId: asId(`${role}${at}`),
+    role,
+    service: role === 'engine' ? SERVICE : PLAIN,
+    address: `10.0.0.${at}:1`,
+    region: asId('traunsee'),
+    failureDomain: asId('gmunden'),
+    state: 'live',
+  };
+}
+
+/** Five engines and three plain servers; the third engine has the prompt's blocks. */
+function createWorld() {
+  const time = createVirtualTime();
+  const state = {
+    hosts: [
+      ...Array.from({ length: 5 }, (_, at) => hostAt(at, 'engine')),
+      ...Array.from({ length: 3 }, (_, at) => hostAt(10 + at, 'service')),
+    ],
+    leaving: new Set<string>(),
+    snapshots: 0,
+  };
+  const stateOf = (address: string) => (state.leaving.has(address) ? 'leaving' : 'live');
+  const engines: Partial<EngineClient> = {
+    load: async (address) => ({
+      kind: 'ok',
+      value: { ...LOAD, engineId: asId<EngineId>('e'), state: stateOf(address) },
+    }),
+    cacheEvents: async () => ({
+      kind: 'ok',
+      value: { events: [], oldestSeq: BLOCKS.length + 1, latestSeq: BLOCKS.length },
+    }),
+    cacheSnapshot: async (address) => {
+      state.snapshots += 1;
+      const blockHashes = address === '10.0.0.2:1' ? BLOCKS : [];
+      return { kind: 'ok', value: { asOfSeq: BLOCKS.length, blockHashes } };
+    },
+  };
+  const services: Partial<ServiceClient> = {
+    load: async (address) => ({ state: stateOf(address), running: 0, maxRunning: 8 }),
+  };
+  const backends = createBackends({
+    clock: time.clock,
+    random: createRandom(5),
+    hosts: { read: async () => ({ kind: 'ok', hosts: state.hosts, asOfMs: 0 }) },
+    engines: engines as EngineClient,
+    services: services as ServiceClient,
+    metrics: createMetrics(),
+    log: createLog('test', 'silent', {}),
+    picker: {
+      region: asId('traunsee'),
+      failureDomain: asId('gmunden'),
+      hash: hash32,
+      blockTokens: 16,
+      prefillTokensPerMs: 8,
+      ownDomainMs: 0.5,
+      ownRegionMs: 1,
+      otherRegionMs: 40,
+      ejectedMaxRatio: 0.3,
+    },
+    hostListPeriodMs: 1_000,
+    loadPeriodMs: 500,
+  });
+  return { time, state, backends };
+}
+
+const REQUEST: RouteRequest = {
+  model: 'm',
+  version: 'v1',
+  adapter: '',
+  priority: 'normal',
+  promptTokens: PROMPT.length,
+  blockKeys: toBlockKeys(BLOCKS, hash32),
+  excluded: new Set(),
+};
+
+describe('backends', () => {
+  // Guards against cache events that never reach the picker, and against endless snapshots.
+  it('sends a prompt to the engine whose snapshot has its blocks', async () => {
+    const { time, state, backends } = createWorld();
+    void backends.start();
+    await time.run(2_000);
+    const picks = Array.from({ length: 20 }, () => backends.pick(REQUEST));
+    expect(picks.every((pick) => pick.kind === 'ok' && pick.engineId === 'engine2')).toBe(true);
+    expect(state.snapshots).toBe(5);
+    backends.stop();
+  });
+
+  // Guards against new work for a leaving server later than 3 s after the first sign, whichever it
+  // is, and against a later report of the earlier state that takes it back into use.
+  it('gives no new work to what is leaving, within 3 s of any sign', async () => {
+    const { time, state, backends } = createWorld();
+    void backends.start();
+    await time.run(2_000);
+    state.leaving.add('10.0.0.0:1');
+    state.leaving.add('10.0.0.10:1');
+    state.hosts = state.hosts.map((host) =>
+      host.address === '10.0.0.1:1' || host.address === '10.0.0.11:1'
+        ? { ...host, state: 'leaving' as const }
+        : host,
+    );
+    await time.run(2_000 + 3_000);
+    const refusedAt = asId<EngineId>('engine2');
+    backends.onLeaving(refusedAt);
+    for (let step = 0; step < 4; step += 1) {
+      const engines = Array.from({ length: 50 }, () =>
+        backends.pick({ ...REQUEST, blockKeys: [] }),
+      );
+      const ids = new Set(engines.map((pick) => (pick.kind === 'ok' ? pick.engineId : 'none')));
+      expect([...ids].sort()).toEqual(['engine3', 'engine4']);
+      const servers = Array.from({ length: 50 }, () => backends.servers.pick(PLAIN, new Set()));
+      expect(new Set(servers)).toEqual(new Set(['10.0.0.12:1']));
+      await time.run(5_000 + (step + 1) * 500);
+    }
+    backends.stop();
+  });
+});
