--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -33,6 +33,7 @@
 import { createConfigRouter } from './config/peer';
 import { createCallerServer } from './http/server';
 import { createAdmission } from './limit/admission';
+import { createLossWatch } from './limit/loss';
 import { limitOfScope } from './limit/scopes';
 import { createShares } from './limit/shares';
 import { createWithdrawalGossip } from './move/gossip';
@@ -391,6 +392,13 @@
   const stopMoves = use(MOVES).start();
   use(SHARES).start();
   use(ADMISSION).start();
+  use(BACKENDS).onDown(
+    createLossWatch({
+      clock: use(CLOCK),
+      admission: use(ADMISSION),
+      enginesOf: use(BACKENDS).enginesOf,
+    }),
+  );
   await use(BACKENDS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
--- a/packages/router/test/limit.spec.ts
+++ b/packages/router/test/limit.spec.ts
@@ -3,6 +3,7 @@
 import { createVirtualTime } from '@mimosamill/fakes';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createAdmission } from '../src/limit/admission';
+import { createLossWatch } from '../src/limit/loss';
 import { createShares } from '../src/limit/shares';
 import { hash32, startFleet, stopAll, until } from './peer/nodes';
 import type { AcquireOutcome, Amounts, ServiceName } from '@mimosamill/core';
@@ -126,3 +127,34 @@
     expect(await third).toMatchObject({ kind: 'ok' });
   });
 });
+
+describe('loss watch', () => {
+  // Guards against a single crash that is taken for the loss of a failure domain, and against a lost
+  // domain that is not noticed.
+  it('reports a failure domain once most of its engines are lost within 2 s', async () => {
+    const time = createVirtualTime();
+    const service = asId<ServiceName>('s');
+    const engines = Array.from({ length: 12 }, (_, at) => ({
+      engineId: `e${at}`,
+      service,
+      failureDomain: asId<never>(`d${at % 3}`),
+    }));
+    const losses: number[] = [];
+    const onDown = createLossWatch({
+      clock: time.clock,
+      admission: { onCapacityLost: (_service, remainingRatio) => losses.push(remainingRatio) },
+      enginesOf: () => engines,
+    });
+    const lose = (at: number): void => {
+      const engine = engines[at];
+      if (engine !== undefined) onDown(engine);
+    };
+    lose(0);
+    await time.run(3_000);
+    lose(3);
+    lose(1);
+    expect(losses).toEqual([]);
+    lose(4);
+    expect(losses).toEqual([1 - 2 / 12]);
+  });
+});
