--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -33,6 +33,7 @@
 import { createConfigRouter } from './config/peer';
 import { createCallerServer } from './http/server';
 import { createAdmission } from './limit/admission';
+import { createLossWatch } from './limit/loss';
 import { limitOfScope } from './limit/scopes';
 import { createShares } from './limit/shares';
 import { createWithdrawalGossip } from './move/gossip';
@@ -112,8 +113,7 @@
 const ADMISSION: InjectionToken<Admission> = Symbol('Admission');
 const CALLER_SERVER: InjectionToken<HttpShell> = Symbol('CallerServer');
 
-/** Characters of a prompt per cache block; engines count tokens, which the router doesn't see. */
-const BLOCK_CHARS = 64;
+/** Tokens per cache block of the engines; their tokens are words. */
 const BLOCK_TOKENS = 16;
 const PREFILL_TOKENS_PER_MS = 40;
 const OWN_DOMAIN_MS = 0.5;
@@ -340,9 +340,8 @@
       metrics: use(METRICS),
       log: use(LOG),
       blockKeysOf: (text) => {
-        const scope = { model: '', version: '', adapter: '' };
-        const blocks = chainBlockHashes(scope, text, BLOCK_CHARS, hashes.hash64);
-        return toBlockKeys(blocks, hashes.hash32);
+        const words = text.split(/\s+/u).filter((word) => word !== '');
+        return toBlockKeys(chainBlockHashes(words, BLOCK_TOKENS, hashes.hash32), hashes.hash32);
       },
       fingerprintOf: (text) => asId<Fingerprint>(hashes.hash64(text)),
     }),
@@ -393,6 +392,13 @@
   const stopMoves = use(MOVES).start();
   use(SHARES).start();
   use(ADMISSION).start();
+  use(BACKENDS).onDown(
+    createLossWatch({
+      clock: use(CLOCK),
+      admission: use(ADMISSION),
+      enginesOf: use(BACKENDS).enginesOf,
+    }),
+  );
   await use(BACKENDS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
