--- a/packages/admin/src/cli/main.ts
+++ b/packages/admin/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { cac } from 'cac';
 import { createAdminClient } from './client';
-import { createCommands } from './commands';
+import { createCommands, STANDARD_INPUT } from './commands';
 import { EXIT } from './exit';
 import type { CommandOptions } from './commands';
 
@@ -48,6 +48,11 @@
   await client.close();
 }
 
+/** cac drops a lone "-", which stands for standard input. */
+function nameStandardInput(argv: readonly string[]): string[] {
+  return argv.map((word) => (word === '-' ? STANDARD_INPUT : word));
+}
+
 /** Lets "move order" be written for "move-order"; cac knows commands of one word only. */
 function joinMoveCommand(argv: readonly string[]): string[] {
   const index = argv.indexOf('move', 2);
@@ -117,6 +122,7 @@
 cli
   .command('status', 'Show, by region, where a revision is in force')
   .option('--revision <number>', 'This revision instead of the newest')
+  .option('--wait', 'Show the progress until it is in force everywhere, for at most 60 s')
   .action((options: GlobalOptions) => run(options, (commands) => commands.status(options)));
 cli
   .command('move-order <service> <version>', 'Order a version move (also: move order)')
@@ -146,7 +152,7 @@
 cli.version(VERSION);
 
 try {
-  cli.parse(joinMoveCommand(process.argv), { run: false });
+  cli.parse(nameStandardInput(joinMoveCommand(process.argv)), { run: false });
   const isAnswered = cli.options['help'] === true || cli.options['version'] === true;
   if (cli.matchedCommand === undefined && !isAnswered) {
     cli.outputHelp();
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -12,6 +12,8 @@
   /** Past the relay. */
   readonly ownAddress: string;
   readonly failureDomain: string;
+  /** Address for peers; routers only. */
+  readonly peerAddress?: string;
   /** Between routers and this node, if the fleet has relays. */
   readonly relay: Relay | undefined;
 }
@@ -200,6 +202,7 @@
       process: router,
       address,
       ownAddress: address,
+      peerAddress,
       failureDomain: spec.failureDomain,
       relay: undefined,
     };
@@ -207,8 +210,7 @@
 
   async function startOwn(binary: 'admin' | 'controller', settings: object): Promise<FleetNode> {
     const port = await findFreePort();
-    const own = { ip: IP, port, platform: platformAddress, ...settings };
-    const started = await start(binary, binary, own);
+    const started = await start(binary, binary, { ip: IP, port, ...settings });
     const address = `${IP}:${port}`;
     return { process: started, address, ownAddress: address, failureDomain: '', relay: undefined };
   }
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,7 +1,11 @@
 import { callsMeasurement } from './calls';
+import { configMeasurement } from './config';
+import { limitsMeasurement } from './limit/limits';
+import { overloadMeasurement } from './limit/overload';
 import { controlMeasurement } from './control';
 import { membershipMeasurement } from './membership';
 import { movesMeasurement } from './moves/measure';
+import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
 import { relay } from './relay/relay';
 import { resume } from './resume/resume';
@@ -11,9 +15,13 @@
 /** Every measurement by name. */
 export const MEASUREMENTS: readonly Measurement[] = [
   callsMeasurement,
+  configMeasurement,
+  limitsMeasurement,
   controlMeasurement,
   membershipMeasurement,
   movesMeasurement,
+  ordersMeasurement,
+  overloadMeasurement,
   poisonMeasurement,
   relay,
   resume,
--- a/packages/core/src/move/plan.ts
+++ b/packages/core/src/move/plan.ts
@@ -1,6 +1,8 @@
 /** What a move's timetable depends on. */
 export interface PlanInput {
   readonly nowMs: number;
+  /** When the move was ordered; the same as `nowMs` for a new one. */
+  readonly orderedAtMs?: number;
   readonly byMs: number;
   /** Share that was already reached; 0 for a new move. */
   readonly reachedShareRatio: number;
@@ -36,8 +38,11 @@
 
 export const STEP_SHARES: readonly number[] = [0.01, 0.05, 0.2, 0.5, 1];
 
-/** Parts of the spare time spent at 1, 5, 20 and 50%: long where a fault harms few requests. */
-const HOLD_WEIGHTS: readonly number[] = [0.3, 0.25, 0.25, 0.2];
+/**
+ * Parts of the spare time spent at 1, 5, 20 and 50%. Most pairs come from the last two, on which
+ * faults of one route or with little traffic are found.
+ */
+const HOLD_WEIGHTS: readonly number[] = [0.2, 0.25, 0.3, 0.25];
 
 /** A step takes effect everywhere within 8 s; a shorter hold would show nothing. */
 const MIN_HOLD_MS = 15_000;
@@ -57,12 +62,15 @@
 /** Capacity that an engine loses while it loads; it goes on serving more slowly. */
 const LOADING_LOSS_RATIO = 0.2;
 
-/** Up to this share the new version's traffic is packed onto few engines. */
+/** Up to this share the traffic is packed as tightly as is safe. */
 const PACKED_UP_TO_RATIO = 0.2;
 
 /** Load that packed engines should reach, to show what appears only under load. */
 const PACKED_LOAD_RATIO = 0.9;
 
+/** From then on the load only has to exceed the one that all engines will have in the end. */
+const ABOVE_FINAL_FACTOR = 1.15;
+
 /** Plans the steps backwards from the deadline, or says why it cannot be met. */
 export function planMove(input: PlanInput): PlanOutcome {
   if (input.engineCount === 0) return refuse('the service has no engines');
@@ -73,19 +81,21 @@
       `no engine can be spared for loading: ${input.engineCount} engines are ${busyPercent}% busy`,
     );
   }
-  const shares = STEP_SHARES.filter((share) => share > input.reachedShareRatio);
-  const readyAtMs = shares.map((share) => loadedAtMs(input, share, loadConcurrency));
-  const earliestMs = earliestTimes(readyAtMs, input.nowMs);
+  const finishMs = input.byMs - FINISH_MARGIN_MS;
+  const timetable = spreadTimes(timesFromOrder(input, loadConcurrency), finishMs);
+  const firstStep = STEP_SHARES.findIndex((share) => share > input.reachedShareRatio);
+  const shares = firstStep < 0 ? [] : STEP_SHARES.slice(firstStep);
+  const earliestMs = timesFromNow(input, shares, loadConcurrency);
+  // A new holder keeps to the move's timetable, and waits between steps that are overdue.
+  const times = earliestMs.map((ms, i) => Math.max(ms, timetable[firstStep + i] ?? ms));
   // The margin is for takeovers, so a move that was taken over may use it up.
   const marginMs = input.reachedShareRatio === 0 ? FINISH_MARGIN_MS : LAST_MARGIN_MS;
-  const earliestFinishMs = earliestMs.at(-1) ?? input.nowMs;
-  const finishMs = Math.max(earliestFinishMs, input.byMs - FINISH_MARGIN_MS);
-  if (earliestFinishMs > input.byMs - marginMs) {
-    const neededSec = Math.ceil((earliestFinishMs + marginMs - input.nowMs) / 1_000);
+  const lastMs = times.at(-1) ?? input.nowMs;
+  if (lastMs > input.byMs - marginMs) {
+    const neededSec = Math.ceil((lastMs + marginMs - input.nowMs) / 1_000);
     const givenSec = Math.floor((input.byMs - input.nowMs) / 1_000);
     return refuse(`the move needs ${neededSec} s and the deadline leaves ${givenSec} s`);
   }
-  const times = spreadTimes(earliestMs, finishMs);
   const steps = shares.map((shareRatio, i) => ({
     shareRatio,
     atMs: times[i] ?? finishMs,
@@ -95,15 +105,26 @@
   return { kind: 'ok', plan: { steps, loadConcurrency } };
 }
 
-/** Engines onto which a small share is packed, so that they work under a high load. */
+/**
+ * Engines onto which a share is packed, so that they work under a load that the service's engines
+ * have not yet reached with the new version.
+ */
 export function packedEngineCount(
   shareRatio: number,
   engineCount: number,
   busyRatio: number,
 ): number {
-  if (shareRatio > PACKED_UP_TO_RATIO) return Math.ceil(engineCount * shareRatio);
+  if (shareRatio >= 1) return engineCount;
+  const isSmall = shareRatio <= PACKED_UP_TO_RATIO;
+  const aboveFinal = Math.max(
+    busyRatio,
+    Math.min(PACKED_LOAD_RATIO, busyRatio * ABOVE_FINAL_FACTOR),
+  );
+  const loadRatio = isSmall ? PACKED_LOAD_RATIO : aboveFinal;
   const busyEngines = shareRatio * engineCount * busyRatio;
-  return Math.max(1, Math.ceil(busyEngines / PACKED_LOAD_RATIO));
+  if (busyEngines === 0) return Math.max(1, Math.ceil(shareRatio * engineCount));
+  // Rounding errors must not cost an engine.
+  return Math.max(1, Math.ceil(busyEngines / loadRatio - 1e-9));
 }
 
 function refuse(reason: string): PlanOutcome {
@@ -126,6 +147,33 @@
   return busyEngines / enginesAt(input, shareRatio);
 }
 
+/** Earliest times of all steps, as they were when the move was ordered. */
+function timesFromOrder(input: PlanInput, concurrency: number): number[] {
+  const isNew = input.reachedShareRatio === 0;
+  const loadedCount = isNew ? input.loadedCount : 0;
+  const nowMs = input.orderedAtMs ?? input.nowMs;
+  return earliestTimes({ ...input, nowMs, loadedCount }, STEP_SHARES, concurrency, nowMs);
+}
+
+/** Earliest times of the steps that are left; it is unknown how long the last one was held. */
+function timesFromNow(input: PlanInput, shares: readonly number[], concurrency: number): number[] {
+  const startMs = input.reachedShareRatio === 0 ? input.nowMs : input.nowMs + MIN_HOLD_MS;
+  return earliestTimes(input, shares, concurrency, startMs);
+}
+
+function earliestTimes(
+  input: PlanInput,
+  shares: readonly number[],
+  concurrency: number,
+  startMs: number,
+): number[] {
+  let previousMs = startMs - MIN_HOLD_MS;
+  return shares.map((share) => {
+    previousMs = Math.max(loadedAtMs(input, share, concurrency), previousMs + MIN_HOLD_MS);
+    return previousMs;
+  });
+}
+
 function loadedAtMs(input: PlanInput, shareRatio: number, concurrency: number): number {
   if (input.sizeBytes === 0) return input.nowMs;
   const missing = Math.max(0, enginesAt(input, shareRatio) - input.loadedCount);
@@ -134,24 +182,14 @@
   return input.nowMs + transferMs + rounds * LOAD_OVERHEAD_MS;
 }
 
-function earliestTimes(readyAtMs: readonly number[], nowMs: number): number[] {
-  let previousMs = nowMs - MIN_HOLD_MS;
-  return readyAtMs.map((readyMs) => {
-    previousMs = Math.max(readyMs, previousMs + MIN_HOLD_MS);
-    return previousMs;
-  });
-}
-
 /** Walks back from the finish; no step is earlier than its earliest time. */
 function spreadTimes(earliestMs: readonly number[], finishMs: number): number[] {
-  const weights = HOLD_WEIGHTS.slice(HOLD_WEIGHTS.length - (earliestMs.length - 1));
-  const weightSum = weights.reduce((sum, weight) => sum + weight, 0);
   const spanMs = finishMs - (earliestMs[0] ?? finishMs);
   const times = [...earliestMs];
   let nextMs = finishMs;
   for (let i = times.length - 1; i >= 0; i -= 1) {
     times[i] = Math.max(earliestMs[i] ?? nextMs, nextMs);
-    const holdMs = i > 0 ? ((weights[i - 1] ?? 0) / weightSum) * spanMs : 0;
+    const holdMs = (HOLD_WEIGHTS[i - 1] ?? 0) * spanMs;
     nextMs = (times[i] ?? finishMs) - Math.max(MIN_HOLD_MS, holdMs);
   }
   return times;
--- a/packages/router/src/config/feed.ts
+++ b/packages/router/src/config/feed.ts
@@ -38,6 +38,10 @@
   readonly handler: ConfigPeerHandler;
 }
 
+/** Missed poll periods after which the process must have been paused. */
+const PAUSED_PERIODS = 3;
+/** A serialised configuration (2.4 MB for 5,100 customers) is kept only while peers read it. */
+const SNAPSHOT_KEEP_MS = 30_000;
 /** Peers asked at start; one alone may lag behind, and the newest answer is taken. */
 const START_PEERS = 3;
 /** Peers tried for a missing tail before the store is asked. */
@@ -55,6 +59,8 @@
   let isPulling = false;
   let isStoreUp = true;
   let pushedRevision = asRevision(0);
+  let unsupportedRevision = asRevision(0);
+  let polledAtMs = clock.monotonicMs();
   let snapshot: { readonly revision: Revision; readonly text: string } | undefined;
 
   function isReader(): boolean {
@@ -72,14 +78,19 @@
           void pull(from);
           return;
         default:
-          counters.unsupported.inc();
-          log.error('a configuration revision needs a newer release', {
-            revision: effect.revision,
-          });
+          onUnsupported(effect.revision);
       }
     });
   }
 
+  /** The revision is read again by every poll, and reported once. */
+  function onUnsupported(revision: Revision): void {
+    if (revision === unsupportedRevision) return;
+    unsupportedRevision = revision;
+    counters.unsupported.inc();
+    log.error('a configuration revision needs a newer release', { revision });
+  }
+
   function onChanged(config: FleetConfig): void {
     if (notReadyReason !== undefined) {
       notReadyReason = undefined;
@@ -164,6 +175,12 @@
     }
   }
 
+  /** What was pushed during a pause is lost, and the next membership message may take a second. */
+  async function catchUp(): Promise<void> {
+    const [member] = choosePeers(undefined, 1);
+    if (member !== undefined) await pullFrom(member);
+  }
+
   /** Random reachable members, those of the own failure domain first. */
   function choosePeers(first: string | undefined, count: number): Member[] {
     const self = membership.self();
@@ -215,8 +232,11 @@
   async function poll(): Promise<void> {
     if (isPolling) return;
     isPolling = true;
+    const wasPaused = clock.monotonicMs() - polledAtMs > PAUSED_PERIODS * settings.pollMs;
+    polledAtMs = clock.monotonicMs();
     if (replica.current() === undefined) await bootstrap();
     else if (isReader()) await pollHead();
+    else if (wasPaused) await catchUp();
     if (replica.revision() < replica.highestHeard()) await pull(undefined);
     isPolling = false;
   }
@@ -230,6 +250,9 @@
     if (config === undefined) return { kind: 'gone' };
     if (revision === undefined && snapshot?.revision !== config.revision) {
       snapshot = { revision: config.revision, text: JSON.stringify(config) };
+      clock.after(SNAPSHOT_KEEP_MS, () => {
+        snapshot = undefined;
+      });
     }
     if (snapshot === undefined || (revision ?? snapshot.revision) !== snapshot.revision) {
       return { kind: 'gone' };
@@ -240,6 +263,11 @@
     return { kind: 'part', revision: snapshot.revision, text, nextOffset, totalChars };
   }
 
+  // A router that starts while the store is down needs peers, and learns of them a moment later.
+  membership.onChange(() => {
+    if (replica.current() === undefined && cancels.length > 0) void poll();
+  });
+
   return {
     current: replica.current,
     onChange: (fn) => {
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -94,7 +94,11 @@
   /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
   let deferred: (() => void)[] = [];
   let version: VersionName | undefined;
+  /** Versions that failed this request before its first token, or that no engine has. */
+  const failedVersions = new Set<VersionName>();
   let group: VersionGroup = 'other';
+  /** No engine of the group is left, so those reserved for other groups may be used. */
+  let mayUseReserved = false;
   /** Routers that served the stream before this one. */
   let adoptionCount = 0;
   let hasReplica = false;
@@ -134,6 +138,8 @@
         case 'deliver':
           replicas.onToken(requestId, effect.index, effect.text);
           suspects.onProgress(fingerprint, effect.index);
+          request.permit?.onFirstToken();
+          request.permit?.onTokens(1);
           noteResumed();
           break;
         case 'start_attempt':
@@ -180,6 +186,7 @@
 
   function finish(outcome: StreamEnd): void {
     end = outcome;
+    request.permit?.onEnd();
     resumes.onEnded(requestId);
     [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
     const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
@@ -223,9 +230,11 @@
       startAttempt(attemptNo, found, routeRequest, chosen);
       return;
     }
-    if (found.reason === 'all_excluded') avoided.clear();
-    // Nothing has been generated yet, so the request may still start on another version.
-    if (found.reason === 'no_version' && session.journal().length() === 0) version = undefined;
+    if (found.reason === 'all_excluded') {
+      avoided.clear();
+      mayUseReserved = true;
+    }
+    if (found.reason === 'no_version') giveUpVersion();
     if (clock.monotonicMs() >= untilMs) {
       failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
       return;
@@ -240,8 +249,19 @@
     apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
   }
 
+  /**
+   * Lets the request start on another version, as long as nothing has been generated and no
+   * attempt is left that could still deliver the first token.
+   */
+  function giveUpVersion(): void {
+    const hasTokens = session.journal().length() > 0 || callerTokens > 0;
+    if (version === undefined || hasTokens || open.size > 0) return;
+    failedVersions.add(version);
+    version = undefined;
+  }
+
   function chooseVersion(): VersionName | undefined {
-    const choice = versions.choose(service, requestId);
+    const choice = versions.choose(service, requestId, failedVersions);
     if (choice.kind === 'none') return undefined;
     version = choice.version;
     group = choice.group;
@@ -253,7 +273,7 @@
     const known = directory.enginesOf(service.name);
     const full = lossAtMs === undefined ? [] : resumes.fullEngines();
     const apart = suspects.avoid(fingerprint, known);
-    const reserved = versions.avoid(service, group, known, meanLoadOf(known));
+    const reserved = mayUseReserved ? [] : versions.avoid(service, group, known, meanLoadOf(known));
     return {
       model: service.model,
       version: chosen,
@@ -320,6 +340,7 @@
     const observer = versions.onAttempt({
       service: service.name,
       version: version ?? service.stableVersion,
+      attemptNo,
       route: request.adapter,
       group,
       controlLoadRatio: controlLoadRatio(),
@@ -398,17 +419,12 @@
     if (attempt === undefined) return;
     const { engineId } = attempt.place;
     avoided.add(engineId);
-    if (cause === 'connect_failed') {
-      // The request never ran on this engine, so it is closed before it could count as a suspect
-      // of the engine's death: two engines that die together would condemn an innocent stream.
-      closeAttempt(attemptNo, 'failed');
-      void directory.confirmDown(engineId);
-      whileConnected(() => loseAttempt(attemptNo, cause));
-      return;
-    }
+    // A request that never reached the engine is no suspect, even if the engine is down.
+    if (cause === 'connect_failed') closeAttempt(attemptNo, 'failed', 'void');
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
+      giveUpVersion();
       whileConnected(() => loseAttempt(attemptNo, cause));
     });
   }
@@ -421,8 +437,10 @@
     if (attempt === undefined) return;
     avoided.add(attempt.place.engineId);
     if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
-    if (cause === 'failed') closeAttempt(attemptNo, 'failed');
-    else closeAttempt(attemptNo, 'refused', 'void');
+    if (cause === 'failed') {
+      closeAttempt(attemptNo, 'failed');
+      giveUpVersion();
+    } else closeAttempt(attemptNo, 'refused', 'void');
     whileConnected(() => loseAttempt(attemptNo, 'refused'));
   }
 
@@ -479,6 +497,7 @@
     if (end !== undefined) return;
     open.forEach((attempt) => attempt.handle.close());
     open.clear();
+    request.permit?.onEnd();
     end = { kind: 'error', error: createServeError('shutting_down', 'another router serves it') };
     request.span.end('released');
   }
