Assign the readers of engines anew only after a change

At 113 routers and 200 engines each assignment takes 22,600 hashes, and it ran every 2 s. The fleets measured so far have 12 routers and do not show this cost; it was found by reading. The list of members and engines is now compared first.

--- a/packages/router/src/peer/digest.ts
+++ b/packages/router/src/peer/digest.ts
@@ -107,11 +107,16 @@
   let peers: readonly Member[] = [];
   let place: TreePlace<Member> | undefined;
   let assigned: readonly EngineId[] = [];
+  let peersKey = '';
+  let assignedKey = '';
 
   function onMembers(members: readonly Member[]): void {
     peers = members.filter(
       ({ region, state }) => region === self.region && (state === 'alive' || state === 'suspect'),
     );
+    const key = peers.map(({ peerAddress, routerId }) => `${routerId} ${peerAddress}`).join();
+    if (key === peersKey) return;
+    peersKey = key;
     place = undefined;
   }
 
@@ -120,10 +125,14 @@
     return place;
   }
 
+  /** Ranking 113 routers for 200 engines takes 22,600 hashes, so it is done after changes only. */
   function assign(): void {
+    const own = deps.engines().filter(({ region }) => region === self.region);
+    const key = `${peersKey} ${own.map(({ engineId }) => engineId).join()}`;
+    if (key === assignedKey) return;
+    assignedKey = key;
     const engines = new Map<EngineId, { isFirst: boolean }>();
-    deps.engines().forEach(({ engineId, region }) => {
-      if (region !== self.region) return;
+    own.forEach(({ engineId }) => {
       const rank = findReaders(engineId, peers, hash).findIndex(
         ({ routerId }) => routerId === self.routerId,
       );
