Say "not run" of a generation only when no engine can have run it

Cause: with no engine left, an error after lost attempts said not_run as long as the caller had no token, although an engine might have worked on the request; with every connection refused it said "unknown" although nothing had run. Change: the stream counts attempts that may have run; refused connections and refusals before any work do not count; every error of a stream takes its outcome from that. Before: the new test fails in its first case (unknown instead of not_run). After: it passes. Conclusion: the outcome in errors is certain in both directions.

--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -16,6 +16,7 @@
   ServeError,
   Session,
   ReplicaStart,
+  RunState,
   SessionEffect,
   VersionGroup,
   VersionName,
@@ -108,6 +109,8 @@
   let detachedSinceMs: number | undefined = clock.monotonicMs();
   let end: StreamEnd | undefined;
   let lossAtMs: number | undefined;
+  /** Attempts of which it is not certain that no engine ran them. */
+  let possibleRuns = 0;
   /** Tokens that the caller already has. A new attempt before them could generate others. */
   let callerTokens = 0;
 
@@ -152,7 +155,7 @@
           finish({ kind: 'finish', reason: effect.reason });
           break;
         case 'fail':
-          finish({ kind: 'error', error: effect.error });
+          finish({ kind: 'error', error: { ...effect.error, runState: runState() } });
           break;
         default:
           assertNever(effect);
@@ -205,7 +208,7 @@
     const admission = suspects.admit(fingerprint, requestId);
     switch (admission.kind) {
       case 'condemned':
-        failAttempt(attemptNo, condemned());
+        failAttempt(attemptNo, condemned(runState()));
         break;
       case 'wait':
         clock.after(admission.delayMs, () => place(attemptNo, untilMs + admission.delayMs));
@@ -221,7 +224,7 @@
   function placeNow(attemptNo: AttemptNo, untilMs: number): void {
     const chosen = version ?? chooseVersion();
     if (chosen === undefined) {
-      failAttempt(attemptNo, noEngine('no_version', false));
+      failAttempt(attemptNo, noEngine('no_version', runState()));
       return;
     }
     const routeRequest = toRouteRequest(chosen);
@@ -236,7 +239,7 @@
     }
     if (found.reason === 'no_version') giveUpVersion();
     if (clock.monotonicMs() >= untilMs) {
-      failAttempt(attemptNo, noEngine(found.reason, session.journal().length() > 0));
+      failAttempt(attemptNo, noEngine(found.reason, runState()));
       return;
     }
     clock.after(PLACE_RETRY_MS, () => {
@@ -245,6 +248,11 @@
     });
   }
 
+  function runState(): RunState {
+    if (session.journal().length() > 0) return 'ran';
+    return possibleRuns > 0 ? 'unknown' : 'not_run';
+  }
+
   function failAttempt(attemptNo: AttemptNo, error: ServeError): void {
     apply(session.on({ kind: 'attempt_failed', attemptNo, error }, clock.monotonicMs()));
   }
@@ -347,6 +355,7 @@
       engineId: where.engineId,
     });
     const lastTokenMs = clock.monotonicMs();
+    possibleRuns += 1;
     open.set(attemptNo, {
       attemptNo,
       place: where,
@@ -420,7 +429,10 @@
     const { engineId } = attempt.place;
     avoided.add(engineId);
     // A request that never reached the engine is no suspect, even if the engine is down.
-    if (cause === 'connect_failed') closeAttempt(attemptNo, 'failed', 'void');
+    if (cause === 'connect_failed') {
+      possibleRuns -= 1;
+      closeAttempt(attemptNo, 'failed', 'void');
+    }
     // Whether the engine died decides if its requests are suspects, so it is settled first.
     void directory.confirmDown(engineId).then((isDown) => {
       closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
@@ -440,7 +452,10 @@
     if (cause === 'failed') {
       closeAttempt(attemptNo, 'failed');
       giveUpVersion();
-    } else closeAttempt(attemptNo, 'refused', 'void');
+    } else {
+      possibleRuns -= 1;
+      closeAttempt(attemptNo, 'refused', 'void');
+    }
     whileConnected(() => loseAttempt(attemptNo, 'refused'));
   }
 
@@ -547,22 +562,17 @@
   cancelled: 'void',
 };
 
-function condemned(): ServeError {
+function condemned(runState: RunState): ServeError {
   const message = 'requests with this content have crashed engines';
-  return createServeError('request_condemned', message, 'ran');
+  return createServeError('request_condemned', message, runState);
 }
 
-function noEngine(reason: string, hasTokens: boolean): ServeError {
-  const runState = hasTokens ? 'ran' : 'not_run';
-  if (reason === 'no_version' && hasTokens) {
+function noEngine(reason: string, runState: RunState): ServeError {
+  if (reason === 'no_version' && runState === 'ran') {
     return createServeError('version_gone', 'no engine has the version of this stream', runState);
   }
-  return createServeError(
-    'no_backend',
-    `no engine can take the request (${reason})`,
-    runState,
-    1_000,
-  );
+  const message = `no engine can take the request (${reason})`;
+  return createServeError('no_backend', message, runState, 1_000);
 }
 
 interface StreamCounters {
--- a/packages/router/test/stream-world.ts
+++ b/packages/router/test/stream-world.ts
@@ -10,6 +10,7 @@
   ReplicaStart,
   RequestId,
   RouteRequest,
+  RunState,
   Send,
 } from '@mimosamill/core';
 import type { EngineGroup, VirtualTime } from '@mimosamill/fakes';
@@ -40,6 +41,7 @@
   readonly requestId: RequestId;
   readonly texts: string[];
   end: string | undefined;
+  runState: RunState | undefined;
 }
 
 export interface StreamWorld {
@@ -213,7 +215,12 @@
   }
 
   function call(name: string): TestCaller {
-    const caller: TestCaller = { requestId: asId(name), texts: [], end: undefined };
+    const caller: TestCaller = {
+      requestId: asId(name),
+      texts: [],
+      end: undefined,
+      runState: undefined,
+    };
     callers.set(caller.requestId, caller);
     follow(caller, streams.open(toRequest(name), readerOf(caller)));
     return caller;
@@ -233,6 +240,7 @@
     const end = stream.ended();
     if (end === undefined) return;
     caller.end = end.kind === 'finish' ? 'finish' : end.error.code;
+    if (end.kind === 'error') caller.runState = end.error.runState;
     note(`${caller.requestId} ends: ${caller.end} after ${caller.texts.length} tokens`);
   }
 
--- a/packages/router/test/stream.spec.ts
+++ b/packages/router/test/stream.spec.ts
@@ -71,6 +71,25 @@
     expect(whole / total).toBeGreaterThan(0.8);
   });
 
+  // Guards against saying "not run" of a request that an engine may have worked on.
+  it('say that a request was not run only if no engine can have run it', async () => {
+    const all = (what: string, atMs: number): Fault[] =>
+      ENGINES.map((_, engine) => [atMs, what, engine]);
+    const refused = createStreamWorld(5);
+    all('kill', 0).forEach((fault) => apply(refused, fault));
+    const never = refused.call('a');
+    await refused.time.run(END_MS);
+    expect(never).toMatchObject({ end: 'backend_failed', runState: 'not_run' });
+
+    const lost = createStreamWorld(5);
+    const started = lost.call('a');
+    // After the request has arrived, and before its first token.
+    await lost.time.run(5);
+    all('kill', 0).forEach((fault) => apply(lost, fault));
+    await lost.time.run(END_MS);
+    expect(started).toMatchObject({ texts: [], end: 'backend_failed', runState: 'unknown' });
+  });
+
   // Guards against a change of the order in which a loss, a resume and a takeover happen.
   it('go through a killed engine, a paused one and a dead router as recorded', async () => {
     const [world, [caller]] = await run(
