--- a/packages/bench/test/path.spec.ts
+++ b/packages/bench/test/path.spec.ts
@@ -1,3 +1,4 @@
+import { readdirSync, readlinkSync } from 'node:fs';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { createHashes } from '@mimosamill/adapters';
 import { wholeText } from '@mimosamill/fakes';
@@ -73,6 +74,14 @@
     expect(result.texts).toEqual(expected(50));
   });
 
+  // Guards against a runtime release that uses io_uring by default.
+  it('serves without io_uring', () => {
+    const folder = `/proc/${routers[0]?.process.pid}/fd`;
+    const targets = readdirSync(folder).map((fd) => readlinkSync(`${folder}/${fd}`));
+    expect(targets.some((target) => target.includes('eventpoll'))).toBe(true);
+    expect(targets.filter((target) => target.includes('io_uring'))).toEqual([]);
+  });
+
   // Guards against double runs and against mixing a booking's answer with another one's.
   it('runs a booking once and gives its answer again for the same key', async () => {
     const book = (router: number): Promise<unknown> =>
