--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,5 +1,5 @@
 // engine
-export { BLOCK_TOKENS, blockHashes, createPrefixCache } from './engine/cache';
+export { BLOCK_TOKENS, createPrefixCache } from './engine/cache';
 export type { CacheChange, PrefixCache } from './engine/cache';
 export { createEngineModel, DEFAULT_ENGINE_MODEL } from './engine/model';
 export type {
@@ -37,3 +37,5 @@
 // simulated time
 export { createVirtualTime } from './clock';
 export type { VirtualProcess, VirtualTime } from './clock';
+export { createEngineGroup } from './engine/group';
+export type { EngineGroup, EngineGroupOptions } from './engine/group';
