Answer bad input with a code and keep the router up

Handlers not declared async had their rejections left unhandled by tinyhttp, which ends the process.

Change: the shell catches rejections of all route handlers, checks the path's encoding, destroys a connection whose request is running instead of answering, and bounds the time of refused connections. Deadlines, keys and Last-Event-ID are checked before admission, and calls are refused while the router is not ready. The limits of callers' connections are settings of the router.

A planned stop of the router waits for open responses before it closes them, and the engine stand-in serves its load report until its work ends.

--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -3,6 +3,7 @@
 import { createServeError, httpStatus } from '@mimosamill/core';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { ServeError } from '@mimosamill/core';
 
 export interface HttpLimits {
@@ -22,6 +23,14 @@
   maxConnections: 10_000,
 };
 
+type RouteHandler = (req: IncomingMessage, res: ServerResponse, next: unknown) => unknown;
+
+const ROUTE_METHODS = ['get', 'post', 'put', 'patch', 'delete'] as const;
+/** Longest wait for a peer to read an error and close, before its connection is destroyed. */
+const LINGER_MS = 2_000;
+/** Period of closing connections that became idle during a graceful stop. */
+const IDLE_CHECK_MS = 100;
+
 export interface HttpShell {
   readonly app: App;
   /** Resolves with the port in use. */
@@ -40,11 +49,11 @@
   const app = new App({
     settings: { xPoweredBy: false },
     noMatchHandler: (_req, res) => sendError(res, createServeError('not_found', 'no such route')),
-    onError: (error, _req, res) => {
-      const message = error instanceof Error ? error.message : String(error);
-      sendError(res, createServeError('backend_failed', message, 'unknown'));
-    },
+    onError: (error, _req, res) => sendFailure(res, error),
   });
+  catchRejections(app);
+  /** Latest response on each connection. */
+  const responses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       maxHeaderSize: limits.maxHeaderBytes,
@@ -53,12 +62,31 @@
       connectionsCheckingInterval: 1_000,
       noDelay: true,
     },
-    (req, res) => app.handler(req as never, res as never),
+    (req, res) => {
+      responses.set(req.socket, res);
+      if (!hasValidPath(req.url ?? '')) {
+        sendError(res, createServeError('bad_request', 'the path is not validly encoded'));
+        return;
+      }
+      try {
+        app.handler(req as never, res as never);
+      } catch (error) {
+        sendFailure(res, error);
+      }
+    },
   );
   server.maxConnections = limits.maxConnections;
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (!socket.writable) return;
+    const running = responses.get(socket);
+    // An error must not be written into another response, and "not run" not be said of a request
+    // that has reached its handler whole.
+    if (running !== undefined && isInProgress(running)) {
+      socket.destroy();
+      return;
+    }
     socket.end(rawErrorResponse(error.code ?? ''));
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
   });
   return {
     app,
@@ -73,7 +101,8 @@
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
   try {
-    for await (const chunk of req) {
+    // Leaving the loop must not destroy the connection, which still has to carry the error.
+    for await (const chunk of req.iterator({ destroyOnReturn: false })) {
       sizeBytes += (chunk as Buffer).length;
       if (sizeBytes > maxBytes) {
         const message = `the body is larger than ${maxBytes} bytes`;
@@ -124,9 +153,78 @@
   if (error.retryAfterMs !== undefined) {
     res.setHeader('retry-after', Math.ceil(error.retryAfterMs / 1000));
   }
-  // The rest of an oversized or malformed body is not read, so the connection can't be reused.
-  if (error.code === 'body_too_large') res.setHeader('connection', 'close');
-  sendJson(res, httpStatus(error.code), toErrorBody(error));
+  if (error.code === 'body_too_large') sendAndDiscardBody(res, error);
+  else sendJson(res, httpStatus(error.code), toErrorBody(error));
+}
+
+/**
+ * Reads and drops the rest of the body for a while: closing a connection with unread bytes resets
+ * it, and the caller could lose the error.
+ */
+function sendAndDiscardBody(res: ServerResponse, error: ServeError): void {
+  const text = JSON.stringify(toErrorBody(error));
+  res.writeHead(httpStatus(error.code), {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    connection: 'close',
+  });
+  res.write(text);
+  const timer = setTimeout(() => res.end(), LINGER_MS);
+  const finish = (): void => {
+    clearTimeout(timer);
+    res.end();
+  };
+  res.req.once('end', finish);
+  res.req.once('close', finish);
+  res.req.resume();
+}
+
+/** Answers a request whose handler failed; how far it came is not known. */
+function sendFailure(res: ServerResponse, error: unknown): void {
+  const message = error instanceof Error ? error.message : String(error);
+  sendError(res, createServeError('backend_failed', message, 'unknown'));
+}
+
+/** tinyhttp awaits only functions declared async; a rejection of any other ends the process. */
+function catchRejections(app: App): void {
+  ROUTE_METHODS.forEach((method) => {
+    const register = app[method].bind(app) as unknown as (
+      path: string,
+      handler: RouteHandler,
+    ) => App;
+    const guarded = (path: string, handler: RouteHandler): App =>
+      register(path, (req, res, next) => {
+        void runHandler(handler, req, res, next);
+      });
+    app[method] = guarded as unknown as App[typeof method];
+  });
+}
+
+async function runHandler(
+  handler: RouteHandler,
+  req: IncomingMessage,
+  res: ServerResponse,
+  next: unknown,
+): Promise<void> {
+  try {
+    await handler(req, res, next);
+  } catch (error) {
+    sendFailure(res, error);
+  }
+}
+
+function hasValidPath(url: string): boolean {
+  try {
+    decodeURIComponent(url.split('?')[0] ?? '');
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Whether a response is unfinished and its request has arrived whole, or it has been started. */
+function isInProgress(res: ServerResponse): boolean {
+  return !res.writableFinished && (res.headersSent || res.req.complete);
 }
 
 function listen(server: Server, ip: string, port: number): Promise<number> {
@@ -139,8 +237,10 @@
 function drain(server: Server, timeoutMs: number): Promise<void> {
   return new Promise((resolve) => {
     const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
+    const idleTimer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS);
     server.close(() => {
       clearTimeout(timer);
+      clearInterval(idleTimer);
       resolve();
     });
     server.closeIdleConnections();
--- a/packages/fakes/src/engine/main.ts
+++ b/packages/fakes/src/engine/main.ts
@@ -10,10 +10,11 @@
 import { createRandom } from '../random';
 import { createEngineModel, DEFAULT_ENGINE_MODEL } from './model';
 import { createEngineServer } from './server';
-import type { LoadedModel, ProgramOptions, RunningProgram } from '@mimosamill/adapters';
+import type { Clock, LoadedModel, ProgramOptions, RunningProgram } from '@mimosamill/adapters';
 import type { EngineId } from '@mimosamill/core';
 
 const WEIGHT_TIMEOUT_MS = 120_000;
+const IDLE_CHECK_MS = 20;
 
 const faultSchema = z.object({
   kind: z.enum(['fails', 'slow']),
@@ -32,6 +33,8 @@
   platform: z.string().default(''),
   seed: z.number().default(1),
   orphanMs: z.number().default(30_000),
+  /** Between announcing that the engine leaves and its earliest end. */
+  leaveNoticeMs: z.number().default(1_000),
   loaded: z.array(
     z.object({ model: z.string(), version: z.string(), adapters: z.array(z.string()) }),
   ),
@@ -84,12 +87,21 @@
   return {
     stop: async () => {
       model.leave();
+      // Routers hear of it by the load report, which is served until the work is done.
+      await wait(clock, settings.leaveNoticeMs);
+      while (!model.isIdle()) await wait(clock, IDLE_CHECK_MS);
       await server.drain(settings.orphanMs);
       await http.close();
     },
   };
 }
 
+function wait(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delayMs, resolve);
+  });
+}
+
 const cli = cac('fake-engine');
 cli
   .command('', 'Serve the engine stand-in')
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -361,7 +361,13 @@
       tracer: use(TRACER),
       metrics: use(METRICS),
       log: use(LOG),
-      limits: { maxBodyBytes: settings.maxBodyBytes },
+      limits: {
+        maxBodyBytes: settings.maxBodyBytes,
+        maxHeaderBytes: settings.maxHeaderBytes,
+        headersTimeoutMs: settings.headersTimeoutMs,
+        requestTimeoutMs: settings.requestTimeoutMs,
+        maxConnections: settings.maxConnections,
+      },
       // One label a router, so that one peer holds the replicas of all its streams.
       createRequestId: () => toRequestId(requestLabel, randomUUID()),
       settingsFor: (config, service, customer) =>
@@ -404,7 +410,7 @@
       readiness.isStopping = true;
       peers.leave();
       await wait(use(CLOCK), settings.drainNoticeMs);
-      await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
+      await drain(settings, use);
       use(SHARES).stop();
       use(ADMISSION).stop();
       use(BACKENDS).stop();
@@ -412,7 +418,6 @@
       use(REPLICAS).stop();
       stopMoves();
       feed.stop();
-      await use(CALLER_SERVER).close();
       await peers.stop();
       await use(PEER_SERVER).close();
       await use(TRACER).shutdown();
@@ -428,9 +433,17 @@
   return row?.value as unknown as MoveRecord | undefined;
 }
 
+/**
+ * Waits for streams and calls, then for their last bytes: a slow caller still reads after its
+ * stream has ended, and a request may have been on its way in when the stop began.
+ */
 async function drain(settings: RouterSettings, use: Use): Promise<void> {
+  const clock = use(CLOCK);
+  const untilMs = clock.monotonicMs() + settings.drainTimeoutMs;
   const calls = use(CALLS).drain(0, settings.drainTimeoutMs);
-  await Promise.all([use(STREAMS).drained(), calls]);
+  const work = Promise.all([use(STREAMS).drained(), calls]);
+  await Promise.race([work, wait(clock, settings.drainTimeoutMs)]);
+  await use(CALLER_SERVER).drain(Math.max(0, untilMs - clock.monotonicMs()));
 }
 
 function wait(clock: Clock, delayMs: number): Promise<void> {
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -57,6 +57,10 @@
   readonly haveTokens: number;
 }
 
+type LastEventIdOutcome =
+  | { readonly kind: 'ok'; readonly reconnect: Reconnect | undefined }
+  | { readonly kind: 'error'; readonly error: ServeError };
+
 /** Creates the server that callers and the platform's balancer talk to. */
 export function createCallerServer(options: CallerServerOptions): HttpShell {
   const { streams, calls, clock, config } = options;
@@ -99,7 +103,9 @@
     const settings = options.settingsFor(caller.config, service.name, caller.customer);
     const problem = checkSize(parsed.body, settings);
     if (problem !== undefined) return refuse(res, kind, problem);
-    const reconnect = parseLastEventId(req.headers['last-event-id']);
+    const lastEventId = parseLastEventId(headerOf(req, 'last-event-id'));
+    if (lastEventId.kind === 'error') return refuse(res, kind, lastEventId.error);
+    const { reconnect } = lastEventId;
     const request = toStreamRequest(
       req,
       parsed.body,
@@ -206,6 +212,10 @@
   }
 
   async function call(req: IncomingMessage, res: ServerResponse, path: CallPath): Promise<void> {
+    const stopping = options.notReadyReason();
+    if (stopping !== undefined) {
+      return refuse(res, 'call', createServeError('not_ready', stopping, 'not_run', 1_000));
+    }
     const caller = auth.authenticate(req);
     if (caller.kind === 'error') return refuse(res, 'call', caller.error);
     const body = await readJsonBody(req, limits.maxBodyBytes);
@@ -218,9 +228,16 @@
       return refuse(res, 'call', createServeError('forbidden', 'the key may not use this service'));
     }
     const settings = options.settingsFor(caller.config, found.name, caller.customer);
-    const deadlineMs = Number(
-      headerOf(req, 'x-deadline-ms') ?? Math.min(settings.deadlineMs, CALL_DEADLINE_MS),
+    const deadlineMs = parseDeadlineMs(
+      headerOf(req, 'x-deadline-ms'),
+      Math.min(settings.deadlineMs, CALL_DEADLINE_MS),
     );
+    if (deadlineMs === undefined) {
+      const message = `x-deadline-ms: expected 1 to ${MAX_CALL_DEADLINE_MS}`;
+      return refuse(res, 'call', createServeError('bad_request', message));
+    }
+    const key = headerOf(req, 'idempotency-key');
+    if (key !== undefined && !isValidKey(key)) return refuse(res, 'call', badKey());
     const admission = await admit(res, caller.customer, {
       service: found.name,
       priority: 'normal',
@@ -232,7 +249,6 @@
       service: found.name,
       operation: path.operation,
     });
-    const key = headerOf(req, 'idempotency-key');
     try {
       const result = await calls.run({
         service: found.name,
@@ -271,7 +287,9 @@
         createServeError('forbidden', 'the key may not use this service'),
       );
     }
-    sendCallResult(res, await calls.lookup(caller.customer.id, service, req.params['key'] ?? ''));
+    const key = req.params['key'] ?? '';
+    if (!isValidKey(key)) return refuse(res, 'lookup', badKey());
+    sendCallResult(res, await calls.lookup(caller.customer.id, service, key));
   });
 
   shell.app.post('/v1/services/:service/:operation', (req, res) =>
@@ -302,6 +320,17 @@
 }
 
 const CALL_DEADLINE_MS = 10_000;
+const MAX_CALL_DEADLINE_MS = 600_000;
+const MAX_KEY_CHARS = 256;
+
+function isValidKey(key: string): boolean {
+  return key.length > 0 && key.length <= MAX_KEY_CHARS;
+}
+
+function badKey(): ServeError {
+  const message = `an idempotency key has 1 to ${MAX_KEY_CHARS} characters`;
+  return createServeError('bad_request', message);
+}
 
 function headerOf(req: IncomingMessage, name: string): string | undefined {
   const value = req.headers[name];
@@ -313,9 +342,24 @@
   return createServeError('bad_request', `max_tokens may be at most ${settings.maxTokens}`);
 }
 
-/** `REQUEST_ID/INDEX` of the last event that the caller received. */
-function parseLastEventId(header: string | string[] | undefined): Reconnect | undefined {
-  const match = /^([\w.-]{1,128})\/(\d{1,9})$/u.exec(typeof header === 'string' ? header : '');
-  if (match === null) return undefined;
-  return { requestId: asId<RequestId>(match[1] ?? ''), haveTokens: Number(match[2]) + 1 };
+/**
+ * `REQUEST_ID/INDEX` of the last event that the caller received. A malformed one is refused: a new
+ * generation would follow the tokens that the caller already has.
+ */
+function parseLastEventId(header: string | undefined): LastEventIdOutcome {
+  if (header === undefined || header === '') return { kind: 'ok', reconnect: undefined };
+  const match = /^([\w.-]{1,128})\/(\d{1,9})$/u.exec(header);
+  if (match === null) {
+    const message = 'last-event-id: expected REQUEST_ID/INDEX';
+    return { kind: 'error', error: createServeError('bad_request', message) };
+  }
+  const requestId = asId<RequestId>(match[1] ?? '');
+  return { kind: 'ok', reconnect: { requestId, haveTokens: Number(match[2]) + 1 } };
+}
+
+/** Undefined if the header is not a number of milliseconds within the bound. */
+function parseDeadlineMs(header: string | undefined, defaultMs: number): number | undefined {
+  if (header === undefined) return defaultMs;
+  const deadlineMs = /^\d{1,9}$/u.test(header) ? Number(header) : 0;
+  return deadlineMs > 0 && deadlineMs <= MAX_CALL_DEADLINE_MS ? deadlineMs : undefined;
 }
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -28,6 +28,12 @@
   /** Between reporting "not ready" and refusing connections, for the balancer to notice. */
   drainNoticeMs: z.number().int().min(0).default(2_000),
   maxBodyBytes: z.number().int().positive().default(1_048_576),
+  maxHeaderBytes: z.number().int().positive().default(16_384),
+  /** A caller that sends its headers more slowly gets 408. */
+  headersTimeoutMs: durationMs.default(10_000),
+  /** A caller that sends its headers and body more slowly gets 408. */
+  requestTimeoutMs: durationMs.default(30_000),
+  maxConnections: z.number().int().positive().default(10_000),
 });
 
 export type RouterSettings = z.infer<typeof routerSettingsSchema>;
