--- a/packages/adapters/src/runtime/settings.ts
+++ b/packages/adapters/src/runtime/settings.ts
@@ -45,11 +45,11 @@
   const checked = schema.safeParse(value);
   if (checked.success) return { kind: 'ok', settings: checked.data };
   const root = parseTree(text, [], { allowTrailingComma: true });
-  const problems = checked.error.issues.map((issue) => ({
+  const problems = checked.error.issues.flatMap(toFindings).map(({ path, expected }) => ({
     file,
-    line: lineOf(text, root, issue.path),
-    key: issue.path.join('.'),
-    expected: issue.message,
+    line: lineOf(text, root, path),
+    key: path.join('.'),
+    expected,
   }));
   return { kind: 'invalid', problems };
 }
@@ -60,6 +60,18 @@
   return `${problem.file}:${problem.line}:${key} ${problem.expected}`;
 }
 
+interface Finding {
+  readonly path: readonly PropertyKey[];
+  readonly expected: string;
+}
+
+/** The schema reports unknown keys at the object that holds them; each has a line of its own. */
+function toFindings(issue: z.core.$ZodIssue): Finding[] {
+  if (issue.code !== 'unrecognized_keys') return [{ path: issue.path, expected: issue.message }];
+  const expected = 'expected a known key; there is no setting of this name';
+  return issue.keys.map((key) => ({ path: [...issue.path, key], expected }));
+}
+
 function describe(file: string, text: string, error: ParseError): SettingsProblem {
   return {
     file,
