Test planned stops of a router and of an engine over real processes

Cause: no test showed that a planned stop cuts off no stream and no call and refuses new requests as not run. In one trial run the test's call was refused because the lagging host list did not yet show the service; the set-up now waits until a call is answered.

--- /dev/null
+++ b/packages/bench/test/drain.spec.ts
@@ -0,0 +1,153 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createHashes } from '@mimosamill/adapters';
+import { wholeText } from '@mimosamill/fakes';
+import { basicChanges, commitChanges, readStream, startFleet } from '../src/index';
+import type { CallerResult, Fleet, FleetNode } from '../src/index';
+
+const KEY = 'guild-key-1';
+const PROMPT = 'The third rib has lifted from the base ring. What do I clamp first?';
+const STREAMS = 4;
+const TOKENS = 120;
+const NOTICE_MS = 1_500;
+
+describe('a planned stop over real processes', () => {
+  let fleet: Fleet;
+  let engines: FleetNode[];
+  let service: FleetNode;
+  let router: FleetNode;
+
+  beforeEach(async () => {
+    fleet = await startFleet();
+    engines = await Promise.all(
+      ['jabal-weibdeh', 'marka'].map((failureDomain, index) =>
+        fleet.startEngine({
+          id: `engine-${index}`,
+          service: 'bench-guide',
+          model: 'guide',
+          versions: ['v1'],
+          failureDomain,
+          modelSettings: { baseStepMs: 30 },
+        }),
+      ),
+    );
+    service = await fleet.startService('shop-0', 'guild-shop', 'marka');
+    await commitChanges(
+      fleet.platformAddress,
+      basicChanges({
+        engineService: 'bench-guide',
+        model: 'guide',
+        version: 'v1',
+        plainService: 'guild-shop',
+        customer: 'rib-gluers',
+        key: KEY,
+      }),
+    );
+    router = await fleet.startRouter({
+      id: 'router-0',
+      failureDomain: 'marka',
+      settings: { drainNoticeMs: NOTICE_MS },
+    });
+    await fleet.waitReady([router]);
+    // The host list lags, and a call to a service without a listed server is refused.
+    await expect
+      .poll(() => send('/v1/services/guild-shop/lookup', {}), { timeout: 30_000 })
+      .toMatchObject({ kind: 'ok', status: 200 });
+  });
+
+  afterEach(() => fleet.stop());
+
+  /** Starts streams, resolves once each has had its first token. */
+  async function startStreams(): Promise<Promise<CallerResult>[]> {
+    const results: Promise<CallerResult>[] = [];
+    const begun = Array.from(
+      { length: STREAMS },
+      (_, seed) =>
+        new Promise<void>((resolve) => {
+          results.push(
+            readStream({
+              dispatcher: fleet.http.dispatcher,
+              key: KEY,
+              body: { model: 'guide', prompt: PROMPT, max_tokens: TOKENS, seed },
+              routerFor: (connection) => (connection === 0 ? router.address : undefined),
+              onToken: () => resolve(),
+            }),
+          );
+        }),
+    );
+    await Promise.all(begun);
+    return results;
+  }
+
+  async function expectWhole(results: readonly Promise<CallerResult>[]): Promise<void> {
+    const { hash32 } = await createHashes();
+    for (const [seed, result] of (await Promise.all(results)).entries()) {
+      expect(result).toMatchObject({ end: 'done', misnumbered: 0, reconnects: 0 });
+      const source = { model: 'guide', version: 'v1', adapter: '', prompt: PROMPT, seed };
+      expect(result.texts).toEqual(wholeText(source, TOKENS, hash32));
+    }
+  }
+
+  function send(path: string, body: object): ReturnType<Fleet['http']['fetch']> {
+    return fleet.http.fetch(`http://${router.address}${path}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${KEY}` },
+      body: JSON.stringify(body),
+      timeoutMs: 30_000,
+    });
+  }
+
+  const isRefused = (answer: Awaited<ReturnType<typeof send>>): boolean =>
+    answer.kind === 'not_sent' || (answer.kind === 'ok' && answer.status === 503);
+
+  // Guards against a planned stop that cuts off what is running or still takes new requests.
+  it('of a router lets streams and calls finish and refuses new requests as not run', async () => {
+    await fleet.post(service.address, '/faults', { delayMs: 1_000 });
+    const results = await startStreams();
+    const call = send('/v1/services/guild-shop/book', { slot: 7 });
+    await expect
+      .poll(() => fleet.get(service.address, '/load'), { timeout: 30_000 })
+      .toMatchObject({ running: 1 });
+    const stopped = router.process.stop();
+    await expect
+      .poll(() => fleet.get(router.address, '/readyz'), { timeout: 30_000, interval: 10 })
+      .toEqual({ status: 'not_ready', reason: 'this router is stopping' });
+    const refused = await Promise.all([
+      send('/v1/completions', { model: 'guide', prompt: PROMPT, max_tokens: 3 }),
+      send('/v1/services/guild-shop/book', { slot: 8 }),
+    ]);
+    refused.forEach((answer) => {
+      expect(isRefused(answer)).toBe(true);
+      if (answer.kind !== 'ok') return;
+      expect(JSON.parse(answer.body)).toMatchObject({ error: { not_run: true } });
+    });
+    await expectWhole(results);
+    expect(await call).toMatchObject({ kind: 'ok', status: 200 });
+    await stopped;
+    const { runs } = (await fleet.get(service.address, '/runs')) as {
+      runs: { operation: string }[];
+    };
+    expect(runs.filter(({ operation }) => operation === 'book')).toHaveLength(1);
+    expect(router.process.stderr()).toContain('router stopped');
+  });
+
+  // Guards against streams lost with an engine that leaves, and against new work sent to it.
+  it('of an engine cuts off no stream and sends it no new request', async () => {
+    const results = await startStreams();
+    const [leaving, staying] = engines as [FleetNode, FleetNode];
+    const running = async (engine: FleetNode): Promise<string[]> => {
+      const answer = (await fleet.get(engine.address, '/v1/running')) as { request_ids: string[] };
+      return answer.request_ids;
+    };
+    const before = new Set([...(await running(leaving)), ...(await running(staying))]);
+    const stopped = leaving.process.stop();
+    const later = await send('/v1/completions', { model: 'guide', prompt: PROMPT, max_tokens: 40 });
+    expect(later).toMatchObject({ kind: 'ok', status: 200 });
+    const isOwnWork = leaving.process.isRunning() ? await running(leaving).catch(() => []) : [];
+    expect(isOwnWork.filter((id) => !before.has(id))).toEqual([]);
+    await expectWhole(results);
+    await stopped;
+    expect(
+      await send('/v1/completions', { model: 'guide', prompt: PROMPT, max_tokens: 3 }),
+    ).toMatchObject({ kind: 'ok', status: 200 });
+  });
+});
