Treat malformed answers of other systems as unavailable

Cause: JSON.parse and schema.parse of answers of engines, plain services and the platform threw in timers and event handlers.

Change: parseAnswer checks each answer; a malformed one is unavailable, an unknown commit, a refused order or a lost attempt. Tokens are checked by hand; the cost per token was not measured.

--- a/packages/adapters/src/engine/http.ts
+++ b/packages/adapters/src/engine/http.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseAnswer } from '../runtime/answer';
 import { followStream } from './stream';
 import type { EngineId } from '@mimosamill/core';
 import type { HttpClient } from '../runtime/fetch';
@@ -76,9 +77,9 @@
     if (answer.status !== STATUS_OK) {
       return { kind: 'unavailable', message: `status ${answer.status}` };
     }
-    const checked = schema.safeParse(JSON.parse(answer.body));
-    if (!checked.success) return { kind: 'unavailable', message: checked.error.message };
-    return { kind: 'ok', value: convert(checked.data) };
+    const parsed = parseAnswer(answer.body, schema);
+    if (parsed.kind === 'malformed') return { kind: 'unavailable', message: parsed.message };
+    return { kind: 'ok', value: convert(parsed.value) };
   }
 
   return {
@@ -138,8 +139,9 @@
   if (answer.kind === 'no_answer') return { kind: 'unknown', message: answer.message };
   if (answer.status === STATUS_OK) return { kind: 'ok' };
   if (answer.status === 409) {
-    const { error } = staleSchema.parse(JSON.parse(answer.body));
-    return { kind: 'stale', highestFencingNumber: error.highest_fencing_number };
+    const parsed = parseAnswer(answer.body, staleSchema);
+    if (parsed.kind === 'malformed') return { kind: 'refused', message: parsed.message };
+    return { kind: 'stale', highestFencingNumber: parsed.value.error.highest_fencing_number };
   }
   return { kind: 'refused', message: `status ${answer.status}: ${answer.body}` };
 }
--- a/packages/adapters/src/engine/stream.ts
+++ b/packages/adapters/src/engine/stream.ts
@@ -53,7 +53,12 @@
 
   function onData(data: string): void {
     if (hasEnded || data === '[DONE]') return;
-    const token = JSON.parse(data) as WireToken;
+    const token = parseToken(data);
+    if (token === undefined) {
+      end(toLost(call.attemptNo, 'ended_early', 'the stream has a malformed event'));
+      abort.abort();
+      return;
+    }
     if (token.finish_reason !== undefined) {
       end({ kind: 'finish', attemptNo: call.attemptNo, reason: token.finish_reason });
       return;
@@ -114,6 +119,26 @@
   };
 }
 
+/** Checked by hand: a schema costs too much for every token. */
+function parseToken(data: string): WireToken | undefined {
+  let token: Partial<WireToken> | null;
+  try {
+    token = JSON.parse(data) as Partial<WireToken> | null;
+  } catch {
+    return undefined;
+  }
+  if (token === null) return undefined;
+  const { finish_reason: reason, request_id: requestId, attempt, index, text } = token;
+  const isFinish = reason === 'stop' || reason === 'length';
+  const isToken =
+    reason === undefined &&
+    typeof requestId === 'string' &&
+    typeof attempt === 'number' &&
+    typeof index === 'number' &&
+    typeof text === 'string';
+  return isFinish || isToken ? (token as WireToken) : undefined;
+}
+
 function toLost(
   attemptNo: AttemptNo,
   cause: Extract<AttemptEvent, { kind: 'lost' }>['cause'],
--- a/packages/adapters/src/platform/http.ts
+++ b/packages/adapters/src/platform/http.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
+import { parseAnswer } from '../runtime/answer';
 import type { FailureDomain, HostId, Region } from '@mimosamill/core';
+import type { ParsedAnswer } from '../runtime/answer';
 import type { FetchOutcome, HttpClient } from '../runtime/fetch';
 import type { HostList, ListedHost } from './hosts';
 import type { Objects } from './objects';
@@ -13,6 +15,7 @@
 
 const rowSchema = z.object({ key: z.string(), version: z.number(), value: z.unknown() });
 const rowsSchema = z.object({ rows: z.array(rowSchema) });
+const namesSchema = z.object({ names: z.array(z.string()) });
 
 export interface PlatformOptions {
   /** IP and port of the platform's services. */
@@ -38,14 +41,20 @@
   };
 }
 
-function toRows(body: string): Row[] {
-  return rowsSchema.parse(JSON.parse(body)).rows as Row[] & { value: JsonValue }[];
+function toRows(body: string): ParsedAnswer<Row[]> {
+  const parsed = parseAnswer(body, rowsSchema);
+  if (parsed.kind === 'malformed') return parsed;
+  return { kind: 'ok', value: parsed.value.rows as Row[] & { value: JsonValue }[] };
 }
 
 function toRead(answer: FetchOutcome): ReadOutcome {
   if (answer.kind !== 'ok') return { kind: 'unavailable', message: answer.message };
-  if (answer.status === STATUS_OK) return { kind: 'ok', rows: toRows(answer.body) };
-  return { kind: 'unavailable', message: `status ${answer.status}` };
+  if (answer.status !== STATUS_OK) {
+    return { kind: 'unavailable', message: `status ${answer.status}` };
+  }
+  const rows = toRows(answer.body);
+  if (rows.kind === 'malformed') return { kind: 'unavailable', message: rows.message };
+  return { kind: 'ok', rows: rows.value };
 }
 
 function toCommit(answer: FetchOutcome): CommitOutcome {
@@ -54,8 +63,11 @@
   switch (answer.status) {
     case STATUS_OK:
       return { kind: 'ok' };
-    case STATUS_CONFLICT:
-      return { kind: 'conflict', rows: toRows(answer.body) };
+    case STATUS_CONFLICT: {
+      const rows = toRows(answer.body);
+      if (rows.kind === 'malformed') return { kind: 'unknown', message: rows.message };
+      return { kind: 'conflict', rows: rows.value };
+    }
     case 503:
       // The service's contract: 503 means that nothing was applied.
       return { kind: 'unavailable', message: 'status 503' };
@@ -92,8 +104,9 @@
       if (answer.status !== STATUS_OK) {
         return { kind: 'unavailable', message: `status ${answer.status}` };
       }
-      const { names } = z.object({ names: z.array(z.string()) }).parse(JSON.parse(answer.body));
-      return { kind: 'ok', names };
+      const parsed = parseAnswer(answer.body, namesSchema);
+      if (parsed.kind === 'malformed') return { kind: 'unavailable', message: parsed.message };
+      return { kind: 'ok', names: parsed.value.names };
     },
   };
 }
@@ -119,7 +132,9 @@
       if (answer.status !== STATUS_OK) {
         return { kind: 'unavailable', message: `status ${answer.status}` };
       }
-      const list = hostListSchema.parse(JSON.parse(answer.body));
+      const parsed = parseAnswer(answer.body, hostListSchema);
+      if (parsed.kind === 'malformed') return { kind: 'unavailable', message: parsed.message };
+      const list = parsed.value;
       return { kind: 'ok', asOfMs: list.as_of_ms, hosts: list.hosts.map(toListedHost) };
     },
   };
@@ -151,7 +166,9 @@
       if (answer.status !== STATUS_OK) {
         return { kind: 'unavailable', message: `status ${answer.status}` };
       }
-      const weights = weightsSchema.parse(JSON.parse(answer.body));
+      const parsed = parseAnswer(answer.body, weightsSchema);
+      if (parsed.kind === 'malformed') return { kind: 'unavailable', message: parsed.message };
+      const weights = parsed.value;
       return { kind: 'ok', sizeBytes: weights.size_bytes, bytesPerSec: weights.bytes_per_sec };
     },
   };
--- a/packages/adapters/src/service/http.ts
+++ b/packages/adapters/src/service/http.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseAnswer } from '../runtime/answer';
 import type { FetchOutcome, HttpClient } from '../runtime/fetch';
 import type { ServiceAnswer, ServiceCall, ServiceClient } from './client';
 
@@ -36,12 +37,16 @@
       if (answer.status !== STATUS_OK) {
         return { kind: 'unavailable', message: `status ${answer.status}` };
       }
-      return { kind: 'ran', ...lookupSchema.parse(JSON.parse(answer.body)) };
+      const parsed = parseAnswer(answer.body, lookupSchema);
+      if (parsed.kind === 'malformed') return { kind: 'unavailable', message: parsed.message };
+      return { kind: 'ran', ...parsed.value };
     },
     load: async (address) => {
       const answer = await http.fetch(`http://${address}/load`, { method: 'GET', timeoutMs });
       if (answer.kind !== 'ok' || answer.status !== STATUS_OK) return undefined;
-      const load = loadSchema.parse(JSON.parse(answer.body));
+      const parsed = parseAnswer(answer.body, loadSchema);
+      if (parsed.kind === 'malformed') return undefined;
+      const load = parsed.value;
       return { state: load.state, running: load.running, maxRunning: load.max_running };
     },
   };
--- /dev/null
+++ b/packages/adapters/test/malformed.spec.ts
@@ -0,0 +1,96 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { asAttemptNo, asId } from '@mimosamill/core';
+import {
+  createEngineClient,
+  createHostList,
+  createHttpClient,
+  createHttpShell,
+  createObjects,
+  createServiceClient,
+  createTables,
+  createWeightStore,
+  sendText,
+} from '../src/index';
+import type { AttemptEvent, HttpClient, HttpShell } from '../src/index';
+import type { RequestId } from '@mimosamill/core';
+
+const TIMEOUT_MS = 20_000;
+
+// Guards against a malformed answer that is thrown in a timer or event handler and so ends the
+// process, on every host that talks to the faulty server.
+describe.each([
+  ['no JSON', '<html>'],
+  ['JSON of another shape', '{"a":1}'],
+  ['null', 'null'],
+])('a server that answers with %s', (_name, text) => {
+  let shell: HttpShell;
+  let http: HttpClient;
+  let address: string;
+
+  beforeAll(async () => {
+    shell = createHttpShell();
+    http = createHttpClient();
+    shell.app.post('/v1/completions', (_req, res) =>
+      sendText(res, 200, 'text/event-stream', `data: ${text}\n\n`),
+    );
+    shell.app.post('/v1/orders', (_req, res) => sendText(res, 409, 'application/json', text));
+    shell.app.post('/tables/commit', (_req, res) => sendText(res, 409, 'application/json', text));
+    shell.app.post('/tables/read', (_req, res) => sendText(res, 200, 'application/json', text));
+    shell.app.get('/*', (_req, res) => sendText(res, 200, 'application/json', text));
+    address = `127.0.0.1:${await shell.listen('127.0.0.1', 0)}`;
+  });
+
+  afterAll(async () => {
+    await shell.close();
+    await http.close();
+  });
+
+  it('counts as an unavailable engine', async () => {
+    const engine = createEngineClient(http, { timeoutMs: TIMEOUT_MS, orderTimeoutMs: TIMEOUT_MS });
+    const unavailable = { kind: 'unavailable' };
+    expect(await engine.load(address)).toMatchObject(unavailable);
+    expect(await engine.state(address)).toMatchObject(unavailable);
+    expect(await engine.cacheEvents(address, 0)).toMatchObject(unavailable);
+    expect(await engine.cacheSnapshot(address)).toMatchObject(unavailable);
+    const target = { loaded: [], role: 'mixed' } as const;
+    const order = { orderId: 'o', fencingNumber: 1, target };
+    expect(await engine.order(address, order)).toMatchObject({ kind: 'refused' });
+  });
+
+  it('loses the attempt that it streams', async () => {
+    const engine = createEngineClient(http, { timeoutMs: TIMEOUT_MS, orderTimeoutMs: TIMEOUT_MS });
+    const request = {
+      requestId: asId<RequestId>('r'),
+      attemptNo: asAttemptNo(1),
+      model: 'guide',
+      version: 'v1',
+      adapter: '',
+      prompt: 'p',
+      prefix: [],
+      maxTokens: 1,
+      seed: 0,
+      priority: 'normal',
+    } as const;
+    const event = await new Promise<AttemptEvent>((resolve) => {
+      engine.generate(address, request, resolve);
+    });
+    expect(event).toMatchObject({ kind: 'lost', cause: 'ended_early', attemptNo: 1 });
+  });
+
+  it('counts as an unavailable plain service', async () => {
+    const service = createServiceClient(http, TIMEOUT_MS);
+    expect(await service.load(address)).toBeUndefined();
+    expect(await service.lookup(address, 'k')).toMatchObject({ kind: 'unavailable' });
+  });
+
+  it('counts as an unavailable platform, with an unknown commit', async () => {
+    const options = { address, timeoutMs: TIMEOUT_MS };
+    const unavailable = { kind: 'unavailable' };
+    const tables = createTables(http, options);
+    expect(await tables.read(['k'])).toMatchObject(unavailable);
+    expect(await tables.commit({ conditions: [], writes: [] })).toMatchObject({ kind: 'unknown' });
+    expect(await createObjects(http, options).list('')).toMatchObject(unavailable);
+    expect(await createHostList(http, options).read()).toMatchObject(unavailable);
+    expect(await createWeightStore(http, options).describe('m', 'v')).toMatchObject(unavailable);
+  });
+});
