--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -28,7 +28,7 @@
   readonly stop: () => Promise<void>;
 }
 
-interface Town {
+interface DemoFleet {
   readonly fleet: Fleet;
   readonly engines: readonly FleetNode[];
   readonly servers: readonly FleetNode[];
@@ -53,14 +53,14 @@
 export async function runDemo(say: (line: string) => void): Promise<Demo> {
   const fleet = await startFleet({ weightsSizeBytes: 5e8 });
   try {
-    const town = await build(fleet, say);
-    await configure(town, say);
-    const stream = await showStream(town, say);
-    const bookings = await showBookings(town, say);
-    const move = await showMove(town, say);
+    const demo = await build(fleet, say);
+    await configure(demo, say);
+    const stream = await showStream(demo, say);
+    const bookings = await showBookings(demo, say);
+    const move = await showMove(demo, say);
     return {
       result: { ...stream, ...bookings, move },
-      hints: hintsFor(town),
+      hints: hintsFor(demo),
       stop: fleet.stop,
     };
   } catch (error) {
@@ -69,7 +69,7 @@
   }
 }
 
-async function build(fleet: Fleet, say: (line: string) => void): Promise<Town> {
+async function build(fleet: Fleet, say: (line: string) => void): Promise<DemoFleet> {
   const engines = await Promise.all(
     Array.from({ length: ENGINES }, (_, index) =>
       fleet.startEngine({
@@ -104,8 +104,8 @@
   return { fleet, engines, servers, routers, admin, cli: createCli(admin.address, ADMIN_KEY) };
 }
 
-async function configure(town: Town, say: (line: string) => void): Promise<void> {
-  const { cli, fleet, routers } = town;
+async function configure(demo: DemoFleet, say: (line: string) => void): Promise<void> {
+  const { cli, fleet, routers } = demo;
   const changes: ConfigChange[] = [
     ...basicChanges({
       engineService: SERVICE,
@@ -141,29 +141,29 @@
 }
 
 function read(
-  town: Town,
+  demo: DemoFleet,
   router: number,
   onToken?: (index: number) => void,
 ): Promise<CallerResult> {
   return readStream({
-    dispatcher: town.fleet.http.dispatcher,
+    dispatcher: demo.fleet.http.dispatcher,
     key: CALLER_KEY,
     body: { model: MODEL, prompt: PROMPT, max_tokens: TOKENS },
-    routerFor: (connection) => town.routers[(router + connection) % town.routers.length]?.address,
+    routerFor: (connection) => demo.routers[(router + connection) % demo.routers.length]?.address,
     ...(onToken === undefined ? {} : { onToken }),
   });
 }
 
 async function showStream(
-  town: Town,
+  demo: DemoFleet,
   say: (line: string) => void,
 ): Promise<Pick<DemoResult, 'tokens_missing' | 'tokens_repeated' | 'resume_ms'>> {
   const { hash32 } = await createHashes();
   const source = { model: MODEL, version: 'v1', adapter: '', prompt: PROMPT, seed: 0 };
   const expected = wholeText(source, TOKENS, hash32);
   let killed: Promise<void> = Promise.resolve();
-  const result = await read(town, 0, (index) => {
-    if (index === KILL_AT) killed = killBusyEngine(town);
+  const result = await read(demo, 0, (index) => {
+    if (index === KILL_AT) killed = killBusyEngine(demo);
   });
   await killed;
   const missing = expected.filter((text, index) => result.texts[index] !== text).length;
@@ -174,9 +174,9 @@
   return { tokens_missing: missing, tokens_repeated: repeated, resume_ms: resumeMs };
 }
 
-async function killBusyEngine(town: Town): Promise<void> {
-  for (const engine of town.engines) {
-    const answer = (await town.fleet.get(engine.address, '/v1/running')) as {
+async function killBusyEngine(demo: DemoFleet): Promise<void> {
+  for (const engine of demo.engines) {
+    const answer = (await demo.fleet.get(engine.address, '/v1/running')) as {
       request_ids: string[];
     };
     if (answer.request_ids.length > 0) {
@@ -187,12 +187,12 @@
 }
 
 async function showBookings(
-  town: Town,
+  demo: DemoFleet,
   say: (line: string) => void,
 ): Promise<Pick<DemoResult, 'bookings_requested' | 'bookings_run'>> {
   const book = async (slot: number, router: number): Promise<void> => {
-    const address = town.routers[router % town.routers.length]?.address ?? '';
-    await town.fleet.http.fetch(`http://${address}/v1/services/${SHOP}/book`, {
+    const address = demo.routers[router % demo.routers.length]?.address ?? '';
+    await demo.fleet.http.fetch(`http://${address}/v1/services/${SHOP}/book`, {
       method: 'POST',
       headers: { authorization: `Bearer ${CALLER_KEY}`, 'idempotency-key': `slot-${slot}` },
       body: JSON.stringify({ slot }),
@@ -203,7 +203,7 @@
   // Every booking is sent through two routers at the same time, as an impatient client would.
   await Promise.all(slots.flatMap((slot) => [book(slot, slot), book(slot, slot + 1)]));
   const runs = await Promise.all(
-    town.servers.map((server) => town.fleet.get(server.address, '/runs')),
+    demo.servers.map((server) => demo.fleet.get(server.address, '/runs')),
   );
   const bookingsRun = runs
     .flatMap((answer) => (answer as { runs: { runs: number }[] }).runs)
@@ -212,8 +212,8 @@
   return { bookings_requested: BOOKINGS, bookings_run: bookingsRun };
 }
 
-async function showMove(town: Town, say: (line: string) => void): Promise<string> {
-  const { cli } = town;
+async function showMove(demo: DemoFleet, say: (line: string) => void): Promise<string> {
+  const { cli } = demo;
   const ordered = JSON.parse(
     await cli.run(['move', 'order', SERVICE, 'v2', '--by', MOVE_BY, '--reason', 'demo', '--json']),
   ) as { move: { id: string } };
@@ -222,7 +222,7 @@
   let isMoving = true;
   const callers = Promise.all(
     [0, 1, 2].map(async (router) => {
-      while (isMoving) await read(town, router);
+      while (isMoving) await read(demo, router);
     }),
   );
   await cli.follow(['move', 'watch', id], (line) => say(`  ${line}`));
@@ -234,13 +234,13 @@
   return moves.items.find((move) => move.id === id)?.state ?? 'absent';
 }
 
-function hintsFor(town: Town): string[] {
-  const router = town.routers[1]?.address ?? '';
+function hintsFor(demo: DemoFleet): string[] {
+  const router = demo.routers[1]?.address ?? '';
   return [
     `curl -N http://${router}/v1/completions -H 'authorization: Bearer ${CALLER_KEY}' -d '{"model":"${MODEL}","prompt":"Which clamp first?","max_tokens":40,"stream":true}'`,
     `curl http://${router}/v1/services/${SHOP}/book -H 'authorization: Bearer ${CALLER_KEY}' -H 'idempotency-key: slot-99' -d '{"slot":99}'`,
-    `MIMOSACTL_SERVER=${town.admin.address} MIMOSACTL_KEY=${ADMIN_KEY} node dist/mimosactl.mjs list services`,
-    `MIMOSACTL_SERVER=${town.admin.address} MIMOSACTL_KEY=${ADMIN_KEY} node dist/mimosactl.mjs history`,
+    `MIMOSACTL_SERVER=${demo.admin.address} MIMOSACTL_KEY=${ADMIN_KEY} node dist/mimosactl.mjs list services`,
+    `MIMOSACTL_SERVER=${demo.admin.address} MIMOSACTL_KEY=${ADMIN_KEY} node dist/mimosactl.mjs history`,
   ];
 }
 
--- a/packages/bench/src/measure/control.ts
+++ b/packages/bench/src/measure/control.ts
@@ -1,6 +1,7 @@
 import { loadavg } from 'node:os';
 import { linearRegression } from 'simple-statistics';
 import { measureUsage, round, startFleet, wait } from '../member/fleet';
+import { CONTROL_BUDGET, SCALE } from './scale';
 import type { Fleet, FleetSpec, Usage } from '../member/fleet';
 import type { Measurement, MeasureOptions, MeasureResult } from './measurement';
 
@@ -12,17 +13,16 @@
 const NODES = 12;
 const TOKENS_PER_SEC_PER_STREAM = 1_000 / 33;
 
-/** Full scale: 340 nodes, 600 engines in 3 regions, 370,000 tokens/s, 5,100 customers. */
-const SCALE = {
-  nodes: 340,
-  enginesPerRegion: 200,
-  readsPerSec: (2 * 600) / 340,
-  tokensPerSec: 370_000 / 340,
-  customers: 5_100,
+/** What one node meets at full scale. */
+const FULL = {
+  nodes: SCALE.nodes,
+  enginesPerRegion: SCALE.engines / SCALE.regions,
+  // Two routers read each engine once a second.
+  readsPerSec: (2 * SCALE.engines) / SCALE.nodes,
+  tokensPerSec: SCALE.tokensPerSec / SCALE.nodes,
+  customers: SCALE.customers,
 } as const;
 
-const BUDGET = { cpuRatio: 0.015, memoryMb: 64, bytesPerSec: 17 * 1_024 } as const;
-
 type CaseName =
   | 'idle'
   | 'idleStreams'
@@ -69,11 +69,11 @@
     {
       idle: idle(),
       idleStreams: idle({ streams: 36 }),
-      idleCustomers: idle({ customers: SCALE.customers }),
+      idleCustomers: idle({ customers: FULL.customers }),
       nodes8: node(8),
       nodes16: node(16),
       nodes32: node(32),
-      customers: node(4, { customers: SCALE.customers }),
+      customers: node(4, { customers: FULL.customers }),
     },
     isFull,
   );
@@ -88,7 +88,7 @@
       streams12: node(NODES, { streams: 12 }),
       streams36: node(NODES, { streams: 36 }),
       streams36Flush100: node(NODES, { streams: 36, flushEveryMs: 100 }),
-      all: node(NODES, { engines: 200, streams: 36, customers: SCALE.customers }),
+      all: node(NODES, { engines: 200, streams: 36, customers: FULL.customers }),
     },
     isFull,
   );
@@ -149,20 +149,20 @@
   const streamControl = subtractCost(perStream, ownStream);
   const readsPerSec = (2 * 200) / NODES;
   const perRead = divide(subtract(usages.engines200Read, usages.engines200), readsPerSec);
-  const perCustomer = divide(subtract(usages.idleCustomers, usages.idle), SCALE.customers);
+  const perCustomer = divide(subtract(usages.idleCustomers, usages.idle), FULL.customers);
   const fixed = subtract(usages.base, usages.idle);
   const grown = sum([
     fixed,
-    times(perNode, SCALE.nodes - NODES),
-    times(perEngine, SCALE.enginesPerRegion),
-    times(perRead, SCALE.readsPerSec),
-    times(streamControl, SCALE.tokensPerSec / TOKENS_PER_SEC_PER_STREAM),
-    times(perCustomer, SCALE.customers),
+    times(perNode, FULL.nodes - NODES),
+    times(perEngine, FULL.enginesPerRegion),
+    times(perRead, FULL.readsPerSec),
+    times(streamControl, FULL.tokensPerSec / TOKENS_PER_SEC_PER_STREAM),
+    times(perCustomer, FULL.customers),
   ]);
   // CPU goes with the number of messages, which neither nodes nor streams raise; the case with
   // everything at once has as many messages a node as full scale.
   const cpuRatio =
-    usages.all.cpuRatio - usages.idleStreams.cpuRatio + SCALE.readsPerSec * perRead.cpuRatio;
+    usages.all.cpuRatio - usages.idleStreams.cpuRatio + FULL.readsPerSec * perRead.cpuRatio;
   const total: Cost = { ...grown, cpuRatio };
   return {
     load_average: round(loadavg()[0] ?? 0, 1),
@@ -184,9 +184,9 @@
     rss_mb_without_duties: round(usages.idle.rssMb, 1),
     rss_mb_increment: round(usages.all.rssMb - usages.idleStreams.rssMb, 1),
     budget: {
-      cpu_ratio: BUDGET.cpuRatio,
-      rss_mb: BUDGET.memoryMb,
-      bytes_per_sec: BUDGET.bytesPerSec,
+      cpu_ratio: CONTROL_BUDGET.cpuPercent / 100,
+      rss_mb: CONTROL_BUDGET.memoryMb,
+      bytes_per_sec: CONTROL_BUDGET.kilobytesPerSec * 1_024,
     },
   };
 }
