--- a/packages/adapters/src/config/reader.ts
+++ b/packages/adapters/src/config/reader.ts
@@ -50,9 +50,10 @@
     const answer = await objects.get(snapshotName(revision));
     switch (answer.kind) {
       case 'ok':
-        return { kind: 'ok', config: JSON.parse(answer.body) as FleetConfig };
+        return { kind: 'ok', config: parseSnapshot(answer.body) ?? EMPTY_CONFIG };
       case 'absent':
-        return { kind: 'unavailable', message: `snapshot ${revision} is missing` };
+        // Every revision is kept, so that all of them can be applied instead.
+        return { kind: 'ok', config: EMPTY_CONFIG };
       default:
         return answer;
     }
@@ -102,3 +103,16 @@
 function applyNext(config: FleetConfig, entry: ConfigRevision): FleetConfig {
   return entry.revision === config.revision + 1 ? applyChanges(config, entry.changes) : config;
 }
+
+/** Undefined for a body that was cut off or is something else. */
+function parseSnapshot(body: string): FleetConfig | undefined {
+  try {
+    const value = JSON.parse(body) as Partial<FleetConfig> | null;
+    const { revision, defaults, services, customers, teams, exceptions } = value ?? {};
+    const parts = [defaults, services, customers, teams, exceptions];
+    const isWhole = typeof revision === 'number' && parts.every((part) => typeof part === 'object');
+    return isWhole ? (value as FleetConfig) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/adapters/test/config-store.spec.ts
+++ b/packages/adapters/test/config-store.spec.ts
@@ -9,7 +9,7 @@
 } from '@mimosamill/fakes';
 import { createConfigStore, SNAPSHOT_EVERY } from '../src/index';
 import type { ConfigChange, FleetConfig, OperationId } from '@mimosamill/core';
-import type { Clock, CommitRevisionOutcome, ConfigStore, Tables } from '../src/index';
+import type { Clock, CommitRevisionOutcome, ConfigStore, Objects, Tables } from '../src/index';
 
 /** Answers of successive commits; 'late' and 'lost' take effect, 'dropped' does not. */
 type CommitFault = 'none' | 'lost' | 'dropped' | 'late' | 'unavailable';
@@ -27,6 +27,7 @@
 
 interface World {
   readonly tables: Tables;
+  readonly objects: Objects;
   readonly createStore: (faults?: readonly CommitFault[]) => ConfigStore;
   readonly applyLate: () => Promise<void>;
   readonly commits: () => number;
@@ -63,6 +64,7 @@
 
   return {
     tables,
+    objects,
     createStore: (faults = []) =>
       createConfigStore(withFaults([...faults]), objects, INSTANT_CLOCK),
     applyLate: async () => {
@@ -190,4 +192,22 @@
     const earlier = await store.readConfigAt(asRevision(SNAPSHOT_EVERY - 1));
     expect(earlier).toMatchObject({ config: { revision: SNAPSHOT_EVERY - 1 } });
   });
+
+  // Guards against routers that cannot start because one object of the store is damaged.
+  it('applies the whole history when the snapshot is damaged', async () => {
+    const world = createWorld();
+    const store = world.createStore();
+    let config = EMPTY_CONFIG;
+    for (let value = 1; value <= SNAPSHOT_EVERY + 3; value += 1) {
+      await submit(store, config, `op-${value}`, value);
+      config = applyChanges(config, [limitChange(value)]);
+    }
+    const names = await world.objects.list('');
+    expect(names).toMatchObject({ kind: 'ok', names: [expect.any(String)] });
+    const [name = ''] = names.kind === 'ok' ? names.names : [];
+    for (const body of ['{"revision":50,"defaults"', '[]', '{"revision":50}']) {
+      await world.objects.put(name, body);
+      expect(await readConfig(store)).toEqual(config);
+    }
+  });
 });
--- a/packages/admin/src/main.ts
+++ b/packages/admin/src/main.ts
@@ -116,7 +116,6 @@
   if (outcome === 'retry') {
     clock.after(FIRST_RETRY_MS, () => {
       void ensureFirst(settings, root);
-      process.stdout.write('ready\n');
     });
   } else if (outcome === 'created') {
     log.info('the first administrator was created', { administrator: firstAdministrator.name });
--- a/packages/controller/src/compose.ts
+++ b/packages/controller/src/compose.ts
@@ -133,9 +133,9 @@
   const withdrawals = c.resolve<WithdrawalView>(TOKENS.withdrawals);
   const platform = { address: settings.platform, timeoutMs: settings.platformTimeoutMs };
   const metrics = c.resolve<Metrics>(TOKENS.metrics);
-  const ended = metrics.counter('moves_ended_total', 'Version moves ended', ['state']);
+  const ended = metrics.counter('mimosamill_moves_ended_total', 'Version moves ended', ['state']);
   const reversed = metrics.counter(
-    'moves_reversed_total',
+    'mimosamill_moves_reversed_total',
     'Moves recorded done whose version was withdrawn afterwards',
   );
   const lease = createLeaseKeeper(
@@ -184,7 +184,9 @@
   const clock = c.resolve<Clock>(TOKENS.clock);
   const config = c.resolve<VersionConfig>(TOKENS.config);
   const metrics = c.resolve<Metrics>(TOKENS.metrics);
-  const sent = metrics.counter('orders_sent_total', 'Orders sent to engines', ['outcome']);
+  const sent = metrics.counter('mimosamill_orders_sent_total', 'Orders sent to engines', [
+    'outcome',
+  ]);
   const lease = createLeaseKeeper(
     { duty: 'orders', holder, termMs: settings.leaseTermMs },
     tables,
--- a/packages/fakes/src/service/main.ts
+++ b/packages/fakes/src/service/main.ts
@@ -12,17 +12,24 @@
   ip: z.string(),
   port: z.number(),
   seed: z.number().default(1),
+  /** Between announcing that the server leaves and its end. */
+  leaveNoticeMs: z.number().default(1_000),
 });
 
 async function start(settings: z.infer<typeof settingsSchema>): Promise<RunningProgram> {
   const model = createServiceModel();
-  const server = createServiceServer(model, createSystemClock(), createRandom(settings.seed));
+  const clock = createSystemClock();
+  const server = createServiceServer(model, clock, createRandom(settings.seed));
   await server.listen(settings.ip, settings.port);
   process.stdout.write('ready\n');
   return {
-    stop: () => {
+    stop: async () => {
       model.leave();
-      return server.drain(DRAIN_TIMEOUT_MS);
+      // Routers hear of it by the load report, and by refusals that say that nothing was run.
+      await new Promise<void>((resolve) => {
+        clock.after(settings.leaveNoticeMs, resolve);
+      });
+      await server.drain(DRAIN_TIMEOUT_MS);
     },
   };
 }
