Route by load digests in regions of 100 engines and more

Cause: the digests existed, but no router mounted them, and every router read every engine itself at any fleet size.

Change: the peer server mounts 'digest'. In a region with at least `digestMinEngines` engines (router setting, default 100) only the assigned readers read an engine, and loads go in by Backends.onReport. An engine that this router found down counts as reachable only after it has answered this router, because a digest confirms an unchanged load for up to 5 s after a death.

--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -39,10 +39,12 @@
 import { createWithdrawalGossip } from './move/gossip';
 import { createMovePeerRouter } from './move/peer';
 import { createMoveWatch } from './move/watch';
+import { createLoadDigests } from './peer/digest';
 import { createPeers } from './peer/member';
 import { createPeerServer, SERVER_DEFAULTS } from './peer/server';
 import { createPeerTraffic } from './peer/traffic';
 import { createBackends } from './route/backends';
+import { createLoadSource } from './route/load-source';
 import { createSuspectGuard } from './stream/guard';
 import { createReplicas, REPLICA_DEFAULTS } from './stream/replica';
 import { createStreams } from './stream/streams';
@@ -80,10 +82,12 @@
 import type { Shares } from './limit/shares';
 import type { MovePeerRouter } from './move/peer';
 import type { MoveWatch } from './move/watch';
+import type { LoadDigests } from './peer/digest';
 import type { Peers } from './peer/member';
 import type { PeerServer } from './peer/server';
 import type { PeerTraffic } from './peer/traffic';
 import type { Backends } from './route/backends';
+import type { LoadSource } from './route/load-source';
 import type { RouterSettings } from './settings';
 import type { Replicas } from './stream/replica';
 import type { Streams } from './stream/streams';
@@ -105,6 +109,8 @@
 const REPLICAS: InjectionToken<Replicas> = Symbol('Replicas');
 const MOVES: InjectionToken<MoveWatch> = Symbol('MoveWatch');
 const BACKENDS: InjectionToken<Backends> = Symbol('Backends');
+const DIGESTS: InjectionToken<LoadDigests> = Symbol('LoadDigests');
+const LOAD_SOURCE: InjectionToken<LoadSource> = Symbol('LoadSource');
 const RETRY_BUDGET: InjectionToken<RetryBudget> = Symbol('RetryBudget');
 const CALLS: InjectionToken<Calls> = Symbol('Calls');
 const SUSPECTS: InjectionToken<SharedSuspectGuard> = Symbol('SuspectGuard');
@@ -242,6 +248,26 @@
       limitOf: (scope) => limitOfScope(use(FEED).current(), scope),
     }),
   );
+  provide(LOAD_SOURCE, () =>
+    createLoadSource({
+      clock: use(CLOCK),
+      region: asId<Region>(settings.region),
+      digestMinEngines: settings.digestMinEngines,
+      backends: () => use(BACKENDS),
+      digests: () => use(DIGESTS),
+    }),
+  );
+  provide(DIGESTS, () =>
+    createLoadDigests({
+      membership: use(PEERS),
+      pool: use(PEERS).pool,
+      clock: use(CLOCK),
+      hash: hashes.hash32,
+      random: Math.random,
+      engines: () => use(LOAD_SOURCE).digestEngines(),
+      readLoad: (engineId) => use(BACKENDS).readLoad(engineId),
+    }),
+  );
   provide(PEER_SERVER, () =>
     createPeerServer(
       { host: settings.ip, port: settings.peerPort, ...SERVER_DEFAULTS },
@@ -252,6 +278,7 @@
         calls: createCallRouter(use(CALLS)),
         replica: use(REPLICAS).router,
         limits: use(SHARES).router,
+        digest: use(DIGESTS).router,
         moves: createMovePeerRouter(use(MOVES)),
         suspects: use(SUSPECTS).router,
       },
@@ -290,6 +317,7 @@
       },
       hostListPeriodMs: settings.hostListPeriodMs,
       loadPeriodMs: settings.loadPeriodMs,
+      isPolled: (engineId) => use(LOAD_SOURCE).isPolled(engineId),
     }),
   );
   provide(CALLS, () =>
@@ -399,7 +427,9 @@
       enginesOf: use(BACKENDS).enginesOf,
     }),
   );
+  use(DIGESTS).onLoads(() => use(LOAD_SOURCE).onLoads());
   await use(BACKENDS).start();
+  use(DIGESTS).start();
   const port = await use(CALLER_SERVER).listen(settings.ip, settings.port);
   log.info('router started', { port });
   process.stdout.write('ready\n');
@@ -413,6 +443,7 @@
       await Promise.race([drain(settings, use), wait(use(CLOCK), settings.drainTimeoutMs)]);
       use(SHARES).stop();
       use(ADMISSION).stop();
+      use(DIGESTS).stop();
       use(BACKENDS).stop();
       use(STREAMS).stop();
       use(REPLICAS).stop();
--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -9,7 +9,15 @@
   Metrics,
   ServiceClient,
 } from '@mimosamill/adapters';
-import type { EngineId, LoadReport, PickerSettings, Send, ServiceName } from '@mimosamill/core';
+import type {
+  EngineId,
+  EngineReport,
+  LoadReport,
+  PickerSettings,
+  Region,
+  Send,
+  ServiceName,
+} from '@mimosamill/core';
 import type { ServerPicker } from '../call/ports';
 import type { EngineDirectory, KnownEngine } from '../stream/ports';
 
@@ -35,13 +43,27 @@
 /** Backend servers from the host list, with their latest known load. */
 export interface Backends extends EngineDirectory {
   readonly servers: ServerPicker;
-  /** A load report that another router read. */
-  readonly onReport: (engineId: EngineId, report: LoadReport) => void;
+  /**
+   * A load report that another router read; false if it was not used. Digests confirm unchanged
+   * loads for up to 5 s after an engine has died, so an engine that this router found down counts as
+   * reachable only after it has answered this router.
+   */
+  readonly onReport: (engineId: EngineId, report: LoadReport) => boolean;
+  /** Reads one engine's load and cache events now; undefined if it does not answer. */
+  readonly readLoad: (engineId: EngineId) => Promise<EngineReport | undefined>;
+  readonly listEngines: () => readonly ListedEngine[];
   readonly start: () => Promise<void>;
   readonly stop: () => void;
 }
 
+/** An engine of the host list and its region. */
+export interface ListedEngine {
+  readonly engineId: EngineId;
+  readonly region: Region;
+}
+
 interface EngineRecord extends KnownEngine {
+  readonly region: Region;
   versions: readonly string[];
   loadRatio: number;
   stepMs: number | undefined;
@@ -115,6 +137,7 @@
         engineId,
         address: host.address,
         service,
+        region: host.region,
         failureDomain: host.failureDomain,
         versions: known?.versions ?? [],
         loadRatio: 0,
@@ -167,9 +190,9 @@
     return options.isPolled?.(engineId) ?? true;
   }
 
-  async function readEngine(engine: EngineRecord): Promise<void> {
+  async function readEngine(engine: EngineRecord): Promise<EngineReport | undefined> {
     // A paused engine answers late; one question at a time bounds what waits for it.
-    if (engine.isPolling) return;
+    if (engine.isPolling) return undefined;
     engine.isPolling = true;
     const sentAtMs = clock.monotonicMs();
     const answer = await options.engines.load(engine.address);
@@ -178,11 +201,12 @@
       unreachable.inc({ service: engine.service });
       engine.failedReads += 1;
       if (engine.failedReads >= UNREACHABLE_READS) picker.onUnreachable(engine.engineId);
-      return;
+      return undefined;
     }
     picker.onRoundTrip(engine.engineId, clock.monotonicMs() - sentAtMs);
     applyReport(engine, answer.value);
     await cacheReader.read(engine.engineId, engine.address);
+    return answer.value;
   }
 
   function applyReport(engine: EngineRecord, report: LoadReport): void {
@@ -293,8 +317,16 @@
     },
     onReport: (engineId, report) => {
       const engine = engines.get(engineId);
-      if (engine !== undefined) applyReport(engine, report);
+      if (engine === undefined) return false;
+      if (engine.isDown || engine.failedReads >= UNREACHABLE_READS) return false;
+      applyReport(engine, report);
+      return true;
+    },
+    readLoad: async (engineId) => {
+      const engine = engines.get(engineId);
+      return engine === undefined ? undefined : readEngine(engine);
     },
+    listEngines: () => [...engines.values()],
     start: async () => {
       await readHosts();
       await readLoads();
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -23,6 +23,8 @@
   hostListPeriodMs: durationMs.default(1_000),
   loadPeriodMs: durationMs.default(250),
   loadTimeoutMs: durationMs.default(1_000),
+  /** From this number of engines in the region on, loads come from digests. */
+  digestMinEngines: z.number().int().positive().default(100),
   /** Longest wait for running streams and calls at a planned stop. */
   drainTimeoutMs: durationMs.default(900_000),
   /** Between reporting "not ready" and refusing connections, for the balancer to notice. */
