Bound ejections by the service's effective ejectedMaxRatio

Cause: the router ejected up to a fixed 30% of a service's engines, whatever the configuration said.

Change: picker and outlier judge take the bound per service and read it at each use; the router answers from the current configuration (defaults with the exceptions for service and failure domain). A lowered bound readmits at the next result or host list reading, a raised one applies from the next result on.

Figures (10 servers, one failing): 0 ejected at bound 0, 1 after a change to 0.3, 0 after a change back; a second service with bound 0.3 keeps its 1 throughout.

--- a/packages/bench/src/measure/route/policy.ts
+++ b/packages/bench/src/measure/route/policy.ts
@@ -132,7 +132,7 @@
         ownDomainMs: 0.5,
         ownRegionMs: 1,
         otherRegionMs: 40,
-        ejectedMaxRatio: 0.3,
+        ejectedMaxRatio: () => 0.3,
       },
       cache,
     );
--- a/packages/core/src/route/outlier.ts
+++ b/packages/core/src/route/outlier.ts
@@ -24,7 +24,8 @@
 }
 
 export interface OutlierSettings {
-  readonly ejectedMaxRatio: number;
+  /** Bound on the ejected part of a service's servers; read at each use, so that it may change. */
+  readonly ejectedMaxRatio: (service: string) => number;
 }
 
 /** Results before a server is judged; fewer say little about a rate. */
@@ -75,6 +76,10 @@
   const servers = new Map<string, ServerHealth>();
   const services = new Map<string, ServiceHealth>();
 
+  function maxEjected(name: string, service: ServiceHealth): number {
+    return Math.floor(settings.ejectedMaxRatio(name) * service.serverIds.size);
+  }
+
   function routeOf(server: ServerHealth, route: string): RouteHealth {
     const known = server.routes.get(route);
     if (known !== undefined) return known;
@@ -163,12 +168,16 @@
   function judge(server: ServerHealth, service: ServiceHealth, route: string, nowMs: number): void {
     const health = server.routes.get(route);
     if (health === undefined) return;
+    // The bound may have been lowered since the ejections.
+    if (service.ejectedCount > 0 && service.ejectedCount > maxEjected(server.service, service)) {
+      readmitAll(service);
+    }
     const weight = relativeHealth(service, route, health);
     const isNewlyBad = health.ejectedUntilMs === undefined && weight < EJECT_WEIGHT;
     const isCheckDue = service.isSuspended && nowMs >= service.suspendedCheckAtMs;
     if (service.isSuspended ? !isCheckDue : !isNewlyBad) return;
     service.suspendedCheckAtMs = nowMs + SUSPENDED_CHECK_MS;
-    const maxCount = Math.floor(settings.ejectedMaxRatio * service.serverIds.size);
+    const maxCount = maxEjected(server.service, service);
     service.isSuspended = countBad(service) > Math.max(1, maxCount);
     if (service.isSuspended) readmitAll(service);
     else if (isNewlyBad && (isEjected(server) || countEjected(service) < maxCount)) {
@@ -211,8 +220,8 @@
       };
       services.set(name, next);
       next.ejectedCount = countEjected(next);
-      // The service may have shrunk below the number that may be ejected.
-      if (next.ejectedCount > Math.floor(settings.ejectedMaxRatio * kept.size)) readmitAll(next);
+      // The service or its bound may have shrunk below the number that is ejected.
+      if (next.ejectedCount > maxEjected(name, next)) readmitAll(next);
     },
     onResult: (serverId, route, result, nowMs) => {
       const server = servers.get(serverId);
--- a/packages/core/src/route/types.ts
+++ b/packages/core/src/route/types.ts
@@ -90,6 +90,6 @@
   readonly ownDomainMs: number;
   readonly ownRegionMs: number;
   readonly otherRegionMs: number;
-  /** Largest part of a service's engines that may be ejected at once. */
-  readonly ejectedMaxRatio: number;
+  /** Largest part of a service's engines that may be ejected at once; it may change. */
+  readonly ejectedMaxRatio: (service: string) => number;
 }
--- a/packages/core/test/outlier.spec.ts
+++ b/packages/core/test/outlier.spec.ts
@@ -8,7 +8,7 @@
 
 function createTestJudge(count: number): { judge: OutlierJudge; ids: string[] } {
   const ids = Array.from({ length: count }, (_, at) => `e${at}`);
-  const judge = createOutlierJudge({ ejectedMaxRatio: RATIO });
+  const judge = createOutlierJudge({ ejectedMaxRatio: () => RATIO });
   judge.setServers(SERVICE, ids);
   return { judge, ids };
 }
@@ -86,6 +86,34 @@
     expect(ids.map((id) => judge.weight(id, 'r'))).toEqual(ids.map(() => 1));
   });
 
+  // Guards against a bound that is read only once, or shared by services that have different ones.
+  it('follows a changed bound of one service and leaves the others alone', () => {
+    const bounds = new Map([
+      ['a', 0],
+      ['b', 0.3],
+    ]);
+    const judge = createOutlierJudge({ ejectedMaxRatio: (service) => bounds.get(service) ?? 0 });
+    const idsOf = (service: string): string[] =>
+      Array.from({ length: 10 }, (_, at) => `${service}${at}`);
+    const serve = (nowMs: number): void => {
+      ['a', 'b'].forEach((service) => {
+        judge.setServers(service, idsOf(service));
+        idsOf(service).forEach((id, at) => {
+          judge.onResult(id, 'r', { isSuccess: at !== 0, slownessRatio: 1 }, nowMs);
+        });
+      });
+    };
+    const counts = (): number[] => ['a', 'b'].map((service) => judge.ejectedCount(service));
+    for (let nowMs = 0; nowMs < 20; nowMs += 1) serve(nowMs);
+    expect(counts()).toEqual([0, 1]);
+    bounds.set('a', 0.3);
+    serve(20);
+    expect(counts()).toEqual([1, 1]);
+    bounds.set('a', 0);
+    serve(21);
+    expect(counts()).toEqual([0, 1]);
+  });
+
   // Guards against a slow server that keeps its full share because it never fails.
   it('gives a slow server less traffic', () => {
     const { judge, ids } = createTestJudge(10);
--- a/packages/core/test/routing-session.spec.ts
+++ b/packages/core/test/routing-session.spec.ts
@@ -33,7 +33,7 @@
     ownDomainMs: 0.5,
     ownRegionMs: 2,
     otherRegionMs: 40,
-    ejectedMaxRatio: 0.3,
+    ejectedMaxRatio: () => 0.3,
   });
   const lines: string[] = [];
   const running: Send[] = [];
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -72,6 +72,7 @@
   Region,
   RetryBudget,
   RouterId,
+  ServiceName,
 } from '@mimosamill/core';
 import type { CallRouter } from './call/peer';
 import type { Calls } from './call/calls';
@@ -313,7 +314,7 @@
         ownDomainMs: OWN_DOMAIN_MS,
         ownRegionMs: OWN_REGION_MS,
         otherRegionMs: OTHER_REGION_MS,
-        ejectedMaxRatio: 0.3,
+        ejectedMaxRatio: (service) => ejectedMaxRatioOf(settings, use(FEED), service),
       },
       hostListPeriodMs: settings.hostListPeriodMs,
       loadPeriodMs: settings.loadPeriodMs,
@@ -459,6 +460,14 @@
   };
 }
 
+function ejectedMaxRatioOf(settings: RouterSettings, feed: ConfigFeed, service: string): number {
+  const config = feed.current();
+  if (config === undefined) return DEFAULTS.ejectedMaxRatio;
+  const failureDomain = asId<FailureDomain>(settings.failureDomain);
+  const place = { service: asId<ServiceName>(service), failureDomain };
+  return effectiveSettings(config, place).ejectedMaxRatio;
+}
+
 async function readMoveRecord(tables: Tables, moveId: MoveId): Promise<MoveRecord | undefined> {
   const answer = await tables.read([`moves/${moveId}`]);
   const [row] = answer.kind === 'ok' ? answer.rows : [];
--- a/packages/router/test/backends.spec.ts
+++ b/packages/router/test/backends.spec.ts
@@ -82,7 +82,7 @@
       ownDomainMs: 0.5,
       ownRegionMs: 1,
       otherRegionMs: 40,
-      ejectedMaxRatio: 0.3,
+      ejectedMaxRatio: () => 0.3,
     },
     hostListPeriodMs: 1_000,
     loadPeriodMs: 500,
