Pass token counts and overload refusals on from the stream shell

Cause: the picker got no token count at the end of a send, so the outlier judge never saw an engine's pace, and the admission window never heard of an engine that refused for lack of room.

Change: an open attempt counts its tokens and directory.onEnd passes them on; permit.onOverloaded is called for each refusal as overloaded.

--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -300,7 +300,7 @@
     },
     onSent: (engineId, request): Send => picker.onSent(engineId, request, clock.monotonicMs()),
     onFirstToken: (send) => picker.onFirstToken(send, clock.monotonicMs()),
-    onEnd: (send, result) => picker.onEnd(send, result, clock.monotonicMs()),
+    onEnd: (send, result, tokens) => picker.onEnd(send, result, clock.monotonicMs(), tokens),
     onLeaving: (engineId) => picker.onLeaving(engineId, clock.monotonicMs()),
     loadRatioOf: (engineId) => engines.get(engineId)?.loadRatio ?? 0,
     confirmDown,
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -27,7 +27,7 @@
   readonly pick: (request: RouteRequest) => PlaceOutcome;
   readonly onSent: (engineId: EngineId, request: RouteRequest) => Send;
   readonly onFirstToken: (send: Send) => void;
-  readonly onEnd: (send: Send, result: SendResult) => void;
+  readonly onEnd: (send: Send, result: SendResult, tokens: number) => void;
   readonly onLeaving: (engineId: EngineId) => void;
   readonly enginesOf: (service: ServiceName) => readonly KnownEngine[];
   /** Running requests of an engine per place. */
@@ -124,6 +124,8 @@
 export interface StreamPermit {
   readonly onFirstToken: () => void;
   readonly onTokens: (count: number) => void;
+  /** An engine refused the request for lack of room; it is tried again. */
+  readonly onOverloaded: () => void;
   readonly onEnd: () => void;
 }
 
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -65,7 +65,7 @@
   readonly span: TraceSpan;
   readonly observer: AttemptObserver;
   lastTokenMs: number;
-  hasToken: boolean;
+  tokens: number;
 }
 
 const MAX_ATTEMPTS = 12;
@@ -355,7 +355,7 @@
       span,
       observer,
       lastTokenMs,
-      hasToken: false,
+      tokens: 0,
     });
   }
 
@@ -399,13 +399,13 @@
 
   function noteToken(attempt: OpenAttempt): void {
     const nowMs = clock.monotonicMs();
-    if (attempt.hasToken) {
+    if (attempt.tokens > 0) {
       attempt.observer.onGap(nowMs - attempt.lastTokenMs);
     } else {
-      attempt.hasToken = true;
       directory.onFirstToken(attempt.send);
       attempt.observer.onFirstToken(clock.nowMs());
     }
+    attempt.tokens += 1;
     attempt.lastTokenMs = nowMs;
   }
 
@@ -436,6 +436,7 @@
     const attempt = open.get(attemptNo);
     if (attempt === undefined) return;
     avoided.add(attempt.place.engineId);
+    if (cause === 'overloaded') request.permit?.onOverloaded();
     if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
     if (cause === 'failed') {
       closeAttempt(attemptNo, 'failed');
@@ -463,7 +464,7 @@
     if (attempt === undefined) return;
     open.delete(attemptNo);
     attempt.handle.close();
-    directory.onEnd(attempt.send, result);
+    directory.onEnd(attempt.send, result, attempt.tokens);
     attempt.observer.onOutcome(outcome, clock.nowMs());
     attempt.span.end(result === 'ok' ? undefined : result);
     if (result === 'cancelled') {
--- a/packages/router/test/stream-world.ts
+++ b/packages/router/test/stream-world.ts
@@ -47,24 +47,32 @@
   readonly engines: EngineGroup;
   /** What happened, a line each. */
   readonly events: string[];
+  /** How each send ended, with its tokens. */
+  readonly sendEnds: string[];
+  readonly overloadedCount: () => number;
   readonly call: (name: string) => TestCaller;
   /** The running router dies; callers go to a new one. */
   readonly killRouter: () => void;
   readonly expected: (name: string) => string[];
 }
 
-export function createStreamWorld(seed: number): StreamWorld {
+export function createStreamWorld(
+  seed: number,
+  engineLimits: { readonly maxQueued?: number } = {},
+): StreamWorld {
   const time = createVirtualTime();
   const { clock } = time;
   const random = createRandom(seed);
   const events: string[] = [];
+  const sendEnds: string[] = [];
+  let overloadedCount = 0;
   const engines = createEngineGroup({
     clock,
     random,
     hash: hashes.hash32,
     engineIds: ENGINES,
     networkMs: NETWORK_MS,
-    settings: { loaded: [{ model: 'guide', version: 'v1', adapters: [] }] },
+    settings: { ...engineLimits, loaded: [{ model: 'guide', version: 'v1', adapters: [] }] },
   });
   const replicas = new Map<RequestId, HeldReplica>();
   const callers = new Map<RequestId, TestCaller>();
@@ -182,7 +190,7 @@
       },
       onSent: (engineId) => ({ engineId }) as Send,
       onFirstToken: () => undefined,
-      onEnd: () => undefined,
+      onEnd: (_send, result, tokens) => sendEnds.push(`${result} ${tokens}`),
       onLeaving: () => undefined,
       enginesOf: () => known,
       loadRatioOf: () => 0.1,
@@ -264,6 +272,8 @@
     time,
     engines,
     events,
+    sendEnds,
+    overloadedCount: () => overloadedCount,
     call,
     killRouter,
     expected: (name) => wholeText(sourceOf(name), TOKENS, hashes.hash32),
@@ -283,6 +293,14 @@
       silenceMinMs: 250,
       silenceMaxMs: 1_000,
       bodyHash: name,
+      permit: {
+        onFirstToken: () => undefined,
+        onTokens: () => undefined,
+        onOverloaded: () => {
+          overloadedCount += 1;
+        },
+        onEnd: () => undefined,
+      },
       span: createTracer('test', { sampleRatio: 0 }).start('test', undefined),
     };
   }
--- a/packages/router/test/stream.spec.ts
+++ b/packages/router/test/stream.spec.ts
@@ -71,6 +71,20 @@
     expect(whole / total).toBeGreaterThan(0.8);
   });
 
+  // Guards against an outlier judge that never sees an engine's pace, and against an admission window
+  // that stays open while engines refuse for lack of room.
+  it('pass on the tokens of each send and every refusal for lack of room', async () => {
+    const world = createStreamWorld(5, { maxQueued: 1 });
+    const callers = ['a', 'b', 'c', 'd', 'e'].map(world.call);
+    await world.time.run(END_MS);
+    expect(callers.map(({ end }) => end)).toEqual(callers.map(() => 'finish'));
+    const refused = world.sendEnds.filter((end) => end === 'refused 0').length;
+    expect(refused).toBeGreaterThan(0);
+    expect(world.overloadedCount()).toBe(refused);
+    const whole = world.sendEnds.filter((end) => end === `ok ${TOKENS}`).length;
+    expect(whole).toBe(callers.length);
+  });
+
   // Guards against a change of the order in which a loss, a resume and a takeover happen.
   it('go through a killed engine, a paused one and a dead router as recorded', async () => {
     const [world, [caller]] = await run(
