Judge plain servers by the results of their calls

Cause: a plain server that failed or was slow kept its full share of the calls; only a refused connection was noticed.

Change: ServerPicker.onResult hears of every call that was sent and not refused, and the picker knows the operation. An outlier judge for plain servers, with the same bound as the engines' (the service's effective ejectedMaxRatio), weighs the candidates per operation, ejects and probes. An answer with status 500 or above, or none before the deadline, is a failure. A call cancelled because its hedge won counts by the time it had taken, or a slow server would never look slow.

Figures (10 servers, 40 results each, one of them failing or slow): 0 of 200 picks for the bad server on that operation, then 1 of 50 per probe period, and picks again after three good probes. With 4 of 10 failing none is ejected. The rule for cancelled calls has no test yet.

--- a/packages/bench/src/calls/world.ts
+++ b/packages/bench/src/calls/world.ts
@@ -135,6 +135,7 @@
           return left[Math.floor(random() * left.length)];
         },
         onRefused: () => undefined,
+        onResult: () => undefined,
       },
       owners: createOwnerClient(
         (id) => id,
--- a/packages/router/src/call/direct.ts
+++ b/packages/router/src/call/direct.ts
@@ -1,5 +1,6 @@
 import { asAttemptNo, assertNever, callServiceKey, createDirectCall } from '@mimosamill/core';
 import { createDeferred, settle } from './async';
+import { noteResult } from './result';
 import type {
   CallResult,
   CustomerId,
@@ -111,14 +112,24 @@
     );
     aborts.delete(attemptNo);
     if (answer.kind === 'not_sent') ports.servers.onRefused(request.service, address);
+    const tookMs = clock.monotonicMs() - sentAtMs;
+    if (!abort.signal.aborted || clock.monotonicMs() >= deadlineAtMs) {
+      noteResult(ports, request, address, answer, tookMs);
+    } else if (hedgeDelayMs !== undefined && tookMs >= hedgeDelayMs) {
+      // Slow enough for a hedge that won; without this a slow server would never look slow.
+      ports.servers.onResult(request.service, address, request.operation, {
+        isSuccess: true,
+        tookMs,
+      });
+    }
     if (answer.kind === 'ok') latencies.record(clock.monotonicMs() - sentAtMs, sentAtMs);
     feed({ kind: 'answer', attemptNo, answer });
   }
 
   /** Another server than those of earlier attempts, as long as there is one. */
   function pick(): string | undefined {
-    const fresh = ports.servers.pick(request.service, excluded);
-    return fresh ?? ports.servers.pick(request.service, new Set());
+    const fresh = ports.servers.pick(request.service, excluded, request.operation);
+    return fresh ?? ports.servers.pick(request.service, new Set(), request.operation);
   }
 
   apply(call.start(startedAtMs));
--- a/packages/router/src/call/keyed.ts
+++ b/packages/router/src/call/keyed.ts
@@ -8,6 +8,7 @@
   parseCallRecord,
 } from '@mimosamill/core';
 import { createDeferred, settle, withTimeout } from './async';
+import { noteResult } from './result';
 import type { JsonValue, Row, ServiceAnswer, ServiceLookup } from '@mimosamill/adapters';
 import type {
   CallResult,
@@ -216,7 +217,7 @@
   }
 
   async function send(sendNo: number): Promise<void> {
-    const address = ports.servers.pick(request.service, refused);
+    const address = ports.servers.pick(request.service, refused, request.operation);
     if (address === undefined) {
       // After the effects in hand: the core expects answers one at a time.
       await Promise.resolve();
@@ -224,7 +225,8 @@
       return;
     }
     lastAddress = address;
-    const remainingMs = Math.max(0, deadlineAtMs - clock.monotonicMs());
+    const sentAtMs = clock.monotonicMs();
+    const remainingMs = Math.max(0, deadlineAtMs - sentAtMs);
     const answer: ServiceAnswer = await settle(
       ports.services.call(address, {
         operation: request.operation,
@@ -237,6 +239,7 @@
       }),
       { kind: 'unknown', message: 'the client failed' },
     );
+    noteResult(ports, request, address, answer, clock.monotonicMs() - sentAtMs);
     if (answer.kind === 'not_sent') {
       refused.add(address);
       ports.servers.onRefused(request.service, address);
--- a/packages/router/src/call/ports.ts
+++ b/packages/router/src/call/ports.ts
@@ -8,11 +8,24 @@
 } from '@mimosamill/core';
 import type { Clock, ServiceClient, Tables } from '@mimosamill/adapters';
 
+/** What a call tells of its server. */
+export interface ServerCallResult {
+  readonly isSuccess: boolean;
+  readonly tookMs: number;
+}
+
 /** Chooses a server of a plain service; undefined if none is left. */
 export interface ServerPicker {
-  pick(service: ServiceName, excluded: ReadonlySet<string>): string | undefined;
+  pick(service: ServiceName, excluded: ReadonlySet<string>, operation?: string): string | undefined;
   /** A server refused a connection or said that it is leaving. */
   onRefused(service: ServiceName, address: string): void;
+  /** A call was sent and neither refused nor cancelled. */
+  onResult(
+    service: ServiceName,
+    address: string,
+    operation: string,
+    result: ServerCallResult,
+  ): void;
 }
 
 /** A question to the router that holds a claim. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -19,7 +19,13 @@
 // plain calls
 export { createCalls } from './call/calls';
 export type { CallRequest, Calls } from './call/calls';
-export type { CallsPorts, OwnerClient, OwnerQuestion, ServerPicker } from './call/ports';
+export type {
+  CallsPorts,
+  OwnerClient,
+  OwnerQuestion,
+  ServerCallResult,
+  ServerPicker,
+} from './call/ports';
 
 // version moves
 export { createWithdrawalGossip } from './move/gossip';
--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -1,4 +1,4 @@
-import { asId, createPicker } from '@mimosamill/core';
+import { asId, createOutlierJudge, createPicker } from '@mimosamill/core';
 import { createCacheReader } from './cache-reader';
 import type {
   Clock,
@@ -18,7 +18,7 @@
   Send,
   ServiceName,
 } from '@mimosamill/core';
-import type { ServerPicker } from '../call/ports';
+import type { ServerCallResult, ServerPicker } from '../call/ports';
 import type { EngineDirectory, KnownEngine } from '../stream/ports';
 
 export interface BackendsOptions {
@@ -93,6 +93,9 @@
 const LEAVING_HOLD_MS = 3_000;
 /** How long a server that refused a connection is passed over. */
 const REFUSED_MS = 2_000;
+/** Shorter calls differ by chance; results below this time are not slow. */
+const MIN_EXPECTED_MS = 20;
+const SMOOTHING_RATIO = 0.05;
 /** Wait for an engine that dropped a connection to show that it is alive. */
 const DOWN_CHECK_MS = 100;
 
@@ -109,6 +112,9 @@
   const engines = new Map<EngineId, EngineRecord>();
   const downHooks: ((engine: KnownEngine) => void)[] = [];
   const servers = new Map<string, KnownServer>();
+  const serverJudge = createOutlierJudge({ ejectedMaxRatio: options.picker.ejectedMaxRatio });
+  /** Mean duration of an operation at all servers of its service. */
+  const operationMs = new Map<string, number>();
   const cancels: (() => void)[] = [];
   const unreachable = options.metrics.counter(
     'mimosamill_load_reads_failed_total',
@@ -177,6 +183,13 @@
       known.isListedLeaving = host.state === 'leaving';
       servers.set(host.address, known);
     });
+    new Set(listed.map(({ service }) => service)).forEach((service) => {
+      const own = listed.filter((host) => host.service === service);
+      serverJudge.setServers(
+        service,
+        own.map(({ address }) => address),
+      );
+    });
   }
 
   async function readLoads(): Promise<void> {
@@ -264,20 +277,52 @@
     }
   }
 
-  function pickServer(service: ServiceName, excluded: ReadonlySet<string>): string | undefined {
+  function pickServer(
+    service: ServiceName,
+    excluded: ReadonlySet<string>,
+    operation = '',
+  ): string | undefined {
     const nowMs = clock.monotonicMs();
     const usable = [...servers.values()].filter(
       (server) =>
         server.service === service && !isServerLeaving(server) && !excluded.has(server.address),
     );
     const healthy = usable.filter(({ refusedUntilMs }) => refusedUntilMs <= nowMs);
-    const candidates = healthy.length > 0 ? healthy : usable;
+    const probe = serverJudge.hasEjected(service)
+      ? healthy.find(({ address }) => serverJudge.claimProbe(address, operation, nowMs))
+      : undefined;
+    if (probe !== undefined) return probe.address;
+    const trusted = healthy.filter(({ address }) => {
+      const weight = serverJudge.weight(address, operation);
+      return weight >= 1 || random() < weight;
+    });
+    const candidates = [trusted, healthy].find((some) => some.length > 0) ?? usable;
     const first = candidates[Math.floor(random() * candidates.length)];
     const second = candidates[Math.floor(random() * candidates.length)];
     if (first === undefined || second === undefined) return undefined;
     return first.running <= second.running ? first.address : second.address;
   }
 
+  function onServerResult(
+    service: ServiceName,
+    address: string,
+    operation: string,
+    { isSuccess, tookMs }: ServerCallResult,
+  ): void {
+    const nowMs = clock.monotonicMs();
+    if (!isSuccess) {
+      serverJudge.onResult(address, operation, { isSuccess }, nowMs);
+      return;
+    }
+    const key = `${service}\u0000${operation}`;
+    const meanMs = operationMs.get(key) ?? tookMs;
+    const slownessRatio = tookMs / Math.max(MIN_EXPECTED_MS, meanMs);
+    // One very slow answer must not hide the next one.
+    const learntMs = Math.min(tookMs, 4 * Math.max(MIN_EXPECTED_MS, meanMs));
+    operationMs.set(key, meanMs + SMOOTHING_RATIO * (learntMs - meanMs));
+    serverJudge.onResult(address, operation, { isSuccess, slownessRatio }, nowMs);
+  }
+
   function typicalStepMs(service: ServiceName): number | undefined {
     const steps = [...engines.values()].flatMap((engine) =>
       engine.service === service && !engine.isDown && engine.stepMs !== undefined
@@ -310,6 +355,7 @@
     enginesOf: (service) => [...engines.values()].filter((engine) => engine.service === service),
     servers: {
       pick: pickServer,
+      onResult: onServerResult,
       onRefused: (_service, address) => {
         const server = servers.get(address);
         if (server !== undefined) server.refusedUntilMs = clock.monotonicMs() + REFUSED_MS;
--- a/packages/router/test/backends.spec.ts
+++ b/packages/router/test/backends.spec.ts
@@ -35,13 +35,13 @@
   };
 }
 
-/** Five engines and three plain servers; the third engine has the prompt's blocks. */
-function createWorld() {
+/** Five engines and some plain servers; the third engine has the prompt's blocks. */
+function createWorld(serverCount = 3) {
   const time = createVirtualTime();
   const state = {
     hosts: [
       ...Array.from({ length: 5 }, (_, at) => hostAt(at, 'engine')),
-      ...Array.from({ length: 3 }, (_, at) => hostAt(10 + at, 'service')),
+      ...Array.from({ length: serverCount }, (_, at) => hostAt(10 + at, 'service')),
     ],
     leaving: new Set<string>(),
     snapshots: 0,
@@ -140,4 +140,55 @@
     }
     backends.stop();
   });
+
+  // Guards against a plain server that keeps its share of the calls while it fails or is slow, and
+  // against one that never gets calls again.
+  it.each([
+    { name: 'fails', bad: { isSuccess: false, tookMs: 10 } },
+    { name: 'is slow', bad: { isSuccess: true, tookMs: 2_000 } },
+  ])('ejects a plain server that $name on one operation only, then probes it', async ({ bad }) => {
+    const { time, backends } = createWorld(10);
+    const { servers } = backends;
+    const good = { isSuccess: true, tookMs: 50 };
+    void backends.start();
+    await time.run(1_100);
+    for (let round = 0; round < 40; round += 1) {
+      for (let at = 10; at < 20; at += 1) {
+        const address = `10.0.0.${at}:1`;
+        servers.onResult(PLAIN, address, 'book', at === 10 ? bad : good);
+        servers.onResult(PLAIN, address, 'look', good);
+      }
+    }
+    const picksOf = (operation: string): Set<string | undefined> =>
+      new Set(Array.from({ length: 200 }, () => servers.pick(PLAIN, new Set(), operation)));
+    expect(picksOf('book').has('10.0.0.10:1')).toBe(false);
+    expect(picksOf('look').has('10.0.0.10:1')).toBe(true);
+    for (let second = 10; second < 13; second += 1) {
+      await time.run(second * 1_100);
+      const picks = Array.from({ length: 50 }, () => servers.pick(PLAIN, new Set(), 'book'));
+      expect(picks.filter((address) => address === '10.0.0.10:1')).toHaveLength(1);
+      servers.onResult(PLAIN, '10.0.0.10:1', 'book', good);
+    }
+    expect(picksOf('book').has('10.0.0.10:1')).toBe(true);
+    backends.stop();
+  });
+
+  // Guards against a failing dependency of all servers that takes the service's capacity away.
+  it('ejects no plain server while more than the bound look bad', async () => {
+    const { time, backends } = createWorld(10);
+    void backends.start();
+    await time.run(1_100);
+    for (let round = 0; round < 40; round += 1) {
+      for (let at = 10; at < 20; at += 1) {
+        const result = { isSuccess: at >= 14, tookMs: 50 };
+        backends.servers.onResult(PLAIN, `10.0.0.${at}:1`, 'book', result);
+      }
+      await time.run(1_100 + (round + 1) * 500);
+    }
+    const picks = Array.from({ length: 300 }, () =>
+      backends.servers.pick(PLAIN, new Set(), 'book'),
+    );
+    expect(new Set(picks).size).toBe(10);
+    backends.stop();
+  });
 });
--- a/packages/router/test/call-session.spec.ts
+++ b/packages/router/test/call-session.spec.ts
@@ -73,7 +73,7 @@
         lookup: async () => ({ kind: 'not_seen' }),
         load: async () => undefined,
       },
-      servers: { pick: () => '10.0.0.1:80', onRefused: () => undefined },
+      servers: { pick: () => '10.0.0.1:80', onRefused: () => undefined, onResult: () => undefined },
       owners: {
         ask: async (routerId, question) => {
           note(`${name} asks ${routerId} about ${question.attemptId}`);
--- a/packages/router/test/calls.spec.ts
+++ b/packages/router/test/calls.spec.ts
@@ -2,9 +2,10 @@
 import { describe, expect, it } from 'vitest';
 import { createSystemClock } from '@mimosamill/adapters';
 import { asId, createRetryBudget, RETRY_BUDGET_DEFAULTS } from '@mimosamill/core';
+import { createVirtualTime } from '@mimosamill/fakes';
 import { createCalls } from '../src/index';
-import type { Row, ServiceClient, Tables } from '@mimosamill/adapters';
-import type { Calls } from '../src/index';
+import type { Row, ServiceAnswer, ServiceClient, Tables } from '@mimosamill/adapters';
+import type { Calls, CallsPorts, ServerCallResult } from '../src/index';
 
 const REQUEST = {
   service: asId<never>('werkbuch'),
@@ -40,14 +41,19 @@
   };
 }
 
-function createRouter(routerId: string, tables: Tables, services: ServiceClient): Calls {
+function createRouter(
+  routerId: string,
+  tables: Tables,
+  services: ServiceClient,
+  replaced: Partial<CallsPorts> = {},
+): Calls {
   let ids = 0;
   return createCalls({
     routerId: asId(routerId),
     clock: createSystemClock(),
     tables,
     services,
-    servers: { pick: () => '127.0.0.1:1', onRefused: () => undefined },
+    servers: { pick: () => '127.0.0.1:1', onRefused: () => undefined, onResult: () => undefined },
     owners: { ask: async () => ({ kind: 'gone' }) },
     retryBudget: createRetryBudget(RETRY_BUDGET_DEFAULTS),
     serviceConfig: () => ({
@@ -62,6 +68,7 @@
       return `${routerId}-${ids}`;
     },
     hashBody: (text) => createHash('sha256').update(text).digest('hex'),
+    ...replaced,
   });
 }
 
@@ -94,3 +101,66 @@
     expect(runs).toBe(1);
   });
 });
+
+/** A router whose only server gives the answer, on a virtual clock. */
+function createJudged(answer: ServiceAnswer | 'none', isIdempotent: boolean) {
+  const time = createVirtualTime();
+  const results: ServerCallResult[] = [];
+  const services: ServiceClient = {
+    call: (_address, _call, signal) =>
+      answer === 'none'
+        ? new Promise((resolve) => {
+            const onAbort = (): void => resolve({ kind: 'unknown', message: 'cancelled' });
+            signal?.addEventListener('abort', onAbort);
+          })
+        : Promise.resolve(answer),
+    lookup: async () => ({ kind: 'not_seen' }),
+    load: async () => undefined,
+  };
+  const calls = createRouter('a', createMemoryTables(), services, {
+    clock: time.clock,
+    servers: {
+      pick: () => '127.0.0.1:1',
+      onRefused: () => undefined,
+      onResult: (_service, _address, _operation, result) => results.push(result),
+    },
+    serviceConfig: () => ({
+      kind: 'plain',
+      name: REQUEST.service,
+      team: asId('team'),
+      operations: { book: { idempotent: isIdempotent } },
+      hasLookup: false,
+    }),
+  });
+  return { time, results, calls };
+}
+
+describe('results of calls', () => {
+  const cases: readonly (readonly [ServiceAnswer | 'none', readonly boolean[]])[] = [
+    [{ kind: 'ok', status: 200, body: '' }, [true]],
+    [{ kind: 'ok', status: 404, body: '' }, [true]],
+    [{ kind: 'ok', status: 500, body: '' }, [false]],
+    [{ kind: 'unknown', message: 'reset' }, [false]],
+    [{ kind: 'not_sent', leaving: true, message: 'leaving' }, []],
+  ];
+
+  // Guards against servers judged by refusals or by their callers' mistakes, and against failures
+  // that the judge never hears of.
+  it.each(cases)('%o is reported as %o', async (answer, expected) => {
+    for (const isIdempotent of [true, false]) {
+      const { time, results, calls } = createJudged(answer, isIdempotent);
+      void calls.run(isIdempotent ? REQUEST : { ...REQUEST, key: 'k' });
+      await time.run(4_000);
+      expect([...new Set(results.map(({ isSuccess }) => isSuccess))]).toEqual(expected);
+    }
+  });
+
+  // Guards against a server that hangs until the deadline and is never taken for a failing one.
+  it('reports a server that does not answer before the deadline as failing', async () => {
+    const { time, results, calls } = createJudged('none', true);
+    void calls.run(REQUEST);
+    await time.run(REQUEST.deadlineMs + 1_000);
+    expect(results.length).toBeGreaterThan(0);
+    expect(results.every(({ isSuccess }) => !isSuccess)).toBe(true);
+  });
+});
