--- a/packages/router/src/route/backends.ts
+++ b/packages/router/src/route/backends.ts
@@ -1,4 +1,4 @@
-import { asId, createPicker } from '@mimosamill/core';
+import { asId, createOutlierJudge, createPicker } from '@mimosamill/core';
 import { createCacheReader } from './cache-reader';
 import type {
   Clock,
@@ -9,8 +9,16 @@
   Metrics,
   ServiceClient,
 } from '@mimosamill/adapters';
-import type { EngineId, LoadReport, PickerSettings, Send, ServiceName } from '@mimosamill/core';
-import type { ServerPicker } from '../call/ports';
+import type {
+  EngineId,
+  EngineReport,
+  LoadReport,
+  PickerSettings,
+  Region,
+  Send,
+  ServiceName,
+} from '@mimosamill/core';
+import type { ServerCallResult, ServerPicker } from '../call/ports';
 import type { EngineDirectory, KnownEngine } from '../stream/ports';
 
 export interface BackendsOptions {
@@ -35,13 +43,27 @@
 /** Backend servers from the host list, with their latest known load. */
 export interface Backends extends EngineDirectory {
   readonly servers: ServerPicker;
-  /** A load report that another router read. */
-  readonly onReport: (engineId: EngineId, report: LoadReport) => void;
+  /**
+   * A load report that another router read; false if it was not used. Digests confirm unchanged
+   * loads for up to 5 s after an engine has died, so an engine that this router found down counts as
+   * reachable only after it has answered this router.
+   */
+  readonly onReport: (engineId: EngineId, report: LoadReport) => boolean;
+  /** Reads one engine's load and cache events now; undefined if it does not answer. */
+  readonly readLoad: (engineId: EngineId) => Promise<EngineReport | undefined>;
+  readonly listEngines: () => readonly ListedEngine[];
   readonly start: () => Promise<void>;
   readonly stop: () => void;
 }
 
+/** An engine of the host list and its region. */
+export interface ListedEngine {
+  readonly engineId: EngineId;
+  readonly region: Region;
+}
+
 interface EngineRecord extends KnownEngine {
+  readonly region: Region;
   versions: readonly string[];
   loadRatio: number;
   stepMs: number | undefined;
@@ -71,6 +93,9 @@
 const LEAVING_HOLD_MS = 3_000;
 /** How long a server that refused a connection is passed over. */
 const REFUSED_MS = 2_000;
+/** Shorter calls differ by chance; results below this time are not slow. */
+const MIN_EXPECTED_MS = 20;
+const SMOOTHING_RATIO = 0.05;
 /** Wait for an engine that dropped a connection to show that it is alive. */
 const DOWN_CHECK_MS = 100;
 
@@ -87,6 +112,9 @@
   const engines = new Map<EngineId, EngineRecord>();
   const downHooks: ((engine: KnownEngine) => void)[] = [];
   const servers = new Map<string, KnownServer>();
+  const serverJudge = createOutlierJudge({ ejectedMaxRatio: options.picker.ejectedMaxRatio });
+  /** Mean duration of an operation at all servers of its service. */
+  const operationMs = new Map<string, number>();
   const cancels: (() => void)[] = [];
   const unreachable = options.metrics.counter(
     'mimosamill_load_reads_failed_total',
@@ -115,6 +143,7 @@
         engineId,
         address: host.address,
         service,
+        region: host.region,
         failureDomain: host.failureDomain,
         versions: known?.versions ?? [],
         loadRatio: 0,
@@ -154,6 +183,13 @@
       known.isListedLeaving = host.state === 'leaving';
       servers.set(host.address, known);
     });
+    new Set(listed.map(({ service }) => service)).forEach((service) => {
+      const own = listed.filter((host) => host.service === service);
+      serverJudge.setServers(
+        service,
+        own.map(({ address }) => address),
+      );
+    });
   }
 
   async function readLoads(): Promise<void> {
@@ -167,9 +203,9 @@
     return options.isPolled?.(engineId) ?? true;
   }
 
-  async function readEngine(engine: EngineRecord): Promise<void> {
+  async function readEngine(engine: EngineRecord): Promise<EngineReport | undefined> {
     // A paused engine answers late; one question at a time bounds what waits for it.
-    if (engine.isPolling) return;
+    if (engine.isPolling) return undefined;
     engine.isPolling = true;
     const sentAtMs = clock.monotonicMs();
     const answer = await options.engines.load(engine.address);
@@ -178,11 +214,12 @@
       unreachable.inc({ service: engine.service });
       engine.failedReads += 1;
       if (engine.failedReads >= UNREACHABLE_READS) picker.onUnreachable(engine.engineId);
-      return;
+      return undefined;
     }
     picker.onRoundTrip(engine.engineId, clock.monotonicMs() - sentAtMs);
     applyReport(engine, answer.value);
     await cacheReader.read(engine.engineId, engine.address);
+    return answer.value;
   }
 
   function applyReport(engine: EngineRecord, report: LoadReport): void {
@@ -240,20 +277,52 @@
     }
   }
 
-  function pickServer(service: ServiceName, excluded: ReadonlySet<string>): string | undefined {
+  function pickServer(
+    service: ServiceName,
+    excluded: ReadonlySet<string>,
+    operation = '',
+  ): string | undefined {
     const nowMs = clock.monotonicMs();
     const usable = [...servers.values()].filter(
       (server) =>
         server.service === service && !isServerLeaving(server) && !excluded.has(server.address),
     );
     const healthy = usable.filter(({ refusedUntilMs }) => refusedUntilMs <= nowMs);
-    const candidates = healthy.length > 0 ? healthy : usable;
+    const probe = serverJudge.hasEjected(service)
+      ? healthy.find(({ address }) => serverJudge.claimProbe(address, operation, nowMs))
+      : undefined;
+    if (probe !== undefined) return probe.address;
+    const trusted = healthy.filter(({ address }) => {
+      const weight = serverJudge.weight(address, operation);
+      return weight >= 1 || random() < weight;
+    });
+    const candidates = [trusted, healthy].find((some) => some.length > 0) ?? usable;
     const first = candidates[Math.floor(random() * candidates.length)];
     const second = candidates[Math.floor(random() * candidates.length)];
     if (first === undefined || second === undefined) return undefined;
     return first.running <= second.running ? first.address : second.address;
   }
 
+  function onServerResult(
+    service: ServiceName,
+    address: string,
+    operation: string,
+    { isSuccess, tookMs }: ServerCallResult,
+  ): void {
+    const nowMs = clock.monotonicMs();
+    if (!isSuccess) {
+      serverJudge.onResult(address, operation, { isSuccess }, nowMs);
+      return;
+    }
+    const key = `${service}\u0000${operation}`;
+    const meanMs = operationMs.get(key) ?? tookMs;
+    const slownessRatio = tookMs / Math.max(MIN_EXPECTED_MS, meanMs);
+    // One very slow answer must not hide the next one.
+    const learntMs = Math.min(tookMs, 4 * Math.max(MIN_EXPECTED_MS, meanMs));
+    operationMs.set(key, meanMs + SMOOTHING_RATIO * (learntMs - meanMs));
+    serverJudge.onResult(address, operation, { isSuccess, slownessRatio }, nowMs);
+  }
+
   function typicalStepMs(service: ServiceName): number | undefined {
     const steps = [...engines.values()].flatMap((engine) =>
       engine.service === service && !engine.isDown && engine.stepMs !== undefined
@@ -276,7 +345,7 @@
     },
     onSent: (engineId, request): Send => picker.onSent(engineId, request, clock.monotonicMs()),
     onFirstToken: (send) => picker.onFirstToken(send, clock.monotonicMs()),
-    onEnd: (send, result) => picker.onEnd(send, result, clock.monotonicMs()),
+    onEnd: (send, result, tokens) => picker.onEnd(send, result, clock.monotonicMs(), tokens),
     onLeaving: (engineId) => picker.onLeaving(engineId, clock.monotonicMs()),
     loadRatioOf: (engineId) => engines.get(engineId)?.loadRatio ?? 0,
     confirmDown,
@@ -286,6 +355,7 @@
     enginesOf: (service) => [...engines.values()].filter((engine) => engine.service === service),
     servers: {
       pick: pickServer,
+      onResult: onServerResult,
       onRefused: (_service, address) => {
         const server = servers.get(address);
         if (server !== undefined) server.refusedUntilMs = clock.monotonicMs() + REFUSED_MS;
@@ -293,8 +363,16 @@
     },
     onReport: (engineId, report) => {
       const engine = engines.get(engineId);
-      if (engine !== undefined) applyReport(engine, report);
+      if (engine === undefined) return false;
+      if (engine.isDown || engine.failedReads >= UNREACHABLE_READS) return false;
+      applyReport(engine, report);
+      return true;
+    },
+    readLoad: async (engineId) => {
+      const engine = engines.get(engineId);
+      return engine === undefined ? undefined : readEngine(engine);
     },
+    listEngines: () => [...engines.values()],
     start: async () => {
       await readHosts();
       await readLoads();
