Measure the idle memory of each binary

Cause: the budget is 64 MB a node, and the memory of the idle binaries was only known from single looks at running processes.

Change: the measurement `memory` starts the platform stand-in, a router, a controller and an admin process three times, waits 5 s and prints medians of VmRSS, RssAnon and RssFile beside a bare Node.js process and a bundle without libraries.

--- a/packages/bench/src/fleet/process.ts
+++ b/packages/bench/src/fleet/process.ts
@@ -29,7 +29,8 @@
   | 'fake-engine'
   | 'fake-service'
   | 'fake-platform'
-  | 'baseline-relay';
+  | 'baseline-relay'
+  | 'bench-empty';
 
 const READY_TIMEOUT_MS = 15_000;
 const MAX_STDERR_CHARS = 200_000;
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -4,6 +4,7 @@
 import { overloadMeasurement } from './limit/overload';
 import { controlMeasurement } from './control';
 import { membershipMeasurement } from './membership';
+import { memoryMeasurement } from './memory/measure';
 import { movesMeasurement } from './moves/measure';
 import { ordersMeasurement } from './orders/measure';
 import { poisonMeasurement } from './poison';
@@ -19,6 +20,7 @@
   limitsMeasurement,
   controlMeasurement,
   membershipMeasurement,
+  memoryMeasurement,
   movesMeasurement,
   ordersMeasurement,
   overloadMeasurement,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,6 +19,7 @@
   demo: 'packages/bench/src/demo/main.ts',
   measure: 'packages/bench/src/measure/main.ts',
   'bench-node': 'packages/bench/src/member/node.ts',
+  'bench-empty': 'packages/bench/src/memory/empty.ts',
   'bench-idle': 'packages/bench/src/member/idle.ts',
 };
 
