Leave unused libraries out of the bundles

Cause: `import { z } from 'zod'` keeps the whole namespace object, with all 60 or so locales and the JSON Schema code, in each bundle (608 KB of 1.96 MB in the controller).

--- a/packages/adapters/src/engine/http.ts
+++ b/packages/adapters/src/engine/http.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { followStream } from './stream';
 import type { EngineId } from '@mimosamill/core';
 import type { HttpClient } from '../runtime/fetch';
--- a/packages/adapters/src/platform/http.ts
+++ b/packages/adapters/src/platform/http.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FailureDomain, HostId, Region } from '@mimosamill/core';
 import type { FetchOutcome, HttpClient } from '../runtime/fetch';
 import type { HostList, ListedHost } from './hosts';
--- a/packages/adapters/src/service/http.ts
+++ b/packages/adapters/src/service/http.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FetchOutcome, HttpClient } from '../runtime/fetch';
 import type { ServiceAnswer, ServiceCall, ServiceClient } from './client';
 
--- a/packages/admin/src/api/openapi.ts
+++ b/packages/admin/src/api/openapi.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ADMIN_STATUS } from './errors';
 import { ROUTES } from './routes';
 import type { JsonSchema } from '@mimosamill/core';
--- a/packages/admin/src/api/routes.ts
+++ b/packages/admin/src/api/routes.ts
@@ -1,5 +1,5 @@
 import { CHANGE_LIST_SCHEMA, CONFIG_SECTIONS } from '@mimosamill/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Who may call a route: everyone with a key, those who may change something, or the fleet role. */
 export type Permission = 'read' | 'change' | 'fleet';
--- a/packages/admin/src/settings.ts
+++ b/packages/admin/src/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^\S+:\d+$/, 'expected IP:PORT');
 
--- a/packages/bench/src/baseline/main.ts
+++ b/packages/bench/src/baseline/main.ts
@@ -1,6 +1,6 @@
 import { cac } from 'cac';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   createHttpClient,
   createHttpShell,
--- a/packages/fakes/src/engine/main.ts
+++ b/packages/fakes/src/engine/main.ts
@@ -1,5 +1,5 @@
 import { cac } from 'cac';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   createHashes,
   createHttpClient,
--- a/packages/fakes/src/platform/server.ts
+++ b/packages/fakes/src/platform/server.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { createHttpShell, readJsonBody, sendJson, sendText } from '@mimosamill/adapters';
 import { NO_FAULTS } from './faults';
 import type { IncomingMessage, ServerResponse } from 'node:http';
--- a/packages/fakes/src/service/main.ts
+++ b/packages/fakes/src/service/main.ts
@@ -1,5 +1,5 @@
 import { cac } from 'cac';
-import { z } from 'zod';
+import * as z from 'zod';
 import { createSystemClock, runProgram } from '@mimosamill/adapters';
 import { createRandom } from '../random';
 import { createServiceModel } from './model';
--- a/packages/fakes/src/service/server.ts
+++ b/packages/fakes/src/service/server.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { createHttpShell, readJsonBody, sendError, sendJson } from '@mimosamill/adapters';
 import type { Clock, HttpShell } from '@mimosamill/adapters';
 import type { ServiceModel } from './model';
--- a/packages/router/src/call/peer.ts
+++ b/packages/router/src/call/peer.ts
@@ -1,6 +1,6 @@
 import { asId } from '@mimosamill/core';
 import { initTRPC } from '@trpc/server';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OwnerAnswer } from '@mimosamill/core';
 import type { Calls } from './calls';
 import type { OwnerClient, OwnerQuestion } from './ports';
--- a/packages/router/src/http/completions.ts
+++ b/packages/router/src/http/completions.ts
@@ -1,5 +1,5 @@
 import { createServeError } from '@mimosamill/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EngineServiceConfig, FleetConfig, ServeError } from '@mimosamill/core';
 
 const MAX_PROMPT_CHARS = 1_000_000;
--- a/packages/router/src/limit/peer.ts
+++ b/packages/router/src/limit/peer.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { createPeerRouter, peerProcedure } from '../peer/trpc';
 import type { Amounts, ShareAnswer, ShareRequest } from '@mimosamill/core';
 
--- a/packages/router/src/move/message.ts
+++ b/packages/router/src/move/message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Withdrawal } from '@mimosamill/core';
 
 /** Cells of a message: 30 routes at three load levels over three epochs, in base64. */
--- a/packages/router/src/peer/digest.ts
+++ b/packages/router/src/peer/digest.ts
@@ -8,7 +8,7 @@
   toSection,
 } from '@mimosamill/core';
 import { pack, unpack } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseBytes } from './binary';
 import { createPeerRouter, peerProcedure } from './trpc';
 import type { Clock } from '@mimosamill/adapters';
--- a/packages/router/src/peer/wire.ts
+++ b/packages/router/src/peer/wire.ts
@@ -1,5 +1,5 @@
 import { asId, asRevision } from '@mimosamill/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   FailureDomain,
   GossipItem,
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const ipPort = z
   .string()
--- a/packages/router/src/stream/peer.ts
+++ b/packages/router/src/stream/peer.ts
@@ -1,6 +1,6 @@
 import { asAttemptNo, asId } from '@mimosamill/core';
 import { pack, unpack } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseBytes } from '../peer/binary';
 import { createPeerRouter, peerProcedure } from '../peer/trpc';
 import type {
--- a/packages/router/src/stream/report.ts
+++ b/packages/router/src/stream/report.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { createPeerRouter, peerProcedure } from '../peer/trpc';
 import type { SuspectItem } from '@mimosamill/core';
 import type { Peers } from '../peer/member';
