Bundle only the parts of undici and hdr-histogram-js in use

Cause: both are CommonJS, which esbuild cannot prune.

Change: the build resolves the two indexes to small modules that export the same names from the libraries' own files. Importing a name that is not exported there fails the build. Tests in vitest use the whole libraries, tests of real processes the bundles.

The histogram library still loads its WebAssembly part.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -27,6 +27,17 @@
   .filter(([, file]) => existsSync(join(root, file)))
   .map(([out, file]) => ({ out, in: join(root, file) }));
 
+// Replaces the index of two CommonJS libraries, which tree shaking cannot prune, by the parts in use.
+const slimLibraries = {
+  name: 'slim-libraries',
+  setup: ({ onResolve }) => {
+    onResolve({ filter: /^undici$/ }, () => ({ path: join(root, 'scripts/undici.mjs') }));
+    onResolve({ filter: /^hdr-histogram-js$/ }, () => ({
+      path: join(root, 'scripts/hdr-histogram.mjs'),
+    }));
+  },
+};
+
 await build({
   entryPoints,
   outdir: join(root, 'dist'),
@@ -40,6 +51,7 @@
   banner: {
     js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);",
   },
+  plugins: [slimLibraries],
   minifySyntax: true,
   minifyWhitespace: true,
   keepNames: true,
