Leave the WebAssembly form of the histograms out of the bundle

Cause: the builder of hdr-histogram-js loads its WebAssembly form, its loader and a compression library, although the router asks for the JavaScript form.

Change: the build replaces that module by the statement that the form is not available, which the builder already handles.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -30,11 +30,15 @@
 // Replaces the index of two CommonJS libraries, which tree shaking cannot prune, by the parts in use.
 const slimLibraries = {
   name: 'slim-libraries',
-  setup: ({ onResolve }) => {
+  setup: ({ onLoad, onResolve }) => {
     onResolve({ filter: /^undici$/ }, () => ({ path: join(root, 'scripts/undici.mjs') }));
     onResolve({ filter: /^hdr-histogram-js$/ }, () => ({
       path: join(root, 'scripts/hdr-histogram.mjs'),
     }));
+    // The builder uses its WebAssembly form only on request; without it, it builds the JavaScript one.
+    onLoad({ filter: /hdr-histogram-js[\\/]dist[\\/]wasm[\\/]index\.js$/ }, () => ({
+      contents: 'exports.webAssemblyAvailable = false;',
+    }));
   },
 };
 
