--- a/packages/adapters/src/platform/http.ts
+++ b/packages/adapters/src/platform/http.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseAnswer } from '../runtime/answer';
 import type { FailureDomain, HostId, Region } from '@mimosamill/core';
 import type { ParsedAnswer } from '../runtime/answer';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,6 +19,7 @@
   demo: 'packages/bench/src/demo/main.ts',
   measure: 'packages/bench/src/measure/main.ts',
   'bench-node': 'packages/bench/src/member/node.ts',
+  'bench-empty': 'packages/bench/src/memory/empty.ts',
   'bench-idle': 'packages/bench/src/member/idle.ts',
 };
 
@@ -26,6 +27,21 @@
   .filter(([, file]) => existsSync(join(root, file)))
   .map(([out, file]) => ({ out, in: join(root, file) }));
 
+// Replaces the index of two CommonJS libraries, which tree shaking cannot prune, by the parts in use.
+const slimLibraries = {
+  name: 'slim-libraries',
+  setup: ({ onLoad, onResolve }) => {
+    onResolve({ filter: /^undici$/ }, () => ({ path: join(root, 'scripts/undici.mjs') }));
+    onResolve({ filter: /^hdr-histogram-js$/ }, () => ({
+      path: join(root, 'scripts/hdr-histogram.mjs'),
+    }));
+    // The builder uses its WebAssembly form only on request; without it, it builds the JavaScript one.
+    onLoad({ filter: /hdr-histogram-js[\\/]dist[\\/]wasm[\\/]index\.js$/ }, () => ({
+      contents: 'exports.webAssemblyAvailable = false;',
+    }));
+  },
+};
+
 await build({
   entryPoints,
   outdir: join(root, 'dist'),
@@ -39,6 +55,7 @@
   banner: {
     js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);",
   },
+  plugins: [slimLibraries],
   minifySyntax: true,
   minifyWhitespace: true,
   keepNames: true,
