Compile WebAssembly with the baseline compiler only

Cause: V8's optimizing compiler recompiles undici's WebAssembly HTTP parser once it is in use and leaves about 10 MB of anonymous memory behind in each process.

--- a/packages/admin/src/main.ts
+++ b/packages/admin/src/main.ts
@@ -1,3 +1,4 @@
+import './flags';
 import 'reflect-metadata';
 import { cac } from 'cac';
 import { container, instanceCachingFactory } from 'tsyringe';
--- a/packages/controller/src/main.ts
+++ b/packages/controller/src/main.ts
@@ -1,3 +1,4 @@
+import './flags';
 import 'reflect-metadata';
 import { cac } from 'cac';
 import { runProgram } from '@mimosamill/adapters';
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,3 +1,4 @@
+import './flags';
 import { cac } from 'cac';
 import { runProgram } from '@mimosamill/adapters';
 import { startRouter } from './compose';
