Split the stream shell into attempts, failures, counters and the stream itself

Change: attempts.ts holds the open attempts and what engines' records learn of them, failure.ts the errors, counters.ts the metrics; a released stream now also ends the connection of a caller that is still attached, which was left hanging before. Conclusion: behaviour is unchanged but for the released caller.

--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -1,27 +1,26 @@
 import { assertNever, createServeError, createSession } from '@mimosamill/core';
-import type { Attempt, AttemptEvent, TraceSpan } from '@mimosamill/adapters';
+import { createAttempts } from './attempts';
+import { condemned, journalLost, noEngine } from './failure';
+import type { AttemptEvent } from '@mimosamill/adapters';
 import type {
   AttemptNo,
-  EngineId,
   AttemptObserver,
-  AttemptOutcome,
+  EngineId,
   FinishReason,
   Fingerprint,
   HeldReplica,
   Journal,
   LossCause,
+  ReplicaStart,
   RouteRequest,
-  Send,
-  SendResult,
+  RunState,
   ServeError,
   Session,
-  ReplicaStart,
-  RunState,
   SessionEffect,
   VersionGroup,
   VersionName,
 } from '@mimosamill/core';
-import type { ResumeGate } from './resumes';
+import type { StreamCounters } from './counters';
 import type {
   EnginePlace,
   KnownEngine,
@@ -30,6 +29,7 @@
   StreamReader,
   StreamRequest,
 } from './ports';
+import type { ResumeGate } from './resumes';
 
 /** How a stream ended. */
 export type StreamEnd =
@@ -58,17 +58,6 @@
   readonly abandon: () => void;
 }
 
-interface OpenAttempt {
-  readonly attemptNo: AttemptNo;
-  readonly place: EnginePlace;
-  readonly handle: Attempt;
-  readonly send: Send;
-  readonly span: TraceSpan;
-  readonly observer: AttemptObserver;
-  lastTokenMs: number;
-  tokens: number;
-}
-
 const MAX_ATTEMPTS = 12;
 /** Allowed wait for a first token; beyond it another engine is tried as well. */
 const FIRST_TOKEN_MS = 2_000;
@@ -81,6 +70,7 @@
 export function createRunningStream(
   ports: StreamPorts,
   resumes: ResumeGate,
+  counters: StreamCounters,
   request: StreamRequest,
 ): RunningStream {
   const { clock, directory, engines, replicas, suspects, versions } = ports;
@@ -89,7 +79,7 @@
     `${service.model}\n${request.adapter}\n${request.seed}\n${request.maxTokens}\n${request.prompt}`,
   );
   const promptTokens = request.prompt.split(/\s+/u).length;
-  const open = new Map<AttemptNo, OpenAttempt>();
+  const attempts = createAttempts(ports, requestId);
   /** Engines that were lost or refused this request; tried again only if no other is left. */
   const avoided = new Set<EngineId>();
   /** Losses while no caller is connected; nothing is generated for a caller who is gone. */
@@ -109,8 +99,6 @@
   let detachedSinceMs: number | undefined = clock.monotonicMs();
   let end: StreamEnd | undefined;
   let lossAtMs: number | undefined;
-  /** Attempts of which it is not certain that no engine ran them. */
-  let possibleRuns = 0;
   /** Tokens that the caller already has. A new attempt before them could generate others. */
   let callerTokens = 0;
 
@@ -149,7 +137,7 @@
           onStartAttempt(effect.attemptNo, effect.cause);
           break;
         case 'cancel_attempt':
-          closeAttempt(effect.attemptNo, 'cancelled');
+          attempts.close(effect.attemptNo, 'cancelled');
           break;
         case 'finish':
           finish({ kind: 'finish', reason: effect.reason });
@@ -166,8 +154,7 @@
 
   function onStartAttempt(attemptNo: AttemptNo, cause: LossCause | 'first'): void {
     if (session.journal().length() < callerTokens) {
-      const message = 'the caller has tokens of which no copy is left';
-      finish({ kind: 'error', error: createServeError('journal_lost', message, 'ran') });
+      finish({ kind: 'error', error: journalLost() });
       return;
     }
     const untilMs = clock.monotonicMs() + PLACE_TIMEOUT_MS;
@@ -176,14 +163,14 @@
       return;
     }
     lossAtMs ??= clock.monotonicMs();
-    streamCounters(ports).resumes.inc({ cause });
+    counters.onResume(cause);
     resumes.schedule(requestId, lossAtMs, () => place(attemptNo, untilMs));
   }
 
   function noteResumed(): void {
     if (lossAtMs === undefined) return;
     resumes.onEnded(requestId);
-    streamCounters(ports).resumeMs.observe(clock.monotonicMs() - lossAtMs);
+    counters.onResumed(clock.monotonicMs() - lossAtMs);
     lossAtMs = undefined;
   }
 
@@ -191,9 +178,9 @@
     end = outcome;
     request.permit?.onEnd();
     resumes.onEnded(requestId);
-    [...open.keys()].forEach((attemptNo) => closeAttempt(attemptNo, 'cancelled'));
+    attempts.cancelAll();
     const failure = outcome.kind === 'error' ? outcome.error.code : undefined;
-    streamCounters(ports).ended.inc({ outcome: failure ?? 'ok' });
+    counters.onEnd(failure ?? 'ok');
     request.span.set({ tokens: session.journal().length(), attempts: session.attemptCount() });
     request.span.end(failure);
     suspects.onEnd(fingerprint, requestId, outcome.kind === 'finish' ? 'finished' : 'given_up');
@@ -250,7 +237,7 @@
 
   function runState(): RunState {
     if (session.journal().length() > 0) return 'ran';
-    return possibleRuns > 0 ? 'unknown' : 'not_run';
+    return attempts.mayHaveRun() ? 'unknown' : 'not_run';
   }
 
   function failAttempt(attemptNo: AttemptNo, error: ServeError): void {
@@ -263,7 +250,7 @@
    */
   function giveUpVersion(): void {
     const hasTokens = session.journal().length() > 0 || callerTokens > 0;
-    if (version === undefined || hasTokens || open.size > 0) return;
+    if (version === undefined || hasTokens || attempts.size() > 0) return;
     failedVersions.add(version);
     version = undefined;
   }
@@ -277,7 +264,6 @@
   }
 
   function toRouteRequest(chosen: VersionName): RouteRequest {
-    const inUse = [...open.values()].map(({ place: { engineId } }) => engineId);
     const known = directory.enginesOf(service.name);
     const full = lossAtMs === undefined ? [] : resumes.fullEngines();
     const apart = suspects.avoid(fingerprint, known);
@@ -289,7 +275,7 @@
       priority: request.priority,
       promptTokens: promptTokens + session.journal().length(),
       blockKeys: ports.blockKeysOf(request.prompt),
-      excluded: new Set([...avoided, ...inUse, ...apart, ...reserved, ...full]),
+      excluded: new Set([...avoided, ...attempts.engineIds(), ...apart, ...reserved, ...full]),
     };
   }
 
@@ -318,7 +304,15 @@
       },
       onAttemptEvent,
     );
-    register(attemptNo, where, handle, directory.onSent(where.engineId, routeRequest), span);
+    const send = directory.onSent(where.engineId, routeRequest);
+    attempts.add({
+      attemptNo,
+      place: where,
+      handle,
+      send,
+      span,
+      observer: observe(attemptNo, where),
+    });
     suspects.onPlaced(fingerprint, where.engineId);
     if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
     replicate({
@@ -338,14 +332,8 @@
     hasReplica = true;
   }
 
-  function register(
-    attemptNo: AttemptNo,
-    where: EnginePlace,
-    handle: Attempt,
-    send: Send,
-    span: TraceSpan,
-  ): void {
-    const observer = versions.onAttempt({
+  function observe(attemptNo: AttemptNo, where: EnginePlace): AttemptObserver {
+    return versions.onAttempt({
       service: service.name,
       version: version ?? service.stableVersion,
       attemptNo,
@@ -354,18 +342,6 @@
       controlLoadRatio: controlLoadRatio(),
       engineId: where.engineId,
     });
-    const lastTokenMs = clock.monotonicMs();
-    possibleRuns += 1;
-    open.set(attemptNo, {
-      attemptNo,
-      place: where,
-      handle,
-      send,
-      span,
-      observer,
-      lastTokenMs,
-      tokens: 0,
-    });
   }
 
   function meanLoadOf(some: readonly KnownEngine[]): number {
@@ -401,41 +377,24 @@
   }
 
   function onToken(event: Extract<AttemptEvent, { kind: 'token' }>): void {
-    const attempt = open.get(event.attemptNo);
-    if (attempt !== undefined) noteToken(attempt);
+    attempts.onToken(event.attemptNo);
     apply(session.on(event, clock.monotonicMs()));
   }
 
-  function noteToken(attempt: OpenAttempt): void {
-    const nowMs = clock.monotonicMs();
-    if (attempt.tokens > 0) {
-      attempt.observer.onGap(nowMs - attempt.lastTokenMs);
-    } else {
-      directory.onFirstToken(attempt.send);
-      attempt.observer.onFirstToken(clock.nowMs());
-    }
-    attempt.tokens += 1;
-    attempt.lastTokenMs = nowMs;
-  }
-
   function onFinish(attemptNo: AttemptNo, reason: FinishReason): void {
-    closeAttempt(attemptNo, 'ok');
+    attempts.close(attemptNo, 'ok');
     apply(session.on({ kind: 'finish', attemptNo, reason }, clock.monotonicMs()));
   }
 
   function onLost(attemptNo: AttemptNo, cause: 'connect_failed' | 'reset' | 'ended_early'): void {
-    const attempt = open.get(attemptNo);
-    if (attempt === undefined) return;
-    const { engineId } = attempt.place;
-    avoided.add(engineId);
+    const where = attempts.placeOf(attemptNo);
+    if (where === undefined) return;
+    avoided.add(where.engineId);
     // A request that never reached the engine is no suspect, even if the engine is down.
-    if (cause === 'connect_failed') {
-      possibleRuns -= 1;
-      closeAttempt(attemptNo, 'failed', 'void');
-    }
+    if (cause === 'connect_failed') attempts.closeNotRun(attemptNo, 'failed');
     // Whether the engine died decides if its requests are suspects, so it is settled first.
-    void directory.confirmDown(engineId).then((isDown) => {
-      closeAttempt(attemptNo, 'failed', isDown ? 'lost' : 'failed');
+    void directory.confirmDown(where.engineId).then((isDown) => {
+      attempts.close(attemptNo, 'failed', isDown ? 'lost' : 'failed');
       giveUpVersion();
       whileConnected(() => loseAttempt(attemptNo, cause));
     });
@@ -445,17 +404,16 @@
     attemptNo: AttemptNo,
     cause: Extract<AttemptEvent, { kind: 'refused' }>['cause'],
   ): void {
-    const attempt = open.get(attemptNo);
-    if (attempt === undefined) return;
-    avoided.add(attempt.place.engineId);
+    const where = attempts.placeOf(attemptNo);
+    if (where === undefined) return;
+    avoided.add(where.engineId);
     if (cause === 'overloaded') request.permit?.onOverloaded();
-    if (cause === 'leaving') directory.onLeaving(attempt.place.engineId);
+    if (cause === 'leaving') directory.onLeaving(where.engineId);
     if (cause === 'failed') {
-      closeAttempt(attemptNo, 'failed');
+      attempts.close(attemptNo, 'failed');
       giveUpVersion();
     } else {
-      possibleRuns -= 1;
-      closeAttempt(attemptNo, 'refused', 'void');
+      attempts.closeNotRun(attemptNo, 'refused');
     }
     whileConnected(() => loseAttempt(attemptNo, 'refused'));
   }
@@ -470,23 +428,6 @@
     else deferred.push(fn);
   }
 
-  function closeAttempt(
-    attemptNo: AttemptNo,
-    result: SendResult,
-    outcome: AttemptOutcome = OUTCOME_BY_RESULT[result],
-  ): void {
-    const attempt = open.get(attemptNo);
-    if (attempt === undefined) return;
-    open.delete(attemptNo);
-    attempt.handle.close();
-    directory.onEnd(attempt.send, result, attempt.tokens);
-    attempt.observer.onOutcome(outcome, clock.nowMs());
-    attempt.span.end(result === 'ok' ? undefined : result);
-    if (result === 'cancelled') {
-      void engines.cancel(attempt.place.address, requestId, attemptNo);
-    }
-  }
-
   function takeOver(left: HeldReplica, haveTokens: number): void {
     const { engineId, engineAddress, version: leftVersion, attemptNo: leftNo } = left.start;
     version = leftVersion;
@@ -505,17 +446,26 @@
     const fromIndex = left.texts.length;
     const handle = engines.attach(engineAddress, requestId, attemptNo, fromIndex, onAttemptEvent);
     const send = directory.onSent(engineId, toRouteRequest(leftVersion));
-    register(attemptNo, { engineId, address: engineAddress }, handle, send, span);
+    const where = { engineId, address: engineAddress };
+    attempts.add({
+      attemptNo,
+      place: where,
+      handle,
+      send,
+      span,
+      observer: observe(attemptNo, where),
+    });
     replicate({ ...left.start, attemptNo, adoptionCount });
   }
 
   function release(): void {
     if (end !== undefined) return;
-    open.forEach((attempt) => attempt.handle.close());
-    open.clear();
+    attempts.abandonAll();
     request.permit?.onEnd();
     end = { kind: 'error', error: createServeError('shutting_down', 'another router serves it') };
     request.span.end('released');
+    // Ends the connection of a caller that has come back elsewhere.
+    reader?.onProgress();
   }
 
   return {
@@ -525,7 +475,7 @@
     start: () => apply(session.start(clock.monotonicMs())),
     takeOver,
     release,
-    isOn: (engineId) => [...open.values()].some((attempt) => attempt.place.engineId === engineId),
+    isOn: (engineId) => attempts.engineIds().includes(engineId),
     lostRequest: () => ({ fingerprint, requestId, index: session.journal().length() }),
     attach: (next) => {
       reader = next;
@@ -555,52 +505,3 @@
     },
   };
 }
-
-const OUTCOME_BY_RESULT: Readonly<Record<SendResult, AttemptOutcome>> = {
-  ok: 'ok',
-  failed: 'failed',
-  refused: 'failed',
-  cancelled: 'void',
-};
-
-function condemned(runState: RunState): ServeError {
-  const message = 'requests with this content have crashed engines';
-  return createServeError('request_condemned', message, runState);
-}
-
-function noEngine(reason: string, runState: RunState): ServeError {
-  if (reason === 'no_version' && runState === 'ran') {
-    return createServeError('version_gone', 'no engine has the version of this stream', runState);
-  }
-  const message = `no engine can take the request (${reason})`;
-  return createServeError('no_backend', message, runState, 1_000);
-}
-
-interface StreamCounters {
-  readonly resumes: ReturnType<StreamPorts['metrics']['counter']>;
-  readonly resumeMs: ReturnType<StreamPorts['metrics']['histogram']>;
-  readonly ended: ReturnType<StreamPorts['metrics']['counter']>;
-}
-
-const countersByPorts = new WeakMap<StreamPorts, StreamCounters>();
-const RESUME_BUCKETS_MS = [25, 50, 100, 200, 300, 500, 750, 1_000, 1_500, 2_000, 3_000, 5_000];
-
-/** Counters are registered once per router. */
-function streamCounters(ports: StreamPorts): StreamCounters {
-  const known = countersByPorts.get(ports);
-  if (known !== undefined) return known;
-  const { metrics } = ports;
-  const created: StreamCounters = {
-    resumes: metrics.counter('mimosamill_stream_resumes_total', 'Attempts after the first', [
-      'cause',
-    ]),
-    resumeMs: metrics.histogram(
-      'mimosamill_stream_resume_milliseconds',
-      'Time from a noticed loss to the next token',
-      RESUME_BUCKETS_MS,
-    ),
-    ended: metrics.counter('mimosamill_streams_ended_total', 'Streams by outcome', ['outcome']),
-  };
-  countersByPorts.set(ports, created);
-  return created;
-}
--- a/packages/router/src/stream/streams.ts
+++ b/packages/router/src/stream/streams.ts
@@ -1,4 +1,5 @@
 import { createServeError } from '@mimosamill/core';
+import { createStreamCounters } from './counters';
 import { createResumeGate } from './resumes';
 import { createRunningStream } from './stream';
 import type { RequestId, ServeError } from '@mimosamill/core';
@@ -41,6 +42,7 @@
   let drainWaiters: (() => void)[] = [];
 
   const resumes = createResumeGate(clock);
+  const counters = createStreamCounters(ports.metrics);
 
   const stopSweep = clock.every(SWEEP_PERIOD_MS, sweep);
 
@@ -98,7 +100,7 @@
       const error = createServeError('bad_request', 'the request id is already in use');
       return { kind: 'error', error };
     }
-    const stream = createRunningStream(ports, resumes, request);
+    const stream = createRunningStream(ports, resumes, counters, request);
     streams.set(request.requestId, stream);
     stream.attach(reader);
     stream.start();
@@ -123,7 +125,7 @@
     // Another connection of the same caller may have been faster.
     const raced = streams.get(request.requestId);
     if (raced !== undefined) return reattach(raced, request, haveTokens, reader);
-    const stream = createRunningStream(ports, resumes, request);
+    const stream = createRunningStream(ports, resumes, counters, request);
     streams.set(request.requestId, stream);
     stream.takeOver(left, haveTokens);
     stream.attach(reader);
