Count the wait for a first token from the send; relax exclusions in steps

Cause: reading the tails of "resume" (partition p95 1,486 ms on a quiet machine, near the bound of 1,500) showed that the 650 ms wait for a first token ran while an attempt still waited for its turn or for a verdict on suspects, so further attempts were started and replaced the waiting one; that a further attempt without an engine left a stream with silent ones only until its deadline; and that engines with two resumes under way made the lost engine usable again. Ruled out: the suspects' hold (no death in pause and partition), the caller's relay. Change: the session hears when an attempt is sent; a failed placement is tried again; full engines are waited for, then reserved ones used, then lost ones.

--- a/packages/core/src/stream/pace.ts
+++ b/packages/core/src/stream/pace.ts
@@ -15,10 +15,12 @@
 /** A stream's own token pace, from which the allowed silence follows. */
 export interface Pace {
   readonly onToken: (nowMs: number) => void;
-  /** Called when an attempt starts: the wait for its first token is not a gap. */
+  /** An attempt is to be sent: until it is, the engine cannot be silent. */
+  readonly onPlacing: () => void;
+  /** An attempt was sent: the wait for its first token is not a gap. */
   readonly onAttempt: (nowMs: number, isFirst: boolean) => void;
   readonly meanGapMs: () => number;
-  /** Time from which the attempt counts as silent. */
+  /** Time from which the attempt counts as silent; Infinity until it has been sent. */
   readonly silentAtMs: () => number;
 }
 
@@ -28,6 +30,7 @@
   let deviationMs = 0;
   let isWaitingForFirst = true;
   let waitMs = bounds.firstTokenMs;
+  let isPlacing = false;
 
   function learn(gapMs: number): void {
     if (meanMs === 0) {
@@ -50,14 +53,19 @@
     onToken: (nowMs) => {
       if (!isWaitingForFirst) learn(nowMs - lastMs);
       isWaitingForFirst = false;
+      isPlacing = false;
       lastMs = nowMs;
     },
+    onPlacing: () => {
+      isPlacing = true;
+    },
     onAttempt: (nowMs, isFirst) => {
+      isPlacing = false;
       isWaitingForFirst = true;
       waitMs = isFirst ? bounds.firstTokenMs : bounds.resumeTokenMs;
       lastMs = nowMs;
     },
     meanGapMs: () => meanMs,
-    silentAtMs: () => lastMs + allowedMs(),
+    silentAtMs: () => (isPlacing ? Infinity : lastMs + allowedMs()),
   };
 }
--- a/packages/core/src/stream/session.ts
+++ b/packages/core/src/stream/session.ts
@@ -18,6 +18,8 @@
     }
   | { readonly kind: 'finish'; readonly attemptNo: AttemptNo; readonly reason: FinishReason }
   | { readonly kind: 'attempt_lost'; readonly attemptNo: AttemptNo; readonly cause: LossCause }
+  /** The attempt is on its way to an engine. */
+  | { readonly kind: 'attempt_sent'; readonly attemptNo: AttemptNo }
   /** The attempt could not be placed: no engine has the version or has room. */
   | { readonly kind: 'attempt_failed'; readonly attemptNo: AttemptNo; readonly error: ServeError }
   | { readonly kind: 'tick' };
@@ -54,7 +56,7 @@
 
 /** One request's stream: its journal, its attempts and when to start another. */
 export interface Session {
-  readonly start: (nowMs: number) => SessionEffect[];
+  readonly start: () => SessionEffect[];
   readonly on: (event: SessionEvent, nowMs: number) => SessionEffect[];
   readonly journal: () => Journal;
   /** When 'tick' has work to do next; undefined once the session has ended. */
@@ -95,7 +97,7 @@
   let progressIndex = known.length;
   let hasEnded = false;
 
-  function startAttempt(cause: LossCause | 'first', atMs: number): SessionEffect[] {
+  function startAttempt(cause: LossCause | 'first'): SessionEffect[] {
     if (!mayStart()) {
       if (live.length > 0) return [];
       return fail(
@@ -107,7 +109,7 @@
     const attemptNo = asAttemptNo(settings.earlierAttempts + attemptCount);
     const fromIndex = journal.length();
     live.push({ attemptNo, cause, tokens: 0, isSilent: false });
-    pace.onAttempt(atMs, cause === 'first');
+    pace.onPlacing();
     return [{ kind: 'start_attempt', attemptNo, fromIndex, cause }];
   }
 
@@ -136,7 +138,7 @@
     if (attempt === undefined || event.requestId !== settings.requestId) return [];
     if (event.index < journal.length()) return [];
     if (!journal.append(event.index, event.text)) {
-      return onLost(event.attemptNo, 'ended_early', atMs);
+      return onLost(event.attemptNo, 'ended_early');
     }
     attempt.isSilent = false;
     attempt.tokens += 1;
@@ -168,7 +170,7 @@
 
   function leaveSlow(attempt: LiveAttempt, atMs: number): SessionEffect[] {
     if (live.length > 1 || !isSlow(attempt, atMs) || !mayStart()) return [];
-    return startAttempt('slow', atMs);
+    return startAttempt('slow');
   }
 
   /** Slow: the deadline or the promised pace is lost, and another engine would keep it. */
@@ -184,12 +186,27 @@
     return losesDeadline || losesPace;
   }
 
-  function onLost(attemptNo: AttemptNo, cause: LossCause, atMs: number): SessionEffect[] {
+  function onLost(attemptNo: AttemptNo, cause: LossCause): SessionEffect[] {
     if (findLive(attemptNo) === undefined) return [];
     live = live.filter((attempt) => attempt.attemptNo !== attemptNo);
     const cancel: SessionEffect = { kind: 'cancel_attempt', attemptNo };
     if (live.some((attempt) => !attempt.isSilent)) return [cancel];
-    return [cancel, ...startAttempt(cause, atMs)];
+    return [cancel, ...startAttempt(cause)];
+  }
+
+  function onSent(attemptNo: AttemptNo, atMs: number): SessionEffect[] {
+    const attempt = findLive(attemptNo);
+    if (attempt !== undefined) pace.onAttempt(atMs, attempt.cause === 'first');
+    return [];
+  }
+
+  function onFailed(attemptNo: AttemptNo, error: ServeError, atMs: number): SessionEffect[] {
+    if (findLive(attemptNo) === undefined) return [];
+    live = live.filter((attempt) => attempt.attemptNo !== attemptNo);
+    if (live.length === 0) return fail(error);
+    // The others are silent or slow; another attempt is tried after the usual wait.
+    pace.onAttempt(atMs, false);
+    return [];
   }
 
   function onTick(atMs: number): SessionEffect[] {
@@ -201,7 +218,7 @@
     live.forEach((attempt) => {
       attempt.isSilent = true;
     });
-    return startAttempt('silent', atMs);
+    return startAttempt('silent');
   }
 
   function onFinish(attemptNo: AttemptNo, reason: FinishReason): SessionEffect[] {
@@ -213,7 +230,7 @@
   }
 
   return {
-    start: (atMs) => startAttempt('first', atMs),
+    start: () => startAttempt('first'),
     on: (event, atMs) => {
       if (hasEnded) return [];
       switch (event.kind) {
@@ -222,10 +239,11 @@
         case 'finish':
           return onFinish(event.attemptNo, event.reason);
         case 'attempt_lost':
-          return onLost(event.attemptNo, event.cause, atMs);
+          return onLost(event.attemptNo, event.cause);
+        case 'attempt_sent':
+          return onSent(event.attemptNo, atMs);
         case 'attempt_failed':
-          live = live.filter((attempt) => attempt.attemptNo !== event.attemptNo);
-          return live.length > 0 ? [] : fail(event.error);
+          return onFailed(event.attemptNo, event.error, atMs);
         case 'tick':
           return onTick(atMs);
         default:
--- a/packages/core/test/session.spec.ts
+++ b/packages/core/test/session.spec.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { asAttemptNo, asId, createSession } from '../src/index';
+import { asAttemptNo, asId, createServeError, createSession } from '../src/index';
 import type { RequestId, Session, SessionEffect, SessionEvent } from '../src/index';
 
 const REQUEST = asId<RequestId>('r-1');
@@ -17,7 +17,7 @@
       requestId: REQUEST,
       maxAttempts: 8,
       earlierAttempts: 0,
-      silence: { minMs: 250, maxMs: 1_000, firstTokenMs: 2_000, resumeTokenMs: 700 },
+      silence: { minMs: 250, maxMs: 1_000, firstTokenMs: 2_000, resumeTokenMs: 650 },
       deadlineAtMs: 60_000,
       maxTokens: 1_000,
       typicalGapMs: () => typicalGapMs,
@@ -64,7 +64,7 @@
     fc.assert(
       fc.property(fc.array(eventArbitrary, { maxLength: 200 }), (events) => {
         const session = createTestSession();
-        const texts = delivered(session.start(0));
+        const texts = delivered(session.start());
         events.forEach((event, step) => texts.push(...delivered(session.on(event, step * 40))));
         expect(texts).toEqual(texts.map((_, index) => tokenAt(index)));
       }),
@@ -75,7 +75,7 @@
   // Guards against joining the output of an attempt that was already replaced.
   it('drops tokens of an attempt that lost the race', () => {
     const session = createTestSession();
-    session.start(0);
+    session.start();
     const token = { kind: 'token', requestId: REQUEST } as const;
     session.on({ ...token, attemptNo: asAttemptNo(1), index: 0, text: 'a' }, 10);
     const started = session.on({ kind: 'tick' }, 5_000);
@@ -95,7 +95,7 @@
   // Guards against staying with an engine that still sends, but far below the promised pace.
   it('moves a slow stream once the new attempt has caught up', () => {
     const session = createTestSession(10);
-    session.start(0);
+    session.start();
     const token = { kind: 'token', requestId: REQUEST } as const;
     const send = (attempt: number, index: number, nowMs: number): SessionEffect[] =>
       session.on({ ...token, attemptNo: asAttemptNo(attempt), index, text: tokenAt(index) }, nowMs);
@@ -115,4 +115,33 @@
       { kind: 'cancel_attempt', attemptNo: 1 },
     ]);
   });
+
+  // Guards against a wait for an engine or for a verdict on suspects that is taken for silence, which
+  // started one attempt after another until none was left.
+  it('counts the wait for a first token from the send', () => {
+    const session = createTestSession();
+    session.start();
+    expect(session.on({ kind: 'tick' }, 20_000)).toEqual([]);
+    session.on({ kind: 'attempt_sent', attemptNo: asAttemptNo(1) }, 20_000);
+    expect(session.wakeAtMs()).toBe(22_000);
+    expect(session.on({ kind: 'tick' }, 22_000)).toEqual([
+      { kind: 'start_attempt', attemptNo: 2, fromIndex: 0, cause: 'silent' },
+    ]);
+    expect(session.wakeAtMs()).toBe(60_000);
+  });
+
+  // Guards against a stream that waits for its deadline because a further attempt found no engine.
+  it('tries again after an attempt that found no engine beside a silent one', () => {
+    const session = createTestSession();
+    session.start();
+    session.on({ kind: 'attempt_sent', attemptNo: asAttemptNo(1) }, 0);
+    session.on({ kind: 'tick' }, 2_000);
+    const error = createServeError('no_backend', 'none');
+    expect(session.on({ kind: 'attempt_failed', attemptNo: asAttemptNo(2), error }, 4_500)).toEqual(
+      [],
+    );
+    expect(session.on({ kind: 'tick' }, 5_150)).toMatchObject([
+      { kind: 'start_attempt', attemptNo: 3 },
+    ]);
+  });
 });
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -220,10 +220,7 @@
       startAttempt(attemptNo, found, routeRequest, chosen);
       return;
     }
-    if (found.reason === 'all_excluded') {
-      avoided.clear();
-      mayUseReserved = true;
-    }
+    if (found.reason === 'all_excluded') relaxExclusions();
     if (found.reason === 'no_version') giveUpVersion();
     if (clock.monotonicMs() >= untilMs) {
       failAttempt(attemptNo, noEngine(found.reason, runState()));
@@ -235,6 +232,16 @@
     });
   }
 
+  /**
+   * Full engines have room again within a first token's time; only when no engine is full are the
+   * reserved ones used, and then those that this request has lost.
+   */
+  function relaxExclusions(): void {
+    if (lossAtMs !== undefined && resumes.fullEngines().size > 0) return;
+    if (mayUseReserved) avoided.clear();
+    mayUseReserved = true;
+  }
+
   function runState(): RunState {
     if (session.journal().length() > 0) return 'ran';
     return attempts.mayHaveRun() ? 'unknown' : 'not_run';
@@ -313,6 +320,7 @@
       span,
       observer: observe(attemptNo, where),
     });
+    session.on({ kind: 'attempt_sent', attemptNo }, clock.monotonicMs());
     suspects.onPlaced(fingerprint, where.engineId);
     if (lossAtMs !== undefined) resumes.onStarted(requestId, where.engineId);
     replicate({
@@ -439,7 +447,7 @@
       finish({ kind: 'finish', reason: left.reason ?? 'length' });
       return;
     }
-    const [effect] = session.start(clock.monotonicMs());
+    const [effect] = session.start();
     if (effect?.kind !== 'start_attempt') throw new Error('a new session must start an attempt');
     const { attemptNo } = effect;
     const span = request.span.child('attach', { engine: engineId, attempt: attemptNo });
@@ -455,6 +463,7 @@
       span,
       observer: observe(attemptNo, where),
     });
+    session.on({ kind: 'attempt_sent', attemptNo }, clock.monotonicMs());
     replicate({ ...left.start, attemptNo, adoptionCount });
   }
 
@@ -472,7 +481,7 @@
     request,
     journal: () => session.journal(),
     ended: () => end,
-    start: () => apply(session.start(clock.monotonicMs())),
+    start: () => apply(session.start()),
     takeOver,
     release,
     isOn: (engineId) => attempts.engineIds().includes(engineId),
