Set the V8 flag in one place; share the timer of calls

Cause: three equal copies of flags.ts and two of the timer that wakes a call. Change: @mimosamill/adapters/flags is imported first by each binary; createAlarm serves both kinds of calls. Conclusion: no change of behaviour.

--- a/packages/router/src/call/async.ts
+++ b/packages/router/src/call/async.ts
@@ -34,3 +34,20 @@
     });
   });
 }
+
+/** A timer for the next time at which there is something to do. */
+export interface Alarm {
+  /** Replaces the time that was set before; undefined only cancels it. */
+  readonly set: (atMs: number | undefined) => void;
+}
+
+export function createAlarm(clock: Clock, onTime: () => void): Alarm {
+  let cancel = (): void => undefined;
+  return {
+    set: (atMs) => {
+      cancel();
+      if (atMs === undefined) return;
+      cancel = clock.after(Math.max(0, atMs - clock.monotonicMs()), onTime);
+    },
+  };
+}
--- a/packages/router/src/call/direct.ts
+++ b/packages/router/src/call/direct.ts
@@ -1,5 +1,5 @@
 import { asAttemptNo, assertNever, callServiceKey, createDirectCall } from '@mimosamill/core';
-import { createDeferred, settle } from './async';
+import { createAlarm, createDeferred, settle } from './async';
 import { noteResult } from './result';
 import type {
   CallResult,
@@ -44,7 +44,7 @@
   const aborts = new Map<number, AbortController>();
   const result = createDeferred<CallResult>();
   const hedgeDelayMs = latencies.quantileMs(HEDGE_QUANTILE, startedAtMs);
-  let cancelTimer = (): void => undefined;
+  const alarm = createAlarm(clock, () => feed({ kind: 'tick' }));
 
   const call = createDirectCall({
     isIdempotent,
@@ -59,11 +59,7 @@
 
   function apply(effects: readonly DirectCallEffect[]): void {
     effects.forEach(perform);
-    cancelTimer();
-    const atMs = call.wakeAtMs();
-    if (atMs === undefined) return;
-    const delayMs = Math.max(0, atMs - clock.monotonicMs());
-    cancelTimer = clock.after(delayMs, () => feed({ kind: 'tick' }));
+    alarm.set(call.wakeAtMs());
   }
 
   function perform(effect: DirectCallEffect): void {
--- a/packages/router/src/call/keyed.ts
+++ b/packages/router/src/call/keyed.ts
@@ -7,7 +7,7 @@
   createKeyedCall,
   parseCallRecord,
 } from '@mimosamill/core';
-import { createDeferred, settle, withTimeout } from './async';
+import { createAlarm, createDeferred, settle, withTimeout } from './async';
 import { noteResult } from './result';
 import type { JsonValue, Row, ServiceAnswer, ServiceLookup } from '@mimosamill/adapters';
 import type {
@@ -74,7 +74,7 @@
   const settled = createDeferred<OwnerAnswer>();
   const ended = createDeferred<void>();
   let lastAddress: string | undefined;
-  let cancelTimer = (): void => undefined;
+  const alarm = createAlarm(clock, () => feed({ kind: 'tick' }));
 
   const call: KeyedCall = createKeyedCall({
     attemptId,
@@ -97,15 +97,7 @@
     const answer = call.ownerAnswer();
     if (answer.kind !== 'running') settled.resolve(answer);
     if (call.hasEnded()) ended.resolve();
-    arm();
-  }
-
-  function arm(): void {
-    cancelTimer();
-    const atMs = call.wakeAtMs();
-    if (atMs === undefined) return;
-    const delayMs = Math.max(0, atMs - clock.monotonicMs());
-    cancelTimer = clock.after(delayMs, () => feed({ kind: 'tick' }));
+    alarm.set(call.wakeAtMs());
   }
 
   function perform(effect: KeyedCallEffect): void {
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,4 +1,4 @@
-import './flags';
+import '@mimosamill/adapters/flags';
 import { cac } from 'cac';
 import { runProgram } from '@mimosamill/adapters';
 import { startRouter } from './compose';
