Trace each attempt of a call

Cause: calls had one span for all attempts, so a retry or hedge could not be seen in a trace. Change: a child span per attempt with its server, number and failure; the server receives its context. Before: one span a call.

--- a/packages/router/src/call/direct.ts
+++ b/packages/router/src/call/direct.ts
@@ -1,5 +1,6 @@
 import { asAttemptNo, assertNever, callServiceKey, createDirectCall } from '@mimosamill/core';
 import { createAlarm, createDeferred, settle } from './async';
+import { traceAttempt } from './trace';
 import { noteResult } from './result';
 import type {
   CallResult,
@@ -11,9 +12,10 @@
   ServiceName,
 } from '@mimosamill/core';
 import type { ServiceAnswer } from '@mimosamill/adapters';
+import type { TracedRequest } from './trace';
 import type { CallsPorts } from './ports';
 
-export interface DirectRequest {
+export interface DirectRequest extends TracedRequest {
   readonly service: ServiceName;
   readonly operation: string;
   readonly body: string;
@@ -21,7 +23,6 @@
   readonly deadlineMs: number;
   /** The caller's key of an idempotent call is passed on; it plays no part in this router. */
   readonly key?: string;
-  readonly traceparent?: string;
 }
 
 /** A second attempt starts once the first is slower than 95 in 100 calls, so 5% are hedged. */
@@ -90,6 +91,7 @@
     const abort = new AbortController();
     aborts.set(attemptNo, abort);
     const sentAtMs = clock.monotonicMs();
+    const trace = traceAttempt(request, address, attemptNo);
     const answer: ServiceAnswer = await settle(
       ports.services.call(
         address,
@@ -100,12 +102,13 @@
           idempotencyKey: serviceKey,
           body: request.body,
           timeoutMs: Math.max(1, deadlineAtMs - sentAtMs),
-          ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+          ...trace.headers,
         },
         abort.signal,
       ),
       { kind: 'unknown', message: 'the client failed' },
     );
+    trace.end(answer);
     aborts.delete(attemptNo);
     if (answer.kind === 'not_sent') ports.servers.onRefused(request.service, address);
     const tookMs = clock.monotonicMs() - sentAtMs;
--- a/packages/router/src/call/keyed.ts
+++ b/packages/router/src/call/keyed.ts
@@ -8,6 +8,7 @@
   parseCallRecord,
 } from '@mimosamill/core';
 import { createAlarm, createDeferred, settle, withTimeout } from './async';
+import { traceAttempt } from './trace';
 import { noteResult } from './result';
 import type { JsonValue, Row, ServiceAnswer, ServiceLookup } from '@mimosamill/adapters';
 import type {
@@ -21,6 +22,7 @@
   ServiceName,
   VersionedRecord,
 } from '@mimosamill/core';
+import type { TracedRequest } from './trace';
 import type { CallsPorts } from './ports';
 
 /** A commit without an answer after this time counts as lost; it may still be applied. */
@@ -31,14 +33,13 @@
 /** How long after the caller's deadline a late answer is still waited for, to be recorded. */
 const LATE_ANSWER_MS = 60_000;
 
-export interface KeyedRequest {
+export interface KeyedRequest extends TracedRequest {
   readonly service: ServiceName;
   readonly operation: string;
   readonly key: string;
   readonly body: string;
   readonly customerId: CustomerId;
   readonly deadlineMs: number;
-  readonly traceparent?: string;
 }
 
 /** A keyed call that is running on this router. */
@@ -219,6 +220,7 @@
     lastAddress = address;
     const sentAtMs = clock.monotonicMs();
     const remainingMs = Math.max(0, deadlineAtMs - sentAtMs);
+    const trace = traceAttempt(request, address, sendNo);
     const answer: ServiceAnswer = await settle(
       ports.services.call(address, {
         operation: request.operation,
@@ -227,10 +229,11 @@
         idempotencyKey: serviceKey,
         body: request.body,
         timeoutMs: remainingMs + LATE_ANSWER_MS,
-        ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+        ...trace.headers,
       }),
       { kind: 'unknown', message: 'the client failed' },
     );
+    trace.end(answer);
     noteResult(ports, request, address, answer, clock.monotonicMs() - sentAtMs);
     if (answer.kind === 'not_sent') {
       refused.add(address);
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -257,7 +257,7 @@
         body: body.text,
         customerId: caller.customer.id,
         deadlineMs,
-        traceparent: span.traceparent,
+        span,
       });
       admission.permit.onFirstToken();
       span.end(result.kind === 'ok' ? undefined : result.error.code);
