--- a/packages/router/test/stream-world.ts
+++ b/packages/router/test/stream-world.ts
@@ -52,7 +52,9 @@
   /** How each send ended, with its tokens. */
   readonly sendEnds: string[];
   readonly overloadedCount: () => number;
-  readonly call: (name: string) => TestCaller;
+  readonly call: (name: string, overrides?: Partial<StreamRequest>) => TestCaller;
+  /** The caller's connection ends. */
+  readonly leave: (caller: TestCaller) => void;
   /** The running router dies; callers go to a new one. */
   readonly killRouter: () => void;
   readonly expected: (name: string) => string[];
@@ -222,7 +224,7 @@
     replicas.set(requestId, { ...held, texts: [...held.texts, text] });
   }
 
-  function call(name: string): TestCaller {
+  function call(name: string, overrides: Partial<StreamRequest> = {}): TestCaller {
     const caller: TestCaller = {
       requestId: asId(name),
       texts: [],
@@ -230,14 +232,24 @@
       runState: undefined,
     };
     callers.set(caller.requestId, caller);
-    follow(caller, streams.open(toRequest(name), readerOf(caller)));
+    const request = { ...toRequest(name), ...overrides };
+    follow(caller, streams.open(request, readerOf(caller)));
     return caller;
   }
 
   const bound = new Map<TestCaller, RunningStream>();
 
+  const readers = new Map<TestCaller, { readonly onProgress: () => void }>();
+
   function readerOf(caller: TestCaller): { readonly onProgress: () => void } {
-    return { onProgress: () => pull(caller) };
+    const reader = { onProgress: () => pull(caller) };
+    readers.set(caller, reader);
+    return reader;
+  }
+
+  function leave(caller: TestCaller): void {
+    const reader = readers.get(caller);
+    if (reader !== undefined) bound.get(caller)?.detach(reader);
   }
 
   function pull(caller: TestCaller): void {
@@ -283,6 +295,7 @@
     sendEnds,
     overloadedCount: () => overloadedCount,
     call,
+    leave,
     killRouter,
     expected: (name) => wholeText(sourceOf(name), TOKENS, hashes.hash32),
   };
--- a/packages/router/test/stream.spec.ts
+++ b/packages/router/test/stream.spec.ts
@@ -27,7 +27,7 @@
   names: readonly string[],
 ): Promise<[StreamWorld, TestCaller[]]> {
   const world = createStreamWorld(5);
-  const callers = names.map(world.call);
+  const callers = names.map((name) => world.call(name));
   const repairs = ENGINES.flatMap((_, engine): Fault[] =>
     ['restart', 'resume', 'heal'].map((what) => [REPAIR_MS, what, engine]),
   );
@@ -94,7 +94,7 @@
   // that stays open while engines refuse for lack of room.
   it('pass on the tokens of each send and every refusal for lack of room', async () => {
     const world = createStreamWorld(5, { maxQueued: 1 });
-    const callers = ['a', 'b', 'c', 'd', 'e'].map(world.call);
+    const callers = ['a', 'b', 'c', 'd', 'e'].map((name) => world.call(name));
     await world.time.run(END_MS);
     expect(callers.map(({ end }) => end)).toEqual(callers.map(() => 'finish'));
     const refused = world.sendEnds.filter((end) => end === 'refused 0').length;
