Limit the requests of a whole team

Cause: the tracker asks for limits per customer and team; only customers had any. Change: a team may have limits on requests/s, tokens/s and concurrent streams, set with the fleet role; its customers' requests count against both scopes. Before: team scopes were never passed to admission.

--- a/packages/core/src/config/model.ts
+++ b/packages/core/src/config/model.ts
@@ -110,6 +110,14 @@
   readonly id: TeamId;
   /** Administration keys: hash and role. */
   readonly admins: readonly TeamAdmin[];
+  /** Limits of all the team's customers together, over the whole fleet; none if absent. */
+  readonly limits?: TeamLimits;
+}
+
+export interface TeamLimits {
+  readonly requestsPerSec: number;
+  readonly tokensPerSec: number;
+  readonly concurrentStreams: number;
 }
 
 export interface TeamAdmin {
--- a/packages/core/src/config/validate.ts
+++ b/packages/core/src/config/validate.ts
@@ -82,7 +82,18 @@
 const adminShape = fields({
   required: { name, keyHash, role: oneOf(['fleet', 'team', 'viewer']) },
 });
-const teamShape = fields({ required: { id: name, admins: listOf(adminShape, MAX_LIST) } });
+const teamLimitsShape = fields({
+  required: Object.fromEntries(
+    (['requestsPerSec', 'tokensPerSec', 'concurrentStreams'] as const).map((setting) => [
+      setting,
+      numberIn(...SETTING_RANGES[setting]),
+    ]),
+  ),
+});
+const teamShape = fields({
+  required: { id: name, admins: listOf(adminShape, MAX_LIST) },
+  optional: { limits: teamLimitsShape },
+});
 
 const exceptionShape = fields({
   required: {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -101,6 +101,7 @@
   ServiceConfig,
   TeamAdmin,
   TeamConfig,
+  TeamLimits,
 } from './config/model';
 export { checkChangeAccess, checkServiceAccess, findAdministrator } from './config/access';
 export type { AccessDecision, Administrator } from './config/access';
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -8,7 +8,7 @@
   sha256Hex,
 } from '@mimosamill/adapters';
 import { asId, createServeError } from '@mimosamill/core';
-import { customerScope } from '../limit/scopes';
+import { scopesOf } from '../limit/scopes';
 import { createAuthenticator, mayUse } from './auth';
 import { createJsonCaller, createSseCaller } from './caller';
 import { createChunkWriter, findService, parseCompletion } from './completions';
@@ -135,7 +135,9 @@
     const onClose = (): void => gone.abort();
     res.once('close', onClose);
     const { id, weight } = customer;
-    const request = { ...scope, customer: id, weight, scopes: [customerScope(id)] };
+    const current = config.current();
+    const scopes = current === undefined ? [] : scopesOf(current, customer);
+    const request = { ...scope, customer: id, weight, scopes };
     const outcome = await options.admission.admit(request, gone.signal);
     res.off('close', onClose);
     return outcome;
