Test the results of hedged calls and the bound for three plain servers

Cause: the rule that a call cancelled for its hedge counts by the time it had taken had no test, and neither had the rounding of the bound at three servers.

Change: tests only.

Figures: a failing server of three at a bound of 0.3 still gets calls, and less than a sixth of them.

--- a/packages/router/test/backends.spec.ts
+++ b/packages/router/test/backends.spec.ts
@@ -191,4 +191,24 @@
     expect(new Set(picks).size).toBe(10);
     backends.stop();
   });
+
+  // Guards against a bound that is rounded up and takes a third of a small service away.
+  it('ejects none of three plain servers at a bound of 30%, and gives a failing one less', async () => {
+    const { time, backends } = createWorld(3);
+    void backends.start();
+    await time.run(1_100);
+    for (let round = 0; round < 40; round += 1) {
+      for (let at = 10; at < 13; at += 1) {
+        const result = { isSuccess: at !== 10, tookMs: 50 };
+        backends.servers.onResult(PLAIN, `10.0.0.${at}:1`, 'book', result);
+      }
+    }
+    const picks = Array.from({ length: 600 }, () =>
+      backends.servers.pick(PLAIN, new Set(), 'book'),
+    );
+    const bad = picks.filter((address) => address === '10.0.0.10:1').length;
+    expect(bad).toBeGreaterThan(0);
+    expect(bad).toBeLessThan(picks.length / 6);
+    backends.stop();
+  });
 });
--- a/packages/router/test/calls.spec.ts
+++ b/packages/router/test/calls.spec.ts
@@ -163,4 +163,48 @@
     expect(results.length).toBeGreaterThan(0);
     expect(results.every(({ isSuccess }) => !isSuccess)).toBe(true);
   });
+
+  // Guards against a slow server whose calls are all cancelled for their hedges, and which therefore
+  // never looks slow.
+  it('reports the time that a call had taken when its hedge won', async () => {
+    const time = createVirtualTime();
+    const slow: ServerCallResult[] = [];
+    let isSlow = false;
+    const services: ServiceClient = {
+      call: (address, _call, signal) =>
+        new Promise((resolve) => {
+          const isStuck = isSlow && address === 'slow';
+          signal?.addEventListener('abort', () => resolve({ kind: 'unknown', message: 'aborted' }));
+          if (!isStuck) time.clock.after(30, () => resolve({ kind: 'ok', status: 200, body: '' }));
+        }),
+      lookup: async () => ({ kind: 'not_seen' }),
+      load: async () => undefined,
+    };
+    const calls = createRouter('a', createMemoryTables(), services, {
+      clock: time.clock,
+      servers: {
+        pick: (_service, excluded) => ['slow', 'fast'].find((each) => !excluded.has(each)),
+        onRefused: () => undefined,
+        onResult: (_service, address, _operation, result) => {
+          if (isSlow && address === 'slow') slow.push(result);
+        },
+      },
+      serviceConfig: () => ({
+        kind: 'plain',
+        name: REQUEST.service,
+        team: asId('team'),
+        operations: { book: { idempotent: true } },
+        hasLookup: false,
+      }),
+    });
+    for (let count = 0; count < 40; count += 1) void calls.run(REQUEST);
+    await time.run(1_000);
+    isSlow = true;
+    void calls.run(REQUEST);
+    await time.run(2_000);
+    expect(slow).toHaveLength(1);
+    expect(slow[0]?.isSuccess).toBe(true);
+    // The hedge starts after the usual 30 ms and takes 30 ms.
+    expect(slow[0]?.tookMs).toBeGreaterThanOrEqual(59);
+  });
 });
