--- a/packages/adapters/src/engine/client.ts
+++ b/packages/adapters/src/engine/client.ts
@@ -44,9 +44,6 @@
 export interface Attempt {
   /** Closes the connection; no further event is reported. */
   readonly close: () => void;
-  /** Stops and restarts reading, so that a slow caller does not fill the router's memory. */
-  readonly pause: () => void;
-  readonly resume: () => void;
 }
 
 /** An engine's load at `measuredAtMs` on the engine's clock; it may be several reports old. */
--- a/packages/adapters/src/engine/stream.ts
+++ b/packages/adapters/src/engine/stream.ts
@@ -1,7 +1,6 @@
 import { createParser } from 'eventsource-parser';
 import { request } from 'undici';
 import { describeError, isNotSent } from '../runtime/fetch';
-import type { Readable } from 'node:stream';
 import type { AttemptNo, RequestId } from '@mimosamill/core';
 import type { Dispatcher } from 'undici';
 import type { Attempt, AttemptEvent } from './client';
@@ -41,9 +40,7 @@
   onEvent: (event: AttemptEvent) => void,
 ): Attempt {
   const abort = new AbortController();
-  let body: Readable | undefined;
   let hasEnded = false;
-  let isPaused = false;
 
   function end(event: AttemptEvent): void {
     if (hasEnded) return;
@@ -85,11 +82,9 @@
       return;
     }
     const parser = createParser({ onEvent: ({ data }) => onData(data) });
-    body = answer.body;
     const stream = answer.body;
     const decoder = new TextDecoder();
     stream.on('data', (chunk: Buffer) => parser.feed(decoder.decode(chunk, { stream: true })));
-    if (isPaused) stream.pause();
     await new Promise<void>((resolve, reject) => {
       stream.once('end', resolve);
       stream.once('error', reject);
@@ -108,14 +103,6 @@
       hasEnded = true;
       abort.abort();
     },
-    pause: () => {
-      isPaused = true;
-      body?.pause();
-    },
-    resume: () => {
-      isPaused = false;
-      body?.resume();
-    },
   };
 }
 
--- a/packages/bench/src/calls/processes.ts
+++ b/packages/bench/src/calls/processes.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { createRandom } from '@mimosamill/fakes';
 import { commitChanges, basicChanges } from '../fleet/config';
 import { startFleet } from '../fleet/fleet';
@@ -299,9 +300,3 @@
 function keyOf(booking: number): string {
   return `booking-${booking}`;
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { createHashes, sha256Hex } from '@mimosamill/adapters';
 import { asId } from '@mimosamill/core';
 import { wholeText } from '@mimosamill/fakes';
@@ -274,9 +275,3 @@
     await delay(RETRY_MS);
   }
 }
-
-function delay(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/bench/src/fleet/caller.ts
+++ b/packages/bench/src/fleet/caller.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { createParser } from 'eventsource-parser';
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -130,9 +131,3 @@
   progress.lastEventId = event.id ?? '';
   options.onToken?.(index);
 }
-
-function delay(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/bench/src/measure/resume/resume.ts
+++ b/packages/bench/src/measure/resume/resume.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { createHashes } from '@mimosamill/adapters';
 import { createRandom, splitPrompt, wholeText } from '@mimosamill/fakes';
 import { readStream } from '../../fleet/caller';
@@ -354,9 +355,3 @@
     restart_extra_decode_ratio: roundTo(tally.lossIndexSum / tally.idealDecodeTokens, 4),
   };
 }
-
-function delay(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/bench/src/member/fleet.ts
+++ b/packages/bench/src/member/fleet.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { spawn } from 'node:child_process';
 import { createServer } from 'node:net';
 import { dirname, join } from 'node:path';
@@ -170,12 +171,6 @@
   return true;
 }
 
-export function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 let nextPort = FIRST_PORT + ((process.pid * 97) % PORTS);
 
 /** Free ports below the range from which the system takes those of outgoing connections. */
@@ -244,3 +239,5 @@
 export function round(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
+
+export { wait };
--- a/packages/bench/src/poison/processes.ts
+++ b/packages/bench/src/poison/processes.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { basicChanges, commitChanges } from '../fleet/config';
 import { readStream } from '../fleet/caller';
 import { startFleet } from '../fleet/fleet';
@@ -137,9 +138,3 @@
 function isFailed({ end, texts, misnumbered }: CallerResult): boolean {
   return end !== 'done' || texts.length !== TOKENS || misnumbered > 0;
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/fakes/src/engine/group.ts
+++ b/packages/fakes/src/engine/group.ts
@@ -177,8 +177,6 @@
       close: () => {
         reader.isClosed = true;
       },
-      pause: () => undefined,
-      resume: () => undefined,
     };
   }
 
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -360,14 +360,12 @@
   provide(STREAMS, () =>
     createStreams({
       clock: use(CLOCK),
-      random: Math.random,
       engines: use(ENGINES),
       directory: use(BACKENDS),
       replicas: use(REPLICAS),
       suspects: use(SUSPECTS),
       versions: use(MOVES),
       metrics: use(METRICS),
-      log: use(LOG),
       blockKeysOf: (text) => {
         const words = text.split(/\s+/u).filter((word) => word !== '');
         return toBlockKeys(chainBlockHashes(words, BLOCK_TOKENS, hashes.hash32), hashes.hash32);
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -1,4 +1,4 @@
-import type { Clock, EngineClient, Log, Metrics, TraceSpan } from '@mimosamill/adapters';
+import type { Clock, EngineClient, Metrics, TraceSpan } from '@mimosamill/adapters';
 import type {
   EngineId,
   EngineServiceConfig,
@@ -84,7 +84,6 @@
 
 export interface StreamPorts {
   readonly clock: Clock;
-  readonly random: () => number;
   readonly engines: EngineClient;
   readonly directory: EngineDirectory;
   readonly replicas: Pick<
@@ -94,7 +93,6 @@
   readonly suspects: SuspectGuard;
   readonly versions: VersionWatch;
   readonly metrics: Metrics;
-  readonly log: Log;
   /** Routing keys of a prompt's blocks. */
   readonly blockKeysOf: (text: string) => readonly number[];
   readonly fingerprintOf: (text: string) => Fingerprint;
--- a/packages/router/test/stream-world.ts
+++ b/packages/router/test/stream-world.ts
@@ -1,4 +1,4 @@
-import { createHashes, createLog, createMetrics, createTracer } from '@mimosamill/adapters';
+import { createHashes, createMetrics, createTracer } from '@mimosamill/adapters';
 import { asId } from '@mimosamill/core';
 import { createEngineGroup, createRandom, createVirtualTime, wholeText } from '@mimosamill/fakes';
 import { createStreams } from '../src/stream/streams';
@@ -94,7 +94,6 @@
         after: (delayMs, fn) => clock.after(delayMs, () => own.isAlive && fn()),
         every: (periodMs, fn) => clock.every(periodMs, () => own.isAlive && fn()),
       },
-      random,
       engines: createClient(own),
       directory: createDirectory(),
       replicas: {
@@ -135,7 +134,6 @@
         onEngineDown: () => undefined,
       },
       metrics: createMetrics(),
-      log: createLog('test', 'silent'),
       blockKeysOf: () => [],
       fingerprintOf: (text) => asId(hashes.hash64(text)),
     };
