--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -97,9 +97,9 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', 'dist/**'] },
+  { ignores: ['**/node_modules/**', 'dist/**', 'target/**'] },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [tseslint.configs.base],
     plugins: { 'import-x': importX },
     languageOptions: {
--- /dev/null
+++ b/packages/adapters/src/forward/upstream.ts
@@ -0,0 +1,143 @@
+import { Pool } from 'undici';
+import { describeError } from '../runtime/fetch';
+import type { Dispatcher } from 'undici';
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** A caller's request as it goes to a backend server. */
+export interface UpstreamRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array | undefined;
+}
+
+/** Why an exchange ended without a whole answer. 'not_sent': the server can't have seen it. */
+export type ExchangeFailure = 'not_sent' | 'broken';
+
+export interface ExchangeHandler {
+  /** The request is about to be written to a connection. */
+  readonly onSent: () => void;
+  readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
+  readonly onData: (bytes: Uint8Array) => void;
+  readonly onEnd: () => void;
+  readonly onFailure: (failure: ExchangeFailure, message: string) => void;
+}
+
+export interface Exchange {
+  /** Closes the connection, which makes the server stop; no handler is called any more. */
+  readonly cancel: () => void;
+}
+
+/** Connections to backend servers. */
+export interface Upstream {
+  readonly send: (request: UpstreamRequest, handler: ExchangeHandler) => Exchange;
+  /** Closes the connections to all other addresses once their exchanges have ended. */
+  readonly retain: (addresses: ReadonlySet<string>) => void;
+  readonly openedCount: () => number;
+  readonly close: () => Promise<void>;
+}
+
+export interface UpstreamSettings {
+  readonly connectTimeoutMs: number;
+  readonly connectionsPerServer: number;
+}
+
+/** Idle time after which a connection is closed if the server names none. */
+const IDLE_MS = 4_000;
+/** A server's own idle time counts from its last byte, so ours ends earlier. */
+const IDLE_MARGIN_MS = 1_000;
+const IDLE_MAX_MS = 600_000;
+
+export function createUpstream(settings: UpstreamSettings): Upstream {
+  const pools = new Map<string, Pool>();
+  let openedCount = 0;
+
+  function poolOf(address: string): Pool {
+    const known = pools.get(address);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${address}`, {
+      connections: settings.connectionsPerServer,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      keepAliveMaxTimeout: IDLE_MAX_MS,
+      connect: { timeout: settings.connectTimeoutMs },
+    });
+    pool.on('connect', () => {
+      openedCount += 1;
+    });
+    pools.set(address, pool);
+    return pool;
+  }
+
+  function send(request: UpstreamRequest, handler: ExchangeHandler): Exchange {
+    let controller: Dispatcher.DispatchController | undefined;
+    let isOver = false;
+    const cancelled = new Error('cancelled');
+
+    function failOnce(failure: ExchangeFailure, message: string): void {
+      if (isOver) return;
+      isOver = true;
+      handler.onFailure(failure, message);
+    }
+
+    poolOf(request.address).dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: [...request.headers],
+        body: request.body === undefined ? null : Buffer.from(request.body),
+      },
+      {
+        onRequestStart: (started) => {
+          controller = started;
+          // A request that was cancelled while it waited for a connection must not be written.
+          if (isOver) started.abort(cancelled);
+          else handler.onSent();
+        },
+        onResponseStart: (_started, status, headers) => {
+          if (isOver || status < 200) return;
+          handler.onHead(status, headers);
+        },
+        onResponseData: (_started, chunk) => {
+          if (!isOver) handler.onData(chunk);
+        },
+        onResponseEnd: () => {
+          if (isOver) return;
+          isOver = true;
+          handler.onEnd();
+        },
+        onResponseError: (_started, error) => {
+          failOnce(controller === undefined ? 'not_sent' : 'broken', describeError(error));
+        },
+      },
+    );
+    return {
+      cancel: () => {
+        isOver = true;
+        controller?.abort(cancelled);
+      },
+    };
+  }
+
+  return {
+    send,
+    retain: (addresses) => {
+      pools.forEach((pool, address) => {
+        if (addresses.has(address)) return;
+        pools.delete(address);
+        void pool.close();
+      });
+    },
+    openedCount: () => openedCount,
+    close: async () => {
+      const all = [...pools.values()];
+      pools.clear();
+      await Promise.all(all.map((pool) => pool.destroy()));
+    },
+  };
+}
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -60,7 +60,7 @@
   sendText,
   toErrorBody,
 } from './runtime/http';
-export type { BodyOutcome, HttpLimits, HttpShell } from './runtime/http';
+export type { BodyOutcome, HttpLimits, HttpShell, RawHandler } from './runtime/http';
 export { createLog } from './runtime/log';
 export type { Log, LogFields, LogLevel } from './runtime/log';
 export { createMetrics } from './runtime/metrics';
@@ -97,3 +97,23 @@
   ConfigStore,
   OperationOutcome,
 } from './config/store';
+
+// forwarded traffic
+export { createUpstream } from './forward/upstream';
+export type {
+  Exchange,
+  ExchangeFailure,
+  ExchangeHandler,
+  Upstream,
+  UpstreamRequest,
+  UpstreamSettings,
+} from './forward/upstream';
+export { createDecisionLog, createDescriptorSink } from './forward/decisions';
+export type {
+  DecisionFields,
+  DecisionLog,
+  DecisionLogSettings,
+  DecisionValue,
+  DecisionWeight,
+  LineSink,
+} from './forward/decisions';
--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -38,14 +38,25 @@
   /** Stops accepting, lets running requests finish and closes idle connections. */
   readonly drain: (timeoutMs: number) => Promise<void>;
   readonly close: () => Promise<void>;
+  /** Changes how long a connection may stay idle and how long a request's headers may take. */
+  readonly setTimeouts: (idleTimeoutMs: number, headersTimeoutMs: number) => void;
 }
 
+/** Takes every request in place of the application's routes. */
+export type RawHandler = (req: IncomingMessage, res: ServerResponse) => void;
+
 export type BodyOutcome =
   | { readonly kind: 'ok'; readonly text: string; readonly json: unknown }
   | { readonly kind: 'error'; readonly error: ServeError };
 
-/** Creates an HTTP server round a tinyhttp application. */
-export function createHttpShell(limits: HttpLimits = DEFAULT_HTTP_LIMITS): HttpShell {
+/**
+ * Creates an HTTP server round a tinyhttp application. With `onRequest`, requests of any method and
+ * path go there instead: the application would decode their paths.
+ */
+export function createHttpShell(
+  limits: HttpLimits = DEFAULT_HTTP_LIMITS,
+  onRequest?: RawHandler,
+): HttpShell {
   const app = new App({
     settings: { xPoweredBy: false },
     noMatchHandler: (_req, res) => sendError(res, createServeError('not_found', 'no such route')),
@@ -64,6 +75,10 @@
     },
     (req, res) => {
       responses.set(req.socket, res);
+      if (onRequest !== undefined) {
+        onRequest(req, res);
+        return;
+      }
       if (!hasValidPath(req.url ?? '')) {
         sendError(res, createServeError('bad_request', 'the path is not validly encoded'));
         return;
@@ -93,6 +108,10 @@
     listen: (ip, port) => listen(server, ip, port),
     drain: (timeoutMs) => drain(server, timeoutMs),
     close: () => closeNow(server),
+    setTimeouts: (idleTimeoutMs, headersTimeoutMs) => {
+      server.keepAliveTimeout = idleTimeoutMs;
+      server.headersTimeout = headersTimeoutMs;
+    },
   };
 }
 
--- a/packages/core/src/call/result.ts
+++ b/packages/core/src/call/result.ts
@@ -2,15 +2,17 @@
 import type { ServeError } from '../outcome';
 
 /** What the caller is told. `isReplay`: the call had run before, this is its recorded answer. */
-export type CallResult =
+export type CallResult<Body = string> =
   | {
       readonly kind: 'ok';
       readonly status: number;
-      readonly body: string;
+      readonly body: Body;
       readonly isReplay: boolean;
     }
   | { readonly kind: 'error'; readonly error: ServeError };
 
+export type ErrorResult = Extract<CallResult, { kind: 'error' }>;
+
 /** What the owner of a claim tells a router that asks. 'not_sent' is final. */
 export type OwnerAnswer =
   | { readonly kind: 'done'; readonly status: number; readonly body: string }
@@ -21,49 +23,63 @@
   | { readonly kind: 'gone' };
 
 const RETRY_AFTER_MS = 1_000;
+/** A full server has a free slot after a few calls. */
+const REJECTED_RETRY_AFTER_MS = 150;
 
-export function okResult(status: number, body: string, isReplay: boolean): CallResult {
+export function okResult<Body>(status: number, body: Body, isReplay: boolean): CallResult<Body> {
   return { kind: 'ok', status, body, isReplay };
 }
 
-export function keyReused(): CallResult {
+export function keyReused(): ErrorResult {
   return failed('key_reused', 'the key was used before with another operation or body', 'not_run');
 }
 
-export function storeUnavailable(): CallResult {
+export function storeUnavailable(): ErrorResult {
   return failed('store_unavailable', 'the call could not be claimed in the tables', 'not_run');
 }
 
-export function noBackend(message: string): CallResult {
+export function noBackend(message: string): ErrorResult {
   return failed('no_backend', message, 'not_run');
 }
 
-export function expiredBeforeSend(): CallResult {
+export function rejectedByServer(): ErrorResult {
+  return {
+    kind: 'error',
+    error: createServeError(
+      'overloaded',
+      'the server is full and did not run the call',
+      'not_run',
+      REJECTED_RETRY_AFTER_MS,
+    ),
+  };
+}
+
+export function expiredBeforeSend(): ErrorResult {
   return failed('deadline_exceeded', 'the deadline passed before the call was sent', 'not_run');
 }
 
-export function expiredAfterSend(): CallResult {
+export function expiredAfterSend(): ErrorResult {
   return failed('deadline_exceeded', 'no answer before the deadline', 'unknown');
 }
 
-export function outcomeUnknown(): CallResult {
+export function outcomeUnknown(): ErrorResult {
   return failed('outcome_unknown', 'the call was sent and no answer came back', 'unknown');
 }
 
-export function callInProgress(): CallResult {
+export function callInProgress(): ErrorResult {
   return failed('call_in_progress', 'the call is still running on another router', 'unknown');
 }
 
 /** Not 'not_run': a request that is still in flight may claim the key after the read. */
-export function noRunRecorded(): CallResult {
+export function noRunRecorded(): ErrorResult {
   return failed('unknown_call', 'no run is recorded for this key', 'unknown');
 }
 
-export function lookupUnavailable(): CallResult {
+export function lookupUnavailable(): ErrorResult {
   return failed('store_unavailable', 'the record of the call could not be read', 'unknown');
 }
 
-export function answerNotRecorded(): CallResult {
+export function answerNotRecorded(): ErrorResult {
   return failed('duplicate_call', 'the call ran; its answer was too large to be recorded', 'ran');
 }
 
@@ -71,7 +87,7 @@
   code: ServeError['code'],
   message: string,
   runState: ServeError['runState'],
-): CallResult {
+): ErrorResult {
   const isTemporary = code === 'store_unavailable' || code === 'call_in_progress';
   const retryAfterMs = isTemporary || code === 'no_backend' ? RETRY_AFTER_MS : undefined;
   return { kind: 'error', error: createServeError(code, message, runState, retryAfterMs) };
--- /dev/null
+++ b/packages/core/src/forward/fleet.ts
@@ -0,0 +1,256 @@
+import { createOutlierJudge } from '../route/outlier';
+import type { OutlierJudge } from '../route/outlier';
+import type { FailureDomain, RequestId, ServerId, ServiceName } from '../ids';
+import type { ForwardServer } from './types';
+
+/** Load as a server reports it, of all callers together. */
+export interface ServerLoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/**
+ * How a server failed. 'refused': no connection; 'silent': nothing arrived for too long; 'reset': an
+ * exchange broke off; 'misdirected': another process has the address.
+ */
+export type ServerFailure = 'refused' | 'silent' | 'reset' | 'misdirected';
+
+/** A prompt that a server reads for this process. */
+interface Reading {
+  readonly tokens: number;
+  readonly sentAtMs: number;
+}
+
+/** What this process believes of one server. */
+export interface ServerBelief {
+  server: ForwardServer;
+  /** Own requests at the server. */
+  ownRunning: number;
+  readonly readings: Map<RequestId, Reading>;
+  /** Tokens of own streams that run there, or of which it keeps a copy. */
+  ownTokens: number;
+  ownCopies: number;
+  report: (ServerLoadReport & { readonly atMs: number; readonly ownRunning: number }) | undefined;
+  avoidUntilMs: number;
+  consecutiveFailures: number;
+  lastFailure: { readonly kind: ServerFailure; readonly atMs: number } | undefined;
+  lastSignMs: number;
+}
+
+export interface FleetChange {
+  readonly added: readonly ForwardServer[];
+  readonly removed: readonly ForwardServer[];
+  readonly leaving: readonly ForwardServer[];
+  readonly restarted: readonly ForwardServer[];
+}
+
+/** Beliefs about all backend servers, from the list and from own and peers' requests. */
+export interface Fleet {
+  readonly setServers: (servers: readonly ForwardServer[]) => FleetChange;
+  readonly get: (serverId: ServerId) => ServerBelief | undefined;
+  /** Servers of a service that may get new requests. */
+  readonly usable: (service: ServiceName) => readonly ServerBelief[];
+  /** Listed servers of all services. */
+  readonly total: () => number;
+  readonly onLoad: (serverId: ServerId, load: ServerLoadReport, nowMs: number) => void;
+  readonly onSent: (
+    serverId: ServerId,
+    requestId: RequestId,
+    tokens: number,
+    nowMs: number,
+  ) => void;
+  readonly onFirstEvent: (serverId: ServerId, requestId: RequestId) => void;
+  readonly onEnd: (serverId: ServerId, requestId: RequestId, tokens: number) => void;
+  readonly onCopy: (serverId: ServerId, tokens: number, delta: 1 | -1) => void;
+  /** Bytes arrived from the server. */
+  readonly onSign: (serverId: ServerId, nowMs: number) => void;
+  readonly onFailure: (serverId: ServerId, failure: ServerFailure, nowMs: number) => FailureNews;
+  /** Whether many servers of the domain were lost together, and this one gave no sign since. */
+  readonly isDoubted: (belief: ServerBelief, nowMs: number) => boolean;
+  readonly judge: OutlierJudge;
+}
+
+/** What a failure changed beyond the server itself. */
+export interface FailureNews {
+  readonly avoidMs: number;
+  /** Set when this failure makes the whole failure domain doubtful. */
+  readonly doubtedDomain: FailureDomain | undefined;
+}
+
+/** Failures of servers of one domain within this time count as one event. */
+const DOMAIN_WINDOW_MS = 1_500;
+/** Part of a domain's servers that have to fail together before the rest are doubted. */
+const DOMAIN_DOUBT_RATIO = 0.3;
+const DOMAIN_DOUBT_MIN = 2;
+const DOUBT_MS = 2_000;
+/** First time for which a server is avoided after each kind of failure; it doubles. */
+const AVOID_MS: Readonly<Record<ServerFailure, number>> = {
+  refused: 700,
+  silent: 1_500,
+  reset: 400,
+  misdirected: 3_000,
+};
+const AVOID_MAX_MS = 5_000;
+/** Routes learn on their own whether a server is slow; at most this part of a service is ejected. */
+const EJECTED_MAX_RATIO = 0.4;
+
+export function createFleet(): Fleet {
+  const beliefs = new Map<ServerId, ServerBelief>();
+  const byService = new Map<ServiceName, ServerBelief[]>();
+  const doubts = new Map<string, number>();
+  const judge = createOutlierJudge({ ejectedMaxRatio: () => EJECTED_MAX_RATIO });
+
+  function index(): void {
+    byService.clear();
+    beliefs.forEach((belief) => {
+      const list = byService.get(belief.server.service);
+      if (list === undefined) byService.set(belief.server.service, [belief]);
+      else list.push(belief);
+    });
+    byService.forEach((list, service) =>
+      judge.setServers(
+        service,
+        list.map(({ server }) => server.serverId),
+      ),
+    );
+  }
+
+  function setServers(servers: readonly ForwardServer[]): FleetChange {
+    const added: ForwardServer[] = [];
+    const leaving: ForwardServer[] = [];
+    const restarted: ForwardServer[] = [];
+    const listed = new Set(servers.map(({ serverId }) => serverId));
+    servers.forEach((server) => {
+      const known = beliefs.get(server.serverId);
+      if (known === undefined) {
+        beliefs.set(server.serverId, createBelief(server));
+        added.push(server);
+        return;
+      }
+      if (isRestart(known.server, server)) {
+        beliefs.set(server.serverId, createBelief(server));
+        restarted.push(server);
+        return;
+      }
+      if (server.isLeaving && !known.server.isLeaving) leaving.push(server);
+      known.server = server;
+    });
+    const removed: ForwardServer[] = [];
+    beliefs.forEach(({ server }, serverId) => {
+      if (listed.has(serverId)) return;
+      beliefs.delete(serverId);
+      removed.push(server);
+    });
+    index();
+    return { added, removed, leaving, restarted };
+  }
+
+  function domainServers(server: ForwardServer): ServerBelief[] {
+    const list = byService.get(server.service) ?? [];
+    return list.filter((other) => other.server.failureDomain === server.failureDomain);
+  }
+
+  /** Notes a lost domain once enough of its servers failed together. */
+  function noteDomain(server: ForwardServer, nowMs: number): FailureDomain | undefined {
+    const servers = domainServers(server);
+    const lost = servers.filter(
+      ({ lastFailure }) =>
+        lastFailure !== undefined && nowMs - lastFailure.atMs <= DOMAIN_WINDOW_MS,
+    );
+    const needed = Math.max(DOMAIN_DOUBT_MIN, Math.ceil(servers.length * DOMAIN_DOUBT_RATIO));
+    if (lost.length < needed) return undefined;
+    const key = domainKey(server);
+    const isNew = nowMs - (doubts.get(key) ?? -Infinity) > DOUBT_MS;
+    doubts.set(key, nowMs);
+    return isNew ? server.failureDomain : undefined;
+  }
+
+  function onFailure(serverId: ServerId, failure: ServerFailure, nowMs: number): FailureNews {
+    const belief = beliefs.get(serverId);
+    if (belief === undefined) return { avoidMs: 0, doubtedDomain: undefined };
+    // Requests that were on the way together fail together: they are one failure.
+    const isRepeat = belief.lastFailure !== undefined && nowMs < belief.avoidUntilMs;
+    if (!isRepeat) belief.consecutiveFailures += 1;
+    belief.lastFailure = { kind: failure, atMs: nowMs };
+    const doubling = 2 ** Math.min(4, Math.max(0, belief.consecutiveFailures - 1));
+    const avoidMs = Math.min(AVOID_MAX_MS, AVOID_MS[failure] * doubling);
+    belief.avoidUntilMs = Math.max(belief.avoidUntilMs, nowMs + avoidMs);
+    return { avoidMs, doubtedDomain: noteDomain(belief.server, nowMs) };
+  }
+
+  return {
+    setServers,
+    get: (serverId) => beliefs.get(serverId),
+    usable: (service) => (byService.get(service) ?? []).filter(({ server }) => !server.isLeaving),
+    total: () => beliefs.size,
+    onLoad: (serverId, load, nowMs) => {
+      const belief = beliefs.get(serverId);
+      if (belief === undefined) return;
+      belief.report = { ...load, atMs: nowMs, ownRunning: belief.ownRunning };
+    },
+    onSent: (serverId, requestId, tokens, nowMs) => {
+      const belief = beliefs.get(serverId);
+      if (belief === undefined) return;
+      belief.ownRunning += 1;
+      belief.ownTokens += tokens;
+      if (tokens > 0) belief.readings.set(requestId, { tokens, sentAtMs: nowMs });
+    },
+    onFirstEvent: (serverId, requestId) => {
+      beliefs.get(serverId)?.readings.delete(requestId);
+    },
+    onEnd: (serverId, requestId, tokens) => {
+      const belief = beliefs.get(serverId);
+      if (belief === undefined) return;
+      belief.readings.delete(requestId);
+      belief.ownRunning = Math.max(0, belief.ownRunning - 1);
+      belief.ownTokens = Math.max(0, belief.ownTokens - tokens);
+    },
+    onCopy: (serverId, tokens, delta) => {
+      const belief = beliefs.get(serverId);
+      if (belief === undefined) return;
+      belief.ownCopies = Math.max(0, belief.ownCopies + delta);
+      belief.ownTokens = Math.max(0, belief.ownTokens + delta * tokens);
+    },
+    onSign: (serverId, nowMs) => {
+      const belief = beliefs.get(serverId);
+      if (belief === undefined) return;
+      belief.lastSignMs = nowMs;
+      if (belief.avoidUntilMs > nowMs && belief.lastFailure?.kind !== 'reset') return;
+      belief.consecutiveFailures = 0;
+      belief.avoidUntilMs = 0;
+    },
+    onFailure,
+    isDoubted: (belief, nowMs) => {
+      const sinceMs = doubts.get(domainKey(belief.server));
+      if (sinceMs === undefined || nowMs - sinceMs > DOUBT_MS) return false;
+      return belief.lastSignMs <= sinceMs;
+    },
+    judge,
+  };
+}
+
+function createBelief(server: ForwardServer): ServerBelief {
+  return {
+    server,
+    ownRunning: 0,
+    readings: new Map(),
+    ownTokens: 0,
+    ownCopies: 0,
+    report: undefined,
+    avoidUntilMs: 0,
+    consecutiveFailures: 0,
+    lastFailure: undefined,
+    lastSignMs: -Infinity,
+  };
+}
+
+function isRestart(before: ForwardServer, after: ForwardServer): boolean {
+  if (before.address !== after.address) return true;
+  if (before.startedAtMs === undefined || after.startedAtMs === undefined) return false;
+  return before.startedAtMs !== after.startedAtMs;
+}
+
+function domainKey(server: ForwardServer): string {
+  return `${server.service}\u0000${server.failureDomain}`;
+}
--- /dev/null
+++ b/packages/core/src/forward/stream.ts
@@ -0,0 +1,376 @@
+import { assertNever, createServeError } from '../outcome';
+import { createPace } from '../stream/pace';
+import { createEventSequence } from './events';
+import type { ServeError } from '../outcome';
+import type { ServerId } from '../ids';
+import type { RetryBudget } from '../call/budget';
+import type { StreamEvent } from './events';
+
+/** How an attempt ended without finishing the stream. */
+export type AttemptLoss =
+  /** No connection: the engine has not seen the request. */
+  | 'not_sent'
+  /** The engine said that it has not run the request. */
+  | 'rejected'
+  /** The engine does not hold the copy that the attempt was to go on from. */
+  | 'no_copy'
+  /** The exchange broke off. */
+  | 'reset'
+  /** The bytes are no valid stream, or not the one that was asked for. */
+  | 'garbled'
+  /** The engine answered with a failure of its own. */
+  | 'failed'
+  | 'silent';
+
+export interface ForwardStreamSettings {
+  readonly startedAtMs: number;
+  /** The caller is answered by then; the earlier of its own deadline and the route's timeout. */
+  readonly deadlineAtMs: number;
+  readonly targetMs: number;
+  readonly gapTargetMs: number;
+  readonly attemptsMax: number;
+  readonly isResumable: boolean;
+  readonly lastEventId: number | undefined;
+  readonly budget: RetryBudget;
+}
+
+/** Where an attempt went. */
+export interface PlacedAttempt {
+  readonly engineId: ServerId;
+  readonly copyAtId: ServerId | undefined;
+  readonly expectedFirstMs: number;
+}
+
+export type ForwardStreamEvent =
+  | { readonly kind: 'placed'; readonly attemptNo: number; readonly placed: PlacedAttempt }
+  | { readonly kind: 'unplaced'; readonly attemptNo: number; readonly message: string }
+  | { readonly kind: 'head'; readonly attemptNo: number }
+  | { readonly kind: 'events'; readonly attemptNo: number; readonly events: readonly StreamEvent[] }
+  /** The engine ended the stream as complete. */
+  | { readonly kind: 'end'; readonly attemptNo: number }
+  | { readonly kind: 'lost'; readonly attemptNo: number; readonly loss: AttemptLoss }
+  /** Many servers of the engine's failure domain were lost together. */
+  | { readonly kind: 'doubt' }
+  | { readonly kind: 'tick' };
+
+export type ForwardStreamEffect =
+  | {
+      readonly kind: 'send';
+      readonly attemptNo: number;
+      readonly lastEventId: number | undefined;
+      /** Engine that holds a copy of the run; the attempt goes there. */
+      readonly copyAtId: ServerId | undefined;
+      /** Engines that lost the stream. */
+      readonly excluded: ReadonlySet<ServerId>;
+      readonly cause: AttemptLoss | 'first';
+    }
+  /** Closes the attempt's connection; `loss` says why, undefined if the engine did nothing wrong. */
+  | {
+      readonly kind: 'cancel';
+      readonly attemptNo: number;
+      readonly loss: 'silent' | 'garbled' | undefined;
+    }
+  /** The attempt's status and header fields are the caller's. Once a stream. */
+  | { readonly kind: 'begin'; readonly attemptNo: number }
+  | { readonly kind: 'deliver'; readonly event: StreamEvent }
+  | { readonly kind: 'finish' }
+  /** The last attempt's own failure is the caller's answer. */
+  | { readonly kind: 'pass_failure'; readonly attemptNo: number }
+  /** Before `begin` an error for the caller, afterwards the stream is cut. */
+  | { readonly kind: 'fail'; readonly error: ServeError };
+
+export interface ForwardStream {
+  readonly start: () => ForwardStreamEffect[];
+  readonly on: (event: ForwardStreamEvent, nowMs: number) => ForwardStreamEffect[];
+  readonly wakeAtMs: () => number | undefined;
+  readonly hasBegun: () => boolean;
+  /** Attempts that may have run. */
+  readonly runs: () => number;
+}
+
+/** Part of the allowed gap after which a silent engine is given up; the rest is for going on. */
+const SILENCE_MIN_RATIO = 0.36;
+const SILENCE_MAX_RATIO = 0.6;
+/** The same once many servers of the engine's failure domain were lost. */
+const DOUBT_RATIO = 0.2;
+/** Wait for the first event, as a multiple of the expected one. */
+const FIRST_WAIT_FACTOR = 1.7;
+const FIRST_WAIT_MIN_MS = 400;
+/** Wait for the first event of an attempt that goes on from a copy. */
+const COPY_WAIT_MS = 900;
+/** Wait before engines are looked for again when none could be used. */
+const REPLACE_DELAY_MS = 100;
+/** Sends of one request, those included that reached no engine. */
+const SENDS_PER_ATTEMPT = 3;
+/** Retry-After of a refusal for which no better time is known. */
+const RETRY_AFTER_MS = 1_000;
+
+interface LiveAttempt {
+  readonly attemptNo: number;
+  readonly isFromCopy: boolean;
+  placed: PlacedAttempt | undefined;
+  sentAtMs: number;
+  hasEvents: boolean;
+  isHeadSeen: boolean;
+}
+
+/** Decides how one stream is carried to its end over engines that fail. */
+export function createForwardStream(settings: ForwardStreamSettings): ForwardStream {
+  const sequence = createEventSequence(settings.lastEventId);
+  const excluded = new Set<ServerId>();
+  const pace = createPace(
+    {
+      minMs: settings.gapTargetMs * SILENCE_MIN_RATIO,
+      maxMs: settings.gapTargetMs * SILENCE_MAX_RATIO,
+      firstTokenMs: settings.targetMs,
+      resumeTokenMs: settings.targetMs,
+    },
+    settings.startedAtMs,
+  );
+  let live: LiveAttempt | undefined;
+  let sends = 0;
+  let runs = 0;
+  let hasBegun = false;
+  let hasEnded = false;
+  let isDoubted = false;
+  let replaceAtMs: number | undefined;
+  let lastCause: AttemptLoss | 'first' = 'first';
+  let wasUnknown = false;
+
+  function send(
+    copyAtId: ServerId | undefined,
+    cause: AttemptLoss | 'first',
+  ): ForwardStreamEffect[] {
+    sends += 1;
+    lastCause = cause;
+    isDoubted = false;
+    replaceAtMs = undefined;
+    live = {
+      attemptNo: sends,
+      isFromCopy: copyAtId !== undefined,
+      placed: undefined,
+      sentAtMs: 0,
+      hasEvents: false,
+      isHeadSeen: false,
+    };
+    pace.onPlacing();
+    return [
+      {
+        kind: 'send',
+        attemptNo: sends,
+        lastEventId: sequence.lastId(),
+        copyAtId,
+        excluded: new Set(excluded),
+        cause,
+      },
+    ];
+  }
+
+  function end(effect: ForwardStreamEffect): ForwardStreamEffect[] {
+    hasEnded = true;
+    const cancels: ForwardStreamEffect[] =
+      live === undefined ? [] : [{ kind: 'cancel', attemptNo: live.attemptNo, loss: undefined }];
+    live = undefined;
+    return [...cancels, effect];
+  }
+
+  function fail(message: string): ForwardStreamEffect[] {
+    const isNotRun = !hasBegun && !wasUnknown;
+    const error = isNotRun
+      ? createServeError('no_backend', message, 'not_run', RETRY_AFTER_MS)
+      : createServeError('backend_failed', message, 'unknown');
+    return end({ kind: 'fail', error });
+  }
+
+  /** An attempt may have run unless the engine says otherwise; that forbids "not run" later. */
+  function noteRun(loss: AttemptLoss): void {
+    if (loss === 'not_sent' || loss === 'rejected' || loss === 'no_copy') return;
+    runs += 1;
+    wasUnknown = true;
+  }
+
+  function next(attempt: LiveAttempt, loss: AttemptLoss, nowMs: number): ForwardStreamEffect[] {
+    noteRun(loss);
+    live = undefined;
+    const engineId = attempt.placed?.engineId;
+    if (engineId !== undefined) excluded.add(engineId);
+    const mayGoOn = settings.isResumable || (!hasBegun && !wasUnknown);
+    if (nowMs >= settings.deadlineAtMs) return fail('the deadline passed');
+    if (!mayGoOn || runs >= settings.attemptsMax || sends >= maxSends()) {
+      return loss === 'failed' && !hasBegun ? passFailure(attempt) : fail(`lost: ${loss}`);
+    }
+    // An engine that could not be reached has got no request; all others draw on the budget.
+    if (loss !== 'not_sent' && !settings.budget.tryTake()) {
+      return loss === 'failed' && !hasBegun
+        ? passFailure(attempt)
+        : fail('the retry budget is used up');
+    }
+    const copyAtId = canUseCopy(loss) ? attempt.placed?.copyAtId : undefined;
+    return send(copyAtId, loss);
+  }
+
+  function maxSends(): number {
+    return settings.attemptsMax * SENDS_PER_ATTEMPT;
+  }
+
+  function passFailure(attempt: LiveAttempt): ForwardStreamEffect[] {
+    hasEnded = true;
+    return [{ kind: 'pass_failure', attemptNo: attempt.attemptNo }];
+  }
+
+  /** A copy exists once the engine had the request; one that could not be used is gone. */
+  function canUseCopy(loss: AttemptLoss): boolean {
+    switch (loss) {
+      case 'reset':
+      case 'silent':
+      case 'garbled':
+        return true;
+      case 'not_sent':
+      case 'rejected':
+      case 'no_copy':
+      case 'failed':
+        return false;
+      default:
+        return assertNever(loss);
+    }
+  }
+
+  function onEvents(
+    attempt: LiveAttempt,
+    events: readonly StreamEvent[],
+    nowMs: number,
+  ): ForwardStreamEffect[] {
+    const effects: ForwardStreamEffect[] = [];
+    for (const event of events) {
+      const verdict = sequence.accept(event.id);
+      if (verdict === 'gap') {
+        effects.push({ kind: 'cancel', attemptNo: attempt.attemptNo, loss: 'garbled' });
+        return [...effects, ...next(attempt, 'garbled', nowMs)];
+      }
+      attempt.hasEvents = true;
+      isDoubted = false;
+      pace.onToken(nowMs);
+      if (verdict === 'next') {
+        if (!hasBegun) effects.push({ kind: 'begin', attemptNo: attempt.attemptNo });
+        hasBegun = true;
+        effects.push({ kind: 'deliver', event });
+      }
+    }
+    return effects;
+  }
+
+  /** When the live attempt counts as silent. */
+  function silentAtMs(): number {
+    if (live?.placed === undefined) return Infinity;
+    if (!live.hasEvents) return live.sentAtMs + firstWaitMs(live, live.placed);
+    const atMs = pace.silentAtMs();
+    if (!isDoubted) return atMs;
+    return Math.min(atMs, pace.lastAtMs() + settings.gapTargetMs * DOUBT_RATIO);
+  }
+
+  /**
+   * A prompt that takes longer than expected is given up while reading it elsewhere would still be
+   * on time; later it is only given up after a long wait, because both would then be late.
+   */
+  function firstWaitMs(attempt: LiveAttempt, placed: PlacedAttempt): number {
+    if (attempt.isFromCopy && hasBegun) return COPY_WAIT_MS;
+    const expectedMs = placed.expectedFirstMs;
+    const waitMs = Math.max(FIRST_WAIT_MIN_MS, expectedMs * FIRST_WAIT_FACTOR);
+    const leftMs = settings.startedAtMs + settings.targetMs - attempt.sentAtMs - expectedMs;
+    const isStillOnTime = leftMs >= waitMs;
+    return isStillOnTime ? waitMs : Math.max(waitMs, settings.targetMs);
+  }
+
+  function onTick(nowMs: number): ForwardStreamEffect[] {
+    if (nowMs >= settings.deadlineAtMs) return fail('the deadline passed');
+    if (live === undefined) {
+      if (replaceAtMs === undefined || nowMs < replaceAtMs) return [];
+      return send(undefined, lastCause);
+    }
+    if (nowMs < silentAtMs()) return [];
+    const silent = live;
+    return [
+      { kind: 'cancel', attemptNo: silent.attemptNo, loss: 'silent' },
+      ...next(silent, 'silent', nowMs),
+    ];
+  }
+
+  function onUnplaced(message: string, nowMs: number): ForwardStreamEffect[] {
+    live = undefined;
+    // Engines that lost the stream may have restarted; better one of them than none.
+    excluded.clear();
+    const isHopeless = sends >= maxSends() || nowMs + REPLACE_DELAY_MS >= settings.deadlineAtMs;
+    if (!hasBegun || isHopeless) return fail(message);
+    replaceAtMs = nowMs + REPLACE_DELAY_MS;
+    return [];
+  }
+
+  function onLive(
+    attempt: LiveAttempt,
+    event: Exclude<ForwardStreamEvent, { kind: 'tick' | 'doubt' }>,
+    nowMs: number,
+  ): ForwardStreamEffect[] {
+    switch (event.kind) {
+      case 'placed':
+        attempt.placed = event.placed;
+        attempt.sentAtMs = nowMs;
+        pace.onAttempt(nowMs, sends === 1);
+        return [];
+      case 'unplaced':
+        return onUnplaced(event.message, nowMs);
+      case 'head':
+        attempt.isHeadSeen = true;
+        return [];
+      case 'events':
+        return onEvents(attempt, event.events, nowMs);
+      case 'end': {
+        runs += 1;
+        live = undefined;
+        hasEnded = true;
+        const begin: ForwardStreamEffect[] = hasBegun
+          ? []
+          : [{ kind: 'begin', attemptNo: attempt.attemptNo }];
+        hasBegun = true;
+        return [...begin, { kind: 'finish' }];
+      }
+      case 'lost':
+        return next(attempt, event.loss, nowMs);
+      default:
+        return assertNever(event);
+    }
+  }
+
+  return {
+    start: () => {
+      settings.budget.onRequest();
+      return send(undefined, 'first');
+    },
+    on: (event, nowMs) => {
+      if (hasEnded) return [];
+      switch (event.kind) {
+        case 'tick':
+          return onTick(nowMs);
+        case 'doubt':
+          isDoubted = true;
+          return onTick(nowMs);
+        case 'placed':
+        case 'unplaced':
+        case 'head':
+        case 'events':
+        case 'end':
+        case 'lost':
+          // Attempts that were given up no longer count.
+          if (live?.attemptNo !== event.attemptNo) return [];
+          return onLive(live, event, nowMs);
+        default:
+          return assertNever(event);
+      }
+    },
+    wakeAtMs: () => {
+      if (hasEnded) return undefined;
+      return Math.min(settings.deadlineAtMs, replaceAtMs ?? Infinity, silentAtMs());
+    },
+    hasBegun: () => hasBegun,
+    runs: () => runs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/forward/table.ts
@@ -0,0 +1,74 @@
+import type { CustomerId, ServiceName } from '../ids';
+import type {
+  ForwardConfig,
+  ForwardCustomer,
+  ForwardRoute,
+  ForwardService,
+  RouteTarget,
+} from './types';
+
+/** Lookups in one configuration. */
+export interface ForwardTable {
+  readonly config: ForwardConfig;
+  readonly match: (host: string, path: string) => ForwardRoute | undefined;
+  readonly customerOf: (key: string) => ForwardCustomer | undefined;
+  readonly service: (name: ServiceName) => ForwardService | undefined;
+}
+
+/** Who a request belongs to. */
+export type AccessOutcome =
+  | { readonly kind: 'customer'; readonly customerId: CustomerId }
+  | { readonly kind: 'open' }
+  | { readonly kind: 'denied' };
+
+export function createForwardTable(config: ForwardConfig): ForwardTable {
+  const byHost = new Map<string, ForwardRoute[]>();
+  config.routes.forEach((route) => {
+    const host = route.host.toLowerCase();
+    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+  });
+  byHost.forEach((routes) => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
+  const byKey = new Map<string, ForwardCustomer>();
+  config.customers?.forEach((customer) => {
+    customer.keys.forEach((key) => byKey.set(key, customer));
+  });
+  const services = new Map(config.services.map((service) => [service.name, service]));
+
+  return {
+    config,
+    match: (host, path) => {
+      const pathOnly = path.split('?', 1)[0] ?? '';
+      const routes = byHost.get(hostName(host)) ?? [];
+      return routes.find((route) => pathOnly.startsWith(route.pathPrefix));
+    },
+    customerOf: (key) => byKey.get(key),
+    service: (name) => services.get(name),
+  };
+}
+
+/** Decides whose request it is; a key that no customer holds is denied. */
+export function checkAccess(
+  table: ForwardTable,
+  route: ForwardRoute,
+  key: string | undefined,
+): AccessOutcome {
+  if (table.config.customers === undefined) return { kind: 'open' };
+  const customer = key === undefined ? undefined : table.customerOf(key);
+  if (customer !== undefined) return { kind: 'customer', customerId: customer.customerId };
+  return route.isPublic ? { kind: 'open' } : { kind: 'denied' };
+}
+
+/** Picks a route's service in proportion to the weights; `draw` is in [0, 1). */
+export function pickTarget(targets: readonly RouteTarget[], draw: number): ServiceName | undefined {
+  const totalWeight = targets.reduce((sum, target) => sum + target.weight, 0);
+  let left = draw * totalWeight;
+  for (const target of targets) {
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return targets.find((target) => target.weight > 0)?.service;
+}
+
+function hostName(host: string): string {
+  return (host.split(':', 1)[0] ?? '').toLowerCase();
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -276,3 +276,51 @@
 export type { EngineReport, LoadEntry } from './member/load-entry';
 export { findReaders, findTreePlace } from './member/tree';
 export type { TreeMember, TreePlace } from './member/tree';
+
+// forwarded traffic
+export { createForwardTable, checkAccess, pickTarget } from './forward/table';
+export type { AccessOutcome, ForwardTable } from './forward/table';
+export { createKnowledge } from './forward/knowledge';
+export type { ClockCheck, FreshnessBounds, Knowledge } from './forward/knowledge';
+export { createEventSequence, createEventSplitter } from './forward/events';
+export type { EventSequence, EventSplitter, SequenceVerdict, StreamEvent } from './forward/events';
+export { createDirectory } from './forward/directory';
+export type { Directory } from './forward/directory';
+export { createFleet } from './forward/fleet';
+export type {
+  FailureNews,
+  Fleet,
+  FleetChange,
+  ServerBelief,
+  ServerFailure,
+  ServerLoadReport,
+} from './forward/fleet';
+export { createPlacer } from './forward/placement';
+export type {
+  CallPlacementInput,
+  Placer,
+  StreamPlacement,
+  StreamPlacementInput,
+} from './forward/placement';
+export { createForwardStream } from './forward/stream';
+export type {
+  AttemptLoss,
+  ForwardStream,
+  ForwardStreamEffect,
+  ForwardStreamEvent,
+  ForwardStreamSettings,
+  PlacedAttempt,
+} from './forward/stream';
+export type {
+  CallerLimits,
+  CallHead,
+  EngineMeans,
+  ForwardConfig,
+  ForwardCustomer,
+  ForwardRoute,
+  ForwardServer,
+  ForwardService,
+  RouteKind,
+  RouteName,
+  RouteTarget,
+} from './forward/types';
--- a/packages/core/src/stream/pace.ts
+++ b/packages/core/src/stream/pace.ts
@@ -20,6 +20,8 @@
   /** An attempt was sent: the wait for its first token is not a gap. */
   readonly onAttempt: (nowMs: number, isFirst: boolean) => void;
   readonly meanGapMs: () => number;
+  /** Time of the last token, or of the send that it is awaited from. */
+  readonly lastAtMs: () => number;
   /** Time from which the attempt counts as silent; Infinity until it has been sent. */
   readonly silentAtMs: () => number;
 }
@@ -66,6 +68,7 @@
       lastMs = nowMs;
     },
     meanGapMs: () => meanMs,
+    lastAtMs: () => lastMs,
     silentAtMs: () => (isPlacing ? Infinity : lastMs + allowedMs()),
   };
 }
--- /dev/null
+++ b/packages/router/src/forward/call.ts
@@ -0,0 +1,278 @@
+import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
+import { createAlarm, createDeferred } from '../call/async';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Exchange } from '@mimosamill/adapters';
+import type {
+  CallResult,
+  DirectCallEffect,
+  LatencyWindow,
+  SendCause,
+  ServerAnswer,
+  ServerId,
+} from '@mimosamill/core';
+import type { ForwardPorts, ForwardRequest } from './ports';
+
+/** A server's whole answer. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Uint8Array;
+}
+
+export interface RunningCall {
+  readonly result: Promise<CallResult<WholeAnswer>>;
+  /** The caller left: the servers are told to stop. */
+  readonly abandon: () => void;
+}
+
+/** Forwards calls that are answered as a whole. */
+export interface ForwardCalls {
+  readonly run: (request: ForwardRequest) => RunningCall;
+}
+
+/** An idempotent call with one of these goes to another server, if it may. */
+const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
+const SERVER_ERROR = 500;
+const SUCCESS_END = 300;
+/** A second attempt starts once the first is slower than this part of recent calls. */
+const HEDGE_QUANTILE = 0.95;
+const LATENCY_PERIOD_MS = 10_000;
+/** Part of the route's target after which a call is hedged while too few calls were measured. */
+const HEDGE_TARGET_RATIO = 0.5;
+/** Answers are held as a whole, so that one that breaks off never looks complete. */
+const ANSWER_MAX_BYTES = 16_777_216;
+/** A connection that is not made by then is given up; nothing has been sent on it. */
+const CONNECT_WAIT_MS = 300;
+
+export function createForwardCalls(ports: ForwardPorts): ForwardCalls {
+  const latencies = new Map<string, LatencyWindow>();
+
+  function latenciesOf(route: string): LatencyWindow {
+    const known = latencies.get(route);
+    if (known !== undefined) return known;
+    const created = createLatencyWindow(LATENCY_PERIOD_MS);
+    latencies.set(route, created);
+    return created;
+  }
+
+  return { run: (request) => runCall(ports, request, latenciesOf(request.route.name)) };
+}
+
+function runCall(
+  ports: ForwardPorts,
+  request: ForwardRequest,
+  latencies: LatencyWindow,
+): RunningCall {
+  const { clock, fleet, decisions } = ports;
+  const { head, route } = request;
+  const result = createDeferred<CallResult<WholeAnswer>>();
+  const excluded = new Set<ServerId>();
+  const cancels = new Map<number, () => void>();
+  const alarm = createAlarm(clock, () => apply(call.on({ kind: 'tick' }, clock.monotonicMs())));
+  const startedAtMs = clock.monotonicMs();
+  const hedgeDelayMs =
+    latencies.quantileMs(HEDGE_QUANTILE, startedAtMs) ?? route.targetMs * HEDGE_TARGET_RATIO;
+
+  const call = createDirectCall<WholeAnswer>({
+    isIdempotent: route.kind === 'idempotent',
+    deadlineAtMs: request.deadlineAtMs,
+    hedgeAtMs: startedAtMs + hedgeDelayMs,
+    budget: ports.budgetOf(request.service.name),
+    attemptsMax: route.attemptsMax,
+    retriedStatuses: RETRIED_STATUSES,
+  });
+
+  function apply(effects: readonly DirectCallEffect<WholeAnswer>[]): void {
+    effects.forEach(perform);
+    alarm.set(call.wakeAtMs());
+  }
+
+  function perform(effect: DirectCallEffect<WholeAnswer>): void {
+    switch (effect.kind) {
+      case 'send':
+        send(effect.attemptNo, effect.cause);
+        return;
+      case 'cancel':
+        cancels.get(effect.attemptNo)?.();
+        return;
+      case 'answer':
+        result.resolve(effect.result);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  function feed(attemptNo: number, answer: ServerAnswer<WholeAnswer>): void {
+    apply(call.on({ kind: 'answer', attemptNo, answer }, clock.monotonicMs()));
+  }
+
+  /** Another server than those of earlier attempts, as long as there is one. */
+  function pick(nowMs: number): ServerId | undefined {
+    const input = { service: request.service.name, route: route.name };
+    const fresh = ports.placer.placeCall({ ...input, excluded }, nowMs, ports.random);
+    return fresh ?? ports.placer.placeCall({ ...input, excluded: new Set() }, nowMs, ports.random);
+  }
+
+  function send(attemptNo: number, cause: SendCause): void {
+    const nowMs = clock.monotonicMs();
+    const serverId = pick(nowMs);
+    const belief = serverId === undefined ? undefined : fleet.get(serverId);
+    if (serverId === undefined || belief === undefined) {
+      // After the effects in hand: the core expects answers one at a time.
+      queueMicrotask(() => feed(attemptNo, { kind: 'not_sent', message: 'no server is listed' }));
+      return;
+    }
+    excluded.add(serverId);
+    ports.counters.onSend(route.kind, cause);
+    if (cause !== 'first') {
+      decisions.notable('call.retry', {
+        request: head.requestId,
+        attempt: attemptNo,
+        cause,
+        server: serverId,
+        elapsed_ms: Math.round(nowMs - request.receivedAtMs),
+      });
+    }
+    sendTo(attemptNo, serverId, belief.server.address, nowMs);
+  }
+
+  function sendTo(attemptNo: number, serverId: ServerId, address: string, sentAtMs: number): void {
+    const chunks: Uint8Array[] = [];
+    let sizeBytes = 0;
+    let answer: { status: number; headers: IncomingHttpHeaders } | undefined;
+    const open: { exchange?: Exchange } = {};
+    let isOver = false;
+
+    function finish(outcome: ServerAnswer<WholeAnswer>, loss: string): void {
+      if (isOver) return;
+      isOver = true;
+      cancelConnect();
+      cancels.delete(attemptNo);
+      fleet.onEnd(serverId, head.requestId, 0);
+      note(outcome);
+      if (outcome.kind !== 'ok') {
+        ports.counters.onLoss(loss);
+        decisions.notable('call.attempt_lost', {
+          request: head.requestId,
+          attempt: attemptNo,
+          server: serverId,
+          loss,
+          took_ms: Math.round(clock.monotonicMs() - sentAtMs),
+        });
+      }
+      feed(attemptNo, outcome);
+    }
+
+    function note(outcome: ServerAnswer<WholeAnswer>): void {
+      const nowMs = clock.monotonicMs();
+      const tookMs = nowMs - sentAtMs;
+      if (outcome.kind === 'ok' && outcome.status < SERVER_ERROR) latencies.record(tookMs, nowMs);
+      if (outcome.kind === 'not_sent' || outcome.kind === 'rejected') return;
+      const isSuccess = outcome.kind === 'ok' && outcome.status < SERVER_ERROR;
+      const slownessRatio = tookMs / Math.max(1, route.targetMs / 2);
+      fleet.judge.onResult(serverId, route.name, { isSuccess, slownessRatio }, nowMs);
+    }
+
+    function onHead(status: number, headers: IncomingHttpHeaders): void {
+      const nowMs = clock.monotonicMs();
+      const said = ports.dialect.readAnswer(status, headers);
+      fleet.onSign(serverId, nowMs);
+      if (said.load !== undefined) fleet.onLoad(serverId, said.load, nowMs);
+      if (said.isMisdirected) {
+        fleet.onFailure(serverId, 'misdirected', nowMs);
+        finish({ kind: 'not_sent', message: 'another server has the address' }, 'misdirected');
+        return;
+      }
+      const isOurs = said.requestId === head.requestId || (said.isNotRun && !said.requestId);
+      if (!isOurs) {
+        open.exchange?.cancel();
+        finish({ kind: 'unknown' }, 'stray_answer');
+        return;
+      }
+      if (said.isNotRun) {
+        finish({ kind: 'rejected' }, 'rejected');
+        return;
+      }
+      const isSuccess = status < SUCCESS_END;
+      if (isSuccess && (said.isEncoded || !said.isSigned)) {
+        open.exchange?.cancel();
+        finish({ kind: 'unknown' }, 'garbled');
+        return;
+      }
+      answer = { status, headers };
+    }
+
+    const cancelConnect = clock.after(CONNECT_WAIT_MS, () => {
+      open.exchange?.cancel();
+      fleet.onFailure(serverId, 'refused', clock.monotonicMs());
+      finish({ kind: 'not_sent', message: 'no connection' }, 'no_connection');
+    });
+    cancels.set(attemptNo, () => {
+      if (isOver) return;
+      isOver = true;
+      cancelConnect();
+      cancels.delete(attemptNo);
+      fleet.onEnd(serverId, head.requestId, 0);
+      const nowMs = clock.monotonicMs();
+      // Slow enough for a hedge that won; without this a slow server would never look slow.
+      const slownessRatio = (nowMs - sentAtMs) / Math.max(1, route.targetMs / 2);
+      fleet.judge.onResult(serverId, route.name, { isSuccess: true, slownessRatio }, nowMs);
+      open.exchange?.cancel();
+    });
+    fleet.onSent(serverId, head.requestId, 0, sentAtMs);
+    open.exchange = ports.upstream.send(
+      {
+        address,
+        method: head.method,
+        path: head.path,
+        headers: ports.dialect.requestHeaders(request.rawHeaders, {
+          requestId: head.requestId,
+          budgetMs: request.deadlineAtMs - sentAtMs,
+          serverId,
+          customerId: request.customerId,
+          lastEventId: head.lastEventId,
+          copyAtAddress: undefined,
+          goesOnFrom: undefined,
+          isUrgent: false,
+        }),
+        body: request.body,
+      },
+      {
+        onSent: () => cancelConnect(),
+        onHead,
+        onData: (bytes) => {
+          if (isOver) return;
+          sizeBytes += bytes.length;
+          chunks.push(bytes);
+          if (sizeBytes <= ANSWER_MAX_BYTES) return;
+          open.exchange?.cancel();
+          finish({ kind: 'unknown' }, 'answer_too_large');
+        },
+        onEnd: () => {
+          if (answer === undefined) {
+            finish({ kind: 'unknown' }, 'no_answer');
+            return;
+          }
+          const body = Buffer.concat(chunks);
+          finish({ kind: 'ok', status: answer.status, body: { ...answer, body } }, '');
+        },
+        onFailure: (failure, message) => {
+          const nowMs = clock.monotonicMs();
+          fleet.onFailure(serverId, failure === 'not_sent' ? 'refused' : 'reset', nowMs);
+          if (failure === 'not_sent') finish({ kind: 'not_sent', message }, 'no_connection');
+          else finish({ kind: 'unknown' }, 'broken');
+        },
+      },
+    );
+  }
+
+  apply(call.start(startedAtMs));
+  return {
+    result: result.promise,
+    abandon: () => {
+      alarm.set(undefined);
+      [...cancels.values()].forEach((cancel) => cancel());
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/forward/counters.ts
@@ -0,0 +1,49 @@
+import type { Metrics } from '@mimosamill/adapters';
+
+/** Counters and histograms of forwarded traffic; no label takes values from requests. */
+export interface ForwardCounters {
+  readonly onAnswer: (kind: string, outcome: string, tookMs: number) => void;
+  readonly onSend: (kind: string, cause: string) => void;
+  readonly onLoss: (loss: string) => void;
+  readonly onFirstEvent: (tookMs: number) => void;
+  readonly onResumeGap: (gapMs: number) => void;
+}
+
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
+const GAP_BUCKETS_MS = [50, 100, 200, 300, 400, 500, 600, 700, 1_000, 2_000, 4_000];
+
+export function createForwardCounters(metrics: Metrics): ForwardCounters {
+  const answers = metrics.histogram(
+    'mimosamill_forward_answer_ms',
+    'Time from a request to the end of its answer in milliseconds',
+    LATENCY_BUCKETS_MS,
+    ['kind', 'outcome'],
+  );
+  const sends = metrics.counter(
+    'mimosamill_forward_sends_total',
+    'Attempts sent to backend servers, by what caused them',
+    ['kind', 'cause'],
+  );
+  const losses = metrics.counter(
+    'mimosamill_forward_losses_total',
+    'Attempts that ended without finishing their request',
+    ['loss'],
+  );
+  const firstEvents = metrics.histogram(
+    'mimosamill_forward_first_event_ms',
+    'Time from a stream request to its first event in milliseconds',
+    LATENCY_BUCKETS_MS,
+  );
+  const gaps = metrics.histogram(
+    'mimosamill_forward_resume_gap_ms',
+    'Pause between the events before and after a stream moved, in milliseconds',
+    GAP_BUCKETS_MS,
+  );
+  return {
+    onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
+    onSend: (kind, cause) => sends.inc({ kind, cause }),
+    onLoss: (loss) => losses.inc({ loss }),
+    onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
+    onResumeGap: (gapMs) => gaps.observe(gapMs),
+  };
+}
--- /dev/null
+++ b/packages/router/src/forward/dialect.ts
@@ -0,0 +1,69 @@
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import type {
+  CallHead,
+  CustomerId,
+  RequestId,
+  ServeError,
+  ServerId,
+  ServerLoadReport,
+} from '@mimosamill/core';
+
+export type HeadOutcome =
+  | { readonly kind: 'ok'; readonly head: CallHead }
+  | { readonly kind: 'invalid'; readonly message: string };
+
+/** Copy of a run's memory that an attempt goes on from. */
+export interface CopySource {
+  /** Address of the engine that holds the copy. */
+  readonly address: string;
+  readonly requestId: RequestId;
+}
+
+/** What the system tells a backend server about a request. */
+export interface SendTerms {
+  readonly requestId: RequestId;
+  /** Time after which the server is to stop. */
+  readonly budgetMs: number;
+  /** Server for which the request is meant; another one at the address refuses it. */
+  readonly serverId: ServerId;
+  readonly customerId: CustomerId | undefined;
+  /** Last event that the caller has; undefined for a stream from the start. */
+  readonly lastEventId: number | undefined;
+  /** Engine that is to keep a copy of the run's memory. */
+  readonly copyAtAddress: string | undefined;
+  readonly goesOnFrom: CopySource | undefined;
+  /** A stream that has begun goes before those that have not. */
+  readonly isUrgent: boolean;
+}
+
+/** What a backend server's answer says beside its status and body. */
+export interface AnswerHead {
+  /** Request that the answer belongs to; undefined if it does not say. */
+  readonly requestId: RequestId | undefined;
+  /** The server states that it did not run the request. */
+  readonly isNotRun: boolean;
+  /** Another server has the address. */
+  readonly isMisdirected: boolean;
+  /** The body is encoded, so it is not what the server made. */
+  readonly isEncoded: boolean;
+  /** The server signs what it has made. */
+  readonly isSigned: boolean;
+  readonly load: ServerLoadReport | undefined;
+}
+
+export interface ErrorAnswer {
+  readonly status: number;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: string;
+}
+
+/** How requests and answers are written on the wire, between callers, the system and servers. */
+export interface ForwardDialect {
+  readonly readHead: (method: string, path: string, headers: IncomingHttpHeaders) => HeadOutcome;
+  /** The caller's header fields, less those of one connection, with the system's own. */
+  readonly requestHeaders: (rawHeaders: readonly string[], terms: SendTerms) => string[];
+  readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
+  /** A server's header fields as the caller gets them. */
+  readonly answerHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
+  readonly errorAnswer: (error: ServeError) => ErrorAnswer;
+}
--- /dev/null
+++ b/packages/router/src/forward/gateway.ts
@@ -0,0 +1,345 @@
+import {
+  asId,
+  createDirectory,
+  createFleet,
+  createForwardTable,
+  createPlacer,
+  createRetryBudget,
+} from '@mimosamill/core';
+import { createHttpShell, createUpstream, sendJson, sendText } from '@mimosamill/adapters';
+import { createAlarm } from '../call/async';
+import { createForwardCalls } from './call';
+import { createForwardCounters } from './counters';
+import { createIngress } from './ingress';
+import { createForwardStreams } from './stream';
+import { createWatch } from './watch';
+import type {
+  Clock,
+  DecisionLog,
+  Hashes,
+  Metrics,
+  RunningProgram,
+  Upstream,
+} from '@mimosamill/adapters';
+import type {
+  Fleet,
+  FleetChange,
+  ForwardServer,
+  ForwardTable,
+  FreshnessBounds,
+  RetryBudget,
+  ServiceName,
+} from '@mimosamill/core';
+import type { ForwardDialect } from './dialect';
+import type { Ingress } from './ingress';
+import type { ForwardPorts } from './ports';
+import type { OperatorRecord } from './records';
+import type { GatewaySettings } from './settings';
+import type { Watch, WatchContext, WatchedTable } from './watch';
+
+/** What surrounds a gateway; each is one adapter of the platform or of the runtime. */
+export interface GatewayEnvironment {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly hashes: Hashes;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly dialect: ForwardDialect;
+  readonly operatorTable: WatchedTable<OperatorRecord>;
+  readonly serverTable: WatchedTable<ForwardServer>;
+}
+
+export interface Gateway extends RunningProgram {
+  /** Takes settings that may change while the process runs. */
+  readonly reload: (settings: GatewaySettings) => void;
+}
+
+/** Part of the revocation bound up to which knowledge is served on; the rest covers clock drift. */
+const SERVE_AGE_RATIO = 0.9;
+const DENY_AGE_RATIO = 0.5;
+/** Waits for changes are this part of the bound on the age of what they bring. */
+const WAIT_REVOKE_RATIO = 0.4;
+const WAIT_CONFIG_RATIO = 0.9;
+const WAIT_SLACK_MS = 450;
+/** Part of the fleet's allowance for repeats that one router uses up on its own. */
+const BUDGET_RATIO_SHARE = 0.6;
+const BUDGET_SLACK_SHARE = 0.12;
+/** A connection is made within a round trip; a lost packet would cost a second. */
+const CONNECT_TIMEOUT_MS = 300;
+const CONNECTIONS_PER_SERVER = 64;
+/** The balancer needs two failed checks, one a second, to take a router out. */
+const DRAIN_NOTICE_MS = 2_600;
+/** Kept of the grace period for closing connections. */
+const STOP_MARGIN_MS = 500;
+const IDLE_CHECK_MS = 50;
+const METRICS_PATH = '/metrics';
+const READY_PATH = '/readyz';
+
+/** Starts a router that forwards callers' own requests. */
+export async function startGateway(
+  initial: GatewaySettings,
+  environment: GatewayEnvironment,
+): Promise<Gateway> {
+  const { clock, decisions, metrics } = environment;
+  let settings = initial;
+  const fleet = createFleet();
+  const directory = createDirectory();
+  const upstream = createUpstream({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    connectionsPerServer: CONNECTIONS_PER_SERVER,
+  });
+  const ports = createPorts(settings, environment, fleet, upstream);
+  const calls = createForwardCalls(ports);
+  const streams = createForwardStreams(ports);
+  let table: ForwardTable | undefined;
+  let isListKnown = false;
+  let isStopping = false;
+  let wasReady = false;
+
+  const operatorWatch: Watch = createWatch(
+    environment.operatorTable,
+    clock,
+    environment.random,
+    decisions,
+    {
+      name: 'operator',
+      waitMs: Math.min(
+        settings.configMs * WAIT_CONFIG_RATIO,
+        (settings.revokeMs ?? Infinity) * WAIT_REVOKE_RATIO,
+      ),
+      slackMs: WAIT_SLACK_MS,
+    },
+    { onRows: onOperatorRows, onLost: () => undefined, onRegained: () => undefined },
+  );
+  const serverWatch: Watch = createWatch(
+    environment.serverTable,
+    clock,
+    environment.random,
+    decisions,
+    { name: 'servers', waitMs: settings.drainMs, slackMs: WAIT_SLACK_MS },
+    { onRows: onServerRows, onLost: () => undefined, onRegained: () => undefined },
+  );
+  const lapse = createAlarm(clock, applyDirectory);
+
+  const ingress: Ingress = createIngress(
+    ports,
+    calls,
+    streams,
+    {
+      table: () => table,
+      ageMs: () => operatorWatch.ageMs(),
+      refresh: () => operatorWatch.refresh(),
+    },
+    { freshness: () => freshnessOf(settings) },
+  );
+
+  function onOperatorRows(rows: ReadonlyMap<string, OperatorRecord>, context: WatchContext): void {
+    rows.forEach((record, key) => {
+      if (record.kind === 'unknown') {
+        decisions.vital('operator.unreadable', { key, problem: record.problem });
+      }
+      if (record.kind === 'config') applyConfig(record.config, context.revision);
+    });
+  }
+
+  function applyConfig(config: ForwardTable['config'], storeRevision: number): void {
+    if (table !== undefined && config.revision <= table.config.revision) return;
+    const before = table?.config.revision;
+    table = createForwardTable(config);
+    ingress.shell.setTimeouts(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
+    decisions.vital('config.applied', {
+      revision: config.revision,
+      before,
+      store_revision: storeRevision,
+      routes: config.routes.length,
+      customers: config.customers?.length,
+    });
+  }
+
+  function onServerRows(rows: ReadonlyMap<string, ForwardServer>, context: WatchContext): void {
+    isListKnown = true;
+    directory.update([...rows.values()], context.sinceOutageMs, clock.monotonicMs());
+    applyDirectory();
+  }
+
+  function applyDirectory(): void {
+    const servers = directory.servers(clock.monotonicMs());
+    noteFleetChange(fleet.setServers(servers));
+    upstream.retain(new Set(servers.map(({ address }) => address)));
+    lapse.set(directory.nextExpiryMs());
+  }
+
+  function noteFleetChange(change: FleetChange): void {
+    const ids = (list: readonly ForwardServer[]): readonly string[] | undefined =>
+      list.length === 0 ? undefined : list.map(({ serverId }) => serverId);
+    const fields = {
+      added: ids(change.added),
+      removed: ids(change.removed),
+      leaving: ids(change.leaving),
+      restarted: ids(change.restarted),
+      store_revision: serverWatch.revision(),
+      age_ms: Math.round(serverWatch.ageMs()),
+    };
+    const hasChange = Object.values(change).some((list: readonly unknown[]) => list.length > 0);
+    if (hasChange) decisions.vital('servers.changed', fields);
+  }
+
+  /** Whether callers should come here, and why not. */
+  function readiness(): string {
+    if (isStopping) return 'stopping';
+    if (table === undefined) return 'no configuration';
+    if (!isListKnown) return 'no list of servers';
+    if (operatorWatch.ageMs() > freshnessOf(settings).serveMaxMs) return 'configuration too old';
+    return 'ready';
+  }
+
+  function checkReadiness(): string {
+    const state = readiness();
+    const isReady = state === 'ready';
+    if (isReady !== wasReady) {
+      const ageMs = operatorWatch.ageMs();
+      decisions.vital('router.readiness', {
+        state,
+        config_revision: table?.config.revision,
+        config_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      });
+    }
+    wasReady = isReady;
+    return state;
+  }
+
+  const readyShell = createHttpShell();
+  readyShell.app.get(READY_PATH, (_req, res) => {
+    const state = checkReadiness();
+    sendJson(res, state === 'ready' ? 200 : 503, { state });
+  });
+  const metricsShell = createHttpShell();
+  metricsShell.app.get(METRICS_PATH, async (_req, res) => {
+    sendText(res, 200, metrics.contentType, await metrics.text());
+  });
+  registerGauges(metrics, fleet, upstream, decisions, streams.count);
+
+  operatorWatch.start();
+  serverWatch.start();
+  await listenOn(ingress.shell.listen, settings.callerAddress);
+  await listenOn(readyShell.listen, settings.readyAddress);
+  await metricsShell.listen(settings.ip, settings.metricsPort);
+  decisions.vital('router.started', {
+    version: PRODUCT_VERSION,
+    node: process.version,
+    ...describeSettings(settings),
+  });
+
+  async function stop(): Promise<void> {
+    const startedAtMs = clock.monotonicMs();
+    isStopping = true;
+    ingress.startDraining();
+    decisions.vital('router.stopping', { active: ingress.activeCount() });
+    const cutAtMs = startedAtMs + settings.graceMs - STOP_MARGIN_MS;
+    const noticedAtMs = startedAtMs + Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2);
+    await waitUntil(clock, () => {
+      const nowMs = clock.monotonicMs();
+      return nowMs >= cutAtMs || (nowMs >= noticedAtMs && ingress.activeCount() === 0);
+    });
+    decisions.vital('router.stopped', {
+      cut: ingress.activeCount(),
+      took_ms: Math.round(clock.monotonicMs() - startedAtMs),
+    });
+    ingress.cutAll();
+    operatorWatch.stop();
+    serverWatch.stop();
+    await Promise.all([
+      ingress.shell.close(),
+      readyShell.close(),
+      metricsShell.close(),
+      upstream.close(),
+    ]);
+  }
+
+  return {
+    stop,
+    reload: (next) => {
+      settings = next;
+      decisions.vital('router.reloaded', describeSettings(next));
+    },
+  };
+}
+
+/** Version of the product, in the line that each process writes at its start. */
+const PRODUCT_VERSION = '0.1.0';
+
+function createPorts(
+  settings: GatewaySettings,
+  environment: GatewayEnvironment,
+  fleet: Fleet,
+  upstream: Upstream,
+): ForwardPorts {
+  const { clock, random, hashes, metrics, decisions, dialect } = environment;
+  const budgets = new Map<ServiceName, RetryBudget>();
+  return {
+    clock,
+    random,
+    fleet,
+    placer: createPlacer(fleet, asId(settings.hostId), hashes.hash32),
+    upstream,
+    dialect,
+    decisions,
+    counters: createForwardCounters(metrics),
+    budgetOf: (service) => {
+      const known = budgets.get(service);
+      if (known !== undefined) return known;
+      const created = createRetryBudget({
+        ratio: settings.retryRatio * BUDGET_RATIO_SHARE,
+        burst: Math.max(1, Math.floor(settings.retrySlack * BUDGET_SLACK_SHARE)),
+      });
+      budgets.set(service, created);
+      return created;
+    },
+  };
+}
+
+function freshnessOf(settings: GatewaySettings): FreshnessBounds {
+  return {
+    serveMaxMs: (settings.revokeMs ?? Infinity) * SERVE_AGE_RATIO,
+    denyMaxMs: settings.configMs * DENY_AGE_RATIO,
+  };
+}
+
+function describeSettings(settings: GatewaySettings): Record<string, string | number | undefined> {
+  return { ...settings };
+}
+
+function registerGauges(
+  metrics: Metrics,
+  fleet: Fleet,
+  upstream: Upstream,
+  decisions: DecisionLog,
+  streamCount: () => number,
+): void {
+  const gauge = metrics.gauge('mimosamill_forward_state', 'Present counts, by what', ['what']);
+  const collect = (): void => {
+    gauge.set({ what: 'streams' }, streamCount());
+    gauge.set({ what: 'connections_opened' }, upstream.openedCount());
+    gauge.set({ what: 'log_lines_dropped' }, decisions.droppedCount());
+    gauge.set({ what: 'servers' }, fleet.total());
+  };
+  Object.assign(gauge, { collect });
+}
+
+function listenOn(
+  listen: (ip: string, port: number) => Promise<number>,
+  address: string,
+): Promise<number> {
+  const [ip = '', port = '0'] = address.split(':');
+  return listen(ip, Number(port));
+}
+
+function waitUntil(clock: Clock, isDone: () => boolean): Promise<void> {
+  return new Promise((resolve) => {
+    const cancel = clock.every(IDLE_CHECK_MS, () => {
+      if (!isDone()) return;
+      cancel();
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/router/src/forward/stream.ts
@@ -0,0 +1,495 @@
+import { assertNever, createEventSplitter, createForwardStream } from '@mimosamill/core';
+import { createAlarm } from '../call/async';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Exchange } from '@mimosamill/adapters';
+import type {
+  AttemptLoss,
+  FailureDomain,
+  ForwardStreamEffect,
+  ForwardStreamEvent,
+  PlacedAttempt,
+  ServeError,
+  ServerFailure,
+  ServerId,
+} from '@mimosamill/core';
+import type { ForwardPorts, ForwardRequest } from './ports';
+
+/** Where a stream's answer goes. */
+export interface StreamSink {
+  readonly begin: (status: number, headers: IncomingHttpHeaders) => void;
+  readonly write: (bytes: Uint8Array) => void;
+  readonly finish: () => void;
+  /** A server's own failure, as a whole. */
+  readonly answer: (status: number, headers: IncomingHttpHeaders, body: Uint8Array) => void;
+  /** An error before the answer has begun. */
+  readonly fail: (error: ServeError) => void;
+  /** The answer has begun and cannot be finished: its connection is closed. */
+  readonly cut: (reason: string) => void;
+}
+
+export interface RunningForwardStream {
+  /** The caller left: the engine is told to stop. */
+  readonly abandon: () => void;
+}
+
+/** Forwards streams, and carries each to its end over engines that fail. */
+export interface ForwardStreams {
+  readonly run: (request: ForwardRequest, sink: StreamSink) => RunningForwardStream;
+  /** Many engines of a failure domain were lost together. */
+  readonly onDoubt: (failureDomain: FailureDomain) => void;
+  readonly count: () => number;
+}
+
+interface LiveStream {
+  readonly engineId: () => ServerId | undefined;
+  readonly feed: (event: ForwardStreamEvent) => void;
+}
+
+/** A failure's body is passed on up to this size. */
+const FAILURE_MAX_BYTES = 65_536;
+const CONNECT_WAIT_MS = 200;
+const SUCCESS_END = 300;
+
+export function createForwardStreams(ports: ForwardPorts): ForwardStreams {
+  const live = new Set<LiveStream>();
+
+  function onDoubt(failureDomain: FailureDomain): void {
+    const nowMs = ports.clock.monotonicMs();
+    [...live].forEach((stream) => {
+      const engineId = stream.engineId();
+      const belief = engineId === undefined ? undefined : ports.fleet.get(engineId);
+      if (belief?.server.failureDomain !== failureDomain) return;
+      if (ports.fleet.isDoubted(belief, nowMs)) stream.feed({ kind: 'doubt' });
+    });
+  }
+
+  return {
+    run: (request, sink) => runStream(ports, request, sink, live, onDoubt),
+    onDoubt,
+    count: () => live.size,
+  };
+}
+
+/** An attempt as the shell keeps it. */
+interface ShellAttempt {
+  readonly attemptNo: number;
+  readonly engineId: ServerId;
+  readonly copyAtId: ServerId | undefined;
+  readonly sentAtMs: number;
+  /** Own prompts that the engine had to read before this one. */
+  readonly isReadAlone: boolean;
+  readonly isFromCopy: boolean;
+  exchange: Exchange | undefined;
+  cancelConnect: () => void;
+  status: number;
+  headers: IncomingHttpHeaders;
+  isFailure: boolean;
+  failureBody: Uint8Array[];
+  failureBytes: number;
+  hasEvents: boolean;
+  isOver: boolean;
+}
+
+function runStream(
+  ports: ForwardPorts,
+  request: ForwardRequest,
+  sink: StreamSink,
+  live: Set<LiveStream>,
+  onDoubt: (failureDomain: FailureDomain) => void,
+): RunningForwardStream {
+  const { clock, fleet, decisions } = ports;
+  const { head, route, service } = request;
+  const { requestId } = head;
+  const attempts = new Map<number, ShellAttempt>();
+  let current: ShellAttempt | undefined;
+  let isOver = false;
+  let lastEventAtMs: number | undefined;
+  let moves = 0;
+  const tokens = head.promptTokens;
+  const alarm = createAlarm(clock, () => feed({ kind: 'tick' }));
+
+  const stream = createForwardStream({
+    startedAtMs: request.receivedAtMs,
+    deadlineAtMs: request.deadlineAtMs,
+    targetMs: route.targetMs,
+    gapTargetMs: route.gapTargetMs,
+    attemptsMax: route.attemptsMax,
+    isResumable: route.isResumable,
+    lastEventId: head.lastEventId,
+    budget: ports.budgetOf(service.name),
+  });
+  const entry: LiveStream = { engineId: () => current?.engineId, feed };
+
+  function feed(event: ForwardStreamEvent): void {
+    if (isOver) return;
+    const nowMs = clock.monotonicMs();
+    stream.on(event, nowMs).forEach(perform);
+    alarm.set(isOver ? undefined : stream.wakeAtMs());
+  }
+
+  function perform(effect: ForwardStreamEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        send(effect);
+        return;
+      case 'cancel':
+        cancel(effect.attemptNo, effect.loss);
+        return;
+      case 'begin':
+        onBegin(effect.attemptNo);
+        return;
+      case 'deliver':
+        sink.write(effect.event.bytes);
+        return;
+      case 'finish':
+        end('complete');
+        sink.finish();
+        return;
+      case 'pass_failure':
+        onPassFailure(effect.attemptNo);
+        return;
+      case 'fail':
+        end('failed', effect.error);
+        if (stream.hasBegun()) sink.cut(effect.error.message);
+        else sink.fail(effect.error);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  function onBegin(attemptNo: number): void {
+    const attempt = attempts.get(attemptNo);
+    if (attempt === undefined) return;
+    ports.counters.onFirstEvent(clock.monotonicMs() - request.receivedAtMs);
+    sink.begin(attempt.status, attempt.headers);
+  }
+
+  function onPassFailure(attemptNo: number): void {
+    const attempt = attempts.get(attemptNo);
+    end('server_failure');
+    if (attempt === undefined) return;
+    sink.answer(attempt.status, attempt.headers, Buffer.concat(attempt.failureBody));
+  }
+
+  function end(outcome: string, error?: ServeError): void {
+    isOver = true;
+    live.delete(entry);
+    alarm.set(undefined);
+    const tookMs = clock.monotonicMs() - request.receivedAtMs;
+    ports.counters.onAnswer('stream', outcome, tookMs);
+    const fields = {
+      request: requestId,
+      route: route.name,
+      outcome,
+      took_ms: Math.round(tookMs),
+      moves,
+      attempts: attempts.size,
+      engine: current?.engineId,
+      reason: error?.message,
+      run: error?.runState,
+    };
+    if (outcome === 'complete') decisions.routine('stream.end', fields);
+    else decisions.notable('stream.end', fields);
+  }
+
+  function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
+    const nowMs = clock.monotonicMs();
+    const means = service.engine;
+    if (means === undefined) {
+      feedLater({ kind: 'unplaced', attemptNo: effect.attemptNo, message: 'no engine service' });
+      return;
+    }
+    const input = {
+      service: service.name,
+      means,
+      promptTokens: tokens,
+      excluded: effect.excluded,
+    };
+    const placement = ports.placer.placeStream(
+      effect.copyAtId === undefined ? input : { ...input, engineId: effect.copyAtId },
+      nowMs,
+      ports.random,
+    );
+    if (placement.kind === 'none') {
+      feedLater({
+        kind: 'unplaced',
+        attemptNo: effect.attemptNo,
+        message: `no engine can take the stream: ${placement.reason}`,
+      });
+      return;
+    }
+    const isFromCopy = effect.copyAtId !== undefined;
+    noteSend(effect, placement, isFromCopy, nowMs);
+    openAttempt(effect, placement, isFromCopy, nowMs);
+  }
+
+  /** The core expects events one at a time, after the effects in hand. */
+  function feedLater(event: ForwardStreamEvent): void {
+    queueMicrotask(() => feed(event));
+  }
+
+  function noteSend(
+    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
+    placed: PlacedAttempt,
+    isFromCopy: boolean,
+    nowMs: number,
+  ): void {
+    ports.counters.onSend('stream', effect.cause);
+    const belief = fleet.get(placed.engineId);
+    const fields = {
+      request: requestId,
+      attempt: effect.attemptNo,
+      cause: effect.cause,
+      engine: placed.engineId,
+      domain: belief?.server.failureDomain,
+      copy_at: placed.copyAtId,
+      from_copy: isFromCopy,
+      after_event: effect.lastEventId,
+      expected_ms: Math.round(placed.expectedFirstMs),
+      own_running: belief?.ownRunning,
+      report_age_ms:
+        belief?.report === undefined ? undefined : Math.round(nowMs - belief.report.atMs),
+      since_event_ms: lastEventAtMs === undefined ? undefined : Math.round(nowMs - lastEventAtMs),
+    };
+    if (effect.cause === 'first') {
+      decisions.routine('stream.place', fields);
+      return;
+    }
+    moves += 1;
+    decisions.notable('stream.move', fields);
+  }
+
+  function openAttempt(
+    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
+    placed: PlacedAttempt,
+    isFromCopy: boolean,
+    nowMs: number,
+  ): void {
+    const engine = fleet.get(placed.engineId);
+    const copyAt = placed.copyAtId === undefined ? undefined : fleet.get(placed.copyAtId);
+    if (engine === undefined) {
+      feedLater({ kind: 'unplaced', attemptNo: effect.attemptNo, message: 'the engine has left' });
+      return;
+    }
+    const attempt: ShellAttempt = {
+      attemptNo: effect.attemptNo,
+      engineId: placed.engineId,
+      copyAtId: placed.copyAtId,
+      sentAtMs: nowMs,
+      isReadAlone: engine.readings.size === 0,
+      isFromCopy,
+      exchange: undefined,
+      cancelConnect: () => undefined,
+      status: 0,
+      headers: {},
+      isFailure: false,
+      failureBody: [],
+      failureBytes: 0,
+      hasEvents: false,
+      isOver: false,
+    };
+    attempts.set(effect.attemptNo, attempt);
+    current = attempt;
+    stream.on({ kind: 'placed', attemptNo: effect.attemptNo, placed }, nowMs);
+    fleet.onSent(placed.engineId, requestId, isFromCopy ? 0 : tokens, nowMs);
+    if (copyAt !== undefined) fleet.onCopy(copyAt.server.serverId, tokens, 1);
+    attempt.cancelConnect = clock.after(CONNECT_WAIT_MS, () => {
+      attempt.exchange?.cancel();
+      lose(attempt, 'not_sent', 'refused');
+    });
+    attempt.exchange = ports.upstream.send(
+      {
+        address: engine.server.address,
+        method: head.method,
+        path: head.path,
+        headers: ports.dialect.requestHeaders(request.rawHeaders, {
+          requestId,
+          budgetMs: request.deadlineAtMs - nowMs,
+          serverId: placed.engineId,
+          customerId: request.customerId,
+          lastEventId: effect.lastEventId,
+          copyAtAddress: copyAt?.server.address,
+          goesOnFrom: isFromCopy ? { address: engine.server.address, requestId } : undefined,
+          isUrgent: stream.hasBegun(),
+        }),
+        body: request.body,
+      },
+      handlerOf(attempt),
+    );
+  }
+
+  function handlerOf(attempt: ShellAttempt) {
+    const splitter = createEventSplitter();
+    return {
+      onSent: () => attempt.cancelConnect(),
+      onHead: (status: number, headers: IncomingHttpHeaders) => onHead(attempt, status, headers),
+      onData: (bytes: Uint8Array) => {
+        if (attempt.isOver) return;
+        if (attempt.isFailure) {
+          keepFailure(attempt, bytes);
+          return;
+        }
+        const events = splitter.push(bytes);
+        if (events === undefined) {
+          attempt.exchange?.cancel();
+          lose(attempt, 'garbled', 'reset');
+          return;
+        }
+        if (events.length > 0) onEvents(attempt, events);
+      },
+      onEnd: () => {
+        if (attempt.isOver) return;
+        if (attempt.isFailure) {
+          lose(attempt, 'failed', undefined);
+          return;
+        }
+        if (attempt.status === 0 || splitter.pendingBytes() > 0) {
+          lose(attempt, 'garbled', 'reset');
+          return;
+        }
+        close(attempt);
+        feed({ kind: 'end', attemptNo: attempt.attemptNo });
+      },
+      onFailure: (failure: 'not_sent' | 'broken', message: string) => {
+        if (failure === 'not_sent') lose(attempt, 'not_sent', 'refused', message);
+        else lose(attempt, 'reset', 'reset', message);
+      },
+    };
+  }
+
+  function onHead(attempt: ShellAttempt, status: number, headers: IncomingHttpHeaders): void {
+    if (attempt.isOver) return;
+    const nowMs = clock.monotonicMs();
+    const said = ports.dialect.readAnswer(status, headers);
+    if (said.load !== undefined) fleet.onLoad(attempt.engineId, said.load, nowMs);
+    if (said.isMisdirected) {
+      lose(attempt, 'not_sent', 'misdirected');
+      return;
+    }
+    fleet.onSign(attempt.engineId, nowMs);
+    const isOurs = said.requestId === requestId || (said.isNotRun && !said.requestId);
+    if (!isOurs) {
+      attempt.exchange?.cancel();
+      lose(attempt, 'garbled', undefined, 'the answer belongs to another request');
+      return;
+    }
+    const isSuccess = status < SUCCESS_END;
+    if (!isSuccess && attempt.isFromCopy) {
+      lose(attempt, 'no_copy', undefined);
+      return;
+    }
+    if (said.isNotRun) {
+      lose(attempt, 'rejected', undefined);
+      return;
+    }
+    if (isSuccess && (said.isEncoded || !said.isSigned)) {
+      attempt.exchange?.cancel();
+      lose(attempt, 'garbled', undefined, 'the answer is not what the engine made');
+      return;
+    }
+    attempt.status = status;
+    attempt.headers = headers;
+    attempt.isFailure = !isSuccess;
+    if (isSuccess) feed({ kind: 'head', attemptNo: attempt.attemptNo });
+  }
+
+  function keepFailure(attempt: ShellAttempt, bytes: Uint8Array): void {
+    attempt.failureBytes += bytes.length;
+    if (attempt.failureBytes <= FAILURE_MAX_BYTES) {
+      attempt.failureBody.push(bytes);
+      return;
+    }
+    attempt.exchange?.cancel();
+    lose(attempt, 'garbled', 'reset');
+  }
+
+  function onEvents(
+    attempt: ShellAttempt,
+    events: Extract<ForwardStreamEvent, { kind: 'events' }>['events'],
+  ): void {
+    const nowMs = clock.monotonicMs();
+    fleet.onSign(attempt.engineId, nowMs);
+    if (!attempt.hasEvents) {
+      attempt.hasEvents = true;
+      fleet.onFirstEvent(attempt.engineId, requestId);
+      if (attempt.isReadAlone && !attempt.isFromCopy) {
+        ports.placer.onRead(tokens, nowMs - attempt.sentAtMs);
+      }
+      if (lastEventAtMs !== undefined) ports.counters.onResumeGap(nowMs - lastEventAtMs);
+    }
+    lastEventAtMs = nowMs;
+    feed({ kind: 'events', attemptNo: attempt.attemptNo, events });
+  }
+
+  /** Ends the bookkeeping of an attempt. */
+  function close(attempt: ShellAttempt): void {
+    if (attempt.isOver) return;
+    attempt.isOver = true;
+    attempt.cancelConnect();
+    fleet.onEnd(attempt.engineId, requestId, attempt.isFromCopy ? 0 : tokens);
+    if (attempt.copyAtId !== undefined) fleet.onCopy(attempt.copyAtId, tokens, -1);
+  }
+
+  function cancel(attemptNo: number, loss: 'silent' | 'garbled' | undefined): void {
+    const attempt = attempts.get(attemptNo);
+    if (attempt === undefined || attempt.isOver) return;
+    attempt.exchange?.cancel();
+    const nowMs = clock.monotonicMs();
+    if (loss === 'silent') noteFailure(attempt, 'silent', nowMs, loss);
+    else if (loss === 'garbled') noteFailure(attempt, 'reset', nowMs, loss);
+    close(attempt);
+  }
+
+  function noteFailure(
+    attempt: ShellAttempt,
+    failure: ServerFailure,
+    nowMs: number,
+    loss: string,
+    message?: string,
+  ): void {
+    const belief = fleet.get(attempt.engineId);
+    const news = fleet.onFailure(attempt.engineId, failure, nowMs);
+    ports.counters.onLoss(loss);
+    decisions.notable('stream.attempt_lost', {
+      request: requestId,
+      attempt: attempt.attemptNo,
+      engine: attempt.engineId,
+      domain: belief?.server.failureDomain,
+      loss,
+      message,
+      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
+      avoid_ms: news.avoidMs,
+    });
+    if (news.doubtedDomain === undefined) return;
+    decisions.vital('domain.doubted', { domain: news.doubtedDomain, request: requestId });
+    const domain = news.doubtedDomain;
+    queueMicrotask(() => onDoubt(domain));
+  }
+
+  function lose(
+    attempt: ShellAttempt,
+    loss: AttemptLoss,
+    failure: ServerFailure | undefined,
+    message?: string,
+  ): void {
+    if (attempt.isOver) return;
+    const nowMs = clock.monotonicMs();
+    close(attempt);
+    if (failure !== undefined) noteFailure(attempt, failure, nowMs, loss, message);
+    else ports.counters.onLoss(loss);
+    feed({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
+  }
+
+  live.add(entry);
+  stream.start().forEach(perform);
+  alarm.set(stream.wakeAtMs());
+  return {
+    abandon: () => {
+      if (isOver) return;
+      isOver = true;
+      if (current !== undefined) cancel(current.attemptNo, undefined);
+      end('abandoned');
+    },
+  };
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -62,3 +62,26 @@
 // load digests
 export { createLoadDigests } from './peer/digest';
 export type { DigestDeps, DigestEngine, LoadDigests } from './peer/digest';
+
+// forwarded traffic
+export { startGateway } from './forward/gateway';
+export type { Gateway, GatewayEnvironment } from './forward/gateway';
+export { gatewaySettingsSchema } from './forward/settings';
+export type { GatewaySettings } from './forward/settings';
+export type {
+  AnswerHead,
+  CopySource,
+  ErrorAnswer,
+  ForwardDialect,
+  HeadOutcome,
+  SendTerms,
+} from './forward/dialect';
+export type { OperatorRecord, VersionOrder } from './forward/records';
+export type {
+  StoreFailure,
+  TableChange,
+  TableChanges,
+  TableContent,
+  TableRow,
+  WatchedTable,
+} from './forward/watch';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,7 +7,13 @@
 
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 
+/** What a deployment runs; `--target` builds only these, into target/. */
+const DEPLOYED = {
+  'platform-router': 'platform/src/main.ts',
+};
+
 const BINARIES = {
+  ...DEPLOYED,
   router: 'packages/router/src/main.ts',
   controller: 'packages/controller/src/main.ts',
   admin: 'packages/admin/src/main.ts',
@@ -23,7 +29,8 @@
   'bench-idle': 'packages/bench/src/member/idle.ts',
 };
 
-const entryPoints = Object.entries(BINARIES)
+const isTarget = process.argv.includes('--target');
+const entryPoints = Object.entries(isTarget ? DEPLOYED : BINARIES)
   .filter(([, file]) => existsSync(join(root, file)))
   .map(([out, file]) => ({ out, in: join(root, file) }));
 
@@ -44,7 +51,7 @@
 
 await build({
   entryPoints,
-  outdir: join(root, 'dist'),
+  outdir: join(root, isTarget ? 'target' : 'dist'),
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['packages/*/test/**/*.spec.ts'],
+    include: ['packages/*/test/**/*.spec.ts', 'platform/test/**/*.spec.ts'],
     pool: 'forks',
     maxWorkers: 4,
     testTimeout: 60_000,
