Share load and lost servers between routers; wait longer for prompts

Ruled out: engine reports (each is charged as a probe and 100 ms old), and the membership protocol over tRPC (1.2 ms of processor time a call).

Change: a router tells the others in datagrams what it has at each engine and which servers it lost; placement counts all routers' prompts. A prompt is given up no sooner than reading it elsewhere would still be on time. A reset of an answer without a length no longer counts as its end (undici takes it as one). A stopping router refuses what would not end before it does, and closes idle connections.

--- /dev/null
+++ b/packages/adapters/src/forward/datagrams.ts
@@ -0,0 +1,37 @@
+import { createSocket } from 'node:dgram';
+
+/** Short messages between routers. One may be lost; the next says all that it said. */
+export interface Datagrams {
+  readonly send: (address: string, bytes: Uint8Array) => void;
+  readonly close: () => void;
+}
+
+/** Binds a socket and hands over each message with its sender's address. */
+export function openDatagrams(
+  ip: string,
+  port: number,
+  onMessage: (bytes: Buffer, from: string) => void,
+): Promise<Datagrams> {
+  const socket = createSocket('udp4');
+  let isClosed = false;
+  socket.on('message', (bytes, from) => onMessage(bytes, `${from.address}:${from.port}`));
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(port, ip, () => {
+      socket.off('error', reject);
+      // An unreachable peer is found by its silence.
+      socket.on('error', () => undefined);
+      resolve({
+        send: (address, bytes) => {
+          if (isClosed) return;
+          const [peerIp = '', peerPort = '0'] = address.split(':');
+          socket.send(bytes, Number(peerPort), peerIp);
+        },
+        close: () => {
+          isClosed = true;
+          socket.close();
+        },
+      });
+    });
+  });
+}
--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,7 +1,8 @@
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
 import { describeError } from '../runtime/fetch';
 import type { Dispatcher } from 'undici';
 import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** A caller's request as it goes to a backend server. */
 export interface UpstreamRequest {
@@ -33,6 +34,8 @@
 /** Connections to backend servers. */
 export interface Upstream {
   readonly send: (request: UpstreamRequest, handler: ExchangeHandler) => Exchange;
+  /** Uses none of the address's present connections for later requests. */
+  readonly renew: (address: string) => void;
   /** Closes the connections to all other addresses once their exchanges have ended. */
   readonly retain: (addresses: ReadonlySet<string>) => void;
   readonly openedCount: () => number;
@@ -52,7 +55,23 @@
 
 export function createUpstream(settings: UpstreamSettings): Upstream {
   const pools = new Map<string, Pool>();
+  const connect = buildConnector({ timeout: settings.connectTimeoutMs });
   let openedCount = 0;
+  /** True while a connection's error is handed to its listeners. */
+  let isResetting = false;
+
+  /**
+   * undici takes an answer without a length as complete when its connection is reset. This listener
+   * runs before undici's own, so that `onResponseEnd` can tell a reset from a proper end.
+   */
+  function watchResets(socket: Socket): void {
+    socket.prependListener('error', () => {
+      isResetting = true;
+      queueMicrotask(() => {
+        isResetting = false;
+      });
+    });
+  }
 
   function poolOf(address: string): Pool {
     const known = pools.get(address);
@@ -65,7 +84,16 @@
       keepAliveTimeout: IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       keepAliveMaxTimeout: IDLE_MAX_MS,
-      connect: { timeout: settings.connectTimeoutMs },
+      connect: (options, callback) => {
+        connect(options, (error, socket) => {
+          if (error === null) {
+            watchResets(socket);
+            callback(null, socket);
+            return;
+          }
+          callback(error, null);
+        });
+      },
     });
     pool.on('connect', () => {
       openedCount += 1;
@@ -107,6 +135,10 @@
           if (!isOver) handler.onData(chunk);
         },
         onResponseEnd: () => {
+          if (isResetting) {
+            failOnce('broken', 'the connection was reset before the answer ended');
+            return;
+          }
           if (isOver) return;
           isOver = true;
           handler.onEnd();
@@ -133,6 +165,11 @@
         void pool.close();
       });
     },
+    renew: (address) => {
+      const pool = pools.get(address);
+      pools.delete(address);
+      void pool?.close();
+    },
     openedCount: () => openedCount,
     close: async () => {
       const all = [...pools.values()];
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -117,3 +117,5 @@
   DecisionWeight,
   LineSink,
 } from './forward/decisions';
+export { openDatagrams } from './forward/datagrams';
+export type { Datagrams } from './forward/datagrams';
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -1,6 +1,7 @@
 import { createOutlierJudge } from '../route/outlier';
 import type { OutlierJudge } from '../route/outlier';
 import type { FailureDomain, RequestId, ServerId, ServiceName } from '../ids';
+import type { OwnLoad } from './peers';
 import type { ForwardServer } from './types';
 
 /** Load as a server reports it, of all callers together. */
@@ -66,6 +67,14 @@
   /** Bytes arrived from the server. */
   readonly onSign: (serverId: ServerId, nowMs: number) => void;
   readonly onFailure: (serverId: ServerId, failure: ServerFailure, nowMs: number) => FailureNews;
+  /** Another router lost the server; undefined if that changes nothing here. */
+  readonly onPeerFailure: (
+    serverId: ServerId,
+    failure: ServerFailure,
+    atMs: number,
+  ) => FailureNews | undefined;
+  /** What this router has at each server. */
+  readonly ownLoads: (nowMs: number, msPerToken: number) => OwnLoad[];
   /** Whether many servers of the domain were lost together, and this one gave no sign since. */
   readonly isDoubted: (belief: ServerBelief, nowMs: number) => boolean;
   readonly judge: OutlierJudge;
@@ -179,8 +188,40 @@
     return { avoidMs, doubtedDomain: noteDomain(belief.server, nowMs) };
   }
 
+  /** A sign of life that is newer than the peer's loss outweighs it. */
+  function onPeerFailure(
+    serverId: ServerId,
+    failure: ServerFailure,
+    atMs: number,
+  ): FailureNews | undefined {
+    const belief = beliefs.get(serverId);
+    if (belief === undefined || belief.lastSignMs > atMs) return undefined;
+    if (belief.lastFailure !== undefined && belief.lastFailure.atMs >= atMs) return undefined;
+    belief.lastFailure = { kind: failure, atMs };
+    const avoidMs = AVOID_MS[failure];
+    belief.avoidUntilMs = Math.max(belief.avoidUntilMs, atMs + avoidMs);
+    return { avoidMs, doubtedDomain: noteDomain(belief.server, atMs) };
+  }
+
+  function ownLoads(nowMs: number, msPerToken: number): OwnLoad[] {
+    const loads: OwnLoad[] = [];
+    beliefs.forEach((belief, serverId) => {
+      if (belief.ownRunning === 0 && belief.ownCopies === 0) return;
+      loads.push({
+        serverId,
+        running: belief.ownRunning,
+        readingMs: readingLeftMs(belief, nowMs, msPerToken),
+        copies: belief.ownCopies,
+        tokens: belief.ownTokens,
+      });
+    });
+    return loads;
+  }
+
   return {
     setServers,
+    onPeerFailure,
+    ownLoads,
     get: (serverId) => beliefs.get(serverId),
     usable: (service) => (byService.get(service) ?? []).filter(({ server }) => !server.isLeaving),
     total: () => beliefs.size,
@@ -230,6 +271,15 @@
   };
 }
 
+/** Time until a server has read the prompts that this router sent it. */
+export function readingLeftMs(belief: ServerBelief, nowMs: number, msPerToken: number): number {
+  let leftMs = 0;
+  belief.readings.forEach(({ tokens, sentAtMs }) => {
+    leftMs += Math.max(0, tokens * msPerToken - (nowMs - sentAtMs));
+  });
+  return leftMs;
+}
+
 function createBelief(server: ForwardServer): ServerBelief {
   return {
     server,
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -1,7 +1,9 @@
 import { rankByRendezvous } from '../hash/rendezvous';
+import { readingLeftMs } from './fleet';
 import type { Hash32 } from '../hash/rendezvous';
 import type { HostId, ServerId, ServiceName } from '../ids';
 import type { Fleet, ServerBelief } from './fleet';
+import type { PeerBook } from './peers';
 import type { EngineMeans } from './types';
 
 /** What the choice of an engine depends on, beside the fleet. */
@@ -64,7 +66,7 @@
  * Routers rank the engines differently, and each prefers the front of its own ranking by up to this
  * much: two routers that choose at the same time then seldom choose the same engine.
  */
-const RANK_COST_MS = 400;
+const RANK_COST_MS = 100;
 const JITTER_MS = 30;
 /** An avoided server is only used when all others are worse by this much. */
 const AVOID_COST_MS = 20_000;
@@ -81,7 +83,7 @@
 const CALL_QUEUE_COST_MS = 100;
 const CALL_JITTER_MS = 20;
 
-export function createPlacer(fleet: Fleet, hostId: HostId, hash: Hash32): Placer {
+export function createPlacer(fleet: Fleet, book: PeerBook, hostId: HostId, hash: Hash32): Placer {
   let msPerToken = FIRST_MS_PER_TOKEN;
   const ranks = new Map<
     ServiceName,
@@ -108,24 +110,17 @@
     return avoidMs + doubtMs + lapsedMs;
   }
 
-  /** Time until the engine has read the prompts that this router sent it. */
-  function readingMs(belief: ServerBelief, nowMs: number): number {
-    let leftMs = 0;
-    belief.readings.forEach(({ tokens, sentAtMs }) => {
-      leftMs += Math.max(0, tokens * msPerToken - (nowMs - sentAtMs));
-    });
-    return leftMs;
-  }
-
   function engineCostMs(belief: ServerBelief, input: StreamPlacementInput, nowMs: number): number {
-    const running = belief.ownRunning + othersRunning(belief, nowMs);
-    const tokens = belief.ownTokens + input.promptTokens;
+    const peers = book.loadAt(belief.server.serverId, nowMs);
+    const running = belief.ownRunning + peers.running;
+    const tokens = belief.ownTokens + peers.tokens + input.promptTokens;
     const isFull = tokens > input.means.memoryTokens * MEMORY_FILL_RATIO;
     const isOutOfSlots = running >= input.means.slots;
     return (
-      readingMs(belief, nowMs) +
+      readingLeftMs(belief, nowMs, msPerToken) +
+      peers.readingMs +
       running * RUNNING_COST_MS +
-      belief.ownCopies * COPY_COST_MS +
+      (belief.ownCopies + peers.copies) * COPY_COST_MS +
       (isFull || isOutOfSlots ? FULL_COST_MS : 0) +
       distrustMs(belief, nowMs)
     );
@@ -192,7 +187,10 @@
         kind: 'ok',
         engineId: engine.server.serverId,
         copyAtId: placeCopy(engine, input, nowMs, random),
-        expectedFirstMs: BASE_FIRST_MS + readingMs(engine, nowMs) + input.promptTokens * msPerToken,
+        expectedFirstMs:
+          BASE_FIRST_MS +
+          readingLeftMs(engine, nowMs, msPerToken) +
+          input.promptTokens * msPerToken,
       };
     },
     placeCall: (input, nowMs, random) => {
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -93,9 +93,16 @@
 const SILENCE_MAX_RATIO = 0.6;
 /** The same once many servers of the engine's failure domain were lost. */
 const DOUBT_RATIO = 0.2;
-/** Wait for the first event, as a multiple of the expected one. */
+/**
+ * Wait for the first event, as a multiple of the expected one. Prompts of other routers may be ahead
+ * in the engine, so a prompt is given up no sooner than reading it elsewhere would be on time.
+ */
 const FIRST_WAIT_FACTOR = 1.7;
+const REREAD_FACTOR = 1.25;
+const REREAD_MARGIN_MS = 300;
 const FIRST_WAIT_MIN_MS = 400;
+/** Wait for a sign of an engine that reads a prompt, once its failure domain seems lost. */
+const DOUBT_READ_MS = 150;
 /** Wait for the first event of an attempt that goes on from a copy. */
 const COPY_WAIT_MS = 900;
 /** Wait before engines are looked for again when none could be used. */
@@ -132,7 +139,7 @@
   let runs = 0;
   let hasBegun = false;
   let hasEnded = false;
-  let isDoubted = false;
+  let doubtedAtMs: number | undefined;
   let replaceAtMs: number | undefined;
   let lastCause: AttemptLoss | 'first' = 'first';
   let wasUnknown = false;
@@ -143,7 +150,7 @@
   ): ForwardStreamEffect[] {
     sends += 1;
     lastCause = cause;
-    isDoubted = false;
+    doubtedAtMs = undefined;
     replaceAtMs = undefined;
     live = {
       attemptNo: sends,
@@ -205,7 +212,7 @@
         ? passFailure(attempt)
         : fail('the retry budget is used up');
     }
-    const copyAtId = canUseCopy(loss) ? attempt.placed?.copyAtId : undefined;
+    const copyAtId = canUseCopy(attempt, loss) ? attempt.placed?.copyAtId : undefined;
     return send(copyAtId, loss);
   }
 
@@ -218,8 +225,9 @@
     return [{ kind: 'pass_failure', attemptNo: attempt.attemptNo }];
   }
 
-  /** A copy exists once the engine had the request; one that could not be used is gone. */
-  function canUseCopy(loss: AttemptLoss): boolean {
+  /** Engines copy what they run, not what they still read; a copy that was refused is gone. */
+  function canUseCopy(attempt: LiveAttempt, loss: AttemptLoss): boolean {
+    if (!attempt.hasEvents) return false;
     switch (loss) {
       case 'reset':
       case 'silent':
@@ -248,7 +256,7 @@
         return [...effects, ...next(attempt, 'garbled', nowMs)];
       }
       attempt.hasEvents = true;
-      isDoubted = false;
+      doubtedAtMs = undefined;
       pace.onToken(nowMs);
       if (verdict === 'next') {
         if (!hasBegun) effects.push({ kind: 'begin', attemptNo: attempt.attemptNo });
@@ -262,23 +270,23 @@
   /** When the live attempt counts as silent. */
   function silentAtMs(): number {
     if (live?.placed === undefined) return Infinity;
-    if (!live.hasEvents) return live.sentAtMs + firstWaitMs(live, live.placed);
+    if (!live.hasEvents) {
+      const atMs = live.sentAtMs + firstWaitMs(live, live.placed);
+      return doubtedAtMs === undefined ? atMs : Math.min(atMs, doubtedAtMs + DOUBT_READ_MS);
+    }
     const atMs = pace.silentAtMs();
-    if (!isDoubted) return atMs;
+    if (doubtedAtMs === undefined) return atMs;
     return Math.min(atMs, pace.lastAtMs() + settings.gapTargetMs * DOUBT_RATIO);
   }
 
-  /**
-   * A prompt that takes longer than expected is given up while reading it elsewhere would still be
-   * on time; later it is only given up after a long wait, because both would then be late.
-   */
   function firstWaitMs(attempt: LiveAttempt, placed: PlacedAttempt): number {
     if (attempt.isFromCopy && hasBegun) return COPY_WAIT_MS;
     const expectedMs = placed.expectedFirstMs;
-    const waitMs = Math.max(FIRST_WAIT_MIN_MS, expectedMs * FIRST_WAIT_FACTOR);
-    const leftMs = settings.startedAtMs + settings.targetMs - attempt.sentAtMs - expectedMs;
-    const isStillOnTime = leftMs >= waitMs;
-    return isStillOnTime ? waitMs : Math.max(waitMs, settings.targetMs);
+    const shortestMs = Math.max(FIRST_WAIT_MIN_MS, expectedMs * FIRST_WAIT_FACTOR);
+    const rereadMs = expectedMs * REREAD_FACTOR + REREAD_MARGIN_MS;
+    const latestMs = settings.startedAtMs + settings.targetMs - rereadMs - attempt.sentAtMs;
+    // Once neither engine would be on time, the one that has begun to read is the better one.
+    return latestMs >= shortestMs ? latestMs : Math.max(shortestMs, settings.targetMs);
   }
 
   function onTick(nowMs: number): ForwardStreamEffect[] {
@@ -351,7 +359,7 @@
         case 'tick':
           return onTick(nowMs);
         case 'doubt':
-          isDoubted = true;
+          doubtedAtMs = nowMs;
           return onTick(nowMs);
         case 'placed':
         case 'unplaced':
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -295,6 +295,8 @@
   ServerFailure,
   ServerLoadReport,
 } from './forward/fleet';
+export { createPeerBook } from './forward/peers';
+export type { OwnLoad, PeerBook, PeerFailure, PeerLoad, PeerNews } from './forward/peers';
 export { createPlacer } from './forward/placement';
 export type {
   CallPlacementInput,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -206,6 +206,7 @@
     const cancelConnect = clock.after(CONNECT_WAIT_MS, () => {
       open.exchange?.cancel();
       fleet.onFailure(serverId, 'refused', clock.monotonicMs());
+      ports.news.onFailure(serverId, 'refused');
       finish({ kind: 'not_sent', message: 'no connection' }, 'no_connection');
     });
     cancels.set(attemptNo, () => {
@@ -260,6 +261,8 @@
         onFailure: (failure, message) => {
           const nowMs = clock.monotonicMs();
           fleet.onFailure(serverId, failure === 'not_sent' ? 'refused' : 'reset', nowMs);
+          // A reset may be about one call; only a refused connection says that the server is lost.
+          if (failure === 'not_sent') ports.news.onFailure(serverId, 'refused');
           if (failure === 'not_sent') finish({ kind: 'not_sent', message }, 'no_connection');
           else finish({ kind: 'unknown' }, 'broken');
         },
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -3,18 +3,28 @@
   createDirectory,
   createFleet,
   createForwardTable,
+  createPeerBook,
   createPlacer,
   createRetryBudget,
 } from '@mimosamill/core';
-import { createHttpShell, createUpstream, sendJson, sendText } from '@mimosamill/adapters';
+import {
+  createHttpShell,
+  createUpstream,
+  openDatagrams,
+  sendJson,
+  sendText,
+} from '@mimosamill/adapters';
 import { createAlarm } from '../call/async';
 import { createForwardCalls } from './call';
 import { createForwardCounters } from './counters';
+import { createHosts } from './hosts';
 import { createIngress } from './ingress';
+import { createNews } from './news';
 import { createForwardStreams } from './stream';
 import { createWatch } from './watch';
 import type {
   Clock,
+  Datagrams,
   DecisionLog,
   Hashes,
   Metrics,
@@ -32,6 +42,7 @@
 } from '@mimosamill/core';
 import type { ForwardDialect } from './dialect';
 import type { Ingress } from './ingress';
+import type { RouterTable } from './hosts';
 import type { ForwardPorts } from './ports';
 import type { OperatorRecord } from './records';
 import type { GatewaySettings } from './settings';
@@ -47,6 +58,9 @@
   readonly dialect: ForwardDialect;
   readonly operatorTable: WatchedTable<OperatorRecord>;
   readonly serverTable: WatchedTable<ForwardServer>;
+  readonly routerTable: RouterTable;
+  /** Differs at each start of the process. */
+  readonly lifeId: string;
 }
 
 export interface Gateway extends RunningProgram {
@@ -88,7 +102,33 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     connectionsPerServer: CONNECTIONS_PER_SERVER,
   });
-  const ports = createPorts(settings, environment, fleet, upstream);
+  const book = createPeerBook();
+  const placer = createPlacer(fleet, book, asId(settings.hostId), environment.hashes.hash32);
+  const peerAddress = `${settings.ip}:${settings.peerPort}`;
+  const hosts = createHosts(environment.routerTable, clock, environment.random, decisions, {
+    hostId: asId(settings.hostId),
+    peerAddress,
+  });
+  const socket: { datagrams?: Datagrams } = {};
+  const news = createNews(
+    {
+      hostId: asId(settings.hostId),
+      failureDomain: asId(settings.failureDomain),
+      lifeId: environment.lifeId,
+    },
+    {
+      clock,
+      decisions,
+      fleet,
+      book,
+      peers: hosts,
+      datagrams: () => socket.datagrams,
+      onDoubt: (failureDomain) => streams.onDoubt(failureDomain),
+      onServerLost: (serverId) => streams.onServerLost(serverId),
+      msPerToken: placer.msPerToken,
+    },
+  );
+  const ports = createPorts(settings, environment, { fleet, placer, upstream, news });
   const calls = createForwardCalls(ports);
   const streams = createForwardStreams(ports);
   let table: ForwardTable | undefined;
@@ -217,10 +257,14 @@
   metricsShell.app.get(METRICS_PATH, async (_req, res) => {
     sendText(res, 200, metrics.contentType, await metrics.text());
   });
-  registerGauges(metrics, fleet, upstream, decisions, streams.count);
+  registerGauges(metrics, fleet, upstream, decisions, streams.count, () =>
+    book.count(clock.monotonicMs()),
+  );
 
+  socket.datagrams = await openDatagrams(settings.ip, settings.peerPort, news.onMessage);
   operatorWatch.start();
   serverWatch.start();
+  hosts.start();
   await listenOn(ingress.shell.listen, settings.callerAddress);
   await listenOn(readyShell.listen, settings.readyAddress);
   await metricsShell.listen(settings.ip, settings.metricsPort);
@@ -233,27 +277,21 @@
   async function stop(): Promise<void> {
     const startedAtMs = clock.monotonicMs();
     isStopping = true;
-    ingress.startDraining();
-    decisions.vital('router.stopping', { active: ingress.activeCount() });
     const cutAtMs = startedAtMs + settings.graceMs - STOP_MARGIN_MS;
     const noticedAtMs = startedAtMs + Math.min(DRAIN_NOTICE_MS, settings.graceMs / 2);
-    await waitUntil(clock, () => {
-      const nowMs = clock.monotonicMs();
-      return nowMs >= cutAtMs || (nowMs >= noticedAtMs && ingress.activeCount() === 0);
-    });
+    ingress.startDraining(cutAtMs);
+    decisions.vital('router.stopping', { active: ingress.activeCount() });
+    await waitUntil(clock, () => clock.monotonicMs() >= noticedAtMs);
+    await ingress.stopAccepting(cutAtMs - clock.monotonicMs());
     decisions.vital('router.stopped', {
-      cut: ingress.activeCount(),
       took_ms: Math.round(clock.monotonicMs() - startedAtMs),
     });
-    ingress.cutAll();
     operatorWatch.stop();
     serverWatch.stop();
-    await Promise.all([
-      ingress.shell.close(),
-      readyShell.close(),
-      metricsShell.close(),
-      upstream.close(),
-    ]);
+    hosts.stop();
+    news.stop();
+    socket.datagrams?.close();
+    await Promise.all([readyShell.close(), metricsShell.close(), upstream.close()]);
   }
 
   return {
@@ -271,17 +309,14 @@
 function createPorts(
   settings: GatewaySettings,
   environment: GatewayEnvironment,
-  fleet: Fleet,
-  upstream: Upstream,
+  parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'upstream' | 'news'>,
 ): ForwardPorts {
-  const { clock, random, hashes, metrics, decisions, dialect } = environment;
+  const { clock, random, metrics, decisions, dialect } = environment;
   const budgets = new Map<ServiceName, RetryBudget>();
   return {
     clock,
     random,
-    fleet,
-    placer: createPlacer(fleet, asId(settings.hostId), hashes.hash32),
-    upstream,
+    ...parts,
     dialect,
     decisions,
     counters: createForwardCounters(metrics),
@@ -315,6 +350,7 @@
   upstream: Upstream,
   decisions: DecisionLog,
   streamCount: () => number,
+  peerCount: () => number,
 ): void {
   const gauge = metrics.gauge('mimosamill_forward_state', 'Present counts, by what', ['what']);
   const collect = (): void => {
@@ -322,6 +358,7 @@
     gauge.set({ what: 'connections_opened' }, upstream.openedCount());
     gauge.set({ what: 'log_lines_dropped' }, decisions.droppedCount());
     gauge.set({ what: 'servers' }, fleet.total());
+    gauge.set({ what: 'peers' }, peerCount());
   };
   Object.assign(gauge, { collect });
 }
--- /dev/null
+++ b/packages/router/src/forward/hosts.ts
@@ -0,0 +1,124 @@
+import type { Clock, DecisionLog } from '@mimosamill/adapters';
+import type { HostId } from '@mimosamill/core';
+import type { PeerDirectory } from './news';
+
+/** A router as the platform's store lists it. */
+export interface ListedRouter {
+  readonly hostId: HostId;
+  readonly peerAddress: string;
+  /** Revision of its row. */
+  readonly revision: number;
+}
+
+/** Where routers list themselves, so that they find each other. */
+export interface RouterTable {
+  /** Writes this router's own row; false if it may not have been written. */
+  readonly announce: (self: Omit<ListedRouter, 'revision'>) => Promise<boolean>;
+  readonly list: () => Promise<readonly ListedRouter[] | undefined>;
+  /** Removes a row unless it has changed since it was read. */
+  readonly remove: (router: ListedRouter) => Promise<void>;
+}
+
+export interface HostsSettings {
+  readonly hostId: HostId;
+  readonly peerAddress: string;
+}
+
+export interface Hosts extends PeerDirectory {
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+/** Reads after the start: the routers of a new installation announce themselves at the same time. */
+const FIRST_READS_MS = [700, 3_000];
+const READ_PERIOD_MS = 30_000;
+const READ_JITTER_MS = 5_000;
+const ANNOUNCE_RETRY_MS = 500;
+/** A listed router that says nothing for so long has been replaced. */
+const GONE_AFTER_MS = 90_000;
+/** An address that was only heard from is kept while messages come. */
+const HEARD_LIFE_MS = 10_000;
+
+export function createHosts(
+  table: RouterTable,
+  clock: Clock,
+  random: () => number,
+  decisions: DecisionLog,
+  settings: HostsSettings,
+): Hosts {
+  const heardAtMs = new Map<string, number>();
+  const listedSinceMs = new Map<string, number>();
+  let listed: readonly ListedRouter[] = [];
+  let cancel = (): void => undefined;
+  let isStopped = false;
+
+  function later(delayMs: number, step: () => Promise<void>): void {
+    if (isStopped) return;
+    cancel = clock.after(delayMs, () => {
+      void step();
+    });
+  }
+
+  async function announce(): Promise<void> {
+    const isWritten = await table.announce(settings);
+    if (!isWritten) {
+      later(ANNOUNCE_RETRY_MS * (1 + random()), announce);
+      return;
+    }
+    later(FIRST_READS_MS[0] ?? READ_PERIOD_MS, () => read(1));
+  }
+
+  async function read(round: number): Promise<void> {
+    const routers = await table.list();
+    if (routers !== undefined) await onListed(routers);
+    const delayMs = FIRST_READS_MS[round] ?? READ_PERIOD_MS + READ_JITTER_MS * random();
+    later(delayMs, () => read(round + 1));
+  }
+
+  async function onListed(routers: readonly ListedRouter[]): Promise<void> {
+    const nowMs = clock.monotonicMs();
+    const before = listed.length;
+    listed = routers.filter(({ hostId }) => hostId !== settings.hostId);
+    listed.forEach(({ peerAddress }) => {
+      if (!listedSinceMs.has(peerAddress)) listedSinceMs.set(peerAddress, nowMs);
+    });
+    if (listed.length !== before) decisions.vital('routers.listed', { count: listed.length });
+    // Another router may have taken this one for gone while it was cut off.
+    const isListed = routers.some(({ hostId }) => hostId === settings.hostId);
+    if (!isListed) await table.announce(settings);
+    const gone = listed.find((router) => isGone(router, nowMs));
+    if (gone === undefined) return;
+    decisions.vital('router.forgotten', { router: gone.hostId, address: gone.peerAddress });
+    await table.remove(gone);
+  }
+
+  function isGone(router: ListedRouter, nowMs: number): boolean {
+    const sinceMs = heardAtMs.get(router.peerAddress) ?? listedSinceMs.get(router.peerAddress);
+    return sinceMs !== undefined && nowMs - sinceMs > GONE_AFTER_MS;
+  }
+
+  function addresses(): string[] {
+    const nowMs = clock.monotonicMs();
+    const known = new Set(listed.map(({ peerAddress }) => peerAddress));
+    heardAtMs.forEach((atMs, address) => {
+      if (nowMs - atMs <= HEARD_LIFE_MS) known.add(address);
+      else if (!known.has(address)) heardAtMs.delete(address);
+    });
+    known.delete(settings.peerAddress);
+    return [...known];
+  }
+
+  return {
+    start: () => {
+      void announce();
+    },
+    stop: () => {
+      isStopped = true;
+      cancel();
+    },
+    addresses,
+    onHeard: (address) => {
+      heardAtMs.set(address, clock.monotonicMs());
+    },
+  };
+}
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -30,10 +30,13 @@
 /** Takes callers' requests. */
 export interface Ingress {
   readonly shell: HttpShell;
-  /** From now on each answer asks its caller to use another connection. */
-  readonly startDraining: () => void;
-  /** Ends what is still running: the platform is about to kill the process. */
-  readonly cutAll: () => void;
+  /**
+   * From now on each answer asks its caller to use another connection, and what would not end by
+   * `cutAtMs` is refused.
+   */
+  readonly startDraining: (cutAtMs: number) => void;
+  /** Takes no more connections, and closes each one that becomes idle. */
+  readonly stopAccepting: (timeoutMs: number) => Promise<void>;
   readonly activeCount: () => number;
 }
 
@@ -52,6 +55,10 @@
 const STALE_RETRY_RATIO = 0.5;
 /** Bytes that a caller may leave unread before its stream is cut. */
 const UNREAD_MAX_BYTES = 4_194_304;
+/** Another router is ready for what this one refuses because it is stopping. */
+const STOPPING_RETRY_MS = 50;
+/** Times vary; a request that is cut is worse than one that goes elsewhere. */
+const STOPPING_MARGIN_RATIO = 1.3;
 
 export function createIngress(
   ports: ForwardPorts,
@@ -61,8 +68,9 @@
   settings: IngressSettings,
 ): Ingress {
   const { clock, dialect, decisions, counters } = ports;
-  const active = new Set<() => void>();
-  let isDraining = false;
+  const active = new Set<ServerResponse>();
+  /** Set once the router is stopping. */
+  let drainUntilMs: number | undefined;
 
   const shell = createHttpShell({ ...DEFAULT_HTTP_LIMITS, maxHeaderBytes: 65_536 }, (req, res) => {
     void handle(req, res);
@@ -70,7 +78,7 @@
 
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const receivedAtMs = clock.monotonicMs();
-    if (isDraining) res.setHeader('connection', 'close');
+    if (drainUntilMs !== undefined) res.setHeader('connection', 'close');
     const outcome = dialect.readHead(req.method ?? 'GET', req.url ?? '/', req.headers);
     if (outcome.kind === 'invalid') {
       refuse(res, undefined, createServeError('bad_request', outcome.message), receivedAtMs);
@@ -148,6 +156,9 @@
     if (ports.fleet.usable(service.name).length === 0) {
       return refused('no_backend', 'no server of the service is listed', RETRY_AFTER_START_MS);
     }
+    if (!endsInTime(route, receivedAtMs)) {
+      return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
+    }
     const budgetMs = Math.min(route.timeoutMs, head.budgetMs ?? Infinity);
     return {
       kind: 'ok',
@@ -164,6 +175,13 @@
     };
   }
 
+  /** Whether a request of the route would probably end before the router does. */
+  function endsInTime(route: ForwardRoute, nowMs: number): boolean {
+    if (drainUntilMs === undefined) return true;
+    const expectedMs = route.kind === 'stream' ? streams.meanMs() : route.targetMs;
+    return nowMs + expectedMs * STOPPING_MARGIN_RATIO < drainUntilMs;
+  }
+
   function refused(code: ServeError['code'], message: string, retryAfterMs?: number): Admission {
     return { kind: 'refused', error: createServeError(code, message, 'not_run', retryAfterMs) };
   }
@@ -231,13 +249,9 @@
 
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
     const running = calls.run(request);
-    const onCut = (): void => {
-      running.abandon();
-      res.destroy();
-    };
-    active.add(onCut);
+    active.add(res);
     res.once('close', () => {
-      active.delete(onCut);
+      active.delete(res);
       if (!res.writableEnded) {
         running.abandon();
         noteCall(request, 'abandoned');
@@ -286,13 +300,9 @@
 
   function serveStream(request: ForwardRequest, res: ServerResponse): void {
     const running = streams.run(request, createSink(res));
-    const onCut = (): void => {
-      running.abandon();
-      res.destroy();
-    };
-    active.add(onCut);
+    active.add(res);
     res.once('close', () => {
-      active.delete(onCut);
+      active.delete(res);
       if (!res.writableEnded) running.abandon();
     });
   }
@@ -315,10 +325,10 @@
 
   return {
     shell,
-    startDraining: () => {
-      isDraining = true;
+    startDraining: (cutAtMs) => {
+      drainUntilMs = cutAtMs;
     },
-    cutAll: () => [...active].forEach((cut) => cut()),
+    stopAccepting: (timeoutMs) => shell.drain(timeoutMs),
     activeCount: () => active.size,
   };
 }
--- /dev/null
+++ b/packages/router/src/forward/news.ts
@@ -0,0 +1,189 @@
+import { asId } from '@mimosamill/core';
+import { Packr } from 'msgpackr';
+import type { Clock, Datagrams, DecisionLog } from '@mimosamill/adapters';
+import type {
+  FailureDomain,
+  Fleet,
+  HostId,
+  OwnLoad,
+  PeerBook,
+  PeerFailure,
+  PeerNews,
+  ServerFailure,
+  ServerId,
+} from '@mimosamill/core';
+
+/** Addresses of the other routers. */
+export interface PeerDirectory {
+  readonly addresses: () => readonly string[];
+  /** A message came from an address that may not be listed yet. */
+  readonly onHeard: (address: string) => void;
+}
+
+export interface NewsSettings {
+  readonly hostId: HostId;
+  readonly failureDomain: FailureDomain;
+  readonly lifeId: string;
+}
+
+export interface NewsPorts {
+  readonly clock: Clock;
+  readonly decisions: DecisionLog;
+  readonly fleet: Fleet;
+  readonly book: PeerBook;
+  readonly peers: PeerDirectory;
+  readonly datagrams: () => Datagrams | undefined;
+  readonly onDoubt: (failureDomain: FailureDomain) => void;
+  readonly onServerLost: (serverId: ServerId) => void;
+  readonly msPerToken: () => number;
+}
+
+/** Tells the other routers what this one has at each engine and which servers it lost. */
+export interface News {
+  /** Something changed: the others are told soon. */
+  readonly touch: () => void;
+  readonly onFailure: (serverId: ServerId, failure: ServerFailure) => void;
+  readonly onMessage: (bytes: Buffer, from: string) => void;
+  readonly stop: () => void;
+}
+
+/** Changes within this time go out as one message. */
+const GATHER_MS = 15;
+/** A failure goes out at once, and again with each message for this time. */
+const FAILURE_LIFE_MS = 1_500;
+const HEARTBEAT_MS = 1_000;
+const FORMAT = 1;
+
+/** One message on the wire, in a fixed order of fields to keep it short. */
+type WireNews = [
+  format: number,
+  hostId: string,
+  failureDomain: string,
+  lifeId: string,
+  sequence: number,
+  loads: [string, number, number, number, number][],
+  failures: [string, ServerFailure, number, number][],
+];
+
+interface OwnFailure {
+  readonly serverId: ServerId;
+  readonly failure: ServerFailure;
+  readonly failureNo: number;
+  readonly atMs: number;
+}
+
+export function createNews(settings: NewsSettings, ports: NewsPorts): News {
+  const { clock, fleet, book } = ports;
+  const packr = new Packr({ useRecords: false });
+  let sequence = 0;
+  let failureNo = 0;
+  let failures: OwnFailure[] = [];
+  let cancelGather: (() => void) | undefined;
+  const cancelHeartbeat = clock.every(HEARTBEAT_MS, send);
+
+  function ownLoads(nowMs: number): OwnLoad[] {
+    return fleet.ownLoads(nowMs, ports.msPerToken());
+  }
+
+  function encode(nowMs: number): Uint8Array {
+    sequence += 1;
+    const news: WireNews = [
+      FORMAT,
+      settings.hostId,
+      settings.failureDomain,
+      settings.lifeId,
+      sequence,
+      ownLoads(nowMs).map((load) => [
+        load.serverId,
+        load.running,
+        Math.round(load.readingMs),
+        load.copies,
+        load.tokens,
+      ]),
+      failures.map((failed) => [
+        failed.serverId,
+        failed.failure,
+        failed.failureNo,
+        Math.round(nowMs - failed.atMs),
+      ]),
+    ];
+    return packr.pack(news);
+  }
+
+  function send(): void {
+    cancelGather?.();
+    cancelGather = undefined;
+    const datagrams = ports.datagrams();
+    if (datagrams === undefined) return;
+    const nowMs = clock.monotonicMs();
+    failures = failures.filter(({ atMs }) => nowMs - atMs < FAILURE_LIFE_MS);
+    const bytes = encode(nowMs);
+    ports.peers.addresses().forEach((address) => datagrams.send(address, bytes));
+  }
+
+  function decode(bytes: Buffer): PeerNews | undefined {
+    let wire: WireNews;
+    try {
+      wire = packr.unpack(bytes) as WireNews;
+    } catch {
+      return undefined;
+    }
+    if (!Array.isArray(wire) || wire[0] !== FORMAT) return undefined;
+    const [, hostId, failureDomain, lifeId, newsSequence, loads, lost] = wire;
+    return {
+      hostId: asId(hostId),
+      failureDomain: asId(failureDomain),
+      lifeId,
+      sequence: newsSequence,
+      loads: loads.map(([serverId, running, readingMs, copies, tokens]) => ({
+        serverId: asId(serverId),
+        running,
+        readingMs,
+        copies,
+        tokens,
+      })),
+      failures: lost.map(([serverId, failure, no, ageMs]) => ({
+        serverId: asId(serverId),
+        failure,
+        failureNo: no,
+        ageMs,
+      })),
+    };
+  }
+
+  function onPeerFailure(hostId: HostId, failed: PeerFailure, nowMs: number): void {
+    const found = fleet.onPeerFailure(failed.serverId, failed.failure, nowMs - failed.ageMs);
+    if (found === undefined) return;
+    ports.decisions.notable('server.lost_by_peer', {
+      server: failed.serverId,
+      loss: failed.failure,
+      peer: hostId,
+      age_ms: failed.ageMs,
+      doubted_domain: found.doubtedDomain,
+    });
+    ports.onServerLost(failed.serverId);
+    if (found.doubtedDomain !== undefined) ports.onDoubt(found.doubtedDomain);
+  }
+
+  return {
+    touch: () => {
+      cancelGather ??= clock.after(GATHER_MS, send);
+    },
+    onFailure: (serverId, failure) => {
+      failureNo += 1;
+      failures.push({ serverId, failure, failureNo, atMs: clock.monotonicMs() });
+      send();
+    },
+    onMessage: (bytes, from) => {
+      const news = decode(bytes);
+      if (news === undefined || news.hostId === settings.hostId) return;
+      ports.peers.onHeard(from);
+      const nowMs = clock.monotonicMs();
+      book.onNews(news, nowMs)?.forEach((failed) => onPeerFailure(news.hostId, failed, nowMs));
+    },
+    stop: () => {
+      cancelGather?.();
+      cancelHeartbeat();
+    },
+  };
+}
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -11,6 +11,7 @@
 } from '@mimosamill/core';
 import type { ForwardDialect } from './dialect';
 import type { ForwardCounters } from './counters';
+import type { News } from './news';
 
 /** What forwarding needs from the rest of the process. */
 export interface ForwardPorts {
@@ -22,6 +23,7 @@
   readonly dialect: ForwardDialect;
   readonly decisions: DecisionLog;
   readonly counters: ForwardCounters;
+  readonly news: Pick<News, 'touch' | 'onFailure'>;
   readonly budgetOf: (service: ServiceName) => RetryBudget;
 }
 
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -37,7 +37,11 @@
   readonly run: (request: ForwardRequest, sink: StreamSink) => RunningForwardStream;
   /** Many engines of a failure domain were lost together. */
   readonly onDoubt: (failureDomain: FailureDomain) => void;
+  /** Another router lost an engine. */
+  readonly onServerLost: (serverId: ServerId) => void;
   readonly count: () => number;
+  /** Mean time of a stream from its request to its end. */
+  readonly meanMs: () => number;
 }
 
 interface LiveStream {
@@ -49,9 +53,17 @@
 const FAILURE_MAX_BYTES = 65_536;
 const CONNECT_WAIT_MS = 200;
 const SUCCESS_END = 300;
+/** Mean time of streams until some have ended. */
+const FIRST_MEAN_MS = 5_000;
+const MEAN_SMOOTHING_RATIO = 0.1;
 
 export function createForwardStreams(ports: ForwardPorts): ForwardStreams {
   const live = new Set<LiveStream>();
+  let meanMs = FIRST_MEAN_MS;
+
+  function onComplete(tookMs: number): void {
+    meanMs += MEAN_SMOOTHING_RATIO * (tookMs - meanMs);
+  }
 
   function onDoubt(failureDomain: FailureDomain): void {
     const nowMs = ports.clock.monotonicMs();
@@ -63,13 +75,28 @@
     });
   }
 
+  function onServerLost(serverId: ServerId): void {
+    [...live].forEach((stream) => {
+      if (stream.engineId() === serverId) stream.feed({ kind: 'doubt' });
+    });
+  }
+
   return {
-    run: (request, sink) => runStream(ports, request, sink, live, onDoubt),
+    onServerLost,
+    run: (request, sink) => runStream(ports, request, sink, { live, onDoubt, onComplete }),
     onDoubt,
     count: () => live.size,
+    meanMs: () => meanMs,
   };
 }
 
+/** What a stream shares with the others of the process. */
+interface AllStreams {
+  readonly live: Set<LiveStream>;
+  readonly onDoubt: (failureDomain: FailureDomain) => void;
+  readonly onComplete: (tookMs: number) => void;
+}
+
 /** An attempt as the shell keeps it. */
 interface ShellAttempt {
   readonly attemptNo: number;
@@ -94,9 +121,9 @@
   ports: ForwardPorts,
   request: ForwardRequest,
   sink: StreamSink,
-  live: Set<LiveStream>,
-  onDoubt: (failureDomain: FailureDomain) => void,
+  all: AllStreams,
 ): RunningForwardStream {
+  const { live, onDoubt, onComplete } = all;
   const { clock, fleet, decisions } = ports;
   const { head, route, service } = request;
   const { requestId } = head;
@@ -189,8 +216,10 @@
       reason: error?.message,
       run: error?.runState,
     };
-    if (outcome === 'complete') decisions.routine('stream.end', fields);
-    else decisions.notable('stream.end', fields);
+    if (outcome === 'complete') {
+      onComplete(tookMs);
+      decisions.routine('stream.end', fields);
+    } else decisions.notable('stream.end', fields);
   }
 
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
@@ -294,6 +323,7 @@
     stream.on({ kind: 'placed', attemptNo: effect.attemptNo, placed }, nowMs);
     fleet.onSent(placed.engineId, requestId, isFromCopy ? 0 : tokens, nowMs);
     if (copyAt !== undefined) fleet.onCopy(copyAt.server.serverId, tokens, 1);
+    ports.news.touch();
     attempt.cancelConnect = clock.after(CONNECT_WAIT_MS, () => {
       attempt.exchange?.cancel();
       lose(attempt, 'not_sent', 'refused');
@@ -413,15 +443,28 @@
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
       fleet.onFirstEvent(attempt.engineId, requestId);
+      ports.news.touch();
       if (attempt.isReadAlone && !attempt.isFromCopy) {
         ports.placer.onRead(tokens, nowMs - attempt.sentAtMs);
       }
-      if (lastEventAtMs !== undefined) ports.counters.onResumeGap(nowMs - lastEventAtMs);
+      if (lastEventAtMs !== undefined) noteResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
     lastEventAtMs = nowMs;
     feed({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
+  function noteResumed(attempt: ShellAttempt, gapMs: number, nowMs: number): void {
+    ports.counters.onResumeGap(gapMs);
+    decisions.notable('stream.resumed', {
+      request: requestId,
+      attempt: attempt.attemptNo,
+      engine: attempt.engineId,
+      from_copy: attempt.isFromCopy,
+      gap_ms: Math.round(gapMs),
+      since_send_ms: Math.round(nowMs - attempt.sentAtMs),
+    });
+  }
+
   /** Ends the bookkeeping of an attempt. */
   function close(attempt: ShellAttempt): void {
     if (attempt.isOver) return;
@@ -429,6 +472,7 @@
     attempt.cancelConnect();
     fleet.onEnd(attempt.engineId, requestId, attempt.isFromCopy ? 0 : tokens);
     if (attempt.copyAtId !== undefined) fleet.onCopy(attempt.copyAtId, tokens, -1);
+    ports.news.touch();
   }
 
   function cancel(attemptNo: number, loss: 'silent' | 'garbled' | undefined): void {
@@ -450,7 +494,10 @@
   ): void {
     const belief = fleet.get(attempt.engineId);
     const news = fleet.onFailure(attempt.engineId, failure, nowMs);
+    // A silent engine's other connections are as dead; they would only be found one by one.
+    if (failure === 'silent' && belief !== undefined) ports.upstream.renew(belief.server.address);
     ports.counters.onLoss(loss);
+    ports.news.onFailure(attempt.engineId, failure);
     decisions.notable('stream.attempt_lost', {
       request: requestId,
       attempt: attempt.attemptNo,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -76,6 +76,7 @@
   HeadOutcome,
   SendTerms,
 } from './forward/dialect';
+export type { ListedRouter, RouterTable } from './forward/hosts';
 export type { OperatorRecord, VersionOrder } from './forward/records';
 export type {
   StoreFailure,
