Take losses of a failure domain from new losses only; stop without moving streams

A stopping router moved its streams to other engines after its connections were closed. 421 answers were tried again outside the retry budget.

Change: only the first failure since a sign of life counts, prompts are moved on doubt only while engines are to spare, a server whose address another process has is not used until its entry changes, and such answers draw on the budget. Prompts at one engine are taken as read one after the other.

--- a/packages/core/src/call/direct.ts
+++ b/packages/core/src/call/direct.ts
@@ -26,7 +26,12 @@
 
 export type ServerAnswer<Body = string> =
   | { readonly kind: 'ok'; readonly status: number; readonly body: Body }
-  | { readonly kind: 'not_sent'; readonly message: string }
+  | {
+      readonly kind: 'not_sent';
+      readonly message: string;
+      /** Another process got the call and refused it, which draws on the budget. */
+      readonly hasArrived?: boolean;
+    }
   /** The server got the call and states that it did not run it. */
   | { readonly kind: 'rejected' }
   | { readonly kind: 'unknown' };
@@ -90,10 +95,14 @@
   }
 
   /** A refused connection put no work on a server: the next one is tried outside the budget. */
-  function onNotSent(message: string, nowMs: number): DirectCallEffect<Body>[] {
+  function onNotSent(
+    message: string,
+    hasArrived: boolean,
+    nowMs: number,
+  ): DirectCallEffect<Body>[] {
     unsent += 1;
-    const mayTryNext = unsent < ATTEMPTS_MAX && canSendAgain();
-    if (mayTryNext && nowMs < settings.deadlineAtMs) return send('refused');
+    const isDue = nowMs < settings.deadlineAtMs && unsent < ATTEMPTS_MAX && canSendAgain();
+    if (isDue && (!hasArrived || settings.budget.tryTake())) return send('refused');
     if (live.size > 0) return [];
     return end(fallback ?? noBackend(message));
   }
@@ -112,7 +121,7 @@
         return isFailure ? retryOrEnd(result, true) : end(result);
       }
       case 'not_sent':
-        return onNotSent(answer.message, nowMs);
+        return onNotSent(answer.message, answer.hasArrived === true, nowMs);
       case 'rejected':
         // A call that may have run elsewhere must not end as "not run".
         return retryOrEnd(
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -28,14 +28,21 @@
   server: ForwardServer;
   /** Own requests at the server. */
   ownRunning: number;
+  /** Prompts that are not read yet, in the order of their sends. */
   readonly readings: Map<RequestId, Reading>;
+  /** When the last prompt was read. */
+  lastReadAtMs: number;
   /** Tokens of own streams that run there, or of which it keeps a copy. */
   ownTokens: number;
   ownCopies: number;
   report: (ServerLoadReport & { readonly atMs: number; readonly ownRunning: number }) | undefined;
   avoidUntilMs: number;
   consecutiveFailures: number;
+  /** Another process has the address: the entry names nothing until it changes. */
+  isReplaced: boolean;
   lastFailure: { readonly kind: ServerFailure; readonly atMs: number } | undefined;
+  /** First failure since the last sign of life. */
+  lostAtMs: number | undefined;
   lastSignMs: number;
 }
 
@@ -61,7 +68,7 @@
     tokens: number,
     nowMs: number,
   ) => void;
-  readonly onFirstEvent: (serverId: ServerId, requestId: RequestId) => void;
+  readonly onFirstEvent: (serverId: ServerId, requestId: RequestId, nowMs: number) => void;
   readonly onEnd: (serverId: ServerId, requestId: RequestId, tokens: number) => void;
   readonly onCopy: (serverId: ServerId, tokens: number, delta: 1 | -1) => void;
   /** Bytes arrived from the server. */
@@ -75,6 +82,8 @@
   ) => FailureNews | undefined;
   /** What this router has at each server. */
   readonly ownLoads: (nowMs: number, msPerToken: number) => OwnLoad[];
+  /** Whether enough servers of the service are neither avoided nor doubted. */
+  readonly hasSpare: (service: ServiceName, nowMs: number) => boolean;
   /** Whether many servers of the domain were lost together, and this one gave no sign since. */
   readonly isDoubted: (belief: ServerBelief, nowMs: number) => boolean;
   readonly judge: OutlierJudge;
@@ -93,6 +102,8 @@
 const DOMAIN_DOUBT_RATIO = 0.3;
 const DOMAIN_DOUBT_MIN = 2;
 const DOUBT_MS = 2_000;
+/** Prompts are only moved on doubt while at least this part of the servers could take them. */
+const SPARE_RATIO = 0.4;
 /** First time for which a server is avoided after each kind of failure; it doubles. */
 const AVOID_MS: Readonly<Record<ServerFailure, number>> = {
   refused: 700,
@@ -164,8 +175,7 @@
   function noteDomain(server: ForwardServer, nowMs: number): FailureDomain | undefined {
     const servers = domainServers(server);
     const lost = servers.filter(
-      ({ lastFailure }) =>
-        lastFailure !== undefined && nowMs - lastFailure.atMs <= DOMAIN_WINDOW_MS,
+      ({ lostAtMs }) => lostAtMs !== undefined && nowMs - lostAtMs <= DOMAIN_WINDOW_MS,
     );
     const needed = Math.max(DOMAIN_DOUBT_MIN, Math.ceil(servers.length * DOMAIN_DOUBT_RATIO));
     if (lost.length < needed) return undefined;
@@ -175,6 +185,12 @@
     return isNew ? server.failureDomain : undefined;
   }
 
+  /** A server that fails again and again is one loss, and one that was replaced is none. */
+  function noteLost(belief: ServerBelief, failure: ServerFailure, atMs: number): void {
+    if (failure === 'misdirected') belief.isReplaced = true;
+    else belief.lostAtMs ??= atMs;
+  }
+
   function onFailure(serverId: ServerId, failure: ServerFailure, nowMs: number): FailureNews {
     const belief = beliefs.get(serverId);
     if (belief === undefined) return { avoidMs: 0, doubtedDomain: undefined };
@@ -182,6 +198,7 @@
     const isRepeat = belief.lastFailure !== undefined && nowMs < belief.avoidUntilMs;
     if (!isRepeat) belief.consecutiveFailures += 1;
     belief.lastFailure = { kind: failure, atMs: nowMs };
+    noteLost(belief, failure, nowMs);
     const doubling = 2 ** Math.min(4, Math.max(0, belief.consecutiveFailures - 1));
     const avoidMs = Math.min(AVOID_MAX_MS, AVOID_MS[failure] * doubling);
     belief.avoidUntilMs = Math.max(belief.avoidUntilMs, nowMs + avoidMs);
@@ -198,6 +215,7 @@
     if (belief === undefined || belief.lastSignMs > atMs) return undefined;
     if (belief.lastFailure !== undefined && belief.lastFailure.atMs >= atMs) return undefined;
     belief.lastFailure = { kind: failure, atMs };
+    noteLost(belief, failure, atMs);
     const avoidMs = AVOID_MS[failure];
     belief.avoidUntilMs = Math.max(belief.avoidUntilMs, atMs + avoidMs);
     return { avoidMs, doubtedDomain: noteDomain(belief.server, atMs) };
@@ -218,12 +236,21 @@
     return loads;
   }
 
+  function isDoubted(belief: ServerBelief, nowMs: number): boolean {
+    const sinceMs = doubts.get(domainKey(belief.server));
+    if (sinceMs === undefined || nowMs - sinceMs > DOUBT_MS) return false;
+    return belief.lastSignMs <= sinceMs;
+  }
+
   return {
     setServers,
     onPeerFailure,
     ownLoads,
     get: (serverId) => beliefs.get(serverId),
-    usable: (service) => (byService.get(service) ?? []).filter(({ server }) => !server.isLeaving),
+    usable: (service) =>
+      (byService.get(service) ?? []).filter(
+        ({ server, isReplaced }) => !server.isLeaving && !isReplaced,
+      ),
     total: () => beliefs.size,
     onLoad: (serverId, load, nowMs) => {
       const belief = beliefs.get(serverId);
@@ -237,8 +264,9 @@
       belief.ownTokens += tokens;
       if (tokens > 0) belief.readings.set(requestId, { tokens, sentAtMs: nowMs });
     },
-    onFirstEvent: (serverId, requestId) => {
-      beliefs.get(serverId)?.readings.delete(requestId);
+    onFirstEvent: (serverId, requestId, nowMs) => {
+      const belief = beliefs.get(serverId);
+      if (belief?.readings.delete(requestId) === true) belief.lastReadAtMs = nowMs;
     },
     onEnd: (serverId, requestId, tokens) => {
       const belief = beliefs.get(serverId);
@@ -257,27 +285,38 @@
       const belief = beliefs.get(serverId);
       if (belief === undefined) return;
       belief.lastSignMs = nowMs;
+      belief.lostAtMs = undefined;
       if (belief.avoidUntilMs > nowMs && belief.lastFailure?.kind !== 'reset') return;
       belief.consecutiveFailures = 0;
       belief.avoidUntilMs = 0;
     },
     onFailure,
-    isDoubted: (belief, nowMs) => {
-      const sinceMs = doubts.get(domainKey(belief.server));
-      if (sinceMs === undefined || nowMs - sinceMs > DOUBT_MS) return false;
-      return belief.lastSignMs <= sinceMs;
+    hasSpare: (service, nowMs) => {
+      const all = byService.get(service) ?? [];
+      const spare = all.filter(
+        (belief) =>
+          !belief.isReplaced &&
+          !belief.server.isLeaving &&
+          belief.avoidUntilMs <= nowMs &&
+          !isDoubted(belief, nowMs),
+      );
+      return spare.length >= all.length * SPARE_RATIO;
     },
+    isDoubted,
     judge,
   };
 }
 
-/** Time until a server has read the prompts that this router sent it. */
+/**
+ * Time until a server has read the prompts that this router sent it. An engine reads one prompt
+ * after the other.
+ */
 export function readingLeftMs(belief: ServerBelief, nowMs: number, msPerToken: number): number {
-  let leftMs = 0;
+  let readAtMs = belief.lastReadAtMs;
   belief.readings.forEach(({ tokens, sentAtMs }) => {
-    leftMs += Math.max(0, tokens * msPerToken - (nowMs - sentAtMs));
+    readAtMs = Math.max(readAtMs, sentAtMs) + tokens * msPerToken;
   });
-  return leftMs;
+  return belief.readings.size === 0 ? 0 : Math.max(0, readAtMs - nowMs);
 }
 
 function createBelief(server: ForwardServer): ServerBelief {
@@ -285,12 +324,15 @@
     server,
     ownRunning: 0,
     readings: new Map(),
+    lastReadAtMs: -Infinity,
     ownTokens: 0,
     ownCopies: 0,
     report: undefined,
     avoidUntilMs: 0,
     consecutiveFailures: 0,
+    isReplaced: false,
     lastFailure: undefined,
+    lostAtMs: undefined,
     lastSignMs: -Infinity,
   };
 }
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -70,6 +70,7 @@
 const JITTER_MS = 30;
 /** An avoided server is only used when all others are worse by this much. */
 const AVOID_COST_MS = 20_000;
+const REFUSED_COST_MS = 60_000;
 const DOUBT_COST_MS = 10_000;
 const LAPSED_COST_MS = 15_000;
 /** Cost of a server whose health is the least that still gets traffic. */
@@ -104,7 +105,7 @@
   }
 
   function distrustMs(belief: ServerBelief, nowMs: number): number {
-    const avoidMs = belief.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
+    const avoidMs = belief.avoidUntilMs > nowMs ? avoidCostMs(belief) : 0;
     const doubtMs = fleet.isDoubted(belief, nowMs) ? DOUBT_COST_MS : 0;
     const lapsedMs = belief.server.isUncertain === true ? LAPSED_COST_MS : 0;
     return avoidMs + doubtMs + lapsedMs;
@@ -221,6 +222,10 @@
   };
 }
 
+function avoidCostMs(belief: ServerBelief): number {
+  return belief.lastFailure?.kind === 'refused' ? REFUSED_COST_MS : AVOID_COST_MS;
+}
+
 /** Requests of other routers at the server, as far as the last report tells. */
 function othersRunning(belief: ServerBelief, nowMs: number): number {
   const { report } = belief;
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -10,6 +10,8 @@
 export type AttemptLoss =
   /** No connection: the engine has not seen the request. */
   | 'not_sent'
+  /** Another process has the engine's address, and has not run the request. */
+  | 'misdirected'
   /** The engine said that it has not run the request. */
   | 'rejected'
   /** The engine does not hold the copy that the attempt was to go on from. */
@@ -97,7 +99,7 @@
  * Wait for the first event, as a multiple of the expected one. Prompts of other routers may be ahead
  * in the engine, so a prompt is given up no sooner than reading it elsewhere would be on time.
  */
-const FIRST_WAIT_FACTOR = 1.7;
+const FIRST_WAIT_FACTOR = 2.2;
 const REREAD_FACTOR = 1.25;
 const REREAD_MARGIN_MS = 300;
 const FIRST_WAIT_MIN_MS = 400;
@@ -108,7 +110,13 @@
 /** Wait before engines are looked for again when none could be used. */
 const REPLACE_DELAY_MS = 100;
 /** Sends of one request, those included that reached no engine. */
-const SENDS_PER_ATTEMPT = 3;
+const SENDS_PER_ATTEMPT = 2;
+const NOT_RUN_LOSSES: ReadonlySet<AttemptLoss> = new Set([
+  'not_sent',
+  'misdirected',
+  'rejected',
+  'no_copy',
+]);
 /** Retry-After of a refusal for which no better time is known. */
 const RETRY_AFTER_MS = 1_000;
 
@@ -191,7 +199,7 @@
 
   /** An attempt may have run unless the engine says otherwise; that forbids "not run" later. */
   function noteRun(loss: AttemptLoss): void {
-    if (loss === 'not_sent' || loss === 'rejected' || loss === 'no_copy') return;
+    if (NOT_RUN_LOSSES.has(loss)) return;
     runs += 1;
     wasUnknown = true;
   }
@@ -234,6 +242,7 @@
       case 'garbled':
         return true;
       case 'not_sent':
+      case 'misdirected':
       case 'rejected':
       case 'no_copy':
       case 'failed':
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -181,7 +181,9 @@
       if (said.load !== undefined) fleet.onLoad(serverId, said.load, nowMs);
       if (said.isMisdirected) {
         fleet.onFailure(serverId, 'misdirected', nowMs);
-        finish({ kind: 'not_sent', message: 'another server has the address' }, 'misdirected');
+        ports.news.onFailure(serverId, 'misdirected');
+        const message = 'another server has the address';
+        finish({ kind: 'not_sent', message, hasArrived: true }, 'misdirected');
         return;
       }
       const isOurs = said.requestId === head.requestId || (said.isNotRun && !said.requestId);
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -282,7 +282,9 @@
     ingress.startDraining(cutAtMs);
     decisions.vital('router.stopping', { active: ingress.activeCount() });
     await waitUntil(clock, () => clock.monotonicMs() >= noticedAtMs);
+    const cancelCut = clock.after(cutAtMs - clock.monotonicMs(), ingress.abandonAll);
     await ingress.stopAccepting(cutAtMs - clock.monotonicMs());
+    cancelCut();
     decisions.vital('router.stopped', {
       took_ms: Math.round(clock.monotonicMs() - startedAtMs),
     });
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -37,6 +37,8 @@
   readonly startDraining: (cutAtMs: number) => void;
   /** Takes no more connections, and closes each one that becomes idle. */
   readonly stopAccepting: (timeoutMs: number) => Promise<void>;
+  /** Gives up what is still running. */
+  readonly abandonAll: () => void;
   readonly activeCount: () => number;
 }
 
@@ -68,7 +70,7 @@
   settings: IngressSettings,
 ): Ingress {
   const { clock, dialect, decisions, counters } = ports;
-  const active = new Set<ServerResponse>();
+  const active = new Map<ServerResponse, () => void>();
   /** Set once the router is stopping. */
   let drainUntilMs: number | undefined;
 
@@ -249,7 +251,7 @@
 
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
     const running = calls.run(request);
-    active.add(res);
+    active.set(res, running.abandon);
     res.once('close', () => {
       active.delete(res);
       if (!res.writableEnded) {
@@ -300,7 +302,7 @@
 
   function serveStream(request: ForwardRequest, res: ServerResponse): void {
     const running = streams.run(request, createSink(res));
-    active.add(res);
+    active.set(res, running.abandon);
     res.once('close', () => {
       active.delete(res);
       if (!res.writableEnded) running.abandon();
@@ -329,6 +331,7 @@
       drainUntilMs = cutAtMs;
     },
     stopAccepting: (timeoutMs) => shell.drain(timeoutMs),
+    abandonAll: () => [...active.values()].forEach((abandon) => abandon()),
     activeCount: () => active.size,
   };
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -9,6 +9,7 @@
   ForwardStreamEvent,
   PlacedAttempt,
   ServeError,
+  ServerBelief,
   ServerFailure,
   ServerId,
 } from '@mimosamill/core';
@@ -66,19 +67,25 @@
   }
 
   function onDoubt(failureDomain: FailureDomain): void {
+    const nowMs = ports.clock.monotonicMs();
+    doubtThose((belief) => {
+      const isThere = belief.server.failureDomain === failureDomain;
+      return isThere && ports.fleet.isDoubted(belief, nowMs);
+    });
+  }
+
+  function doubtThose(isMeant: (belief: ServerBelief) => boolean): void {
     const nowMs = ports.clock.monotonicMs();
     [...live].forEach((stream) => {
       const engineId = stream.engineId();
       const belief = engineId === undefined ? undefined : ports.fleet.get(engineId);
-      if (belief?.server.failureDomain !== failureDomain) return;
-      if (ports.fleet.isDoubted(belief, nowMs)) stream.feed({ kind: 'doubt' });
+      if (belief === undefined || !isMeant(belief)) return;
+      if (ports.fleet.hasSpare(belief.server.service, nowMs)) stream.feed({ kind: 'doubt' });
     });
   }
 
   function onServerLost(serverId: ServerId): void {
-    [...live].forEach((stream) => {
-      if (stream.engineId() === serverId) stream.feed({ kind: 'doubt' });
-    });
+    doubtThose(({ server }) => server.serverId === serverId);
   }
 
   return {
@@ -394,7 +401,7 @@
     const said = ports.dialect.readAnswer(status, headers);
     if (said.load !== undefined) fleet.onLoad(attempt.engineId, said.load, nowMs);
     if (said.isMisdirected) {
-      lose(attempt, 'not_sent', 'misdirected');
+      lose(attempt, 'misdirected', 'misdirected');
       return;
     }
     fleet.onSign(attempt.engineId, nowMs);
@@ -442,7 +449,7 @@
     fleet.onSign(attempt.engineId, nowMs);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
-      fleet.onFirstEvent(attempt.engineId, requestId);
+      fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.news.touch();
       if (attempt.isReadAlone && !attempt.isFromCopy) {
         ports.placer.onRead(tokens, nowMs - attempt.sentAtMs);
