--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -42,6 +42,13 @@
     nowMs: number,
     random: () => number,
   ) => StreamPlacement;
+  /** Chooses the engine that keeps a copy of a run at another one. */
+  readonly placeCopy: (
+    engineId: ServerId,
+    input: StreamPlacementInput,
+    nowMs: number,
+    random: () => number,
+  ) => ServerId | undefined;
   readonly placeCall: (
     input: CallPlacementInput,
     nowMs: number,
@@ -194,6 +201,10 @@
           input.promptTokens * msPerToken,
       };
     },
+    placeCopy: (engineId, input, nowMs, random) => {
+      const engine = fleet.get(engineId);
+      return engine === undefined ? undefined : placeCopy(engine, input, nowMs, random);
+    },
     placeCall: (input, nowMs, random) => {
       const open = fleet
         .usable(input.service)
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -36,10 +36,20 @@
   readonly budget: RetryBudget;
 }
 
+/** A copy of a run's memory on another engine, and how engines name it. */
+export interface RunCopy {
+  readonly engineId: ServerId;
+  readonly address: string;
+  readonly id: string;
+  /** The engine of the run makes it only when asked, instead of all the time. */
+  readonly isOnDemand: boolean;
+}
+
 /** Where an attempt went. */
 export interface PlacedAttempt {
   readonly engineId: ServerId;
-  readonly copyAtId: ServerId | undefined;
+  /** Copy that the engine makes while it runs the attempt. */
+  readonly copy: RunCopy | undefined;
   readonly expectedFirstMs: number;
 }
 
@@ -53,6 +63,11 @@
   | { readonly kind: 'lost'; readonly attemptNo: number; readonly loss: AttemptLoss }
   /** Many servers of the engine's failure domain were lost together. */
   | { readonly kind: 'doubt' }
+  /** The engine that kept the copy was lost. */
+  | { readonly kind: 'copy_lost'; readonly engineId: ServerId }
+  /** A copy that was asked for is complete. */
+  | { readonly kind: 'copied'; readonly attemptNo: number; readonly copy: RunCopy }
+  | { readonly kind: 'not_copied'; readonly attemptNo: number }
   | { readonly kind: 'tick' };
 
 export type ForwardStreamEffect =
@@ -60,8 +75,8 @@
       readonly kind: 'send';
       readonly attemptNo: number;
       readonly lastEventId: number | undefined;
-      /** Engine that holds a copy of the run; the attempt goes there. */
-      readonly copyAtId: ServerId | undefined;
+      /** Copy of the run that the attempt goes on from; it goes to the engine that holds it. */
+      readonly goesOnFrom: RunCopy | undefined;
       /** Engines that lost the stream. */
       readonly excluded: ReadonlySet<ServerId>;
       readonly cause: AttemptLoss | 'first';
@@ -72,6 +87,12 @@
       readonly attemptNo: number;
       readonly loss: 'silent' | 'garbled' | undefined;
     }
+  /** Asks the engine of the attempt for a copy of its run: a new one, or what a former one lacks. */
+  | {
+      readonly kind: 'copy';
+      readonly attemptNo: number;
+      readonly renewed: RunCopy | undefined;
+    }
   /** The attempt's status and header fields are the caller's. Once a stream. */
   | { readonly kind: 'begin'; readonly attemptNo: number }
   | { readonly kind: 'deliver'; readonly event: StreamEvent }
@@ -107,6 +128,11 @@
 const DOUBT_READ_MS = 150;
 /** Wait for the first event of an attempt that goes on from a copy. */
 const COPY_WAIT_MS = 900;
+/** A run that has just begun is copied once its engine has settled. */
+const COPY_START_MS = 50;
+/** A copy on demand is brought up to date so often; what it lacks has to be read again. */
+const COPY_RENEW_MS = 1_000;
+const COPY_RETRY_MS = 400;
 /** Wait before engines are looked for again when none could be used. */
 const REPLACE_DELAY_MS = 100;
 /** Sends of one request, those included that reached no engine. */
@@ -124,6 +150,10 @@
   readonly attemptNo: number;
   readonly isFromCopy: boolean;
   placed: PlacedAttempt | undefined;
+  copy: RunCopy | undefined;
+  isCopying: boolean;
+  /** When a copy is asked for next; undefined if there is no need. */
+  copyAtMs: number | undefined;
   sentAtMs: number;
   hasEvents: boolean;
   isHeadSeen: boolean;
@@ -153,7 +183,7 @@
   let wasUnknown = false;
 
   function send(
-    copyAtId: ServerId | undefined,
+    goesOnFrom: RunCopy | undefined,
     cause: AttemptLoss | 'first',
   ): ForwardStreamEffect[] {
     sends += 1;
@@ -162,8 +192,11 @@
     replaceAtMs = undefined;
     live = {
       attemptNo: sends,
-      isFromCopy: copyAtId !== undefined,
+      isFromCopy: goesOnFrom !== undefined,
       placed: undefined,
+      copy: undefined,
+      isCopying: false,
+      copyAtMs: undefined,
       sentAtMs: 0,
       hasEvents: false,
       isHeadSeen: false,
@@ -174,7 +207,7 @@
         kind: 'send',
         attemptNo: sends,
         lastEventId: sequence.lastId(),
-        copyAtId,
+        goesOnFrom,
         excluded: new Set(excluded),
         cause,
       },
@@ -220,8 +253,7 @@
         ? passFailure(attempt)
         : fail('the retry budget is used up');
     }
-    const copyAtId = canUseCopy(attempt, loss) ? attempt.placed?.copyAtId : undefined;
-    return send(copyAtId, loss);
+    return send(canUseCopy(attempt, loss) ? attempt.copy : undefined, loss);
   }
 
   function maxSends(): number {
@@ -264,6 +296,7 @@
         effects.push({ kind: 'cancel', attemptNo: attempt.attemptNo, loss: 'garbled' });
         return [...effects, ...next(attempt, 'garbled', nowMs)];
       }
+      if (!attempt.hasEvents) onFirstEvent(attempt, nowMs);
       attempt.hasEvents = true;
       doubtedAtMs = undefined;
       pace.onToken(nowMs);
@@ -276,6 +309,30 @@
     return effects;
   }
 
+  /** An engine copies a run only once it runs; a copy that was lost before is made now. */
+  function onFirstEvent(attempt: LiveAttempt, nowMs: number): void {
+    if (attempt.copy === undefined) attempt.copyAtMs = nowMs + COPY_START_MS;
+  }
+
+  function onCopyLost(attempt: LiveAttempt, engineId: ServerId, nowMs: number): void {
+    if (attempt.copy?.engineId !== engineId) return;
+    attempt.copy = undefined;
+    if (attempt.hasEvents) attempt.copyAtMs = nowMs;
+  }
+
+  function askForCopy(attempt: LiveAttempt, nowMs: number): ForwardStreamEffect[] {
+    if (attempt.copyAtMs === undefined || attempt.isCopying || nowMs < attempt.copyAtMs) return [];
+    attempt.copyAtMs = undefined;
+    attempt.isCopying = true;
+    return [{ kind: 'copy', attemptNo: attempt.attemptNo, renewed: attempt.copy }];
+  }
+
+  function onCopied(attempt: LiveAttempt, copy: RunCopy | undefined, nowMs: number): void {
+    attempt.isCopying = false;
+    attempt.copy = copy;
+    attempt.copyAtMs = nowMs + (copy === undefined ? COPY_RETRY_MS : COPY_RENEW_MS);
+  }
+
   /** When the live attempt counts as silent. */
   function silentAtMs(): number {
     if (live?.placed === undefined) return Infinity;
@@ -304,7 +361,7 @@
       if (replaceAtMs === undefined || nowMs < replaceAtMs) return [];
       return send(undefined, lastCause);
     }
-    if (nowMs < silentAtMs()) return [];
+    if (nowMs < silentAtMs()) return askForCopy(live, nowMs);
     const silent = live;
     return [
       { kind: 'cancel', attemptNo: silent.attemptNo, loss: 'silent' },
@@ -324,12 +381,13 @@
 
   function onLive(
     attempt: LiveAttempt,
-    event: Exclude<ForwardStreamEvent, { kind: 'tick' | 'doubt' }>,
+    event: Exclude<ForwardStreamEvent, { kind: 'tick' | 'doubt' | 'copy_lost' }>,
     nowMs: number,
   ): ForwardStreamEffect[] {
     switch (event.kind) {
       case 'placed':
         attempt.placed = event.placed;
+        attempt.copy = event.placed.copy;
         attempt.sentAtMs = nowMs;
         pace.onAttempt(nowMs, sends === 1);
         return [];
@@ -352,6 +410,12 @@
       }
       case 'lost':
         return next(attempt, event.loss, nowMs);
+      case 'copied':
+        onCopied(attempt, event.copy, nowMs);
+        return [];
+      case 'not_copied':
+        onCopied(attempt, undefined, nowMs);
+        return [];
       default:
         return assertNever(event);
     }
@@ -370,6 +434,12 @@
         case 'doubt':
           doubtedAtMs = nowMs;
           return onTick(nowMs);
+        case 'copy_lost':
+          if (live === undefined) return [];
+          onCopyLost(live, event.engineId, nowMs);
+          return askForCopy(live, nowMs);
+        case 'copied':
+        case 'not_copied':
         case 'placed':
         case 'unplaced':
         case 'head':
@@ -385,7 +455,13 @@
     },
     wakeAtMs: () => {
       if (hasEnded) return undefined;
-      return Math.min(settings.deadlineAtMs, replaceAtMs ?? Infinity, silentAtMs());
+      const copyAtMs = live?.isCopying === false ? live.copyAtMs : undefined;
+      return Math.min(
+        settings.deadlineAtMs,
+        replaceAtMs ?? Infinity,
+        copyAtMs ?? Infinity,
+        silentAtMs(),
+      );
     },
     hasBegun: () => hasBegun,
     runs: () => runs,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -312,6 +312,7 @@
   ForwardStreamEvent,
   ForwardStreamSettings,
   PlacedAttempt,
+  RunCopy,
 } from './forward/stream';
 export type {
   CallerLimits,
--- /dev/null
+++ b/packages/core/test/forward/events.spec.ts
@@ -0,0 +1,64 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { createEventSequence, createEventSplitter } from '../../src/index';
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+function event(no: number, lineEnd = '\n'): string {
+  return `id: ${no}${lineEnd}data: token ${no}${lineEnd}${lineEnd}`;
+}
+
+describe('the event splitter', () => {
+  it('finds the same events however the bytes are cut', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 12 }),
+        fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 60 }),
+        fc.constantFrom('\n', '\r\n'),
+        (count, sizes, lineEnd) => {
+          const text = Array.from({ length: count }, (_, at) => event(at + 1, lineEnd)).join('');
+          const bytes = encoder.encode(text);
+          const splitter = createEventSplitter();
+          const found: string[] = [];
+          let at = 0;
+          for (let turn = 0; at < bytes.length; turn += 1) {
+            const size = sizes[turn % sizes.length] ?? 1;
+            splitter.push(bytes.subarray(at, at + size))?.forEach((each) => {
+              found.push(decoder.decode(each.bytes));
+            });
+            at += size;
+          }
+          expect(found.join('')).toBe(text);
+          expect(found).toHaveLength(count);
+          expect(splitter.pendingBytes()).toBe(0);
+        },
+      ),
+    );
+  });
+
+  it('never hands over an event that broke off in the middle', () => {
+    const splitter = createEventSplitter();
+    const events = splitter.push(encoder.encode(`${event(1)}id: 2\ndata: tok`));
+    expect(events?.map(({ id }) => id)).toEqual([1]);
+    expect(splitter.pendingBytes()).toBeGreaterThan(0);
+  });
+
+  it('rejects bytes that are no numbered event', () => {
+    expect(createEventSplitter().push(encoder.encode('HTTP/1.1 200 OK\n\n'))).toBeUndefined();
+  });
+
+  it('takes the id from the id field only', () => {
+    const events = createEventSplitter().push(encoder.encode('data: id: 9\nid: 3\n\n'));
+    expect(events?.map(({ id }) => id)).toEqual([3]);
+  });
+});
+
+describe('the event sequence', () => {
+  it('drops what a second engine sends again, and refuses a gap', () => {
+    const sequence = createEventSequence(4);
+    const verdicts = [3, 4, 5, 6, 5, 8].map((id) => sequence.accept(id));
+    expect(verdicts).toEqual(['duplicate', 'duplicate', 'next', 'next', 'duplicate', 'gap']);
+    expect(sequence.lastId()).toBe(6);
+  });
+});
--- /dev/null
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -0,0 +1,156 @@
+import { describe, expect, it } from 'vitest';
+import { createFleet, createPeerBook, createPlacer, asId } from '../../src/index';
+import { createRandom, hash32, id, MEANS, requestId, server } from './samples';
+
+const GUIDE = asId<ReturnType<typeof server>['service']>('guide');
+
+function fleetOf(...names: string[]) {
+  const fleet = createFleet();
+  fleet.setServers(names.map((name) => server(name)));
+  return fleet;
+}
+
+describe('beliefs about servers', () => {
+  it('doubts the rest of a failure domain once a third of it was lost together', () => {
+    const fleet = fleetOf('a1', 'a2', 'a3', 'a4', 'b1', 'b2');
+    expect(fleet.onFailure(id('a1'), 'silent', 1_000).doubtedDomain).toBeUndefined();
+    expect(fleet.onFailure(id('a2'), 'silent', 1_200).doubtedDomain).toBe('domain-a');
+    const a3 = fleet.get(id('a3'));
+    const b1 = fleet.get(id('b1'));
+    expect(a3 && fleet.isDoubted(a3, 1_300)).toBe(true);
+    expect(b1 && fleet.isDoubted(b1, 1_300)).toBe(false);
+  });
+
+  it('takes a server that is refused again and again as one loss, not as a lost domain', () => {
+    // Engines that had been replaced were tried for seconds; each try once doubted their domain.
+    const fleet = fleetOf('a1', 'a2', 'a3', 'a4', 'a5', 'a6');
+    fleet.onFailure(id('a1'), 'refused', 1_000);
+    fleet.onFailure(id('a1'), 'refused', 5_000);
+    expect(fleet.onFailure(id('a2'), 'refused', 5_100).doubtedDomain).toBeUndefined();
+  });
+
+  it('lets a sign of life outweigh the doubt and an older loss that a peer saw', () => {
+    const fleet = fleetOf('a1', 'a2', 'a3');
+    fleet.onFailure(id('a1'), 'silent', 1_000);
+    fleet.onFailure(id('a2'), 'silent', 1_000);
+    fleet.onSign(id('a3'), 1_100);
+    const a3 = fleet.get(id('a3'));
+    expect(a3 && fleet.isDoubted(a3, 1_200)).toBe(false);
+    expect(fleet.onPeerFailure(id('a3'), 'silent', 1_050)).toBeUndefined();
+    expect(fleet.onPeerFailure(id('a3'), 'silent', 1_150)).toBeDefined();
+  });
+
+  it('does not use a server whose address another process has until its entry changes', () => {
+    const fleet = fleetOf('a1', 'b1');
+    fleet.onFailure(id('a1'), 'misdirected', 1_000);
+    expect(fleet.usable(GUIDE).map(({ server: { serverId } }) => serverId)).toEqual(['b1']);
+    fleet.setServers([{ ...server('a1'), startedAtMs: 2 }, server('b1')]);
+    expect(fleet.usable(GUIDE)).toHaveLength(2);
+  });
+
+  it('knows nothing of before about a server that started again under its id', () => {
+    const fleet = fleetOf('a1');
+    fleet.onSent(id('a1'), requestId('r'), 100, 0);
+    const change = fleet.setServers([{ ...server('a1'), startedAtMs: 7 }]);
+    expect(change.restarted.map(({ serverId }) => serverId)).toEqual(['a1']);
+    expect(fleet.get(id('a1'))?.ownRunning).toBe(0);
+  });
+
+  it('counts prompts at one engine as read one after the other', () => {
+    const fleet = fleetOf('a1');
+    fleet.onSent(id('a1'), requestId('r1'), 5_000, 0);
+    fleet.onSent(id('a1'), requestId('r2'), 5_000, 0);
+    const [load] = fleet.ownLoads(1_000, 0.2);
+    expect(load?.readingMs).toBe(1_000);
+  });
+});
+
+describe('placement of streams', () => {
+  const input = { service: GUIDE, means: MEANS, promptTokens: 5_000, excluded: new Set<never>() };
+
+  function placerOf(...names: string[]) {
+    const fleet = fleetOf(...names);
+    const book = createPeerBook();
+    return { fleet, book, placer: createPlacer(fleet, book, asId('host-1'), hash32) };
+  }
+
+  it('keeps the copy in another failure domain than the engine', () => {
+    const { placer } = placerOf('a1', 'a2', 'a3', 'b1', 'c1');
+    const random = createRandom(1);
+    for (let at = 0; at < 50; at += 1) {
+      const placed = placer.placeStream(input, at, random);
+      if (placed.kind !== 'ok') throw new Error('no engine');
+      expect(placed.copyAtId?.slice(0, 1)).not.toBe(placed.engineId.slice(0, 1));
+    }
+  });
+
+  it('sends no prompt to an engine that reads a prompt of another router', () => {
+    const { placer, book } = placerOf('a1', 'b1');
+    book.onNews(
+      {
+        hostId: asId('host-2'),
+        failureDomain: asId('domain-a'),
+        lifeId: 'x',
+        sequence: 1,
+        loads: [{ serverId: id('a1'), running: 1, readingMs: 900, copies: 0, tokens: 5_000 }],
+        failures: [],
+      },
+      1_000,
+    );
+    const random = createRandom(2);
+    const engines = Array.from({ length: 20 }, () => placer.placeStream(input, 1_100, random));
+    expect(new Set(engines.map((each) => (each.kind === 'ok' ? each.engineId : '')))).toEqual(
+      new Set(['b1']),
+    );
+  });
+
+  it('prefers a busy engine to one that refused a connection a moment ago', () => {
+    const { placer, fleet } = placerOf('a1', 'b1');
+    fleet.onFailure(id('a1'), 'refused', 1_000);
+    for (let at = 0; at < 6; at += 1) fleet.onSent(id('b1'), requestId(`r${at}`), 5_000, 1_000);
+    const placed = placer.placeStream(input, 1_100, createRandom(3));
+    expect(placed.kind === 'ok' && placed.engineId).toBe('b1');
+  });
+
+  it('uses no server that is leaving, and says so when there is no other', () => {
+    const { placer, fleet } = placerOf('a1');
+    fleet.setServers([{ ...server('a1'), isLeaving: true }]);
+    expect(placer.placeStream(input, 0, createRandom(4))).toEqual({
+      kind: 'none',
+      reason: 'unlisted',
+    });
+  });
+});
+
+describe('news of other routers', () => {
+  const news = (sequence: number, lifeId = 'x', failureNo = sequence) => ({
+    hostId: asId<never>('host-2'),
+    failureDomain: asId<never>('domain-a'),
+    lifeId,
+    sequence,
+    loads: [{ serverId: id('a1'), running: sequence, readingMs: 0, copies: 0, tokens: 0 }],
+    failures: [{ serverId: id('a1'), failure: 'silent' as const, failureNo, ageMs: 0 }],
+  });
+
+  it('ignores a message that was overtaken, and takes each failure once', () => {
+    const book = createPeerBook();
+    expect(book.onNews(news(2), 0)).toHaveLength(1);
+    expect(book.onNews(news(1), 10)).toBeUndefined();
+    expect(book.onNews(news(3, 'x', 2), 20)).toEqual([]);
+    expect(book.loadAt(id('a1'), 20).running).toBe(3);
+  });
+
+  it('takes a restarted router anew, although its numbers start again', () => {
+    const book = createPeerBook();
+    book.onNews(news(9), 0);
+    expect(book.onNews(news(1, 'y'), 10)).toHaveLength(1);
+  });
+
+  it('forgets the load of a router that went silent', () => {
+    const book = createPeerBook();
+    book.onNews(news(4), 0);
+    expect(book.loadAt(id('a1'), 2_000).running).toBe(4);
+    expect(book.loadAt(id('a1'), 4_000).running).toBe(0);
+    expect(book.count(4_000)).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/core/test/forward/stream.spec.ts
@@ -0,0 +1,223 @@
+import { describe, expect, it } from 'vitest';
+import { createForwardStream, createRetryBudget } from '../../src/index';
+import { id } from './samples';
+import type {
+  AttemptLoss,
+  ForwardStreamEffect,
+  ForwardStreamEvent,
+  ForwardStreamSettings,
+  RunCopy,
+} from '../../src/index';
+
+const COPY: RunCopy = { engineId: id('b1'), address: '10.0.0.2:1', id: 'r', isOnDemand: false };
+
+/** Plays one stream on a clock of its own, and records what the shell would do. */
+function play(changes: Partial<ForwardStreamSettings> = {}) {
+  const budget = createRetryBudget({ ratio: 0.5, burst: 10 });
+  const stream = createForwardStream({
+    startedAtMs: 0,
+    deadlineAtMs: 25_000,
+    targetMs: 4_500,
+    gapTargetMs: 700,
+    attemptsMax: 5,
+    isResumable: true,
+    lastEventId: undefined,
+    budget,
+    ...changes,
+  });
+  const log: string[] = [];
+  let nowMs = 0;
+
+  function note(effects: readonly ForwardStreamEffect[]): void {
+    effects.forEach((effect) => log.push(`${nowMs} ${describeEffect(effect)}`));
+  }
+
+  function feed(event: ForwardStreamEvent): void {
+    note(stream.on(event, nowMs));
+  }
+
+  note(stream.start());
+  return {
+    log,
+    stream,
+    at: (ms: number) => {
+      // Wakes as the shell's alarm would on the way.
+      for (
+        let wake = stream.wakeAtMs();
+        wake !== undefined && wake <= ms;
+        wake = stream.wakeAtMs()
+      ) {
+        const before = nowMs;
+        nowMs = Math.max(nowMs, wake);
+        const count = log.length;
+        feed({ kind: 'tick' });
+        if (log.length === count && before === nowMs) break;
+      }
+      nowMs = ms;
+    },
+    place: (attemptNo: number, engine: string, copy: RunCopy | undefined = COPY) =>
+      feed({
+        kind: 'placed',
+        attemptNo,
+        placed: { engineId: id(engine), copy, expectedFirstMs: 1_000 },
+      }),
+    events: (attemptNo: number, ...ids: number[]) =>
+      feed({
+        kind: 'events',
+        attemptNo,
+        events: ids.map((no) => ({ id: no, bytes: new Uint8Array() })),
+      }),
+    lose: (attemptNo: number, loss: AttemptLoss) => feed({ kind: 'lost', attemptNo, loss }),
+    feed,
+  };
+}
+
+function describeEffect(effect: ForwardStreamEffect): string {
+  switch (effect.kind) {
+    case 'send': {
+      const from = effect.goesOnFrom === undefined ? '' : ` from ${effect.goesOnFrom.engineId}`;
+      const excluded = [...effect.excluded].join('+');
+      return `send ${effect.attemptNo} (${effect.cause})${from} after ${effect.lastEventId ?? '-'} not ${excluded}`;
+    }
+    case 'cancel':
+      return `cancel ${effect.attemptNo} ${effect.loss ?? ''}`;
+    case 'deliver':
+      return `deliver ${effect.event.id}`;
+    case 'fail':
+      return `fail ${effect.error.code} ${effect.error.runState}`;
+    case 'copy':
+      return `copy ${effect.attemptNo} ${effect.renewed === undefined ? 'anew' : 'again'}`;
+    default:
+      return effect.kind;
+  }
+}
+
+describe('a forwarded stream', () => {
+  it('goes on from the copy after a reset, without a missing or repeated event', () => {
+    const run = play();
+    run.place(1, 'a1');
+    run.at(1_000);
+    run.events(1, 1, 2, 3);
+    run.at(1_030);
+    run.lose(1, 'reset');
+    run.place(2, 'b1');
+    run.at(1_080);
+    run.events(2, 3, 4);
+    run.feed({ kind: 'end', attemptNo: 2 });
+    expect(run.log).toMatchSnapshot();
+  });
+
+  it('ends the silent engine before it goes on elsewhere, well within the allowed gap', () => {
+    const run = play();
+    run.place(1, 'a1');
+    for (let no = 1; no <= 10; no += 1) {
+      run.at(1_000 + no * 30);
+      run.events(1, no);
+    }
+    run.at(1_900);
+    const cancelAt = run.log.findIndex((line) => line.includes('cancel 1 silent'));
+    const sendAt = run.log.findIndex((line) => line.includes('send 2 (silent) from b1 after 10'));
+    expect(cancelAt).toBeGreaterThan(0);
+    expect(sendAt).toBe(cancelAt + 1);
+    expect(Number(run.log[sendAt]?.split(' ')[0])).toBeLessThan(1_300 + 700 * 0.6);
+  });
+
+  it('gives up a prompt no sooner than reading it elsewhere would still be on time', () => {
+    // A prompt behind two others was taken for lost, read twice, and made the others late.
+    const run = play();
+    run.place(1, 'a1');
+    run.at(2_400);
+    expect(run.log).toHaveLength(1);
+    run.at(4_000);
+    expect(run.log[2]).toMatch(/send 2 \(silent\) after - not a1/u);
+  });
+
+  it('moves a prompt soon once the failure domain of its engine seems lost', () => {
+    const run = play();
+    run.place(1, 'a1');
+    run.at(400);
+    run.feed({ kind: 'doubt' });
+    run.at(600);
+    expect(run.log.slice(1).map((line) => line.split(' ')[1])).toEqual(['cancel', 'send']);
+  });
+
+  it('reads again when the copy is gone', () => {
+    const run = play();
+    run.place(1, 'a1');
+    run.at(1_000);
+    run.events(1, 1);
+    run.lose(1, 'reset');
+    run.place(2, 'b1');
+    run.lose(2, 'no_copy');
+    expect(run.log.at(-1)).toBe('1000 send 3 (no_copy) after 1 not a1+b1');
+  });
+
+  it('has a new copy made when the engine that kept it is lost, and keeps it up to date', () => {
+    const run = play();
+    run.place(1, 'a1');
+    run.at(1_000);
+    run.events(1, 1);
+    run.feed({ kind: 'copy_lost', engineId: id('b1') });
+    expect(run.log.at(-1)).toBe('1000 copy 1 anew');
+    const copy: RunCopy = { ...COPY, engineId: id('c1'), isOnDemand: true };
+    run.feed({ kind: 'copied', attemptNo: 1, copy });
+    for (let no = 2; no < 45; no += 1) {
+      run.at(1_000 + no * 30);
+      run.events(1, no);
+    }
+    expect(run.log.filter((line) => line.includes('copy 1 again'))).toHaveLength(1);
+    run.lose(1, 'reset');
+    expect(run.log.at(-1)).toMatch(/send 2 \(reset\) from c1 after 44/u);
+  });
+
+  it('says "not run" only as long as no engine can have run it', () => {
+    const refused = play({ attemptsMax: 1 });
+    refused.place(1, 'a1');
+    for (let no = 1; no <= 2; no += 1) refused.lose(no, 'not_sent');
+    expect(refused.log.at(-1)).toBe('0 fail no_backend not_run');
+
+    const lost = play({ attemptsMax: 1 });
+    lost.place(1, 'a1');
+    lost.lose(1, 'reset');
+    expect(lost.log.at(-1)).toBe('0 fail backend_failed unknown');
+  });
+
+  it('passes on the failure of the last engine that the route allows', () => {
+    const run = play({ attemptsMax: 2 });
+    run.place(1, 'a1');
+    run.lose(1, 'failed');
+    run.place(2, 'b1');
+    run.lose(2, 'failed');
+    expect(run.log.at(-1)).toBe('0 pass_failure');
+  });
+
+  it('does not go on elsewhere on a route that may not be resumed', () => {
+    const run = play({ isResumable: false });
+    run.place(1, 'a1');
+    run.at(1_000);
+    run.events(1, 1);
+    run.lose(1, 'reset');
+    expect(run.log.at(-1)).toBe('1000 fail backend_failed unknown');
+  });
+
+  it('stops trying when the retry budget is used up', () => {
+    const budget = createRetryBudget({ ratio: 0, burst: 1 });
+    const run = play({ budget });
+    run.place(1, 'a1');
+    run.lose(1, 'misdirected');
+    run.place(2, 'b1');
+    run.lose(2, 'misdirected');
+    expect(run.log.at(-1)).toBe('0 fail no_backend not_run');
+  });
+
+  it('refuses an event that skips others, as if the engine were lost', () => {
+    const run = play();
+    run.place(1, 'a1');
+    run.at(1_000);
+    run.events(1, 1, 2, 5);
+    expect(run.log.slice(-2)).toEqual([
+      '1000 cancel 1 garbled',
+      '1000 send 2 (garbled) from b1 after 2 not a1',
+    ]);
+  });
+});
--- a/packages/router/src/forward/dialect.ts
+++ b/packages/router/src/forward/dialect.ts
@@ -12,11 +12,10 @@
   | { readonly kind: 'ok'; readonly head: CallHead }
   | { readonly kind: 'invalid'; readonly message: string };
 
-/** Copy of a run's memory that an attempt goes on from. */
+/** How engines name a copy of a run's memory. */
 export interface CopySource {
-  /** Address of the engine that holds the copy. */
   readonly address: string;
-  readonly requestId: RequestId;
+  readonly id: string;
 }
 
 /** What the system tells a backend server about a request. */
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -43,7 +43,7 @@
 import type { ForwardDialect } from './dialect';
 import type { Ingress } from './ingress';
 import type { RouterTable } from './hosts';
-import type { ForwardPorts } from './ports';
+import type { ForwardPorts, RunCopies } from './ports';
 import type { OperatorRecord } from './records';
 import type { GatewaySettings } from './settings';
 import type { Watch, WatchContext, WatchedTable } from './watch';
@@ -59,6 +59,7 @@
   readonly operatorTable: WatchedTable<OperatorRecord>;
   readonly serverTable: WatchedTable<ForwardServer>;
   readonly routerTable: RouterTable;
+  readonly copies: RunCopies;
   /** Differs at each start of the process. */
   readonly lifeId: string;
 }
@@ -204,7 +205,11 @@
 
   function applyDirectory(): void {
     const servers = directory.servers(clock.monotonicMs());
-    noteFleetChange(fleet.setServers(servers));
+    const change = fleet.setServers(servers);
+    noteFleetChange(change);
+    [...change.removed, ...change.restarted].forEach(({ serverId }) => {
+      streams.onServerLost(serverId);
+    });
     upstream.retain(new Set(servers.map(({ address }) => address)));
     lapse.set(directory.nextExpiryMs());
   }
@@ -296,8 +301,12 @@
     await Promise.all([readyShell.close(), metricsShell.close(), upstream.close()]);
   }
 
+  let stopped: Promise<void> | undefined;
   return {
-    stop,
+    stop: () => {
+      stopped ??= stop();
+      return stopped;
+    },
     reload: (next) => {
       settings = next;
       decisions.vital('router.reloaded', describeSettings(next));
@@ -313,12 +322,13 @@
   environment: GatewayEnvironment,
   parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'upstream' | 'news'>,
 ): ForwardPorts {
-  const { clock, random, metrics, decisions, dialect } = environment;
+  const { clock, random, metrics, decisions, dialect, copies } = environment;
   const budgets = new Map<ServiceName, RetryBudget>();
   return {
     clock,
     random,
     ...parts,
+    copies,
     dialect,
     decisions,
     counters: createForwardCounters(metrics),
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -6,6 +6,7 @@
   ForwardRoute,
   ForwardService,
   Placer,
+  RequestId,
   RetryBudget,
   ServiceName,
 } from '@mimosamill/core';
@@ -13,6 +14,27 @@
 import type { ForwardCounters } from './counters';
 import type { News } from './news';
 
+export type CopyOutcome =
+  | { readonly kind: 'ok'; readonly handle: string }
+  /** The engine does not run the request, or not yet. */
+  | { readonly kind: 'no_run' }
+  /** Another copy of the run is under way. */
+  | { readonly kind: 'busy' }
+  /** The other engine has no room or cannot be reached. */
+  | { readonly kind: 'no_room' }
+  | { readonly kind: 'failed'; readonly message: string };
+
+/** Copies of runs' memory that an engine makes when it is asked. */
+export interface RunCopies {
+  readonly make: (
+    engineAddress: string,
+    requestId: RequestId,
+    toAddress: string,
+  ) => Promise<CopyOutcome>;
+  /** Frees a copy at both engines. */
+  readonly drop: (engineAddress: string, handle: string) => Promise<void>;
+}
+
 /** What forwarding needs from the rest of the process. */
 export interface ForwardPorts {
   readonly clock: Clock;
@@ -20,6 +42,7 @@
   readonly fleet: Fleet;
   readonly placer: Placer;
   readonly upstream: Upstream;
+  readonly copies: RunCopies;
   readonly dialect: ForwardDialect;
   readonly decisions: DecisionLog;
   readonly counters: ForwardCounters;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -7,11 +7,12 @@
   FailureDomain,
   ForwardStreamEffect,
   ForwardStreamEvent,
-  PlacedAttempt,
+  RunCopy,
   ServeError,
   ServerBelief,
   ServerFailure,
   ServerId,
+  StreamPlacement,
 } from '@mimosamill/core';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
@@ -38,7 +39,7 @@
   readonly run: (request: ForwardRequest, sink: StreamSink) => RunningForwardStream;
   /** Many engines of a failure domain were lost together. */
   readonly onDoubt: (failureDomain: FailureDomain) => void;
-  /** Another router lost an engine. */
+  /** An engine was lost, or started anew. */
   readonly onServerLost: (serverId: ServerId) => void;
   readonly count: () => number;
   /** Mean time of a stream from its request to its end. */
@@ -47,6 +48,7 @@
 
 interface LiveStream {
   readonly engineId: () => ServerId | undefined;
+  readonly copyAtId: () => ServerId | undefined;
   readonly feed: (event: ForwardStreamEvent) => void;
 }
 
@@ -86,11 +88,15 @@
 
   function onServerLost(serverId: ServerId): void {
     doubtThose(({ server }) => server.serverId === serverId);
+    [...live].forEach((stream) => {
+      if (stream.copyAtId() === serverId) stream.feed({ kind: 'copy_lost', engineId: serverId });
+    });
   }
 
   return {
     onServerLost,
-    run: (request, sink) => runStream(ports, request, sink, { live, onDoubt, onComplete }),
+    run: (request, sink) =>
+      runStream(ports, request, sink, { live, onDoubt, onServerLost, onComplete }),
     onDoubt,
     count: () => live.size,
     meanMs: () => meanMs,
@@ -101,14 +107,19 @@
 interface AllStreams {
   readonly live: Set<LiveStream>;
   readonly onDoubt: (failureDomain: FailureDomain) => void;
+  readonly onServerLost: (serverId: ServerId) => void;
   readonly onComplete: (tookMs: number) => void;
 }
 
+type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
+
 /** An attempt as the shell keeps it. */
 interface ShellAttempt {
   readonly attemptNo: number;
   readonly engineId: ServerId;
-  readonly copyAtId: ServerId | undefined;
+  readonly engineAddress: string;
+  /** Copy that was made last. */
+  copy: RunCopy | undefined;
   readonly sentAtMs: number;
   /** Own prompts that the engine had to read before this one. */
   readonly isReadAlone: boolean;
@@ -130,7 +141,7 @@
   sink: StreamSink,
   all: AllStreams,
 ): RunningForwardStream {
-  const { live, onDoubt, onComplete } = all;
+  const { live, onDoubt, onServerLost, onComplete } = all;
   const { clock, fleet, decisions } = ports;
   const { head, route, service } = request;
   const { requestId } = head;
@@ -152,7 +163,11 @@
     lastEventId: head.lastEventId,
     budget: ports.budgetOf(service.name),
   });
-  const entry: LiveStream = { engineId: () => current?.engineId, feed };
+  const entry: LiveStream = {
+    engineId: () => current?.engineId,
+    copyAtId: () => current?.copy?.engineId,
+    feed,
+  };
 
   function feed(event: ForwardStreamEvent): void {
     if (isOver) return;
@@ -169,6 +184,9 @@
       case 'cancel':
         cancel(effect.attemptNo, effect.loss);
         return;
+      case 'copy':
+        void makeCopy(effect.attemptNo, effect.renewed);
+        return;
       case 'begin':
         onBegin(effect.attemptNo);
         return;
@@ -243,7 +261,7 @@
       excluded: effect.excluded,
     };
     const placement = ports.placer.placeStream(
-      effect.copyAtId === undefined ? input : { ...input, engineId: effect.copyAtId },
+      effect.goesOnFrom === undefined ? input : { ...input, engineId: effect.goesOnFrom.engineId },
       nowMs,
       ports.random,
     );
@@ -255,9 +273,8 @@
       });
       return;
     }
-    const isFromCopy = effect.copyAtId !== undefined;
-    noteSend(effect, placement, isFromCopy, nowMs);
-    openAttempt(effect, placement, isFromCopy, nowMs);
+    noteSend(effect, placement, nowMs);
+    openAttempt(effect, placement, nowMs);
   }
 
   /** The core expects events one at a time, after the effects in hand. */
@@ -267,8 +284,7 @@
 
   function noteSend(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
-    placed: PlacedAttempt,
-    isFromCopy: boolean,
+    placed: PlacedEngine,
     nowMs: number,
   ): void {
     ports.counters.onSend('stream', effect.cause);
@@ -280,7 +296,7 @@
       engine: placed.engineId,
       domain: belief?.server.failureDomain,
       copy_at: placed.copyAtId,
-      from_copy: isFromCopy,
+      from_copy: effect.goesOnFrom !== undefined,
       after_event: effect.lastEventId,
       expected_ms: Math.round(placed.expectedFirstMs),
       own_running: belief?.ownRunning,
@@ -298,10 +314,10 @@
 
   function openAttempt(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
-    placed: PlacedAttempt,
-    isFromCopy: boolean,
+    placed: PlacedEngine,
     nowMs: number,
   ): void {
+    const isFromCopy = effect.goesOnFrom !== undefined;
     const engine = fleet.get(placed.engineId);
     const copyAt = placed.copyAtId === undefined ? undefined : fleet.get(placed.copyAtId);
     if (engine === undefined) {
@@ -311,7 +327,16 @@
     const attempt: ShellAttempt = {
       attemptNo: effect.attemptNo,
       engineId: placed.engineId,
-      copyAtId: placed.copyAtId,
+      engineAddress: engine.server.address,
+      copy:
+        copyAt === undefined
+          ? undefined
+          : {
+              engineId: copyAt.server.serverId,
+              address: copyAt.server.address,
+              id: requestId,
+              isOnDemand: false,
+            },
       sentAtMs: nowMs,
       isReadAlone: engine.readings.size === 0,
       isFromCopy,
@@ -327,7 +352,15 @@
     };
     attempts.set(effect.attemptNo, attempt);
     current = attempt;
-    stream.on({ kind: 'placed', attemptNo: effect.attemptNo, placed }, nowMs);
+    const { expectedFirstMs } = placed;
+    stream.on(
+      {
+        kind: 'placed',
+        attemptNo: effect.attemptNo,
+        placed: { engineId: placed.engineId, copy: attempt.copy, expectedFirstMs },
+      },
+      nowMs,
+    );
     fleet.onSent(placed.engineId, requestId, isFromCopy ? 0 : tokens, nowMs);
     if (copyAt !== undefined) fleet.onCopy(copyAt.server.serverId, tokens, 1);
     ports.news.touch();
@@ -347,7 +380,7 @@
           customerId: request.customerId,
           lastEventId: effect.lastEventId,
           copyAtAddress: copyAt?.server.address,
-          goesOnFrom: isFromCopy ? { address: engine.server.address, requestId } : undefined,
+          goesOnFrom: effect.goesOnFrom,
           isUrgent: stream.hasBegun(),
         }),
         body: request.body,
@@ -386,6 +419,7 @@
           return;
         }
         close(attempt);
+        dropCopy(attempt);
         feed({ kind: 'end', attemptNo: attempt.attemptNo });
       },
       onFailure: (failure: 'not_sent' | 'broken', message: string) => {
@@ -472,13 +506,80 @@
     });
   }
 
+  /** Brings a copy up to date, or has a new one made, because the engine that kept it was lost. */
+  async function makeCopy(attemptNo: number, renewed: RunCopy | undefined): Promise<void> {
+    const attempt = attempts.get(attemptNo);
+    const copyAtId = renewed?.engineId ?? (attempt === undefined ? undefined : findCopy(attempt));
+    const copyAt = copyAtId === undefined ? undefined : fleet.get(copyAtId);
+    if (attempt === undefined || copyAtId === undefined || copyAt === undefined) {
+      feedLater({ kind: 'not_copied', attemptNo });
+      return;
+    }
+    const outcome = await ports.copies.make(
+      attempt.engineAddress,
+      requestId,
+      copyAt.server.address,
+    );
+    if (isOver || attempt.isOver) return;
+    if (outcome.kind !== 'ok') {
+      decisions.notable('stream.not_copied', {
+        request: requestId,
+        engine: attempt.engineId,
+        copy_at: copyAtId,
+        reason: outcome.kind,
+      });
+      setCopy(attempt, undefined);
+      feed({ kind: 'not_copied', attemptNo });
+      return;
+    }
+    const copy: RunCopy = {
+      engineId: copyAtId,
+      address: attempt.engineAddress,
+      id: outcome.handle,
+      isOnDemand: true,
+    };
+    if (renewed === undefined) {
+      decisions.notable('stream.copied', {
+        request: requestId,
+        engine: attempt.engineId,
+        copy_at: copyAtId,
+      });
+    }
+    setCopy(attempt, copy);
+    feed({ kind: 'copied', attemptNo, copy });
+  }
+
+  function findCopy(attempt: ShellAttempt): ServerId | undefined {
+    if (service.engine === undefined) return undefined;
+    const input = {
+      service: service.name,
+      means: service.engine,
+      promptTokens: tokens,
+      excluded: new Set<ServerId>(),
+    };
+    return ports.placer.placeCopy(attempt.engineId, input, clock.monotonicMs(), ports.random);
+  }
+
+  function setCopy(attempt: ShellAttempt, copy: RunCopy | undefined): void {
+    if (attempt.copy !== undefined) fleet.onCopy(attempt.copy.engineId, tokens, -1);
+    if (copy !== undefined) fleet.onCopy(copy.engineId, tokens, 1);
+    attempt.copy = copy;
+    ports.news.touch();
+  }
+
+  /** Engines free the copies that they make by themselves when the run has ended. */
+  function dropCopy(attempt: ShellAttempt): void {
+    if (attempt.copy?.isOnDemand !== true) return;
+    void ports.copies.drop(attempt.engineAddress, attempt.copy.id);
+  }
+
   /** Ends the bookkeeping of an attempt. */
   function close(attempt: ShellAttempt): void {
     if (attempt.isOver) return;
     attempt.isOver = true;
     attempt.cancelConnect();
     fleet.onEnd(attempt.engineId, requestId, attempt.isFromCopy ? 0 : tokens);
-    if (attempt.copyAtId !== undefined) fleet.onCopy(attempt.copyAtId, tokens, -1);
+    if (attempt.copy !== undefined) fleet.onCopy(attempt.copy.engineId, tokens, -1);
     ports.news.touch();
   }
 
@@ -515,6 +616,8 @@
       silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
       avoid_ms: news.avoidMs,
     });
+    const lostId = attempt.engineId;
+    queueMicrotask(() => onServerLost(lostId));
     if (news.doubtedDomain === undefined) return;
     decisions.vital('domain.doubted', { domain: news.doubtedDomain, request: requestId });
     const domain = news.doubtedDomain;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -77,6 +77,7 @@
   SendTerms,
 } from './forward/dialect';
 export type { ListedRouter, RouterTable } from './forward/hosts';
+export type { CopyOutcome, RunCopies } from './forward/ports';
 export type { OperatorRecord, VersionOrder } from './forward/records';
 export type {
   StoreFailure,
