Read the store on one router a failure domain and pass it on

Ruled out: longer waits (a removed key must not be served after 5 s, and a router that is cut off has to notice in time), and pushing without an age (a reader that cannot reach the store would pass for up to date).

Change: the first-ranked router of a failure domain that can read the store does so; the others wait at it for changes, and get with each answer the store's time that the content is of. What is too old is read from the store itself, and a router that the store turns away reads from any reader.

--- a/packages/core/src/config/readers.ts
+++ b/packages/core/src/config/readers.ts
@@ -17,11 +17,12 @@
   members: readonly ReaderCandidate[],
   failureDomain: FailureDomain,
   hash: Hash32,
+  count = READERS_PER_DOMAIN,
 ): RouterId[] {
   const alive = members.filter(
     (member) => member.failureDomain === failureDomain && member.state === 'alive',
   );
   return rankByRendezvous(`config/${failureDomain}`, alive, ({ routerId }) => routerId, hash)
-    .slice(0, READERS_PER_DOMAIN)
+    .slice(0, count)
     .map(({ routerId }) => routerId);
 }
--- a/packages/core/src/forward/knowledge.ts
+++ b/packages/core/src/forward/knowledge.ts
@@ -5,6 +5,13 @@
    * at the answer.
    */
   readonly onAnswer: (sentAtMs: number, storeNowMs: number) => void;
+  /**
+   * Another process passed on what it knows; the content is of the store's clock at `storeAsOfMs`.
+   * It counts only once the store itself has answered, which ties its clock to the local one.
+   */
+  readonly onRelayed: (storeAsOfMs: number) => void;
+  /** The store's clock at the time that the knowledge is of; undefined if nothing is known. */
+  readonly storeAsOfMs: () => number | undefined;
   /** Age of the newest answer's content; Infinity if nothing is known. */
   readonly ageMs: (nowMs: number) => number;
   /**
@@ -45,6 +52,14 @@
       const boundMs = isRestarted ? sentAtMs : Math.max(sentAtMs, predictedMs);
       asOfMs = Math.max(asOfMs, boundMs);
     },
+    onRelayed: (storeAsOfMs) => {
+      if (anchor === undefined) return;
+      asOfMs = Math.max(asOfMs, anchor.sentAtMs + storeAsOfMs - anchor.storeNowMs);
+    },
+    storeAsOfMs: () => {
+      if (anchor === undefined || asOfMs < validFromMs) return undefined;
+      return anchor.storeNowMs + asOfMs - anchor.sentAtMs;
+    },
     ageMs: (nowMs) => (asOfMs < validFromMs ? Infinity : nowMs - asOfMs),
     checkClocks: (nowMs, wallMs) => {
       const last = lastClocks;
--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -29,6 +29,8 @@
   /** Changes at each start of the router. */
   readonly lifeId: string;
   readonly sequence: number;
+  /** Whether it can read the store for others. */
+  readonly canRead: boolean;
   readonly loads: readonly OwnLoad[];
   readonly failures: readonly PeerFailure[];
 }
@@ -41,14 +43,25 @@
   readonly tokens: number;
 }
 
+/** A router that was heard from lately. */
+export interface PeerRouter {
+  readonly hostId: HostId;
+  readonly failureDomain: FailureDomain;
+  readonly address: string;
+  readonly canRead: boolean;
+}
+
 /** What the other routers last said. */
 export interface PeerBook {
   /** Failures that were not known yet; undefined if the news is older than what is known. */
-  readonly onNews: (news: PeerNews, nowMs: number) => readonly PeerFailure[] | undefined;
+  readonly onNews: (
+    news: PeerNews,
+    address: string,
+    nowMs: number,
+  ) => readonly PeerFailure[] | undefined;
   readonly loadAt: (serverId: ServerId, nowMs: number) => PeerLoad;
   /** Routers that were heard from lately. */
-  readonly count: (nowMs: number) => number;
-  readonly expire: (nowMs: number) => void;
+  readonly routers: (nowMs: number) => readonly PeerRouter[];
 }
 
 /** A router that says nothing for so long has ended or is cut off; its requests end with it. */
@@ -56,6 +69,7 @@
 const NO_LOAD: PeerLoad = { running: 0, readingMs: 0, copies: 0, tokens: 0 };
 
 interface Peer {
+  router: PeerRouter;
   lifeId: string;
   sequence: number;
   heardAtMs: number;
@@ -66,12 +80,13 @@
 export function createPeerBook(): PeerBook {
   const peers = new Map<HostId, Peer>();
 
-  function accept(news: PeerNews, nowMs: number): Peer | undefined {
+  function accept(news: PeerNews, router: PeerRouter, nowMs: number): Peer | undefined {
     const known = peers.get(news.hostId);
     if (known !== undefined && known.lifeId === news.lifeId) {
       return news.sequence > known.sequence ? known : undefined;
     }
     const created: Peer = {
+      router,
       lifeId: news.lifeId,
       sequence: 0,
       heardAtMs: nowMs,
@@ -89,9 +104,12 @@
   }
 
   return {
-    onNews: (news, nowMs) => {
-      const peer = accept(news, nowMs);
+    onNews: (news, address, nowMs) => {
+      const { hostId, failureDomain, canRead } = news;
+      const router = { hostId, failureDomain, canRead, address };
+      const peer = accept(news, router, nowMs);
       if (peer === undefined) return undefined;
+      peer.router = router;
       peer.sequence = news.sequence;
       peer.heardAtMs = nowMs;
       peer.loads = new Map(news.loads.map((load) => [load.serverId, load]));
@@ -116,10 +134,9 @@
       });
       return sum;
     },
-    count: (nowMs) => {
+    routers: (nowMs) => {
       expire(nowMs);
-      return peers.size;
+      return [...peers.values()].map(({ router }) => router);
     },
-    expire,
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -296,7 +296,14 @@
   ServerLoadReport,
 } from './forward/fleet';
 export { createPeerBook } from './forward/peers';
-export type { OwnLoad, PeerBook, PeerFailure, PeerLoad, PeerNews } from './forward/peers';
+export type {
+  OwnLoad,
+  PeerBook,
+  PeerFailure,
+  PeerLoad,
+  PeerNews,
+  PeerRouter,
+} from './forward/peers';
 export { createPlacer } from './forward/placement';
 export type {
   CallPlacementInput,
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -92,9 +92,11 @@
         failureDomain: asId('domain-a'),
         lifeId: 'x',
         sequence: 1,
+        canRead: true,
         loads: [{ serverId: id('a1'), running: 1, readingMs: 900, copies: 0, tokens: 5_000 }],
         failures: [],
       },
+      '10.0.0.9:1',
       1_000,
     );
     const random = createRandom(2);
@@ -128,29 +130,30 @@
     failureDomain: asId<never>('domain-a'),
     lifeId,
     sequence,
+    canRead: true,
     loads: [{ serverId: id('a1'), running: sequence, readingMs: 0, copies: 0, tokens: 0 }],
     failures: [{ serverId: id('a1'), failure: 'silent' as const, failureNo, ageMs: 0 }],
   });
 
   it('ignores a message that was overtaken, and takes each failure once', () => {
     const book = createPeerBook();
-    expect(book.onNews(news(2), 0)).toHaveLength(1);
-    expect(book.onNews(news(1), 10)).toBeUndefined();
-    expect(book.onNews(news(3, 'x', 2), 20)).toEqual([]);
+    expect(book.onNews(news(2), '10.0.0.9:1', 0)).toHaveLength(1);
+    expect(book.onNews(news(1), '10.0.0.9:1', 10)).toBeUndefined();
+    expect(book.onNews(news(3, 'x', 2), '10.0.0.9:1', 20)).toEqual([]);
     expect(book.loadAt(id('a1'), 20).running).toBe(3);
   });
 
   it('takes a restarted router anew, although its numbers start again', () => {
     const book = createPeerBook();
-    book.onNews(news(9), 0);
-    expect(book.onNews(news(1, 'y'), 10)).toHaveLength(1);
+    book.onNews(news(9), '10.0.0.9:1', 0);
+    expect(book.onNews(news(1, 'y'), '10.0.0.9:1', 10)).toHaveLength(1);
   });
 
   it('forgets the load of a router that went silent', () => {
     const book = createPeerBook();
-    book.onNews(news(4), 0);
+    book.onNews(news(4), '10.0.0.9:1', 0);
     expect(book.loadAt(id('a1'), 2_000).running).toBe(4);
     expect(book.loadAt(id('a1'), 4_000).running).toBe(0);
-    expect(book.count(4_000)).toBe(0);
+    expect(book.routers(4_000)).toEqual([]);
   });
 });
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -20,6 +20,8 @@
 import { createHosts } from './hosts';
 import { createIngress } from './ingress';
 import { createNews } from './news';
+import { createReaders } from './readers';
+import { createRelayServer } from './relay';
 import { createForwardStreams } from './stream';
 import { createWatch } from './watch';
 import type {
@@ -27,6 +29,7 @@
   Datagrams,
   DecisionLog,
   Hashes,
+  HttpClient,
   Metrics,
   RunningProgram,
   Upstream,
@@ -60,6 +63,8 @@
   readonly serverTable: WatchedTable<ForwardServer>;
   readonly routerTable: RouterTable;
   readonly copies: RunCopies;
+  /** For calls to other routers. */
+  readonly http: HttpClient;
   /** Differs at each start of the process. */
   readonly lifeId: string;
 }
@@ -71,10 +76,11 @@
 
 /** Part of the revocation bound up to which knowledge is served on; the rest covers clock drift. */
 const SERVE_AGE_RATIO = 0.9;
-const DENY_AGE_RATIO = 0.5;
+const DENY_AGE_RATIO = 0.8;
 /** Waits for changes are this part of the bound on the age of what they bring. */
-const WAIT_REVOKE_RATIO = 0.4;
-const WAIT_CONFIG_RATIO = 0.9;
+const WAIT_REVOKE_RATIO = 0.3;
+const WAIT_CONFIG_RATIO = 0.6;
+const WAIT_DRAIN_RATIO = 0.6;
 const WAIT_SLACK_MS = 450;
 /** Part of the fleet's allowance for repeats that one router uses up on its own. */
 const BUDGET_RATIO_SHARE = 0.6;
@@ -127,6 +133,7 @@
       onDoubt: (failureDomain) => streams.onDoubt(failureDomain),
       onServerLost: (serverId) => streams.onServerLost(serverId),
       msPerToken: placer.msPerToken,
+      canRead,
     },
   );
   const ports = createPorts(settings, environment, { fleet, placer, upstream, news });
@@ -137,8 +144,9 @@
   let isStopping = false;
   let wasReady = false;
 
+  const routers = createReaders(settings, book, environment, canRead);
   const operatorWatch: Watch = createWatch(
-    environment.operatorTable,
+    routers.sourcesOf('operator', environment.operatorTable),
     clock,
     environment.random,
     decisions,
@@ -150,16 +158,22 @@
       ),
       slackMs: WAIT_SLACK_MS,
     },
-    { onRows: onOperatorRows, onLost: () => undefined, onRegained: () => undefined },
+    { onRows: onOperatorRows },
   );
   const serverWatch: Watch = createWatch(
-    environment.serverTable,
+    routers.sourcesOf('servers', environment.serverTable),
     clock,
     environment.random,
     decisions,
-    { name: 'servers', waitMs: settings.drainMs, slackMs: WAIT_SLACK_MS },
-    { onRows: onServerRows, onLost: () => undefined, onRegained: () => undefined },
+    { name: 'servers', waitMs: settings.drainMs * WAIT_DRAIN_RATIO, slackMs: WAIT_SLACK_MS },
+    { onRows: onServerRows },
   );
+  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed]);
+
+  function canRead(): boolean {
+    return !isStopping && !operatorWatch.isLost() && !serverWatch.isLost();
+  }
+
   const lapse = createAlarm(clock, applyDirectory);
 
   const ingress: Ingress = createIngress(
@@ -262,10 +276,16 @@
   metricsShell.app.get(METRICS_PATH, async (_req, res) => {
     sendText(res, 200, metrics.contentType, await metrics.text());
   });
-  registerGauges(metrics, fleet, upstream, decisions, streams.count, () =>
-    book.count(clock.monotonicMs()),
+  registerGauges(
+    metrics,
+    fleet,
+    upstream,
+    decisions,
+    streams.count,
+    () => book.routers(clock.monotonicMs()).length,
   );
 
+  await relay.listen(settings.ip, settings.peerPort);
   socket.datagrams = await openDatagrams(settings.ip, settings.peerPort, news.onMessage);
   operatorWatch.start();
   serverWatch.start();
--- a/packages/router/src/forward/hosts.ts
+++ b/packages/router/src/forward/hosts.ts
@@ -29,9 +29,9 @@
   readonly stop: () => void;
 }
 
-/** Reads after the start: the routers of a new installation announce themselves at the same time. */
-const FIRST_READS_MS = [700, 3_000];
-const READ_PERIOD_MS = 30_000;
+/** The routers of a new installation announce themselves at the same time, and one that comes later is heard from. */
+const FIRST_READ_MS = 700;
+const READ_PERIOD_MS = 60_000;
 const READ_JITTER_MS = 5_000;
 const ANNOUNCE_RETRY_MS = 500;
 /** A listed router that says nothing for so long has been replaced. */
@@ -65,14 +65,14 @@
       later(ANNOUNCE_RETRY_MS * (1 + random()), announce);
       return;
     }
-    later(FIRST_READS_MS[0] ?? READ_PERIOD_MS, () => read(1));
+    later(FIRST_READ_MS, read);
   }
 
-  async function read(round: number): Promise<void> {
+  async function read(): Promise<void> {
     const routers = await table.list();
     if (routers !== undefined) await onListed(routers);
-    const delayMs = FIRST_READS_MS[round] ?? READ_PERIOD_MS + READ_JITTER_MS * random();
-    later(delayMs, () => read(round + 1));
+    const delayMs = routers === undefined ? FIRST_READ_MS : READ_PERIOD_MS;
+    later(delayMs + READ_JITTER_MS * random(), read);
   }
 
   async function onListed(routers: readonly ListedRouter[]): Promise<void> {
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -36,6 +36,8 @@
   readonly onDoubt: (failureDomain: FailureDomain) => void;
   readonly onServerLost: (serverId: ServerId) => void;
   readonly msPerToken: () => number;
+  /** Whether this router can read the store for others. */
+  readonly canRead: () => boolean;
 }
 
 /** Tells the other routers what this one has at each engine and which servers it lost. */
@@ -52,7 +54,7 @@
 /** A failure goes out at once, and again with each message for this time. */
 const FAILURE_LIFE_MS = 1_500;
 const HEARTBEAT_MS = 1_000;
-const FORMAT = 1;
+const FORMAT = 2;
 
 /** One message on the wire, in a fixed order of fields to keep it short. */
 type WireNews = [
@@ -61,6 +63,7 @@
   failureDomain: string,
   lifeId: string,
   sequence: number,
+  canRead: boolean,
   loads: [string, number, number, number, number][],
   failures: [string, ServerFailure, number, number][],
 ];
@@ -93,6 +96,7 @@
       settings.failureDomain,
       settings.lifeId,
       sequence,
+      ports.canRead(),
       ownLoads(nowMs).map((load) => [
         load.serverId,
         load.running,
@@ -129,12 +133,13 @@
       return undefined;
     }
     if (!Array.isArray(wire) || wire[0] !== FORMAT) return undefined;
-    const [, hostId, failureDomain, lifeId, newsSequence, loads, lost] = wire;
+    const [, hostId, failureDomain, lifeId, newsSequence, canRead, loads, lost] = wire;
     return {
       hostId: asId(hostId),
       failureDomain: asId(failureDomain),
       lifeId,
       sequence: newsSequence,
+      canRead,
       loads: loads.map(([serverId, running, readingMs, copies, tokens]) => ({
         serverId: asId(serverId),
         running,
@@ -179,7 +184,9 @@
       if (news === undefined || news.hostId === settings.hostId) return;
       ports.peers.onHeard(from);
       const nowMs = clock.monotonicMs();
-      book.onNews(news, nowMs)?.forEach((failed) => onPeerFailure(news.hostId, failed, nowMs));
+      book
+        .onNews(news, from, nowMs)
+        ?.forEach((failed) => onPeerFailure(news.hostId, failed, nowMs));
     },
     stop: () => {
       cancelGather?.();
--- /dev/null
+++ b/packages/router/src/forward/readers.ts
@@ -0,0 +1,88 @@
+import { asId, chooseReaders } from '@mimosamill/core';
+import { createRelaySource } from './relay';
+import type { HttpClient, Hashes, Clock } from '@mimosamill/adapters';
+import type { PeerBook, PeerRouter } from '@mimosamill/core';
+import type { RelaySource, WatchedTable, WatchSources } from './watch';
+
+export interface ReaderPorts {
+  readonly clock: Clock;
+  readonly hashes: Hashes;
+  readonly http: HttpClient;
+}
+
+export interface ReaderSettings {
+  readonly hostId: string;
+  readonly failureDomain: string;
+}
+
+/** Which routers read the store for the others. */
+export interface Readers {
+  readonly sourcesOf: <T>(name: string, store: WatchedTable<T>) => WatchSources<T>;
+}
+
+/**
+ * One router of each failure domain reads the store and passes on what it gets; one that is lost or
+ * cannot reach the store is replaced as soon as the others hear so.
+ */
+const READERS_PER_DOMAIN = 1;
+
+export function createReaders(
+  settings: ReaderSettings,
+  book: PeerBook,
+  ports: ReaderPorts,
+  canRead: () => boolean,
+): Readers {
+  /** All routers that may read, this one among them. */
+  function candidates(): PeerRouter[] {
+    const self: PeerRouter = {
+      hostId: asId(settings.hostId),
+      failureDomain: asId(settings.failureDomain),
+      address: '',
+      canRead: canRead(),
+    };
+    return [self, ...book.routers(ports.clock.monotonicMs())];
+  }
+
+  function readersOf(failureDomain: string, all: readonly PeerRouter[]): PeerRouter[] {
+    const members = all.map((router) => ({
+      routerId: asId<never>(router.hostId),
+      failureDomain: router.failureDomain,
+      state: router.canRead ? 'alive' : 'lost',
+    }));
+    const chosen = chooseReaders(
+      members,
+      asId(failureDomain),
+      ports.hashes.hash32,
+      READERS_PER_DOMAIN,
+    );
+    return all.filter(({ hostId }) => chosen.includes(asId<never>(hostId)));
+  }
+
+  function isReader(): boolean {
+    const readers = readersOf(settings.failureDomain, candidates());
+    return readers.some(({ hostId }) => hostId === settings.hostId);
+  }
+
+  /** The reader of the own failure domain first. */
+  function relays(): PeerRouter[] {
+    const all = candidates();
+    const domains = [...new Set(all.map(({ failureDomain }) => failureDomain))];
+    const ordered = domains.sort((a, b) => rank(a) - rank(b));
+    return ordered
+      .flatMap((domain) => readersOf(domain, all))
+      .filter(({ hostId }) => hostId !== settings.hostId);
+  }
+
+  function rank(failureDomain: string): number {
+    return failureDomain === settings.failureDomain ? 0 : 1;
+  }
+
+  return {
+    sourcesOf: <T>(name: string, store: WatchedTable<T>): WatchSources<T> => ({
+      store,
+      isReader,
+      relays: (): readonly RelaySource<T>[] =>
+        relays().map(({ address }) => createRelaySource<T>(ports.http, name, address)),
+    }),
+  };
+}
--- a/packages/router/src/forward/watch.ts
+++ b/packages/router/src/forward/watch.ts
@@ -1,6 +1,8 @@
 import { createKnowledge } from '@mimosamill/core';
 import { createAlarm } from '../call/async';
+import { createTableCopy } from './copy';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
+import type { RelayedAnswer, RelayedTable } from './relay';
 
 /** A table of the platform's store, decoded into the product's types. */
 export interface WatchedTable<T> {
@@ -49,6 +51,36 @@
   readonly message: string;
 }
 
+/** Another router that passes a table on. */
+export interface RelaySource<T> {
+  readonly name: string;
+  readonly readChanges: (
+    sinceRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ) => Promise<RelayedChanges<T>>;
+}
+
+export type RelayedChanges<T> =
+  | {
+      readonly kind: 'relayed';
+      readonly changes: readonly TableChange<T>[];
+      readonly isAll: boolean;
+      readonly revision: number;
+      readonly storeAsOfMs: number;
+      readonly sinceOutageMs: number;
+    }
+  | StoreFailure;
+
+/** Where a watch reads. */
+export interface WatchSources<T> {
+  readonly store: WatchedTable<T>;
+  /** Other routers that read the store, the preferred one first. */
+  readonly relays: () => readonly RelaySource<T>[];
+  /** Whether this router reads the store for others. */
+  readonly isReader: () => boolean;
+}
+
 export interface WatchSettings {
   readonly name: string;
   /** The store answers after this time when nothing changes. */
@@ -60,8 +92,6 @@
 export interface WatchHandlers<T> {
   /** The rows after a change, or after the whole table was read again. */
   readonly onRows: (rows: ReadonlyMap<string, T>, context: WatchContext) => void;
-  readonly onLost: () => void;
-  readonly onRegained: () => void;
 }
 
 export interface WatchContext {
@@ -75,9 +105,12 @@
   readonly start: () => void;
   readonly ageMs: () => number;
   readonly revision: () => number;
+  /** Whether the last call to the store failed. */
   readonly isLost: () => boolean;
   /** Asks the store at once; true if the copy is known to be newer than the call. */
   readonly refresh: () => Promise<boolean>;
+  /** The copy as other routers read it. */
+  readonly relayed: RelayedTable;
   readonly stop: () => void;
 }
 
@@ -90,9 +123,13 @@
 const REFRESH_TIMEOUT_MS = 400;
 /** Shortest wait for changes; the store answers at once. */
 const NO_WAIT_MS = 1;
+/** Changes come in bursts, as when the servers of a failure domain start again. */
+const GATHER_MS = 100;
+/** Age, as a multiple of the wait, from which a relay is not trusted to be up to date. */
+const STALE_RATIO = 1.6;
 
 export function createWatch<T>(
-  table: WatchedTable<T>,
+  sources: WatchSources<T>,
   clock: Clock,
   random: () => number,
   decisions: DecisionLog,
@@ -100,8 +137,8 @@
   handlers: WatchHandlers<T>,
 ): Watch {
   const knowledge = createKnowledge();
-  const rows = new Map<string, T>();
-  let revision = -1;
+  const copy = createTableCopy<T>();
+  const waiters = new Set<() => void>();
   let failures = 0;
   let isLost = false;
   let lostAtMs = 0;
@@ -127,13 +164,31 @@
     }
   }
 
-  function publish(): void {
-    const sinceOutageMs = isLost ? 0 : clock.monotonicMs() - regainedAtMs;
-    handlers.onRows(rows, { revision, sinceOutageMs });
+  function sinceOutageMs(): number {
+    return isLost ? 0 : clock.monotonicMs() - regainedAtMs;
+  }
+
+  function publish(outageMs: number): void {
+    handlers.onRows(copy.rows, { revision: copy.revision(), sinceOutageMs: outageMs });
+  }
+
+  function wakeWaiters(): void {
+    const woken = [...waiters];
+    waiters.clear();
+    woken.forEach((wake) => wake());
+  }
+
+  function checkClocks(): void {
+    const check = knowledge.checkClocks(clock.monotonicMs(), clock.nowMs());
+    if (check.kind === 'ok') return;
+    decisions.vital('clock.discrepancy', {
+      table: settings.name,
+      difference_ms: Math.round(check.differenceMs),
+    });
   }
 
   function onAnswer(sentAtMs: number, storeNowMs: number): void {
-    knowledge.checkClocks(clock.monotonicMs(), clock.nowMs());
+    checkClocks();
     knowledge.onAnswer(sentAtMs, storeNowMs);
     failures = 0;
     if (!isLost) return;
@@ -141,10 +196,9 @@
     regainedAtMs = clock.monotonicMs();
     decisions.vital('store.regained', {
       table: settings.name,
-      revision,
+      revision: copy.revision(),
       lost_ms: Math.round(regainedAtMs - lostAtMs),
     });
-    handlers.onRegained();
   }
 
   function onFailure(message: string): void {
@@ -154,43 +208,39 @@
     lostAtMs = clock.monotonicMs();
     decisions.vital('store.lost', {
       table: settings.name,
-      revision,
+      revision: copy.revision(),
       age_ms: Math.round(knowledge.ageMs(lostAtMs)),
       message,
     });
-    handlers.onLost();
   }
 
   async function readAll(abort: AbortController): Promise<boolean> {
     const sentAtMs = clock.monotonicMs();
-    const content = await bounded(READ_ALL_TIMEOUT_MS, abort, table.readAll);
+    const content = await bounded(READ_ALL_TIMEOUT_MS, abort, sources.store.readAll);
     if (content.kind === 'unavailable') {
       onFailure(content.message);
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    // An answer that was overtaken by a newer one would bring back what has been removed.
-    if (content.revision < revision) return true;
-    rows.clear();
-    content.rows.forEach(({ key, value }) => rows.set(key, value));
-    revision = content.revision;
-    publish();
+    if (copy.replace(content.rows, content.revision)) publish(sinceOutageMs());
+    wakeWaiters();
     return true;
   }
 
   async function readChanges(abort: AbortController, waitMs: number): Promise<boolean> {
-    const sinceRevision = revision;
+    if (copy.revision() < 0) return readAll(abort);
+    const sinceRevision = copy.revision();
     const sentAtMs = clock.monotonicMs();
     const timeoutMs = waitMs === NO_WAIT_MS ? REFRESH_TIMEOUT_MS : waitMs + settings.slackMs;
     const answer = await bounded(timeoutMs, abort, (signal) =>
-      table.readChanges(sinceRevision, waitMs, signal),
+      sources.store.readChanges(sinceRevision, waitMs, signal),
     );
     switch (answer.kind) {
       case 'ok':
         onAnswer(sentAtMs, answer.storeNowMs);
         // Another call may have brought the copy further meanwhile.
-        if (revision !== sinceRevision) return true;
-        applyChanges(answer.changes, answer.revision);
+        if (copy.revision() === sinceRevision) applyChanges(answer.changes, answer.revision);
+        wakeWaiters();
         return true;
       case 'history_lost':
         decisions.vital('store.history_lost', { table: settings.name, revision: sinceRevision });
@@ -203,14 +253,51 @@
     }
   }
 
-  function applyChanges(changes: readonly TableChange<T>[], newRevision: number): void {
-    revision = Math.max(revision, newRevision);
-    if (changes.length === 0) return;
-    changes.forEach(({ key, value }) => {
-      if (value === undefined) rows.delete(key);
-      else rows.set(key, value);
-    });
-    publish();
+  function applyChanges(changes: readonly TableChange<T>[], revision: number): void {
+    const isNewer = copy.apply(changes, revision);
+    if (isNewer && changes.length > 0) publish(sinceOutageMs());
+  }
+
+  /** Reads from another router; its content is as old as what that one has from the store. */
+  async function readRelay(relay: RelaySource<T>, abort: AbortController): Promise<boolean> {
+    const sinceRevision = copy.revision();
+    const answer = await bounded(settings.waitMs + settings.slackMs, abort, (signal) =>
+      relay.readChanges(sinceRevision, settings.waitMs, signal),
+    );
+    if (answer.kind === 'unavailable') return false;
+    checkClocks();
+    const isNewer = answer.isAll
+      ? copy.replace(answer.changes, answer.revision)
+      : copy.revision() === sinceRevision && copy.apply(answer.changes, answer.revision);
+    // Content that was overtaken by another call says nothing about the age of the copy.
+    if (answer.revision >= copy.revision()) knowledge.onRelayed(answer.storeAsOfMs);
+    if (isNewer && answer.changes.length > 0) {
+      publish(Math.min(sinceOutageMs(), answer.sinceOutageMs));
+    }
+    wakeWaiters();
+    return true;
+  }
+
+  /** The sources to try this time, in turn; undefined stands for the store. */
+  function plan(): (RelaySource<T> | undefined)[] {
+    const relays = sources.relays();
+    const [preferred, ...others] = relays;
+    const isStale = knowledge.ageMs(clock.monotonicMs()) > settings.waitMs * STALE_RATIO;
+    if (preferred === undefined || sources.isReader() || isStale) return [undefined, ...relays];
+    return [preferred, undefined, ...others];
+  }
+
+  /** Reads from the first source that answers. */
+  async function step(): Promise<boolean> {
+    for (const source of plan()) {
+      poll = new AbortController();
+      const isOk =
+        source === undefined
+          ? await readChanges(poll, settings.waitMs)
+          : await readRelay(source, poll);
+      if (isOk || isStopped) return true;
+    }
+    return false;
   }
 
   function retryDelayMs(): number {
@@ -220,10 +307,12 @@
 
   async function run(): Promise<void> {
     while (!isStopped) {
-      poll = new AbortController();
-      const isOk = revision < 0 ? await readAll(poll) : await readChanges(poll, settings.waitMs);
-      if (!isOk) {
-        if (!isStopped) retry.set(clock.monotonicMs() + retryDelayMs());
+      const before = copy.revision();
+      const isOk = await step();
+      if (isStopped) return;
+      const pauseMs = copy.revision() > before ? GATHER_MS : 0;
+      if (!isOk || pauseMs > 0) {
+        retry.set(clock.monotonicMs() + (isOk ? pauseMs : retryDelayMs()));
         return;
       }
     }
@@ -231,36 +320,54 @@
 
   function refresh(): Promise<boolean> {
     refreshing ??= (async () => {
-      const abort = new AbortController();
-      const isOk = revision < 0 ? await readAll(abort) : await readChanges(abort, NO_WAIT_MS);
+      const isOk = await readChanges(new AbortController(), NO_WAIT_MS);
       refreshing = undefined;
       return isOk;
     })();
     return refreshing;
   }
 
+  function relayedAnswer(sinceRevision: number): RelayedAnswer | undefined {
+    const storeAsOfMs = knowledge.storeAsOfMs();
+    if (copy.revision() < 0 || storeAsOfMs === undefined) return undefined;
+    const outageMs = sinceOutageMs();
+    return {
+      ...copy.since(sinceRevision),
+      storeAsOfMs,
+      sinceOutageMs: Number.isFinite(outageMs) ? outageMs : null,
+    };
+  }
+
+  function next(sinceRevision: number, waitMs: number): Promise<RelayedAnswer | undefined> {
+    if (copy.revision() > sinceRevision) return Promise.resolve(relayedAnswer(sinceRevision));
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        waiters.delete(wake);
+        cancel();
+        resolve(relayedAnswer(sinceRevision));
+      };
+      const cancel = clock.after(waitMs, wake);
+      waiters.add(wake);
+    });
+  }
+
   return {
     start: () => {
       void run();
     },
     ageMs: () => {
-      const nowMs = clock.monotonicMs();
-      const check = knowledge.checkClocks(nowMs, clock.nowMs());
-      if (check.kind === 'discrepancy') {
-        decisions.vital('clock.discrepancy', {
-          table: settings.name,
-          difference_ms: Math.round(check.differenceMs),
-        });
-      }
-      return knowledge.ageMs(nowMs);
+      checkClocks();
+      return knowledge.ageMs(clock.monotonicMs());
     },
-    revision: () => revision,
+    revision: copy.revision,
     isLost: () => isLost,
     refresh,
+    relayed: { name: settings.name, next },
     stop: () => {
       isStopped = true;
       retry.set(undefined);
       poll?.abort();
+      wakeWaiters();
     },
   };
 }
