--- a/packages/admin/src/cli/main.ts
+++ b/packages/admin/src/cli/main.ts
@@ -3,6 +3,7 @@
 import { createAdminClient } from './client';
 import { createCommands, STANDARD_INPUT } from './commands';
 import { EXIT } from './exit';
+import { explainFiles } from './explain';
 import type { CommandOptions } from './commands';
 
 const VERSION = '0.1.0';
@@ -148,6 +149,17 @@
   .option('--after <id>', 'Continue after this id')
   .option('--limit <count>', 'Moves per page')
   .action((options: GlobalOptions) => run(options, (commands) => commands.listMoves(options)));
+cli
+  .command(
+    'explain <request> [...files]',
+    "Tell from routers' log lines what happened to a request",
+  )
+  .action(async (requestId: string, files: string[]) => {
+    process.exitCode = await explainFiles(requestId, files, {
+      print: (text) => console.log(text),
+      printError: (text) => console.error(text),
+    });
+  });
 cli.help();
 cli.version(VERSION);
 
--- /dev/null
+++ b/packages/router/test/forward/clock.ts
@@ -0,0 +1,45 @@
+import type { Clock } from '@mimosamill/adapters';
+
+export interface ManualClock extends Clock {
+  readonly advance: (ms: number) => void;
+}
+
+/** A clock that a test moves; due timers run in order. */
+export function createManualClock(): ManualClock {
+  let nowMs = 1_000;
+  let timers: { readonly atMs: number; readonly fn: () => void }[] = [];
+
+  function after(delayMs: number, fn: () => void): () => void {
+    const timer = { atMs: nowMs + delayMs, fn };
+    timers.push(timer);
+    return () => {
+      timers = timers.filter((other) => other !== timer);
+    };
+  }
+
+  return {
+    nowMs: () => nowMs,
+    monotonicMs: () => nowMs,
+    after,
+    every: (periodMs, fn) => {
+      let cancel = (): void => undefined;
+      const step = (): void => {
+        fn();
+        cancel = after(periodMs, step);
+      };
+      cancel = after(periodMs, step);
+      return () => cancel();
+    },
+    advance: (ms) => {
+      const endMs = nowMs + ms;
+      for (;;) {
+        const next = timers.filter(({ atMs }) => atMs <= endMs).sort((a, b) => a.atMs - b.atMs)[0];
+        if (next === undefined) break;
+        timers = timers.filter((timer) => timer !== next);
+        nowMs = Math.max(nowMs, next.atMs);
+        next.fn();
+      }
+      nowMs = endMs;
+    },
+  };
+}
