Do not take the end of a dead server's connection for the end of its answer

Ruled out: the reset listener of the upstream, which sees resets; a crash ends connections without one.

Change: such an answer counts as complete only if its server still takes a connection afterwards.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,3 +1,4 @@
+import { connect as connectTcp } from 'node:net';
 import { buildConnector, Pool } from 'undici';
 import { describeError } from '../runtime/fetch';
 import type { Dispatcher } from 'undici';
@@ -102,9 +103,27 @@
     return pool;
   }
 
+  /** Whether a server takes connections. */
+  function isListening(address: string): Promise<boolean> {
+    const [host = '', port = '0'] = address.split(':');
+    return new Promise((resolve) => {
+      const socket = connectTcp({ host, port: Number(port) });
+      const finish = (isUp: boolean): void => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(isUp);
+      };
+      const timer = setTimeout(() => finish(false), settings.connectTimeoutMs);
+      openedCount += 1;
+      socket.once('connect', () => finish(true));
+      socket.once('error', () => finish(false));
+    });
+  }
+
   function send(request: UpstreamRequest, handler: ExchangeHandler): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    let isUnframed = false;
     const cancelled = new Error('cancelled');
 
     function failOnce(failure: ExchangeFailure, message: string): void {
@@ -113,6 +132,12 @@
       handler.onFailure(failure, message);
     }
 
+    function endOnce(): void {
+      if (isOver) return;
+      isOver = true;
+      handler.onEnd();
+    }
+
     poolOf(request.address).dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -129,6 +154,8 @@
         },
         onResponseStart: (_started, status, headers) => {
           if (isOver || status < 200) return;
+          isUnframed =
+            headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
           handler.onHead(status, headers);
         },
         onResponseData: (_started, chunk) => {
@@ -139,9 +166,15 @@
             failOnce('broken', 'the connection was reset before the answer ended');
             return;
           }
-          if (isOver) return;
-          isOver = true;
-          handler.onEnd();
+          if (!isUnframed) {
+            endOnce();
+            return;
+          }
+          // An answer without a length ends with its connection, as it does when its server dies.
+          void isListening(request.address).then((isUp) => {
+            if (isUp) endOnce();
+            else failOnce('broken', 'the server is gone, and its answer had no length');
+          });
         },
         onResponseError: (_started, error) => {
           failOnce(controller === undefined ? 'not_sent' : 'broken', describeError(error));
--- a/packages/admin/src/cli/explain.ts
+++ b/packages/admin/src/cli/explain.ts
@@ -125,8 +125,9 @@
 /** One sentence on how the request ended. */
 function conclude(story: readonly DecisionLine[]): string {
   const last = story.findLast(({ event }) => event.endsWith('.end') || event === 'request.refused');
-  if (last === undefined)
+  if (last === undefined) {
     return '=> no line tells its end: its router was killed, or dropped lines';
+  }
   if (last.event === 'request.refused') {
     return `=> refused by ${last.host} (${String(last['code'])}): ${String(last['reason'])}; not run`;
   }
