Tell resets that show as an end without a peer

A trace showed that the reset of an answer without a length came as the end of a connection that no longer had a peer address.

Change: the upstream takes such an end as a reset (adapters/forward/resets).

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,9 +1,9 @@
 import { connect as connectTcp } from 'node:net';
 import { buildConnector, Pool } from 'undici';
 import { describeError } from '../runtime/fetch';
+import { createResetWatch } from './resets';
 import type { Dispatcher } from 'undici';
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Socket } from 'node:net';
 
 /** A caller's request as it goes to a backend server. */
 export interface UpstreamRequest {
@@ -58,21 +58,7 @@
   const pools = new Map<string, Pool>();
   const connect = buildConnector({ timeout: settings.connectTimeoutMs });
   let openedCount = 0;
-  /** True while a connection's error is handed to its listeners. */
-  let isResetting = false;
-
-  /**
-   * undici takes an answer without a length as complete when its connection is reset. This listener
-   * runs before undici's own, so that `onResponseEnd` can tell a reset from a proper end.
-   */
-  function watchResets(socket: Socket): void {
-    socket.prependListener('error', () => {
-      isResetting = true;
-      queueMicrotask(() => {
-        isResetting = false;
-      });
-    });
-  }
+  const resets = createResetWatch();
 
   function poolOf(address: string): Pool {
     const known = pools.get(address);
@@ -88,7 +74,7 @@
       connect: (options, callback) => {
         connect(options, (error, socket) => {
           if (error === null) {
-            watchResets(socket);
+            resets.watch(socket);
             callback(null, socket);
             return;
           }
@@ -162,7 +148,7 @@
           if (!isOver) handler.onData(chunk);
         },
         onResponseEnd: () => {
-          if (isResetting) {
+          if (resets.isResetting()) {
             failOnce('broken', 'the connection was reset before the answer ended');
             return;
           }
--- /dev/null
+++ b/packages/adapters/test/resets.spec.ts
@@ -0,0 +1,38 @@
+import { EventEmitter } from 'node:events';
+import { describe, expect, it } from 'vitest';
+import { createResetWatch } from '../src/forward/resets';
+import type { ResettableSocket } from '../src/forward/resets';
+
+function createStubSocket(remotePort: number | undefined) {
+  const emitter = new EventEmitter();
+  return Object.assign(emitter, { remotePort }) as unknown as ResettableSocket & EventEmitter;
+}
+
+describe('the watch for resets', () => {
+  it.each([
+    ['an error', 'error', 80, true],
+    ['an end without a peer, whose error another call has consumed', 'end', undefined, true],
+    ['an end by the peer', 'end', 80, false],
+  ])(
+    'tells %s from other ends, before the listeners of the HTTP client run',
+    (_name, event, port, isReset) => {
+      const resets = createResetWatch();
+      const socket = createStubSocket(port);
+      const seen: boolean[] = [];
+      resets.watch(socket);
+      socket.on(event, () => seen.push(resets.isResetting()));
+      socket.emit(event, new Error('read ECONNRESET'));
+      expect(seen).toEqual([isReset]);
+    },
+  );
+
+  it('forgets a reset once its listeners have run', async () => {
+    const resets = createResetWatch();
+    const socket = createStubSocket(80);
+    socket.on('error', () => undefined);
+    resets.watch(socket);
+    socket.emit('error', new Error('read ECONNRESET'));
+    await Promise.resolve();
+    expect(resets.isResetting()).toBe(false);
+  });
+});
