Move versions on orders in the store, and take bad ones back

Cause: an order to move a service's traffic was read and not carried out, so a bad version would have got its even share of the requests.

Change: routers give the new version 8, 30 and 100% in turn, tell each other what they saw of both versions, withdraw it at once when it has clearly more bad answers than the former one, and one of them writes the end under the condition that nobody else has. A restarted router asks the store first and uses no new version until it knows.

Ruled out: the evidence pool of the product's own moves, which needs minutes of traffic; orders here give 12 s.

Conclusion: proved by tests only.

--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -1,5 +1,6 @@
-import type { FailureDomain, HostId, ServerId } from '../ids';
+import type { FailureDomain, HostId, ServerId, ServiceName } from '../ids';
 import type { ServerFailure } from './fleet';
+import type { MoveEvidence, MoveState } from './rollout';
 
 /** What one router has at one engine. */
 export interface OwnLoad {
@@ -22,6 +23,14 @@
   readonly ageMs: number;
 }
 
+/** What a router has seen of a version move. */
+export interface PeerMove {
+  readonly service: ServiceName;
+  readonly version: string;
+  readonly state: MoveState;
+  readonly evidence: MoveEvidence;
+}
+
 /** All that a router tells the others; each message replaces the one before it. */
 export interface PeerNews {
   readonly hostId: HostId;
@@ -33,6 +42,7 @@
   readonly canRead: boolean;
   readonly loads: readonly OwnLoad[];
   readonly failures: readonly PeerFailure[];
+  readonly moves: readonly PeerMove[];
 }
 
 /** Load of the other routers at one engine. */
@@ -61,6 +71,8 @@
   ) => readonly PeerFailure[] | undefined;
   readonly loadAt: (serverId: ServerId, nowMs: number) => PeerLoad;
   /** Routers that were heard from lately. */
+  /** The other routers' parts of a move; those of a router that was lost go on counting. */
+  readonly movesOf: (service: ServiceName, version: string) => readonly PeerMove[];
   readonly routers: (nowMs: number) => readonly PeerRouter[];
 }
 
@@ -79,6 +91,7 @@
 
 export function createPeerBook(): PeerBook {
   const peers = new Map<HostId, Peer>();
+  const moves = new Map<string, readonly PeerMove[]>();
 
   function accept(news: PeerNews, router: PeerRouter, nowMs: number): Peer | undefined {
     const known = peers.get(news.hostId);
@@ -113,6 +126,7 @@
       peer.sequence = news.sequence;
       peer.heardAtMs = nowMs;
       peer.loads = new Map(news.loads.map((load) => [load.serverId, load]));
+      moves.set(`${hostId}/${news.lifeId}`, news.moves);
       const fresh = news.failures.filter(({ failureNo }) => failureNo > peer.lastFailureNo);
       fresh.forEach(({ failureNo }) => {
         peer.lastFailureNo = Math.max(peer.lastFailureNo, failureNo);
@@ -134,6 +148,10 @@
       });
       return sum;
     },
+    movesOf: (service, version) =>
+      [...moves.values()]
+        .flat()
+        .filter((move) => move.service === service && move.version === version),
     routers: (nowMs) => {
       expire(nowMs);
       return [...peers.values()].map(({ router }) => router);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -301,6 +301,7 @@
   PeerBook,
   PeerFailure,
   PeerLoad,
+  PeerMove,
   PeerNews,
   PeerRouter,
 } from './forward/peers';
@@ -311,6 +312,15 @@
   StreamPlacement,
   StreamPlacementInput,
 } from './forward/placement';
+export { addEvidence, isWorse, nextMoveStep } from './forward/rollout';
+export type {
+  AnswerCounts,
+  MoveEvidence,
+  MoveStanding,
+  MoveState,
+  MoveStep,
+  VersionOrder,
+} from './forward/rollout';
 export { createForwardStream } from './forward/stream';
 export type {
   AttemptLoss,
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -95,6 +95,7 @@
         canRead: true,
         loads: [{ serverId: id('a1'), running: 1, readingMs: 900, copies: 0, tokens: 5_000 }],
         failures: [],
+        moves: [],
       },
       '10.0.0.9:1',
       1_000,
@@ -133,6 +134,7 @@
     canRead: true,
     loads: [{ serverId: id('a1'), running: sequence, readingMs: 0, copies: 0, tokens: 0 }],
     failures: [{ serverId: id('a1'), failure: 'silent' as const, failureNo, ageMs: 0 }],
+    moves: [],
   });
 
   it('ignores a message that was overtaken, and takes each failure once', () => {
--- a/packages/core/test/forward/load.spec.ts
+++ b/packages/core/test/forward/load.spec.ts
@@ -71,6 +71,7 @@
       canRead: true,
       loads: router.fleet.ownLoads(nowMs, router.placer.msPerToken()),
       failures: [],
+      moves: [],
     };
     at(nowMs + NEWS_DELAY_MS, () =>
       routers.forEach((other, no) => {
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -110,8 +110,10 @@
   /** Another server than those of earlier attempts, as long as there is one. */
   function pick(nowMs: number): ServerId | undefined {
     const input = { service: request.service.name, route: route.name };
-    const fresh = ports.placer.placeCall({ ...input, excluded }, nowMs, ports.random);
-    return fresh ?? ports.placer.placeCall({ ...input, excluded: new Set() }, nowMs, ports.random);
+    const byVersion = ports.versions.excludedFor(request.service.name, ports.random());
+    const all = new Set([...excluded, ...byVersion]);
+    const fresh = ports.placer.placeCall({ ...input, excluded: all }, nowMs, ports.random);
+    return fresh ?? ports.placer.placeCall({ ...input, excluded: byVersion }, nowMs, ports.random);
   }
 
   function send(attemptNo: number, cause: SendCause): void {
@@ -172,6 +174,7 @@
       const isSuccess = outcome.kind === 'ok' && outcome.status < SERVER_ERROR;
       const slownessRatio = tookMs / Math.max(1, route.targetMs / 2);
       fleet.judge.onResult(serverId, route.name, { isSuccess, slownessRatio }, nowMs);
+      ports.versions.onAnswer(serverId, !isSuccess, tookMs);
     }
 
     function onHead(status: number, headers: IncomingHttpHeaders): void {
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -23,6 +23,7 @@
 import { createReaders } from './readers';
 import { createRelayServer } from './relay';
 import { createForwardStreams } from './stream';
+import { createVersions } from './versions';
 import { createWatch } from './watch';
 import type {
   Clock,
@@ -49,6 +50,7 @@
 import type { ForwardPorts, RunCopies } from './ports';
 import type { OperatorRecord } from './records';
 import type { GatewaySettings } from './settings';
+import type { MoveTable } from './versions';
 import type { Watch, WatchContext, WatchedTable } from './watch';
 
 /** What surrounds a gateway; each is one adapter of the platform or of the runtime. */
@@ -63,6 +65,7 @@
   readonly serverTable: WatchedTable<ForwardServer>;
   readonly routerTable: RouterTable;
   readonly copies: RunCopies;
+  readonly moveTable: MoveTable;
   /** For calls to other routers. */
   readonly http: HttpClient;
   /** Differs at each start of the process. */
@@ -134,9 +137,19 @@
       onServerLost: (serverId) => streams.onServerLost(serverId),
       msPerToken: placer.msPerToken,
       canRead,
+      ownMoves: () => versions.ownMoves(),
     },
   );
-  const ports = createPorts(settings, environment, { fleet, placer, upstream, news });
+  const versions = createVersions(asId(settings.hostId), {
+    clock,
+    decisions,
+    fleet,
+    book,
+    hashes: environment.hashes,
+    table: environment.moveTable,
+    touch: news.touch,
+  });
+  const ports = createPorts(settings, environment, { fleet, placer, upstream, news, versions });
   const calls = createForwardCalls(ports);
   const streams = createForwardStreams(ports);
   let table: ForwardTable | undefined;
@@ -189,6 +202,11 @@
   );
 
   function onOperatorRows(rows: ReadonlyMap<string, OperatorRecord>, context: WatchContext): void {
+    versions.setOrders(
+      [...rows.values()].flatMap((record) =>
+        record.kind === 'version_order' ? [record.order] : [],
+      ),
+    );
     rows.forEach((record, key) => {
       if (record.kind === 'unknown') {
         decisions.vital('operator.unreadable', { key, problem: record.problem });
@@ -317,6 +335,7 @@
     serverWatch.stop();
     hosts.stop();
     news.stop();
+    versions.stop();
     socket.datagrams?.close();
     await Promise.all([readyShell.close(), metricsShell.close(), upstream.close()]);
   }
@@ -340,7 +359,7 @@
 function createPorts(
   settings: GatewaySettings,
   environment: GatewayEnvironment,
-  parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'upstream' | 'news'>,
+  parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'upstream' | 'news' | 'versions'>,
 ): ForwardPorts {
   const { clock, random, metrics, decisions, dialect, copies } = environment;
   const budgets = new Map<ServiceName, RetryBudget>();
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -8,6 +8,7 @@
   OwnLoad,
   PeerBook,
   PeerFailure,
+  PeerMove,
   PeerNews,
   ServerFailure,
   ServerId,
@@ -38,6 +39,7 @@
   readonly msPerToken: () => number;
   /** Whether this router can read the store for others. */
   readonly canRead: () => boolean;
+  readonly ownMoves: () => readonly PeerMove[];
 }
 
 /** Tells the other routers what this one has at each engine and which servers it lost. */
@@ -54,7 +56,7 @@
 /** A failure goes out at once, and again with each message for this time. */
 const FAILURE_LIFE_MS = 1_500;
 const HEARTBEAT_MS = 1_000;
-const FORMAT = 2;
+const FORMAT = 3;
 
 /** One message on the wire, in a fixed order of fields to keep it short. */
 type WireNews = [
@@ -66,6 +68,7 @@
   canRead: boolean,
   loads: [string, number, number, number, number][],
   failures: [string, ServerFailure, number, number][],
+  moves: readonly PeerMove[],
 ];
 
 interface OwnFailure {
@@ -110,6 +113,7 @@
         failed.failureNo,
         Math.round(nowMs - failed.atMs),
       ]),
+      ports.ownMoves(),
     ];
     return packr.pack(news);
   }
@@ -133,7 +137,7 @@
       return undefined;
     }
     if (!Array.isArray(wire) || wire[0] !== FORMAT) return undefined;
-    const [, hostId, failureDomain, lifeId, newsSequence, canRead, loads, lost] = wire;
+    const [, hostId, failureDomain, lifeId, newsSequence, canRead, loads, lost, moves] = wire;
     return {
       hostId: asId(hostId),
       failureDomain: asId(failureDomain),
@@ -153,6 +157,7 @@
         failureNo: no,
         ageMs,
       })),
+      moves,
     };
   }
 
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -13,6 +13,7 @@
 import type { ForwardDialect } from './dialect';
 import type { ForwardCounters } from './counters';
 import type { News } from './news';
+import type { Versions } from './versions';
 
 export type CopyOutcome =
   | { readonly kind: 'ok'; readonly handle: string }
@@ -47,6 +48,7 @@
   readonly decisions: DecisionLog;
   readonly counters: ForwardCounters;
   readonly news: Pick<News, 'touch' | 'onFailure'>;
+  readonly versions: Pick<Versions, 'excludedFor' | 'onAnswer'>;
   readonly budgetOf: (service: ServiceName) => RetryBudget;
 }
 
--- a/packages/router/src/forward/records.ts
+++ b/packages/router/src/forward/records.ts
@@ -1,11 +1,4 @@
-import type { ForwardConfig, ServiceName } from '@mimosamill/core';
-
-/** An order to move a service's traffic to another version. */
-export interface VersionOrder {
-  readonly service: ServiceName;
-  readonly version: string;
-  readonly withinMs: number;
-}
+import type { ForwardConfig, VersionOrder } from '@mimosamill/core';
 
 /** What operators write, one record a row. */
 export type OperatorRecord =
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -258,7 +258,10 @@
       service: service.name,
       means,
       promptTokens: tokens,
-      excluded: effect.excluded,
+      excluded: new Set([
+        ...effect.excluded,
+        ...ports.versions.excludedFor(service.name, ports.random()),
+      ]),
     };
     const placement = ports.placer.placeStream(
       effect.goesOnFrom === undefined ? input : { ...input, engineId: effect.goesOnFrom.engineId },
@@ -483,6 +486,7 @@
     fleet.onSign(attempt.engineId, nowMs);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
+      ports.versions.onAnswer(attempt.engineId, false, nowMs - attempt.sentAtMs);
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.news.touch();
       if (attempt.isReadAlone && !attempt.isFromCopy) {
@@ -633,6 +637,9 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     close(attempt);
+    if (loss === 'failed' || loss === 'garbled') {
+      ports.versions.onAnswer(attempt.engineId, true, nowMs - attempt.sentAtMs);
+    }
     if (failure !== undefined) noteFailure(attempt, failure, nowMs, loss, message);
     else ports.counters.onLoss(loss);
     feed({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -78,7 +78,8 @@
 } from './forward/dialect';
 export type { ListedRouter, RouterTable } from './forward/hosts';
 export type { CopyOutcome, RunCopies } from './forward/ports';
-export type { OperatorRecord, VersionOrder } from './forward/records';
+export type { OperatorRecord } from './forward/records';
+export type { MoveRecordOutcome, MoveTable } from './forward/versions';
 export type {
   StoreFailure,
   TableChange,
