Add a randomized fault soak of real routers

Real router processes before the stand-ins of the platform; loopback proxies delay, reset, silence and cut links one way, signals pause, kill and restart routers, the store and servers misbehave, keys are taken away, all overlapping. Checked from what callers and servers see: bookings at most once, refusals that are true, removed keys, whole answers, event order, recovery.

Not covered: clocks that jump (a paused router only makes knowledge old), and roll-outs under faults.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -127,7 +127,11 @@
     },
   },
   {
-    files: ['packages/bench/src/**/*.ts', 'packages/admin/src/cli/**/*.ts'],
+    files: [
+      'packages/bench/src/**/*.ts',
+      'packages/soak/src/**/*.ts',
+      'packages/admin/src/cli/**/*.ts',
+    ],
     rules: { 'no-console': 'off' },
   },
 );
--- /dev/null
+++ b/packages/soak/src/router.ts
@@ -0,0 +1,107 @@
+import { spawn } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { join } from 'node:path';
+import { request } from 'node:http';
+import type { ChildProcess } from 'node:child_process';
+import type { AddressInfo } from 'node:net';
+import type { GatewaySettings } from '@mimosamill/router';
+
+/** A router as a process of its own. */
+export interface RouterProcess {
+  readonly settings: GatewaySettings;
+  readonly start: () => void;
+  readonly signal: (signal: NodeJS.Signals) => void;
+  readonly isRunning: () => boolean;
+  /** Whether it says that it is ready. */
+  readonly isReady: () => Promise<boolean>;
+  readonly stop: () => Promise<void>;
+}
+
+const READY_TIMEOUT_MS = 300;
+const PROGRAM = 'dist/platform-router.mjs';
+const SETTINGS_VARIABLE = 'MIMOSAMILL_BOOT';
+
+export function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+export async function createRouterProcess(
+  name: string,
+  failureDomain: string,
+  storeAddress: string,
+  bounds: Pick<GatewaySettings, 'revokeMs' | 'configMs' | 'drainMs' | 'graceMs'>,
+  directory: string,
+): Promise<RouterProcess> {
+  const settings: GatewaySettings = {
+    hostId: name,
+    failureDomain,
+    region: 'here',
+    ip: '127.0.0.1',
+    callerAddress: `127.0.0.1:${await freePort()}`,
+    readyAddress: `127.0.0.1:${await freePort()}`,
+    metricsPort: await freePort(),
+    peerPort: await freePort(),
+    storeAddress,
+    retryRatio: 0.8,
+    retrySlack: 150,
+    retryWindowMs: 10_000,
+    exposureRatio: 0.1,
+    exposureSlack: 50,
+    ...bounds,
+  };
+  const file = join(directory, `${name}.jsonc`);
+  writeFileSync(file, JSON.stringify(settings));
+  const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
+  let child: ChildProcess | undefined;
+
+  function start(): void {
+    const started = spawn('node', [PROGRAM], {
+      env: { ...process.env, [SETTINGS_VARIABLE]: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    started.stdout.pipe(log, { end: false });
+    started.stderr.pipe(log, { end: false });
+    started.once('exit', () => {
+      if (child === started) child = undefined;
+    });
+    child = started;
+  }
+
+  return {
+    settings,
+    start,
+    signal: (signal) => child?.kill(signal),
+    isRunning: () => child !== undefined,
+    isReady: () =>
+      new Promise((resolve) => {
+        const [host = '', port = '0'] = settings.readyAddress.split(':');
+        const ask = request(
+          { host, port: Number(port), path: '/readyz', timeout: READY_TIMEOUT_MS },
+          (res) => {
+            res.resume();
+            resolve(res.statusCode === 200);
+          },
+        );
+        ask.on('timeout', () => ask.destroy());
+        ask.on('error', () => resolve(false));
+        ask.end();
+      }),
+    stop: async () => {
+      const running = child;
+      if (running === undefined) return;
+      const ended = new Promise((resolve) => {
+        running.once('exit', resolve);
+      });
+      running.kill('SIGCONT');
+      running.kill('SIGKILL');
+      await ended;
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/soak.ts
@@ -0,0 +1,233 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { Agent } from 'node:http';
+import { join } from 'node:path';
+import { createRandom } from '@mimosamill/fakes';
+import { call, KEY, PATHS, startStandinWorld } from '@mimosamill/platform/standin';
+import { findViolations } from './checks';
+import { FAULT_KINDS, inject, pause, pick } from './faults';
+import { startProxy } from './proxy';
+import { createRouterProcess } from './router';
+import type { StandinServer } from '@mimosamill/platform/standin';
+import type { Exchange, RequestKind, Violation } from './checks';
+import type { FaultKind, FaultTargets } from './faults';
+import type { Proxy } from './proxy';
+import type { RouterProcess } from './router';
+
+export interface SoakOptions {
+  readonly seed: number;
+  readonly faultsMs: number;
+  readonly routers: number;
+  readonly callers: number;
+  /** Logs are kept here when a promise was broken. */
+  readonly logDirectory: string;
+}
+
+export interface SoakResult {
+  readonly seed: number;
+  readonly faultsByKind: Readonly<Partial<Record<FaultKind, number>>>;
+  readonly requests: number;
+  readonly served: number;
+  readonly streamsResumed: number;
+  readonly violations: readonly Violation[];
+}
+
+const SHAPE = { events: 50, readingMs: 80, gapMs: 15 };
+const DOMAINS = ['east', 'west', 'north'];
+const ENGINES = 6;
+const PLAIN_SERVERS = 3;
+const KEYS = [KEY, 'key-2', 'key-3', 'key-4'];
+const BOUNDS = { revokeMs: 2_500, configMs: 800, drainMs: 600, graceMs: 3_000 };
+const START_TIMEOUT_MS = 15_000;
+/** Every router serves each kind of request again within this time of the last fault. */
+const RECOVERY_MS = 8_000;
+const FAULT_GAP_MIN_MS = 150;
+const FAULT_GAP_MAX_MS = 700;
+const CALLER_PAUSE_MS = 40;
+const KINDS: readonly RequestKind[] = ['stream', 'once', 'idempotent'];
+
+/** Plays one seed: real routers, stand-ins behind proxies, callers, and faults that overlap. */
+export async function playSeed(options: SoakOptions): Promise<SoakResult> {
+  const random = createRandom(options.seed);
+  const directory = mkdtempSync(join(options.logDirectory, `soak-${options.seed}-`));
+  const fleet = await startFleet(options, directory, random);
+  const exchanges: Exchange[] = [];
+  const isOver = { value: false };
+  const callers = Array.from({ length: options.callers }, (_, no) =>
+    runCaller(no, fleet, exchanges, random, isOver),
+  );
+  const faultsByKind = await injectFaults(fleet.targets, options.faultsMs, random);
+  const recovery = await findUnrecovered(fleet);
+  isOver.value = true;
+  await Promise.all(callers);
+  const runs = [...fleet.targets.world.engines.runs, ...fleet.targets.world.plain.runs];
+  const violations = [
+    ...findViolations(exchanges, runs, fleet.removed, BOUNDS.revokeMs, SHAPE.events),
+    ...recovery,
+  ];
+  await fleet.close();
+  if (violations.length === 0) rmSync(directory, { recursive: true, force: true });
+  return {
+    seed: options.seed,
+    faultsByKind,
+    requests: exchanges.length,
+    served: exchanges.filter(({ answer }) => answer.status === 200 && answer.isWhole).length,
+    streamsResumed: runs.filter(({ headers }) => headers['last-event-id'] !== undefined).length,
+    violations,
+  };
+}
+
+interface SoakFleet {
+  readonly targets: FaultTargets;
+  /** Keys that were taken away, and when. */
+  readonly removed: ReadonlyMap<string, number>;
+  readonly keys: () => readonly string[];
+  readonly close: () => Promise<void>;
+}
+
+async function startFleet(
+  options: SoakOptions,
+  directory: string,
+  random: () => number,
+): Promise<SoakFleet> {
+  const world = await startStandinWorld(SHAPE);
+  const links: Proxy[] = [];
+  const servers: StandinServer[] = [];
+  const removed = new Map<string, number>();
+  let keys = [...KEYS];
+  world.setKeys(keys);
+
+  async function add(group: 'engines' | 'plain', id: string, no: number): Promise<void> {
+    const server = await world[group].start(id);
+    const link = await startProxy(server.address);
+    links.push(link);
+    servers.push(server);
+    world.list(id, {
+      service: group === 'engines' ? 'engines' : 'shop',
+      address: link.address,
+      failureDomain: DOMAINS[no % DOMAINS.length] ?? '',
+    });
+  }
+
+  for (let no = 0; no < ENGINES; no += 1) await add('engines', `e${no}`, no);
+  for (let no = 0; no < PLAIN_SERVERS; no += 1) await add('plain', `p${no}`, no);
+  const storeLinks: Proxy[] = [];
+  const routers: RouterProcess[] = [];
+  for (let no = 0; no < options.routers; no += 1) {
+    const link = await startProxy(world.store.address);
+    storeLinks.push(link);
+    const domain = DOMAINS[no % DOMAINS.length] ?? '';
+    routers.push(
+      await createRouterProcess(`router-${no}`, domain, link.address, BOUNDS, directory),
+    );
+  }
+  routers.forEach((router) => router.start());
+  await untilReady(routers);
+  return {
+    targets: {
+      world,
+      routers,
+      links,
+      storeLinks,
+      servers,
+      random,
+      removeKey: () => {
+        if (keys.length < 2) return undefined;
+        const key = keys.at(-1);
+        keys = keys.slice(0, -1);
+        world.setKeys(keys);
+        if (key !== undefined) removed.set(key, performance.now());
+        return key;
+      },
+    },
+    removed,
+    keys: () => KEYS,
+    close: async () => {
+      await Promise.all(routers.map((router) => router.stop()));
+      await Promise.all([...links, ...storeLinks].map((link) => link.close()));
+      await world.close();
+    },
+  };
+}
+
+async function untilReady(routers: readonly RouterProcess[]): Promise<void> {
+  const endMs = performance.now() + START_TIMEOUT_MS;
+  for (;;) {
+    const ready = await Promise.all(routers.map((router) => router.isReady()));
+    if (ready.every(Boolean)) return;
+    if (performance.now() > endMs) throw new Error('the routers did not become ready');
+    await pause(50);
+  }
+}
+
+/** Sends requests over kept connections, each to any router, until the end of the run. */
+async function runCaller(
+  callerNo: number,
+  fleet: SoakFleet,
+  exchanges: Exchange[],
+  random: () => number,
+  isOver: { readonly value: boolean },
+): Promise<void> {
+  const agent = new Agent({ keepAlive: true });
+  for (let no = 0; !isOver.value; no += 1) {
+    const kind = KINDS[(callerNo + no) % KINDS.length] ?? 'stream';
+    const router = pick(fleet.targets.routers, random);
+    const key = pick(fleet.keys(), random);
+    const requestId = `c${callerNo}-${no}`;
+    const sentAtMs = performance.now();
+    const answer = await call(router.settings.callerAddress, {
+      requestId,
+      path: `${PATHS[kind]}x`,
+      key,
+      agent,
+      budgetMs: kind === 'stream' ? 8_000 : 1_500,
+      timeoutMs: kind === 'stream' ? 9_000 : 2_500,
+      ...(kind === 'idempotent' ? {} : { body: 'body' }),
+      ...(kind === 'stream' ? { headers: { 'x-token-count': '100,50' } } : {}),
+    });
+    exchanges.push({ requestId, kind, key, sentAtMs, answer });
+    await pause(CALLER_PAUSE_MS * random());
+  }
+  agent.destroy();
+}
+
+async function injectFaults(
+  targets: FaultTargets,
+  forMs: number,
+  random: () => number,
+): Promise<Partial<Record<FaultKind, number>>> {
+  const counts: Partial<Record<FaultKind, number>> = {};
+  const running: Promise<void>[] = [];
+  const endMs = performance.now() + forMs;
+  while (performance.now() < endMs) {
+    const kind = pick(FAULT_KINDS, random);
+    counts[kind] = (counts[kind] ?? 0) + 1;
+    running.push(inject(kind, targets));
+    await pause(FAULT_GAP_MIN_MS + random() * (FAULT_GAP_MAX_MS - FAULT_GAP_MIN_MS));
+  }
+  await Promise.all(running);
+  return counts;
+}
+
+/** Requests of each kind to each router, until all are served or the time is over. */
+async function findUnrecovered(fleet: SoakFleet): Promise<Violation[]> {
+  const endMs = performance.now() + RECOVERY_MS;
+  const checks = fleet.targets.routers.flatMap((router) =>
+    KINDS.map((kind) => ({ router, kind, name: `${router.settings.hostId}/${kind}` })),
+  );
+  const failed = await Promise.all(
+    checks.map(async ({ router, kind, name }): Promise<Violation | undefined> => {
+      for (let no = 0; performance.now() < endMs; no += 1) {
+        const { status, isWhole } = await call(router.settings.callerAddress, {
+          requestId: `after-${name}-${no}`,
+          path: `${PATHS[kind]}x`,
+          timeoutMs: 5_000,
+          ...(kind === 'idempotent' ? {} : { body: 'body' }),
+        });
+        if (status === 200 && isWhole) return undefined;
+        await pause(100);
+      }
+      return { promise: 'recovery', requestId: name, detail: `not served for ${RECOVERY_MS} ms` };
+    }),
+  );
+  return failed.filter((violation) => violation !== undefined);
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,6 +22,7 @@
   'fake-service': 'packages/fakes/src/service/main.ts',
   'fake-platform': 'packages/fakes/src/platform/main.ts',
   'baseline-relay': 'packages/bench/src/baseline/main.ts',
+  soak: 'packages/soak/src/main.ts',
   demo: 'packages/bench/src/demo/main.ts',
   measure: 'packages/bench/src/measure/main.ts',
   'bench-node': 'packages/bench/src/member/node.ts',
