--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -55,6 +55,7 @@
 const STALE_RETRY_MIN_MS = 300;
 const STALE_RETRY_MAX_MS = 3_000;
 const STALE_RETRY_RATIO = 0.5;
+const STALE_RETRY_SPREAD_RATIO = 0.4;
 /** Bytes that a caller may leave unread before its stream is cut. */
 const UNREAD_MAX_BYTES = 4_194_304;
 /** Another router is ready for what this one refuses because it is stopping. */
@@ -190,10 +191,12 @@
 
   function refuseStale(ageMs: number): Admission {
     const awayMs = Number.isFinite(ageMs) ? ageMs : 0;
-    const retryAfterMs = Math.min(
+    const meanMs = Math.min(
       STALE_RETRY_MAX_MS,
       Math.max(STALE_RETRY_MIN_MS, awayMs * STALE_RETRY_RATIO),
     );
+    // Callers that were refused together must not return together.
+    const retryAfterMs = meanMs * (1 + STALE_RETRY_SPREAD_RATIO * (2 * ports.random() - 1));
     const message = 'what is known of the configuration is too old to serve the request';
     return refused('not_ready', message, retryAfterMs);
   }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -1,7 +1,8 @@
 import { assertNever, createEventSplitter, createForwardStream } from '@mimosamill/core';
 import { createAlarm } from '../call/async';
+import { createAttempt } from './attempt';
+import { createStreamCopies } from './copies';
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Exchange } from '@mimosamill/adapters';
 import type {
   AttemptLoss,
   FailureDomain,
@@ -14,6 +15,7 @@
   ServerId,
   StreamPlacement,
 } from '@mimosamill/core';
+import type { ShellAttempt } from './attempt';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
 /** Where a stream's answer goes. */
@@ -113,28 +115,6 @@
 
 type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
 
-/** An attempt as the shell keeps it. */
-interface ShellAttempt {
-  readonly attemptNo: number;
-  readonly engineId: ServerId;
-  readonly engineAddress: string;
-  /** Copy that was made last. */
-  copy: RunCopy | undefined;
-  readonly sentAtMs: number;
-  /** Own prompts that the engine had to read before this one. */
-  readonly isReadAlone: boolean;
-  readonly isFromCopy: boolean;
-  exchange: Exchange | undefined;
-  cancelConnect: () => void;
-  status: number;
-  headers: IncomingHttpHeaders;
-  isFailure: boolean;
-  failureBody: Uint8Array[];
-  failureBytes: number;
-  hasEvents: boolean;
-  isOver: boolean;
-}
-
 function runStream(
   ports: ForwardPorts,
   request: ForwardRequest,
@@ -151,6 +131,7 @@
   let lastEventAtMs: number | undefined;
   let moves = 0;
   const tokens = head.promptTokens;
+  const copies = createStreamCopies(ports, request);
   const alarm = createAlarm(clock, () => feed({ kind: 'tick' }));
 
   const stream = createForwardStream({
@@ -327,32 +308,7 @@
       feedLater({ kind: 'unplaced', attemptNo: effect.attemptNo, message: 'the engine has left' });
       return;
     }
-    const attempt: ShellAttempt = {
-      attemptNo: effect.attemptNo,
-      engineId: placed.engineId,
-      engineAddress: engine.server.address,
-      copy:
-        copyAt === undefined
-          ? undefined
-          : {
-              engineId: copyAt.server.serverId,
-              address: copyAt.server.address,
-              id: requestId,
-              isOnDemand: false,
-            },
-      sentAtMs: nowMs,
-      isReadAlone: engine.readings.size === 0,
-      isFromCopy,
-      exchange: undefined,
-      cancelConnect: () => undefined,
-      status: 0,
-      headers: {},
-      isFailure: false,
-      failureBody: [],
-      failureBytes: 0,
-      hasEvents: false,
-      isOver: false,
-    };
+    const attempt = createAttempt(effect.attemptNo, requestId, engine, copyAt, isFromCopy, nowMs);
     attempts.set(effect.attemptNo, attempt);
     current = attempt;
     const { expectedFirstMs } = placed;
@@ -422,7 +378,7 @@
           return;
         }
         close(attempt);
-        dropCopy(attempt);
+        copies.drop(attempt);
         feed({ kind: 'end', attemptNo: attempt.attemptNo });
       },
       onFailure: (failure: 'not_sent' | 'broken', message: string) => {
@@ -510,71 +466,12 @@
     });
   }
 
-  /** Brings a copy up to date, or has a new one made, because the engine that kept it was lost. */
   async function makeCopy(attemptNo: number, renewed: RunCopy | undefined): Promise<void> {
     const attempt = attempts.get(attemptNo);
-    const copyAtId = renewed?.engineId ?? (attempt === undefined ? undefined : findCopy(attempt));
-    const copyAt = copyAtId === undefined ? undefined : fleet.get(copyAtId);
-    if (attempt === undefined || copyAtId === undefined || copyAt === undefined) {
-      feedLater({ kind: 'not_copied', attemptNo });
-      return;
-    }
-    const outcome = await ports.copies.make(
-      attempt.engineAddress,
-      requestId,
-      copyAt.server.address,
-    );
-    if (isOver || attempt.isOver) return;
-    if (outcome.kind !== 'ok') {
-      decisions.notable('stream.not_copied', {
-        request: requestId,
-        engine: attempt.engineId,
-        copy_at: copyAtId,
-        reason: outcome.kind,
-      });
-      setCopy(attempt, undefined);
-      feed({ kind: 'not_copied', attemptNo });
-      return;
-    }
-    const copy: RunCopy = {
-      engineId: copyAtId,
-      address: attempt.engineAddress,
-      id: outcome.handle,
-      isOnDemand: true,
-    };
-    if (renewed === undefined) {
-      decisions.notable('stream.copied', {
-        request: requestId,
-        engine: attempt.engineId,
-        copy_at: copyAtId,
-      });
-    }
-    setCopy(attempt, copy);
-    feed({ kind: 'copied', attemptNo, copy });
-  }
-
-  function findCopy(attempt: ShellAttempt): ServerId | undefined {
-    if (service.engine === undefined) return undefined;
-    const input = {
-      service: service.name,
-      means: service.engine,
-      promptTokens: tokens,
-      excluded: new Set<ServerId>(),
-    };
-    return ports.placer.placeCopy(attempt.engineId, input, clock.monotonicMs(), ports.random);
-  }
-
-  function setCopy(attempt: ShellAttempt, copy: RunCopy | undefined): void {
-    if (attempt.copy !== undefined) fleet.onCopy(attempt.copy.engineId, tokens, -1);
-    if (copy !== undefined) fleet.onCopy(copy.engineId, tokens, 1);
-    attempt.copy = copy;
-    ports.news.touch();
-  }
-
-  /** Engines free the copies that they make by themselves when the run has ended. */
-  function dropCopy(attempt: ShellAttempt): void {
-    if (attempt.copy?.isOnDemand !== true) return;
-    void ports.copies.drop(attempt.engineAddress, attempt.copy.id);
+    const copy = attempt === undefined ? undefined : await copies.make(attempt, renewed);
+    if (isOver || attempt?.isOver === true) return;
+    if (copy === undefined) feed({ kind: 'not_copied', attemptNo });
+    else feed({ kind: 'copied', attemptNo, copy });
   }
 
   /** Ends the bookkeeping of an attempt. */
--- a/packages/soak/src/router.ts
+++ b/packages/soak/src/router.ts
@@ -1,10 +1,9 @@
 import { spawn } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { request } from 'node:http';
+import { createSettings } from '@mimosamill/platform/standin';
 import type { ChildProcess } from 'node:child_process';
-import type { AddressInfo } from 'node:net';
 import type { GatewaySettings } from '@mimosamill/router';
 
 /** A router as a process of its own. */
@@ -22,16 +21,6 @@
 const PROGRAM = 'dist/platform-router.mjs';
 const SETTINGS_VARIABLE = 'MIMOSAMILL_BOOT';
 
-export function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 export async function createRouterProcess(
   name: string,
   failureDomain: string,
@@ -39,23 +28,7 @@
   bounds: Pick<GatewaySettings, 'revokeMs' | 'configMs' | 'drainMs' | 'graceMs'>,
   directory: string,
 ): Promise<RouterProcess> {
-  const settings: GatewaySettings = {
-    hostId: name,
-    failureDomain,
-    region: 'here',
-    ip: '127.0.0.1',
-    callerAddress: `127.0.0.1:${await freePort()}`,
-    readyAddress: `127.0.0.1:${await freePort()}`,
-    metricsPort: await freePort(),
-    peerPort: await freePort(),
-    storeAddress,
-    retryRatio: 0.8,
-    retrySlack: 150,
-    retryWindowMs: 10_000,
-    exposureRatio: 0.1,
-    exposureSlack: 50,
-    ...bounds,
-  };
+  const settings = await createSettings(storeAddress, { hostId: name, failureDomain, ...bounds });
   const file = join(directory, `${name}.jsonc`);
   writeFileSync(file, JSON.stringify(settings));
   const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
