--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -14,7 +14,7 @@
   sendJson,
   sendText,
 } from '@mimosamill/adapters';
-import { createAlarm } from '../call/async';
+import { createAlarm, withTimeout } from '../call/async';
 import { createForwardCalls } from './call';
 import { createForwardCounters } from './counters';
 import { createHosts } from './hosts';
@@ -95,6 +95,7 @@
 const DRAIN_NOTICE_MS = 2_600;
 /** Kept of the grace period for closing connections. */
 const STOP_MARGIN_MS = 500;
+const CLOSE_TIMEOUT_MS = 250;
 const IDLE_CHECK_MS = 50;
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
@@ -337,7 +338,14 @@
     news.stop();
     versions.stop();
     socket.datagrams?.close();
-    await Promise.all([readyShell.close(), metricsShell.close(), upstream.close()]);
+    const closed = Promise.all([
+      readyShell.close(),
+      relay.close(),
+      metricsShell.close(),
+      upstream.close(),
+    ]);
+    // A connection that does not close must not keep a stopped process running.
+    await withTimeout<unknown>(clock, closed, CLOSE_TIMEOUT_MS, undefined);
   }
 
   let stopped: Promise<void> | undefined;
--- a/packages/soak/src/seeds.ts
+++ b/packages/soak/src/seeds.ts
@@ -4,4 +4,9 @@
   readonly cause: string;
 }
 
-export const REGRESSION_SEEDS: readonly RegressionSeed[] = [];
+export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
+  {
+    seed: 704_435,
+    cause: 'a router that had stopped waited for a connection that did not close, and did not end',
+  },
+];
