Remove settings and an event that nothing used

Found by reading the whole change: three settings of the template and the head event of a stream were decoded and never read. The stages of a version move keep to a tenth of a service's requests by themselves.

--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -36,7 +36,10 @@
   /** All traffic is on the new version, and nothing is left on the former one. */
   | { readonly kind: 'complete' };
 
-/** Parts of the order's time at which the share of the new version rises, and the shares. */
+/**
+ * Parts of the order's time at which the share of the new version rises, and the shares. A version
+ * that turns out bad has then got at most a tenth of its service's requests.
+ */
 const STAGES: readonly { readonly untilRatio: number; readonly shareRatio: number }[] = [
   { untilRatio: 0.2, shareRatio: 0.08 },
   { untilRatio: 0.45, shareRatio: 0.3 },
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -56,7 +56,6 @@
 export type ForwardStreamEvent =
   | { readonly kind: 'placed'; readonly attemptNo: number; readonly placed: PlacedAttempt }
   | { readonly kind: 'unplaced'; readonly attemptNo: number; readonly message: string }
-  | { readonly kind: 'head'; readonly attemptNo: number }
   | { readonly kind: 'events'; readonly attemptNo: number; readonly events: readonly StreamEvent[] }
   /** The engine ended the stream as complete. */
   | { readonly kind: 'end'; readonly attemptNo: number }
@@ -156,7 +155,6 @@
   copyAtMs: number | undefined;
   sentAtMs: number;
   hasEvents: boolean;
-  isHeadSeen: boolean;
 }
 
 /** Decides how one stream is carried to its end over engines that fail. */
@@ -199,7 +197,6 @@
       copyAtMs: undefined,
       sentAtMs: 0,
       hasEvents: false,
-      isHeadSeen: false,
     };
     pace.onPlacing();
     return [
@@ -393,9 +390,6 @@
         return [];
       case 'unplaced':
         return onUnplaced(event.message, nowMs);
-      case 'head':
-        attempt.isHeadSeen = true;
-        return [];
       case 'events':
         return onEvents(attempt, event.events, nowMs);
       case 'end': {
@@ -442,7 +436,6 @@
         case 'not_copied':
         case 'placed':
         case 'unplaced':
-        case 'head':
         case 'events':
         case 'end':
         case 'lost':
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -28,13 +28,9 @@
   drainMs: durationMs,
   /** Time between SIGTERM and SIGKILL. */
   graceMs: durationMs,
-  /** Repeats that a service may get, as a share of its requests and beside it, per window. */
+  /** Repeats that a service may get, as a share of its requests and beside it. */
   retryRatio: ratio,
   retrySlack: ratio,
-  retryWindowMs: durationMs,
-  /** Part of a service's requests that an unproven version may get, and a number beside it. */
-  exposureRatio: ratio,
-  exposureSlack: ratio,
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -421,7 +421,6 @@
     attempt.status = status;
     attempt.headers = headers;
     attempt.isFailure = !isSuccess;
-    if (isSuccess) feed({ kind: 'head', attemptNo: attempt.attemptNo });
   }
 
   function keepFailure(attempt: ShellAttempt, bytes: Uint8Array): void {
