End the routers of a soak that could not start

Cause: nine router processes of soaks that had failed at their start were found running after it; they were ended by their ids.

Change: a soak whose routers do not become ready ends them before it fails.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -121,7 +121,13 @@
     );
   }
   routers.forEach((router) => router.start());
-  await untilReady(routers);
+  try {
+    await untilReady(routers);
+  } catch (error) {
+    // No process may outlive the soak that started it.
+    await Promise.all(routers.map((router) => router.stop()));
+    throw error;
+  }
   return {
     targets: {
       world,
