--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -338,14 +338,26 @@
     news.stop();
     versions.stop();
     socket.datagrams?.close();
-    const closed = Promise.all([
-      readyShell.close(),
-      relay.close(),
-      metricsShell.close(),
-      upstream.close(),
-    ]);
-    // A connection that does not close must not keep a stopped process running.
-    await withTimeout<unknown>(clock, closed, CLOSE_TIMEOUT_MS, undefined);
+    await closeWithin(CLOSE_TIMEOUT_MS, {
+      ready: readyShell.close(),
+      relay: relay.close(),
+      metrics: metricsShell.close(),
+      upstream: upstream.close(),
+    });
+  }
+
+  /** A connection that does not close must not keep a stopped process running. */
+  async function closeWithin(
+    timeoutMs: number,
+    closes: Readonly<Record<string, Promise<void>>>,
+  ): Promise<void> {
+    const open = new Set(Object.keys(closes));
+    const closed = Object.entries(closes).map(async ([part, close]) => {
+      await close;
+      open.delete(part);
+    });
+    await withTimeout<unknown>(clock, Promise.all(closed), timeoutMs, undefined);
+    if (open.size > 0) decisions.vital('router.close_given_up', { open: [...open] });
   }
 
   let stopped: Promise<void> | undefined;
