Refuse streams at once that cannot begin before their deadline; list routers at the start

Change: a stream whose first event cannot come before its deadline is refused as not run, without a Retry-After; one that would begin but not end only if its engine is busy, as that is an estimate learned from whole streams (durations.ts). Routers read the list of routers as soon as they have announced themselves: of two, the later one finds the other.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -25,6 +25,8 @@
       readonly copyAtId: ServerId | undefined;
       /** Expected time from the send to the first event. */
       readonly expectedFirstMs: number;
+      /** The engine reads nothing now, and under half of its slots are taken. */
+      readonly isFree: boolean;
     }
   | { readonly kind: 'none'; readonly reason: 'unlisted' | 'excluded' };
 
@@ -87,6 +89,8 @@
 /** Part of an engine's memory that new streams may fill, in tokens that this router knows of. */
 const MEMORY_FILL_RATIO = 0.9;
 const FULL_COST_MS = 5_000;
+/** An engine with fewer requests than this part of its slots has room for one that may be in vain. */
+const FREE_RATIO = 0.5;
 /** Cost of one request ahead at a plain server, over its slots. */
 const CALL_QUEUE_COST_MS = 100;
 const CALL_JITTER_MS = 20;
@@ -149,6 +153,12 @@
     return best;
   }
 
+  function isFree(belief: ServerBelief, means: EngineMeans, nowMs: number): boolean {
+    const peers = book.loadAt(belief.server.serverId, nowMs);
+    const isReading = belief.readings.size > 0 || peers.readingMs > 0;
+    return !isReading && belief.ownRunning + peers.running < means.slots * FREE_RATIO;
+  }
+
   /** An engine of another failure domain, if there is one: a whole domain may be lost at once. */
   function placeCopy(
     engine: ServerBelief,
@@ -199,6 +209,7 @@
           BASE_FIRST_MS +
           readingLeftMs(engine, nowMs, msPerToken) +
           input.promptTokens * msPerToken,
+        isFree: isFree(engine, input.means, nowMs),
       };
     },
     placeCopy: (engineId, input, nowMs, random) => {
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -55,7 +55,13 @@
 
 export type ForwardStreamEvent =
   | { readonly kind: 'placed'; readonly attemptNo: number; readonly placed: PlacedAttempt }
-  | { readonly kind: 'unplaced'; readonly attemptNo: number; readonly message: string }
+  | {
+      readonly kind: 'unplaced';
+      readonly attemptNo: number;
+      /** 'no_time': no engine could bring the stream to its end before its deadline. */
+      readonly reason: 'no_engine' | 'no_time';
+      readonly message: string;
+    }
   | { readonly kind: 'events'; readonly attemptNo: number; readonly events: readonly StreamEvent[] }
   /** The engine ended the stream as complete. */
   | { readonly kind: 'end'; readonly attemptNo: number }
@@ -227,6 +233,12 @@
     return end({ kind: 'fail', error });
   }
 
+  /** A repeat would be in vain, so no time for one is named. */
+  function failForTime(message: string): ForwardStreamEffect[] {
+    const runState = !hasBegun && !wasUnknown ? 'not_run' : 'unknown';
+    return end({ kind: 'fail', error: createServeError('deadline_exceeded', message, runState) });
+  }
+
   /** An attempt may have run unless the engine says otherwise; that forbids "not run" later. */
   function noteRun(loss: AttemptLoss): void {
     if (NOT_RUN_LOSSES.has(loss)) return;
@@ -366,8 +378,12 @@
     ];
   }
 
-  function onUnplaced(message: string, nowMs: number): ForwardStreamEffect[] {
+  function onUnplaced(
+    { reason, message }: Extract<ForwardStreamEvent, { kind: 'unplaced' }>,
+    nowMs: number,
+  ): ForwardStreamEffect[] {
     live = undefined;
+    if (reason === 'no_time') return failForTime(message);
     // Engines that lost the stream may have restarted; better one of them than none.
     excluded.clear();
     const isHopeless = sends >= maxSends() || nowMs + REPLACE_DELAY_MS >= settings.deadlineAtMs;
@@ -389,7 +405,7 @@
         pace.onAttempt(nowMs, sends === 1);
         return [];
       case 'unplaced':
-        return onUnplaced(event.message, nowMs);
+        return onUnplaced(event, nowMs);
       case 'events':
         return onEvents(attempt, event.events, nowMs);
       case 'end': {
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -6,6 +6,7 @@
   createPeerBook,
   createPlacer,
   createRetryBudget,
+  createStreamDurations,
 } from '@mimosamill/core';
 import {
   createHttpShell,
@@ -387,6 +388,7 @@
     clock,
     random,
     ...parts,
+    durations: createStreamDurations(),
     copies,
     dialect,
     decisions,
--- a/packages/router/src/forward/hosts.ts
+++ b/packages/router/src/forward/hosts.ts
@@ -29,11 +29,10 @@
   readonly stop: () => void;
 }
 
-/** The routers of a new installation announce themselves at the same time, and one that comes later is heard from. */
-const FIRST_READ_MS = 700;
 const READ_PERIOD_MS = 60_000;
 const READ_JITTER_MS = 5_000;
 const ANNOUNCE_RETRY_MS = 500;
+const READ_RETRY_MS = 700;
 /** A listed router that says nothing for so long has been replaced. */
 const GONE_AFTER_MS = 90_000;
 /** An address that was only heard from is kept while messages come. */
@@ -65,13 +64,14 @@
       later(ANNOUNCE_RETRY_MS * (1 + random()), announce);
       return;
     }
-    later(FIRST_READ_MS, read);
+    // Of two routers, the one that announced itself later finds the other in the list.
+    await read();
   }
 
   async function read(): Promise<void> {
     const routers = await table.list();
     if (routers !== undefined) await onListed(routers);
-    const delayMs = routers === undefined ? FIRST_READ_MS : READ_PERIOD_MS;
+    const delayMs = routers === undefined ? READ_RETRY_MS : READ_PERIOD_MS;
     later(delayMs + READ_JITTER_MS * random(), read);
   }
 
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -9,6 +9,7 @@
   RequestId,
   RetryBudget,
   ServiceName,
+  StreamDurations,
 } from '@mimosamill/core';
 import type { ForwardDialect } from './dialect';
 import type { ForwardCounters } from './counters';
@@ -43,6 +44,7 @@
   readonly fleet: Fleet;
   readonly placer: Placer;
   readonly upstream: Upstream;
+  readonly durations: StreamDurations;
   readonly copies: RunCopies;
   readonly dialect: ForwardDialect;
   readonly decisions: DecisionLog;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -56,6 +56,8 @@
 
 /** A failure's body is passed on up to this size. */
 const FAILURE_MAX_BYTES = 65_536;
+/** A part of a prompt may be in the engine's memory already. */
+const SHORTEST_READ_RATIO = 0.8;
 const CONNECT_WAIT_MS = 200;
 const SUCCESS_END = 300;
 /** Mean time of streams until some have ended. */
@@ -128,7 +130,9 @@
   const attempts = new Map<number, ShellAttempt>();
   let current: ShellAttempt | undefined;
   let isOver = false;
+  let firstEventAtMs: number | undefined;
   let lastEventAtMs: number | undefined;
+  let eventCount = 0;
   let moves = 0;
   const tokens = head.promptTokens;
   const copies = createStreamCopies(ports, request);
@@ -224,15 +228,24 @@
     };
     if (outcome === 'complete') {
       onComplete(tookMs);
+      noteDuration();
       decisions.routine('stream.end', fields);
     } else decisions.notable('stream.end', fields);
   }
 
+  /** Learns from streams that one engine carried from the first event to the last. */
+  function noteDuration(): void {
+    if (moves > 0 || head.lastEventId !== undefined) return;
+    if (firstEventAtMs === undefined || lastEventAtMs === undefined) return;
+    const tookMs = lastEventAtMs - firstEventAtMs;
+    ports.durations.onWhole(route.name, { events: eventCount, tookMs });
+  }
+
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
     const nowMs = clock.monotonicMs();
     const means = service.engine;
     if (means === undefined) {
-      feedLater({ kind: 'unplaced', attemptNo: effect.attemptNo, message: 'no engine service' });
+      unplaced(effect.attemptNo, 'no_engine', 'the service has no engines');
       return;
     }
     const input = {
@@ -250,17 +263,43 @@
       ports.random,
     );
     if (placement.kind === 'none') {
-      feedLater({
-        kind: 'unplaced',
-        attemptNo: effect.attemptNo,
-        message: `no engine can take the stream: ${placement.reason}`,
-      });
+      const message = `no engine can take the stream: ${placement.reason}`;
+      unplaced(effect.attemptNo, 'no_engine', message);
+      return;
+    }
+    const lackingMs = lackingTimeMs(effect, placement, nowMs);
+    if (lackingMs > 0) {
+      const message = `the stream would end ${Math.round(lackingMs)} ms after its deadline`;
+      unplaced(effect.attemptNo, 'no_time', message);
       return;
     }
     noteSend(effect, placement, nowMs);
     openAttempt(effect, placement, nowMs);
   }
 
+  /**
+   * Time by which the stream would miss its deadline, as far as that is sure enough to refuse it.
+   * That it would not even begin always is; that it would not end is an estimate, on which it is
+   * refused only where it would take an engine from others.
+   */
+  function lackingTimeMs(
+    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
+    placed: PlacedEngine,
+    nowMs: number,
+  ): number {
+    // A copy is at hand at once, and its events are the caller's as far as they come.
+    if (effect.goesOnFrom !== undefined) return 0;
+    const restMs = placed.isFree
+      ? 0
+      : ports.durations.shortestRestMs(route.name, effect.lastEventId);
+    const endAtMs = nowMs + placed.expectedFirstMs * SHORTEST_READ_RATIO + restMs;
+    return endAtMs - request.deadlineAtMs;
+  }
+
+  function unplaced(attemptNo: number, reason: 'no_engine' | 'no_time', message: string): void {
+    feedLater({ kind: 'unplaced', attemptNo, reason, message });
+  }
+
   /** The core expects events one at a time, after the effects in hand. */
   function feedLater(event: ForwardStreamEvent): void {
     queueMicrotask(() => feed(event));
@@ -305,7 +344,7 @@
     const engine = fleet.get(placed.engineId);
     const copyAt = placed.copyAtId === undefined ? undefined : fleet.get(placed.copyAtId);
     if (engine === undefined) {
-      feedLater({ kind: 'unplaced', attemptNo: effect.attemptNo, message: 'the engine has left' });
+      unplaced(effect.attemptNo, 'no_engine', 'the engine has left');
       return;
     }
     const attempt = createAttempt(effect.attemptNo, requestId, engine, copyAt, isFromCopy, nowMs);
@@ -449,7 +488,9 @@
       }
       if (lastEventAtMs !== undefined) noteResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
+    firstEventAtMs ??= nowMs;
     lastEventAtMs = nowMs;
+    eventCount += events.length;
     feed({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
--- /dev/null
+++ b/packages/router/test/forward/hosts.spec.ts
@@ -0,0 +1,72 @@
+import { describe, expect, it } from 'vitest';
+import { asId } from '@mimosamill/core';
+import { createHosts } from '../../src/forward/hosts';
+import { createManualClock } from './clock';
+import type { DecisionLog } from '@mimosamill/adapters';
+import type { ListedRouter, RouterTable } from '../../src/forward/hosts';
+
+const LOG: DecisionLog = {
+  routine: () => undefined,
+  notable: () => undefined,
+  vital: () => undefined,
+  droppedCount: () => 0,
+};
+
+function createTable(): { table: RouterTable; rows: Map<string, ListedRouter> } {
+  const rows = new Map<string, ListedRouter>();
+  return {
+    rows,
+    table: {
+      announce: (self) => {
+        rows.set(self.hostId, { ...self, revision: rows.size + 1 });
+        return Promise.resolve(true);
+      },
+      list: () => Promise.resolve([...rows.values()]),
+      remove: ({ hostId }) => {
+        rows.delete(hostId);
+        return Promise.resolve();
+      },
+    },
+  };
+}
+
+function start(name: string, table: RouterTable) {
+  const clock = createManualClock();
+  const hosts = createHosts(table, clock, () => 0.5, LOG, {
+    hostId: asId(name),
+    peerAddress: `${name}:1`,
+  });
+  hosts.start();
+  return { clock, hosts };
+}
+
+async function settle(): Promise<void> {
+  for (let no = 0; no < 10; no += 1) await Promise.resolve();
+}
+
+describe('the list of routers', () => {
+  it('is known as soon as a router has announced itself, without a wait on its clock', async () => {
+    const { table } = createTable();
+    const first = start('a', table);
+    await settle();
+    const second = start('b', table);
+    await settle();
+    expect(second.hosts.addresses()).toEqual(['a:1']);
+    // The first one read its list before the second came, and hears from it.
+    expect(first.hosts.addresses()).toEqual([]);
+    first.hosts.onHeard('b:1');
+    expect(first.hosts.addresses()).toEqual(['b:1']);
+  });
+
+  it('forgets a router that has said nothing since it was listed', async () => {
+    const { table, rows } = createTable();
+    rows.set('gone', { hostId: asId('gone'), peerAddress: 'gone:1', revision: 1 });
+    const { clock } = start('a', table);
+    await settle();
+    for (let no = 0; no < 3; no += 1) {
+      clock.advance(65_000);
+      await settle();
+    }
+    expect([...rows.keys()]).toEqual(['a']);
+  });
+});
