Judge plain servers by the calls of all routers

Change: routers tell their counts of successes and failures a server and route with their news; counts only grow, so a lost datagram costs time only, and each router feeds what a peer added into the judge it already has (evidence.ts). News that no choice waits for (ends, first events, copies) is gathered for 120 ms instead of 15.

--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -1,3 +1,4 @@
+import type { CallEvidence } from './evidence';
 import type { FailureDomain, HostId, ServerId, ServiceName } from '../ids';
 import type { ServerFailure } from './fleet';
 import type { MoveEvidence, MoveState } from './rollout';
@@ -43,6 +44,7 @@
   readonly loads: readonly OwnLoad[];
   readonly failures: readonly PeerFailure[];
   readonly moves: readonly PeerMove[];
+  readonly evidence: readonly CallEvidence[];
 }
 
 /** Load of the other routers at one engine. */
@@ -70,9 +72,9 @@
     nowMs: number,
   ) => readonly PeerFailure[] | undefined;
   readonly loadAt: (serverId: ServerId, nowMs: number) => PeerLoad;
-  /** Routers that were heard from lately. */
   /** The other routers' parts of a move; those of a router that was lost go on counting. */
   readonly movesOf: (service: ServiceName, version: string) => readonly PeerMove[];
+  /** Routers that were heard from lately. */
   readonly routers: (nowMs: number) => readonly PeerRouter[];
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -282,6 +282,8 @@
 export type { AccessOutcome, ForwardTable } from './forward/table';
 export { createKnowledge } from './forward/knowledge';
 export type { ClockCheck, FreshnessBounds, Knowledge } from './forward/knowledge';
+export { createEvidenceBook } from './forward/evidence';
+export type { CallEvidence, CallOutcome, EvidenceBook } from './forward/evidence';
 export { createStreamDurations } from './forward/durations';
 export type { StreamDurations, WholeStream } from './forward/durations';
 export { createEventSequence, createEventSplitter } from './forward/events';
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -96,6 +96,7 @@
         loads: [{ serverId: id('a1'), running: 1, readingMs: 900, copies: 0, tokens: 5_000 }],
         failures: [],
         moves: [],
+        evidence: [],
       },
       '10.0.0.9:1',
       1_000,
@@ -135,6 +136,7 @@
     loads: [{ serverId: id('a1'), running: sequence, readingMs: 0, copies: 0, tokens: 0 }],
     failures: [{ serverId: id('a1'), failure: 'silent' as const, failureNo, ageMs: 0 }],
     moves: [],
+    evidence: [],
   });
 
   it('ignores a message that was overtaken, and takes each failure once', () => {
--- a/packages/core/test/forward/load.spec.ts
+++ b/packages/core/test/forward/load.spec.ts
@@ -72,6 +72,7 @@
       loads: router.fleet.ownLoads(nowMs, router.placer.msPerToken()),
       failures: [],
       moves: [],
+      evidence: [],
     };
     at(nowMs + NEWS_DELAY_MS, () =>
       routers.forEach((other, no) => {
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Exchange } from '@mimosamill/adapters';
 import type {
+  CallOutcome,
   CallResult,
   DirectCallEffect,
   LatencyWindow,
@@ -173,10 +174,15 @@
       if (outcome.kind === 'not_sent' || outcome.kind === 'rejected') return;
       const isSuccess = outcome.kind === 'ok' && outcome.status < SERVER_ERROR;
       const slownessRatio = tookMs / Math.max(1, route.targetMs / 2);
-      fleet.judge.onResult(serverId, route.name, { isSuccess, slownessRatio }, nowMs);
+      noteEvidence({ isSuccess, slownessRatio }, nowMs);
       ports.versions.onAnswer(serverId, !isSuccess, tookMs);
     }
 
+    function noteEvidence(outcome: CallOutcome, nowMs: number): void {
+      ports.evidence.onOwn(serverId, route.name, outcome, nowMs);
+      if (!outcome.isSuccess) ports.news.touchLater();
+    }
+
     function onHead(status: number, headers: IncomingHttpHeaders): void {
       const nowMs = clock.monotonicMs();
       const said = ports.dialect.readAnswer(status, headers);
@@ -223,7 +229,7 @@
       const nowMs = clock.monotonicMs();
       // Slow enough for a hedge that won; without this a slow server would never look slow.
       const slownessRatio = (nowMs - sentAtMs) / Math.max(1, route.targetMs / 2);
-      fleet.judge.onResult(serverId, route.name, { isSuccess: true, slownessRatio }, nowMs);
+      noteEvidence({ isSuccess: true, slownessRatio }, nowMs);
       open.exchange?.cancel();
     });
     fleet.onSent(serverId, head.requestId, 0, sentAtMs);
--- a/packages/router/src/forward/copies.ts
+++ b/packages/router/src/forward/copies.ts
@@ -36,7 +36,7 @@
     if (attempt.copy !== undefined) fleet.onCopy(attempt.copy.engineId, promptTokens, -1);
     if (copy !== undefined) fleet.onCopy(copy.engineId, promptTokens, 1);
     attempt.copy = copy;
-    ports.news.touch();
+    ports.news.touchLater();
   }
 
   async function make(
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -1,6 +1,7 @@
 import {
   asId,
   createDirectory,
+  createEvidenceBook,
   createFleet,
   createForwardTable,
   createPeerBook,
@@ -115,6 +116,7 @@
     connectionsPerServer: CONNECTIONS_PER_SERVER,
   });
   const book = createPeerBook();
+  const evidence = createEvidenceBook(fleet.judge);
   const placer = createPlacer(fleet, book, asId(settings.hostId), environment.hashes.hash32);
   const peerAddress = `${settings.ip}:${settings.peerPort}`;
   const hosts = createHosts(environment.routerTable, clock, environment.random, decisions, {
@@ -133,6 +135,7 @@
       decisions,
       fleet,
       book,
+      evidence,
       peers: hosts,
       datagrams: () => socket.datagrams,
       onDoubt: (failureDomain) => streams.onDoubt(failureDomain),
@@ -151,7 +154,14 @@
     table: environment.moveTable,
     touch: news.touch,
   });
-  const ports = createPorts(settings, environment, { fleet, placer, upstream, news, versions });
+  const ports = createPorts(settings, environment, {
+    fleet,
+    placer,
+    evidence,
+    upstream,
+    news,
+    versions,
+  });
   const calls = createForwardCalls(ports);
   const streams = createForwardStreams(ports);
   let table: ForwardTable | undefined;
@@ -245,6 +255,7 @@
       streams.onServerLost(serverId);
     });
     upstream.retain(new Set(servers.map(({ address }) => address)));
+    evidence.retain(new Set(servers.map(({ serverId }) => serverId)));
     lapse.set(directory.nextExpiryMs());
   }
 
@@ -380,7 +391,7 @@
 function createPorts(
   settings: GatewaySettings,
   environment: GatewayEnvironment,
-  parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'upstream' | 'news' | 'versions'>,
+  parts: Pick<ForwardPorts, 'fleet' | 'placer' | 'evidence' | 'upstream' | 'news' | 'versions'>,
 ): ForwardPorts {
   const { clock, random, metrics, decisions, dialect, copies } = environment;
   const budgets = new Map<ServiceName, RetryBudget>();
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -2,6 +2,8 @@
 import { Packr } from 'msgpackr';
 import type { Clock, Datagrams, DecisionLog } from '@mimosamill/adapters';
 import type {
+  CallEvidence,
+  EvidenceBook,
   FailureDomain,
   Fleet,
   HostId,
@@ -32,6 +34,7 @@
   readonly decisions: DecisionLog;
   readonly fleet: Fleet;
   readonly book: PeerBook;
+  readonly evidence: EvidenceBook;
   readonly peers: PeerDirectory;
   readonly datagrams: () => Datagrams | undefined;
   readonly onDoubt: (failureDomain: FailureDomain) => void;
@@ -44,8 +47,10 @@
 
 /** Tells the other routers what this one has at each engine and which servers it lost. */
 export interface News {
-  /** Something changed: the others are told soon. */
+  /** Something changed that the others' next choices depend on: they are told soon. */
   readonly touch: () => void;
+  /** Something changed that can wait for other news. */
+  readonly touchLater: () => void;
   readonly onFailure: (serverId: ServerId, failure: ServerFailure) => void;
   readonly onMessage: (bytes: Buffer, from: string) => void;
   readonly stop: () => void;
@@ -53,10 +58,11 @@
 
 /** Changes within this time go out as one message. */
 const GATHER_MS = 15;
+const GATHER_LATER_MS = 120;
 /** A failure goes out at once, and again with each message for this time. */
 const FAILURE_LIFE_MS = 1_500;
 const HEARTBEAT_MS = 1_000;
-const FORMAT = 3;
+const FORMAT = 4;
 
 /** One message on the wire, in a fixed order of fields to keep it short. */
 type WireNews = [
@@ -69,6 +75,7 @@
   loads: [string, number, number, number, number][],
   failures: [string, ServerFailure, number, number][],
   moves: readonly PeerMove[],
+  evidence: [string, string, number, number, number][],
 ];
 
 interface OwnFailure {
@@ -84,7 +91,7 @@
   let sequence = 0;
   let failureNo = 0;
   let failures: OwnFailure[] = [];
-  let cancelGather: (() => void) | undefined;
+  let gathering: { readonly untilMs: number; readonly cancel: () => void } | undefined;
   const cancelHeartbeat = clock.every(HEARTBEAT_MS, send);
 
   function ownLoads(nowMs: number): OwnLoad[] {
@@ -114,13 +121,22 @@
         Math.round(nowMs - failed.atMs),
       ]),
       ports.ownMoves(),
+      ports.evidence
+        .recent(nowMs)
+        .map(({ serverId, route, successes, failures: failed, slownessSum }) => [
+          serverId,
+          route,
+          successes,
+          failed,
+          Math.round(slownessSum),
+        ]),
     ];
     return packr.pack(news);
   }
 
   function send(): void {
-    cancelGather?.();
-    cancelGather = undefined;
+    gathering?.cancel();
+    gathering = undefined;
     const datagrams = ports.datagrams();
     if (datagrams === undefined) return;
     const nowMs = clock.monotonicMs();
@@ -137,7 +153,8 @@
       return undefined;
     }
     if (!Array.isArray(wire) || wire[0] !== FORMAT) return undefined;
-    const [, hostId, failureDomain, lifeId, newsSequence, canRead, loads, lost, moves] = wire;
+    const [, hostId, failureDomain, lifeId, newsSequence, canRead, loads, lost, moves, evidence] =
+      wire;
     return {
       hostId: asId(hostId),
       failureDomain: asId(failureDomain),
@@ -158,6 +175,13 @@
         ageMs,
       })),
       moves,
+      evidence: evidence.map(([serverId, route, successes, failed, slownessSum]): CallEvidence => ({
+        serverId: asId(serverId),
+        route,
+        successes,
+        failures: failed,
+        slownessSum,
+      })),
     };
   }
 
@@ -175,10 +199,17 @@
     if (found.doubtedDomain !== undefined) ports.onDoubt(found.doubtedDomain);
   }
 
+  /** Sends within the time; what changes until then goes along. */
+  function sendWithin(delayMs: number): void {
+    const untilMs = clock.monotonicMs() + delayMs;
+    if (gathering !== undefined && gathering.untilMs <= untilMs) return;
+    gathering?.cancel();
+    gathering = { untilMs, cancel: clock.after(delayMs, send) };
+  }
+
   return {
-    touch: () => {
-      cancelGather ??= clock.after(GATHER_MS, send);
-    },
+    touch: () => sendWithin(GATHER_MS),
+    touchLater: () => sendWithin(GATHER_LATER_MS),
     onFailure: (serverId, failure) => {
       failureNo += 1;
       failures.push({ serverId, failure, failureNo, atMs: clock.monotonicMs() });
@@ -189,12 +220,13 @@
       if (news === undefined || news.hostId === settings.hostId) return;
       ports.peers.onHeard(from);
       const nowMs = clock.monotonicMs();
-      book
-        .onNews(news, from, nowMs)
-        ?.forEach((failed) => onPeerFailure(news.hostId, failed, nowMs));
+      const failed = book.onNews(news, from, nowMs);
+      if (failed === undefined) return;
+      failed.forEach((failure) => onPeerFailure(news.hostId, failure, nowMs));
+      ports.evidence.onPeer(news.hostId, news.lifeId, news.evidence, nowMs);
     },
     stop: () => {
-      cancelGather?.();
+      gathering?.cancel();
       cancelHeartbeat();
     },
   };
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -2,6 +2,7 @@
 import type {
   CallHead,
   CustomerId,
+  EvidenceBook,
   Fleet,
   ForwardRoute,
   ForwardService,
@@ -43,13 +44,14 @@
   readonly random: () => number;
   readonly fleet: Fleet;
   readonly placer: Placer;
+  readonly evidence: EvidenceBook;
   readonly upstream: Upstream;
   readonly durations: StreamDurations;
   readonly copies: RunCopies;
   readonly dialect: ForwardDialect;
   readonly decisions: DecisionLog;
   readonly counters: ForwardCounters;
-  readonly news: Pick<News, 'touch' | 'onFailure'>;
+  readonly news: Pick<News, 'touch' | 'touchLater' | 'onFailure'>;
   readonly versions: Pick<Versions, 'excludedFor' | 'onAnswer'>;
   readonly budgetOf: (service: ServiceName) => RetryBudget;
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -482,7 +482,7 @@
       attempt.hasEvents = true;
       ports.versions.onAnswer(attempt.engineId, false, nowMs - attempt.sentAtMs);
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
-      ports.news.touch();
+      ports.news.touchLater();
       if (attempt.isReadAlone && !attempt.isFromCopy) {
         ports.placer.onRead(tokens, nowMs - attempt.sentAtMs);
       }
@@ -521,7 +521,7 @@
     attempt.cancelConnect();
     fleet.onEnd(attempt.engineId, requestId, attempt.isFromCopy ? 0 : tokens);
     if (attempt.copy !== undefined) fleet.onCopy(attempt.copy.engineId, tokens, -1);
-    ports.news.touch();
+    ports.news.touchLater();
   }
 
   function cancel(attemptNo: number, loss: 'silent' | 'garbled' | undefined): void {
