Spread streams that lose their engines together; a late prompt does not make its engine lost

Ruled out: late news (15 ms) and dead engines (b62439a63a lived). Change: streams that are moved, and copies, go to any engine within 500 or 250 ms of the cheapest one, each as likely. A prompt that is read too late is a failure of its own ('unread'): the engine is avoided, and neither lost nor evidence against its failure domain.

--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -12,10 +12,12 @@
 }
 
 /**
- * How a server failed. 'refused': no connection; 'silent': nothing arrived for too long; 'reset': an
- * exchange broke off; 'misdirected': another process has the address.
+ * How a server failed. 'refused': no connection; 'silent': a running exchange stood still; 'reset': an
+ * exchange broke off; 'misdirected': another process has the address; 'unread': a prompt was not read
+ * in time, which an engine with many prompts does as well as a dead one, so it is avoided but not
+ * taken as lost.
  */
-export type ServerFailure = 'refused' | 'silent' | 'reset' | 'misdirected';
+export type ServerFailure = 'refused' | 'silent' | 'reset' | 'misdirected' | 'unread';
 
 /** A prompt that a server reads for this process. */
 interface Reading {
@@ -110,6 +112,7 @@
   silent: 1_500,
   reset: 400,
   misdirected: 3_000,
+  unread: 1_500,
 };
 const AVOID_MAX_MS = 5_000;
 /** Routes learn on their own whether a server is slow; at most this part of a service is ejected. */
@@ -188,7 +191,7 @@
   /** A server that fails again and again is one loss, and one that was replaced is none. */
   function noteLost(belief: ServerBelief, failure: ServerFailure, atMs: number): void {
     if (failure === 'misdirected') belief.isReplaced = true;
-    else belief.lostAtMs ??= atMs;
+    else if (failure !== 'unread') belief.lostAtMs ??= atMs;
   }
 
   function onFailure(serverId: ServerId, failure: ServerFailure, nowMs: number): FailureNews {
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -13,6 +13,8 @@
   readonly promptTokens: number;
   /** Engines that lost this stream, or that must not hold it. */
   readonly excluded: ReadonlySet<ServerId>;
+  /** The stream lost its engine, and probably others did at the same moment. */
+  readonly isMoved?: boolean;
   /** The engine is fixed, and only the place of its copy is wanted. */
   readonly engineId?: ServerId;
 }
@@ -77,6 +79,14 @@
  */
 const RANK_COST_MS = 100;
 const JITTER_MS = 30;
+/**
+ * Streams that lose their engines together are placed within a few milliseconds, before any router
+ * hears of another's choice. Two prompts at one engine cost a second, a busier engine much less, so
+ * these streams are spread evenly over all engines that cost at most this much more than the
+ * cheapest one. The same holds for copies, which are only used when many streams are moved.
+ */
+const MOVED_SPREAD_MS = 500;
+const COPY_SPREAD_MS = 250;
 /** An avoided server is only used when all others are worse by this much. */
 const AVOID_COST_MS = 20_000;
 const REFUSED_COST_MS = 60_000;
@@ -159,6 +169,19 @@
     return !isReading && belief.ownRunning + peers.running < means.slots * FREE_RATIO;
   }
 
+  /** One of those that cost at most this much more than the cheapest, each as likely. */
+  function anyWithin(
+    spreadMs: number,
+    beliefs: readonly ServerBelief[],
+    costOf: (belief: ServerBelief) => number,
+    random: () => number,
+  ): ServerBelief | undefined {
+    const costs = beliefs.map((belief) => ({ belief, costMs: costOf(belief) }));
+    const limitMs = Math.min(...costs.map(({ costMs }) => costMs)) + spreadMs;
+    const near = costs.filter(({ costMs }) => costMs <= limitMs);
+    return near[Math.floor(random() * near.length)]?.belief;
+  }
+
   /** An engine of another failure domain, if there is one: a whole domain may be lost at once. */
   function placeCopy(
     engine: ServerBelief,
@@ -174,10 +197,9 @@
       ({ server }) => server.failureDomain !== engine.server.failureDomain,
     );
     const choices = apart.length > 0 ? apart : others;
-    const chosen = cheapest(
-      choices,
-      (belief) => engineCostMs(belief, input, nowMs) + JITTER_MS * random(),
-    );
+    const spreadMs = input.isMoved === true ? MOVED_SPREAD_MS : COPY_SPREAD_MS;
+    const costOf = (belief: ServerBelief): number => engineCostMs(belief, input, nowMs);
+    const chosen = anyWithin(spreadMs, choices, costOf, random);
     if (chosen === undefined || distrustMs(chosen, nowMs) > 0) return undefined;
     return chosen.server.serverId;
   }
@@ -189,15 +211,16 @@
       const choices = open.length > 0 ? open : [];
       const rank = rankOf(input.service, all);
       const fixed = input.engineId === undefined ? undefined : fleet.get(input.engineId);
+      const costOf = (belief: ServerBelief): number => engineCostMs(belief, input, nowMs);
+      const rankedCostOf = (belief: ServerBelief): number =>
+        costOf(belief) +
+        (rank.get(belief.server.serverId) ?? 0) * RANK_COST_MS +
+        JITTER_MS * random();
       const engine =
         fixed ??
-        cheapest(
-          choices,
-          (belief) =>
-            engineCostMs(belief, input, nowMs) +
-            (rank.get(belief.server.serverId) ?? 0) * RANK_COST_MS +
-            JITTER_MS * random(),
-        );
+        (input.isMoved === true
+          ? anyWithin(MOVED_SPREAD_MS, choices, costOf, random)
+          : cheapest(choices, rankedCostOf));
       if (engine === undefined) {
         return { kind: 'none', reason: all.length === 0 ? 'unlisted' : 'excluded' };
       }
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -56,6 +56,20 @@
     expect(fleet.get(id('a1'))?.ownRunning).toBe(0);
   });
 
+  it('avoids engines that read a prompt too late, without taking them or their domain as lost', () => {
+    // Guards against moving all streams of an engine that only has many prompts to read.
+    const fleet = fleetOf('a1', 'a2', 'a3');
+    const own = fleet.onFailure(id('a1'), 'unread', 1_000);
+    const told = fleet.onPeerFailure(id('a2'), 'unread', 1_010);
+    expect([own, told]).toEqual([
+      { avoidMs: 1_500, doubtedDomain: undefined },
+      { avoidMs: 1_500, doubtedDomain: undefined },
+    ]);
+    expect(fleet.get(id('a1'))?.lostAtMs).toBeUndefined();
+    fleet.onFailure(id('a1'), 'silent', 1_020);
+    expect(fleet.onFailure(id('a2'), 'silent', 1_030).doubtedDomain).toBe('domain-a');
+  });
+
   it('counts prompts at one engine as read one after the other', () => {
     const fleet = fleetOf('a1');
     fleet.onSent(id('a1'), requestId('r1'), 5_000, 0);
--- /dev/null
+++ b/packages/core/test/forward/survivors.spec.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest';
+import { asId, createFleet, createPeerBook, createPlacer } from '../../src/index';
+import { createRandom, hash32, MEANS, server } from './samples';
+import type { Placer, ServerId, ServiceName } from '../../src/index';
+
+const GUIDE = asId<ServiceName>('guide');
+const ENGINES = ['a', 'b'].flatMap((domain) =>
+  Array.from({ length: 28 }, (_, no) => `${domain}${no}`),
+);
+const ROUTERS = 28;
+
+/** Routers that all know the same: one engine is empty, and the others run up to three streams. */
+function createPlacers(): Placer[] {
+  return Array.from({ length: ROUTERS }, (_, no) => {
+    const fleet = createFleet();
+    fleet.setServers(ENGINES.map((name) => server(name)));
+    const book = createPeerBook();
+    book.onNews(
+      {
+        hostId: asId('busy-host'),
+        failureDomain: asId('domain-a'),
+        lifeId: 'x',
+        sequence: 1,
+        canRead: true,
+        loads: ENGINES.slice(1).map((name, at) => ({
+          serverId: asId(name),
+          running: 1 + (at % 3),
+          readingMs: 0,
+          copies: at % 2,
+          tokens: 5_000,
+        })),
+        failures: [],
+        moves: [],
+        evidence: [],
+      },
+      '',
+      0,
+    );
+    return createPlacer(fleet, book, asId(`host-${no}`), hash32);
+  });
+}
+
+/** How often each engine was chosen, the most frequent first. */
+function countChoices(chosen: readonly (ServerId | undefined)[]): number[] {
+  const counts = new Map<ServerId | undefined, number>();
+  chosen.forEach((engineId) => counts.set(engineId, (counts.get(engineId) ?? 0) + 1));
+  return [...counts.values()].sort((a, b) => b - a);
+}
+
+describe('streams that lose their engines at the same moment', () => {
+  const input = {
+    service: GUIDE,
+    means: MEANS,
+    promptTokens: 5_000,
+    excluded: new Set<ServerId>(),
+  };
+
+  it('are spread over the engines that are left, although all routers know the same empty one', () => {
+    [1, 2, 3].forEach((seed) => {
+      const random = createRandom(seed * 7_919);
+      const placed = createPlacers().map((placer) =>
+        placer.placeStream({ ...input, isMoved: true }, 10, random),
+      );
+      const engines = placed.map((each) => (each.kind === 'ok' ? each.engineId : undefined));
+      const copies = placed.map((each) => (each.kind === 'ok' ? each.copyAtId : undefined));
+      expect(countChoices(engines)[0]).toBeLessThanOrEqual(4);
+      expect(countChoices(copies)[0]).toBeLessThanOrEqual(4);
+    });
+  });
+
+  it('keep their new copies apart when the engine that kept them is lost', () => {
+    const random = createRandom(11);
+    const copies = createPlacers().map((placer) => placer.placeCopy(asId('a5'), input, 10, random));
+    expect(countChoices(copies)[0]).toBeLessThanOrEqual(4);
+  });
+});
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -195,7 +195,7 @@
       age_ms: failed.ageMs,
       doubted_domain: found.doubtedDomain,
     });
-    ports.onServerLost(failed.serverId);
+    if (failed.failure !== 'unread') ports.onServerLost(failed.serverId);
     if (found.doubtedDomain !== undefined) ports.onDoubt(found.doubtedDomain);
   }
 
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -252,6 +252,7 @@
       service: service.name,
       means,
       promptTokens: tokens,
+      isMoved: effect.cause !== 'first',
       excluded: new Set([
         ...effect.excluded,
         ...ports.versions.excludedFor(service.name, ports.random()),
@@ -529,11 +530,19 @@
     if (attempt === undefined || attempt.isOver) return;
     attempt.exchange?.cancel();
     const nowMs = clock.monotonicMs();
-    if (loss === 'silent') noteFailure(attempt, 'silent', nowMs, loss);
+    if (loss === 'silent') noteFailure(attempt, silentFailure(attempt, nowMs), nowMs, loss);
     else if (loss === 'garbled') noteFailure(attempt, 'reset', nowMs, loss);
     close(attempt);
   }
 
+  /** An engine that seems lost is; any other one may only have too much to read. */
+  function silentFailure(attempt: ShellAttempt, nowMs: number): ServerFailure {
+    if (attempt.hasEvents) return 'silent';
+    const belief = fleet.get(attempt.engineId);
+    if (belief === undefined) return 'silent';
+    return belief.lostAtMs !== undefined || fleet.isDoubted(belief, nowMs) ? 'silent' : 'unread';
+  }
+
   function noteFailure(
     attempt: ShellAttempt,
     failure: ServerFailure,
@@ -558,7 +567,7 @@
       avoid_ms: news.avoidMs,
     });
     const lostId = attempt.engineId;
-    queueMicrotask(() => onServerLost(lostId));
+    if (failure !== 'unread') queueMicrotask(() => onServerLost(lostId));
     if (news.doubtedDomain === undefined) return;
     decisions.vital('domain.doubted', { domain: news.doubtedDomain, request: requestId });
     const domain = news.doubtedDomain;
