--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -17,5 +17,7 @@
 // mimosactl
 export { createAdminClient } from './cli/client';
 export type { AdminClient, ClientAnswer, ClientOptions } from './cli/client';
+export { explainFiles } from './cli/explain';
+export type { ExplainOutput } from './cli/explain';
 export { createCommands } from './cli/commands';
 export type { CommandContext, CommandOptions } from './cli/commands';
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -1,6 +1,7 @@
 import { cac } from 'cac';
 import { exitOnSignals } from '../fleet/process';
 import { runDemo } from './demo';
+import { runPlatformDemo } from './platform';
 
 async function main(isStaying: boolean): Promise<void> {
   exitOnSignals();
@@ -22,10 +23,26 @@
   process.exit(isGood ? 0 : 1);
 }
 
+async function showPlatform(): Promise<void> {
+  exitOnSignals();
+  const result = await runPlatformDemo((line) => console.log(line));
+  console.log(JSON.stringify(result));
+  const isGood =
+    result.events_missing === 0 &&
+    result.stream_engines === 2 &&
+    result.bookings_run === result.bookings_requested &&
+    result.key_statuses.join() === '200,401' &&
+    result.move === 'completed';
+  process.exit(isGood ? 0 : 1);
+}
+
 const cli = cac('demo');
 cli
   .command('', 'Start a small fleet and take it through its paces')
   .option('--stay', 'Leave the fleet up afterwards')
-  .action((options: { stay?: boolean }) => main(options.stay === true));
+  .option('--platform', "Show the router on a stand-in of the users' platform instead")
+  .action((options: { stay?: boolean; platform?: boolean }) =>
+    options.platform === true ? showPlatform() : main(options.stay === true),
+  );
 cli.help();
 cli.parse();
--- /dev/null
+++ b/packages/bench/src/demo/platform.ts
@@ -0,0 +1,190 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { explainFiles } from '@mimosamill/admin';
+import { call, eventText, KEY, PATHS, startStandinWorld } from '@mimosamill/platform/standin';
+import { createRouterProcess } from '@mimosamill/soak';
+import type { CallerAnswer, StandinServer, StandinWorld } from '@mimosamill/platform/standin';
+import type { RouterProcess } from '@mimosamill/soak';
+
+/** What the demo on the stand-in of the users' platform proves; printed as its last line. */
+export interface PlatformDemoResult {
+  readonly events_missing: number;
+  readonly stream_engines: number;
+  readonly bookings_requested: number;
+  readonly bookings_run: number;
+  /** Statuses of a request with the same key before and after the key was taken away. */
+  readonly key_statuses: readonly number[];
+  readonly move: string;
+}
+
+interface PlatformFleet {
+  readonly world: StandinWorld;
+  readonly engines: readonly StandinServer[];
+  readonly routers: readonly RouterProcess[];
+  readonly logs: readonly string[];
+}
+
+const SHAPE = { events: 80, readingMs: 120, gapMs: 25 };
+const DOMAINS = ['east', 'west', 'north'];
+const BOUNDS = { revokeMs: 2_500, configMs: 800, drainMs: 600, graceMs: 3_000 };
+const CRASH_AT_EVENT = 30;
+const BOOKINGS = 10;
+const GUEST_KEY = 'key-of-a-guest';
+const MOVE_WITHIN_SEC = 4;
+const WAIT_MAX_MS = 15_000;
+const WAIT_STEP_MS = 20;
+const OK = 200;
+
+/** Starts the platform's stand-in and two routers, and takes them through their paces. */
+export async function runPlatformDemo(say: (line: string) => void): Promise<PlatformDemoResult> {
+  const directory = mkdtempSync(join(tmpdir(), 'mimosamill-demo-'));
+  const fleet = await start(directory);
+  try {
+    say(`two routers at ${addressesOf(fleet).join(' and ')}, engines in ${DOMAINS.join(', ')}`);
+    const stream = await showStream(fleet, say);
+    const bookings = await showBookings(fleet, say);
+    const key = await showKey(fleet, say);
+    const move = await showMove(fleet, say);
+    return { ...stream, ...bookings, ...key, move };
+  } finally {
+    await Promise.all(fleet.routers.map((router) => router.stop()));
+    await fleet.world.close();
+    rmSync(directory, { recursive: true, force: true });
+  }
+}
+
+async function start(directory: string): Promise<PlatformFleet> {
+  const world = await startStandinWorld(SHAPE);
+  const engines: StandinServer[] = [];
+  for (const domain of DOMAINS) engines.push(await world.addEngine(`engine-${domain}`, domain));
+  await world.addPlain('shop-1', 'east');
+  await world.addPlain('shop-2', 'west');
+  const names = ['router-1', 'router-2'];
+  const routers: RouterProcess[] = [];
+  for (const [no, name] of names.entries()) {
+    const domain = DOMAINS[no] ?? '';
+    routers.push(await createRouterProcess(name, domain, world.store.address, BOUNDS, directory));
+  }
+  routers.forEach((router) => router.start());
+  const fleet = { world, engines, routers, logs: names.map((name) => logOf(directory, name)) };
+  try {
+    for (const router of routers) await until(() => router.isReady());
+  } catch (error) {
+    await Promise.all(routers.map((router) => router.stop()));
+    await world.close();
+    throw error;
+  }
+  return fleet;
+}
+
+const logOf = (directory: string, name: string): string => join(directory, `${name}.log`);
+
+function addressesOf({ routers }: PlatformFleet): string[] {
+  return routers.map(({ settings }) => settings.callerAddress);
+}
+
+function send(
+  fleet: PlatformFleet,
+  requestId: string,
+  kind: keyof typeof PATHS,
+  key = KEY,
+): Promise<CallerAnswer> {
+  const [address = ''] = addressesOf(fleet);
+  return call(address, {
+    requestId,
+    path: `${PATHS[kind]}x`,
+    key,
+    ...(kind === 'idempotent' ? {} : { body: 'body' }),
+    ...(kind === 'stream' ? { headers: { 'x-token-count': '400,80' } } : {}),
+  });
+}
+
+async function showStream(fleet: PlatformFleet, say: (line: string) => void) {
+  say('\na stream whose engine crashes in the middle:');
+  const { runs } = fleet.world.engines;
+  const answer = send(fleet, 'demo-stream', 'stream');
+  await until(() => runs.length > 0);
+  await delay(SHAPE.readingMs + SHAPE.gapMs * CRASH_AT_EVENT);
+  await fleet.engines.find(({ serverId }) => serverId === runs[0]?.serverId)?.crash();
+  const { body } = await answer;
+  const missing = Array.from({ length: SHAPE.events }, (_, at) =>
+    eventText('demo-stream', at + 1),
+  ).filter((text) => !body.includes(text)).length;
+  await explain(fleet, 'demo-stream', say);
+  return {
+    events_missing: missing,
+    stream_engines: new Set(runs.map(({ serverId }) => serverId)).size,
+  };
+}
+
+async function showBookings(fleet: PlatformFleet, say: (line: string) => void) {
+  say('\nbookings, each of which may run once:');
+  const ids = Array.from({ length: BOOKINGS }, (_, no) => `demo-booking-${no}`);
+  const answers = await Promise.all(ids.map((requestId) => send(fleet, requestId, 'once')));
+  const served = answers.filter(({ status }) => status === OK).length;
+  const runs = fleet.world.plain.runs.filter(({ requestId }) => ids.includes(requestId)).length;
+  await explain(fleet, ids[0] ?? '', say);
+  return { bookings_requested: served, bookings_run: runs };
+}
+
+async function showKey(fleet: PlatformFleet, say: (line: string) => void) {
+  say('\na key that is given and taken away again:');
+  const statusOf = async (requestId: string): Promise<number> =>
+    (await send(fleet, requestId, 'idempotent', GUEST_KEY)).status;
+  let no = 0;
+  const next = async (): Promise<number> => {
+    no += 1;
+    return statusOf(`demo-key-${no}`);
+  };
+  fleet.world.setKeys([KEY, GUEST_KEY]);
+  await until(async () => (await next()) === OK);
+  const given = await statusOf('demo-key-given');
+  fleet.world.setKeys([KEY]);
+  await until(async () => (await next()) !== OK);
+  const taken = await statusOf('demo-key-taken');
+  await explain(fleet, 'demo-key-taken', say);
+  return { key_statuses: [given, taken] };
+}
+
+async function showMove(fleet: PlatformFleet, say: (line: string) => void): Promise<string> {
+  say('\na move of the shop to version 2:');
+  const { world } = fleet;
+  await world.addPlain('shop-3', 'north', 'v2');
+  const order = { service: 'shop', to: 'v2', deadline_s: MOVE_WITHIN_SEC };
+  world.store.put('op', 'rollout/shop', order);
+  const status = (): unknown => world.store.get('status', 'rollout/shop');
+  let no = 0;
+  await until(async () => {
+    no += 1;
+    await send(fleet, `demo-move-${no}`, 'once');
+    return status() !== undefined;
+  });
+  say(`the routers wrote ${JSON.stringify(status())}`);
+  await explain(fleet, `demo-move-${no}`, say);
+  const { state } = status() as { state: string };
+  return state;
+}
+
+/** What `mimosactl explain` prints of the request. */
+async function explain(
+  fleet: PlatformFleet,
+  requestId: string,
+  say: (line: string) => void,
+): Promise<void> {
+  const story: string[] = [];
+  const output = { print: (text: string) => story.push(text), printError: () => undefined };
+  // The routers' lines are on their way through a pipe.
+  await until(async () => (await explainFiles(requestId, fleet.logs, output)) === 0);
+  say(`mimosactl explain ${requestId} ${fleet.logs.join(' ')}`);
+  story.flatMap((text) => text.split('\n')).forEach(say);
+}
+
+async function until(isDone: () => boolean | Promise<boolean>): Promise<void> {
+  const endMs = performance.now() + WAIT_MAX_MS;
+  while (!(await isDone())) {
+    if (performance.now() > endMs) throw new Error('the awaited state did not come');
+    await delay(WAIT_STEP_MS);
+  }
+}
--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -3,6 +3,7 @@
 import { limitsMeasurement } from './limit/limits';
 import { overloadMeasurement } from './limit/overload';
 import { controlMeasurement } from './control';
+import { loggingMeasurement } from './logging';
 import { membershipMeasurement } from './membership';
 import { memoryMeasurement } from './memory/measure';
 import { movesMeasurement } from './moves/measure';
@@ -19,6 +20,7 @@
   configMeasurement,
   limitsMeasurement,
   controlMeasurement,
+  loggingMeasurement,
   membershipMeasurement,
   memoryMeasurement,
   movesMeasurement,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -22,6 +22,8 @@
 
 export interface RunningCall {
   readonly result: Promise<CallResult<WholeAnswer>>;
+  /** Servers that it was sent to, in this order. */
+  readonly servers: () => readonly ServerId[];
   /** The caller left: the servers are told to stop. */
   readonly abandon: () => void;
 }
@@ -284,6 +286,7 @@
   apply(call.start(startedAtMs));
   return {
     result: result.promise,
+    servers: () => [...excluded],
     abandon: () => {
       alarm.set(undefined);
       [...cancels.values()].forEach((cancel) => cancel());
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -11,7 +11,7 @@
   FreshnessBounds,
   ServeError,
 } from '@mimosamill/core';
-import type { ForwardCalls, WholeAnswer } from './call';
+import type { ForwardCalls, RunningCall, WholeAnswer } from './call';
 import type { ForwardPorts, ForwardRequest } from './ports';
 import type { ForwardStreams, StreamSink } from './stream';
 
@@ -50,6 +50,7 @@
 const REFRESH_WAIT_MS = 350;
 /** Part of the deadline that is kept for writing the answer. */
 const ANSWER_MARGIN_MS = 15;
+const SUCCESS_END = 300;
 const RETRY_AFTER_START_MS = 500;
 /** Callers return after about half as long as the store has been away, within these bounds. */
 const STALE_RETRY_MIN_MS = 300;
@@ -259,30 +260,33 @@
       active.delete(res);
       if (!res.writableEnded) {
         running.abandon();
-        noteCall(request, 'abandoned');
+        noteCall(request, running, 'abandoned');
       }
     });
     const result = await running.result;
-    answerCall(request, res, result);
+    answerCall(request, running, res, result);
   }
 
   function answerCall(
     request: ForwardRequest,
+    running: RunningCall,
     res: ServerResponse,
     result: CallResult<WholeAnswer>,
   ): void {
     if (res.destroyed) return;
     if (result.kind === 'ok') {
-      noteCall(request, result.status < 300 ? 'complete' : 'server_failure', result.status);
+      const outcome = result.status < SUCCESS_END ? 'complete' : 'server_failure';
+      noteCall(request, running, outcome, result.status);
       sendWhole(res, result.body);
       return;
     }
-    noteCall(request, result.error.code, undefined, result.error);
+    noteCall(request, running, result.error.code, undefined, result.error);
     sendError(res, result.error);
   }
 
   function noteCall(
     request: ForwardRequest,
+    running: RunningCall,
     outcome: string,
     status?: number,
     error?: ServeError,
@@ -294,6 +298,7 @@
       route: request.route.name,
       outcome,
       status,
+      servers: running.servers(),
       reason: error?.message,
       run: error?.runState,
       retry_after_ms: error?.retryAfterMs,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -28,6 +28,7 @@
   'bench-node': 'packages/bench/src/member/node.ts',
   'bench-empty': 'packages/bench/src/memory/empty.ts',
   'bench-idle': 'packages/bench/src/member/idle.ts',
+  'bench-gateway': 'packages/bench/src/logging/node.ts',
 };
 
 const isTarget = process.argv.includes('--target');
