Send less news: no heartbeat beside other messages, counts only in full ones

Change: the heartbeat follows the last message; counts of calls go with full messages, which wait 200 ms, and urgent ones no longer carry them. Tests: news.spec.ts, times of messages and that counts are told although urgent messages go on.

--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -58,9 +58,10 @@
 
 /** Changes within this time go out as one message. */
 const GATHER_MS = 15;
-const GATHER_LATER_MS = 120;
+const GATHER_LATER_MS = 200;
 /** A failure goes out at once, and again with each message for this time. */
 const FAILURE_LIFE_MS = 1_500;
+/** Longest silence between two messages. */
 const HEARTBEAT_MS = 1_000;
 const FORMAT = 4;
 
@@ -91,14 +92,15 @@
   let sequence = 0;
   let failureNo = 0;
   let failures: OwnFailure[] = [];
-  let gathering: { readonly untilMs: number; readonly cancel: () => void } | undefined;
-  const cancelHeartbeat = clock.every(HEARTBEAT_MS, send);
+  let cancelUrgent: (() => void) | undefined;
+  let cancelLater: (() => void) | undefined;
+  let cancelHeartbeat = clock.after(HEARTBEAT_MS, sendAll);
 
   function ownLoads(nowMs: number): OwnLoad[] {
     return fleet.ownLoads(nowMs, ports.msPerToken());
   }
 
-  function encode(nowMs: number): Uint8Array {
+  function encode(nowMs: number, evidence: readonly CallEvidence[]): Uint8Array {
     sequence += 1;
     const news: WireNews = [
       FORMAT,
@@ -121,27 +123,38 @@
         Math.round(nowMs - failed.atMs),
       ]),
       ports.ownMoves(),
-      ports.evidence
-        .recent(nowMs)
-        .map(({ serverId, route, successes, failures: failed, slownessSum }) => [
-          serverId,
-          route,
-          successes,
-          failed,
-          Math.round(slownessSum),
-        ]),
+      evidence.map(({ serverId, route, successes, failures: failed, slownessSum }) => [
+        serverId,
+        route,
+        successes,
+        failed,
+        Math.round(slownessSum),
+      ]),
     ];
     return packr.pack(news);
   }
 
-  function send(): void {
-    gathering?.cancel();
-    gathering = undefined;
+  /** What choices depend on at once; counts of results wait for the next full message. */
+  function sendUrgent(): void {
+    send([]);
+  }
+
+  function sendAll(): void {
+    cancelLater?.();
+    cancelLater = undefined;
+    send(ports.evidence.recent(clock.monotonicMs()));
+  }
+
+  function send(evidence: readonly CallEvidence[]): void {
+    cancelUrgent?.();
+    cancelUrgent = undefined;
+    cancelHeartbeat();
+    cancelHeartbeat = clock.after(HEARTBEAT_MS, sendAll);
     const datagrams = ports.datagrams();
     if (datagrams === undefined) return;
     const nowMs = clock.monotonicMs();
     failures = failures.filter(({ atMs }) => nowMs - atMs < FAILURE_LIFE_MS);
-    const bytes = encode(nowMs);
+    const bytes = encode(nowMs, evidence);
     ports.peers.addresses().forEach((address) => datagrams.send(address, bytes));
   }
 
@@ -199,21 +212,17 @@
     if (found.doubtedDomain !== undefined) ports.onDoubt(found.doubtedDomain);
   }
 
-  /** Sends within the time; what changes until then goes along. */
-  function sendWithin(delayMs: number): void {
-    const untilMs = clock.monotonicMs() + delayMs;
-    if (gathering !== undefined && gathering.untilMs <= untilMs) return;
-    gathering?.cancel();
-    gathering = { untilMs, cancel: clock.after(delayMs, send) };
-  }
-
   return {
-    touch: () => sendWithin(GATHER_MS),
-    touchLater: () => sendWithin(GATHER_LATER_MS),
+    touch: () => {
+      cancelUrgent ??= clock.after(GATHER_MS, sendUrgent);
+    },
+    touchLater: () => {
+      cancelLater ??= clock.after(GATHER_LATER_MS, sendAll);
+    },
     onFailure: (serverId, failure) => {
       failureNo += 1;
       failures.push({ serverId, failure, failureNo, atMs: clock.monotonicMs() });
-      send();
+      sendUrgent();
     },
     onMessage: (bytes, from) => {
       const news = decode(bytes);
@@ -226,7 +235,8 @@
       ports.evidence.onPeer(news.hostId, news.lifeId, news.evidence, nowMs);
     },
     stop: () => {
-      gathering?.cancel();
+      cancelUrgent?.();
+      cancelLater?.();
       cancelHeartbeat();
     },
   };
--- /dev/null
+++ b/packages/router/test/forward/news.spec.ts
@@ -0,0 +1,105 @@
+import { describe, expect, it } from 'vitest';
+import { asId, createEvidenceBook, createFleet, createPeerBook } from '@mimosamill/core';
+import { createNews } from '../../src/forward/news';
+import { createManualClock } from './clock';
+import type { Fleet, ForwardServer, ServerId } from '@mimosamill/core';
+import type { ManualClock } from './clock';
+import type { News } from '../../src/forward/news';
+
+const SERVERS = ['a1', 'b1', 'c1'];
+const ROUTE = 'slots';
+
+function serverOf(name: string): ForwardServer {
+  return {
+    serverId: asId(name),
+    service: asId('shop'),
+    address: '10.0.0.1:1',
+    failureDomain: asId('a'),
+    version: '',
+    slots: 6,
+    isLeaving: false,
+    startedAtMs: undefined,
+  };
+}
+
+interface Teller {
+  readonly news: News;
+  readonly fleet: Fleet;
+  readonly evidence: ReturnType<typeof createEvidenceBook>;
+  readonly sent: Buffer[];
+}
+
+function createTeller(name: string, clock: ManualClock): Teller {
+  const fleet = createFleet();
+  fleet.setServers(SERVERS.map(serverOf));
+  const evidence = createEvidenceBook(fleet.judge);
+  const sent: Buffer[] = [];
+  const news = createNews(
+    { hostId: asId(name), failureDomain: asId('a'), lifeId: 'x' },
+    {
+      clock,
+      decisions: {
+        routine: () => undefined,
+        notable: () => undefined,
+        vital: () => undefined,
+        droppedCount: () => 0,
+      },
+      fleet,
+      book: createPeerBook(),
+      evidence,
+      peers: { addresses: () => ['10.0.0.9:1'], onHeard: () => undefined },
+      datagrams: () => ({
+        send: (_, bytes) => sent.push(Buffer.from(bytes)),
+        close: () => undefined,
+      }),
+      onDoubt: () => undefined,
+      onServerLost: () => undefined,
+      msPerToken: () => 0.2,
+      canRead: () => true,
+      ownMoves: () => [],
+    },
+  );
+  return { news, fleet, evidence, sent };
+}
+
+describe('news between routers', () => {
+  it('goes out soon for what choices depend on, later for the rest, and at least once a second', () => {
+    const clock = createManualClock();
+    const { news, sent } = createTeller('host-1', clock);
+    news.touch();
+    news.touch();
+    clock.advance(15);
+    expect(sent).toHaveLength(1);
+    news.touchLater();
+    clock.advance(150);
+    expect(sent).toHaveLength(1);
+    clock.advance(50);
+    expect(sent).toHaveLength(2);
+    // A heartbeat follows the last message, not a clock of its own.
+    clock.advance(999);
+    expect(sent).toHaveLength(2);
+    clock.advance(1);
+    expect(sent).toHaveLength(3);
+  });
+
+  it('tells the results of calls although urgent messages go out all the time', () => {
+    const clock = createManualClock();
+    const teller = createTeller('host-1', clock);
+    const listener = createTeller('host-2', clock);
+    clock.advance(1_000);
+    const note = (name: string, isSuccess: boolean): void => {
+      const serverId: ServerId = asId(name);
+      const outcome = { isSuccess, slownessRatio: 1 };
+      teller.evidence.onOwn(serverId, ROUTE, outcome, clock.monotonicMs());
+      if (!isSuccess) teller.news.touchLater();
+    };
+    for (let no = 0; no < 60; no += 1) {
+      SERVERS.forEach((name) => note(name, name !== 'a1'));
+      teller.news.touch();
+      clock.advance(20);
+    }
+    teller.sent.forEach((bytes) => listener.news.onMessage(bytes, '10.0.0.1:1'));
+    expect(listener.fleet.judge.weight('a1', ROUTE)).toBeLessThan(0.3);
+    expect(listener.fleet.judge.weight('b1', ROUTE)).toBe(1);
+  });
+});
