--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -22,6 +22,7 @@
   'no event missing or repeated',
   'a short stream is not complete',
   'recovery',
+  'a version move ends once, and not with a bad version',
 ];
 
 /** The seeds of a run: one to play again, or the regressions and fresh ones. */
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,11 +5,13 @@
 import { call, KEY, PATHS, startStandinWorld } from '@mimosamill/platform/standin';
 import { findViolations } from './checks';
 import { FAULT_KINDS, inject, pause, pick } from './faults';
+import { orderMove } from './move';
 import { startProxy } from './proxy';
 import { createRouterProcess } from './router';
 import type { StandinServer } from '@mimosamill/platform/standin';
 import type { Exchange, RequestKind, Violation } from './checks';
 import type { FaultKind, FaultTargets } from './faults';
+import type { SoakMove } from './move';
 import type { Proxy } from './proxy';
 import type { RouterProcess } from './router';
 
@@ -55,14 +57,18 @@
   const callers = Array.from({ length: options.callers }, (_, no) =>
     runCaller(no, fleet, exchanges, random, isOver),
   );
+  // Odd seeds play no move, so that those that failed before moves were played stay what they were.
+  const move = options.seed % 2 === 0 ? await fleet.startMove() : undefined;
   const faultsByKind = await injectFaults(fleet.targets, options.faultsMs, random);
   const recovery = await findUnrecovered(fleet);
+  const moved = (await move?.findViolations()) ?? [];
   isOver.value = true;
   await Promise.all(callers);
   const runs = [...fleet.targets.world.engines.runs, ...fleet.targets.world.plain.runs];
   const violations = [
     ...findViolations(exchanges, runs, fleet.removed, BOUNDS.revokeMs, SHAPE.events),
     ...recovery,
+    ...moved,
   ];
   await fleet.close();
   if (violations.length === 0) rmSync(directory, { recursive: true, force: true });
@@ -81,6 +87,8 @@
   /** Keys that were taken away, and when. */
   readonly removed: ReadonlyMap<string, number>;
   readonly keys: () => readonly string[];
+  /** Orders a move to a version that is bad for every second seed that plays one. */
+  readonly startMove: () => Promise<SoakMove>;
   readonly close: () => Promise<void>;
 }
 
@@ -96,16 +104,24 @@
   let keys = [...KEYS];
   world.setKeys(keys);
 
-  async function add(group: 'engines' | 'plain', id: string, no: number): Promise<void> {
+  async function add(
+    group: 'engines' | 'plain',
+    id: string,
+    no: number,
+    version?: string,
+  ): Promise<StandinServer> {
     const server = await world[group].start(id);
     const link = await startProxy(server.address);
     links.push(link);
-    servers.push(server);
+    // The end of a fault would make a server of a bad version good.
+    if (version === undefined) servers.push(server);
     world.list(id, {
       service: group === 'engines' ? 'engines' : 'shop',
       address: link.address,
       failureDomain: DOMAINS[no % DOMAINS.length] ?? '',
+      ...(version === undefined ? {} : { version }),
     });
+    return server;
   }
 
   for (let no = 0; no < ENGINES; no += 1) await add('engines', `e${no}`, no);
@@ -147,6 +163,12 @@
     },
     removed,
     keys: () => KEYS,
+    startMove: () =>
+      orderMove(
+        world,
+        (id, version) => add('plain', id, PLAIN_SERVERS, version),
+        options.seed % 4 === 0,
+      ),
     close: async () => {
       await Promise.all(routers.map((router) => router.stop()));
       await Promise.all([...links, ...storeLinks].map((link) => link.close()));
