--- a/packages/bench/src/calls/processes.ts
+++ b/packages/bench/src/calls/processes.ts
@@ -1,7 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { createRandom } from '@mimosamill/fakes';
-import { commitChanges, basicChanges } from '../fleet/config';
 import { startFleet } from '../fleet/fleet';
+import { commitSample, SAMPLE, SAMPLE_DOMAINS, startRouters } from '../fleet/setup';
 import type { Fleet, FleetNode } from '../fleet/fleet';
 
 /** What became of bookings sent to real processes. */
@@ -42,9 +42,6 @@
   readonly servers: readonly FleetNode[];
 }
 
-const KEY = 'guild-key-1';
-const SERVICE = 'guild-shop';
-const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
 const PHASE_MS = 2_500;
 const BOOKINGS_PER_PHASE = 60;
 const DEADLINE_MS = 2_000;
@@ -78,7 +75,7 @@
 
 async function replaceRouter(world: ProcessWorld): Promise<void> {
   await world.routers[0]?.process.kill();
-  const [failureDomain = ''] = DOMAINS;
+  const [failureDomain = ''] = SAMPLE_DOMAINS;
   const router = await world.fleet.startRouter({ id: 'router-0', failureDomain });
   await world.fleet.waitReady([router]);
   world.routers[0] = router;
@@ -162,25 +159,11 @@
 
 async function startWorld(fleet: Fleet): Promise<ProcessWorld> {
   const servers: FleetNode[] = [];
-  const routers: FleetNode[] = [];
-  for (const [index, domain] of DOMAINS.entries()) {
-    servers.push(await fleet.startService(`shop-${index}`, SERVICE, domain));
+  for (const [index, domain] of SAMPLE_DOMAINS.entries()) {
+    servers.push(await fleet.startService(`shop-${index}`, SAMPLE.plainService, domain));
   }
-  await commitChanges(
-    fleet.platformAddress,
-    basicChanges({
-      engineService: 'bench-guide',
-      model: 'guide',
-      version: 'v1',
-      plainService: SERVICE,
-      customer: 'rib-gluers',
-      key: KEY,
-    }),
-  );
-  for (const [index, failureDomain] of DOMAINS.entries()) {
-    routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
-  }
-  await fleet.waitReady(routers);
+  await commitSample(fleet);
+  const routers = await startRouters(fleet);
   return { fleet, routers, servers };
 }
 
@@ -228,11 +211,11 @@
 ): Promise<Outcome> {
   const router = world.routers[Math.floor(random() * world.routers.length)];
   const answer = await world.fleet.http.fetch(
-    `http://${router?.address}/v1/services/${SERVICE}/book`,
+    `http://${router?.address}/v1/services/${SAMPLE.plainService}/book`,
     {
       method: 'POST',
       headers: {
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${SAMPLE.key}`,
         'idempotency-key': keyOf(booking),
         'x-deadline-ms': String(DEADLINE_MS),
       },
--- a/packages/bench/src/measure/relay/relay.ts
+++ b/packages/bench/src/measure/relay/relay.ts
@@ -1,14 +1,11 @@
 import { request } from 'undici';
-import { basicChanges, commitChanges } from '../../fleet/config';
 import { startFleet } from '../../fleet/fleet';
 import { findFreePort, startBinary } from '../../fleet/process';
+import { commitSample, SAMPLE, startEngines } from '../../fleet/setup';
 import { medianOf, quantileOf, round } from '../stats';
 import type { Fleet } from '../../fleet/fleet';
 import type { Measurement, MeasureOptions, MeasureResult } from '../measurement';
 
-const KEY = 'relay-key';
-const MODEL = 'guide';
-const VERSION = 'v1';
 const PROMPT = 'Which clamp for the fourth rib?';
 const ENGINES = 3;
 const STREAMS = 96;
@@ -63,28 +60,10 @@
 }
 
 async function start(fleet: Fleet): Promise<{ router: Target; baseline: Target }> {
-  const engines = await Promise.all(
-    Array.from({ length: ENGINES }, (_, index) =>
-      fleet.startEngine({
-        id: `engine-${index}`,
-        service: 'bench-guide',
-        model: MODEL,
-        versions: [VERSION],
-        failureDomain: 'marka',
-        modelSettings: { baseStepMs: 1, stepMsPerRequest: 0, maxRunning: 256 },
-      }),
-    ),
-  );
-  const changes = basicChanges({
-    engineService: 'bench-guide',
-    model: MODEL,
-    version: VERSION,
-    plainService: 'guild-shop',
-    customer: 'rib-gluers',
-    key: KEY,
-  });
-  await commitChanges(fleet.platformAddress, [
-    ...changes,
+  const domains = Array.from({ length: ENGINES }, () => 'marka');
+  const modelSettings = { baseStepMs: 1, stepMsPerRequest: 0, maxRunning: 256 };
+  const engines = await startEngines(fleet, domains, modelSettings);
+  await commitSample(fleet, [
     {
       kind: 'set_defaults',
       defaults: { requestsPerSec: 10_000, tokensPerSec: 100_000_000, concurrentStreams: 10_000 },
@@ -99,12 +78,12 @@
   });
   fleet.adopt(baseline);
   await fleet.waitReady([router]);
-  const body = { model: MODEL, prompt: PROMPT, max_tokens: TOKENS, stream: true };
+  const body = { model: SAMPLE.model, prompt: PROMPT, max_tokens: TOKENS, stream: true };
   return {
     router: { address: router.address, body: JSON.stringify(body) },
     baseline: {
       address: `127.0.0.1:${port}`,
-      body: JSON.stringify({ ...body, request_id: '', attempt: 1, version: VERSION }),
+      body: JSON.stringify({ ...body, request_id: '', attempt: 1, version: SAMPLE.version }),
     },
   };
 }
@@ -151,7 +130,7 @@
   const answer = await request(`http://${target.address}/v1/completions`, {
     dispatcher: fleet.http.dispatcher,
     method: 'POST',
-    headers: { 'content-type': 'application/json', authorization: `Bearer ${KEY}` },
+    headers: { 'content-type': 'application/json', authorization: `Bearer ${SAMPLE.key}` },
     body: target.body.replace('"request_id":""', `"request_id":"r${requestNo}"`),
   });
   let firstMs = 0;
--- a/packages/bench/src/measure/resume/resume.ts
+++ b/packages/bench/src/measure/resume/resume.ts
@@ -2,8 +2,8 @@
 import { createHashes } from '@mimosamill/adapters';
 import { createRandom, splitPrompt, wholeText } from '@mimosamill/fakes';
 import { readStream } from '../../fleet/caller';
-import { basicChanges, commitChanges } from '../../fleet/config';
 import { startFleet } from '../../fleet/fleet';
+import { commitSample, SAMPLE, SAMPLE_DOMAINS } from '../../fleet/setup';
 import { quantileOf, round as roundTo } from '../stats';
 import { breakEngine, FAULT_MS, LOSS_KINDS, runningOn, workOf } from './losses';
 import type { Hashes } from '@mimosamill/adapters';
@@ -12,10 +12,6 @@
 import type { Measurement, MeasureOptions, MeasureResult } from '../measurement';
 import type { LossKind } from './losses';
 
-const KEY = 'resume-key';
-const MODEL = 'guide';
-const VERSION = 'v1';
-const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
 const ENGINES = 6;
 const ROUTERS = 3;
 /** Enough for every kind to hit at least MIN_LOSSES streams in a few rounds. */
@@ -109,10 +105,10 @@
 function engineSpec(index: number): EngineSpec {
   return {
     id: `engine-${index}`,
-    service: 'bench-guide',
-    model: MODEL,
-    versions: [VERSION],
-    failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
+    service: SAMPLE.engineService,
+    model: SAMPLE.model,
+    versions: [SAMPLE.version],
+    failureDomain: SAMPLE_DOMAINS[index % SAMPLE_DOMAINS.length] ?? '',
     modelSettings: { baseStepMs: 8, stepMsPerRequest: 0.05, maxRunning: 64 },
   };
 }
@@ -126,20 +122,12 @@
 }
 
 async function configure(fleet: Fleet): Promise<void> {
-  const changes = basicChanges({
-    engineService: 'bench-guide',
-    model: MODEL,
-    version: VERSION,
-    plainService: 'guild-shop',
-    customer: 'rib-gluers',
-    key: KEY,
-  });
   const defaults = { requestsPerSec: 10_000, tokensPerSec: 10_000_000, concurrentStreams: 10_000 };
-  await commitChanges(fleet.platformAddress, [...changes, { kind: 'set_defaults', defaults }]);
+  await commitSample(fleet, [{ kind: 'set_defaults', defaults }]);
 }
 
 function startRouter(fleet: Fleet, index: number): Promise<FleetNode> {
-  const failureDomain = DOMAINS[index % DOMAINS.length] ?? '';
+  const failureDomain = SAMPLE_DOMAINS[index % SAMPLE_DOMAINS.length] ?? '';
   return fleet.startRouter({ id: `router-${index}`, failureDomain });
 }
 
@@ -202,8 +190,8 @@
   streams.push(stream);
   return readStream({
     dispatcher: fleet.http.dispatcher,
-    key: KEY,
-    body: { model: MODEL, prompt, max_tokens: TOKENS },
+    key: SAMPLE.key,
+    body: { model: SAMPLE.model, prompt, max_tokens: TOKENS },
     routerFor: (connection) => routers[(first + connection) % routers.length]?.address,
     onOpen: (requestId) => {
       stream.requestId = requestId;
@@ -284,7 +272,7 @@
 function judge(round: Round, stream: Stream, lostIds: ReadonlySet<string>, atMs: number): void {
   const { hashes, tally } = round;
   const { prompt, result } = stream;
-  const source = { model: MODEL, version: VERSION, adapter: '', prompt, seed: 0 };
+  const source = { model: SAMPLE.model, version: SAMPLE.version, adapter: '', prompt, seed: 0 };
   const expected = wholeText(source, TOKENS, hashes.hash32);
   const texts = result?.texts ?? [];
   tally.delivered += texts.length;
--- a/packages/bench/src/poison/processes.ts
+++ b/packages/bench/src/poison/processes.ts
@@ -1,7 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { basicChanges, commitChanges } from '../fleet/config';
 import { readStream } from '../fleet/caller';
 import { startFleet } from '../fleet/fleet';
+import { commitSample, SAMPLE, SAMPLE_DOMAINS, startEngines, startRouters } from '../fleet/setup';
 import type { CallerResult } from '../fleet/caller';
 import type { Fleet, FleetNode } from '../fleet/fleet';
 
@@ -17,9 +17,7 @@
   readonly innocent_gap_max_ms: number;
 }
 
-const KEY = 'guild-key-1';
 const MARKER = 'overclamped';
-const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
 const ENGINES = 12;
 const CULPRITS = 2;
 const STREAMS = 24;
@@ -32,7 +30,16 @@
 export async function measurePoisonProcesses(seed: number): Promise<PoisonProcessFigures> {
   const fleet = await startFleet({ seed });
   try {
-    const engines = await startEngines(fleet);
+    const domains = Array.from(
+      { length: ENGINES },
+      (_, index) => SAMPLE_DOMAINS[index % SAMPLE_DOMAINS.length] ?? '',
+    );
+    const engines = await startEngines(fleet, domains, {
+      baseStepMs: STEP_MS,
+      poisonMarker: MARKER,
+      poisonAfterTokens: 20,
+    });
+    await commitSample(fleet);
     const routers = await startRouters(fleet);
     return await play(fleet, engines, routers);
   } finally {
@@ -40,41 +47,6 @@
   }
 }
 
-async function startEngines(fleet: Fleet): Promise<FleetNode[]> {
-  const engines = Array.from({ length: ENGINES }, (_, index) =>
-    fleet.startEngine({
-      id: `engine-${index}`,
-      service: 'bench-guide',
-      model: 'guide',
-      versions: ['v1'],
-      failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
-      modelSettings: { baseStepMs: STEP_MS, poisonMarker: MARKER, poisonAfterTokens: 20 },
-    }),
-  );
-  const started = await Promise.all(engines);
-  await commitChanges(
-    fleet.platformAddress,
-    basicChanges({
-      engineService: 'bench-guide',
-      model: 'guide',
-      version: 'v1',
-      plainService: 'guild-shop',
-      customer: 'rib-gluers',
-      key: KEY,
-    }),
-  );
-  return started;
-}
-
-async function startRouters(fleet: Fleet): Promise<FleetNode[]> {
-  const routers: FleetNode[] = [];
-  for (const [index, failureDomain] of DOMAINS.entries()) {
-    routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
-  }
-  await fleet.waitReady(routers);
-  return routers;
-}
-
 async function play(
   fleet: Fleet,
   engines: readonly FleetNode[],
@@ -83,7 +55,7 @@
   const send = (router: number, prompt: string): Promise<CallerResult> =>
     readStream({
       dispatcher: fleet.http.dispatcher,
-      key: KEY,
+      key: SAMPLE.key,
       body: { model: 'guide', prompt, max_tokens: TOKENS },
       routerFor: (connection) => routers[(router + connection) % routers.length]?.address,
     });
--- a/packages/bench/test/drain.spec.ts
+++ b/packages/bench/test/drain.spec.ts
@@ -1,10 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createHashes } from '@mimosamill/adapters';
 import { wholeText } from '@mimosamill/fakes';
-import { basicChanges, commitChanges, readStream, startFleet } from '../src/index';
+import { commitSample, readStream, SAMPLE, startEngines, startFleet } from '../src/index';
 import type { CallerResult, Fleet, FleetNode } from '../src/index';
 
-const KEY = 'guild-key-1';
 const PROMPT = 'The third rib has lifted from the base ring. What do I clamp first?';
 const STREAMS = 4;
 const TOKENS = 200;
@@ -18,30 +17,9 @@
 
   beforeEach(async () => {
     fleet = await startFleet();
-    engines = await Promise.all(
-      ['jabal-weibdeh', 'marka'].map((failureDomain, index) =>
-        fleet.startEngine({
-          id: `engine-${index}`,
-          service: 'bench-guide',
-          model: 'guide',
-          versions: ['v1'],
-          failureDomain,
-          modelSettings: { baseStepMs: 30 },
-        }),
-      ),
-    );
+    engines = await startEngines(fleet, ['jabal-weibdeh', 'marka'], { baseStepMs: 30 });
     service = await fleet.startService('shop-0', 'guild-shop', 'marka');
-    await commitChanges(
-      fleet.platformAddress,
-      basicChanges({
-        engineService: 'bench-guide',
-        model: 'guide',
-        version: 'v1',
-        plainService: 'guild-shop',
-        customer: 'rib-gluers',
-        key: KEY,
-      }),
-    );
+    await commitSample(fleet);
     router = await fleet.startRouter({
       id: 'router-0',
       failureDomain: 'marka',
@@ -66,7 +44,7 @@
           results.push(
             readStream({
               dispatcher: fleet.http.dispatcher,
-              key: KEY,
+              key: SAMPLE.key,
               body: { model: 'guide', prompt: PROMPT, max_tokens: TOKENS, seed },
               routerFor: (connection) => (connection === 0 ? router.address : undefined),
               onToken: () => resolve(),
@@ -90,7 +68,7 @@
   function send(path: string, body: object): ReturnType<Fleet['http']['fetch']> {
     return fleet.http.fetch(`http://${router.address}${path}`, {
       method: 'POST',
-      headers: { authorization: `Bearer ${KEY}` },
+      headers: { authorization: `Bearer ${SAMPLE.key}` },
       body: JSON.stringify(body),
       timeoutMs: 30_000,
     });
--- a/packages/bench/test/path.spec.ts
+++ b/packages/bench/test/path.spec.ts
@@ -2,12 +2,18 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { createHashes } from '@mimosamill/adapters';
 import { wholeText } from '@mimosamill/fakes';
-import { basicChanges, commitChanges, readStream, startFleet } from '../src/index';
+import {
+  commitSample,
+  readStream,
+  SAMPLE,
+  SAMPLE_DOMAINS,
+  startEngines,
+  startFleet,
+  startRouters,
+} from '../src/index';
 import type { Hashes } from '@mimosamill/adapters';
 import type { CallerResult, Fleet, FleetNode } from '../src/index';
 
-const KEY = 'guild-key-1';
-const DOMAINS = ['jabal-weibdeh', 'marka', 'sweileh'];
 const PROMPT = 'The third rib has lifted from the base ring. What do I clamp first?';
 
 describe('the whole path over real processes', () => {
@@ -19,35 +25,10 @@
   beforeAll(async () => {
     hashes = await createHashes();
     fleet = await startFleet();
-    engines = await Promise.all(
-      DOMAINS.map((failureDomain, index) =>
-        fleet.startEngine({
-          id: `engine-${index}`,
-          service: 'bench-guide',
-          model: 'guide',
-          versions: ['v1'],
-          failureDomain,
-          modelSettings: { baseStepMs: 5 },
-        }),
-      ),
-    );
+    engines = await startEngines(fleet, SAMPLE_DOMAINS, { baseStepMs: 5 });
     await fleet.startService('shop-0', 'guild-shop', 'marka');
-    await commitChanges(
-      fleet.platformAddress,
-      basicChanges({
-        engineService: 'bench-guide',
-        model: 'guide',
-        version: 'v1',
-        plainService: 'guild-shop',
-        customer: 'rib-gluers',
-        key: KEY,
-      }),
-    );
-    routers = [];
-    for (const [index, failureDomain] of DOMAINS.entries()) {
-      routers.push(await fleet.startRouter({ id: `router-${index}`, failureDomain }));
-    }
-    await fleet.waitReady(routers);
+    await commitSample(fleet);
+    routers = await startRouters(fleet);
   });
 
   afterAll(() => fleet.stop());
@@ -60,7 +41,7 @@
   function read(maxTokens: number, onToken?: (index: number) => void): Promise<CallerResult> {
     return readStream({
       dispatcher: fleet.http.dispatcher,
-      key: KEY,
+      key: SAMPLE.key,
       body: { model: 'guide', prompt: PROMPT, max_tokens: maxTokens },
       routerFor: (connection) => routers[connection % routers.length]?.address,
       ...(onToken === undefined ? {} : { onToken }),
@@ -88,7 +69,7 @@
       fleet.http
         .fetch(`http://${routers[router]?.address}/v1/services/guild-shop/book`, {
           method: 'POST',
-          headers: { authorization: `Bearer ${KEY}`, 'idempotency-key': 'slot-7' },
+          headers: { authorization: `Bearer ${SAMPLE.key}`, 'idempotency-key': 'slot-7' },
           body: '{"slot":7}',
           timeoutMs: 5_000,
         })
