Gather news for longer in a large fleet; good answers of a version can wait

Ruled out: our own exits and memory (no fault of a process). Each message goes to 87 routers, and during a version move each answer made one. Change: news is gathered for 0.5 ms a peer, and 6 ms a peer where it can wait, from the fixed times on up; nothing changes below 30 peers but that good answers of a version wait for a full message. Test: news.spec.ts.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -153,6 +153,7 @@
     hashes: environment.hashes,
     table: environment.moveTable,
     touch: news.touch,
+    touchLater: news.touchLater,
   });
   const ports = createPorts(settings, environment, {
     fleet,
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -56,9 +56,14 @@
   readonly stop: () => void;
 }
 
-/** Changes within this time go out as one message. */
+/**
+ * Changes within this time go out as one message. It grows with the number of routers: each message
+ * goes to all of them, and with a fixed time the messages that each has to read would grow likewise.
+ */
 const GATHER_MS = 15;
+const GATHER_MS_PER_PEER = 0.5;
 const GATHER_LATER_MS = 200;
+const GATHER_LATER_MS_PER_PEER = 6;
 /** A failure goes out at once, and again with each message for this time. */
 const FAILURE_LIFE_MS = 1_500;
 /** Longest silence between two messages. */
@@ -90,6 +95,7 @@
   const { clock, fleet, book } = ports;
   const packr = new Packr({ useRecords: false });
   let sequence = 0;
+  let lastPeerCount = 0;
   let failureNo = 0;
   let failures: OwnFailure[] = [];
   let cancelUrgent: (() => void) | undefined;
@@ -155,7 +161,9 @@
     const nowMs = clock.monotonicMs();
     failures = failures.filter(({ atMs }) => nowMs - atMs < FAILURE_LIFE_MS);
     const bytes = encode(nowMs, evidence);
-    ports.peers.addresses().forEach((address) => datagrams.send(address, bytes));
+    const addresses = ports.peers.addresses();
+    lastPeerCount = addresses.length;
+    addresses.forEach((address) => datagrams.send(address, bytes));
   }
 
   function decode(bytes: Buffer): PeerNews | undefined {
@@ -214,10 +222,12 @@
 
   return {
     touch: () => {
-      cancelUrgent ??= clock.after(GATHER_MS, sendUrgent);
+      const gatherMs = Math.max(GATHER_MS, lastPeerCount * GATHER_MS_PER_PEER);
+      cancelUrgent ??= clock.after(gatherMs, sendUrgent);
     },
     touchLater: () => {
-      cancelLater ??= clock.after(GATHER_LATER_MS, sendAll);
+      const gatherMs = Math.max(GATHER_LATER_MS, lastPeerCount * GATHER_LATER_MS_PER_PEER);
+      cancelLater ??= clock.after(gatherMs, sendAll);
     },
     onFailure: (serverId, failure) => {
       failureNo += 1;
--- a/packages/router/src/forward/versions.ts
+++ b/packages/router/src/forward/versions.ts
@@ -41,7 +41,9 @@
   readonly book: PeerBook;
   readonly hashes: Hashes;
   readonly table: MoveTable;
+  /** Something changed that the others must hear soon. */
   readonly touch: () => void;
+  readonly touchLater: () => void;
 }
 
 /** Moves services' traffic to new versions, and keeps bad ones from it. */
@@ -249,7 +251,9 @@
         move.evidence,
         isFresh ? { fresh: count, former: none } : { fresh: none, former: count },
       );
-      ports.touch();
+      // A bad version is withdrawn by all routers' counts; good answers can wait.
+      if (count.bad > 0) ports.touch();
+      else ports.touchLater();
     },
     ownMoves: () =>
       [...moves.values()].map(({ order, state, evidence }) => ({
--- a/packages/router/test/forward/news.spec.ts
+++ b/packages/router/test/forward/news.spec.ts
@@ -29,7 +29,7 @@
   readonly sent: Buffer[];
 }
 
-function createTeller(name: string, clock: ManualClock): Teller {
+function createTeller(name: string, clock: ManualClock, peerCount = 1): Teller {
   const fleet = createFleet();
   fleet.setServers(SERVERS.map(serverOf));
   const evidence = createEvidenceBook(fleet.judge);
@@ -47,7 +47,10 @@
       fleet,
       book: createPeerBook(),
       evidence,
-      peers: { addresses: () => ['10.0.0.9:1'], onHeard: () => undefined },
+      peers: {
+        addresses: () => Array.from({ length: peerCount }, (_, no) => `10.0.0.9:${no + 1}`),
+        onHeard: () => undefined,
+      },
       datagrams: () => ({
         send: (_, bytes) => sent.push(Buffer.from(bytes)),
         close: () => undefined,
@@ -82,6 +85,23 @@
     expect(sent).toHaveLength(3);
   });
 
+  it('gathers for longer in a large fleet, so that no host reads ever more messages', () => {
+    const clock = createManualClock();
+    const { news, sent } = createTeller('host-1', clock, 100);
+    clock.advance(1_000);
+    sent.length = 0;
+    news.touch();
+    clock.advance(49);
+    expect(sent).toHaveLength(0);
+    clock.advance(1);
+    expect(sent).toHaveLength(100);
+    news.touchLater();
+    clock.advance(599);
+    expect(sent).toHaveLength(100);
+    clock.advance(1);
+    expect(sent).toHaveLength(200);
+  });
+
   it('tells the results of calls although urgent messages go out all the time', () => {
     const clock = createManualClock();
     const teller = createTeller('host-1', clock);
