--- a/packages/adapters/src/forward/datagrams.ts
+++ b/packages/adapters/src/forward/datagrams.ts
@@ -1,4 +1,5 @@
 import { createSocket } from 'node:dgram';
+import { splitAddress } from '../runtime/address';
 
 /** Short messages between routers. One may be lost; the next says all that it said. */
 export interface Datagrams {
@@ -24,8 +25,8 @@
       resolve({
         send: (address, bytes) => {
           if (isClosed) return;
-          const [peerIp = '', peerPort = '0'] = address.split(':');
-          socket.send(bytes, Number(peerPort), peerIp);
+          const { host, port: peerPort } = splitAddress(address);
+          socket.send(bytes, peerPort, host);
         },
         close: () => {
           isClosed = true;
--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,5 +1,6 @@
 import { connect as connectTcp } from 'node:net';
 import { buildConnector, Pool } from 'undici';
+import { splitAddress } from '../runtime/address';
 import { describeError } from '../runtime/fetch';
 import { createResetWatch } from './resets';
 import type { Dispatcher } from 'undici';
@@ -91,9 +92,8 @@
 
   /** Whether a server takes connections. */
   function isListening(address: string): Promise<boolean> {
-    const [host = '', port = '0'] = address.split(':');
     return new Promise((resolve) => {
-      const socket = connectTcp({ host, port: Number(port) });
+      const socket = connectTcp(splitAddress(address));
       const finish = (isUp: boolean): void => {
         clearTimeout(timer);
         socket.destroy();
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -108,6 +108,8 @@
   UpstreamRequest,
   UpstreamSettings,
 } from './forward/upstream';
+export { splitAddress } from './runtime/address';
+export type { HostPort } from './runtime/address';
 export { createDecisionLog, createDescriptorSink } from './forward/decisions';
 export type {
   DecisionFields,
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -207,8 +207,7 @@
   return {
     placeStream: (input, nowMs, random) => {
       const all = fleet.usable(input.service);
-      const open = all.filter(({ server }) => !input.excluded.has(server.serverId));
-      const choices = open.length > 0 ? open : [];
+      const choices = all.filter(({ server }) => !input.excluded.has(server.serverId));
       const rank = rankOf(input.service, all);
       const fixed = input.engineId === undefined ? undefined : fleet.get(input.engineId);
       const costOf = (belief: ServerBelief): number => engineCostMs(belief, input, nowMs);
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -1,5 +1,6 @@
 import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
 import { createAlarm, createDeferred } from '../call/async';
+import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Exchange } from '@mimosamill/adapters';
 import type {
@@ -36,7 +37,6 @@
 /** An idempotent call with one of these goes to another server, if it may. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 const SERVER_ERROR = 500;
-const SUCCESS_END = 300;
 /** A second attempt starts once the first is slower than this part of recent calls. */
 const HEDGE_QUANTILE = 0.95;
 const LATENCY_PERIOD_MS = 10_000;
@@ -207,7 +207,7 @@
         finish({ kind: 'rejected' }, 'rejected');
         return;
       }
-      const isSuccess = status < SUCCESS_END;
+      const isSuccess = isSuccessStatus(status);
       if (isSuccess && (said.isEncoded || !said.isSigned)) {
         open.exchange?.cancel();
         finish({ kind: 'unknown' }, 'garbled');
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -15,6 +15,7 @@
   openDatagrams,
   sendJson,
   sendText,
+  splitAddress,
 } from '@mimosamill/adapters';
 import { createAlarm, withTimeout } from '../call/async';
 import { createForwardCalls } from './call';
@@ -452,8 +453,8 @@
   listen: (ip: string, port: number) => Promise<number>,
   address: string,
 ): Promise<number> {
-  const [ip = '', port = '0'] = address.split(':');
-  return listen(ip, Number(port));
+  const { host, port } = splitAddress(address);
+  return listen(host, port);
 }
 
 function waitUntil(clock: Clock, isDone: () => boolean): Promise<void> {
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,5 +1,6 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
 import { createHttpShell, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
+import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpShell } from '@mimosamill/adapters';
 import type {
@@ -50,7 +51,6 @@
 const REFRESH_WAIT_MS = 350;
 /** Part of the deadline that is kept for writing the answer. */
 const ANSWER_MARGIN_MS = 15;
-const SUCCESS_END = 300;
 const RETRY_AFTER_START_MS = 500;
 /** Callers return after about half as long as the store has been away, within these bounds. */
 const STALE_RETRY_MIN_MS = 300;
@@ -275,7 +275,7 @@
   ): void {
     if (res.destroyed) return;
     if (result.kind === 'ok') {
-      const outcome = result.status < SUCCESS_END ? 'complete' : 'server_failure';
+      const outcome = isSuccessStatus(result.status) ? 'complete' : 'server_failure';
       noteCall(request, running, outcome, result.status);
       sendWhole(res, result.body);
       return;
--- a/packages/router/src/forward/news.ts
+++ b/packages/router/src/forward/news.ts
@@ -7,7 +7,6 @@
   FailureDomain,
   Fleet,
   HostId,
-  OwnLoad,
   PeerBook,
   PeerFailure,
   PeerMove,
@@ -102,10 +101,6 @@
   let cancelLater: (() => void) | undefined;
   let cancelHeartbeat = clock.after(HEARTBEAT_MS, sendAll);
 
-  function ownLoads(nowMs: number): OwnLoad[] {
-    return fleet.ownLoads(nowMs, ports.msPerToken());
-  }
-
   function encode(nowMs: number, evidence: readonly CallEvidence[]): Uint8Array {
     sequence += 1;
     const news: WireNews = [
@@ -115,13 +110,15 @@
       settings.lifeId,
       sequence,
       ports.canRead(),
-      ownLoads(nowMs).map((load) => [
-        load.serverId,
-        load.running,
-        Math.round(load.readingMs),
-        load.copies,
-        load.tokens,
-      ]),
+      fleet
+        .ownLoads(nowMs, ports.msPerToken())
+        .map((load) => [
+          load.serverId,
+          load.running,
+          Math.round(load.readingMs),
+          load.copies,
+          load.tokens,
+        ]),
       failures.map((failed) => [
         failed.serverId,
         failed.failure,
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -2,6 +2,7 @@
 import { createAlarm } from '../call/async';
 import { createAttempt } from './attempt';
 import { createStreamCopies } from './copies';
+import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   AttemptLoss,
@@ -59,7 +60,6 @@
 /** A part of a prompt may be in the engine's memory already. */
 const SHORTEST_READ_RATIO = 0.8;
 const CONNECT_WAIT_MS = 200;
-const SUCCESS_END = 300;
 /** Mean time of streams until some have ended. */
 const FIRST_MEAN_MS = 5_000;
 const MEAN_SMOOTHING_RATIO = 0.1;
@@ -444,7 +444,7 @@
       lose(attempt, 'garbled', undefined, 'the answer belongs to another request');
       return;
     }
-    const isSuccess = status < SUCCESS_END;
+    const isSuccess = isSuccessStatus(status);
     if (!isSuccess && attempt.isFromCopy) {
       lose(attempt, 'no_copy', undefined);
       return;
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -1,4 +1,5 @@
 import { connect, createServer } from 'node:net';
+import { splitAddress } from '@mimosamill/adapters';
 import type { AddressInfo, Socket } from 'node:net';
 
 /** What a proxy does to the connections that pass through it. */
@@ -20,7 +21,6 @@
 
 /** Stands between a client and a server on this machine. */
 export async function startProxy(target: string): Promise<Proxy> {
-  const [host = '', port = '0'] = target.split(':');
   const sockets = new Set<Socket>();
   let fault: LinkFault = { kind: 'none' };
 
@@ -49,7 +49,7 @@
       client.resetAndDestroy();
       return;
     }
-    const upstream = connect({ host, port: Number(port) });
+    const upstream = connect(splitAddress(target));
     keep(upstream);
     upstream.on('error', () => client.resetAndDestroy());
     pass(client, upstream, false);
--- a/packages/soak/src/router.ts
+++ b/packages/soak/src/router.ts
@@ -2,6 +2,7 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { request } from 'node:http';
+import { splitAddress } from '@mimosamill/adapters';
 import { createSettings } from '@mimosamill/platform/standin';
 import type { ChildProcess } from 'node:child_process';
 import type { GatewaySettings } from '@mimosamill/router';
@@ -54,9 +55,8 @@
     isRunning: () => child !== undefined,
     isReady: () =>
       new Promise((resolve) => {
-        const [host = '', port = '0'] = settings.readyAddress.split(':');
         const ask = request(
-          { host, port: Number(port), path: '/readyz', timeout: READY_TIMEOUT_MS },
+          { ...splitAddress(settings.readyAddress), path: '/readyz', timeout: READY_TIMEOUT_MS },
           (res) => {
             res.resume();
             resolve(res.statusCode === 200);
