Log requests that are written to servers which leave or are no longer listed

The logs could not tell whether a request reached a leaving server because it was chosen before the notice arrived, because a removed entry was kept, or because a KV cache copy lay there; nor from whom a change of the list came. server.departing_send is written when the request is, with the state of the server, the time since its notice and the age of the list, and counted in mimosamill_forward_departing_sends_total. servers.changed names the source, the time since an outage as the list takes it, servers that are kept as uncertain and servers that returned.

No behaviour changes.

--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -28,6 +28,8 @@
 /** State of one server as this process knows it. */
 export interface ServerState {
   server: ForwardServer;
+  /** When this process learned that the server is leaving; undefined while it is not. */
+  leavingSinceMs: number | undefined;
   /** Requests of this router that the server runs. */
   ownRunning: number;
   /** Pending prefills in the order in which they were sent. */
@@ -54,12 +56,14 @@
   readonly added: readonly ForwardServer[];
   readonly removed: readonly ForwardServer[];
   readonly leaving: readonly ForwardServer[];
+  /** Servers that were leaving and are listed as ready again. */
+  readonly returned: readonly ForwardServer[];
   readonly restarted: readonly ForwardServer[];
 }
 
 /** State of all listed backend servers, from the requests of this router and of its peers. */
 export interface Fleet {
-  readonly setServers: (servers: readonly ForwardServer[]) => FleetChange;
+  readonly setServers: (servers: readonly ForwardServer[], nowMs: number) => FleetChange;
   readonly get: (serverId: ServerId) => ServerState | undefined;
   /** Servers of a service that are neither leaving nor replaced by another process. */
   readonly usable: (service: ServiceName) => readonly ServerState[];
@@ -150,24 +154,27 @@
     );
   }
 
-  function setServers(servers: readonly ForwardServer[]): FleetChange {
+  function setServers(servers: readonly ForwardServer[], nowMs: number): FleetChange {
     const added: ForwardServer[] = [];
     const leaving: ForwardServer[] = [];
+    const returned: ForwardServer[] = [];
     const restarted: ForwardServer[] = [];
     const listed = new Set(servers.map(({ serverId }) => serverId));
     servers.forEach((server) => {
       const known = states.get(server.serverId);
       if (known === undefined) {
-        states.set(server.serverId, createServerState(server));
+        states.set(server.serverId, createServerState(server, nowMs));
         added.push(server);
         return;
       }
       if (isRestart(known.server, server)) {
-        states.set(server.serverId, createServerState(server));
+        states.set(server.serverId, createServerState(server, nowMs));
         restarted.push(server);
         return;
       }
       if (server.isLeaving && !known.server.isLeaving) leaving.push(server);
+      if (!server.isLeaving && known.server.isLeaving) returned.push(server);
+      known.leavingSinceMs = server.isLeaving ? (known.leavingSinceMs ?? nowMs) : undefined;
       known.server = server;
     });
     const removed: ForwardServer[] = [];
@@ -177,7 +184,7 @@
       removed.push(server);
     });
     rebuildIndex();
-    return { added, removed, leaving, restarted };
+    return { added, removed, leaving, returned, restarted };
   }
 
   function domainServers(server: ForwardServer): ServerState[] {
@@ -336,9 +343,10 @@
   return state.prefills.size === 0 ? 0 : Math.max(0, prefillEndAtMs - nowMs);
 }
 
-function createServerState(server: ForwardServer): ServerState {
+function createServerState(server: ForwardServer, nowMs: number): ServerState {
   return {
     server,
+    leavingSinceMs: server.isLeaving ? nowMs : undefined,
     ownRunning: 0,
     prefills: new Map(),
     lastPrefillEndMs: -Infinity,
--- a/packages/core/test/forward/failover-placement.spec.ts
+++ b/packages/core/test/forward/failover-placement.spec.ts
@@ -13,7 +13,10 @@
 function createPlacers(): Placer[] {
   return Array.from({ length: ROUTERS }, (_, no) => {
     const fleet = createFleet();
-    fleet.setServers(ENGINES.map((name) => server(name)));
+    fleet.setServers(
+      ENGINES.map((name) => server(name)),
+      0,
+    );
     const peers = createPeerRegistry();
     peers.onUpdate(
       {
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -6,7 +6,10 @@
 
 function createFleetOf(...names: string[]) {
   const fleet = createFleet();
-  fleet.setServers(names.map((name) => server(name)));
+  fleet.setServers(
+    names.map((name) => server(name)),
+    0,
+  );
   return fleet;
 }
 
@@ -44,14 +47,14 @@
     const fleet = createFleetOf('a1', 'b1');
     fleet.onFailure(id('a1'), 'misdirected', 1_000);
     expect(fleet.usable(GUIDE).map(({ server: { serverId } }) => serverId)).toEqual(['b1']);
-    fleet.setServers([{ ...server('a1'), startedAtMs: 2 }, server('b1')]);
+    fleet.setServers([{ ...server('a1'), startedAtMs: 2 }, server('b1')], 0);
     expect(fleet.usable(GUIDE)).toHaveLength(2);
   });
 
   it('resets the state of a server that restarted under the same id', () => {
     const fleet = createFleetOf('a1');
     fleet.onSent(id('a1'), requestId('r'), 100, 0);
-    const change = fleet.setServers([{ ...server('a1'), startedAtMs: 7 }]);
+    const change = fleet.setServers([{ ...server('a1'), startedAtMs: 7 }], 0);
     expect(change.restarted.map(({ serverId }) => serverId)).toEqual(['a1']);
     expect(fleet.get(id('a1'))?.ownRunning).toBe(0);
   });
@@ -137,7 +140,7 @@
 
   it('uses no leaving server, and reports that none is listed when there is no other', () => {
     const { placer, fleet } = createPlacerOf('a1');
-    fleet.setServers([{ ...server('a1'), isLeaving: true }]);
+    fleet.setServers([{ ...server('a1'), isLeaving: true }], 0);
     expect(placer.placeStream(input, 0, createRandom(4))).toEqual({
       kind: 'none',
       reason: 'unlisted',
--- a/packages/core/test/forward/placement-load.spec.ts
+++ b/packages/core/test/forward/placement-load.spec.ts
@@ -47,7 +47,10 @@
   );
   const routers = Array.from({ length: load.routers }, (_, no): Router => {
     const fleet = createFleet();
-    fleet.setServers(names.map((name) => server(name)));
+    fleet.setServers(
+      names.map((name) => server(name)),
+      0,
+    );
     const peers = createPeerRegistry();
     return { fleet, peers, placer: createPlacer(fleet, peers, asId(`host-${no}`), hash32) };
   });
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -1,5 +1,6 @@
 import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
 import { createWakeTimer, createDeferred } from '../call/async';
+import { noteDepartingSend } from './departing';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Exchange } from '@mimosamill/adapters';
@@ -272,7 +273,10 @@
         body: request.body,
       },
       {
-        onSent: () => cancelConnectTimeout(),
+        onSent: () => {
+          cancelConnectTimeout();
+          noteDepartingSend(ports, head.requestId, attemptNo, serverId);
+        },
         onHead,
         onData: (bytes) => {
           if (isOver) return;
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -180,6 +180,7 @@
     upstream,
     stateBroadcast,
     versionMoves,
+    serverListAgeMs: () => serverWatch.ageMs(),
   });
   const calls = createCallForwarder(ports);
   const streams = createStreamForwarder(ports);
@@ -222,7 +223,7 @@
     return !isStopping && !operatorWatch.isStoreUnreachable() && !serverWatch.isStoreUnreachable();
   }
 
-  const directoryExpiry = createWakeTimer(clock, applyDirectory);
+  const directoryExpiry = createWakeTimer(clock, () => applyDirectory());
 
   const ingress: Ingress = createIngress(
     ports,
@@ -267,13 +268,15 @@
   function onServerRows(rows: ReadonlyMap<string, ForwardServer>, context: WatchContext): void {
     isServerListKnown = true;
     directory.update([...rows.values()], context.sinceOutageMs, clock.monotonicMs());
-    applyDirectory();
+    applyDirectory(context);
   }
 
-  function applyDirectory(): void {
-    const servers = directory.servers(clock.monotonicMs());
-    const change = fleet.setServers(servers);
-    noteFleetChange(change);
+  /** Applies the list of servers: after a change of the rows, or when a kept server expires. */
+  function applyDirectory(context?: WatchContext): void {
+    const nowMs = clock.monotonicMs();
+    const servers = directory.servers(nowMs);
+    const change = fleet.setServers(servers, nowMs);
+    noteFleetChange(change, servers, context);
     [...change.removed, ...change.restarted].forEach(({ serverId }) => {
       streams.onServerLost(serverId);
     });
@@ -282,19 +285,28 @@
     directoryExpiry.set(directory.nextExpiryMs());
   }
 
-  function noteFleetChange(change: FleetChange): void {
+  function noteFleetChange(
+    change: FleetChange,
+    servers: readonly ForwardServer[],
+    context: WatchContext | undefined,
+  ): void {
     const ids = (list: readonly ForwardServer[]): readonly string[] | undefined =>
       list.length === 0 ? undefined : list.map(({ serverId }) => serverId);
     const fields = {
       added: ids(change.added),
       removed: ids(change.removed),
       leaving: ids(change.leaving),
+      returned: ids(change.returned),
       restarted: ids(change.restarted),
+      uncertain: ids(servers.filter(({ isUncertain }) => isUncertain === true)),
+      source: context?.source ?? 'expiry',
+      since_outage_ms: finiteMs(context?.sinceOutageMs),
       store_revision: serverWatch.revision(),
-      age_ms: Math.round(serverWatch.ageMs()),
+      age_ms: finiteMs(serverWatch.ageMs()),
     };
     const hasChange = Object.values(change).some((list: readonly unknown[]) => list.length > 0);
-    if (hasChange) decisions.vital('servers.changed', fields);
+    const hasUncertain = context !== undefined && fields.uncertain !== undefined;
+    if (hasChange || hasUncertain) decisions.vital('servers.changed', fields);
   }
 
   /** 'ready', or the reason why the load balancer should send no callers here. */
@@ -314,7 +326,7 @@
       decisions.vital('router.readiness', {
         state,
         config_revision: table?.config.revision,
-        config_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        config_age_ms: finiteMs(ageMs),
       });
     }
     wasReady = isReady;
@@ -420,7 +432,13 @@
   environment: GatewayEnvironment,
   parts: Pick<
     ForwardPorts,
-    'fleet' | 'placer' | 'callOutcomes' | 'upstream' | 'stateBroadcast' | 'versionMoves'
+    | 'fleet'
+    | 'placer'
+    | 'callOutcomes'
+    | 'upstream'
+    | 'stateBroadcast'
+    | 'versionMoves'
+    | 'serverListAgeMs'
   >,
 ): ForwardPorts {
   const { clock, random, metrics, decisions, codec, kvCopies } = environment;
@@ -454,6 +472,11 @@
   };
 }
 
+/** A time for a log line: JSON has no Infinity. */
+function finiteMs(timeMs: number | undefined): number | undefined {
+  return timeMs === undefined || !Number.isFinite(timeMs) ? undefined : Math.round(timeMs);
+}
+
 function describeSettings(settings: GatewaySettings): Record<string, string | number | undefined> {
   return { ...settings };
 }
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -7,6 +7,7 @@
   readonly onLoss: (loss: string) => void;
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
+  readonly onDepartingSend: (state: string) => void;
 }
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
@@ -39,11 +40,17 @@
     'Pause between the events before and after a stream moved, in milliseconds',
     GAP_BUCKETS_MS,
   );
+  const departingSends = metrics.counter(
+    'mimosamill_forward_departing_sends_total',
+    'Attempts sent to servers that were leaving, no longer listed or of uncertain state',
+    ['state'],
+  );
   return {
     onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
     onSend: (kind, cause) => sends.inc({ kind, cause }),
     onLoss: (loss) => losses.inc({ loss }),
     onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
     onResumeGap: (gapMs) => gaps.observe(gapMs),
+    onDepartingSend: (state) => departingSends.inc({ state }),
   };
 }
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -53,6 +53,8 @@
   readonly metrics: ForwardMetrics;
   readonly stateBroadcast: Pick<StateBroadcast, 'sendSoon' | 'sendLater' | 'onServerFailure'>;
   readonly versionMoves: Pick<VersionMoves, 'excludedServers' | 'onAnswer'>;
+  /** Age of the list of servers; Infinity if it is unknown. */
+  readonly serverListAgeMs: () => number;
   readonly retryBudgetOf: (service: ServiceName) => RetryBudget;
 }
 
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -2,6 +2,7 @@
 import { createWakeTimer } from '../call/async';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
+import { noteDepartingSend } from './departing';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
@@ -416,7 +417,10 @@
   function createHandler(attempt: StreamAttempt) {
     const splitter = createEventSplitter();
     return {
-      onSent: () => attempt.cancelConnectTimeout(),
+      onSent: () => {
+        attempt.cancelConnectTimeout();
+        noteDepartingSend(ports, requestId, attempt.attemptNo, attempt.engineId);
+      },
       onHead: (status: number, headers: IncomingHttpHeaders) => onHead(attempt, status, headers),
       onData: (bytes: Uint8Array) => {
         if (attempt.isOver) return;
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -98,6 +98,8 @@
   readonly revision: number;
   /** Time since the last outage of the store ended; 0 during one, Infinity if there was none. */
   readonly sinceOutageMs: number;
+  /** 'store', or the name of the router that relayed the rows. */
+  readonly source: string;
 }
 
 /** Keeps a replica of a table up to date, and tracks its age. */
@@ -127,6 +129,7 @@
 const BATCH_DELAY_MS = 100;
 /** If the replica is older than this multiple of the wait, the store is asked before the relays. */
 const STALE_AGE_RATIO = 1.6;
+const STORE_SOURCE = 'store';
 
 export function createTableWatch<T>(
   sources: WatchSources<T>,
@@ -168,8 +171,12 @@
     return isUnreachable ? 0 : clock.monotonicMs() - reachableSinceMs;
   }
 
-  function publish(outageMs: number): void {
-    handlers.onRows(replica.rows, { revision: replica.revision(), sinceOutageMs: outageMs });
+  function publish(outageMs: number, source: string): void {
+    handlers.onRows(replica.rows, {
+      revision: replica.revision(),
+      sinceOutageMs: outageMs,
+      source,
+    });
   }
 
   function wakeWaiters(): void {
@@ -222,7 +229,7 @@
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    if (replica.replace(content.rows, content.revision)) publish(sinceOutageMs());
+    if (replica.replace(content.rows, content.revision)) publish(sinceOutageMs(), STORE_SOURCE);
     wakeWaiters();
     return true;
   }
@@ -256,7 +263,7 @@
 
   function applyChanges(changes: readonly TableChange<T>[], revision: number): void {
     const isNewer = replica.apply(changes, revision);
-    if (isNewer && changes.length > 0) publish(sinceOutageMs());
+    if (isNewer && changes.length > 0) publish(sinceOutageMs(), STORE_SOURCE);
   }
 
   /** Reads from another router; the age of the content is that of the other router's replica. */
@@ -275,7 +282,7 @@
     // An answer older than the replica says nothing about the age of the replica.
     if (answer.revision >= replica.revision()) freshness.onRelayed(answer.storeAsOfMs);
     if (isNewer && answer.changes.length > 0) {
-      publish(Math.min(sinceOutageMs(), answer.sinceOutageMs));
+      publish(Math.min(sinceOutageMs(), answer.sinceOutageMs), relay.name);
     }
     wakeWaiters();
     return true;
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -31,7 +31,7 @@
 
 function createTestRouter(name: string, clock: ManualClock, peerCount = 1): TestRouter {
   const fleet = createFleet();
-  fleet.setServers(SERVERS.map(serverOf));
+  fleet.setServers(SERVERS.map(serverOf), 0);
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
   const sent: Buffer[] = [];
   const broadcast = createStateBroadcast(
