Tell an outage of the store from a router's own loss of its path to it

Cause: after a failed call to the store a router took the store to be away until a call of its own succeeded. Once it reads through a relay it makes no such call, so the state lasted for ever, and each removed entry was kept for 2.2 s as one that may only have expired. It relayed the false outage to its readers as well, and was never chosen again to read for others. Class: a state that only one path can end, while another path has replaced it.

Change: createOutageTracker keeps the two apart. An outage is one only if no relay got confirmed content while the own path was lost; relayed rows carry what the relay knows of outages, and that counts only if the reader's own content is older. A router that reads from a relay after a loss asks the store itself every two seconds.

Why it works: content does not change during an outage, so rows that a relay read after the loss prove that the store was there. Two tests of table-watch.spec.ts failed before: the time since an outage was 0 where there was none, and the loss lasted for ever.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -318,6 +318,8 @@
 export type { StreamDurations, CompletedStream } from './forward/durations';
 export { createEventSequence, createEventSplitter } from './forward/events';
 export type { EventSequence, EventSplitter, SequenceVerdict, StreamEvent } from './forward/events';
+export { createOutageTracker } from './forward/outage';
+export type { OutageTracker } from './forward/outage';
 export { createServerDirectory } from './forward/directory';
 export type { ServerDirectory } from './forward/directory';
 export { createFleet } from './forward/fleet';
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -1,4 +1,4 @@
-import { createFreshnessTracker } from '@mimosamill/core';
+import { createFreshnessTracker, createOutageTracker } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
 import { createTableReplica } from './table-replica';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
@@ -96,7 +96,7 @@
 
 export interface WatchContext {
   readonly revision: number;
-  /** Time since the last outage of the store ended; 0 during one, Infinity if there was none. */
+  /** Time since the last outage of the store before the rows were read; Infinity if there was none. */
   readonly sinceOutageMs: number;
   /** 'store', or the name of the router that relayed the rows. */
   readonly source: string;
@@ -129,6 +129,8 @@
 const BATCH_DELAY_MS = 100;
 /** If the replica is older than this multiple of the wait, the store is asked before the relays. */
 const STALE_AGE_RATIO = 1.6;
+/** Shortest time between two calls that test a lost path to the store. */
+const PATH_PROBE_PERIOD_MS = 2_000;
 const STORE_SOURCE = 'store';
 
 export function createTableWatch<T>(
@@ -143,9 +145,8 @@
   const replica = createTableReplica<T>();
   const waiters = new Set<() => void>();
   let failures = 0;
-  let isUnreachable = false;
-  let unreachableSinceMs = 0;
-  let reachableSinceMs = -Infinity;
+  const outage = createOutageTracker();
+  let lastProbeAtMs = -Infinity;
   let isStopped = false;
   let currentPoll: AbortController | undefined;
   let refreshing: Promise<boolean> | undefined;
@@ -168,13 +169,13 @@
   }
 
   function sinceOutageMs(): number {
-    return isUnreachable ? 0 : clock.monotonicMs() - reachableSinceMs;
+    return outage.sinceOutageMs(clock.monotonicMs());
   }
 
-  function publish(outageMs: number, source: string): void {
+  function publish(source: string): void {
     handlers.onRows(replica.rows, {
       revision: replica.revision(),
-      sinceOutageMs: outageMs,
+      sinceOutageMs: sinceOutageMs(),
       source,
     });
   }
@@ -198,25 +199,25 @@
     checkClocks();
     freshness.onAnswer(sentAtMs, storeNowMs);
     failures = 0;
-    if (!isUnreachable) return;
-    isUnreachable = false;
-    reachableSinceMs = clock.monotonicMs();
+    const lostMs = outage.onStoreAnswered(clock.monotonicMs());
+    if (lostMs === undefined) return;
+    const outageAgeMs = sinceOutageMs();
     decisions.vital('store.regained', {
       table: settings.name,
       revision: replica.revision(),
-      lost_ms: Math.round(reachableSinceMs - unreachableSinceMs),
+      lost_ms: Math.round(lostMs),
+      since_outage_ms: Number.isFinite(outageAgeMs) ? Math.round(outageAgeMs) : undefined,
     });
   }
 
   function onFailure(message: string): void {
     failures += 1;
-    if (isUnreachable) return;
-    isUnreachable = true;
-    unreachableSinceMs = clock.monotonicMs();
+    const nowMs = clock.monotonicMs();
+    if (!outage.onStoreFailed(nowMs)) return;
     decisions.vital('store.lost', {
       table: settings.name,
       revision: replica.revision(),
-      age_ms: Math.round(freshness.ageMs(unreachableSinceMs)),
+      age_ms: Math.round(freshness.ageMs(nowMs)),
       message,
     });
   }
@@ -229,7 +230,7 @@
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    if (replica.replace(content.rows, content.revision)) publish(sinceOutageMs(), STORE_SOURCE);
+    if (replica.replace(content.rows, content.revision)) publish(STORE_SOURCE);
     wakeWaiters();
     return true;
   }
@@ -263,11 +264,12 @@
 
   function applyChanges(changes: readonly TableChange<T>[], revision: number): void {
     const isNewer = replica.apply(changes, revision);
-    if (isNewer && changes.length > 0) publish(sinceOutageMs(), STORE_SOURCE);
+    if (isNewer && changes.length > 0) publish(STORE_SOURCE);
   }
 
   /** Reads from another router; the age of the content is that of the other router's replica. */
   async function readRelay(relay: RelaySource<T>, abort: AbortController): Promise<boolean> {
+    probeLostPath();
     const sinceRevision = replica.revision();
     const answer = await withAbortTimeout(
       settings.waitMs + settings.timeoutMarginMs,
@@ -276,14 +278,17 @@
     );
     if (answer.kind === 'unavailable') return false;
     checkClocks();
+    failures = 0;
     const isNewer = answer.isAll
       ? replica.replace(answer.changes, answer.revision)
       : replica.revision() === sinceRevision && replica.apply(answer.changes, answer.revision);
     // An answer older than the replica says nothing about the age of the replica.
-    if (answer.revision >= replica.revision()) freshness.onRelayed(answer.storeAsOfMs);
-    if (isNewer && answer.changes.length > 0) {
-      publish(Math.min(sinceOutageMs(), answer.sinceOutageMs), relay.name);
+    if (answer.revision >= replica.revision()) {
+      freshness.onRelayed(answer.storeAsOfMs);
+      const nowMs = clock.monotonicMs();
+      outage.onRelayed(nowMs - freshness.ageMs(nowMs), answer.sinceOutageMs, nowMs);
     }
+    if (isNewer && answer.changes.length > 0) publish(relay.name);
     wakeWaiters();
     return true;
   }
@@ -297,6 +302,17 @@
     return [preferred, undefined, ...others];
   }
 
+  /**
+   * Asks the store beside the polls of a relay, which say nothing about this router's own path. While
+   * the path counts as lost, this router is not chosen to read for others.
+   */
+  function probeLostPath(): void {
+    const nowMs = clock.monotonicMs();
+    if (!outage.isPathLost() || nowMs - lastProbeAtMs < PATH_PROBE_PERIOD_MS) return;
+    lastProbeAtMs = nowMs;
+    void refresh();
+  }
+
   /** Reads from the first source that answers. */
   async function pollOnce(): Promise<boolean> {
     for (const source of sourcesInOrder()) {
@@ -370,7 +386,7 @@
       return freshness.ageMs(clock.monotonicMs());
     },
     revision: replica.revision,
-    isStoreUnreachable: () => isUnreachable,
+    isStoreUnreachable: outage.isPathLost,
     refresh,
     relayed: { name: settings.name, waitForNewer },
     stop: () => {
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -36,6 +36,7 @@
   const scriptedStore = createScriptedTable();
   const events: string[] = [];
   const published: string[][] = [];
+  const outageAgesMs: number[] = [];
   const logEvent = (event: string): void => {
     events.push(event);
   };
@@ -50,12 +51,13 @@
     { routine: logEvent, notable: logEvent, vital: logEvent, droppedCount: () => 0 },
     { name: 'operator', waitMs: 1_000, timeoutMarginMs: 400 },
     {
-      onRows: (rows) => {
+      onRows: (rows, context) => {
         published.push([...rows].map(([key, value]) => `${key}=${value}`));
+        outageAgesMs.push(context.sinceOutageMs);
       },
     },
   );
-  return { clock, scriptedStore, events, published, watch };
+  return { clock, scriptedStore, events, published, outageAgesMs, watch };
 }
 
 /** In `content` and `changes`, 'a1' is a row with the key 'a', and 'a-' its removal. */
@@ -76,6 +78,23 @@
   storeNowMs,
 });
 
+/** An answer of a relay whose content was current at a time on the clock of the store. */
+const relayedAt = (
+  revision: number,
+  storeAsOfMs: number,
+  ...rows: string[]
+): RelayedChanges<string> => ({
+  kind: 'relayed',
+  changes: rows.map((row) => ({
+    key: row.slice(0, 1),
+    value: row.endsWith('-') ? undefined : row,
+  })),
+  isAll: false,
+  revision,
+  storeAsOfMs,
+  sinceOutageMs: Infinity,
+});
+
 describe('a watch of a table', () => {
   it('publishes all rows after the first read of the table', async () => {
     const { scriptedStore, published, watch } = createTestWatch();
@@ -211,6 +230,61 @@
     expect(published.at(-1)).toEqual(['a=a9']);
     watch.stop();
   });
+
+  it('does not take its own loss of the store for an outage while a relay reaches the store', async () => {
+    // Guards against keeping servers whose entries were removed, as if these had expired in an outage.
+    const relayed: RelayedChanges<string>[] = [
+      { kind: 'unavailable', message: 'the relaying router is gone' },
+      relayedAt(6, 400, 'b1'),
+      relayedAt(7, 900, 'a-'),
+    ];
+    const { clock, scriptedStore, events, outageAgesMs, watch } = createTestWatch(
+      () => Promise.resolve(relayed.shift() ?? { kind: 'unavailable', message: 'no more' }),
+      false,
+    );
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    expect(events).toContain('store.lost');
+    clock.advance(130);
+    await flushMicrotasks();
+    clock.advance(130);
+    await flushMicrotasks();
+    expect(watch.revision()).toBe(7);
+    expect(outageAgesMs).toEqual([Infinity, Infinity, Infinity]);
+    watch.stop();
+  });
+});
+
+describe('a watch that reads from a relay after the loss of its own path to the store', () => {
+  it('asks the store again by itself, so that the loss does not last for ever', async () => {
+    const { clock, scriptedStore, events, watch } = createTestWatch(
+      () =>
+        new Promise((resolve) => {
+          clock.runAfter(300, () => resolve(relayedAt(6, clock.monotonicMs() - 900)));
+        }),
+      false,
+    );
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+    await flushMicrotasks();
+    void watch.refresh();
+    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    expect(watch.isStoreUnreachable()).toBe(true);
+    for (let step = 0; step < 25; step += 1) {
+      clock.advance(100);
+      scriptedStore.calls.at(-1)?.answer(changes(6, clock.monotonicMs() - 900));
+      await flushMicrotasks();
+    }
+    expect(events).toContain('store.regained');
+    expect(watch.isStoreUnreachable()).toBe(false);
+    watch.stop();
+  });
 });
 
 describe('a table replica', () => {
