Keep a removed server for less than the drain bound

Cause: the time for which a removed entry is kept (2.2 s, from the platform's word on returning entries) was longer than the bound on requests to a server that left. Class: two bounds on one matter, of which only one was looked at.

Change: a removed server is kept for at most 0.8 of the drain bound.

--- a/packages/core/src/forward/directory.ts
+++ b/packages/core/src/forward/directory.ts
@@ -21,7 +21,11 @@
 /** Running servers write their entries again within this time after the store is reachable. */
 const LAPSE_GRACE_MS = 2_200;
 
-export function createServerDirectory(): ServerDirectory {
+/**
+ * `keepMaxMs` is the longest time for which a removed server is kept: it may also have left just after
+ * the outage, and then no request may reach it for longer.
+ */
+export function createServerDirectory(keepMaxMs: number): ServerDirectory {
   let listed = new Map<ServerId, ForwardServer>();
   const uncertain = new Map<
     ServerId,
@@ -37,7 +41,7 @@
   return {
     update: (servers, sinceOutageMs, nowMs) => {
       const next = new Map(servers.map((server) => [server.serverId, server]));
-      const graceLeftMs = LAPSE_GRACE_MS - sinceOutageMs;
+      const graceLeftMs = Math.min(LAPSE_GRACE_MS - sinceOutageMs, keepMaxMs);
       listed.forEach((server, serverId) => {
         if (next.has(serverId) || graceLeftMs <= 0 || server.isLeaving) return;
         uncertain.set(serverId, { server, untilMs: nowMs + graceLeftMs });
--- a/packages/core/test/forward/freshness.spec.ts
+++ b/packages/core/test/forward/freshness.spec.ts
@@ -55,13 +55,14 @@
 });
 
 describe('the server directory during a store outage', () => {
+  const KEEP_MAX_MS = 3_000;
   const a = server('a');
   const b = server('b');
   const ids = (servers: readonly ForwardServer[]): string[] =>
     servers.map(({ serverId, isUncertain }) => `${serverId}${isUncertain === true ? '?' : ''}`);
 
   it('keeps an entry that expired during the outage as uncertain until the grace period ends', () => {
-    const directory = createServerDirectory();
+    const directory = createServerDirectory(KEEP_MAX_MS);
     directory.update([a, b], Infinity, 0);
     directory.update([a], 100, 1_000);
     expect(ids(directory.servers(1_500))).toEqual(['a', 'b?']);
@@ -70,21 +71,29 @@
   });
 
   it('drops an entry at once that is removed while the store is reachable', () => {
-    const directory = createServerDirectory();
+    const directory = createServerDirectory(KEEP_MAX_MS);
     directory.update([a, b], Infinity, 0);
     directory.update([a], 60_000, 1_000);
     expect(ids(directory.servers(1_000))).toEqual(['a']);
   });
 
   it('never keeps a server that had said that it is leaving', () => {
-    const directory = createServerDirectory();
+    const directory = createServerDirectory(KEEP_MAX_MS);
     directory.update([a, { ...b, isLeaving: true }], Infinity, 0);
     directory.update([a], 100, 1_000);
     expect(ids(directory.servers(1_000))).toEqual(['a']);
   });
 
+  it('keeps no removed server for longer than requests may reach a server that left', () => {
+    const directory = createServerDirectory(1_600);
+    directory.update([a, b], Infinity, 0);
+    directory.update([a], 100, 1_000);
+    expect(ids(directory.servers(2_599))).toEqual(['a', 'b?']);
+    expect(ids(directory.servers(2_600))).toEqual(['a']);
+  });
+
   it('treats an entry that was written again as certain', () => {
-    const directory = createServerDirectory();
+    const directory = createServerDirectory(KEEP_MAX_MS);
     directory.update([a, b], Infinity, 0);
     directory.update([a], 100, 1_000);
     directory.update([a, b], 900, 1_800);
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -91,6 +91,11 @@
 const WAIT_CONFIG_RATIO = 0.6;
 const WAIT_DRAIN_RATIO = 0.6;
 const WAIT_TIMEOUT_MARGIN_MS = 450;
+/**
+ * Longest time, as a part of the drain bound, for which a removed server is kept; the rest covers the
+ * time until the removal is known.
+ */
+const KEEP_DRAIN_RATIO = 0.8;
 /** Part of the fleet-wide retry budget that one router may use. */
 const RETRY_RATIO_PER_ROUTER = 0.6;
 const RETRY_BURST_PER_ROUTER = 0.12;
@@ -117,7 +122,7 @@
   const { clock, decisions, metrics } = environment;
   let settings = initial;
   const fleet = createFleet();
-  const directory = createServerDirectory();
+  const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
   const upstream = createUpstream({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     connectionsPerServer: CONNECTIONS_PER_SERVER,
