Resume no stream on an engine that leaves, although its KV cache copy is there

What callers saw: streams whose engine was lost ran on at an engine that had said up to 3.6 s before that it is leaving (bound 2.0 s), and were lost again when that engine ended.

Cause: the engine of a KV cache copy was looked up by its id alone, past the filter that keeps leaving and replaced servers out of every other choice; and a copy stayed in use when its engine said that it leaves. Class: a choice made earlier is used later without asking whether it still holds.

Change: a fixed engine is taken only from the usable ones; when an engine says that it leaves, its streams have their copy made elsewhere at once; a copy that completes on such an engine is not used.

Why it works: every engine that a request is sent to now passes the same filter.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -15,7 +15,10 @@
   readonly excluded: ReadonlySet<ServerId>;
   /** The stream lost its engine; other streams probably lost theirs at the same moment. */
   readonly isFailover?: boolean;
-  /** Engine to use, if it is already decided; only the copy's engine is chosen then. */
+  /**
+   * Engine to use, if it is already decided; only the copy's engine is chosen then. There is no
+   * placement if that engine is leaving, replaced or no longer listed.
+   */
   readonly fixedEngineId?: ServerId;
 }
 
@@ -218,17 +221,21 @@
       const all = fleet.usable(input.service);
       const choices = all.filter(({ server }) => !input.excluded.has(server.serverId));
       const rank = rankOf(input.service, all);
-      const fixed = input.fixedEngineId === undefined ? undefined : fleet.get(input.fixedEngineId);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
       const rankedCostOf = (state: ServerState): number =>
         costOf(state) +
         (rank.get(state.server.serverId) ?? 0) * RANK_COST_MAX_MS +
         JITTER_MS * random();
-      const engine =
-        fixed ??
-        (input.isFailover === true
+      const chooseEngine = (): ServerState | undefined => {
+        const { fixedEngineId } = input;
+        if (fixedEngineId !== undefined) {
+          return all.find(({ server }) => server.serverId === fixedEngineId);
+        }
+        return input.isFailover === true
           ? randomWithin(FAILOVER_SPREAD_MS, choices, costOf, random)
-          : cheapest(choices, rankedCostOf));
+          : cheapest(choices, rankedCostOf);
+      };
+      const engine = chooseEngine();
       if (engine === undefined) {
         return { kind: 'none', reason: all.length === 0 ? 'unlisted' : 'excluded' };
       }
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -74,7 +74,7 @@
   | { readonly kind: 'lost'; readonly attemptNo: number; readonly loss: AttemptLoss }
   /** The attempt's engine may be lost: it failed for others, or many in its failure domain did. */
   | { readonly kind: 'engine_suspected' }
-  /** The engine that held the KV cache copy was lost. */
+  /** The engine that held the KV cache copy was lost, or is leaving. */
   | { readonly kind: 'copy_lost'; readonly engineId: ServerId }
   /** A requested copy is complete. */
   | { readonly kind: 'copied'; readonly attemptNo: number; readonly copy: KvCacheCopy }
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -51,6 +51,32 @@
     expect(fleet.usable(GUIDE)).toHaveLength(2);
   });
 
+  it('chooses no leaving or replaced engine for a stream, even if its KV cache copy is there', () => {
+    // Guards against requests at an engine that said long ago that it is leaving.
+    const fleet = createFleetOf('a1', 'b1', 'c1');
+    const placer = createPlacer(fleet, createPeerRegistry(), asId('host'), hash32);
+    const place = (engine: string) =>
+      placer.placeStream(
+        {
+          service: GUIDE,
+          capacity: CAPACITY,
+          promptTokens: 10,
+          excluded: new Set(),
+          fixedEngineId: id(engine),
+        },
+        5_000,
+        createRandom(1),
+      );
+    expect(place('a1')).toMatchObject({ kind: 'ok', engineId: 'a1' });
+    fleet.setServers([{ ...server('a1'), isLeaving: true }, server('b1'), server('c1')], 1_000);
+    fleet.onFailure(id('b1'), 'misdirected', 1_000);
+    expect([place('a1').kind, place('b1').kind, place('gone').kind]).toEqual([
+      'none',
+      'none',
+      'none',
+    ]);
+  });
+
   it('resets the state of a server that restarted under the same id', () => {
     const fleet = createFleetOf('a1');
     fleet.onSent(id('a1'), requestId('r'), 100, 0);
--- a/packages/router/src/forward/copies.ts
+++ b/packages/router/src/forward/copies.ts
@@ -58,6 +58,11 @@
       setCopy(attempt, undefined);
       return undefined;
     }
+    if (fleet.get(holderId)?.leavingSinceMs !== undefined) {
+      decisions.notable('stream.not_copied', { ...fields, reason: 'leaving' });
+      setCopy(attempt, undefined);
+      return undefined;
+    }
     if (existingCopy === undefined) decisions.notable('stream.copied', fields);
     const copy: KvCacheCopy = {
       engineId: holderId,
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -285,6 +285,7 @@
     [...change.removed, ...change.restarted].forEach(({ serverId }) => {
       streams.onServerLost(serverId);
     });
+    change.leaving.forEach(({ serverId }) => streams.onServerLeaving(serverId));
     upstream.retainOnly(new Set(servers.map(({ address }) => address)));
     callOutcomes.retain(new Set(servers.map(({ serverId }) => serverId)));
     directoryExpiry.set(directory.nextExpiryMs());
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -49,6 +49,8 @@
   readonly onDomainSuspected: (failureDomain: FailureDomain) => void;
   /** Called when an engine is lost or has restarted. */
   readonly onServerLost: (serverId: ServerId) => void;
+  /** Called when an engine says that it is leaving: no stream may resume from a copy there. */
+  readonly onServerLeaving: (serverId: ServerId) => void;
   readonly activeCount: () => number;
   /** Mean time from a stream's request to its end. */
   readonly meanDurationMs: () => number;
@@ -99,13 +101,19 @@
 
   function onServerLost(lostId: ServerId): void {
     suspectStreams(({ server }) => server.serverId === lostId);
+    replaceCopiesAt(lostId);
+  }
+
+  /** Streams whose KV cache copy is on the engine have a new copy made elsewhere. */
+  function replaceCopiesAt(engineId: ServerId): void {
     [...active].forEach((stream) => {
-      if (stream.copyEngineId() === lostId) stream.notify({ kind: 'copy_lost', engineId: lostId });
+      if (stream.copyEngineId() === engineId) stream.notify({ kind: 'copy_lost', engineId });
     });
   }
 
   return {
     onServerLost,
+    onServerLeaving: replaceCopiesAt,
     forward: (request, sink) =>
       forwardStream(ports, request, sink, { active, onDomainSuspected, onServerLost, onComplete }),
     onDomainSuspected,
