Ask the store when the list is older than one poll, whatever a relay still answers

It concerns the age of every table that is read through another router, the configuration too.

The reader compared the age only at the start of a poll, with 1.6 waits, so it polled the same relay a second time and asked the store after 2.4 s. Class: a bound that is checked before a wait and not over it.

Change: a poll of a relay lasts at most until the content is one wait and the margin old (1.65 s), then the next source is asked. A reader with older content asks each relay without a wait, and an answer that does not make it fresh does not count.

Why it works: the age is bounded over the poll. The new test failed before: after 1.5 waits the store had not been asked.

--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -127,8 +127,6 @@
 const MIN_WAIT_MS = 1;
 /** Changes come in bursts, e.g. when all servers of a failure domain restart; a pause batches them. */
 const BATCH_DELAY_MS = 100;
-/** If the replica is older than this multiple of the wait, the store is asked before the relays. */
-const STALE_AGE_RATIO = 1.6;
 /** Shortest time between two calls that test a lost path to the store. */
 const PATH_PROBE_PERIOD_MS = 2_000;
 const STORE_SOURCE = 'store';
@@ -267,14 +265,23 @@
     if (isNewer && changes.length > 0) publish(STORE_SOURCE);
   }
 
-  /** Reads from another router; the age of the content is that of the other router's replica. */
+  /** Time until the content is so old that the next source must be asked; negative if it is. */
+  function freshForMs(): number {
+    return settings.waitMs + settings.timeoutMarginMs - freshness.ageMs(clock.monotonicMs());
+  }
+
+  /**
+   * Reads from another router; the age of the content is that of the other router's replica. A relay
+   * that has lost the store keeps answering, so its answers count only while the content is fresh.
+   */
   async function readRelay(relay: RelaySource<T>, abort: AbortController): Promise<boolean> {
     probeLostPath();
     const sinceRevision = replica.revision();
-    const answer = await withAbortTimeout(
-      settings.waitMs + settings.timeoutMarginMs,
-      abort,
-      (signal) => relay.readChanges(sinceRevision, settings.waitMs, signal),
+    const isFresh = freshForMs() > 0;
+    const waitMs = isFresh ? settings.waitMs : MIN_WAIT_MS;
+    const timeoutMs = isFresh ? freshForMs() : REFRESH_TIMEOUT_MS;
+    const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
+      relay.readChanges(sinceRevision, waitMs, signal),
     );
     if (answer.kind === 'unavailable') return false;
     checkClocks();
@@ -290,14 +297,14 @@
     }
     if (isNewer && answer.changes.length > 0) publish(relay.name);
     wakeWaiters();
-    return true;
+    return freshForMs() > 0;
   }
 
   /** Sources in the order in which to try them; undefined stands for the store. */
   function sourcesInOrder(): (RelaySource<T> | undefined)[] {
     const relays = sources.relays();
     const [preferred, ...others] = relays;
-    const isStale = freshness.ageMs(clock.monotonicMs()) > settings.waitMs * STALE_AGE_RATIO;
+    const isStale = freshForMs() <= 0;
     if (preferred === undefined || sources.isReader() || isStale) return [undefined, ...relays];
     return [preferred, undefined, ...others];
   }
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -4,6 +4,7 @@
 import { createManualClock } from './clock';
 import type {
   RelayedChanges,
+  RelaySource,
   TableChanges,
   TableContent,
   WatchedTable,
@@ -31,7 +32,7 @@
   for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
 };
 
-function createTestWatch(relay?: () => Promise<RelayedChanges<string>>, isReader = true) {
+function createTestWatch(relay?: RelaySource<string>['readChanges'], isReader = true) {
   const clock = createManualClock();
   const scriptedStore = createScriptedTable();
   const events: string[] = [];
@@ -208,6 +209,31 @@
     watch.stop();
   });
 
+  it('asks the store once the content is older than one wait, even if a relay does not answer', async () => {
+    // Guards against a relay that lost the store: two waits for it would exceed the bounds on the age.
+    const stale = relayedAt(5, 100);
+    const { clock, scriptedStore, watch } = createTestWatch(
+      (_since, _waitMs, signal) =>
+        new Promise((resolve) => {
+          clock.runAfter(1_000, () => resolve(stale));
+          signal.addEventListener('abort', () => {
+            resolve({ kind: 'unavailable', message: 'aborted' });
+          });
+        }),
+      false,
+    );
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+    await flushMicrotasks();
+    for (let step = 0; step < 15; step += 1) {
+      clock.advance(100);
+      await flushMicrotasks();
+    }
+    expect(scriptedStore.calls.at(-1)?.what).toBe('since 5');
+    expect(watch.ageMs()).toBeLessThanOrEqual(1_500);
+    watch.stop();
+  });
+
   it('reads from another router when the store refuses this one', async () => {
     const newer: RelayedChanges<string> = {
       kind: 'relayed',
