Log the parts of a prompt whose attempt was lost before its first event

The logs could not tell what the requests of the lost attempts had in common, nor whether an engine had begun to answer. stream.attempt_lost says both now.

No behaviour changes.

--- a/packages/core/src/forward/types.ts
+++ b/packages/core/src/forward/types.ts
@@ -5,6 +5,9 @@
 
 export type RouteName = Brand<string, 'RouteName'>;
 
+/** Id of a part of a prompt; requests whose prompts have the part in common send the same id. */
+export type PromptPartId = Brand<string, 'PromptPartId'>;
+
 /** Service that gets a part of a route's requests, in proportion to its weight. */
 export interface RouteTarget {
   readonly service: ServiceName;
@@ -105,4 +108,6 @@
   readonly lastEventId: number | undefined;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Parts of the prompt that other requests may have too: all but the last. */
+  readonly sharedParts: readonly PromptPartId[];
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -377,6 +377,7 @@
   ForwardServer,
   ForwardService,
   RouteKind,
+  PromptPartId,
   RouteName,
   RouteTarget,
 } from './forward/types';
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -611,6 +611,8 @@
       loss,
       message,
       silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
+      had_events: attempt.hasEvents,
+      parts: attempt.hasEvents ? undefined : head.sharedParts,
       avoid_ms: effect.avoidMs,
     });
     const lostEngineId = attempt.engineId;
