Refuse prompts with a part that crashes the engines which begin to answer it

What callers saw: one part of a prompt crashed one engine after the other, and with each all other streams of that engine broke off.

Cause: a lost attempt was put down to its engine alone. The engine was avoided, and the request, or the next one with the part, went to another engine within a millisecond. Class: an effect is put down to the place where it shows and not to what brought it there.

Change: createPartSuspects counts crashes before the first event against each shared part of the prompt; an answer that begins clears them. Routers report crashes to each other, and a row in the store lasts when all are killed. Condemned prompts are refused as not run, and those that wait for their first event are stopped. The choice of the router that writes moves to election.ts, which version moves use too.

Why it works: a part that crashes engines never has an answer, and sound parts have one within a second or so.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -36,6 +36,8 @@
 /** Connection pools to backend servers. */
 export interface Upstream {
   readonly send: (request: UpstreamRequest, handler: ExchangeHandler) => Exchange;
+  /** Whether a server accepts connections. */
+  readonly isAccepting: (address: string) => Promise<boolean>;
   /** Uses none of the current connections to the address for later requests. */
   readonly reconnect: (address: string) => void;
   /** Closes the connections to all other addresses, each after its exchange has ended. */
@@ -93,7 +95,6 @@
     return pool;
   }
 
-  /** Whether a server accepts connections. */
   function isAccepting(address: string): Promise<boolean> {
     return new Promise((resolve) => {
       const socket = connectTcp(splitAddress(address));
@@ -181,6 +182,7 @@
 
   return {
     send,
+    isAccepting,
     retainOnly: (addresses) => {
       pools.forEach((pool, address) => {
         if (addresses.has(address)) return;
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -64,8 +64,11 @@
   | {
       readonly kind: 'unplaced';
       readonly attemptNo: number;
-      /** 'no_time': no engine could complete the stream before its deadline. */
-      readonly reason: 'no_engine' | 'no_time';
+      /**
+       * 'no_time': no engine could complete the stream before its deadline; 'condemned': engines crash
+       * when they begin to answer its prompt.
+       */
+      readonly reason: 'no_engine' | 'no_time' | 'condemned';
       readonly message: string;
     }
   | { readonly kind: 'events'; readonly attemptNo: number; readonly events: readonly StreamEvent[] }
@@ -76,6 +79,8 @@
   | { readonly kind: 'engine_suspected' }
   /** The engine that held the KV cache copy was lost, or is leaving. */
   | { readonly kind: 'copy_lost'; readonly engineId: ServerId }
+  /** Engines crash when they begin to answer the prompt. */
+  | { readonly kind: 'prompt_condemned'; readonly message: string }
   /** A requested copy is complete. */
   | { readonly kind: 'copied'; readonly attemptNo: number; readonly copy: KvCacheCopy }
   | { readonly kind: 'not_copied'; readonly attemptNo: number }
@@ -263,6 +268,12 @@
     return end({ kind: 'fail', error: createServeError('deadline_exceeded', message, runState) });
   }
 
+  /** Ends the stream without another attempt, and stops the current one before it crashes its engine. */
+  function failCondemned(message: string): ForwardStreamEffect[] {
+    const runState = current?.placed === undefined && !mayHaveRun ? 'not_run' : 'unknown';
+    return end({ kind: 'fail', error: createServeError('request_condemned', message, runState) });
+  }
+
   /** Counts an attempt that the engine may have run; from then on no error may claim `not_run`. */
   function countRun(loss: AttemptLoss): void {
     if (NOT_RUN_LOSSES.has(loss)) return;
@@ -423,6 +434,7 @@
   ): ForwardStreamEffect[] {
     current = undefined;
     if (reason === 'no_time') return failForDeadline(message);
+    if (reason === 'condemned') return failCondemned(message);
     // Engines on which attempts were lost may have restarted, and no other engine is usable.
     excluded.clear();
     const isHopeless =
@@ -434,7 +446,7 @@
 
   function onAttemptEvent(
     attempt: CurrentAttempt,
-    event: Exclude<ForwardStreamEvent, { kind: 'tick' | 'engine_suspected' | 'copy_lost' }>,
+    event: Extract<ForwardStreamEvent, { attemptNo: number }>,
     nowMs: number,
   ): ForwardStreamEffect[] {
     switch (event.kind) {
@@ -488,6 +500,9 @@
           if (current === undefined) return [];
           onCopyLost(current, event.engineId, nowMs);
           return requestCopy(current, nowMs);
+        case 'prompt_condemned':
+          // An engine has begun to answer, so the prompt does not crash engines.
+          return hasBegun ? [] : failCondemned(event.message);
         case 'copied':
         case 'not_copied':
         case 'placed':
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -320,6 +320,8 @@
 export type { EventSequence, EventSplitter, SequenceVerdict, StreamEvent } from './forward/events';
 export { createOutageTracker } from './forward/outage';
 export type { OutageTracker } from './forward/outage';
+export { CONDEMNED_MS, createPartSuspects } from './forward/part-suspects';
+export type { CondemnedPart, PartCrash, PartSuspects } from './forward/part-suspects';
 export { createServerDirectory } from './forward/directory';
 export type { ServerDirectory } from './forward/directory';
 export { createFleet } from './forward/fleet';
--- a/packages/core/src/stream/suspect-tracker.ts
+++ b/packages/core/src/stream/suspect-tracker.ts
@@ -1,4 +1,5 @@
 import { asId } from '../ids';
+import { evictOldest } from '../evict';
 import { createDeathTable } from './death-table';
 import type { EngineId, FailureDomain, Fingerprint, RequestId, RouterId } from '../ids';
 import type { Hash32 } from '../hash/rendezvous';
@@ -561,13 +562,6 @@
   };
 }
 
-function evictOldest<K, V>(map: Map<K, V>, maxSize: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= maxSize) return;
-    map.delete(key);
-  }
-}
-
 function excluding<T>(all: readonly T[], kept: readonly T[]): ReadonlySet<T> {
   return new Set(all.filter((item) => !kept.includes(item)));
 }
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -21,7 +21,9 @@
 import { createCallForwarder } from './call';
 import { createForwardMetrics } from './metrics';
 import { createRouterRegistry } from './router-registry';
+import { isElected } from './election';
 import { createIngress } from './ingress';
+import { createPromptGuard } from './prompt-guard';
 import { createStateBroadcast } from './state-broadcast';
 import { createStoreReaders } from './store-readers';
 import { createRelayServer } from './relay';
@@ -53,6 +55,7 @@
 import type { ForwardPorts, KvCacheCopyClient } from './ports';
 import type { OperatorRecord } from './operator-record';
 import type { GatewaySettings } from './settings';
+import type { CondemnedTable } from './prompt-guard';
 import type { MoveTable } from './version-moves';
 import type { TableWatch, WatchContext, WatchedTable } from './table-watch';
 
@@ -69,6 +72,7 @@
   readonly routerTable: RouterTable;
   readonly kvCopies: KvCacheCopyClient;
   readonly moveTable: MoveTable;
+  readonly condemnedTable: CondemnedTable;
   /** Client for calls to other routers. */
   readonly http: HttpClient;
   /** Differs at each start of the process, so that peers notice a restart. */
@@ -166,6 +170,8 @@
       prefillMsPerToken: placer.prefillMsPerToken,
       canReadStore,
       ownMoves: () => versionMoves.ownMoves(),
+      ownPartReports: (nowMs) => promptGuard.ownReports(nowMs),
+      onPartReports: (reports) => promptGuard.onPeerReports(reports),
     },
   );
   const versionMoves = createVersionMoves(asId(settings.hostId), {
@@ -178,6 +184,23 @@
     broadcastSoon: stateBroadcast.sendSoon,
     broadcastLater: stateBroadcast.sendLater,
   });
+  const promptGuard = createPromptGuard({
+    clock,
+    decisions,
+    upstream,
+    table: environment.condemnedTable,
+    isElected: (matter) =>
+      isElected(
+        matter,
+        asId(settings.hostId),
+        peerRegistry,
+        environment.hashes,
+        clock.monotonicMs(),
+      ),
+    broadcastSoon: stateBroadcast.sendSoon,
+    onCondemned: () => streams.onPartCondemned(),
+    hash64: environment.hashes.hash64,
+  });
   const ports = createPorts(settings, environment, {
     fleet,
     placer,
@@ -185,6 +208,7 @@
     upstream,
     stateBroadcast,
     versionMoves,
+    promptGuard,
     serverListAgeMs: () => serverWatch.ageMs(),
   });
   const calls = createCallForwarder(ports);
@@ -366,6 +390,7 @@
   operatorWatch.start();
   serverWatch.start();
   routerRegistry.start();
+  promptGuard.start();
   await listenOn(ingress.shell.listen, settings.callerAddress);
   await listenOn(readyShell.listen, settings.readyAddress);
   await metricsShell.listen(settings.ip, settings.metricsPort);
@@ -394,6 +419,7 @@
     routerRegistry.stop();
     stateBroadcast.stop();
     versionMoves.stop();
+    promptGuard.stop();
     socket.datagrams?.close();
     await closeWithin(CLOSE_TIMEOUT_MS, {
       ready: readyShell.close(),
@@ -444,6 +470,7 @@
     | 'upstream'
     | 'stateBroadcast'
     | 'versionMoves'
+    | 'promptGuard'
     | 'serverListAgeMs'
   >,
 ): ForwardPorts {
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,6 +1,7 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
 import { createHttpServer, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
 import { isSuccessStatus } from './status';
+import { condemnedMessage } from './stream';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
 import type {
@@ -163,6 +164,11 @@
     if (ports.fleet.usable(service.name).length === 0) {
       return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
     }
+    const condemnedPart =
+      route.kind === 'stream' ? ports.promptGuard.findCondemned(head.sharedParts) : undefined;
+    if (condemnedPart !== undefined) {
+      return refused('request_condemned', condemnedMessage(condemnedPart));
+    }
     if (!endsInTime(route, receivedAtMs)) {
       return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
     }
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -14,6 +14,7 @@
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
 import type { ForwardMetrics } from './metrics';
+import type { PromptGuard } from './prompt-guard';
 import type { StateBroadcast } from './state-broadcast';
 import type { VersionMoves } from './version-moves';
 
@@ -55,6 +56,7 @@
   readonly versionMoves: Pick<VersionMoves, 'excludedServers' | 'onAnswer'>;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
+  readonly promptGuard: Pick<PromptGuard, 'onUnstartedLoss' | 'onBegun' | 'findCondemned'>;
   readonly retryBudgetOf: (service: ServiceName) => RetryBudget;
 }
 
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,5 +1,6 @@
 import { asId } from '@mimosamill/core';
 import { Packr } from 'msgpackr';
+import type { PartReports } from './prompt-guard';
 import type { Clock, DatagramSocket, DecisionLog } from '@mimosamill/adapters';
 import type {
   CallCounts,
@@ -11,6 +12,7 @@
   PeerFailure,
   PeerMove,
   PeerUpdate,
+  PromptPartId,
   ServerFailure,
   ServerId,
 } from '@mimosamill/core';
@@ -42,6 +44,8 @@
   /** Whether this router can read the store on behalf of other routers. */
   readonly canReadStore: () => boolean;
   readonly ownMoves: () => readonly PeerMove[];
+  readonly ownPartReports: (nowMs: number) => PartReports;
+  readonly onPartReports: (reports: PartReports) => void;
 }
 
 /**
@@ -85,6 +89,22 @@
   failures: [string, ServerFailure, number, number][],
   moves: readonly PeerMove[],
   callCounts: [string, string, number, number, number][],
+  /** Undefined from a router of an earlier release. */
+  partReports?: PartReportsMessage,
+];
+
+/** Reports on prompt parts, with the age of each in place of its time. */
+type PartReportsMessage = [
+  crashes: [
+    requestId: string,
+    engineId: string,
+    failureDomain: string,
+    ageMs: number,
+    combination: string,
+    parts: string[],
+  ][],
+  cleared: [part: string, ageMs: number][],
+  condemned: [part: string, ageMs: number][],
 ];
 
 interface OwnFailure {
@@ -140,6 +160,7 @@
         failed,
         Math.round(slownessSum),
       ]),
+      encodePartReports(ports.ownPartReports(nowMs), nowMs),
     ];
     return packr.pack(message);
   }
@@ -170,7 +191,7 @@
     addresses.forEach((address) => socket.send(address, bytes));
   }
 
-  function decode(bytes: Buffer): PeerUpdate | undefined {
+  function decode(bytes: Buffer, nowMs: number): PeerMessage | undefined {
     let wire: StateMessage;
     try {
       wire = packr.unpack(bytes) as StateMessage;
@@ -189,8 +210,9 @@
       peerFailures,
       moves,
       counts,
+      partReports,
     ] = wire;
-    return {
+    const update: PeerUpdate = {
       hostId: asId(hostId),
       failureDomain: asId(failureDomain),
       incarnationId,
@@ -218,6 +240,7 @@
         slownessSum,
       })),
     };
+    return { update, partReports: decodePartReports(partReports ?? [[], [], []], nowMs) };
   }
 
   function onPeerFailure(hostId: HostId, failed: PeerFailure, nowMs: number): void {
@@ -249,10 +272,11 @@
       sendUrgent();
     },
     onMessage: (bytes, from) => {
-      const update = decode(bytes);
-      if (update === undefined || update.hostId === settings.hostId) return;
-      ports.peers.onMessageFrom(from);
       const nowMs = clock.monotonicMs();
+      const message = decode(bytes, nowMs);
+      if (message === undefined || message.update.hostId === settings.hostId) return;
+      const { update, partReports } = message;
+      ports.peers.onMessageFrom(from);
       const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
       if (peerFailures === undefined) return;
       peerFailures.forEach((failure) => onPeerFailure(update.hostId, failure, nowMs));
@@ -262,6 +286,7 @@
         update.callCounts,
         nowMs,
       );
+      ports.onPartReports(partReports);
     },
     stop: () => {
       cancelUrgent?.();
@@ -270,3 +295,45 @@
     },
   };
 }
+
+interface PeerMessage {
+  readonly update: PeerUpdate;
+  readonly partReports: PartReports;
+}
+
+function encodePartReports(reports: PartReports, nowMs: number): PartReportsMessage {
+  const ageOf = (atMs: number): number => Math.round(nowMs - atMs);
+  return [
+    reports.crashes.map(({ requestId, engineId, failureDomain, atMs, combination, parts }) => [
+      requestId,
+      engineId,
+      failureDomain,
+      ageOf(atMs),
+      combination,
+      [...parts],
+    ]),
+    reports.cleared.map(({ part, atMs }) => [part, ageOf(atMs)]),
+    reports.condemned.map(({ part, condemnedAtMs }) => [part, ageOf(condemnedAtMs)]),
+  ];
+}
+
+function decodePartReports(
+  [crashes, cleared, condemned]: PartReportsMessage,
+  nowMs: number,
+): PartReports {
+  return {
+    crashes: crashes.map(([requestId, engineId, failureDomain, ageMs, combination, parts]) => ({
+      requestId: asId(requestId),
+      engineId: asId(engineId),
+      failureDomain: asId(failureDomain),
+      atMs: nowMs - ageMs,
+      combination: asId(combination),
+      parts: parts.map((part) => asId<PromptPartId>(part)),
+    })),
+    cleared: cleared.map(([part, ageMs]) => ({ part: asId(part), atMs: nowMs - ageMs })),
+    condemned: condemned.map(([part, ageMs]) => ({
+      part: asId(part),
+      condemnedAtMs: nowMs - ageMs,
+    })),
+  };
+}
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -11,6 +11,7 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
+  PromptPartId,
   ServeError,
   ServerState,
   ServerFailure,
@@ -51,6 +52,8 @@
   readonly onServerLost: (serverId: ServerId) => void;
   /** Called when an engine says that it is leaving: no stream may resume from a copy there. */
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Called when a prompt part is condemned: ends its streams that no engine has begun to answer. */
+  readonly onPartCondemned: () => void;
   readonly activeCount: () => number;
   /** Mean time from a stream's request to its end. */
   readonly meanDurationMs: () => number;
@@ -59,6 +62,7 @@
 interface ActiveStream {
   readonly engineId: () => ServerId | undefined;
   readonly copyEngineId: () => ServerId | undefined;
+  readonly sharedParts: readonly PromptPartId[];
   readonly notify: (event: ForwardStreamEvent) => void;
 }
 
@@ -67,10 +71,17 @@
 /** Counted part of the expected prefill time: part of the prompt may be in the engine's cache. */
 const PREFILL_TIME_MIN_RATIO = 0.8;
 const CONNECT_TIMEOUT_MS = 200;
+/** Losses with which the connection of an attempt ends when its engine crashes. */
+const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
 /** Assumed mean duration until streams have completed. */
 const INITIAL_MEAN_DURATION_MS = 5_000;
 const MEAN_SMOOTHING_RATIO = 0.1;
 
+/** Reason that callers and logs get for a stream with a condemned part. */
+export function condemnedMessage(part: PromptPartId): string {
+  return `engines crash when they begin to answer a prompt with the part ${part}`;
+}
+
 export function createStreamForwarder(ports: ForwardPorts): StreamForwarder {
   const active = new Set<ActiveStream>();
   let meanMs = INITIAL_MEAN_DURATION_MS;
@@ -114,6 +125,13 @@
   return {
     onServerLost,
     onServerLeaving: replaceCopiesAt,
+    onPartCondemned: () => {
+      [...active].forEach((stream) => {
+        const part = ports.promptGuard.findCondemned(stream.sharedParts);
+        if (part === undefined) return;
+        stream.notify({ kind: 'prompt_condemned', message: condemnedMessage(part) });
+      });
+    },
     forward: (request, sink) =>
       forwardStream(ports, request, sink, { active, onDomainSuspected, onServerLost, onComplete }),
     onDomainSuspected,
@@ -166,6 +184,7 @@
   const entry: ActiveStream = {
     engineId: () => current?.engineId,
     copyEngineId: () => current?.kvCopy?.engineId,
+    sharedParts: head.sharedParts,
     notify: dispatch,
   };
 
@@ -258,6 +277,13 @@
 
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
     const nowMs = clock.monotonicMs();
+    const condemnedPart = stream.hasBegun()
+      ? undefined
+      : ports.promptGuard.findCondemned(head.sharedParts);
+    if (condemnedPart !== undefined) {
+      reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnedPart));
+      return;
+    }
     const capacity = service.engine;
     if (capacity === undefined) {
       reportUnplaced(effect.attemptNo, 'no_engine', 'the service has no engines configured');
@@ -317,7 +343,7 @@
 
   function reportUnplaced(
     attemptNo: number,
-    reason: 'no_engine' | 'no_time',
+    reason: 'no_engine' | 'no_time' | 'condemned',
     message: string,
   ): void {
     dispatchLater({ kind: 'unplaced', attemptNo, reason, message });
@@ -524,6 +550,7 @@
     fleet.onBytesReceived(attempt.engineId, nowMs);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
+      ports.promptGuard.onBegun(head.sharedParts);
       ports.versionMoves.onAnswer(attempt.engineId, false, nowMs - attempt.sentAtMs);
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.stateBroadcast.sendLater();
@@ -635,11 +662,27 @@
     if (loss === 'failed' || loss === 'garbled') {
       ports.versionMoves.onAnswer(attempt.engineId, true, nowMs - attempt.sentAtMs);
     }
+    if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
+      reportUnstartedLoss(attempt);
+    }
     if (failure !== undefined) reportFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
     dispatch({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
   }
 
+  /** The engine may have crashed on beginning to answer this prompt. */
+  function reportUnstartedLoss(attempt: StreamAttempt): void {
+    const state = fleet.get(attempt.engineId);
+    if (state === undefined) return;
+    ports.promptGuard.onUnstartedLoss({
+      requestId,
+      engineId: attempt.engineId,
+      address: attempt.engineAddress,
+      failureDomain: state.server.failureDomain,
+      parts: head.sharedParts,
+    });
+  }
+
   active.add(entry);
   stream.start().forEach(perform);
   alarm.set(stream.wakeAtMs());
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -1,4 +1,5 @@
-import { addEvidence, asId, nextMoveStep, rankByRendezvous } from '@mimosamill/core';
+import { addEvidence, asId, nextMoveStep } from '@mimosamill/core';
+import { isElected } from './election';
 import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
 import type {
   Fleet,
@@ -171,28 +172,11 @@
     // A rollback takes effect in this router at once, even if the store cannot be reached.
     if (next.kind === 'roll_back') move.shareRatio = 0;
     else move.shareRatio = 1;
-    if (!isWriter(move)) return;
+    const { service } = move.order;
+    if (!isElected(service, hostId, peerRegistry, ports.hashes, clock.monotonicMs())) return;
     void write(move, next.kind === 'roll_back' ? 'rolled_back' : 'completed');
   }
 
-  /**
-   * All routers compute the same ranking, and only the first one writes; when that one is lost, the
-   * next one takes its place.
-   */
-  function isWriter(move: Move): boolean {
-    const hosts = [
-      { hostId, canReadStore: true },
-      ...peerRegistry.routers(clock.monotonicMs()).filter(({ canReadStore }) => canReadStore),
-    ];
-    const [first] = rankByRendezvous(
-      move.order.service,
-      hosts,
-      (host) => host.hostId,
-      ports.hashes.hash32,
-    );
-    return first?.hostId === hostId;
-  }
-
   async function write(move: Move, state: MoveState): Promise<void> {
     if (move.isWriting || !move.isStateLoaded) return;
     move.isWriting = true;
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -60,6 +60,8 @@
       prefillMsPerToken: () => 0.2,
       canReadStore: () => true,
       ownMoves: () => [],
+      ownPartReports: () => ({ crashes: [], cleared: [], condemned: [] }),
+      onPartReports: () => undefined,
     },
   );
   return { broadcast, fleet, callOutcomes, sent };
