Count the attempts on a new version that are given up, or are slow already

Cause: an attempt counted when its first event came. Those of a slow version are given up as silent before that, so the version was judged by the few that were fast. Class: a sample that leaves out the cases it is meant to find.

Change: each attempt has a timer from its send. It counts as bad when it is given up, and as soon as it takes three times the mean of the service, before it ends. The pace of a stream is timed as well, 20 events at a time. Means are learned before a move starts, too.

Why it works: an attempt can no longer leave the sample by being slow.

--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import type { AnswerTimer } from './version-moves';
 import type { Exchange } from '@mimosamill/adapters';
 import type { RequestId, KvCacheCopy, ServerState, ServerId } from '@mimosamill/core';
 
@@ -20,6 +21,10 @@
   isErrorResponse: boolean;
   errorBody: Uint8Array[];
   errorBodyBytes: number;
+  /** Events since the pace was last judged. */
+  eventCount: number;
+  /** Judges the time to the first event, then the pace of the events. */
+  timer: AnswerTimer;
   hasEvents: boolean;
   isOver: boolean;
 }
@@ -31,6 +36,7 @@
   engine: ServerState,
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
+  timer: AnswerTimer,
   nowMs: number,
 ): StreamAttempt {
   return {
@@ -48,6 +54,8 @@
     isErrorResponse: false,
     errorBody: [],
     errorBodyBytes: 0,
+    eventCount: 0,
+    timer,
     hasEvents: false,
     isOver: false,
   };
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -163,6 +163,7 @@
     let answer: { status: number; headers: IncomingHttpHeaders } | undefined;
     const connection: { exchange?: Exchange } = {};
     let isOver = false;
+    const answerTimer = ports.versionMoves.trackAttempt(serverId, 'answer');
 
     function finishAttempt(outcome: ServerAnswer<BufferedResponse>, loss: string): void {
       if (isOver) return;
@@ -188,11 +189,14 @@
       const nowMs = clock.monotonicMs();
       const tookMs = nowMs - sentAtMs;
       if (outcome.kind === 'ok' && outcome.status < SERVER_ERROR) latencies.record(tookMs, nowMs);
-      if (outcome.kind === 'not_sent' || outcome.kind === 'rejected') return;
+      if (outcome.kind === 'not_sent' || outcome.kind === 'rejected') {
+        answerTimer.onCancelled();
+        return;
+      }
       const isSuccess = outcome.kind === 'ok' && outcome.status < SERVER_ERROR;
       const slownessRatio = tookMs / Math.max(1, route.targetMs / 2);
       recordOutcome({ isSuccess, slownessRatio }, nowMs);
-      ports.versionMoves.onAnswer(serverId, !isSuccess, tookMs);
+      answerTimer.onAnswered(!isSuccess);
     }
 
     function recordOutcome(outcome: CallOutcome, nowMs: number): void {
@@ -252,6 +256,7 @@
       // attempts are always cancelled would never look slow.
       const slownessRatio = (nowMs - sentAtMs) / Math.max(1, route.targetMs / 2);
       recordOutcome({ isSuccess: true, slownessRatio }, nowMs);
+      answerTimer.onCancelled();
       connection.exchange?.cancel();
     });
     fleet.onSent(serverId, head.requestId, 0, sentAtMs);
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -70,6 +70,8 @@
 const ERROR_BODY_MAX_BYTES = 65_536;
 /** Counted part of the expected prefill time: part of the prompt may be in the engine's cache. */
 const PREFILL_TIME_MIN_RATIO = 0.8;
+/** The pace of a stream is judged over this number of events. */
+const PACE_EVENTS = 20;
 const CONNECT_TIMEOUT_MS = 200;
 /** Losses with which the connection of an attempt ends when its engine crashes. */
 const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
@@ -403,6 +405,7 @@
       engine,
       copyHolder,
       isFromCopy,
+      ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
       nowMs,
     );
     attempts.set(effect.attemptNo, attempt);
@@ -551,7 +554,8 @@
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
       ports.promptGuard.onBegun(head.sharedParts);
-      ports.versionMoves.onAnswer(attempt.engineId, false, nowMs - attempt.sentAtMs);
+      attempt.timer.onAnswered(false);
+      attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.stateBroadcast.sendLater();
       if (attempt.isOnlyPrefill && !attempt.isResumedFromCopy) {
@@ -562,9 +566,19 @@
     firstEventAtMs ??= nowMs;
     lastEventAtMs = nowMs;
     eventCount += events.length;
+    timePace(attempt, events.length);
     dispatch({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
+  /** Times each run of PACE_EVENTS events as a phase of its own. */
+  function timePace(attempt: StreamAttempt, count: number): void {
+    attempt.eventCount += count;
+    if (attempt.eventCount < PACE_EVENTS) return;
+    attempt.eventCount = 0;
+    attempt.timer.onAnswered(false);
+    attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
+  }
+
   function logResumed(attempt: StreamAttempt, gapMs: number, nowMs: number): void {
     ports.metrics.onResumeGap(gapMs);
     decisions.notable('stream.resumed', {
@@ -589,6 +603,7 @@
   function closeAttempt(attempt: StreamAttempt): void {
     if (attempt.isOver) return;
     attempt.isOver = true;
+    attempt.timer.onCancelled();
     attempt.cancelConnectTimeout();
     fleet.onEnd(attempt.engineId, requestId, attempt.isResumedFromCopy ? 0 : promptTokens);
     if (attempt.kvCopy !== undefined) fleet.onCopy(attempt.kvCopy.engineId, promptTokens, -1);
@@ -600,6 +615,7 @@
     if (attempt === undefined || attempt.isOver) return;
     attempt.exchange?.cancel();
     const nowMs = clock.monotonicMs();
+    if (loss === 'silent') attempt.timer.onGivenUp();
     if (loss === 'silent') reportFailure(attempt, classifySilence(attempt, nowMs), nowMs, loss);
     else if (loss === 'garbled') reportFailure(attempt, 'reset', nowMs, loss);
     closeAttempt(attempt);
@@ -658,10 +674,8 @@
   ): void {
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
+    if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
-    if (loss === 'failed' || loss === 'garbled') {
-      ports.versionMoves.onAnswer(attempt.engineId, true, nowMs - attempt.sentAtMs);
-    }
     if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
       reportUnstartedLoss(attempt);
     }
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -47,12 +47,23 @@
   readonly broadcastLater: () => void;
 }
 
+/** Judges one phase of an attempt for the evidence of a move; it counts at most once. */
+export interface AnswerTimer {
+  /** The phase has ended: an answer, the first event or enough events arrived. */
+  readonly onAnswered: (isFailure: boolean) => void;
+  /** The attempt was given up because its server took too long. */
+  readonly onGivenUp: () => void;
+  /** The attempt ended otherwise, which says nothing about the version. */
+  readonly onCancelled: () => void;
+}
+
 /** Shifts the traffic of services to new versions step by step, and rolls bad versions back. */
 export interface VersionMoves {
   readonly setOrders: (orders: readonly VersionOrder[]) => void;
   /** Servers whose version must not serve a request; `draw` is a uniform random number. */
   readonly excludedServers: (service: ServiceName, draw: number) => ReadonlySet<ServerId>;
-  readonly onAnswer: (serverId: ServerId, isFailure: boolean, tookMs: number) => void;
+  /** Called when an attempt is sent to a server, and when it enters a later phase. */
+  readonly trackAttempt: (serverId: ServerId, phase: TimedPhase) => AnswerTimer;
   /** States and answer counts of this router, for the other routers. */
   readonly ownMoves: () => readonly PeerMove[];
   readonly stop: () => void;
@@ -68,8 +79,6 @@
   isWriting: boolean;
   evidence: MoveEvidence;
   shareRatio: number;
-  /** Exponential moving average of the former version's response times. */
-  formerMeanMs: number;
   revision: number;
 }
 
@@ -78,6 +87,26 @@
 /** Time after a completed move by which the former version's servers are no longer listed. */
 const FORMER_SERVERS_GONE_AFTER_MS = 10_000;
 const SMOOTHING_RATIO = 0.1;
+/**
+ * What is timed: the time to the answer or to the first event, or the pace of the events after it. A
+ * stream in pace does not count as an answer of its own, one that is slow counts as a bad one.
+ */
+export type TimedPhase = 'answer' | 'pace';
+
+/** A phase of an attempt that has not ended yet. */
+interface PendingPhase {
+  readonly service: ServiceName;
+  readonly version: string;
+  readonly phase: TimedPhase;
+  readonly startedAtMs: number;
+}
+
+/** For an attempt at a server that is no longer listed. */
+export const NO_TIMER: AnswerTimer = {
+  onAnswered: () => undefined,
+  onGivenUp: () => undefined,
+  onCancelled: () => undefined,
+};
 const NO_SERVERS: ReadonlySet<ServerId> = new Set();
 const NO_EVIDENCE: MoveEvidence = {
   fresh: { answers: 0, bad: 0 },
@@ -87,6 +116,11 @@
 export function createVersionMoves(hostId: HostId, ports: VersionMovePorts): VersionMoves {
   const { clock, decisions, fleet, peerRegistry } = ports;
   const moves = new Map<ServiceName, Move>();
+  const pending = new Set<PendingPhase>();
+  /**
+   * Exponential moving average of the time of each service's phases, without those of a new version.
+   */
+  const meanMsByPhase = new Map<string, number>();
   const cancel = clock.runEvery(STEP_PERIOD_MS, advanceAll);
 
   function setOrders(orders: readonly VersionOrder[]): void {
@@ -136,6 +170,7 @@
   }
 
   function advanceAll(): void {
+    judgePending();
     moves.forEach((move) => {
       if (!move.isStateLoaded && !move.isWriting) {
         move.isWriting = true;
@@ -196,6 +231,71 @@
     });
   }
 
+  /** Counts attempts as soon as they are slow: those of a slow version may never get an answer. */
+  function judgePending(): void {
+    const nowMs = clock.monotonicMs();
+    pending.forEach((attempt) => {
+      if (!isSlow(attempt, nowMs)) return;
+      pending.delete(attempt);
+      count(attempt, true);
+    });
+  }
+
+  function isSlow(attempt: PendingPhase, nowMs: number): boolean {
+    const meanMs = meanMsByPhase.get(phaseKey(attempt)) ?? Infinity;
+    return nowMs - attempt.startedAtMs > SLOW_ANSWER_FACTOR * meanMs;
+  }
+
+  function count({ service, version, phase }: PendingPhase, isBad: boolean): void {
+    const move = moves.get(service);
+    if (move?.state !== 'running' || (phase === 'pace' && !isBad)) return;
+    const counts = { answers: 1, bad: isBad ? 1 : 0 };
+    const none = NO_EVIDENCE.fresh;
+    move.evidence = addEvidence(
+      move.evidence,
+      version === move.order.version
+        ? { fresh: counts, former: none }
+        : { fresh: none, former: counts },
+    );
+    // A rollback is decided on the sum of all routers' counts, so bad answers are sent at once.
+    if (isBad) ports.broadcastSoon();
+    else ports.broadcastLater();
+  }
+
+  function updateMean(attempt: PendingPhase, tookMs: number): void {
+    const move = moves.get(attempt.service);
+    if (move?.state === 'running' && attempt.version === move.order.version) return;
+    const key = phaseKey(attempt);
+    const before = meanMsByPhase.get(key) ?? tookMs;
+    meanMsByPhase.set(key, before + SMOOTHING_RATIO * (tookMs - before));
+  }
+
+  function trackAttempt(serverId: ServerId, phase: TimedPhase): AnswerTimer {
+    const server = fleet.get(serverId)?.server;
+    if (server === undefined) return NO_TIMER;
+    const attempt: PendingPhase = {
+      service: server.service,
+      version: server.version,
+      phase,
+      startedAtMs: clock.monotonicMs(),
+    };
+    pending.add(attempt);
+    return {
+      onAnswered: (isFailure) => {
+        if (!pending.delete(attempt)) return;
+        const nowMs = clock.monotonicMs();
+        count(attempt, isFailure || isSlow(attempt, nowMs));
+        if (!isFailure) updateMean(attempt, nowMs - attempt.startedAtMs);
+      },
+      onGivenUp: () => {
+        if (pending.delete(attempt)) count(attempt, true);
+      },
+      onCancelled: () => {
+        pending.delete(attempt);
+      },
+    };
+  }
+
   function excludedServers(service: ServiceName, draw: number): ReadonlySet<ServerId> {
     const move = moves.get(service);
     if (move === undefined || isPast(move)) return NO_SERVERS;
@@ -225,26 +325,7 @@
   return {
     setOrders,
     excludedServers,
-    onAnswer: (serverId, isFailure, tookMs) => {
-      const server = fleet.get(serverId)?.server;
-      const move = server === undefined ? undefined : moves.get(server.service);
-      if (server === undefined || move?.state !== 'running') return;
-      const isFresh = server.version === move.order.version;
-      const isSlow = move.formerMeanMs > 0 && tookMs > SLOW_ANSWER_FACTOR * move.formerMeanMs;
-      if (!isFresh && !isFailure) {
-        const before = move.formerMeanMs === 0 ? tookMs : move.formerMeanMs;
-        move.formerMeanMs = before + SMOOTHING_RATIO * (tookMs - before);
-      }
-      const count = { answers: 1, bad: isFailure || isSlow ? 1 : 0 };
-      const none = NO_EVIDENCE.fresh;
-      move.evidence = addEvidence(
-        move.evidence,
-        isFresh ? { fresh: count, former: none } : { fresh: none, former: count },
-      );
-      // A rollback is decided on the sum of all routers' counts, so bad answers are sent at once.
-      if (count.bad > 0) ports.broadcastSoon();
-      else ports.broadcastLater();
-    },
+    trackAttempt,
     ownMoves: () =>
       [...moves.values()].map(({ order, state, evidence }) => ({
         service: order.service,
@@ -256,6 +337,10 @@
   };
 }
 
+function phaseKey({ service, phase }: PendingPhase): string {
+  return `${service}/${phase}`;
+}
+
 function createMove(order: VersionOrder, startedAtMs: number): Move {
   return {
     order: { ...order, service: asId(order.service) },
@@ -266,7 +351,6 @@
     isWriting: false,
     evidence: NO_EVIDENCE,
     shareRatio: 0,
-    formerMeanMs: 0,
     revision: 0,
   };
 }
--- /dev/null
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -0,0 +1,84 @@
+import { describe, expect, it } from 'vitest';
+import { asId, createFleet, createPeerRegistry } from '@mimosamill/core';
+import { createVersionMoves } from '../../src/forward/version-moves';
+import { createManualClock } from './clock';
+import type { ForwardServer, MoveState, ServerId, ServiceName } from '@mimosamill/core';
+
+const SERVICE = asId<ServiceName>('guide');
+const FORMER = asId<ServerId>('former');
+const FRESH = asId<ServerId>('fresh');
+
+function serverOf(serverId: ServerId, version: string): ForwardServer {
+  return {
+    serverId,
+    service: SERVICE,
+    address: `10.0.0.1:${version.length}`,
+    failureDomain: asId('east'),
+    version,
+    slots: 8,
+    isLeaving: false,
+    startedAtMs: 1,
+  };
+}
+
+/** One router that moves a service with one server of each version, within 15 seconds. */
+function createMoveOfService() {
+  const clock = createManualClock();
+  const fleet = createFleet();
+  fleet.setServers([serverOf(FORMER, 'v1'), serverOf(FRESH, 'v2')], 0);
+  const ignore = (): undefined => undefined;
+  let state: MoveState | undefined;
+  const moves = createVersionMoves(asId('host'), {
+    clock,
+    decisions: { routine: ignore, notable: ignore, vital: ignore, droppedCount: () => 0 },
+    fleet,
+    peerRegistry: createPeerRegistry(),
+    hashes: { hash32: (text) => text.length, hash64: (text) => text },
+    table: {
+      read: () => Promise.resolve({ kind: 'ok', record: undefined, revision: 0 }),
+      write: (_service, _version, written) => {
+        state = written;
+        return Promise.resolve('ok');
+      },
+    },
+    broadcastSoon: ignore,
+    broadcastLater: ignore,
+  });
+  moves.setOrders([{ service: SERVICE, version: 'v2', withinMs: 15_000 }]);
+  return { clock, moves, state: () => state };
+}
+
+async function advance(clock: ReturnType<typeof createManualClock>, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 100) {
+    clock.advance(100);
+    await Promise.resolve();
+  }
+}
+
+describe('a version whose answers are several times slower', () => {
+  it('is rolled back before its slow answers have ended', async () => {
+    const { clock, moves, state } = createMoveOfService();
+    for (let no = 0; no < 5; no += 1) {
+      const former = moves.trackAttempt(FORMER, 'answer');
+      moves.trackAttempt(FRESH, 'answer');
+      await advance(clock, 500);
+      former.onAnswered(false);
+    }
+    await advance(clock, 1_800);
+    expect(state()).toBe('rolled_back');
+  });
+
+  it('is rolled back for the pace of its streams, whose first events are in time', async () => {
+    const { clock, moves, state } = createMoveOfService();
+    for (let no = 0; no < 6; no += 1) {
+      moves.trackAttempt(FORMER, 'answer').onAnswered(false);
+      moves.trackAttempt(FRESH, 'answer').onAnswered(false);
+      const former = moves.trackAttempt(FORMER, 'pace');
+      moves.trackAttempt(FRESH, 'pace');
+      await advance(clock, 600);
+      former.onAnswered(false);
+    }
+    await advance(clock, 2_000);
+    expect(state()).toBe('rolled_back');
+  });
+});
