Move no more traffic to a new version of which too little is known

What callers saw: after 45 % of a move's time all traffic went to the new version, whatever was known of it.

Cause: the stages were bound to time, and only significance could stop them. Class: no evidence taken for good evidence.

Change: the second stage lasts until eight good answers, to 70 % of the time at most. While the version has clearly more bad answers than the former one, but not yet significantly more, its share stays; if that, or a majority of bad answers, still holds at the end of the stage, it is rolled back. With little traffic the first share is larger, so that there are answers to judge by.

Why it works: the share rises only on answers that came in time. Three tests of rollout.spec.ts failed before (share 1 in place of 0.3, and complete), and the move in version-moves.spec.ts completed.

--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -36,18 +36,24 @@
   /** The new version has all traffic, and the move ends. */
   | { readonly kind: 'complete' };
 
+/** The small first share keeps a bad version's part of the service's requests at a tenth or less. */
+const FIRST_SHARE_RATIO = 0.08;
+const SECOND_SHARE_RATIO = 0.3;
 /**
- * Traffic share of the new version until each part of the order's time has passed; after the last
- * stage it gets all traffic. The small first share keeps a bad version's part of the service's
- * requests at a tenth or less.
+ * With little traffic the first share is larger, so that the new version gets about this number of
+ * requests within the order's time.
  */
-const STAGES: readonly { readonly untilRatio: number; readonly shareRatio: number }[] = [
-  { untilRatio: 0.2, shareRatio: 0.08 },
-  { untilRatio: 0.45, shareRatio: 0.3 },
-];
-/** With fewer answers than this the first stage lasts longer, up to the time ratio below. */
+const FIRST_SHARE_REQUESTS = 20;
+const FIRST_STAGE_TIME_RATIO = 0.2;
+/** With fewer good answers than this the first stage lasts longer, up to the time ratio below. */
 const FIRST_STAGE_MIN_ANSWERS = 10;
 const FIRST_STAGE_MAX_TIME_RATIO = 0.35;
+const SECOND_STAGE_TIME_RATIO = 0.45;
+/** With fewer good answers than this the second stage lasts longer, up to the time ratio below. */
+const SECOND_STAGE_MIN_ANSWERS = 8;
+const SECOND_STAGE_MAX_TIME_RATIO = 0.7;
+/** At the end of the second stage this many bad answers suffice if they are the majority. */
+const MAJORITY_BAD_MIN = 2;
 /**
  * From this part of the time on the move completes even if the former version still runs requests.
  */
@@ -59,28 +65,71 @@
 /** Bad answers above this multiple of the expected number, plus the deviations, count as worse. */
 const EXPECTED_BAD_FACTOR = 2;
 const BAD_STANDARD_DEVIATIONS = 3;
+/** With these the new version may be worse: it gets no more traffic until there are more answers. */
+const DOUBTFUL_STANDARD_DEVIATIONS = 1;
 
 /** Whether the new version gave significantly more bad answers than expected of the former one. */
-export function isNewVersionWorse({ fresh, former }: MoveEvidence): boolean {
+export function isNewVersionWorse(evidence: MoveEvidence): boolean {
+  return hasMoreBad(evidence, BAD_STANDARD_DEVIATIONS);
+}
+
+function hasMoreBad({ fresh, former }: MoveEvidence, deviations: number): boolean {
   if (fresh.bad < BAD_ANSWERS_MIN) return false;
   const formerRatio = former.answers === 0 ? 0 : former.bad / former.answers;
   const expected = fresh.answers * Math.max(EXPECTED_BAD_RATIO_MIN, formerRatio);
-  return fresh.bad > EXPECTED_BAD_FACTOR * expected + BAD_STANDARD_DEVIATIONS * Math.sqrt(expected);
+  return fresh.bad > EXPECTED_BAD_FACTOR * expected + deviations * Math.sqrt(expected);
 }
 
 /** Decides the next step of a move from the answers that all routers have counted. */
 export function nextMoveStep(order: VersionOrder, progress: MoveProgress): MoveStep {
   if (isNewVersionWorse(progress.evidence)) return { kind: 'roll_back' };
   const timeRatio = progress.elapsedMs / order.withinMs;
-  const isFirstStage =
-    timeRatio < FIRST_STAGE_MAX_TIME_RATIO &&
-    progress.evidence.fresh.answers < FIRST_STAGE_MIN_ANSWERS;
-  const stage = isFirstStage ? STAGES[0] : STAGES.find(({ untilRatio }) => timeRatio < untilRatio);
-  if (stage !== undefined) return { kind: 'serve', shareRatio: stage.shareRatio };
+  const { answers, bad } = progress.evidence.fresh;
+  const good = answers - bad;
+  if (isStage(timeRatio, good, FIRST_STAGE)) {
+    return { kind: 'serve', shareRatio: firstShareRatio(order, progress) };
+  }
+  const isDoubtful = hasMoreBad(progress.evidence, DOUBTFUL_STANDARD_DEVIATIONS);
+  if (isStage(timeRatio, isDoubtful ? 0 : good, SECOND_STAGE)) {
+    return { kind: 'serve', shareRatio: SECOND_SHARE_RATIO };
+  }
+  const isMostlyBad = bad >= MAJORITY_BAD_MIN && bad > good;
+  if (isDoubtful || isMostlyBad) return { kind: 'roll_back' };
   const canComplete = !progress.isFormerBusy || timeRatio >= FORCED_COMPLETION_TIME_RATIO;
   return canComplete ? { kind: 'complete' } : { kind: 'serve', shareRatio: 1 };
 }
 
+interface Stage {
+  readonly timeRatio: number;
+  readonly minAnswers: number;
+  readonly maxTimeRatio: number;
+}
+
+const FIRST_STAGE: Stage = {
+  timeRatio: FIRST_STAGE_TIME_RATIO,
+  minAnswers: FIRST_STAGE_MIN_ANSWERS,
+  maxTimeRatio: FIRST_STAGE_MAX_TIME_RATIO,
+};
+const SECOND_STAGE: Stage = {
+  timeRatio: SECOND_STAGE_TIME_RATIO,
+  minAnswers: SECOND_STAGE_MIN_ANSWERS,
+  maxTimeRatio: SECOND_STAGE_MAX_TIME_RATIO,
+};
+
+/** Whether a stage still lasts: until its time, and longer while good answers are too few. */
+function isStage(timeRatio: number, good: number, stage: Stage): boolean {
+  if (timeRatio < stage.timeRatio) return true;
+  return timeRatio < stage.maxTimeRatio && good < stage.minAnswers;
+}
+
+function firstShareRatio(order: VersionOrder, { evidence, elapsedMs }: MoveProgress): number {
+  const answers = evidence.fresh.answers + evidence.former.answers;
+  if (answers === 0) return FIRST_SHARE_RATIO;
+  const expectedRequests = (answers * order.withinMs) / Math.max(1, elapsedMs);
+  const ratio = FIRST_SHARE_REQUESTS / expectedRequests;
+  return Math.min(SECOND_SHARE_RATIO, Math.max(FIRST_SHARE_RATIO, ratio));
+}
+
 export function addEvidence(a: MoveEvidence, b: MoveEvidence): MoveEvidence {
   return { fresh: addCounts(a.fresh, b.fresh), former: addCounts(a.former, b.former) };
 }
--- a/packages/core/test/forward/rollout.spec.ts
+++ b/packages/core/test/forward/rollout.spec.ts
@@ -26,6 +26,40 @@
     expect(nextMoveStep(ORDER, drained).kind).toBe('complete');
   });
 
+  it('gets all traffic only after enough good answers, or when time presses and none were bad', () => {
+    // Guards against completing a move to a version whose answers are too slow to arrive in time.
+    const stepAt = (elapsedMs: number, answers: number, bad: number) =>
+      nextMoveStep(ORDER, { evidence: evidence(answers, bad, 20), elapsedMs, isFormerBusy: true });
+    expect(stepAt(6_000, 2, 0)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+    expect(stepAt(8_000, 4, 4)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+    expect(stepAt(8_500, 4, 4)).toEqual({ kind: 'roll_back' });
+    expect(stepAt(8_500, 4, 1)).toEqual({ kind: 'serve', shareRatio: 1 });
+    expect(stepAt(8_500, 0, 0)).toEqual({ kind: 'serve', shareRatio: 1 });
+    expect(stepAt(6_000, 8, 0)).toEqual({ kind: 'serve', shareRatio: 1 });
+  });
+
+  it('gets no more traffic while it looks worse than the former version, and is rolled back then', () => {
+    // Guards against taking half of the answers being slow for enough good answers.
+    const stepAt = (elapsedMs: number, bad: number) =>
+      nextMoveStep(ORDER, {
+        evidence: evidence(21, bad, 185, 30),
+        elapsedMs,
+        isFormerBusy: false,
+      });
+    expect(stepAt(6_000, 10)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+    expect(stepAt(8_500, 10)).toEqual({ kind: 'roll_back' });
+    expect(stepAt(6_000, 5)).toEqual({ kind: 'complete' });
+  });
+
+  it('begins with a larger share at a service with little traffic, to get answers in time', () => {
+    const step = nextMoveStep(ORDER, {
+      evidence: evidence(1, 0, 7),
+      elapsedMs: 2_000,
+      isFormerBusy: true,
+    });
+    expect(step).toEqual({ kind: 'serve', shareRatio: 0.3 });
+  });
+
   it('is rolled back at any stage once the new version is significantly worse', () => {
     const progress = { evidence: evidence(12, 7), elapsedMs: 300, isFormerBusy: true };
     expect(nextMoveStep(ORDER, progress)).toEqual({ kind: 'roll_back' });
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -56,6 +56,19 @@
 }
 
 describe('a version whose answers are several times slower', () => {
+  it('is rolled back although all its attempts are given up before their first event', async () => {
+    // Guards against judging a version only by the answers that were fast enough to arrive.
+    const { clock, moves, state } = createMoveOfService();
+    for (let no = 0; no < 12; no += 1) {
+      const former = moves.trackAttempt(FORMER, 'answer');
+      const fresh = moves.trackAttempt(FRESH, 'answer');
+      await advance(clock, 1_000);
+      former.onAnswered(false);
+      clock.runAfter(3_500, fresh.onGivenUp);
+    }
+    expect(state()).toBe('rolled_back');
+  });
+
   it('is rolled back before its slow answers have ended', async () => {
     const { clock, moves, state } = createMoveOfService();
     for (let no = 0; no < 5; no += 1) {
