Count a new version's attempts that a second attempt overtook

Cause: a lookup that is slow is sent to a second server, and the slow attempt is cancelled when that one answers; a cancelled attempt did not count. Class: the same sample bias as with streams that are given up, on the other kind of request.

Change: a cancelled attempt counts as bad if it had taken one and a half times the mean already, so that a second attempt which loses at once does not count. Attempts of callers who left do not.

Why it works: hedging can no longer hide the attempts that caused it. The new test failed before (the move was not rolled back).

--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -71,7 +71,8 @@
   const { head, route } = request;
   const result = createDeferred<CallResult<BufferedResponse>>();
   const excluded = new Set<ServerId>();
-  const cancels = new Map<number, () => void>();
+  /** Cancels an attempt that is still running, and says why. */
+  const cancels = new Map<number, (cause: 'overtaken' | 'abandoned') => void>();
   const alarm = createWakeTimer(clock, () =>
     apply(call.onEvent({ kind: 'tick' }, clock.monotonicMs())),
   );
@@ -99,7 +100,7 @@
         send(effect.attemptNo, effect.cause);
         return;
       case 'cancel':
-        cancels.get(effect.attemptNo)?.();
+        cancels.get(effect.attemptNo)?.('overtaken');
         return;
       case 'answer':
         result.resolve(effect.result);
@@ -245,7 +246,7 @@
         'no_connection',
       );
     });
-    cancels.set(attemptNo, () => {
+    cancels.set(attemptNo, (cause) => {
       if (isOver) return;
       isOver = true;
       cancelConnectTimeout();
@@ -256,7 +257,8 @@
       // attempts are always cancelled would never look slow.
       const slownessRatio = (nowMs - sentAtMs) / Math.max(1, route.targetMs / 2);
       recordOutcome({ isSuccess: true, slownessRatio }, nowMs);
-      answerTimer.onCancelled();
+      if (cause === 'overtaken') answerTimer.onOvertaken();
+      else answerTimer.onCancelled();
       connection.exchange?.cancel();
     });
     fleet.onSent(serverId, head.requestId, 0, sentAtMs);
@@ -317,7 +319,7 @@
     servers: () => [...excluded],
     abandon: () => {
       alarm.set(undefined);
-      [...cancels.values()].forEach((cancel) => cancel());
+      [...cancels.values()].forEach((cancel) => cancel('abandoned'));
     },
   };
 }
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -53,6 +53,8 @@
   readonly onAnswered: (isFailure: boolean) => void;
   /** The attempt was given up because its server took too long. */
   readonly onGivenUp: () => void;
+  /** The attempt was cancelled because a later one was faster. */
+  readonly onOvertaken: () => void;
   /** The attempt ended otherwise, which says nothing about the version. */
   readonly onCancelled: () => void;
 }
@@ -84,6 +86,8 @@
 
 const STEP_PERIOD_MS = 200;
 const SLOW_ANSWER_FACTOR = 3;
+/** An attempt that a later one overtook was slow if it had taken this multiple of the mean already. */
+const OVERTAKEN_FACTOR = 1.5;
 /** Time after a completed move by which the former version's servers are no longer listed. */
 const FORMER_SERVERS_GONE_AFTER_MS = 10_000;
 const SMOOTHING_RATIO = 0.1;
@@ -105,6 +109,7 @@
 export const NO_TIMER: AnswerTimer = {
   onAnswered: () => undefined,
   onGivenUp: () => undefined,
+  onOvertaken: () => undefined,
   onCancelled: () => undefined,
 };
 const NO_SERVERS: ReadonlySet<ServerId> = new Set();
@@ -235,15 +240,15 @@
   function judgePending(): void {
     const nowMs = clock.monotonicMs();
     pending.forEach((attempt) => {
-      if (!isSlow(attempt, nowMs)) return;
+      if (!isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR)) return;
       pending.delete(attempt);
       count(attempt, true);
     });
   }
 
-  function isSlow(attempt: PendingPhase, nowMs: number): boolean {
+  function isSlow(attempt: PendingPhase, nowMs: number, factor: number): boolean {
     const meanMs = meanMsByPhase.get(phaseKey(attempt)) ?? Infinity;
-    return nowMs - attempt.startedAtMs > SLOW_ANSWER_FACTOR * meanMs;
+    return nowMs - attempt.startedAtMs > factor * meanMs;
   }
 
   function count({ service, version, phase }: PendingPhase, isBad: boolean): void {
@@ -284,12 +289,16 @@
       onAnswered: (isFailure) => {
         if (!pending.delete(attempt)) return;
         const nowMs = clock.monotonicMs();
-        count(attempt, isFailure || isSlow(attempt, nowMs));
+        count(attempt, isFailure || isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR));
         if (!isFailure) updateMean(attempt, nowMs - attempt.startedAtMs);
       },
       onGivenUp: () => {
         if (pending.delete(attempt)) count(attempt, true);
       },
+      onOvertaken: () => {
+        if (!pending.delete(attempt)) return;
+        if (isSlow(attempt, clock.monotonicMs(), OVERTAKEN_FACTOR)) count(attempt, true);
+      },
       onCancelled: () => {
         pending.delete(attempt);
       },
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -81,6 +81,19 @@
     expect(state()).toBe('rolled_back');
   });
 
+  it('is rolled back for attempts that were cancelled because a second one was faster', async () => {
+    const { clock, moves, state } = createMoveOfService();
+    for (let no = 0; no < 12; no += 1) {
+      const former = moves.trackAttempt(FORMER, 'answer');
+      const fresh = moves.trackAttempt(FRESH, 'answer');
+      await advance(clock, 200);
+      former.onAnswered(false);
+      await advance(clock, 200);
+      fresh.onOvertaken();
+    }
+    expect(state()).toBe('rolled_back');
+  });
+
   it('is rolled back for the pace of its streams, whose first events are in time', async () => {
     const { clock, moves, state } = createMoveOfService();
     for (let no = 0; no < 6; no += 1) {
