Keep KV cache copies off a version that is not to be used

While tracing the slow version that was kept, the code turned out to allow it: copies on demand were placed at any engine, and a stream resumed from its copy whatever the version of its engine, after a rollback too (EXPOSURE).

Cause: the version filter was asked when an engine was chosen for a request, but not for its copy. Class: as with copies on leaving engines.

Change: no copy lies at the new version until it has all traffic, nor after a rollback; from then on none at the former one; no stream resumes from a copy there.

Why it works: the tests of the placer and of the move failed to compile before for want of the set, and the old placer returns the excluded engine.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -6,18 +6,24 @@
 import type { PeerRegistry } from './peers';
 import type { EngineCapacity } from './types';
 
-/** Requirements of one stream on its engine. */
-export interface StreamPlacementInput {
+/** Requirements of the KV cache copy of one stream on its engine. */
+export interface CopyPlacementInput {
   readonly service: ServiceName;
   readonly capacity: EngineCapacity;
   readonly promptTokens: number;
-  /** Engines on which the stream was lost, or whose version it must not use. */
-  readonly excluded: ReadonlySet<ServerId>;
+  /** Engines that must hold no copy, and from whose copies the stream must not resume. */
+  readonly excludedCopyHolders: ReadonlySet<ServerId>;
   /** The stream lost its engine; other streams probably lost theirs at the same moment. */
   readonly isFailover?: boolean;
+}
+
+/** Requirements of one stream on its engine. */
+export interface StreamPlacementInput extends CopyPlacementInput {
+  /** Engines on which the stream was lost, or whose version it must not use. */
+  readonly excluded: ReadonlySet<ServerId>;
   /**
    * Engine to use, if it is already decided; only the copy's engine is chosen then. There is no
-   * placement if that engine is leaving, replaced or no longer listed.
+   * placement if that engine is leaving, replaced, no longer listed or an excluded copy holder.
    */
   readonly fixedEngineId?: ServerId;
 }
@@ -52,7 +58,7 @@
   /** Chooses the engine that is to hold a copy of the KV cache of a stream on `engineId`. */
   readonly placeCopy: (
     engineId: ServerId,
-    input: StreamPlacementInput,
+    input: CopyPlacementInput,
     nowMs: number,
     random: () => number,
   ) => ServerId | undefined;
@@ -144,7 +150,7 @@
     return avoidMs + suspectedMs + uncertainMs;
   }
 
-  function engineCostMs(state: ServerState, input: StreamPlacementInput, nowMs: number): number {
+  function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
     const tokens = state.ownTokens + peerLoad.tokens + input.promptTokens;
@@ -197,14 +203,14 @@
   /** Prefers engines of other failure domains, because a whole domain may be lost at once. */
   function placeCopy(
     engine: ServerState,
-    input: StreamPlacementInput,
+    input: CopyPlacementInput,
     nowMs: number,
     random: () => number,
   ): ServerId | undefined {
     if (!input.capacity.hasBackups) return undefined;
     const others = fleet
       .usable(input.service)
-      .filter((state) => state !== engine && !input.excluded.has(state.server.serverId));
+      .filter((state) => state !== engine && !input.excludedCopyHolders.has(state.server.serverId));
     const otherDomains = others.filter(
       ({ server }) => server.failureDomain !== engine.server.failureDomain,
     );
@@ -229,6 +235,7 @@
       const chooseEngine = (): ServerState | undefined => {
         const { fixedEngineId } = input;
         if (fixedEngineId !== undefined) {
+          if (input.excludedCopyHolders.has(fixedEngineId)) return undefined;
           return all.find(({ server }) => server.serverId === fixedEngineId);
         }
         return input.isFailover === true
--- a/packages/core/test/forward/failover-placement.spec.ts
+++ b/packages/core/test/forward/failover-placement.spec.ts
@@ -56,6 +56,7 @@
     capacity: CAPACITY,
     promptTokens: 5_000,
     excluded: new Set<ServerId>(),
+    excludedCopyHolders: new Set<ServerId>(),
   };
 
   it('are spread over the remaining engines although all routers see the same empty one', () => {
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { createFleet, createPeerRegistry, createPlacer, asId } from '../../src/index';
 import { createRandom, hash32, id, CAPACITY, requestId, server } from './fixtures';
+import type { ServerId } from '../../src/index';
 
 const GUIDE = asId<ReturnType<typeof server>['service']>('guide');
 
@@ -62,6 +63,7 @@
           capacity: CAPACITY,
           promptTokens: 10,
           excluded: new Set(),
+          excludedCopyHolders: new Set(),
           fixedEngineId: id(engine),
         },
         5_000,
@@ -77,6 +79,24 @@
     ]);
   });
 
+  it('puts no copy on an excluded holder, and resumes no stream from one there', () => {
+    // Guards against streams that go on at a version which was rolled back.
+    const fleet = createFleetOf('a1', 'b1', 'c1');
+    const placer = createPlacer(fleet, createPeerRegistry(), asId('host'), hash32);
+    const input = {
+      service: GUIDE,
+      capacity: CAPACITY,
+      promptTokens: 10,
+      excluded: new Set<ServerId>(),
+      excludedCopyHolders: new Set([id('b1')]),
+    };
+    for (let seed = 1; seed < 20; seed += 1) {
+      expect(placer.placeCopy(id('a1'), input, 0, createRandom(seed))).toBe('c1');
+    }
+    const resumed = placer.placeStream({ ...input, fixedEngineId: id('b1') }, 0, createRandom(1));
+    expect(resumed.kind).toBe('none');
+  });
+
   it('resets the state of a server that restarted under the same id', () => {
     const fleet = createFleetOf('a1');
     fleet.onSent(id('a1'), requestId('r'), 100, 0);
@@ -114,6 +134,7 @@
     capacity: CAPACITY,
     promptTokens: 5_000,
     excluded: new Set<never>(),
+    excludedCopyHolders: new Set<never>(),
   };
 
   function createPlacerOf(...names: string[]) {
--- a/packages/core/test/forward/placement-load.spec.ts
+++ b/packages/core/test/forward/placement-load.spec.ts
@@ -90,7 +90,13 @@
     const router = routers[routerNo];
     if (router === undefined) return;
     const placed = router.placer.placeStream(
-      { service: GUIDE, capacity: CAPACITY, promptTokens: PROMPT_TOKENS, excluded: new Set() },
+      {
+        service: GUIDE,
+        capacity: CAPACITY,
+        promptTokens: PROMPT_TOKENS,
+        excluded: new Set(),
+        excludedCopyHolders: new Set(),
+      },
       nowMs,
       random,
     );
--- a/packages/router/src/forward/copies.ts
+++ b/packages/router/src/forward/copies.ts
@@ -13,8 +13,6 @@
   readonly release: (attempt: StreamAttempt) => void;
 }
 
-const NO_EXCLUDED_SERVERS: ReadonlySet<ServerId> = new Set();
-
 export function createStreamKvCopies(ports: ForwardPorts, request: ForwardRequest): StreamKvCopies {
   const { fleet, decisions } = ports;
   const { requestId, promptTokens } = request.head;
@@ -26,7 +24,7 @@
       service: service.name,
       capacity: service.engine,
       promptTokens,
-      excluded: NO_EXCLUDED_SERVERS,
+      excludedCopyHolders: ports.versionMoves.excludedCopyHolders(service.name),
     };
     const nowMs = ports.clock.monotonicMs();
     return ports.placer.placeCopy(attempt.engineId, input, nowMs, ports.random);
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -53,7 +53,10 @@
   readonly decisions: DecisionLog;
   readonly metrics: ForwardMetrics;
   readonly stateBroadcast: Pick<StateBroadcast, 'sendSoon' | 'sendLater' | 'onServerFailure'>;
-  readonly versionMoves: Pick<VersionMoves, 'excludedServers' | 'trackAttempt'>;
+  readonly versionMoves: Pick<
+    VersionMoves,
+    'excludedServers' | 'excludedCopyHolders' | 'trackAttempt'
+  >;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
   readonly promptGuard: Pick<PromptGuard, 'onUnstartedLoss' | 'onBegun' | 'findCondemned'>;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -300,6 +300,7 @@
         ...effect.excluded,
         ...ports.versionMoves.excludedServers(service.name, ports.random()),
       ]),
+      excludedCopyHolders: ports.versionMoves.excludedCopyHolders(service.name),
     };
     const placement = ports.placer.placeStream(
       effect.resumeFrom === undefined
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -64,6 +64,11 @@
   readonly setOrders: (orders: readonly VersionOrder[]) => void;
   /** Servers whose version must not serve a request; `draw` is a uniform random number. */
   readonly excludedServers: (service: ServiceName, draw: number) => ReadonlySet<ServerId>;
+  /**
+   * Servers that must hold no KV cache copy, and from whose copies no stream may resume: those of the new
+   * version until it has all traffic or after a rollback, then those of the former one.
+   */
+  readonly excludedCopyHolders: (service: ServiceName) => ReadonlySet<ServerId>;
   /** Called when an attempt is sent to a server, and when it enters a later phase. */
   readonly trackAttempt: (serverId: ServerId, phase: TimedPhase) => AnswerTimer;
   /** States and answer counts of this router, for the other routers. */
@@ -307,12 +312,21 @@
 
   function excludedServers(service: ServiceName, draw: number): ReadonlySet<ServerId> {
     const move = moves.get(service);
-    if (move === undefined || isPast(move)) return NO_SERVERS;
-    const servers = fleet.usable(service).map(({ server }) => server);
-    const fresh = servers.filter(({ version }) => version === move.order.version);
-    const former = servers.filter(({ version }) => version !== move.order.version);
-    const usesNewVersion = draw < shareOf(move);
-    const excluded = usesNewVersion ? former : fresh;
+    return move === undefined ? NO_SERVERS : serversOfOther(move, draw < shareOf(move));
+  }
+
+  function excludedCopyHolders(service: ServiceName): ReadonlySet<ServerId> {
+    const move = moves.get(service);
+    return move === undefined ? NO_SERVERS : serversOfOther(move, shareOf(move) === 1);
+  }
+
+  /** Servers of the version that is not used; none if there would be no other server. */
+  function serversOfOther(move: Move, usesNewVersion: boolean): ReadonlySet<ServerId> {
+    if (isPast(move)) return NO_SERVERS;
+    const servers = fleet.usable(move.order.service).map(({ server }) => server);
+    const excluded = servers.filter(
+      ({ version }) => (version === move.order.version) !== usesNewVersion,
+    );
     const leavesNoServer = excluded.length === servers.length && move.state !== 'rolled_back';
     return leavesNoServer ? NO_SERVERS : new Set(excluded.map(({ serverId }) => serverId));
   }
@@ -334,6 +348,7 @@
   return {
     setOrders,
     excludedServers,
+    excludedCopyHolders,
     trackAttempt,
     ownMoves: () =>
       [...moves.values()].map(({ order, state, evidence }) => ({
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -108,3 +108,25 @@
     expect(state()).toBe('rolled_back');
   });
 });
+
+describe('the KV cache copies during a move', () => {
+  it('are kept off the new version until it has all traffic, and after a rollback', async () => {
+    const { clock, moves, state } = createMoveOfService();
+    await advance(clock, 500);
+    expect([...moves.excludedCopyHolders(SERVICE)]).toEqual([FRESH]);
+    for (let no = 0; no < 6; no += 1) moves.trackAttempt(FRESH, 'answer').onGivenUp();
+    await advance(clock, 500);
+    expect(state()).toBe('rolled_back');
+    expect([...moves.excludedCopyHolders(SERVICE)]).toEqual([FRESH]);
+  });
+
+  it('are kept off the former version once the new one has all traffic', async () => {
+    const { clock, moves, state } = createMoveOfService();
+    for (let no = 0; no < 12; no += 1) {
+      moves.trackAttempt(FRESH, 'answer').onAnswered(false);
+      await advance(clock, 1_000);
+    }
+    expect(state()).toBe('completed');
+    expect([...moves.excludedCopyHolders(SERVICE)]).toEqual([FORMER]);
+  });
+});
