Cut off responses whose head or framing never ends

What callers saw: nothing yet; the users announce servers that send bytes which are no answer until the caller closes.

Cause: the HTTP client limits header and trailer fields, but not the reason of the status line, interim responses, empty lines before the status line or chunk extensions, and it reports none of their bytes. A server could keep a router reading and parsing until the deadline of each request. Class: a limit on parts of the input and none on the whole.

Change: createFramingGuard compares the bytes that a connection has received since the request with those of the body. The connection of a request is known by the first write after its start, since the client does not tell it.

Why it works: whatever is no body counts, in whatever part of the syntax it hides.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -2,6 +2,7 @@
 import { buildConnector, Pool } from 'undici';
 import { splitAddress } from '../runtime/address';
 import { describeError } from '../runtime/fetch';
+import { createFramingGuard } from './framing-guard';
 import { createResetDetector } from './resets';
 import type { Dispatcher } from 'undici';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -65,6 +66,7 @@
   const connect = buildConnector({ timeout: settings.connectTimeoutMs });
   let openedCount = 0;
   const resets = createResetDetector();
+  const framing = createFramingGuard();
 
   function poolOf(address: string): Pool {
     const existing = pools.get(address);
@@ -81,6 +83,7 @@
         connect(options, (error, socket) => {
           if (error === null) {
             resets.watch(socket);
+            framing.watch(socket);
             callback(null, socket);
             return;
           }
@@ -114,6 +117,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
     let isCloseDelimited = false;
+    let bodyBytes = 0;
     const cancelled = new Error('cancelled');
 
     function failOnce(failure: ExchangeFailure, message: string): void {
@@ -139,8 +143,18 @@
         onRequestStart: (started) => {
           controller = started;
           // A request that was cancelled while waiting for a connection must not be sent.
-          if (isOver) started.abort(cancelled);
-          else handler.onSent();
+          if (isOver) {
+            started.abort(cancelled);
+            return;
+          }
+          handler.onSent();
+          framing.onRequestStart({
+            bodyBytes: () => bodyBytes,
+            onExcess: (excessBytes) => {
+              failOnce('broken', `${excessBytes} bytes arrived that are not part of an answer`);
+              started.abort(cancelled);
+            },
+          });
         },
         onResponseStart: (_started, status, headers) => {
           if (isOver || status < 200) return;
@@ -149,6 +163,7 @@
           handler.onHead(status, headers);
         },
         onResponseData: (_started, chunk) => {
+          bodyBytes += chunk.length;
           if (!isOver) handler.onData(chunk);
         },
         onResponseEnd: () => {
