Leave an engine that repeats old events without end

Cause: an event that the caller already has counted as progress, so an engine that sends nothing else kept its stream until the deadline. Class: activity taken for progress.

Change: more than 2,000 repeated events make the attempt garbled, and the stream goes on elsewhere.

The new test failed before: no second attempt was sent.

--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -169,6 +169,10 @@
 const PLACEMENT_RETRY_DELAY_MS = 100;
 /** Sends allowed per attempt of the route's limit; sends that reached no engine count as well. */
 const SENDS_PER_ATTEMPT = 2;
+/**
+ * An engine may repeat events that the caller has; one that repeats more than this sends no answer.
+ */
+const DUPLICATES_MAX = 2_000;
 const NOT_RUN_LOSSES: ReadonlySet<AttemptLoss> = new Set([
   'not_sent',
   'misdirected',
@@ -188,6 +192,8 @@
   copyAtMs: number | undefined;
   sentAtMs: number;
   hasEvents: boolean;
+  /** Events that the caller already has. */
+  duplicates: number;
 }
 
 /** State machine that delivers one stream completely while its engines may fail. */
@@ -230,6 +236,7 @@
       copyAtMs: undefined,
       sentAtMs: 0,
       hasEvents: false,
+      duplicates: 0,
     };
     silenceDetector.onAttemptPlacing();
     return [
@@ -345,7 +352,8 @@
     const effects: ForwardStreamEffect[] = [];
     for (const event of events) {
       const verdict = sequence.accept(event.id);
-      if (verdict === 'gap') {
+      if (verdict === 'duplicate') attempt.duplicates += 1;
+      if (verdict === 'gap' || attempt.duplicates > DUPLICATES_MAX) {
         effects.push({ kind: 'cancel', attemptNo: attempt.attemptNo, loss: 'garbled' });
         return [...effects, ...tryNext(attempt, 'garbled', nowMs)];
       }
--- a/packages/core/test/forward/stream.spec.ts
+++ b/packages/core/test/forward/stream.spec.ts
@@ -92,6 +92,15 @@
   }
 }
 
+describe('a stream whose engine repeats old events without end', () => {
+  it('goes on at another engine', () => {
+    const { log, place, events } = simulateStream({ lastEventId: 5 });
+    place(1, 'a1');
+    for (let no = 0; no < 2_001; no += 1) events(1, 5);
+    expect(log.slice(1, 3)).toEqual(['0 cancel 1 garbled', expect.stringContaining('send 2')]);
+  });
+});
+
 describe('a forwarded stream', () => {
   it('resumes from the KV cache copy after a reset without a missing or repeated event', () => {
     const run = simulateStream();
