Bound the bodies of all answers to calls, and those that are buffered together

Cause: bodies of calls to engines, of refused attempts and of events in a stream of our own interface were read whatever their size; answers to callers were bounded one by one (16 MiB), so that a few endless ones exceed the memory of a host (250 to 350 MB). Class: a limit on each and none on the sum.

Change: the HTTP client reads at most 16 MiB, 64 KiB from engines' other calls; a stream of our own interface ends as lost after 1 MiB without an event; all answers that are being buffered have 48 MiB together.

Why it works: reading stops at the limit, and the connection is closed with it. Three tests of endless.spec.ts failed before (no end after 3 s). The test with six endless answers at once and the one of a cancelled exchange passed before too; they guard the bound and the closing.

--- a/packages/adapters/src/engine/stream.ts
+++ b/packages/adapters/src/engine/stream.ts
@@ -1,6 +1,6 @@
 import { createParser } from 'eventsource-parser';
 import { request } from 'undici';
-import { describeError, isNotSent } from '../runtime/fetch';
+import { describeError, isNotSent, readText } from '../runtime/fetch';
 import type { AttemptNo, RequestId } from '@mimosamill/core';
 import type { Dispatcher } from 'undici';
 import type { AttemptHandle, AttemptEvent } from './client';
@@ -22,6 +22,9 @@
 }
 
 const STATUS_OK = 200;
+const REFUSAL_MAX_BYTES = 65_536;
+/** A stream with more bytes than this between two events is malformed. */
+const EVENT_MAX_BYTES = 1_048_576;
 
 type RefusalCause = Extract<AttemptEvent, { kind: 'refused' }>['cause'];
 
@@ -48,18 +51,17 @@
     onEvent(event);
   }
 
+  function failMalformed(found: string): void {
+    const message = `expected a token or a finish reason in the event stream, got ${found}`;
+    end(toLost(call.attemptNo, 'ended_early', message));
+    abort.abort();
+  }
+
   function onData(data: string): void {
     if (hasEnded || data === '[DONE]') return;
     const token = parseToken(data);
     if (token === undefined) {
-      end(
-        toLost(
-          call.attemptNo,
-          'ended_early',
-          'expected a token or a finish reason in the event stream, got a malformed event',
-        ),
-      );
-      abort.abort();
+      failMalformed('a malformed event');
       return;
     }
     if (token.finish_reason !== undefined) {
@@ -84,13 +86,29 @@
       signal: abort.signal,
     });
     if (response.statusCode !== STATUS_OK) {
-      end(toRefused(call.attemptNo, response.statusCode, await response.body.text()));
+      end(
+        toRefused(
+          call.attemptNo,
+          response.statusCode,
+          await readText(response.body, REFUSAL_MAX_BYTES),
+        ),
+      );
       return;
     }
-    const parser = createParser({ onEvent: ({ data }) => onData(data) });
+    let bytesSinceEvent = 0;
+    const parser = createParser({
+      onEvent: ({ data }) => {
+        bytesSinceEvent = 0;
+        onData(data);
+      },
+    });
     const stream = response.body;
     const decoder = new TextDecoder();
-    stream.on('data', (chunk: Buffer) => parser.feed(decoder.decode(chunk, { stream: true })));
+    stream.on('data', (chunk: Buffer) => {
+      bytesSinceEvent += chunk.length;
+      parser.feed(decoder.decode(chunk, { stream: true }));
+      if (bytesSinceEvent > EVENT_MAX_BYTES) failMalformed('more than 1 MiB without an event');
+    });
     await new Promise<void>((resolve, reject) => {
       stream.once('end', resolve);
       stream.once('error', reject);
--- a/packages/adapters/src/runtime/fetch.ts
+++ b/packages/adapters/src/runtime/fetch.ts
@@ -22,6 +22,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
   readonly timeoutMs: number;
+  /** A response with a larger body counts as no answer. */
+  readonly maxBodyBytes?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -32,6 +34,8 @@
 }
 
 export const CONNECT_TIMEOUT_MS = 1_000;
+/** Above the largest object of the platform's object store, 8 MiB. */
+const DEFAULT_MAX_BODY_BYTES = 16_777_216;
 
 /** Errors that occur before any byte of the request is sent. */
 const NOT_SENT_CODES = new Set([
@@ -64,7 +68,7 @@
         body: options.body ?? null,
         signal,
       });
-      const body = await response.body.text();
+      const body = await readText(response.body, options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
       return { kind: 'ok', status: response.statusCode, headers: response.headers, body };
     } catch (error) {
       const message = describeError(error);
@@ -75,6 +79,18 @@
   return { fetch, dispatcher, close: () => dispatcher.destroy() };
 }
 
+/** Reads a body up to a limit; its connection is closed if there is more. */
+export async function readText(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of body) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) throw new Error(`the body has more than ${maxBytes} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
 /** Whether the error means that no connection was made. */
 export function isNotSent(error: unknown): boolean {
   const { code, errors } = error as { code?: string; errors?: unknown[] };
--- a/packages/adapters/test/endless.spec.ts
+++ b/packages/adapters/test/endless.spec.ts
@@ -1,7 +1,10 @@
 import { createServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
-import { createUpstream } from '../src/index';
+import { asAttemptNo, asId } from '@mimosamill/core';
+import { createEngineClient, createHttpClient, createUpstream } from '../src/index';
 import type { AddressInfo, Server } from 'node:net';
+import type { RequestId } from '@mimosamill/core';
+import type { AttemptEvent } from '../src/index';
 
 const PIECE = 'x'.repeat(16_384);
 /** Far more than any head, and less than what a loopback connection carries in the time limit. */
@@ -111,4 +114,43 @@
     expect(await withinLimit(server.closed)).not.toBe('open');
     await upstream.close();
   });
+
+  it.each([
+    ['one event', 'data: '],
+    ['comments', ': '],
+  ])('makes an attempt that is streamed end as lost, with endless bytes in %s', async (_, line) => {
+    const head = `${OK}content-type: text/event-stream\r\n\r\n${line}`;
+    const server = await startEndless(head, line === ': ' ? `${PIECE}\n: ` : PIECE);
+    const http = createHttpClient();
+    const engine = createEngineClient(http, { timeoutMs: 20_000, orderTimeoutMs: 20_000 });
+    const request = {
+      requestId: asId<RequestId>('r'),
+      attemptNo: asAttemptNo(1),
+      model: 'guide',
+      version: 'v1',
+      adapter: '',
+      prompt: 'p',
+      generatedTokens: [],
+      maxTokens: 1,
+      seed: 0,
+      priority: 'normal',
+    } as const;
+    const event = new Promise<AttemptEvent>((resolve) => {
+      engine.generate(server.address, request, resolve);
+    });
+    expect(await withinLimit(event)).toMatchObject({ kind: 'lost', cause: 'ended_early' });
+    expect(await withinLimit(server.closed)).not.toBe('open');
+    await http.close();
+  });
+
+  it('makes a call of the HTTP client fail after a bounded number of bytes', async () => {
+    const server = await startEndless(`${OK}\r\n`, PIECE);
+    const http = createHttpClient();
+    const outcome = await withinLimit(
+      http.fetch(`http://${server.address}/`, { method: 'GET', timeoutMs: 20_000 }),
+    );
+    expect(outcome).toMatchObject({ kind: 'no_answer' });
+    expect(await withinLimit(server.closed)).not.toBe('open');
+    await http.close();
+  });
 });
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -45,11 +45,14 @@
 const DEFAULT_HEDGE_DELAY_RATIO = 0.5;
 /** Responses are buffered, so that a truncated one never reaches the caller as complete. */
 const RESPONSE_MAX_BYTES = 16_777_216;
+/** All responses that are being buffered; keeps several endless ones within the memory of a host. */
+const BUFFERED_MAX_BYTES = 50_331_648;
 /** Time limit for connecting; at that point nothing of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 300;
 
 export function createCallForwarder(ports: ForwardPorts): CallForwarder {
   const latencies = new Map<string, LatencyWindow>();
+  const buffered = { sizeBytes: 0 };
 
   function latencyWindowOf(route: string): LatencyWindow {
     const known = latencies.get(route);
@@ -59,13 +62,18 @@
     return created;
   }
 
-  return { forward: (request) => forwardCall(ports, request, latencyWindowOf(request.route.name)) };
+  return {
+    forward: (request) =>
+      forwardCall(ports, request, latencyWindowOf(request.route.name), buffered),
+  };
 }
 
 function forwardCall(
   ports: ForwardPorts,
   request: ForwardRequest,
   latencies: LatencyWindow,
+  /** Shared by all calls. */
+  buffered: { sizeBytes: number },
 ): RunningCall {
   const { clock, fleet, decisions } = ports;
   const { head, route } = request;
@@ -166,12 +174,17 @@
     let isOver = false;
     const answerTimer = ports.versionMoves.trackAttempt(serverId, 'answer');
 
-    function finishAttempt(outcome: ServerAnswer<BufferedResponse>, loss: string): void {
-      if (isOver) return;
+    function endAttempt(): void {
       isOver = true;
+      buffered.sizeBytes -= sizeBytes;
       cancelConnectTimeout();
       cancels.delete(attemptNo);
       fleet.onEnd(serverId, head.requestId, 0);
+    }
+
+    function finishAttempt(outcome: ServerAnswer<BufferedResponse>, loss: string): void {
+      if (isOver) return;
+      endAttempt();
       recordResult(outcome);
       if (outcome.kind !== 'ok') {
         ports.metrics.onLoss(loss);
@@ -248,10 +261,7 @@
     });
     cancels.set(attemptNo, (cause) => {
       if (isOver) return;
-      isOver = true;
-      cancelConnectTimeout();
-      cancels.delete(attemptNo);
-      fleet.onEnd(serverId, head.requestId, 0);
+      endAttempt();
       const nowMs = clock.monotonicMs();
       // An attempt that lost against its hedge was slow. Without this record, a slow server whose
       // attempts are always cancelled would never look slow.
@@ -288,8 +298,10 @@
         onData: (bytes) => {
           if (isOver) return;
           sizeBytes += bytes.length;
+          buffered.sizeBytes += bytes.length;
           chunks.push(bytes);
-          if (sizeBytes <= RESPONSE_MAX_BYTES) return;
+          const isTooMuch = buffered.sizeBytes > BUFFERED_MAX_BYTES;
+          if (sizeBytes <= RESPONSE_MAX_BYTES && !isTooMuch) return;
           connection.exchange?.cancel();
           finishAttempt({ kind: 'unknown' }, 'answer_too_large');
         },
