Do not blame a new version for slowness that the former one shares

Cause: since slow attempts count while they run, their times no longer reached the mean of the service, so that after a rise of load it stayed too low and nearly all answers counted as slow; and the majority rule at the end of the second stage looked at the new version only. Together they would take a good version back under load. Class: a correction of one bias that brings in another.

Change: a slow attempt is counted once and timed to its end; the majority rule does not hold where the former version's answers are mostly bad, too.

Why it works: the mean follows the load again, and both versions are judged by the same measure. Two tests failed before (roll_back in place of share 1; rolled_back).

--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -52,7 +52,10 @@
 /** With fewer good answers than this the second stage lasts longer, up to the time ratio below. */
 const SECOND_STAGE_MIN_ANSWERS = 8;
 const SECOND_STAGE_MAX_TIME_RATIO = 0.7;
-/** At the end of the second stage this many bad answers suffice if they are the majority. */
+/**
+ * At the end of the second stage this many bad answers suffice if they are the majority, and bad ones
+ * are not the majority of the former version's.
+ */
 const MAJORITY_BAD_MIN = 2;
 /**
  * From this part of the time on the move completes even if the former version still runs requests.
@@ -84,7 +87,8 @@
 export function nextMoveStep(order: VersionOrder, progress: MoveProgress): MoveStep {
   if (isNewVersionWorse(progress.evidence)) return { kind: 'roll_back' };
   const timeRatio = progress.elapsedMs / order.withinMs;
-  const { answers, bad } = progress.evidence.fresh;
+  const { fresh, former } = progress.evidence;
+  const { answers, bad } = fresh;
   const good = answers - bad;
   if (isStage(timeRatio, good, FIRST_STAGE)) {
     return { kind: 'serve', shareRatio: firstShareRatio(order, progress) };
@@ -93,7 +97,8 @@
   if (isStage(timeRatio, isDoubtful ? 0 : good, SECOND_STAGE)) {
     return { kind: 'serve', shareRatio: SECOND_SHARE_RATIO };
   }
-  const isMostlyBad = bad >= MAJORITY_BAD_MIN && bad > good;
+  const isFormerMostlyBad = former.bad * 2 > former.answers;
+  const isMostlyBad = bad >= MAJORITY_BAD_MIN && bad > good && !isFormerMostlyBad;
   if (isDoubtful || isMostlyBad) return { kind: 'roll_back' };
   const canComplete = !progress.isFormerBusy || timeRatio >= FORCED_COMPLETION_TIME_RATIO;
   return canComplete ? { kind: 'complete' } : { kind: 'serve', shareRatio: 1 };
--- a/packages/core/test/forward/rollout.spec.ts
+++ b/packages/core/test/forward/rollout.spec.ts
@@ -51,6 +51,16 @@
     expect(stepAt(6_000, 5)).toEqual({ kind: 'complete' });
   });
 
+  it('is not rolled back for slow answers when those of the former version are as slow', () => {
+    // Guards against blaming a version for a load under which all servers are slow.
+    const step = nextMoveStep(ORDER, {
+      evidence: evidence(4, 3, 20, 14),
+      elapsedMs: 8_500,
+      isFormerBusy: true,
+    });
+    expect(step).toEqual({ kind: 'serve', shareRatio: 1 });
+  });
+
   it('begins with a larger share at a service with little traffic, to get answers in time', () => {
     const step = nextMoveStep(ORDER, {
       evidence: evidence(1, 0, 7),
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -108,6 +108,8 @@
   readonly version: string;
   readonly phase: TimedPhase;
   readonly startedAtMs: number;
+  /** Slow phases are counted before they end. */
+  isCounted: boolean;
 }
 
 /** For an attempt at a server that is no longer listed. */
@@ -245,9 +247,7 @@
   function judgePending(): void {
     const nowMs = clock.monotonicMs();
     pending.forEach((attempt) => {
-      if (!isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR)) return;
-      pending.delete(attempt);
-      count(attempt, true);
+      if (isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR)) count(attempt, true);
     });
   }
 
@@ -256,7 +256,10 @@
     return nowMs - attempt.startedAtMs > factor * meanMs;
   }
 
-  function count({ service, version, phase }: PendingPhase, isBad: boolean): void {
+  function count(attempt: PendingPhase, isBad: boolean): void {
+    if (attempt.isCounted) return;
+    attempt.isCounted = true;
+    const { service, version, phase } = attempt;
     const move = moves.get(service);
     if (move?.state !== 'running' || (phase === 'pace' && !isBad)) return;
     const counts = { answers: 1, bad: isBad ? 1 : 0 };
@@ -288,6 +291,7 @@
       version: server.version,
       phase,
       startedAtMs: clock.monotonicMs(),
+      isCounted: false,
     };
     pending.add(attempt);
     return {
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -109,6 +109,22 @@
   });
 });
 
+describe('a version that is as slow as the former one', () => {
+  it('is not rolled back when load makes both much slower than they were', async () => {
+    // Guards against a mean that slow answers cannot raise, because they were counted while they ran.
+    const { clock, moves, state } = createMoveOfService();
+    moves.trackAttempt(FORMER, 'answer');
+    for (let no = 0; no < 22; no += 1) {
+      const former = moves.trackAttempt(FORMER, 'answer');
+      const fresh = no % 3 === 0 ? moves.trackAttempt(FRESH, 'answer') : undefined;
+      await advance(clock, no < 3 ? 100 : 600);
+      former.onAnswered(false);
+      fresh?.onAnswered(false);
+    }
+    expect(state()).not.toBe('rolled_back');
+  });
+});
+
 describe('the KV cache copies during a move', () => {
   it('are kept off the new version until it has all traffic, and after a rollback', async () => {
     const { clock, moves, state } = createMoveOfService();
