--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -2,8 +2,16 @@
 import { asId, createCallOutcomeTracker, createFleet, createPeerRegistry } from '@mimosamill/core';
 import { createStateBroadcast } from '../../src/forward/state-broadcast';
 import { createManualClock } from './clock';
-import type { Fleet, ForwardServer, ServerId } from '@mimosamill/core';
+import type {
+  FailureDomain,
+  Fleet,
+  ForwardServer,
+  PromptPartId,
+  RequestId,
+  ServerId,
+} from '@mimosamill/core';
 import type { ManualClock } from './clock';
+import type { PartReports } from '../../src/forward/prompt-guard';
 import type { StateBroadcast } from '../../src/forward/state-broadcast';
 
 const SERVERS = ['a1', 'b1', 'c1'];
@@ -27,6 +35,8 @@
   readonly fleet: Fleet;
   readonly callOutcomes: ReturnType<typeof createCallOutcomeTracker>;
   readonly sent: Buffer[];
+  /** What the router tells of prompt parts, and what others told it. */
+  readonly partReports: { own: PartReports; readonly received: PartReports[] };
 }
 
 function createTestRouter(name: string, clock: ManualClock, peerCount = 1): TestRouter {
@@ -34,6 +44,10 @@
   fleet.setServers(SERVERS.map(serverOf), 0);
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
   const sent: Buffer[] = [];
+  const partReports: TestRouter['partReports'] = {
+    own: { crashes: [], cleared: [], condemned: [] },
+    received: [],
+  };
   const broadcast = createStateBroadcast(
     { hostId: asId(name), failureDomain: asId('a'), incarnationId: 'x' },
     {
@@ -60,11 +74,11 @@
       prefillMsPerToken: () => 0.2,
       canReadStore: () => true,
       ownMoves: () => [],
-      ownPartReports: () => ({ crashes: [], cleared: [], condemned: [] }),
-      onPartReports: () => undefined,
+      ownPartReports: () => partReports.own,
+      onPartReports: (reports) => partReports.received.push(reports),
     },
   );
-  return { broadcast, fleet, callOutcomes, sent };
+  return { broadcast, fleet, callOutcomes, sent, partReports };
 }
 
 describe('the state broadcast between routers', () => {
@@ -104,6 +118,32 @@
     expect(sent).toHaveLength(200);
   });
 
+  it('carries the reports on prompt parts, with times on the clock of the receiver', () => {
+    // Guards against routers that each need their own crashes to recognise a part.
+    const senderClock = createManualClock();
+    const receiverClock = createManualClock();
+    receiverClock.advance(50_000);
+    const sender = createTestRouter('host-1', senderClock);
+    const receiver = createTestRouter('host-2', receiverClock);
+    const crash = {
+      requestId: asId<RequestId>('r1'),
+      engineId: asId<ServerId>('a1'),
+      failureDomain: asId<FailureDomain>('a'),
+      parts: [asId<PromptPartId>('aa'), asId<PromptPartId>('bb')],
+      combination: asId<PromptPartId>('aabb'),
+    };
+    const reportsAt = (nowMs: number): PartReports => ({
+      crashes: [{ ...crash, atMs: nowMs - 300 }],
+      cleared: [{ part: asId('aa'), atMs: nowMs - 200 }],
+      condemned: [{ part: asId('bb'), condemnedAtMs: nowMs - 100 }],
+    });
+    sender.partReports.own = reportsAt(senderClock.monotonicMs() + 15);
+    sender.broadcast.sendSoon();
+    senderClock.advance(15);
+    sender.sent.forEach((bytes) => receiver.broadcast.onMessage(bytes, '10.0.0.1:1'));
+    expect(receiver.partReports.received).toEqual([reportsAt(receiverClock.monotonicMs())]);
+  });
+
   it('sends call results even if a stream of urgent messages keeps resetting the heartbeat', () => {
     const clock = createManualClock();
     const sender = createTestRouter('host-1', clock);
