--- a/packages/router/src/forward/departing.ts
+++ b/packages/router/src/forward/departing.ts
@@ -1,3 +1,4 @@
+import { finiteMs } from './finite';
 import type { RequestId, ServerId } from '@mimosamill/core';
 import type { ForwardPorts } from './ports';
 
@@ -28,7 +29,7 @@
       leavingSinceMs === undefined
         ? undefined
         : Math.round(ports.clock.monotonicMs() - leavingSinceMs),
-    list_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    list_age_ms: finiteMs(ageMs),
   });
 }
 
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -19,6 +19,7 @@
 } from '@mimosamill/adapters';
 import { createWakeTimer, withTimeout } from '../call/async';
 import { createCallForwarder } from './call';
+import { finiteMs } from './finite';
 import { createForwardMetrics } from './metrics';
 import { createRouterRegistry } from './router-registry';
 import { isElected } from './election';
@@ -505,11 +506,6 @@
   };
 }
 
-/** A time for a log line: JSON has no Infinity. */
-function finiteMs(timeMs: number | undefined): number | undefined {
-  return timeMs === undefined || !Number.isFinite(timeMs) ? undefined : Math.round(timeMs);
-}
-
 function describeSettings(settings: GatewaySettings): Record<string, string | number | undefined> {
   return { ...settings };
 }
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,5 +1,6 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
 import { createHttpServer, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
+import { finiteMs } from './finite';
 import { isSuccessStatus } from './status';
 import { condemnedMessage } from './stream';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
@@ -237,7 +238,7 @@
       run: error.runState,
       retry_after_ms: error.retryAfterMs,
       config_revision: currentConfig.table()?.config.revision,
-      config_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      config_age_ms: finiteMs(ageMs),
       took_ms: Math.round(tookMs),
     });
     sendError(res, error);
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -1,5 +1,6 @@
 import { createFreshnessTracker, createOutageTracker } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
+import { finiteMs } from './finite';
 import { createTableReplica } from './table-replica';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
 import type { RelayResponse, RelayedTable } from './relay';
@@ -204,7 +205,7 @@
       table: settings.name,
       revision: replica.revision(),
       lost_ms: Math.round(lostMs),
-      since_outage_ms: Number.isFinite(outageAgeMs) ? Math.round(outageAgeMs) : undefined,
+      since_outage_ms: finiteMs(outageAgeMs),
     });
   }
 
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -113,7 +113,7 @@
 }
 
 /** For an attempt at a server that is no longer listed. */
-export const NO_TIMER: AnswerTimer = {
+const NO_TIMER: AnswerTimer = {
   onAnswered: () => undefined,
   onGivenUp: () => undefined,
   onOvertaken: () => undefined,
