Log the fingerprint, route and failure domain of a lost call

A call whose server crashes is logged by its attempt's id only, and each repeat has a new one, so the log does not tell whether several crashes have a request in common. call.attempt_lost now has the fingerprint of the request (method, host, path, customer and body), its route and the server's failure domain; stream.attempt_lost has the fingerprint.

--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -190,8 +190,11 @@
         ports.metrics.onLoss(loss);
         decisions.notable('call.attempt_lost', {
           request: head.requestId,
+          fingerprint: request.fingerprint(),
+          route: route.name,
           attempt: attemptNo,
           server: serverId,
+          domain: fleet.get(serverId)?.server.failureDomain,
           loss,
           took_ms: Math.round(clock.monotonicMs() - sentAtMs),
         });
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -486,6 +486,7 @@
     codec,
     decisions,
     metrics: createForwardMetrics(metrics),
+    hash64: environment.hashes.hash64,
     retryBudgetOf: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,6 +1,7 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
 import { createHttpServer, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
 import { finiteMs } from './finite';
+import { lazyFingerprint } from './fingerprint';
 import { isSuccessStatus } from './status';
 import { condemnedMessage } from './stream';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
@@ -183,6 +184,7 @@
         route,
         service,
         customerId,
+        fingerprint: lazyFingerprint(head, body, customerId, ports.hash64),
         receivedAtMs,
         deadlineAtMs: receivedAtMs + Math.max(1, budgetMs - RESPONSE_MARGIN_MS),
       },
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -3,6 +3,7 @@
   RequestHead,
   CustomerId,
   CallOutcomeTracker,
+  Fingerprint,
   Fleet,
   ForwardRoute,
   ForwardService,
@@ -60,6 +61,7 @@
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
   readonly promptGuard: Pick<PromptGuard, 'onUnstartedLoss' | 'onBegun' | 'findCondemned'>;
+  readonly hash64: (text: string) => string;
   readonly retryBudgetOf: (service: ServiceName) => RetryBudget;
 }
 
@@ -71,6 +73,8 @@
   readonly route: ForwardRoute;
   readonly service: ForwardService;
   readonly customerId: CustomerId | undefined;
+  /** Equal for all requests of the customer with this content, repeats included. */
+  readonly fingerprint: () => Fingerprint;
   readonly receivedAtMs: number;
   /** Time by which the response must be ready; the time to write it is already subtracted. */
   readonly deadlineAtMs: number;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -649,6 +649,7 @@
     ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
     decisions.notable('stream.attempt_lost', {
       request: requestId,
+      fingerprint: request.fingerprint(),
       attempt: attempt.attemptNo,
       engine: attempt.engineId,
       domain: state?.server.failureDomain,
