Name the judgement of prompt parts after crashes, not after prompts

PartSuspects, PromptGuard and their types become CrashSuspects, CrashGuard, ServerCrash and Condemnation, since plain calls are about to be judged there too.

--- a/packages/core/src/forward/part-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -3,7 +3,7 @@
 import type { PromptPartId } from './types';
 
 /** Crash of an engine before it had sent the first event of a request with these prompt parts. */
-export interface PartCrash {
+export interface ServerCrash {
   readonly requestId: RequestId;
   readonly engineId: ServerId;
   readonly failureDomain: FailureDomain;
@@ -17,7 +17,7 @@
 }
 
 /** A part whose requests are refused, because engines crash when they begin to answer them. */
-export interface CondemnedPart {
+export interface Condemnation {
   readonly part: PromptPartId;
   readonly condemnedAtMs: number;
 }
@@ -26,9 +26,9 @@
  * Finds prompt parts that crash engines. A part is suspected of each crash before the first event of
  * its request, and cleared of all earlier ones when an engine begins to answer any request with it.
  */
-export interface PartSuspects {
+export interface CrashSuspects {
   /** Returns the parts that this crash condemns. */
-  readonly onCrash: (crash: PartCrash) => readonly PromptPartId[];
+  readonly onCrash: (crash: ServerCrash) => readonly PromptPartId[];
   /**
    * An engine has sent the first event of a request with these parts, here or at another router.
    * Returns those that were suspected or condemned.
@@ -38,13 +38,13 @@
    * Takes over a condemnation by another router; false if it is known, has expired, or an engine has
    * begun to answer a request with the part since.
    */
-  readonly condemn: (condemned: CondemnedPart, nowMs: number) => boolean;
+  readonly condemn: (condemned: Condemnation, nowMs: number) => boolean;
   /** The first of these parts that is condemned; undefined if none is. */
   readonly findCondemned: (
     parts: readonly PromptPartId[],
     nowMs: number,
   ) => PromptPartId | undefined;
-  readonly condemned: (nowMs: number) => readonly CondemnedPart[];
+  readonly condemned: (nowMs: number) => readonly Condemnation[];
 }
 
 /**
@@ -75,12 +75,12 @@
   isOnProbation: boolean;
 }
 
-interface CountedCrash extends Omit<PartCrash, 'parts'> {
+interface CountedCrash extends Omit<ServerCrash, 'parts'> {
   /** Counts as one with an earlier crash of the failure domain. */
   readonly isMerged: boolean;
 }
 
-export function createPartSuspects(): PartSuspects {
+export function createCrashSuspects(): CrashSuspects {
   const records = new Map<PromptPartId, PartRecord>();
   const condemnedAtMsByPart = new Map<PromptPartId, number>();
 
@@ -110,7 +110,7 @@
   }
 
   /** Adds a crash; reports are repeated, so it may be known. */
-  function addCrash(record: PartRecord, crash: PartCrash): void {
+  function addCrash(record: PartRecord, crash: ServerCrash): void {
     const { requestId, engineId, failureDomain, combination, atMs } = crash;
     const recent = record.crashes.filter((known) => atMs - known.atMs < CRASH_EXPIRY_MS);
     const isKnown = recent.some(
--- a/packages/core/test/forward/part-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createPartSuspects } from '../../src/index';
+import { asId, createCrashSuspects } from '../../src/index';
 import { id, requestId } from './fixtures';
-import type { FailureDomain, PartCrash, PromptPartId } from '../../src/index';
+import type { FailureDomain, ServerCrash, PromptPartId } from '../../src/index';
 
 const SHARED = asId<PromptPartId>('shared');
 const DEADLY = asId<PromptPartId>('deadly');
@@ -15,11 +15,11 @@
     parts,
     combination: asId<PromptPartId>([...parts].sort().join('+')),
     atMs,
-  }) satisfies PartCrash;
+  }) satisfies ServerCrash;
 
 describe('a prompt part that crashes engines', () => {
   it('is condemned by the third crash that different requests met', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     expect(suspects.onCrash(crash(1_000, 'r1', 'east', SHARED, DEADLY))).toEqual([]);
     suspects.onBegun([SHARED], 1_500);
     expect(suspects.onCrash(crash(2_000, 'r1', 'west', SHARED, DEADLY))).toEqual([]);
@@ -32,7 +32,7 @@
 
   it('is condemned only together with the parts that all crashed prompts had', () => {
     // Guards against refusing sound requests that share another part with the one that crashes engines.
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     const condemned = ['east', 'west', 'north', 'east'].map((domain, at) =>
       suspects.onCrash(crash(1_000 + at * 1_000, 'r1', domain, DEADLY, OTHER)),
     );
@@ -41,7 +41,7 @@
   });
 
   it('is not condemned by one crash that is reported again and again', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     const report = crash(1_000, 'r1', 'east', DEADLY);
     suspects.onCrash(crash(900, 'r2', 'west', DEADLY, OTHER));
     for (let no = 0; no < 5; no += 1) {
@@ -50,7 +50,7 @@
   });
 
   it('is refused for two minutes, and condemned again by one more crash after that', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     suspects.onCrash(crash(0, 'r1', 'east', DEADLY));
     suspects.onCrash(crash(100, 'r2', 'west', DEADLY, SHARED));
     suspects.onCrash(crash(200, 'r3', 'north', DEADLY, OTHER));
@@ -60,7 +60,7 @@
   });
 
   it('is taken over from another router, unless an answer to it has begun since', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     expect(suspects.condemn({ part: DEADLY, condemnedAtMs: 500 }, 900)).toBe(true);
     expect(suspects.condemn({ part: DEADLY, condemnedAtMs: 500 }, 900)).toBe(false);
     suspects.onBegun([SHARED], 1_000);
@@ -72,7 +72,7 @@
 describe('a sound prompt part', () => {
   it('is not condemned when whole failure domains are lost under its requests', () => {
     // Guards against refusing all requests of a service after a wave of engine losses.
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     suspects.onBegun([SHARED], 0);
     for (let no = 0; no < 40; no += 1) {
       const domain = ['east', 'west'][no % 2] ?? '';
@@ -82,7 +82,7 @@
   });
 
   it('is cleared of earlier crashes when an answer to one of its requests begins', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     suspects.onCrash(crash(1_000, 'r1', 'east', SHARED));
     suspects.onCrash(crash(3_000, 'r2', 'west', SHARED));
     expect(suspects.onBegun([SHARED], 3_500)).toEqual([SHARED]);
@@ -92,7 +92,7 @@
   });
 
   it('is served again as soon as an answer begins although it was condemned', () => {
-    const suspects = createPartSuspects();
+    const suspects = createCrashSuspects();
     suspects.condemn({ part: SHARED, condemnedAtMs: 500 }, 900);
     expect(suspects.onBegun([SHARED], 1_000)).toEqual([SHARED]);
     expect(suspects.findCondemned([SHARED], 1_000)).toBeUndefined();
--- a/packages/router/src/forward/prompt-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -1,9 +1,9 @@
-import { asId, CONDEMNED_MS, createPartSuspects } from '@mimosamill/core';
+import { asId, CONDEMNED_MS, createCrashSuspects } from '@mimosamill/core';
 import type { Clock, DecisionLog, Upstream } from '@mimosamill/adapters';
 import type {
-  CondemnedPart,
+  Condemnation,
   FailureDomain,
-  PartCrash,
+  ServerCrash,
   PromptPartId,
   RequestId,
   ServerId,
@@ -12,19 +12,19 @@
 /** Condemned parts in the store, where they outlive all routers; times are on the wall clock. */
 export interface CondemnedTable {
   /** Undefined if the store could not be read. */
-  readonly list: () => Promise<readonly StoredPart[] | undefined>;
+  readonly list: () => Promise<readonly StoredCondemnation[] | undefined>;
   /** False if the row may not have been written. */
-  readonly put: (stored: StoredPart) => Promise<boolean>;
+  readonly put: (stored: StoredCondemnation) => Promise<boolean>;
   readonly remove: (part: PromptPartId) => Promise<void>;
 }
 
-export interface StoredPart {
+export interface StoredCondemnation {
   readonly part: PromptPartId;
   readonly condemnedAtWallMs: number;
 }
 
 /** An attempt whose connection broke before its engine had sent an event of the stream. */
-export interface UnstartedLoss {
+export interface BrokenAttempt {
   readonly requestId: RequestId;
   readonly engineId: ServerId;
   readonly address: string;
@@ -33,25 +33,25 @@
 }
 
 /** What a router tells the others; items are repeated, and applying one again has no effect. */
-export interface PartReports {
-  readonly crashes: readonly PartCrash[];
+export interface CrashReports {
+  readonly crashes: readonly ServerCrash[];
   /** Parts that were suspected until an engine began to answer a request with them. */
   readonly cleared: readonly { readonly part: PromptPartId; readonly atMs: number }[];
-  readonly condemned: readonly CondemnedPart[];
+  readonly condemned: readonly Condemnation[];
 }
 
 /** Keeps requests whose prompts crash engines away from the engines, together with the other routers. */
-export interface PromptGuard {
+export interface CrashGuard {
   readonly start: () => void;
-  readonly onUnstartedLoss: (loss: UnstartedLoss) => void;
+  readonly onBrokenAttempt: (loss: BrokenAttempt) => void;
   readonly onBegun: (parts: readonly PromptPartId[]) => void;
   readonly findCondemned: (parts: readonly PromptPartId[]) => PromptPartId | undefined;
-  readonly ownReports: (nowMs: number) => PartReports;
-  readonly onPeerReports: (reports: PartReports) => void;
+  readonly ownReports: (nowMs: number) => CrashReports;
+  readonly onPeerReports: (reports: CrashReports) => void;
   readonly stop: () => void;
 }
 
-export interface PromptGuardPorts {
+export interface CrashGuardPorts {
   readonly clock: Clock;
   readonly decisions: DecisionLog;
   readonly upstream: Pick<Upstream, 'isAccepting'>;
@@ -70,12 +70,12 @@
 const REPORTED_CRASHES_MAX = 40;
 const STORE_STEP_PERIOD_MS = 1_000;
 
-export function createPromptGuard(ports: PromptGuardPorts): PromptGuard {
+export function createCrashGuard(ports: CrashGuardPorts): CrashGuard {
   const { clock, decisions } = ports;
-  const suspects = createPartSuspects();
+  const suspects = createCrashSuspects();
   const probes = new Map<string, Promise<boolean>>();
   const stored = new Set<PromptPartId>();
-  let crashes: PartCrash[] = [];
+  let crashes: ServerCrash[] = [];
   let cleared: { readonly part: PromptPartId; readonly atMs: number }[] = [];
   let isLoaded = false;
   let isStepping = false;
@@ -100,12 +100,12 @@
     return started;
   }
 
-  async function onUnstartedLoss(loss: UnstartedLoss): Promise<void> {
+  async function onBrokenAttempt(loss: BrokenAttempt): Promise<void> {
     const atMs = clock.monotonicMs();
     if (loss.parts.length === 0 || (await probe(loss.address))) return;
     const { requestId, engineId, failureDomain, parts } = loss;
     const combination = combine(parts);
-    const crash: PartCrash = { requestId, engineId, failureDomain, parts, combination, atMs };
+    const crash: ServerCrash = { requestId, engineId, failureDomain, parts, combination, atMs };
     decisions.notable('engine.crashed', {
       request: requestId,
       engine: engineId,
@@ -117,7 +117,7 @@
     ports.broadcastSoon();
   }
 
-  function applyCrash(crash: PartCrash): void {
+  function applyCrash(crash: ServerCrash): void {
     suspects.onCrash(crash).forEach((part) => announce(part, 'crashes', crash.requestId));
   }
 
@@ -143,13 +143,13 @@
     ports.broadcastSoon();
   }
 
-  function onPeerReports(reports: PartReports): void {
+  function onPeerReports(reports: CrashReports): void {
     reports.cleared.forEach(({ part, atMs }) => suspects.onBegun([part], atMs));
     reports.crashes.forEach(applyCrash);
     reports.condemned.forEach((condemned) => adopt(condemned, 'peer'));
   }
 
-  function adopt(condemned: CondemnedPart, source: string): void {
+  function adopt(condemned: Condemnation, source: string): void {
     if (suspects.condemn(condemned, clock.monotonicMs())) announce(condemned.part, source);
   }
 
@@ -198,8 +198,8 @@
         void stepStore();
       });
     },
-    onUnstartedLoss: (loss) => {
-      void onUnstartedLoss(loss);
+    onBrokenAttempt: (loss) => {
+      void onBrokenAttempt(loss);
     },
     onBegun,
     findCondemned: (parts) => suspects.findCondemned(withCombination(parts), clock.monotonicMs()),
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -24,7 +24,7 @@
 import { createRouterRegistry } from './router-registry';
 import { isElected } from './election';
 import { createIngress } from './ingress';
-import { createPromptGuard } from './prompt-guard';
+import { createCrashGuard } from './crash-guard';
 import { createStateBroadcast } from './state-broadcast';
 import { createStoreReaders } from './store-readers';
 import { createRelayServer } from './relay';
@@ -56,7 +56,7 @@
 import type { ForwardPorts, KvCacheCopyClient } from './ports';
 import type { OperatorRecord } from './operator-record';
 import type { GatewaySettings } from './settings';
-import type { CondemnedTable } from './prompt-guard';
+import type { CondemnedTable } from './crash-guard';
 import type { MoveTable } from './version-moves';
 import type { TableWatch, WatchContext, WatchedTable } from './table-watch';
 
@@ -171,8 +171,8 @@
       prefillMsPerToken: placer.prefillMsPerToken,
       canReadStore,
       ownMoves: () => versionMoves.ownMoves(),
-      ownPartReports: (nowMs) => promptGuard.ownReports(nowMs),
-      onPartReports: (reports) => promptGuard.onPeerReports(reports),
+      ownCrashReports: (nowMs) => crashGuard.ownReports(nowMs),
+      onCrashReports: (reports) => crashGuard.onPeerReports(reports),
     },
   );
   const versionMoves = createVersionMoves(asId(settings.hostId), {
@@ -185,7 +185,7 @@
     broadcastSoon: stateBroadcast.sendSoon,
     broadcastLater: stateBroadcast.sendLater,
   });
-  const promptGuard = createPromptGuard({
+  const crashGuard = createCrashGuard({
     clock,
     decisions,
     upstream,
@@ -199,7 +199,7 @@
         clock.monotonicMs(),
       ),
     broadcastSoon: stateBroadcast.sendSoon,
-    onCondemned: () => streams.onPartCondemned(),
+    onCondemned: () => streams.onCondemned(),
     hash64: environment.hashes.hash64,
   });
   const ports = createPorts(settings, environment, {
@@ -209,7 +209,7 @@
     upstream,
     stateBroadcast,
     versionMoves,
-    promptGuard,
+    crashGuard,
     serverListAgeMs: () => serverWatch.ageMs(),
   });
   const calls = createCallForwarder(ports);
@@ -391,7 +391,7 @@
   operatorWatch.start();
   serverWatch.start();
   routerRegistry.start();
-  promptGuard.start();
+  crashGuard.start();
   await listenOn(ingress.shell.listen, settings.callerAddress);
   await listenOn(readyShell.listen, settings.readyAddress);
   await metricsShell.listen(settings.ip, settings.metricsPort);
@@ -420,7 +420,7 @@
     routerRegistry.stop();
     stateBroadcast.stop();
     versionMoves.stop();
-    promptGuard.stop();
+    crashGuard.stop();
     socket.datagrams?.close();
     await closeWithin(CLOSE_TIMEOUT_MS, {
       ready: readyShell.close(),
@@ -471,7 +471,7 @@
     | 'upstream'
     | 'stateBroadcast'
     | 'versionMoves'
-    | 'promptGuard'
+    | 'crashGuard'
     | 'serverListAgeMs'
   >,
 ): ForwardPorts {
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -167,7 +167,7 @@
       return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
     }
     const condemnedPart =
-      route.kind === 'stream' ? ports.promptGuard.findCondemned(head.sharedParts) : undefined;
+      route.kind === 'stream' ? ports.crashGuard.findCondemned(head.sharedParts) : undefined;
     if (condemnedPart !== undefined) {
       return refused('request_condemned', condemnedMessage(condemnedPart));
     }
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -15,7 +15,7 @@
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
 import type { ForwardMetrics } from './metrics';
-import type { PromptGuard } from './prompt-guard';
+import type { CrashGuard } from './crash-guard';
 import type { StateBroadcast } from './state-broadcast';
 import type { VersionMoves } from './version-moves';
 
@@ -60,7 +60,7 @@
   >;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
-  readonly promptGuard: Pick<PromptGuard, 'onUnstartedLoss' | 'onBegun' | 'findCondemned'>;
+  readonly crashGuard: Pick<CrashGuard, 'onBrokenAttempt' | 'onBegun' | 'findCondemned'>;
   readonly hash64: (text: string) => string;
   readonly retryBudgetOf: (service: ServiceName) => RetryBudget;
 }
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,6 +1,6 @@
 import { asId } from '@mimosamill/core';
 import { Packr } from 'msgpackr';
-import type { PartReports } from './prompt-guard';
+import type { CrashReports } from './crash-guard';
 import type { Clock, DatagramSocket, DecisionLog } from '@mimosamill/adapters';
 import type {
   CallCounts,
@@ -44,8 +44,8 @@
   /** Whether this router can read the store on behalf of other routers. */
   readonly canReadStore: () => boolean;
   readonly ownMoves: () => readonly PeerMove[];
-  readonly ownPartReports: (nowMs: number) => PartReports;
-  readonly onPartReports: (reports: PartReports) => void;
+  readonly ownCrashReports: (nowMs: number) => CrashReports;
+  readonly onCrashReports: (reports: CrashReports) => void;
 }
 
 /**
@@ -90,11 +90,11 @@
   moves: readonly PeerMove[],
   callCounts: [string, string, number, number, number][],
   /** Undefined from a router of an earlier release. */
-  partReports?: PartReportsMessage,
+  crashReports?: CrashReportsMessage,
 ];
 
 /** Reports on prompt parts, with the age of each in place of its time. */
-type PartReportsMessage = [
+type CrashReportsMessage = [
   crashes: [
     requestId: string,
     engineId: string,
@@ -160,7 +160,7 @@
         failed,
         Math.round(slownessSum),
       ]),
-      encodePartReports(ports.ownPartReports(nowMs), nowMs),
+      encodeCrashReports(ports.ownCrashReports(nowMs), nowMs),
     ];
     return packr.pack(message);
   }
@@ -210,7 +210,7 @@
       peerFailures,
       moves,
       counts,
-      partReports,
+      crashReports,
     ] = wire;
     const update: PeerUpdate = {
       hostId: asId(hostId),
@@ -240,7 +240,7 @@
         slownessSum,
       })),
     };
-    return { update, partReports: decodePartReports(partReports ?? [[], [], []], nowMs) };
+    return { update, crashReports: decodeCrashReports(crashReports ?? [[], [], []], nowMs) };
   }
 
   function onPeerFailure(hostId: HostId, failed: PeerFailure, nowMs: number): void {
@@ -275,7 +275,7 @@
       const nowMs = clock.monotonicMs();
       const message = decode(bytes, nowMs);
       if (message === undefined || message.update.hostId === settings.hostId) return;
-      const { update, partReports } = message;
+      const { update, crashReports } = message;
       ports.peers.onMessageFrom(from);
       const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
       if (peerFailures === undefined) return;
@@ -286,7 +286,7 @@
         update.callCounts,
         nowMs,
       );
-      ports.onPartReports(partReports);
+      ports.onCrashReports(crashReports);
     },
     stop: () => {
       cancelUrgent?.();
@@ -298,10 +298,10 @@
 
 interface PeerMessage {
   readonly update: PeerUpdate;
-  readonly partReports: PartReports;
+  readonly crashReports: CrashReports;
 }
 
-function encodePartReports(reports: PartReports, nowMs: number): PartReportsMessage {
+function encodeCrashReports(reports: CrashReports, nowMs: number): CrashReportsMessage {
   const ageOf = (atMs: number): number => Math.round(nowMs - atMs);
   return [
     reports.crashes.map(({ requestId, engineId, failureDomain, atMs, combination, parts }) => [
@@ -317,10 +317,10 @@
   ];
 }
 
-function decodePartReports(
-  [crashes, cleared, condemned]: PartReportsMessage,
+function decodeCrashReports(
+  [crashes, cleared, condemned]: CrashReportsMessage,
   nowMs: number,
-): PartReports {
+): CrashReports {
   return {
     crashes: crashes.map(([requestId, engineId, failureDomain, ageMs, combination, parts]) => ({
       requestId: asId(requestId),
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -53,7 +53,7 @@
   /** Called when an engine says that it is leaving: no stream may resume from a copy there. */
   readonly onServerLeaving: (serverId: ServerId) => void;
   /** Called when a prompt part is condemned: ends its streams that no engine has begun to answer. */
-  readonly onPartCondemned: () => void;
+  readonly onCondemned: () => void;
   readonly activeCount: () => number;
   /** Mean time from a stream's request to its end. */
   readonly meanDurationMs: () => number;
@@ -127,9 +127,9 @@
   return {
     onServerLost,
     onServerLeaving: replaceCopiesAt,
-    onPartCondemned: () => {
+    onCondemned: () => {
       [...active].forEach((stream) => {
-        const part = ports.promptGuard.findCondemned(stream.sharedParts);
+        const part = ports.crashGuard.findCondemned(stream.sharedParts);
         if (part === undefined) return;
         stream.notify({ kind: 'prompt_condemned', message: condemnedMessage(part) });
       });
@@ -281,7 +281,7 @@
     const nowMs = clock.monotonicMs();
     const condemnedPart = stream.hasBegun()
       ? undefined
-      : ports.promptGuard.findCondemned(head.sharedParts);
+      : ports.crashGuard.findCondemned(head.sharedParts);
     if (condemnedPart !== undefined) {
       reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnedPart));
       return;
@@ -554,7 +554,7 @@
     fleet.onBytesReceived(attempt.engineId, nowMs);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
-      ports.promptGuard.onBegun(head.sharedParts);
+      ports.crashGuard.onBegun(head.sharedParts);
       attempt.timer.onAnswered(false);
       attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
@@ -679,7 +679,7 @@
     if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
     if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
-      reportUnstartedLoss(attempt);
+      reportBrokenAttempt(attempt);
     }
     if (failure !== undefined) reportFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
@@ -687,10 +687,10 @@
   }
 
   /** The engine may have crashed on beginning to answer this prompt. */
-  function reportUnstartedLoss(attempt: StreamAttempt): void {
+  function reportBrokenAttempt(attempt: StreamAttempt): void {
     const state = fleet.get(attempt.engineId);
     if (state === undefined) return;
-    ports.promptGuard.onUnstartedLoss({
+    ports.crashGuard.onBrokenAttempt({
       requestId,
       engineId: attempt.engineId,
       address: attempt.engineAddress,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -83,7 +83,7 @@
 } from './forward/codec';
 export type { ListedRouter, RouterTable } from './forward/router-registry';
 export type { KvCacheCopyOutcome, KvCacheCopyClient } from './forward/ports';
-export type { CondemnedTable, StoredPart } from './forward/prompt-guard';
+export type { CondemnedTable, StoredCondemnation } from './forward/crash-guard';
 export type { OperatorRecord } from './forward/operator-record';
 export type { MoveRecordOutcome, MoveTable } from './forward/version-moves';
 export type {
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -11,7 +11,7 @@
   ServerId,
 } from '@mimosamill/core';
 import type { ManualClock } from './clock';
-import type { PartReports } from '../../src/forward/prompt-guard';
+import type { CrashReports } from '../../src/forward/crash-guard';
 import type { StateBroadcast } from '../../src/forward/state-broadcast';
 
 const SERVERS = ['a1', 'b1', 'c1'];
@@ -36,7 +36,7 @@
   readonly callOutcomes: ReturnType<typeof createCallOutcomeTracker>;
   readonly sent: Buffer[];
   /** What the router tells of prompt parts, and what others told it. */
-  readonly partReports: { own: PartReports; readonly received: PartReports[] };
+  readonly crashReports: { own: CrashReports; readonly received: CrashReports[] };
 }
 
 function createTestRouter(name: string, clock: ManualClock, peerCount = 1): TestRouter {
@@ -44,7 +44,7 @@
   fleet.setServers(SERVERS.map(serverOf), 0);
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
   const sent: Buffer[] = [];
-  const partReports: TestRouter['partReports'] = {
+  const crashReports: TestRouter['crashReports'] = {
     own: { crashes: [], cleared: [], condemned: [] },
     received: [],
   };
@@ -74,11 +74,11 @@
       prefillMsPerToken: () => 0.2,
       canReadStore: () => true,
       ownMoves: () => [],
-      ownPartReports: () => partReports.own,
-      onPartReports: (reports) => partReports.received.push(reports),
+      ownCrashReports: () => crashReports.own,
+      onCrashReports: (reports) => crashReports.received.push(reports),
     },
   );
-  return { broadcast, fleet, callOutcomes, sent, partReports };
+  return { broadcast, fleet, callOutcomes, sent, crashReports };
 }
 
 describe('the state broadcast between routers', () => {
@@ -132,16 +132,16 @@
       parts: [asId<PromptPartId>('aa'), asId<PromptPartId>('bb')],
       combination: asId<PromptPartId>('aabb'),
     };
-    const reportsAt = (nowMs: number): PartReports => ({
+    const reportsAt = (nowMs: number): CrashReports => ({
       crashes: [{ ...crash, atMs: nowMs - 300 }],
       cleared: [{ part: asId('aa'), atMs: nowMs - 200 }],
       condemned: [{ part: asId('bb'), condemnedAtMs: nowMs - 100 }],
     });
-    sender.partReports.own = reportsAt(senderClock.monotonicMs() + 15);
+    sender.crashReports.own = reportsAt(senderClock.monotonicMs() + 15);
     sender.broadcast.sendSoon();
     senderClock.advance(15);
     sender.sent.forEach((bytes) => receiver.broadcast.onMessage(bytes, '10.0.0.1:1'));
-    expect(receiver.partReports.received).toEqual([reportsAt(receiverClock.monotonicMs())]);
+    expect(receiver.crashReports.received).toEqual([reportsAt(receiverClock.monotonicMs())]);
   });
 
   it('sends call results even if a stream of urgent messages keeps resetting the heartbeat', () => {
