--- a/packages/core/src/call/direct.ts
+++ b/packages/core/src/call/direct.ts
@@ -41,6 +41,8 @@
 
 export type DirectCallEvent<Body = string> =
   | { readonly kind: 'answer'; readonly attemptNo: number; readonly answer: ServerAnswer<Body> }
+  /** Servers crash when they run the call. */
+  | { readonly kind: 'condemned'; readonly message: string }
   | { readonly kind: 'tick' };
 
 export type DirectCallEffect<Body = string> =
@@ -148,6 +150,14 @@
     }
   }
 
+  /** Ends the call without another attempt, and stops those that run before they crash servers. */
+  function onCondemned(message: string): DirectCallEffect<Body>[] {
+    if (fallbackResult?.kind === 'ok') return end(fallbackResult);
+    const isNotRun = liveAttempts.size === 0 && !mayHaveRun;
+    const runState = isNotRun ? 'not_run' : 'unknown';
+    return end({ kind: 'error', error: createServeError('request_condemned', message, runState) });
+  }
+
   function onTick(nowMs: number): DirectCallEffect<Body>[] {
     if (nowMs >= settings.deadlineAtMs) {
       if (fallbackResult?.kind === 'ok') return end(fallbackResult);
@@ -168,7 +178,16 @@
     },
     onEvent: (event, nowMs) => {
       if (hasEnded) return [];
-      return event.kind === 'answer' ? onAnswer(event, nowMs) : onTick(nowMs);
+      switch (event.kind) {
+        case 'answer':
+          return onAnswer(event, nowMs);
+        case 'condemned':
+          return onCondemned(event.message);
+        case 'tick':
+          return onTick(nowMs);
+        default:
+          return assertNever(event);
+      }
     },
     wakeAtMs: () => {
       if (hasEnded) return undefined;
--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -1,181 +1,256 @@
 import { evictOldest } from '../evict';
-import type { FailureDomain, RequestId, ServerId } from '../ids';
+import type { FailureDomain, Fingerprint, RequestId, ServerId } from '../ids';
 import type { PromptPartId } from './types';
 
-/** Crash of an engine before it had sent the first event of a request with these prompt parts. */
+/** What may crash servers: the whole content of a request, a part of a prompt, or all its parts. */
+export type SuspectId = Fingerprint | PromptPartId;
+
+/** Crash of a server that was running a request and had not begun to answer it. */
 export interface ServerCrash {
   readonly requestId: RequestId;
-  readonly engineId: ServerId;
+  readonly serverId: ServerId;
   readonly failureDomain: FailureDomain;
+  readonly isStream: boolean;
+  /** Stands for the whole content. */
+  readonly fingerprint: Fingerprint;
+  /** Parts of the prompt; a plain call has none. */
   readonly parts: readonly PromptPartId[];
   /**
    * Stands for all these parts together. Crashes of equal prompts do not tell which of their parts is
-   * at fault, so they condemn only this combination.
+   * at fault, so they condemn only this combination. Undefined without parts.
    */
-  readonly combination: PromptPartId;
+  readonly combination: PromptPartId | undefined;
   readonly atMs: number;
 }
 
-/** A part whose requests are refused, because engines crash when they begin to answer them. */
+/** Requests with the suspect are refused for some time, because servers crash when they run them. */
 export interface Condemnation {
-  readonly part: PromptPartId;
+  readonly suspect: SuspectId;
   readonly condemnedAtMs: number;
+  readonly forMs: number;
 }
 
 /**
- * Finds prompt parts that crash engines. A part is suspected of each crash before the first event of
- * its request, and cleared of all earlier ones when an engine begins to answer any request with it.
+ * Finds requests and prompt parts that crash servers. Fingerprints are passed as functions, since they
+ * are costly and needed only while there are suspects. Whatever a request holds is suspected of each
+ * crash under it, and cleared of all earlier ones when a server begins to answer a request with it.
  */
 export interface CrashSuspects {
-  /** Returns the parts that this crash condemns. */
-  readonly onCrash: (crash: ServerCrash) => readonly PromptPartId[];
+  /** Returns what this crash condemns. */
+  readonly onCrash: (crash: ServerCrash) => readonly Condemnation[];
   /**
-   * An engine has sent the first event of a request with these parts, here or at another router.
-   * Returns those that were suspected or condemned.
+   * A server has begun to answer a request with these, here or at another router. Returns those that
+   * were suspected or condemned.
    */
-  readonly onBegun: (parts: readonly PromptPartId[], atMs: number) => readonly PromptPartId[];
+  readonly onBegun: (suspects: readonly SuspectId[], atMs: number) => readonly SuspectId[];
+  /** Likewise for a whole content; true if it was suspected. */
+  readonly onAnswered: (fingerprint: () => Fingerprint, atMs: number) => boolean;
   /**
-   * Takes over a condemnation by another router; false if it is known, has expired, or an engine has
-   * begun to answer a request with the part since.
+   * Takes over a condemnation by another router; false if it is known, has expired, or a server has
+   * begun to answer a request with the suspect since.
    */
-  readonly condemn: (condemned: Condemnation, nowMs: number) => boolean;
-  /** The first of these parts that is condemned; undefined if none is. */
+  readonly condemn: (condemnation: Condemnation, nowMs: number) => boolean;
+  /** The first of these that is condemned; undefined if none is. */
   readonly findCondemned: (
-    parts: readonly PromptPartId[],
+    suspects: () => readonly SuspectId[],
     nowMs: number,
-  ) => PromptPartId | undefined;
+  ) => Condemnation | undefined;
+  /** Whether a server crashed under a request with this content and none has answered one since. */
+  readonly isSuspected: (fingerprint: () => Fingerprint, nowMs: number) => boolean;
   readonly condemned: (nowMs: number) => readonly Condemnation[];
 }
 
 /**
- * Crashes of one failure domain within this time count once, unless one request met them one after the
- * other: engines of a domain may be lost together, with whatever they were about to answer.
+ * Crashes of one failure domain within this time count once, unless equal requests met them one after
+ * the other: servers of a domain may be lost together, with whatever they were about to answer.
  */
 const DOMAIN_MERGE_MS = 1_500;
+/**
+ * Crashes of any domains within this time count once, unless one request met them one after the other:
+ * an outage may hit all servers at one moment, and equal requests on them.
+ */
+const OUTAGE_MERGE_MS = 80;
 /** Crashes are forgotten after this time. */
 const CRASH_EXPIRY_MS = 60_000;
 /** Crashes that condemn a part, if the prompts that met them differ in other parts. */
 const CRASHES_MIN = 3;
-/** Crashes that condemn a combination; a single request may have met failing engines by chance. */
-const CRASHES_MIN_OF_COMBINATION = 4;
+/**
+ * Crashes that condemn a combination. A prefill takes a second, so that one stream may meet several
+ * failing engines by chance.
+ */
+const CRASHES_MIN_OF_PROMPT = 4;
+/**
+ * Crashes that condemn the whole content of a call for `QUARANTINE_MS`. Calls take milliseconds and
+ * rarely meet two crashes by chance, and the few servers of a plain service would all be lost by more.
+ */
+const CRASHES_MIN_OF_CALL = 2;
 /** Crashes that condemn a part which engines could answer within the time before. */
 const CRASHES_MIN_AFTER_ANSWER = 6;
-/** Time for which requests with a condemned part are refused; then one may show whether it still holds. */
+/** From this number of crashes on, or by any crash on probation, the full time applies. */
+const CRASHES_MIN_OF_FULL_TIME = 3;
+/** Long enough for crashed servers to restart, so that one more crash leaves others up. */
+export const QUARANTINE_MS = 5_000;
+/** Time for which a suspect is refused; then one request may show whether it still holds. */
 export const CONDEMNED_MS = 120_000;
-/** Crashes kept of a part, the newest; more than condemn it in any case. */
+/** Crashes kept of a suspect, the newest; more than condemn it in any case. */
 const CRASHES_KEPT_MAX = 32;
-/** The parts seen longest ago are forgotten beyond this number. */
-const PARTS_MAX = 4_096;
+/** The suspects seen longest ago are forgotten beyond this number. */
+const SUSPECTS_MAX = 4_096;
+const ANSWERED_MAX = 4_096;
 const CONDEMNED_MAX = 256;
 
-interface PartRecord {
+interface SuspectRecord {
   crashes: readonly CountedCrash[];
-  lastBegunAtMs: number;
-  /** The part was condemned, and no engine has begun to answer a request with it since. */
-  isOnProbation: boolean;
+  /** End of its last condemnation; undefined if a server has answered a request with it since. */
+  probationFromMs: number | undefined;
 }
 
 interface CountedCrash extends Omit<ServerCrash, 'parts'> {
-  /** Counts as one with an earlier crash of the failure domain. */
+  /** Counts as one with an earlier crash of the same outage. */
   readonly isMerged: boolean;
 }
 
 export function createCrashSuspects(): CrashSuspects {
-  const records = new Map<PromptPartId, PartRecord>();
-  const condemnedAtMsByPart = new Map<PromptPartId, number>();
-
-  function recordOf(part: PromptPartId): PartRecord {
-    const record = records.get(part) ?? {
-      crashes: [],
-      lastBegunAtMs: -Infinity,
-      isOnProbation: false,
-    };
+  const records = new Map<SuspectId, SuspectRecord>();
+  /** When a server last began to answer a request with the suspect. */
+  const answeredAtMs = new Map<SuspectId, number>();
+  const condemnations = new Map<SuspectId, Condemnation>();
+
+  function recordOf(suspect: SuspectId): SuspectRecord {
+    const record = records.get(suspect) ?? { crashes: [], probationFromMs: undefined };
     // Inserted again, so that the map is ordered by last use.
-    records.delete(part);
-    records.set(part, record);
-    evictOldest(records, PARTS_MAX);
+    records.delete(suspect);
+    records.set(suspect, record);
+    evictOldest(records, SUSPECTS_MAX);
     return record;
   }
 
-  function setCondemned(part: PromptPartId, atMs: number): void {
-    condemnedAtMsByPart.set(part, atMs);
-    evictOldest(condemnedAtMsByPart, CONDEMNED_MAX);
-    recordOf(part).isOnProbation = true;
+  function setCondemned(condemnation: Condemnation): void {
+    const { suspect, condemnedAtMs, forMs } = condemnation;
+    condemnations.set(suspect, condemnation);
+    evictOldest(condemnations, CONDEMNED_MAX);
+    recordOf(suspect).probationFromMs = condemnedAtMs + forMs;
   }
 
   function expire(nowMs: number): void {
-    condemnedAtMsByPart.forEach((atMs, part) => {
-      if (nowMs - atMs >= CONDEMNED_MS) condemnedAtMsByPart.delete(part);
+    condemnations.forEach(({ condemnedAtMs, forMs }, suspect) => {
+      if (nowMs - condemnedAtMs >= forMs) condemnations.delete(suspect);
     });
   }
 
   /** Adds a crash; reports are repeated, so it may be known. */
-  function addCrash(record: PartRecord, crash: ServerCrash): void {
-    const { requestId, engineId, failureDomain, combination, atMs } = crash;
+  function addCrash(record: SuspectRecord, crash: ServerCrash): void {
+    const { requestId, serverId, failureDomain, isStream, fingerprint, combination, atMs } = crash;
     const recent = record.crashes.filter((known) => atMs - known.atMs < CRASH_EXPIRY_MS);
     const isKnown = recent.some(
-      (known) => known.requestId === requestId && known.engineId === engineId,
-    );
-    const isMerged = recent.some(
-      (known) =>
-        known.requestId !== requestId &&
-        known.failureDomain === failureDomain &&
-        Math.abs(atMs - known.atMs) < DOMAIN_MERGE_MS,
+      (known) => known.requestId === requestId && known.serverId === serverId,
     );
-    const added = { requestId, engineId, failureDomain, combination, atMs, isMerged };
-    record.crashes = isKnown ? recent : [...recent, added].slice(-CRASHES_KEPT_MAX);
+    const isMerged = recent.some((known) => isOneOutage(known, crash));
+    const added = { requestId, serverId, failureDomain, isStream, fingerprint, combination, atMs };
+    record.crashes = isKnown
+      ? recent
+      : [...recent, { ...added, isMerged }].slice(-CRASHES_KEPT_MAX);
   }
 
-  function isCulprit(part: PromptPartId, record: PartRecord, nowMs: number): boolean {
-    const { length } = record.crashes.filter(({ isMerged }) => !isMerged);
-    if (record.isOnProbation) return length > 0;
-    if (nowMs - record.lastBegunAtMs < CRASH_EXPIRY_MS) return length >= CRASHES_MIN_AFTER_ANSWER;
+  /** Number of crashes with which a suspect without probation is condemned; Infinity for never. */
+  function crashesMin(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
+    const [latest] = record.crashes.slice(-1);
+    if (suspect === latest?.fingerprint) return CRASHES_MIN_OF_CALL;
+    const lastAnsweredAtMs = answeredAtMs.get(suspect) ?? -Infinity;
+    if (nowMs - lastAnsweredAtMs < CRASH_EXPIRY_MS) return CRASHES_MIN_AFTER_ANSWER;
     const combinations = new Set(record.crashes.map(({ combination }) => combination));
-    if (combinations.size > 1) return length >= CRASHES_MIN;
-    return combinations.has(part) && length >= CRASHES_MIN_OF_COMBINATION;
+    if (combinations.size > 1) return CRASHES_MIN;
+    return suspect === latest?.combination ? CRASHES_MIN_OF_PROMPT : Infinity;
+  }
+
+  /** Time for which the suspect is to be condemned after its last crash; 0 for not at all. */
+  function sentenceMs(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
+    const { length } = record.crashes.filter(({ isMerged }) => !isMerged);
+    if (record.probationFromMs !== undefined) return length > 0 ? CONDEMNED_MS : 0;
+    if (length < crashesMin(suspect, record, nowMs)) return 0;
+    return length >= CRASHES_MIN_OF_FULL_TIME ? CONDEMNED_MS : QUARANTINE_MS;
+  }
+
+  function onCrashUnder(suspect: SuspectId, crash: ServerCrash): Condemnation | undefined {
+    const lastAnsweredAtMs = answeredAtMs.get(suspect) ?? -Infinity;
+    if (crash.atMs <= lastAnsweredAtMs || condemnations.has(suspect)) return undefined;
+    const record = recordOf(suspect);
+    // Sent before the condemnation, and reported late.
+    if (crash.atMs < (record.probationFromMs ?? -Infinity)) return undefined;
+    addCrash(record, crash);
+    const forMs = sentenceMs(suspect, record, crash.atMs);
+    if (forMs === 0) return undefined;
+    const condemnation = { suspect, condemnedAtMs: crash.atMs, forMs };
+    setCondemned(condemnation);
+    return condemnation;
+  }
+
+  /** Removes all that speaks against a suspect up to this time; true if something did. */
+  function clear(suspect: SuspectId, atMs: number): boolean {
+    const record = records.get(suspect);
+    if (record === undefined) return false;
+    const wasSuspected = record.crashes.some((crash) => crash.atMs <= atMs);
+    record.crashes = record.crashes.filter((crash) => crash.atMs > atMs);
+    const condemnedAtMs = condemnations.get(suspect)?.condemnedAtMs;
+    if (condemnedAtMs !== undefined && condemnedAtMs > atMs) return wasSuspected;
+    record.probationFromMs = undefined;
+    return condemnations.delete(suspect) || wasSuspected;
+  }
+
+  function onSurvived(suspect: SuspectId, atMs: number): boolean {
+    if (atMs <= (answeredAtMs.get(suspect) ?? -Infinity)) return false;
+    answeredAtMs.delete(suspect);
+    answeredAtMs.set(suspect, atMs);
+    evictOldest(answeredAtMs, ANSWERED_MAX);
+    return clear(suspect, atMs);
   }
 
   return {
     onCrash: (crash) => {
       expire(crash.atMs);
-      return [...new Set([...crash.parts, crash.combination])].filter((part) => {
-        const record = recordOf(part);
-        if (crash.atMs <= record.lastBegunAtMs || condemnedAtMsByPart.has(part)) return false;
-        addCrash(record, crash);
-        if (!isCulprit(part, record, crash.atMs)) return false;
-        setCondemned(part, crash.atMs);
-        return true;
-      });
+      const { parts, combination, fingerprint } = crash;
+      const ofPrompt = [...parts, ...(combination === undefined ? [] : [combination])];
+      const suspects = crash.isStream ? ofPrompt : [fingerprint];
+      return [...new Set<SuspectId>(suspects)].flatMap(
+        (suspect) => onCrashUnder(suspect, crash) ?? [],
+      );
     },
-    onBegun: (parts, atMs) =>
-      parts.filter((part) => {
-        const record = recordOf(part);
-        if (atMs <= record.lastBegunAtMs) return false;
-        const wasSuspected = record.crashes.some((crash) => crash.atMs <= atMs);
-        const condemnedAtMs = condemnedAtMsByPart.get(part);
-        record.lastBegunAtMs = atMs;
-        record.crashes = record.crashes.filter((crash) => crash.atMs > atMs);
-        if (condemnedAtMs !== undefined && condemnedAtMs > atMs) return wasSuspected;
-        record.isOnProbation = false;
-        return condemnedAtMsByPart.delete(part) || wasSuspected;
-      }),
-    condemn: ({ part, condemnedAtMs }, nowMs) => {
+    onBegun: (suspects, atMs) => suspects.filter((suspect) => onSurvived(suspect, atMs)),
+    // Few contents are suspected, and the others need no record of their answers.
+    onAnswered: (fingerprint, atMs) =>
+      records.size > 0 && records.has(fingerprint()) && onSurvived(fingerprint(), atMs),
+    condemn: (condemnation, nowMs) => {
       expire(nowMs);
+      const { suspect, condemnedAtMs, forMs } = condemnation;
       const isOutdated =
-        nowMs - condemnedAtMs >= CONDEMNED_MS ||
-        condemnedAtMs <= (records.get(part)?.lastBegunAtMs ?? -Infinity);
-      if (isOutdated || condemnedAtMsByPart.has(part)) return false;
-      setCondemned(part, condemnedAtMs);
+        nowMs - condemnedAtMs >= forMs || condemnedAtMs <= (answeredAtMs.get(suspect) ?? -Infinity);
+      if (isOutdated || condemnations.has(suspect)) return false;
+      setCondemned(condemnation);
       return true;
     },
-    findCondemned: (parts, nowMs) => {
-      if (condemnedAtMsByPart.size === 0) return undefined;
+    findCondemned: (suspects, nowMs) => {
+      if (condemnations.size === 0) return undefined;
       expire(nowMs);
-      return parts.find((part) => condemnedAtMsByPart.has(part));
+      const condemned = suspects().find((suspect) => condemnations.has(suspect));
+      return condemned === undefined ? undefined : condemnations.get(condemned);
+    },
+    isSuspected: (fingerprint, nowMs) => {
+      const { crashes = [] } = records.size === 0 ? {} : (records.get(fingerprint()) ?? {});
+      return crashes.some(({ atMs }) => nowMs - atMs < CRASH_EXPIRY_MS);
     },
     condemned: (nowMs) => {
       expire(nowMs);
-      return [...condemnedAtMsByPart].map(([part, condemnedAtMs]) => ({ part, condemnedAtMs }));
+      return [...condemnations.values()];
     },
   };
 }
+
+/** Whether an outage of several servers explains both crashes. */
+function isOneOutage(known: CountedCrash, crash: ServerCrash): boolean {
+  if (known.requestId === crash.requestId) return false;
+  const apartMs = Math.abs(crash.atMs - known.atMs);
+  // Counted from the first crash: requests that come one after the other are no outage.
+  if (!known.isMerged && apartMs < OUTAGE_MERGE_MS) return true;
+  const isOneDomain = known.failureDomain === crash.failureDomain;
+  return isOneDomain && known.fingerprint !== crash.fingerprint && apartMs < DOMAIN_MERGE_MS;
+}
--- a/packages/core/test/call.spec.ts
+++ b/packages/core/test/call.spec.ts
@@ -270,6 +270,29 @@
     expect(call.onEvent({ kind: 'answer', attemptNo: 1, answer: ok }, 130)).toEqual([]);
   });
 
+  // Guards against telling a caller that a booking was not run while a server may run it.
+  it('ends a call that crashes servers at once, and never as not run once it was sent', () => {
+    const call = start(false, 1, 10);
+    call.start(0);
+    expect(call.onEvent({ kind: 'condemned', message: 'crashes servers' }, 10)).toMatchObject([
+      { kind: 'cancel', attemptNo: 1 },
+      { kind: 'answer', result: { error: { code: 'request_condemned', runState: 'unknown' } } },
+    ]);
+    expect(call.wakeAtMs()).toBeUndefined();
+  });
+
+  // Guards against losing the answer of a server that has run the call.
+  it('passes on an answer that is ready when the call is condemned', () => {
+    const call = start(true, 1, 10);
+    call.start(0);
+    const failed = { kind: 'ok', status: 503, body: 'failed' } as const;
+    call.onEvent({ kind: 'answer', attemptNo: 1, answer: failed }, 10);
+    expect(call.onEvent({ kind: 'condemned', message: 'crashes servers' }, 20)).toMatchObject([
+      { kind: 'cancel', attemptNo: 2 },
+      { kind: 'answer', result: { kind: 'ok', body: 'failed' } },
+    ]);
+  });
+
   // Guards against retries that multiply the load of a failing service.
   it('keeps retries within a tenth of the requests, beyond the burst', () => {
     const budget = createRetryBudget({ ratio: 0.1, burst: 5 });
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -1,7 +1,14 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createCrashSuspects } from '../../src/index';
+import { asId, CONDEMNED_MS, createCrashSuspects, QUARANTINE_MS } from '../../src/index';
 import { id, requestId } from './fixtures';
-import type { FailureDomain, ServerCrash, PromptPartId } from '../../src/index';
+import type {
+  CrashSuspects,
+  FailureDomain,
+  Fingerprint,
+  PromptPartId,
+  ServerCrash,
+  SuspectId,
+} from '../../src/index';
 
 const SHARED = asId<PromptPartId>('shared');
 const DEADLY = asId<PromptPartId>('deadly');
@@ -10,62 +17,87 @@
 const crash = (atMs: number, request: string, domain: string, ...parts: PromptPartId[]) =>
   ({
     requestId: requestId(request),
-    engineId: id(`${domain}-${atMs}`),
+    serverId: id(`${domain}-${atMs}`),
     failureDomain: asId<FailureDomain>(domain),
+    isStream: true,
+    fingerprint: asId<Fingerprint>(`content of ${request}`),
     parts,
     combination: asId<PromptPartId>([...parts].sort().join('+')),
     atMs,
   }) satisfies ServerCrash;
 
+/** What the crash condemns. */
+function condemnedBy(suspects: CrashSuspects, reported: ServerCrash): readonly SuspectId[] {
+  return suspects.onCrash(reported).map(({ suspect }) => suspect);
+}
+
+function findCondemned(
+  suspects: CrashSuspects,
+  held: readonly SuspectId[],
+  nowMs: number,
+): SuspectId | undefined {
+  return suspects.findCondemned(() => held, nowMs)?.suspect;
+}
+
 describe('a prompt part that crashes engines', () => {
   it('is condemned by the third crash that different requests met', () => {
     const suspects = createCrashSuspects();
-    expect(suspects.onCrash(crash(1_000, 'r1', 'east', SHARED, DEADLY))).toEqual([]);
+    expect(condemnedBy(suspects, crash(1_000, 'r1', 'east', SHARED, DEADLY))).toEqual([]);
     suspects.onBegun([SHARED], 1_500);
-    expect(suspects.onCrash(crash(2_000, 'r1', 'west', SHARED, DEADLY))).toEqual([]);
+    expect(condemnedBy(suspects, crash(2_000, 'r1', 'west', SHARED, DEADLY))).toEqual([]);
     suspects.onBegun([SHARED], 2_500);
-    expect(suspects.onCrash(crash(3_000, 'r2', 'north', SHARED, DEADLY, OTHER))).toEqual([DEADLY]);
-    expect(suspects.findCondemned([OTHER], 3_000)).toBeUndefined();
-    expect(suspects.findCondemned([SHARED], 3_000)).toBeUndefined();
-    expect(suspects.findCondemned([SHARED, DEADLY], 3_000)).toBe(DEADLY);
+    expect(condemnedBy(suspects, crash(3_000, 'r2', 'north', SHARED, DEADLY, OTHER))).toEqual([
+      DEADLY,
+    ]);
+    expect(findCondemned(suspects, [OTHER], 3_000)).toBeUndefined();
+    expect(findCondemned(suspects, [SHARED], 3_000)).toBeUndefined();
+    expect(findCondemned(suspects, [SHARED, DEADLY], 3_000)).toBe(DEADLY);
   });
 
   it('is condemned only together with the parts that all crashed prompts had', () => {
     // Guards against refusing sound requests that share another part with the one that crashes engines.
     const suspects = createCrashSuspects();
     const condemned = ['east', 'west', 'north', 'east'].map((domain, at) =>
-      suspects.onCrash(crash(1_000 + at * 1_000, 'r1', domain, DEADLY, OTHER)),
+      condemnedBy(suspects, crash(1_000 + at * 1_000, `r${at % 2}`, domain, DEADLY, OTHER)),
     );
     expect(condemned).toEqual([[], [], [], [asId('deadly+other')]]);
-    expect(suspects.findCondemned([OTHER], 4_000)).toBeUndefined();
+    expect(findCondemned(suspects, [OTHER], 4_000)).toBeUndefined();
   });
 
   it('is not condemned by one crash that is reported again and again', () => {
     const suspects = createCrashSuspects();
     const report = crash(1_000, 'r1', 'east', DEADLY);
-    suspects.onCrash(crash(900, 'r2', 'west', DEADLY, OTHER));
+    condemnedBy(suspects, crash(900, 'r2', 'west', DEADLY, OTHER));
     for (let no = 0; no < 5; no += 1) {
-      expect(suspects.onCrash({ ...report, atMs: 1_000 + no * 400 })).toEqual([]);
+      expect(condemnedBy(suspects, { ...report, atMs: 1_000 + no * 400 })).toEqual([]);
     }
   });
 
   it('is refused for two minutes, and condemned again by one more crash after that', () => {
     const suspects = createCrashSuspects();
-    suspects.onCrash(crash(0, 'r1', 'east', DEADLY));
-    suspects.onCrash(crash(100, 'r2', 'west', DEADLY, SHARED));
-    suspects.onCrash(crash(200, 'r3', 'north', DEADLY, OTHER));
-    expect(suspects.findCondemned([DEADLY], 120_199)).toBe(DEADLY);
-    expect(suspects.findCondemned([DEADLY], 120_200)).toBeUndefined();
-    expect(suspects.onCrash(crash(121_000, 'r4', 'east', DEADLY))).toEqual([DEADLY]);
+    condemnedBy(suspects, crash(0, 'r1', 'east', DEADLY));
+    condemnedBy(suspects, crash(100, 'r2', 'west', DEADLY, SHARED));
+    condemnedBy(suspects, crash(200, 'r3', 'north', DEADLY, OTHER));
+    expect(findCondemned(suspects, [DEADLY], 120_199)).toBe(DEADLY);
+    expect(findCondemned(suspects, [DEADLY], 120_200)).toBeUndefined();
+    expect(condemnedBy(suspects, crash(121_000, 'r4', 'east', DEADLY))).toEqual([DEADLY]);
   });
 
   it('is taken over from another router, unless an answer to it has begun since', () => {
     const suspects = createCrashSuspects();
-    expect(suspects.condemn({ part: DEADLY, condemnedAtMs: 500 }, 900)).toBe(true);
-    expect(suspects.condemn({ part: DEADLY, condemnedAtMs: 500 }, 900)).toBe(false);
+    expect(
+      suspects.condemn({ suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900),
+    ).toBe(true);
+    expect(
+      suspects.condemn({ suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900),
+    ).toBe(false);
     suspects.onBegun([SHARED], 1_000);
-    expect(suspects.condemn({ part: SHARED, condemnedAtMs: 900 }, 1_100)).toBe(false);
-    expect(suspects.condemned(1_200)).toEqual([{ part: DEADLY, condemnedAtMs: 500 }]);
+    expect(
+      suspects.condemn({ suspect: SHARED, condemnedAtMs: 900, forMs: CONDEMNED_MS }, 1_100),
+    ).toBe(false);
+    expect(suspects.condemned(1_200)).toEqual([
+      { suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS },
+    ]);
   });
 });
 
@@ -76,25 +108,82 @@
     suspects.onBegun([SHARED], 0);
     for (let no = 0; no < 40; no += 1) {
       const domain = ['east', 'west'][no % 2] ?? '';
-      suspects.onCrash(crash(1_000 + no * 30, `r${no}`, domain, SHARED));
+      condemnedBy(suspects, crash(1_000 + no * 30, `r${no}`, domain, SHARED));
     }
-    expect(suspects.findCondemned([SHARED], 3_000)).toBeUndefined();
+    expect(findCondemned(suspects, [SHARED], 3_000)).toBeUndefined();
   });
 
   it('is cleared of earlier crashes when an answer to one of its requests begins', () => {
     const suspects = createCrashSuspects();
-    suspects.onCrash(crash(1_000, 'r1', 'east', SHARED));
-    suspects.onCrash(crash(3_000, 'r2', 'west', SHARED));
+    condemnedBy(suspects, crash(1_000, 'r1', 'east', SHARED));
+    condemnedBy(suspects, crash(3_000, 'r2', 'west', SHARED));
     expect(suspects.onBegun([SHARED], 3_500)).toEqual([SHARED]);
     expect(suspects.onBegun([SHARED], 3_600)).toEqual([]);
-    expect(suspects.onCrash(crash(3_400, 'r3', 'north', SHARED))).toEqual([]);
-    expect(suspects.onCrash(crash(5_000, 'r4', 'north', SHARED))).toEqual([]);
+    expect(condemnedBy(suspects, crash(3_400, 'r3', 'north', SHARED))).toEqual([]);
+    expect(condemnedBy(suspects, crash(5_000, 'r4', 'north', SHARED))).toEqual([]);
   });
 
   it('is served again as soon as an answer begins although it was condemned', () => {
     const suspects = createCrashSuspects();
-    suspects.condemn({ part: SHARED, condemnedAtMs: 500 }, 900);
+    suspects.condemn({ suspect: SHARED, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900);
     expect(suspects.onBegun([SHARED], 1_000)).toEqual([SHARED]);
-    expect(suspects.findCondemned([SHARED], 1_000)).toBeUndefined();
+    expect(findCondemned(suspects, [SHARED], 1_000)).toBeUndefined();
+  });
+});
+
+describe('a whole request that crashes servers', () => {
+  const callCrash = (atMs: number, request: string, domain: string, content: string) =>
+    ({
+      ...crash(atMs, request, domain),
+      isStream: false,
+      fingerprint: asId<Fingerprint>(content),
+      combination: undefined,
+    }) satisfies ServerCrash;
+
+  const DEADLY_CALL = asId<Fingerprint>('deadly');
+
+  it('is refused after two crashes of a call, and for long after a third one', () => {
+    // Guards against a call that ends the few servers of a plain service, whoever repeats it.
+    const suspects = createCrashSuspects();
+    expect(suspects.onCrash(callCrash(1_000, 'r1', 'east', 'deadly'))).toEqual([]);
+    const [first] = suspects.onCrash(callCrash(1_300, 'r2', 'west', 'deadly'));
+    expect(first?.forMs).toBe(QUARANTINE_MS);
+    expect(findCondemned(suspects, [DEADLY_CALL], 1_300 + QUARANTINE_MS - 1)).toBe(DEADLY_CALL);
+    expect(findCondemned(suspects, [DEADLY_CALL], 1_300 + QUARANTINE_MS)).toBeUndefined();
+    const [second] = suspects.onCrash(callCrash(9_000, 'r3', 'west', 'deadly'));
+    expect(second?.forMs).toBe(CONDEMNED_MS);
+  });
+
+  it('stays on probation until a server answers it', () => {
+    const suspects = createCrashSuspects();
+    const condemnation = { suspect: DEADLY_CALL, condemnedAtMs: 0, forMs: CONDEMNED_MS };
+    suspects.condemn(condemnation, 0);
+    expect(condemnedBy(suspects, callCrash(130_000, 'r1', 'east', 'deadly'))).toEqual([
+      DEADLY_CALL,
+    ]);
+    suspects.condemn({ ...condemnation, condemnedAtMs: 130_000 }, 130_000);
+    expect(suspects.onAnswered(() => DEADLY_CALL, 260_000)).toBe(true);
+    expect(condemnedBy(suspects, callCrash(261_000, 'r2', 'east', 'deadly'))).toEqual([]);
+  });
+
+  it('is not refused because one outage hit all servers while they ran equal calls', () => {
+    const suspects = createCrashSuspects();
+    ['east', 'west', 'north'].forEach((domain, no) => {
+      const crashes = callCrash(1_000 + no * 5, `r${no}`, domain, 'popular');
+      expect(condemnedBy(suspects, crashes)).toEqual([]);
+    });
+  });
+
+  it('is not refused if a server has answered it between two crashes', () => {
+    const suspects = createCrashSuspects();
+    const popular = () => asId<Fingerprint>('popular');
+    expect(suspects.onAnswered(popular, 500)).toBe(false);
+    suspects.onCrash(callCrash(1_000, 'r1', 'east', 'popular'));
+    expect(suspects.isSuspected(popular, 1_100)).toBe(true);
+    expect(suspects.onAnswered(popular, 1_200)).toBe(true);
+    expect(suspects.isSuspected(popular, 1_300)).toBe(false);
+    // Reports are repeated.
+    expect(condemnedBy(suspects, callCrash(1_000, 'r1', 'east', 'popular'))).toEqual([]);
+    expect(condemnedBy(suspects, callCrash(3_000, 'r2', 'west', 'popular'))).toEqual([]);
   });
 });
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -1,5 +1,6 @@
 import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
 import { createWakeTimer, createDeferred } from '../call/async';
+import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -8,11 +9,13 @@
   CallOutcome,
   CallResult,
   DirectCallEffect,
+  ForwardServer,
   LatencyWindow,
   SendCause,
   ServerAnswer,
   ServerId,
 } from '@mimosamill/core';
+import type { RequestContent } from './content';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
 /** A server's response, held completely in memory. */
@@ -33,6 +36,19 @@
 /** Forwards calls whose response is buffered, as opposed to streamed. */
 export interface CallForwarder {
   readonly forward: (request: ForwardRequest) => RunningCall;
+  /** Called when something is condemned: ends its calls. */
+  readonly onCondemned: () => void;
+}
+
+/** State shared by all calls of the process. */
+interface CallRegistry {
+  readonly active: Set<ActiveCall>;
+  readonly buffered: { sizeBytes: number };
+}
+
+interface ActiveCall {
+  readonly content: RequestContent;
+  readonly onCondemned: (message: string) => void;
 }
 
 /** An idempotent call answered with one of these is retried on another server. */
@@ -52,7 +68,7 @@
 
 export function createCallForwarder(ports: ForwardPorts): CallForwarder {
   const latencies = new Map<string, LatencyWindow>();
-  const buffered = { sizeBytes: 0 };
+  const registry: CallRegistry = { active: new Set(), buffered: { sizeBytes: 0 } };
 
   function latencyWindowOf(route: string): LatencyWindow {
     const known = latencies.get(route);
@@ -64,7 +80,13 @@
 
   return {
     forward: (request) =>
-      forwardCall(ports, request, latencyWindowOf(request.route.name), buffered),
+      forwardCall(ports, request, latencyWindowOf(request.route.name), registry),
+    onCondemned: () => {
+      [...registry.active].forEach(({ content, onCondemned }) => {
+        const condemnation = ports.crashGuard.findCondemned(content);
+        if (condemnation !== undefined) onCondemned(condemnedMessage(condemnation));
+      });
+    },
   };
 }
 
@@ -72,11 +94,10 @@
   ports: ForwardPorts,
   request: ForwardRequest,
   latencies: LatencyWindow,
-  /** Shared by all calls. */
-  buffered: { sizeBytes: number },
+  { active, buffered }: CallRegistry,
 ): RunningCall {
-  const { clock, fleet, decisions } = ports;
-  const { head, route } = request;
+  const { clock, fleet, decisions, crashGuard } = ports;
+  const { head, route, content } = request;
   const result = createDeferred<CallResult<BufferedResponse>>();
   const excluded = new Set<ServerId>();
   /** Cancels an attempt that is still running, and says why. */
@@ -91,12 +112,19 @@
   const call = createDirectCall<BufferedResponse>({
     isIdempotent: route.kind === 'idempotent',
     deadlineAtMs: request.deadlineAtMs,
-    hedgeAtMs: startedAtMs + hedgeDelayMs,
+    // A hedge would crash a second server before the first crash is known.
+    hedgeAtMs: crashGuard.isSuspected(content) ? undefined : startedAtMs + hedgeDelayMs,
     budget: ports.retryBudgetOf(request.service.name),
     attemptsMax: route.attemptsMax,
     retriedStatuses: RETRYABLE_STATUSES,
   });
 
+  const entry: ActiveCall = {
+    content,
+    onCondemned: (message) =>
+      apply(call.onEvent({ kind: 'condemned', message }, clock.monotonicMs())),
+  };
+
   function apply(effects: readonly DirectCallEffect<BufferedResponse>[]): void {
     effects.forEach(perform);
     alarm.set(call.wakeAtMs());
@@ -111,6 +139,7 @@
         cancels.get(effect.attemptNo)?.('overtaken');
         return;
       case 'answer':
+        active.delete(entry);
         result.resolve(effect.result);
         return;
       default:
@@ -143,6 +172,11 @@
 
   function send(attemptNo: number, cause: SendCause): void {
     const nowMs = clock.monotonicMs();
+    const condemnation = crashGuard.findCondemned(content);
+    if (condemnation !== undefined) {
+      queueMicrotask(() => entry.onCondemned(condemnedMessage(condemnation)));
+      return;
+    }
     const serverId = pickServer(nowMs);
     const state = serverId === undefined ? undefined : fleet.get(serverId);
     if (serverId === undefined || state === undefined) {
@@ -163,10 +197,11 @@
         elapsed_ms: Math.round(nowMs - request.receivedAtMs),
       });
     }
-    sendTo(attemptNo, serverId, state.server.address, nowMs);
+    sendTo(attemptNo, state.server, nowMs);
   }
 
-  function sendTo(attemptNo: number, serverId: ServerId, address: string, sentAtMs: number): void {
+  function sendTo(attemptNo: number, server: ForwardServer, sentAtMs: number): void {
+    const { serverId, address, failureDomain } = server;
     const chunks: Uint8Array[] = [];
     let sizeBytes = 0;
     let answer: { status: number; headers: IncomingHttpHeaders } | undefined;
@@ -190,11 +225,11 @@
         ports.metrics.onLoss(loss);
         decisions.notable('call.attempt_lost', {
           request: head.requestId,
-          fingerprint: request.fingerprint(),
+          fingerprint: content.fingerprint(),
           route: route.name,
           attempt: attemptNo,
           server: serverId,
-          domain: fleet.get(serverId)?.server.failureDomain,
+          domain: failureDomain,
           loss,
           took_ms: Math.round(clock.monotonicMs() - sentAtMs),
         });
@@ -202,6 +237,17 @@
       dispatch(attemptNo, outcome);
     }
 
+    /** Ends the attempt once it is known whether the call crashed its server: a repeat would too. */
+    async function onBroken(): Promise<void> {
+      cancelConnectTimeout();
+      if (answer === undefined) {
+        const { requestId } = head;
+        const attempt = { requestId, isStream: false, serverId, address, failureDomain, content };
+        await crashGuard.onBrokenAttempt(attempt);
+      }
+      finishAttempt({ kind: 'unknown' }, 'broken');
+    }
+
     function recordResult(outcome: ServerAnswer<BufferedResponse>): void {
       const nowMs = clock.monotonicMs();
       const tookMs = nowMs - sentAtMs;
@@ -210,6 +256,7 @@
         answerTimer.onCancelled();
         return;
       }
+      if (outcome.kind === 'ok') crashGuard.onAnswered(content);
       const isSuccess = outcome.kind === 'ok' && outcome.status < SERVER_ERROR;
       const slownessRatio = tookMs / Math.max(1, route.targetMs / 2);
       recordOutcome({ isSuccess, slownessRatio }, nowMs);
@@ -322,17 +369,19 @@
           // A reset may concern this call only; a refused connection means that the server is lost.
           if (failure === 'not_sent') ports.stateBroadcast.onServerFailure(serverId, 'refused');
           if (failure === 'not_sent') finishAttempt({ kind: 'not_sent', message }, 'no_connection');
-          else finishAttempt({ kind: 'unknown' }, 'broken');
+          else void onBroken();
         },
       },
     );
   }
 
+  active.add(entry);
   apply(call.start(startedAtMs));
   return {
     result: result.promise,
     servers: () => [...excluded],
     abandon: () => {
+      active.delete(entry);
       alarm.set(undefined);
       [...cancels.values()].forEach((cancel) => cancel('abandoned'));
     },
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -3,49 +3,56 @@
 import type {
   Condemnation,
   FailureDomain,
-  ServerCrash,
   PromptPartId,
   RequestId,
+  ServerCrash,
   ServerId,
+  SuspectId,
 } from '@mimosamill/core';
+import type { RequestContent } from './content';
 
-/** Condemned parts in the store, where they outlive all routers; times are on the wall clock. */
+/** Condemned suspects in the store, where they outlive all routers; times are on the wall clock. */
 export interface CondemnedTable {
   /** Undefined if the store could not be read. */
   readonly list: () => Promise<readonly StoredCondemnation[] | undefined>;
   /** False if the row may not have been written. */
   readonly put: (stored: StoredCondemnation) => Promise<boolean>;
-  readonly remove: (part: PromptPartId) => Promise<void>;
+  readonly remove: (suspect: SuspectId) => Promise<void>;
 }
 
 export interface StoredCondemnation {
-  readonly part: PromptPartId;
+  readonly suspect: SuspectId;
   readonly condemnedAtWallMs: number;
 }
 
-/** An attempt whose connection broke before its engine had sent an event of the stream. */
+/** An attempt whose connection broke before its server had begun to answer. */
 export interface BrokenAttempt {
+  readonly content: RequestContent;
   readonly requestId: RequestId;
-  readonly engineId: ServerId;
+  readonly isStream: boolean;
+  readonly serverId: ServerId;
   readonly address: string;
   readonly failureDomain: FailureDomain;
-  readonly parts: readonly PromptPartId[];
 }
 
 /** What a router tells the others; items are repeated, and applying one again has no effect. */
 export interface CrashReports {
   readonly crashes: readonly ServerCrash[];
-  /** Parts that were suspected until an engine began to answer a request with them. */
-  readonly cleared: readonly { readonly part: PromptPartId; readonly atMs: number }[];
+  /** Suspects until a server began to answer a request with them. */
+  readonly cleared: readonly { readonly suspect: SuspectId; readonly atMs: number }[];
   readonly condemned: readonly Condemnation[];
 }
 
-/** Keeps requests whose prompts crash engines away from the engines, together with the other routers. */
+/** Keeps requests that crash servers away from them, together with the other routers. */
 export interface CrashGuard {
   readonly start: () => void;
-  readonly onBrokenAttempt: (loss: BrokenAttempt) => void;
-  readonly onBegun: (parts: readonly PromptPartId[]) => void;
-  readonly findCondemned: (parts: readonly PromptPartId[]) => PromptPartId | undefined;
+  /** Resolves once it is known whether the server has crashed, and what that condemns. */
+  readonly onBrokenAttempt: (attempt: BrokenAttempt) => Promise<void>;
+  /** A server has begun to answer the request. */
+  readonly onAnswered: (content: RequestContent) => void;
+  readonly findCondemned: (content: RequestContent) => Condemnation | undefined;
+  /** Whether a server has crashed under an equal request that none has answered since. */
+  readonly isSuspected: (content: RequestContent) => boolean;
   readonly ownReports: (nowMs: number) => CrashReports;
   readonly onPeerReports: (reports: CrashReports) => void;
   readonly stop: () => void;
@@ -66,32 +73,37 @@
 
 /** Reports are repeated for this time, since a datagram may be lost. */
 const REPORT_REPEAT_MS = 1_500;
-/** Keeps a message within one datagram when many engines crash together. */
+/** Keeps a message within one datagram when many servers crash together. */
 const REPORTED_CRASHES_MAX = 40;
 const STORE_STEP_PERIOD_MS = 1_000;
 
+/** Reason that callers and logs get for a condemned request. */
+export function condemnedMessage({ suspect }: Condemnation): string {
+  return `servers crash when they run a request with the content or prompt part ${suspect}`;
+}
+
 export function createCrashGuard(ports: CrashGuardPorts): CrashGuard {
   const { clock, decisions } = ports;
   const suspects = createCrashSuspects();
   const probes = new Map<string, Promise<boolean>>();
-  const stored = new Set<PromptPartId>();
+  const stored = new Set<SuspectId>();
   let crashes: ServerCrash[] = [];
-  let cleared: { readonly part: PromptPartId; readonly atMs: number }[] = [];
+  let cleared: { readonly suspect: SuspectId; readonly atMs: number }[] = [];
   let isLoaded = false;
   let isStepping = false;
   let cancelSteps = (): void => undefined;
 
   /** A key for all parts together; hashed, since it is a key in the store too. */
-  function combine(parts: readonly PromptPartId[]): PromptPartId {
-    const [first] = parts;
-    return parts.length === 1 && first !== undefined ? first : asId(ports.hash64(parts.join()));
+  function combine(parts: readonly PromptPartId[]): PromptPartId | undefined {
+    return parts.length > 1 ? asId<PromptPartId>(ports.hash64(parts.join())) : parts[0];
   }
 
   function withCombination(parts: readonly PromptPartId[]): readonly PromptPartId[] {
-    return parts.length > 1 ? [...parts, combine(parts)] : parts;
+    const combination = combine(parts);
+    return combination === undefined || parts.length === 1 ? parts : [...parts, combination];
   }
 
-  /** Whether the engine still takes connections; attempts that broke together share one probe. */
+  /** Whether the server still takes connections; attempts that broke together share one probe. */
   function probe(address: string): Promise<boolean> {
     const running = probes.get(address);
     if (running !== undefined) return running;
@@ -100,60 +112,70 @@
     return started;
   }
 
-  async function onBrokenAttempt(loss: BrokenAttempt): Promise<void> {
+  async function onBrokenAttempt(attempt: BrokenAttempt): Promise<void> {
     const atMs = clock.monotonicMs();
-    if (loss.parts.length === 0 || (await probe(loss.address))) return;
-    const { requestId, engineId, failureDomain, parts } = loss;
+    if (await probe(attempt.address)) return;
+    const { requestId, serverId, failureDomain, isStream, content } = attempt;
+    const { parts } = content;
+    const fingerprint = content.fingerprint();
     const combination = combine(parts);
-    const crash: ServerCrash = { requestId, engineId, failureDomain, parts, combination, atMs };
-    decisions.notable('engine.crashed', {
+    decisions.notable('server.crashed', {
       request: requestId,
-      engine: engineId,
+      fingerprint,
+      server: serverId,
       domain: failureDomain,
-      parts,
+      parts: parts.length === 0 ? undefined : parts,
     });
+    const what = { requestId, serverId, failureDomain, isStream, fingerprint, parts, combination };
+    const crash: ServerCrash = { ...what, atMs };
     crashes.push(crash);
     applyCrash(crash);
     ports.broadcastSoon();
   }
 
   function applyCrash(crash: ServerCrash): void {
-    suspects.onCrash(crash).forEach((part) => announce(part, 'crashes', crash.requestId));
+    suspects
+      .onCrash(crash)
+      .forEach((condemnation) => announce(condemnation, 'crashes', crash.requestId));
   }
 
-  function announce(part: PromptPartId, source: string, requestId?: RequestId): void {
-    decisions.vital('prompt_part.condemned', {
-      part,
+  function announce(condemnation: Condemnation, source: string, requestId?: RequestId): void {
+    decisions.vital('suspect.condemned', {
+      suspect: condemnation.suspect,
       source,
       request: requestId,
-      for_ms: CONDEMNED_MS,
+      for_ms: condemnation.forMs,
     });
     ports.broadcastSoon();
     ports.onCondemned();
   }
 
-  function onBegun(parts: readonly PromptPartId[]): void {
+  function onAnswered({ fingerprint, parts }: RequestContent): void {
     const atMs = clock.monotonicMs();
-    const clearedParts = suspects.onBegun(withCombination(parts), atMs);
-    if (clearedParts.length === 0) return;
-    clearedParts.forEach((part) => {
-      cleared.push({ part, atMs });
-      decisions.notable('prompt_part.cleared', { part });
+    const wasSuspected = suspects.onAnswered(fingerprint, atMs);
+    const clearedSuspects = [
+      ...suspects.onBegun(withCombination(parts), atMs),
+      ...(wasSuspected ? [fingerprint()] : []),
+    ];
+    if (clearedSuspects.length === 0) return;
+    clearedSuspects.forEach((suspect) => {
+      cleared.push({ suspect, atMs });
+      decisions.notable('suspect.cleared', { suspect });
     });
     ports.broadcastSoon();
   }
 
   function onPeerReports(reports: CrashReports): void {
-    reports.cleared.forEach(({ part, atMs }) => suspects.onBegun([part], atMs));
+    reports.cleared.forEach(({ suspect, atMs }) => suspects.onBegun([suspect], atMs));
     reports.crashes.forEach(applyCrash);
     reports.condemned.forEach((condemned) => adopt(condemned, 'peer'));
   }
 
-  function adopt(condemned: Condemnation, source: string): void {
-    if (suspects.condemn(condemned, clock.monotonicMs())) announce(condemned.part, source);
+  function adopt(condemnation: Condemnation, source: string): void {
+    if (suspects.condemn(condemnation, clock.monotonicMs())) announce(condemnation, source);
   }
 
-  /** Reads the store once after the start, then keeps the rows in step with the condemned parts. */
+  /** Reads the store once after the start, then keeps the rows in step with what is condemned. */
   async function stepStore(): Promise<void> {
     if (isStepping) return;
     isStepping = true;
@@ -166,27 +188,29 @@
     const rows = await ports.table.list();
     if (rows === undefined) return;
     isLoaded = true;
-    rows.forEach(({ part, condemnedAtWallMs }) => {
-      stored.add(part);
+    rows.forEach(({ suspect, condemnedAtWallMs }) => {
+      stored.add(suspect);
       const ageMs = Math.max(0, clock.nowMs() - condemnedAtWallMs);
-      adopt({ part, condemnedAtMs: clock.monotonicMs() - ageMs }, 'store');
+      const condemnedAtMs = clock.monotonicMs() - ageMs;
+      adopt({ suspect, condemnedAtMs, forMs: CONDEMNED_MS }, 'store');
     });
   }
 
+  /** A quarantine is too short to be worth a row. */
   async function writeRows(): Promise<void> {
     const nowMs = clock.monotonicMs();
-    const current = suspects.condemned(nowMs);
-    const parts = new Set(current.map(({ part }) => part));
-    for (const { part, condemnedAtMs } of current) {
-      if (!stored.has(part) && ports.isElected(part)) {
+    const current = suspects.condemned(nowMs).filter(({ forMs }) => forMs >= CONDEMNED_MS);
+    const ids = new Set(current.map(({ suspect }) => suspect));
+    for (const { suspect, condemnedAtMs } of current) {
+      if (!stored.has(suspect) && ports.isElected(suspect)) {
         const condemnedAtWallMs = clock.nowMs() - (nowMs - condemnedAtMs);
-        if (await ports.table.put({ part, condemnedAtWallMs })) stored.add(part);
+        if (await ports.table.put({ suspect, condemnedAtWallMs })) stored.add(suspect);
       }
     }
-    for (const part of stored) {
-      if (!parts.has(part)) {
-        stored.delete(part);
-        if (ports.isElected(part)) await ports.table.remove(part);
+    for (const suspect of stored) {
+      if (!ids.has(suspect)) {
+        stored.delete(suspect);
+        if (ports.isElected(suspect)) await ports.table.remove(suspect);
       }
     }
   }
@@ -198,11 +222,11 @@
         void stepStore();
       });
     },
-    onBrokenAttempt: (loss) => {
-      void onBrokenAttempt(loss);
-    },
-    onBegun,
-    findCondemned: (parts) => suspects.findCondemned(withCombination(parts), clock.monotonicMs()),
+    onBrokenAttempt,
+    onAnswered,
+    findCondemned: ({ fingerprint, parts }) =>
+      suspects.findCondemned(() => [...withCombination(parts), fingerprint()], clock.monotonicMs()),
+    isSuspected: ({ fingerprint }) => suspects.isSuspected(fingerprint, clock.monotonicMs()),
     ownReports: (nowMs) => {
       crashes = crashes
         .filter(({ atMs }) => nowMs - atMs < REPORT_REPEAT_MS)
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -199,7 +199,10 @@
         clock.monotonicMs(),
       ),
     broadcastSoon: stateBroadcast.sendSoon,
-    onCondemned: () => streams.onCondemned(),
+    onCondemned: () => {
+      calls.onCondemned();
+      streams.onCondemned();
+    },
     hash64: environment.hashes.hash64,
   });
   const ports = createPorts(settings, environment, {
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,9 +1,9 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
 import { createHttpServer, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
 import { finiteMs } from './finite';
-import { lazyFingerprint } from './fingerprint';
+import { createRequestContent } from './content';
+import { condemnedMessage } from './crash-guard';
 import { isSuccessStatus } from './status';
-import { condemnedMessage } from './stream';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
 import type {
@@ -166,10 +166,11 @@
     if (ports.fleet.usable(service.name).length === 0) {
       return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
     }
-    const condemnedPart =
-      route.kind === 'stream' ? ports.crashGuard.findCondemned(head.sharedParts) : undefined;
-    if (condemnedPart !== undefined) {
-      return refused('request_condemned', condemnedMessage(condemnedPart));
+    const isStream = route.kind === 'stream';
+    const content = createRequestContent(head, body, customerId, isStream, ports.hash64);
+    const condemnation = ports.crashGuard.findCondemned(content);
+    if (condemnation !== undefined) {
+      return refused('request_condemned', condemnedMessage(condemnation));
     }
     if (!endsInTime(route, receivedAtMs)) {
       return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
@@ -184,7 +185,7 @@
         route,
         service,
         customerId,
-        fingerprint: lazyFingerprint(head, body, customerId, ports.hash64),
+        content,
         receivedAtMs,
         deadlineAtMs: receivedAtMs + Math.max(1, budgetMs - RESPONSE_MARGIN_MS),
       },
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -3,7 +3,6 @@
   RequestHead,
   CustomerId,
   CallOutcomeTracker,
-  Fingerprint,
   Fleet,
   ForwardRoute,
   ForwardService,
@@ -14,6 +13,7 @@
   StreamDurations,
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
+import type { RequestContent } from './content';
 import type { ForwardMetrics } from './metrics';
 import type { CrashGuard } from './crash-guard';
 import type { StateBroadcast } from './state-broadcast';
@@ -60,7 +60,10 @@
   >;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
-  readonly crashGuard: Pick<CrashGuard, 'onBrokenAttempt' | 'onBegun' | 'findCondemned'>;
+  readonly crashGuard: Pick<
+    CrashGuard,
+    'onBrokenAttempt' | 'onAnswered' | 'findCondemned' | 'isSuspected'
+  >;
   readonly hash64: (text: string) => string;
   readonly retryBudgetOf: (service: ServiceName) => RetryBudget;
 }
@@ -73,8 +76,7 @@
   readonly route: ForwardRoute;
   readonly service: ForwardService;
   readonly customerId: CustomerId | undefined;
-  /** Equal for all requests of the customer with this content, repeats included. */
-  readonly fingerprint: () => Fingerprint;
+  readonly content: RequestContent;
   readonly receivedAtMs: number;
   /** Time by which the response must be ready; the time to write it is already subtracted. */
   readonly deadlineAtMs: number;
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,4 +1,4 @@
-import { asId } from '@mimosamill/core';
+import { asId, CONDEMNED_MS } from '@mimosamill/core';
 import { Packr } from 'msgpackr';
 import type { CrashReports } from './crash-guard';
 import type { Clock, DatagramSocket, DecisionLog } from '@mimosamill/adapters';
@@ -100,11 +100,14 @@
     engineId: string,
     failureDomain: string,
     ageMs: number,
-    combination: string,
+    combination: string | undefined,
     parts: string[],
+    // Undefined from a router of an earlier release, as is the last field below.
+    fingerprint?: string,
+    isStream?: boolean,
   ][],
-  cleared: [part: string, ageMs: number][],
-  condemned: [part: string, ageMs: number][],
+  cleared: [suspect: string, ageMs: number][],
+  condemned: [suspect: string, ageMs: number, forMs?: number][],
 ];
 
 interface OwnFailure {
@@ -304,16 +307,22 @@
 function encodeCrashReports(reports: CrashReports, nowMs: number): CrashReportsMessage {
   const ageOf = (atMs: number): number => Math.round(nowMs - atMs);
   return [
-    reports.crashes.map(({ requestId, engineId, failureDomain, atMs, combination, parts }) => [
-      requestId,
-      engineId,
-      failureDomain,
-      ageOf(atMs),
-      combination,
-      [...parts],
+    reports.crashes.map((crash) => [
+      crash.requestId,
+      crash.serverId,
+      crash.failureDomain,
+      ageOf(crash.atMs),
+      crash.combination,
+      [...crash.parts],
+      crash.fingerprint,
+      crash.isStream,
+    ]),
+    reports.cleared.map(({ suspect, atMs }) => [suspect, ageOf(atMs)]),
+    reports.condemned.map(({ suspect, condemnedAtMs, forMs }) => [
+      suspect,
+      ageOf(condemnedAtMs),
+      forMs,
     ]),
-    reports.cleared.map(({ part, atMs }) => [part, ageOf(atMs)]),
-    reports.condemned.map(({ part, condemnedAtMs }) => [part, ageOf(condemnedAtMs)]),
   ];
 }
 
@@ -322,18 +331,26 @@
   nowMs: number,
 ): CrashReports {
   return {
-    crashes: crashes.map(([requestId, engineId, failureDomain, ageMs, combination, parts]) => ({
-      requestId: asId(requestId),
-      engineId: asId(engineId),
-      failureDomain: asId(failureDomain),
+    crashes: crashes.map(
+      ([requestId, serverId, domain, ageMs, combination, parts, fingerprint, isStream]) => ({
+        requestId: asId(requestId),
+        serverId: asId(serverId),
+        failureDomain: asId(domain),
+        atMs: nowMs - ageMs,
+        combination: combination === undefined ? undefined : asId<PromptPartId>(combination),
+        parts: parts.map((part) => asId<PromptPartId>(part)),
+        fingerprint: asId(fingerprint ?? requestId),
+        isStream: isStream ?? true,
+      }),
+    ),
+    cleared: cleared.map(([suspect, ageMs]) => ({
+      suspect: asId<PromptPartId>(suspect),
       atMs: nowMs - ageMs,
-      combination: asId(combination),
-      parts: parts.map((part) => asId<PromptPartId>(part)),
     })),
-    cleared: cleared.map(([part, ageMs]) => ({ part: asId(part), atMs: nowMs - ageMs })),
-    condemned: condemned.map(([part, ageMs]) => ({
-      part: asId(part),
+    condemned: condemned.map(([suspect, ageMs, forMs]) => ({
+      suspect: asId<PromptPartId>(suspect),
       condemnedAtMs: nowMs - ageMs,
+      forMs: forMs ?? CONDEMNED_MS,
     })),
   };
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -2,6 +2,7 @@
 import { createWakeTimer } from '../call/async';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
+import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -11,7 +12,6 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
-  PromptPartId,
   ServeError,
   ServerState,
   ServerFailure,
@@ -19,6 +19,7 @@
   StreamPlacement,
 } from '@mimosamill/core';
 import type { StreamAttempt } from './attempt';
+import type { RequestContent } from './content';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
 /** The response to the caller of a stream. */
@@ -52,7 +53,7 @@
   readonly onServerLost: (serverId: ServerId) => void;
   /** Called when an engine says that it is leaving: no stream may resume from a copy there. */
   readonly onServerLeaving: (serverId: ServerId) => void;
-  /** Called when a prompt part is condemned: ends its streams that no engine has begun to answer. */
+  /** Called when something is condemned: ends its streams that no engine has begun to answer. */
   readonly onCondemned: () => void;
   readonly activeCount: () => number;
   /** Mean time from a stream's request to its end. */
@@ -62,7 +63,7 @@
 interface ActiveStream {
   readonly engineId: () => ServerId | undefined;
   readonly copyEngineId: () => ServerId | undefined;
-  readonly sharedParts: readonly PromptPartId[];
+  readonly content: RequestContent;
   readonly notify: (event: ForwardStreamEvent) => void;
 }
 
@@ -79,11 +80,6 @@
 const INITIAL_MEAN_DURATION_MS = 5_000;
 const MEAN_SMOOTHING_RATIO = 0.1;
 
-/** Reason that callers and logs get for a stream with a condemned part. */
-export function condemnedMessage(part: PromptPartId): string {
-  return `engines crash when they begin to answer a prompt with the part ${part}`;
-}
-
 export function createStreamForwarder(ports: ForwardPorts): StreamForwarder {
   const active = new Set<ActiveStream>();
   let meanMs = INITIAL_MEAN_DURATION_MS;
@@ -129,9 +125,9 @@
     onServerLeaving: replaceCopiesAt,
     onCondemned: () => {
       [...active].forEach((stream) => {
-        const part = ports.crashGuard.findCondemned(stream.sharedParts);
-        if (part === undefined) return;
-        stream.notify({ kind: 'prompt_condemned', message: condemnedMessage(part) });
+        const condemnation = ports.crashGuard.findCondemned(stream.content);
+        if (condemnation === undefined) return;
+        stream.notify({ kind: 'prompt_condemned', message: condemnedMessage(condemnation) });
       });
     },
     forward: (request, sink) =>
@@ -160,7 +156,7 @@
 ): RunningForwardStream {
   const { active, onDomainSuspected, onServerLost, onComplete } = registry;
   const { clock, fleet, decisions } = ports;
-  const { head, route, service } = request;
+  const { head, route, service, content } = request;
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
   let current: StreamAttempt | undefined;
@@ -186,7 +182,7 @@
   const entry: ActiveStream = {
     engineId: () => current?.engineId,
     copyEngineId: () => current?.kvCopy?.engineId,
-    sharedParts: head.sharedParts,
+    content,
     notify: dispatch,
   };
 
@@ -279,11 +275,9 @@
 
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
     const nowMs = clock.monotonicMs();
-    const condemnedPart = stream.hasBegun()
-      ? undefined
-      : ports.crashGuard.findCondemned(head.sharedParts);
-    if (condemnedPart !== undefined) {
-      reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnedPart));
+    const condemnation = stream.hasBegun() ? undefined : ports.crashGuard.findCondemned(content);
+    if (condemnation !== undefined) {
+      reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnation));
       return;
     }
     const capacity = service.engine;
@@ -554,7 +548,7 @@
     fleet.onBytesReceived(attempt.engineId, nowMs);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
-      ports.crashGuard.onBegun(head.sharedParts);
+      ports.crashGuard.onAnswered(content);
       attempt.timer.onAnswered(false);
       attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
@@ -649,7 +643,7 @@
     ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
     decisions.notable('stream.attempt_lost', {
       request: requestId,
-      fingerprint: request.fingerprint(),
+      fingerprint: content.fingerprint(),
       attempt: attempt.attemptNo,
       engine: attempt.engineId,
       domain: state?.server.failureDomain,
@@ -690,12 +684,13 @@
   function reportBrokenAttempt(attempt: StreamAttempt): void {
     const state = fleet.get(attempt.engineId);
     if (state === undefined) return;
-    ports.crashGuard.onBrokenAttempt({
+    void ports.crashGuard.onBrokenAttempt({
       requestId,
-      engineId: attempt.engineId,
+      isStream: true,
+      serverId: attempt.engineId,
       address: attempt.engineAddress,
       failureDomain: state.server.failureDomain,
-      parts: head.sharedParts,
+      content,
     });
   }
 
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -4,6 +4,7 @@
 import { createManualClock } from './clock';
 import type {
   FailureDomain,
+  Fingerprint,
   Fleet,
   ForwardServer,
   PromptPartId,
@@ -127,15 +128,17 @@
     const receiver = createTestRouter('host-2', receiverClock);
     const crash = {
       requestId: asId<RequestId>('r1'),
-      engineId: asId<ServerId>('a1'),
+      isStream: false,
+      fingerprint: asId<Fingerprint>('f1'),
+      serverId: asId<ServerId>('a1'),
       failureDomain: asId<FailureDomain>('a'),
       parts: [asId<PromptPartId>('aa'), asId<PromptPartId>('bb')],
       combination: asId<PromptPartId>('aabb'),
     };
     const reportsAt = (nowMs: number): CrashReports => ({
       crashes: [{ ...crash, atMs: nowMs - 300 }],
-      cleared: [{ part: asId('aa'), atMs: nowMs - 200 }],
-      condemned: [{ part: asId('bb'), condemnedAtMs: nowMs - 100 }],
+      cleared: [{ suspect: asId<PromptPartId>('aa'), atMs: nowMs - 200 }],
+      condemned: [{ suspect: asId<PromptPartId>('bb'), condemnedAtMs: nowMs - 100, forMs: 5_000 }],
     });
     sender.crashReports.own = reportsAt(senderClock.monotonicMs() + 15);
     sender.broadcast.sendSoon();
