Condemn the content of a stream, not its prompt parts, after crashes of one stream

What callers saw: sound streams were refused for two minutes, because they had the first prompt part in common with one stream that crashes engines whatever its parts.

Cause: crashes of equal prompts condemned the combination of their parts, and with a single shared part the combination is that part. Nothing told crashes of one stream, repeated, from crashes of different streams with equal parts.

Change: a part or combination is condemned only by crashes of at least two contents; crashes of one content condemn that content, after four.

--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -11,7 +11,7 @@
   readonly serverId: ServerId;
   readonly failureDomain: FailureDomain;
   readonly isStream: boolean;
-  /** Stands for the whole content. */
+  /** Stands for the whole content. Crashes of equal requests condemn nothing else. */
   readonly fingerprint: Fingerprint;
   /** Parts of the prompt; a plain call has none. */
   readonly parts: readonly PromptPartId[];
@@ -75,8 +75,8 @@
 /** Crashes that condemn a part, if the prompts that met them differ in other parts. */
 const CRASHES_MIN = 3;
 /**
- * Crashes that condemn a combination. A prefill takes a second, so that one stream may meet several
- * failing engines by chance.
+ * Crashes that condemn a combination, or the whole content of a stream. A prefill takes a second, so
+ * that one stream may meet several failing engines by chance.
  */
 const CRASHES_MIN_OF_PROMPT = 4;
 /**
@@ -155,7 +155,11 @@
   /** Number of crashes with which a suspect without probation is condemned; Infinity for never. */
   function crashesMin(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
     const [latest] = record.crashes.slice(-1);
-    if (suspect === latest?.fingerprint) return CRASHES_MIN_OF_CALL;
+    if (suspect === latest?.fingerprint) {
+      return latest.isStream ? CRASHES_MIN_OF_PROMPT : CRASHES_MIN_OF_CALL;
+    }
+    const fingerprints = new Set(record.crashes.map(({ fingerprint }) => fingerprint));
+    if (fingerprints.size < 2) return Infinity;
     const lastAnsweredAtMs = answeredAtMs.get(suspect) ?? -Infinity;
     if (nowMs - lastAnsweredAtMs < CRASH_EXPIRY_MS) return CRASHES_MIN_AFTER_ANSWER;
     const combinations = new Set(record.crashes.map(({ combination }) => combination));
@@ -209,8 +213,7 @@
     onCrash: (crash) => {
       expire(crash.atMs);
       const { parts, combination, fingerprint } = crash;
-      const ofPrompt = [...parts, ...(combination === undefined ? [] : [combination])];
-      const suspects = crash.isStream ? ofPrompt : [fingerprint];
+      const suspects = [...parts, ...(combination === undefined ? [] : [combination]), fingerprint];
       return [...new Set<SuspectId>(suspects)].flatMap(
         (suspect) => onCrashUnder(suspect, crash) ?? [],
       );
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -166,6 +166,16 @@
     expect(condemnedBy(suspects, callCrash(261_000, 'r2', 'east', 'deadly'))).toEqual([]);
   });
 
+  it('condemns no prompt part that sound requests have too', () => {
+    // Guards against refusing all streams with the first part of one deadly request.
+    const suspects = createCrashSuspects();
+    const condemned = ['east', 'west', 'north', 'east', 'west'].flatMap((domain, at) =>
+      condemnedBy(suspects, crash(1_000 + at * 2_000, 'r1', domain, SHARED)),
+    );
+    expect(condemned).toEqual(['content of r1']);
+    expect(findCondemned(suspects, [SHARED], 9_000)).toBeUndefined();
+  });
+
   it('is not refused because one outage hit all servers while they ran equal calls', () => {
     const suspects = createCrashSuspects();
     ['east', 'west', 'north'].forEach((domain, no) => {
