Keep all routers together within the limits that servers name

What callers saw: nothing yet.

Cause: the field in which a server names its limit was not read, and nothing bounds what all routers together send to one server. Ruled out as too coarse for limits of 1 to 10 a second: the leases of the customers' limits (limits.md).

Change: each answer sets or ends the server's limit. Routers report to each other the limit and what they sent, by age; none sends once all together have sent the limit of 2 s and one more (two more for streams that lost their engine). Near the limit requests are drawn by lot, since all routers see the same room. Hedges leave limited servers alone. Without room anywhere a request is refused at once as not run, with the time to come back. server.limit in the log and limited_servers in the metrics tell who is limited. The first design, without lots, broke the bound in its own property test.

--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -1,6 +1,8 @@
+import { createServerLimits } from '../limit/server-limits';
 import { createOutlierDetector } from '../route/outlier-detector';
 import type { OutlierDetector } from '../route/outlier-detector';
 import type { FailureDomain, RequestId, ServerId, ServiceName } from '../ids';
+import type { LimitClaim, ServerLimits } from '../limit/server-limits';
 import type { RouterLoad } from './peers';
 import type { ForwardServer } from './types';
 
@@ -67,6 +69,12 @@
   readonly get: (serverId: ServerId) => ServerState | undefined;
   /** Servers of a service that are neither leaving nor replaced by another process. */
   readonly usable: (service: ServiceName) => readonly ServerState[];
+  /** Those of the usable servers to which the request may be sent under the limits they named. */
+  readonly withRoom: (
+    service: ServiceName,
+    claim: LimitClaim,
+    nowMs: number,
+  ) => readonly ServerState[];
   /** Number of listed servers of all services. */
   readonly serverCount: () => number;
   readonly onLoadReport: (serverId: ServerId, load: ServerLoadReport, nowMs: number) => void;
@@ -97,6 +105,8 @@
    */
   readonly isSuspected: (state: ServerState, nowMs: number) => boolean;
   readonly outlierDetector: OutlierDetector;
+  /** Limits that servers name for the requests of all routers together. */
+  readonly limits: ServerLimits;
 }
 
 /** Consequences of a server's failure. */
@@ -137,6 +147,7 @@
   const states = new Map<ServerId, ServerState>();
   const byService = new Map<ServiceName, ServerState[]>();
   const suspectedAtMsByDomain = new Map<string, number>();
+  const limits = createServerLimits();
   const outlierDetector = createOutlierDetector({ ejectedMaxRatio: () => EJECTED_MAX_RATIO });
 
   function rebuildIndex(): void {
@@ -169,6 +180,7 @@
       }
       if (isRestart(known.server, server)) {
         states.set(server.serverId, createServerState(server, nowMs));
+        limits.forget(server.serverId);
         restarted.push(server);
         return;
       }
@@ -181,12 +193,19 @@
     states.forEach(({ server }, serverId) => {
       if (listed.has(serverId)) return;
       states.delete(serverId);
+      limits.forget(serverId);
       removed.push(server);
     });
     rebuildIndex();
     return { added, removed, leaving, returned, restarted };
   }
 
+  function usable(service: ServiceName): readonly ServerState[] {
+    return (byService.get(service) ?? []).filter(
+      ({ server, isReplaced }) => !server.isLeaving && !isReplaced,
+    );
+  }
+
   function domainServers(server: ForwardServer): ServerState[] {
     const list = byService.get(server.service) ?? [];
     return list.filter((other) => other.server.failureDomain === server.failureDomain);
@@ -270,10 +289,9 @@
     onPeerFailure,
     ownLoads,
     get: (serverId) => states.get(serverId),
-    usable: (service) =>
-      (byService.get(service) ?? []).filter(
-        ({ server, isReplaced }) => !server.isLeaving && !isReplaced,
-      ),
+    usable,
+    withRoom: (service, claim, nowMs) =>
+      usable(service).filter(({ server }) => limits.hasRoom(server.serverId, claim, nowMs)),
     serverCount: () => states.size,
     onLoadReport: (serverId, load, nowMs) => {
       const state = states.get(serverId);
@@ -327,6 +345,7 @@
     },
     isSuspected,
     outlierDetector,
+    limits,
   };
 }
 
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -21,6 +21,8 @@
 export interface StreamPlacementInput extends CopyPlacementInput {
   /** Engines on which the stream was lost, or whose version it must not use. */
   readonly excluded: ReadonlySet<ServerId>;
+  /** Draw of the request among those for engines near the limits that they named. */
+  readonly limitDraw: number;
   /**
    * Engine to use, if it is already decided; only the copy's engine is chosen then. There is no
    * placement if that engine is leaving, replaced, no longer listed or an excluded copy holder.
@@ -43,9 +45,13 @@
 
 export interface CallPlacementInput {
   readonly service: ServiceName;
+  /** The call can do without this attempt: it uses up no limit that others may need. */
+  readonly isOptional?: boolean;
   /** Name of the route; a server may fail on one route only. */
   readonly route: string;
   readonly excluded: ReadonlySet<ServerId>;
+  /** Draw of the request among those for servers near the limits that they named. */
+  readonly limitDraw: number;
 }
 
 /** Chooses engines and servers, while many routers choose at the same time from the same state. */
@@ -114,6 +120,8 @@
  * deadline takes no capacity from others there.
  */
 const LIGHT_LOAD_RATIO = 0.5;
+/** Cost of a server that has no room left under the limit that it named; proportionally less before. */
+const LIMIT_COST_MS = 100;
 /** Cost of a plain server whose slots are all in use; proportionally less or more otherwise. */
 const CALL_QUEUE_COST_MS = 100;
 const CALL_JITTER_MS = 20;
@@ -150,6 +158,10 @@
     return avoidMs + suspectedMs + uncertainMs;
   }
 
+  function limitCostMs({ server }: ServerState, nowMs: number): number {
+    return fleet.limits.usedRatio(server.serverId, nowMs) * LIMIT_COST_MS;
+  }
+
   function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
@@ -162,6 +174,7 @@
       running * STREAM_COST_MS +
       (state.ownCopies + peerLoad.copies) * COPY_COST_MS +
       (isFull || isOutOfSlots ? FULL_ENGINE_COST_MS : 0) +
+      limitCostMs(state, nowMs) +
       penaltyMs(state, nowMs)
     );
   }
@@ -225,7 +238,9 @@
   return {
     placeStream: (input, nowMs, random) => {
       const all = fleet.usable(input.service);
-      const choices = all.filter(({ server }) => !input.excluded.has(server.serverId));
+      const claim = { draw: input.limitDraw, isFailover: input.isFailover === true };
+      const open = all.filter(({ server }) => fleet.limits.hasRoom(server.serverId, claim, nowMs));
+      const choices = open.filter(({ server }) => !input.excluded.has(server.serverId));
       const rank = rankOf(input.service, all);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
       const rankedCostOf = (state: ServerState): number =>
@@ -236,7 +251,7 @@
         const { fixedEngineId } = input;
         if (fixedEngineId !== undefined) {
           if (input.excludedCopyHolders.has(fixedEngineId)) return undefined;
-          return all.find(({ server }) => server.serverId === fixedEngineId);
+          return open.find(({ server }) => server.serverId === fixedEngineId);
         }
         return input.isFailover === true
           ? randomWithin(FAILOVER_SPREAD_MS, choices, costOf, random)
@@ -262,9 +277,13 @@
       return engine === undefined ? undefined : placeCopy(engine, input, nowMs, random);
     },
     placeCall: (input, nowMs, random) => {
+      const claim = { draw: input.limitDraw, isFailover: false };
       const open = fleet
-        .usable(input.service)
-        .filter(({ server }) => !input.excluded.has(server.serverId));
+        .withRoom(input.service, claim, nowMs)
+        .filter(({ server: { serverId } }) => {
+          const isSpare = fleet.limits.usedRatio(serverId, nowMs) === 0;
+          return !input.excluded.has(serverId) && (input.isOptional !== true || isSpare);
+        });
       const probe = open.find(({ server }) =>
         fleet.outlierDetector.claimProbe(server.serverId, input.route, nowMs),
       );
@@ -275,6 +294,7 @@
         return (
           (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS +
           (1 - weight) * UNHEALTHY_COST_MS +
+          limitCostMs(state, nowMs) +
           penaltyMs(state, nowMs) +
           CALL_JITTER_MS * random()
         );
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -201,6 +201,14 @@
 export type { RegionQuota, RegionQuotaClaim } from './limit/pool';
 export { UNLEASED_RATIO, createQuotaShare } from './limit/share';
 export type { AcquireOutcome, Permit, QuotaShare, QuotaClaim } from './limit/share';
+export { createServerLimits } from './limit/server-limits';
+export type {
+  LimitChange,
+  LimitClaim,
+  NamedLimit,
+  ServerLimitReport,
+  ServerLimits,
+} from './limit/server-limits';
 export { createFairQueue } from './limit/fair-queue';
 export type {
   DequeueResult,
--- a/packages/core/test/forward/failover-placement.spec.ts
+++ b/packages/core/test/forward/failover-placement.spec.ts
@@ -57,6 +57,7 @@
     promptTokens: 5_000,
     excluded: new Set<ServerId>(),
     excludedCopyHolders: new Set<ServerId>(),
+    limitDraw: 0,
   };
 
   it('are spread over the remaining engines although all routers see the same empty one', () => {
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -64,6 +64,7 @@
           promptTokens: 10,
           excluded: new Set(),
           excludedCopyHolders: new Set(),
+          limitDraw: 0,
           fixedEngineId: id(engine),
         },
         5_000,
@@ -89,6 +90,7 @@
       promptTokens: 10,
       excluded: new Set<ServerId>(),
       excludedCopyHolders: new Set([id('b1')]),
+      limitDraw: 0,
     };
     for (let seed = 1; seed < 20; seed += 1) {
       expect(placer.placeCopy(id('a1'), input, 0, createRandom(seed))).toBe('c1');
@@ -135,6 +137,7 @@
     promptTokens: 5_000,
     excluded: new Set<never>(),
     excludedCopyHolders: new Set<never>(),
+    limitDraw: 0,
   };
 
   function createPlacerOf(...names: string[]) {
--- a/packages/core/test/forward/placement-load.spec.ts
+++ b/packages/core/test/forward/placement-load.spec.ts
@@ -96,6 +96,7 @@
         promptTokens: PROMPT_TOKENS,
         excluded: new Set(),
         excludedCopyHolders: new Set(),
+        limitDraw: 0,
       },
       nowMs,
       random,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -2,6 +2,7 @@
 import { createWakeTimer, createDeferred } from '../call/async';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Exchange } from '@mimosamill/adapters';
@@ -152,8 +153,13 @@
   }
 
   /** Prefers servers that this call was not sent to yet. */
-  function pickServer(nowMs: number): ServerId | undefined {
-    const input = { service: request.service.name, route: route.name };
+  function pickServer(isOptional: boolean, nowMs: number): ServerId | undefined {
+    const input = {
+      service: request.service.name,
+      route: route.name,
+      isOptional,
+      limitDraw: request.limitDraw,
+    };
     const excludedByVersion = ports.versionMoves.excludedServers(
       request.service.name,
       ports.random(),
@@ -177,12 +183,12 @@
       queueMicrotask(() => entry.onCondemned(condemnedMessage(condemnation)));
       return;
     }
-    const serverId = pickServer(nowMs);
+    const serverId = pickServer(cause === 'hedge', nowMs);
     const state = serverId === undefined ? undefined : fleet.get(serverId);
     if (serverId === undefined || state === undefined) {
       // Deferred until the current effects are performed: the core takes one event at a time.
       queueMicrotask(() =>
-        dispatch(attemptNo, { kind: 'not_sent', message: 'no server of the service is listed' }),
+        dispatch(attemptNo, { kind: 'not_sent', message: 'no server can take the call now' }),
       );
       return;
     }
@@ -272,7 +278,7 @@
       const nowMs = clock.monotonicMs();
       const metadata = ports.codec.parseResponse(status, headers);
       fleet.onBytesReceived(serverId, nowMs);
-      if (metadata.load !== undefined) fleet.onLoadReport(serverId, metadata.load, nowMs);
+      applyServerStatus(ports, serverId, metadata);
       if (metadata.isMisdirected) {
         fleet.onFailure(serverId, 'misdirected', nowMs);
         ports.stateBroadcast.onServerFailure(serverId, 'misdirected');
@@ -322,6 +328,7 @@
       connection.exchange?.cancel();
     });
     fleet.onSent(serverId, head.requestId, 0, sentAtMs);
+    if (fleet.limits.onSent(serverId, sentAtMs)) ports.stateBroadcast.sendSoon();
     connection.exchange = ports.upstream.send(
       {
         address,
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -39,10 +39,8 @@
   HttpClient,
   Metrics,
   RunningProgram,
-  Upstream,
 } from '@mimosamill/adapters';
 import type {
-  Fleet,
   FleetChange,
   ForwardServer,
   ForwardTable,
@@ -376,14 +374,14 @@
   metricsShell.app.get(METRICS_PATH, async (_req, res) => {
     sendText(res, 200, metrics.contentType, await metrics.text());
   });
-  registerGauges(
-    metrics,
-    fleet,
-    upstream,
-    decisions,
-    streams.activeCount,
-    () => peerRegistry.routers(clock.monotonicMs()).length,
-  );
+  registerGauges(metrics, {
+    streams: streams.activeCount,
+    connections_opened: upstream.openedConnectionCount,
+    log_lines_dropped: decisions.droppedCount,
+    servers: fleet.serverCount,
+    limited_servers: () => fleet.limits.count(clock.monotonicMs()),
+    peers: () => peerRegistry.routers(clock.monotonicMs()).length,
+  });
 
   await relay.listen(settings.ip, settings.peerPort);
   socket.datagrams = await openDatagramSocket(
@@ -514,21 +512,10 @@
   return { ...settings };
 }
 
-function registerGauges(
-  metrics: Metrics,
-  fleet: Fleet,
-  upstream: Upstream,
-  decisions: DecisionLog,
-  streamCount: () => number,
-  peerCount: () => number,
-): void {
+function registerGauges(metrics: Metrics, counts: Readonly<Record<string, () => number>>): void {
   const gauge = metrics.gauge('mimosamill_forward_state', 'Present counts, by what', ['what']);
   const collect = (): void => {
-    gauge.set({ what: 'streams' }, streamCount());
-    gauge.set({ what: 'connections_opened' }, upstream.openedConnectionCount());
-    gauge.set({ what: 'log_lines_dropped' }, decisions.droppedCount());
-    gauge.set({ what: 'servers' }, fleet.serverCount());
-    gauge.set({ what: 'peers' }, peerCount());
+    Object.entries(counts).forEach(([what, count]) => gauge.set({ what }, count()));
   };
   Object.assign(gauge, { collect });
 }
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -14,6 +14,7 @@
   ForwardTable,
   FreshnessBounds,
   ServeError,
+  ServiceName,
 } from '@mimosamill/core';
 import type { CallForwarder, RunningCall, BufferedResponse } from './call';
 import type { ForwardPorts, ForwardRequest } from './ports';
@@ -63,6 +64,8 @@
 const STALE_RETRY_MAX_MS = 3_000;
 const STALE_RETRY_RATIO = 0.5;
 const STALE_RETRY_JITTER_RATIO = 0.4;
+/** Callers that servers with limits have no room for come back after this time or twice as late. */
+const LIMITED_RETRY_MS = 250;
 /** Bytes buffered for a caller that reads slowly; with more, its connection is closed. */
 const UNSENT_MAX_BYTES = 4_194_304;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
@@ -166,6 +169,12 @@
     if (ports.fleet.usable(service.name).length === 0) {
       return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
     }
+    const limitDraw = ports.random();
+    const limitedMs = limitedForMs(service.name, limitDraw);
+    if (limitedMs !== undefined) {
+      const message = 'all servers of the service have reached the limits that they named';
+      return refused('overloaded', message, limitedMs);
+    }
     const isStream = route.kind === 'stream';
     const content = createRequestContent(head, body, customerId, isStream, ports.hash64);
     const condemnation = ports.crashGuard.findCondemned(content);
@@ -186,12 +195,25 @@
         service,
         customerId,
         content,
+        limitDraw,
         receivedAtMs,
         deadlineAtMs: receivedAtMs + Math.max(1, budgetMs - RESPONSE_MARGIN_MS),
       },
     };
   }
 
+  /** When a caller may come back if no server of the service can take a request with this draw. */
+  function limitedForMs(service: ServiceName, draw: number): number | undefined {
+    const nowMs = clock.monotonicMs();
+    const { limits } = ports.fleet;
+    const ids = ports.fleet.usable(service).map(({ server }) => server.serverId);
+    limits.onWanted(ids, nowMs);
+    if (ports.fleet.withRoom(service, { draw, isFailover: false }, nowMs).length > 0) {
+      return undefined;
+    }
+    return limits.roomInMs(ids, nowMs) + LIMITED_RETRY_MS * (1 + ports.random());
+  }
+
   /** Whether a request of the route would probably end before the router stops. */
   function endsInTime(route: ForwardRoute, nowMs: number): boolean {
     if (drainUntilMs === undefined) return true;
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -77,6 +77,8 @@
   readonly service: ForwardService;
   readonly customerId: CustomerId | undefined;
   readonly content: RequestContent;
+  /** Random number from 0 to 1 by which requests share the room of servers near their limits. */
+  readonly limitDraw: number;
   readonly receivedAtMs: number;
   /** Time by which the response must be ready; the time to write it is already subtracted. */
   readonly deadlineAtMs: number;
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -15,6 +15,7 @@
   PromptPartId,
   ServerFailure,
   ServerId,
+  ServerLimitReport,
 } from '@mimosamill/core';
 
 /** Addresses of the other routers. */
@@ -91,6 +92,17 @@
   callCounts: [string, string, number, number, number][],
   /** Undefined from a router of an earlier release. */
   crashReports?: CrashReportsMessage,
+  /** Undefined likewise. */
+  limits?: LimitMessage[],
+];
+
+/** A server's limit; a negative age stands for no news, a negative limit for none. */
+type LimitMessage = [
+  serverId: string,
+  ageMs: number,
+  requestsPerSec: number,
+  sentByAge: readonly number[],
+  wanted: number,
 ];
 
 /** Reports on prompt parts, with the age of each in place of its time. */
@@ -164,6 +176,7 @@
         Math.round(slownessSum),
       ]),
       encodeCrashReports(ports.ownCrashReports(nowMs), nowMs),
+      fleet.limits.ownReports(nowMs).map(encodeLimit),
     ];
     return packr.pack(message);
   }
@@ -214,6 +227,7 @@
       moves,
       counts,
       crashReports,
+      limits,
     ] = wire;
     const update: PeerUpdate = {
       hostId: asId(hostId),
@@ -243,7 +257,21 @@
         slownessSum,
       })),
     };
-    return { update, crashReports: decodeCrashReports(crashReports ?? [[], [], []], nowMs) };
+    return {
+      update,
+      crashReports: decodeCrashReports(crashReports ?? [[], [], []], nowMs),
+      limits: (limits ?? []).map(decodeLimit),
+    };
+  }
+
+  function onPeerLimits(hostId: HostId, limits: readonly ServerLimitReport[], nowMs: number): void {
+    fleet.limits.onPeerReports(hostId, limits, nowMs).forEach(({ serverId, requestsPerSec }) => {
+      ports.decisions.vital('server.limit', {
+        server: serverId,
+        requests_per_sec: requestsPerSec,
+        source: hostId,
+      });
+    });
   }
 
   function onPeerFailure(hostId: HostId, failed: PeerFailure, nowMs: number): void {
@@ -278,7 +306,7 @@
       const nowMs = clock.monotonicMs();
       const message = decode(bytes, nowMs);
       if (message === undefined || message.update.hostId === settings.hostId) return;
-      const { update, crashReports } = message;
+      const { update, crashReports, limits } = message;
       ports.peers.onMessageFrom(from);
       const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
       if (peerFailures === undefined) return;
@@ -290,6 +318,7 @@
         nowMs,
       );
       ports.onCrashReports(crashReports);
+      onPeerLimits(update.hostId, limits, nowMs);
     },
     stop: () => {
       cancelUrgent?.();
@@ -302,6 +331,26 @@
 interface PeerMessage {
   readonly update: PeerUpdate;
   readonly crashReports: CrashReports;
+  readonly limits: readonly ServerLimitReport[];
+}
+
+function encodeLimit({ serverId, named, sentByAge, wanted }: ServerLimitReport): LimitMessage {
+  const lastSent = sentByAge.findLastIndex((count) => count > 0);
+  const counts = sentByAge.slice(0, lastSent + 1);
+  if (named === undefined) return [serverId, -1, -1, counts, wanted];
+  return [serverId, Math.round(named.ageMs), named.requestsPerSec ?? -1, counts, wanted];
+}
+
+function decodeLimit([
+  serverId,
+  ageMs,
+  perSec,
+  sentByAge,
+  wanted,
+]: LimitMessage): ServerLimitReport {
+  const requestsPerSec = perSec < 0 ? undefined : perSec;
+  const named = ageMs < 0 ? undefined : { requestsPerSec, ageMs };
+  return { serverId: asId(serverId), named, sentByAge, wanted };
 }
 
 function encodeCrashReports(reports: CrashReports, nowMs: number): CrashReportsMessage {
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -4,6 +4,7 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
@@ -290,6 +291,7 @@
       capacity,
       promptTokens,
       isFailover: effect.cause !== 'first',
+      limitDraw: request.limitDraw,
       excluded: new Set([
         ...effect.excluded,
         ...ports.versionMoves.excludedServers(service.name, ports.random()),
@@ -419,6 +421,7 @@
       nowMs,
     );
     fleet.onSent(placed.engineId, requestId, isFromCopy ? 0 : promptTokens, nowMs);
+    fleet.limits.onSent(placed.engineId, nowMs);
     if (copyHolder !== undefined) fleet.onCopy(copyHolder.server.serverId, promptTokens, 1);
     ports.stateBroadcast.sendSoon();
     attempt.cancelConnectTimeout = clock.runAfter(CONNECT_TIMEOUT_MS, () => {
@@ -493,7 +496,7 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
-    if (metadata.load !== undefined) fleet.onLoadReport(attempt.engineId, metadata.load, nowMs);
+    applyServerStatus(ports, attempt.engineId, metadata);
     if (metadata.isMisdirected) {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
