Forget servers that name no limit any more, and do not count condemned requests as demand

Read in the diff: a report about a server that has left created an entry that nothing removed, and a request that is refused as condemned counted as one that limited servers could have got. Entries end with their limit; the check of the limits comes last.

--- a/packages/core/src/limit/server-limits.ts
+++ b/packages/core/src/limit/server-limits.ts
@@ -22,7 +22,7 @@
   readonly isFailover: boolean;
 }
 
-/** A server's word on its limit; `requestsPerSec` is undefined if it names none any more. */
+/** What a server said about its limit; `requestsPerSec` is undefined if it named none any more. */
 export interface NamedLimit {
   readonly requestsPerSec: number | undefined;
   readonly ageMs: number;
@@ -172,7 +172,7 @@
     return left.sort((a, b) => a - b);
   }
 
-  /** A router that reports no requests any more needs no entry: the earlier ones leave the window. */
+  /** Replaces what the router reported before; without reports, its requests leave the window by age. */
   function setPeerCounts(hostId: HostId, report: ServerLimitReport, atMs: number): void {
     const { serverId, sentByAge, wanted } = report;
     const counts = peerCounts.get(serverId) ?? new Map<HostId, PeerCounts>();
@@ -199,8 +199,15 @@
     return room > 0 ? 0 : (timesLeftMs(serverId, nowMs)[-room] ?? 0);
   }
 
-  function hasNews(state: LimitState, nowMs: number): boolean {
-    return nowMs - state.toldAtMs < REPORT_REPEAT_MS;
+  /** Forgets servers that have named no limit for long; a report may arrive after a server has left. */
+  function dropIdle(nowMs: number): void {
+    states.forEach((state, serverId) => {
+      dropOld(state, nowMs);
+      if (nowMs - state.namedAtMs >= LIMIT_EXPIRY_MS) states.delete(serverId);
+    });
+    peerCounts.forEach((_, serverId) => {
+      if (!states.has(serverId)) peerCounts.delete(serverId);
+    });
   }
 
   function reportOf(serverId: ServerId, state: LimitState, nowMs: number): ServerLimitReport {
@@ -210,7 +217,8 @@
       sentByAge[step] = (sentByAge[step] ?? 0) + 1;
     });
     const { requestsPerSec, toldAtMs } = state;
-    const named = hasNews(state, nowMs) ? { requestsPerSec, ageMs: nowMs - toldAtMs } : undefined;
+    const ageMs = nowMs - toldAtMs;
+    const named = ageMs < REPORT_REPEAT_MS ? { requestsPerSec, ageMs } : undefined;
     return { serverId, named, sentByAge, wanted: state.wantedAtMs.length };
   }
 
@@ -253,13 +261,15 @@
     },
     roomInMs: (serverIds, nowMs) =>
       Math.min(...serverIds.map((serverId) => waitMs(serverId, nowMs))),
-    ownReports: (nowMs) =>
-      [...states].flatMap(([serverId, state]) => {
-        dropOld(state, nowMs);
-        const isWorthTelling =
-          state.sentAtMs.length + state.wantedAtMs.length > 0 || hasNews(state, nowMs);
-        return isWorthTelling ? [reportOf(serverId, state, nowMs)] : [];
-      }),
+    ownReports: (nowMs) => {
+      dropIdle(nowMs);
+      return [...states]
+        .filter(([, { sentAtMs, wantedAtMs, toldAtMs }]) => {
+          const hasRequests = sentAtMs.length + wantedAtMs.length > 0;
+          return hasRequests || nowMs - toldAtMs < REPORT_REPEAT_MS;
+        })
+        .map(([serverId, state]) => reportOf(serverId, state, nowMs));
+    },
     count: (nowMs) =>
       [...states.keys()].filter((serverId) => limitOf(serverId, nowMs) !== undefined).length,
     forget: (serverId) => {
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -169,12 +169,6 @@
     if (ports.fleet.usable(service.name).length === 0) {
       return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
     }
-    const limitDraw = ports.random();
-    const limitedMs = limitedForMs(service.name, limitDraw);
-    if (limitedMs !== undefined) {
-      const message = 'all servers of the service have reached the limits that they named';
-      return refused('overloaded', message, limitedMs);
-    }
     const isStream = route.kind === 'stream';
     const content = createRequestContent(head, body, customerId, isStream, ports.hash64);
     const condemnation = ports.crashGuard.findCondemned(content);
@@ -184,6 +178,12 @@
     if (!endsInTime(route, receivedAtMs)) {
       return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
     }
+    const limitDraw = ports.random();
+    const limitedMs = limitedForMs(service.name, limitDraw);
+    if (limitedMs !== undefined) {
+      const message = 'all servers of the service have reached the limits that they named';
+      return refused('overloaded', message, limitedMs);
+    }
     const budgetMs = Math.min(route.timeoutMs, head.budgetMs ?? Infinity);
     return {
       kind: 'ok',
