Deliver an answer that has begun although its call is condemned

Read in the diff: a verdict cancelled all attempts of a call, also one whose response had begun, which shows that the call did not crash that server; and an attempt whose connection had broken was recorded as overtaken, not as lost, without its log line. Such attempts now end by themselves. Names: no figurative ones for the time of a condemnation.

--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -31,9 +31,10 @@
 }
 
 /**
- * Finds requests and prompt parts that crash servers. Fingerprints are passed as functions, since they
- * are costly and needed only while there are suspects. Whatever a request holds is suspected of each
- * crash under it, and cleared of all earlier ones when a server begins to answer a request with it.
+ * Finds requests and prompt parts that crash servers. The content and the prompt parts of a request are
+ * suspected of each crash under it, and cleared of all earlier ones when a server begins to answer a
+ * request with them. Fingerprints are passed as functions, because hashing a body is costly and they
+ * are needed only while there are suspects.
  */
 export interface CrashSuspects {
   /** Returns what this crash condemns. */
@@ -86,7 +87,7 @@
 const CRASHES_MIN_OF_CALL = 2;
 /** Crashes that condemn a part which engines could answer within the time before. */
 const CRASHES_MIN_AFTER_ANSWER = 6;
-/** From this number of crashes on, or by any crash on probation, the full time applies. */
+/** From this number of crashes on, and by any crash after a condemnation, the full time applies. */
 const CRASHES_MIN_OF_FULL_TIME = 3;
 /** Long enough for crashed servers to restart, so that one more crash leaves others up. */
 export const QUARANTINE_MS = 5_000;
@@ -102,7 +103,7 @@
 interface SuspectRecord {
   crashes: readonly CountedCrash[];
   /** End of its last condemnation; undefined if a server has answered a request with it since. */
-  probationFromMs: number | undefined;
+  condemnedUntilMs: number | undefined;
 }
 
 interface CountedCrash extends Omit<ServerCrash, 'parts'> {
@@ -117,7 +118,7 @@
   const condemnations = new Map<SuspectId, Condemnation>();
 
   function recordOf(suspect: SuspectId): SuspectRecord {
-    const record = records.get(suspect) ?? { crashes: [], probationFromMs: undefined };
+    const record = records.get(suspect) ?? { crashes: [], condemnedUntilMs: undefined };
     // Inserted again, so that the map is ordered by last use.
     records.delete(suspect);
     records.set(suspect, record);
@@ -129,7 +130,7 @@
     const { suspect, condemnedAtMs, forMs } = condemnation;
     condemnations.set(suspect, condemnation);
     evictOldest(condemnations, CONDEMNED_MAX);
-    recordOf(suspect).probationFromMs = condemnedAtMs + forMs;
+    recordOf(suspect).condemnedUntilMs = condemnedAtMs + forMs;
   }
 
   function expire(nowMs: number): void {
@@ -152,7 +153,7 @@
       : [...recent, { ...added, isMerged }].slice(-CRASHES_KEPT_MAX);
   }
 
-  /** Number of crashes with which a suspect without probation is condemned; Infinity for never. */
+  /** Number of crashes that condemn a suspect for the first time; Infinity for never. */
   function crashesMin(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
     const [latest] = record.crashes.slice(-1);
     if (suspect === latest?.fingerprint) {
@@ -168,9 +169,9 @@
   }
 
   /** Time for which the suspect is to be condemned after its last crash; 0 for not at all. */
-  function sentenceMs(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
+  function condemnationMs(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
     const { length } = record.crashes.filter(({ isMerged }) => !isMerged);
-    if (record.probationFromMs !== undefined) return length > 0 ? CONDEMNED_MS : 0;
+    if (record.condemnedUntilMs !== undefined) return length > 0 ? CONDEMNED_MS : 0;
     if (length < crashesMin(suspect, record, nowMs)) return 0;
     return length >= CRASHES_MIN_OF_FULL_TIME ? CONDEMNED_MS : QUARANTINE_MS;
   }
@@ -179,17 +180,17 @@
     const lastAnsweredAtMs = answeredAtMs.get(suspect) ?? -Infinity;
     if (crash.atMs <= lastAnsweredAtMs || condemnations.has(suspect)) return undefined;
     const record = recordOf(suspect);
-    // Sent before the condemnation, and reported late.
-    if (crash.atMs < (record.probationFromMs ?? -Infinity)) return undefined;
+    // The request was sent before the condemnation, and its crash is reported late.
+    if (crash.atMs < (record.condemnedUntilMs ?? -Infinity)) return undefined;
     addCrash(record, crash);
-    const forMs = sentenceMs(suspect, record, crash.atMs);
+    const forMs = condemnationMs(suspect, record, crash.atMs);
     if (forMs === 0) return undefined;
     const condemnation = { suspect, condemnedAtMs: crash.atMs, forMs };
     setCondemned(condemnation);
     return condemnation;
   }
 
-  /** Removes all that speaks against a suspect up to this time; true if something did. */
+  /** Forgets the suspect's crashes and its condemnation up to this time; true if there were any. */
   function clear(suspect: SuspectId, atMs: number): boolean {
     const record = records.get(suspect);
     if (record === undefined) return false;
@@ -197,7 +198,7 @@
     record.crashes = record.crashes.filter((crash) => crash.atMs > atMs);
     const condemnedAtMs = condemnations.get(suspect)?.condemnedAtMs;
     if (condemnedAtMs !== undefined && condemnedAtMs > atMs) return wasSuspected;
-    record.probationFromMs = undefined;
+    record.condemnedUntilMs = undefined;
     return condemnations.delete(suspect) || wasSuspected;
   }
 
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -154,7 +154,7 @@
     expect(second?.forMs).toBe(CONDEMNED_MS);
   });
 
-  it('stays on probation until a server answers it', () => {
+  it('is condemned again by one more crash until a server answers it', () => {
     const suspects = createCrashSuspects();
     const condemnation = { suspect: DEADLY_CALL, condemnedAtMs: 0, forMs: CONDEMNED_MS };
     suspects.condemn(condemnation, 0);
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -107,6 +107,8 @@
     apply(call.onEvent({ kind: 'tick' }, clock.monotonicMs())),
   );
   const startedAtMs = clock.monotonicMs();
+  /** Attempts whose outcome is near: the response has begun, or the connection broke. */
+  const endingAttempts = new Set<number>();
   const hedgeDelayMs =
     latencies.quantileMs(HEDGE_QUANTILE, startedAtMs) ?? route.targetMs * DEFAULT_HEDGE_DELAY_RATIO;
 
@@ -122,10 +124,16 @@
 
   const entry: ActiveCall = {
     content,
-    onCondemned: (message) =>
-      apply(call.onEvent({ kind: 'condemned', message }, clock.monotonicMs())),
+    onCondemned: (message) => {
+      // A response that has begun is delivered, and a broken attempt leads to the same end.
+      if (endingAttempts.size === 0) endCondemned(message);
+    },
   };
 
+  function endCondemned(message: string): void {
+    apply(call.onEvent({ kind: 'condemned', message }, clock.monotonicMs()));
+  }
+
   function apply(effects: readonly DirectCallEffect<BufferedResponse>[]): void {
     effects.forEach(perform);
     alarm.set(call.wakeAtMs());
@@ -180,7 +188,7 @@
     const nowMs = clock.monotonicMs();
     const condemnation = crashGuard.findCondemned(content);
     if (condemnation !== undefined) {
-      queueMicrotask(() => entry.onCondemned(condemnedMessage(condemnation)));
+      queueMicrotask(() => endCondemned(condemnedMessage(condemnation)));
       return;
     }
     const serverId = pickServer(cause === 'hedge', nowMs);
@@ -220,6 +228,7 @@
       buffered.sizeBytes -= sizeBytes;
       cancelConnectTimeout();
       cancels.delete(attemptNo);
+      endingAttempts.delete(attemptNo);
       fleet.onEnd(serverId, head.requestId, 0);
     }
 
@@ -246,12 +255,16 @@
     /** Ends the attempt once it is known whether the call crashed its server: a repeat would too. */
     async function onBroken(): Promise<void> {
       cancelConnectTimeout();
+      endingAttempts.add(attemptNo);
       if (answer === undefined) {
         const { requestId } = head;
         const attempt = { requestId, isStream: false, serverId, address, failureDomain, content };
         await crashGuard.onBrokenAttempt(attempt);
       }
       finishAttempt({ kind: 'unknown' }, 'broken');
+      // Another attempt of the call may be running.
+      const condemnation = crashGuard.findCondemned(content);
+      if (condemnation !== undefined) endCondemned(condemnedMessage(condemnation));
     }
 
     function recordResult(outcome: ServerAnswer<BufferedResponse>): void {
@@ -304,6 +317,7 @@
         return;
       }
       answer = { status, headers };
+      endingAttempts.add(attemptNo);
     }
 
     const cancelConnectTimeout = clock.runAfter(CONNECT_TIMEOUT_MS, () => {
