Keep the message between routers apart from when it is sent

state-broadcast held batching, heartbeats and the wire format with both directions of its translation. state-message now translates, state-broadcast decides when to send. No behaviour; a test that limits and counts arrive is new.

--- /dev/null
+++ b/packages/router/src/forward/state-message.ts
@@ -0,0 +1,242 @@
+import { asId, CONDEMNED_MS } from '@mimosamill/core';
+import { Packr } from 'msgpackr';
+import type { CrashReports } from './crash-guard';
+import type {
+  CallCounts,
+  PeerMove,
+  PeerUpdate,
+  PromptPartId,
+  ServerFailure,
+  ServerLimitReport,
+} from '@mimosamill/core';
+
+/** What a router tells the others about itself and the servers. */
+export interface RouterState {
+  readonly update: PeerUpdate;
+  readonly crashReports: CrashReports;
+  readonly limits: readonly ServerLimitReport[];
+}
+
+/** Translates the state of a router to a datagram and back; times become ages on the way. */
+export interface StateCodec {
+  readonly encode: (state: RouterState, nowMs: number) => Uint8Array;
+  /** Undefined for bytes that are no message of this format. */
+  readonly decode: (bytes: Buffer, nowMs: number) => RouterState | undefined;
+}
+
+const MESSAGE_FORMAT = 4;
+
+/** A message on the wire: an array without field names, to keep it short. */
+type StateMessage = [
+  format: number,
+  hostId: string,
+  failureDomain: string,
+  incarnationId: string,
+  sequence: number,
+  canRead: boolean,
+  loads: [string, number, number, number, number][],
+  failures: [string, ServerFailure, number, number][],
+  moves: readonly PeerMove[],
+  callCounts: [string, string, number, number, number][],
+  /** Undefined from a router of an earlier release. */
+  crashReports?: CrashReportsMessage,
+  /** Undefined likewise. */
+  limits?: LimitMessage[],
+];
+
+/** A server's limit; a negative age stands for no news, a negative limit for none. */
+type LimitMessage = [
+  serverId: string,
+  ageMs: number,
+  requestsPerSec: number,
+  sentByAge: readonly number[],
+  wanted: number,
+];
+
+/** Reports on crashes, with the age of each in place of its time. */
+type CrashReportsMessage = [
+  crashes: [
+    requestId: string,
+    engineId: string,
+    failureDomain: string,
+    ageMs: number,
+    combination: string | undefined,
+    parts: string[],
+    // Undefined from a router of an earlier release, as is the last field below.
+    fingerprint?: string,
+    isStream?: boolean,
+  ][],
+  cleared: [suspect: string, ageMs: number][],
+  condemned: [suspect: string, ageMs: number, forMs?: number][],
+];
+
+export function createStateCodec(): StateCodec {
+  const packr = new Packr({ useRecords: false });
+  return {
+    encode: (state, nowMs) => packr.pack(toMessage(state, nowMs)),
+    decode: (bytes, nowMs) => {
+      let message: StateMessage;
+      try {
+        message = packr.unpack(bytes) as StateMessage;
+      } catch {
+        return undefined;
+      }
+      if (!Array.isArray(message) || message[0] !== MESSAGE_FORMAT) return undefined;
+      return toState(message, nowMs);
+    },
+  };
+}
+
+function toMessage({ update, crashReports, limits }: RouterState, nowMs: number): StateMessage {
+  return [
+    MESSAGE_FORMAT,
+    update.hostId,
+    update.failureDomain,
+    update.incarnationId,
+    update.sequence,
+    update.canReadStore,
+    update.loads.map((load) => [
+      load.serverId,
+      load.running,
+      Math.round(load.prefillMs),
+      load.copies,
+      load.tokens,
+    ]),
+    update.failures.map(({ serverId, failure, failureNo, ageMs }) => [
+      serverId,
+      failure,
+      failureNo,
+      Math.round(ageMs),
+    ]),
+    update.moves,
+    update.callCounts.map(({ serverId, route, successes, failures, slownessSum }) => [
+      serverId,
+      route,
+      successes,
+      failures,
+      Math.round(slownessSum),
+    ]),
+    encodeCrashReports(crashReports, nowMs),
+    limits.map(encodeLimit),
+  ];
+}
+
+function toState(message: StateMessage, nowMs: number): RouterState {
+  const [
+    ,
+    hostId,
+    failureDomain,
+    incarnationId,
+    sequence,
+    canReadStore,
+    loads,
+    failures,
+    moves,
+    counts,
+    crashReports,
+    limits,
+  ] = message;
+  const update: PeerUpdate = {
+    hostId: asId(hostId),
+    failureDomain: asId(failureDomain),
+    incarnationId,
+    sequence,
+    canReadStore,
+    loads: loads.map(([serverId, running, prefillMs, copies, tokens]) => ({
+      serverId: asId(serverId),
+      running,
+      prefillMs,
+      copies,
+      tokens,
+    })),
+    failures: failures.map(([serverId, failure, no, ageMs]) => ({
+      serverId: asId(serverId),
+      failure,
+      failureNo: no,
+      ageMs,
+    })),
+    moves,
+    callCounts: counts.map(([serverId, route, successes, failed, slownessSum]): CallCounts => ({
+      serverId: asId(serverId),
+      route,
+      successes,
+      failures: failed,
+      slownessSum,
+    })),
+  };
+  return {
+    update,
+    crashReports: decodeCrashReports(crashReports ?? [[], [], []], nowMs),
+    limits: (limits ?? []).map(decodeLimit),
+  };
+}
+
+function encodeLimit({ serverId, named, sentByAge, wanted }: ServerLimitReport): LimitMessage {
+  const lastSent = sentByAge.findLastIndex((count) => count > 0);
+  const counts = sentByAge.slice(0, lastSent + 1);
+  if (named === undefined) return [serverId, -1, -1, counts, wanted];
+  return [serverId, Math.round(named.ageMs), named.requestsPerSec ?? -1, counts, wanted];
+}
+
+function decodeLimit([
+  serverId,
+  ageMs,
+  perSec,
+  sentByAge,
+  wanted,
+]: LimitMessage): ServerLimitReport {
+  const requestsPerSec = perSec < 0 ? undefined : perSec;
+  const named = ageMs < 0 ? undefined : { requestsPerSec, ageMs };
+  return { serverId: asId(serverId), named, sentByAge, wanted };
+}
+
+function encodeCrashReports(reports: CrashReports, nowMs: number): CrashReportsMessage {
+  const ageOf = (atMs: number): number => Math.round(nowMs - atMs);
+  return [
+    reports.crashes.map((crash) => [
+      crash.requestId,
+      crash.serverId,
+      crash.failureDomain,
+      ageOf(crash.atMs),
+      crash.combination,
+      [...crash.parts],
+      crash.fingerprint,
+      crash.isStream,
+    ]),
+    reports.cleared.map(({ suspect, atMs }) => [suspect, ageOf(atMs)]),
+    reports.condemned.map(({ suspect, condemnedAtMs, forMs }) => [
+      suspect,
+      ageOf(condemnedAtMs),
+      forMs,
+    ]),
+  ];
+}
+
+function decodeCrashReports(
+  [crashes, cleared, condemned]: CrashReportsMessage,
+  nowMs: number,
+): CrashReports {
+  return {
+    crashes: crashes.map(
+      ([requestId, serverId, domain, ageMs, combination, parts, fingerprint, isStream]) => ({
+        requestId: asId(requestId),
+        serverId: asId(serverId),
+        failureDomain: asId(domain),
+        atMs: nowMs - ageMs,
+        combination: combination === undefined ? undefined : asId<PromptPartId>(combination),
+        parts: parts.map((part) => asId<PromptPartId>(part)),
+        fingerprint: asId(fingerprint ?? requestId),
+        isStream: isStream ?? true,
+      }),
+    ),
+    cleared: cleared.map(([suspect, ageMs]) => ({
+      suspect: asId<PromptPartId>(suspect),
+      atMs: nowMs - ageMs,
+    })),
+    condemned: condemned.map(([suspect, ageMs, forMs]) => ({
+      suspect: asId<PromptPartId>(suspect),
+      condemnedAtMs: nowMs - ageMs,
+      forMs: forMs ?? CONDEMNED_MS,
+    })),
+  };
+}
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -147,6 +147,27 @@
     expect(receiver.crashReports.received).toEqual([reportsAt(receiverClock.monotonicMs())]);
   });
 
+  it('carries the limits that servers name, and what was sent to them', () => {
+    // Guards against routers that each use the whole limit of a server.
+    const senderClock = createManualClock();
+    const receiverClock = createManualClock();
+    receiverClock.advance(50_000);
+    const sender = createTestRouter('host-1', senderClock);
+    const receiver = createTestRouter('host-2', receiverClock);
+    const limited = asId<ServerId>('a1');
+    sender.fleet.limits.onAnswer(limited, 0.5, senderClock.monotonicMs());
+    sender.fleet.limits.onSent(limited, senderClock.monotonicMs());
+    sender.fleet.limits.onSent(limited, senderClock.monotonicMs());
+    sender.broadcast.sendSoon();
+    senderClock.advance(15);
+    sender.sent.forEach((bytes) => receiver.broadcast.onMessage(bytes, '10.0.0.1:1'));
+    const nowMs = receiverClock.monotonicMs();
+    const claim = { draw: 0, isFailover: false };
+    expect(receiver.fleet.limits.count(nowMs)).toBe(1);
+    expect(receiver.fleet.limits.hasRoom(limited, claim, nowMs)).toBe(false);
+    expect(receiver.fleet.limits.hasRoom(asId('b1'), claim, nowMs)).toBe(true);
+  });
+
   it('sends call results even if a stream of urgent messages keeps resetting the heartbeat', () => {
     const clock = createManualClock();
     const sender = createTestRouter('host-1', clock);
