Leave streams that lost their engine more room under limits

Change: three requests beyond the limit in a window instead of two for such streams; the window's limit is rounded down, so that two windows of 2 s stay within what the users allow for every limit from 0.5 a second on.

The property test holds.

--- a/packages/core/src/limit/server-limits.ts
+++ b/packages/core/src/limit/server-limits.ts
@@ -72,7 +72,7 @@
 /** Requests beyond the limit in a window, so that a slow limit admits two that come together. */
 const BURST = 1;
 /** Likewise, kept for streams that have lost their engine: callers have waited for them longest. */
-const FAILOVER_BURST = 2;
+const FAILOVER_BURST = 3;
 /** Resolution of the ages of other routers' requests. */
 export const AGE_STEP_MS = 250;
 const AGE_STEPS = WINDOW_MS / AGE_STEP_MS;
@@ -281,5 +281,5 @@
 
 /** Most requests that all routers together may send within a window. */
 function windowMax(requestsPerSec: number, burst: number): number {
-  return Math.ceil((requestsPerSec * WINDOW_MS) / 1_000) + burst;
+  return Math.floor((requestsPerSec * WINDOW_MS) / 1_000) + burst;
 }
