Report the demand for limited servers by service, not by server

Cause: each request counted as demand at every server with a limit, about a hundred, and each message listed all of them: 2 to 3 KB to 87 routers a message, on links of 7 Mbit/s. Ruled out: engines that refuse (ten different ones in a row timed out from one router). docs/CAPACITY.md had 19 to 34 bytes a server that was sent to, which the demand counts made wrong.

Change: one count a service in each message; only servers that the router has sent to, or been told by, are listed. A test holds a message to that.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -238,7 +238,8 @@
   return {
     placeStream: (input, nowMs, random) => {
       const all = fleet.usable(input.service);
-      const claim = { draw: input.limitDraw, isFailover: input.isFailover === true };
+      const { service, limitDraw: draw } = input;
+      const claim = { service, draw, isFailover: input.isFailover === true };
       const open = all.filter(({ server }) => fleet.limits.hasRoom(server.serverId, claim, nowMs));
       const choices = open.filter(({ server }) => !input.excluded.has(server.serverId));
       const rank = rankOf(input.service, all);
@@ -277,7 +278,8 @@
       return engine === undefined ? undefined : placeCopy(engine, input, nowMs, random);
     },
     placeCall: (input, nowMs, random) => {
-      const claim = { draw: input.limitDraw, isFailover: false };
+      const { service, limitDraw: draw } = input;
+      const claim = { service, draw, isFailover: false };
       const open = fleet
         .withRoom(input.service, claim, nowMs)
         .filter(({ server: { serverId } }) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -205,6 +205,8 @@
 export type {
   LimitChange,
   LimitClaim,
+  LimitReports,
+  LimitedDemand,
   NamedLimit,
   ServerLimitReport,
   ServerLimits,
--- a/packages/core/src/limit/server-limits.ts
+++ b/packages/core/src/limit/server-limits.ts
@@ -1,4 +1,4 @@
-import type { HostId, ServerId } from '../ids';
+import type { HostId, ServerId, ServiceName } from '../ids';
 
 /** What one router tells the others about a server that has named a limit. */
 export interface ServerLimitReport {
@@ -7,12 +7,23 @@
   readonly named: NamedLimit | undefined;
   /** Requests that the router sent to the server, by their age in steps of `AGE_STEP_MS`. */
   readonly sentByAge: readonly number[];
-  /** Requests that the router could have sent to the server within the window. */
-  readonly wanted: number;
+}
+
+/** Requests that a router could have sent to servers with limits of a service within the window. */
+export interface LimitedDemand {
+  readonly service: ServiceName;
+  readonly requests: number;
+}
+
+/** What one router tells the others; short, since each message goes to all of them. */
+export interface LimitReports {
+  readonly servers: readonly ServerLimitReport[];
+  readonly demands: readonly LimitedDemand[];
 }
 
 /** What a request claims of a server's limit. */
 export interface LimitClaim {
+  readonly service: ServiceName;
   /**
    * Random number from 0 to 1, drawn once a request. A server near its limit takes only requests with
    * a low one: other routers see the same room at the same time, and each would use it.
@@ -48,20 +59,20 @@
   /** The latest reports of another router, which replace its earlier ones. */
   readonly onPeerReports: (
     hostId: HostId,
-    reports: readonly ServerLimitReport[],
+    reports: LimitReports,
     nowMs: number,
   ) => readonly LimitChange[];
   /** A request is sent to the server; true if the others should soon know, because it has a limit. */
   readonly onSent: (serverId: ServerId, nowMs: number) => boolean;
-  /** A request of this router could be sent to any of these servers. */
-  readonly onWanted: (serverIds: readonly ServerId[], nowMs: number) => void;
+  /** A request of this router could be sent to any of these servers of the service. */
+  readonly onWanted: (service: ServiceName, serverIds: readonly ServerId[], nowMs: number) => void;
   /** Whether the request may be sent to the server. */
   readonly hasRoom: (serverId: ServerId, claim: LimitClaim, nowMs: number) => boolean;
   /** Part of the server's limit that is used up, from 0 to 1; 0 without a limit. */
   readonly usedRatio: (serverId: ServerId, nowMs: number) => number;
   /** Time until one of the servers may have room for a new request; 0 if one may have room now. */
   readonly roomInMs: (serverIds: readonly ServerId[], nowMs: number) => number;
-  readonly ownReports: (nowMs: number) => readonly ServerLimitReport[];
+  readonly ownReports: (nowMs: number) => LimitReports;
   /** Number of servers with a limit. */
   readonly count: (nowMs: number) => number;
   readonly forget: (serverId: ServerId) => void;
@@ -95,20 +106,25 @@
   toldAtMs: number;
   /** Times of this router's requests within the window, in order. */
   sentAtMs: number[];
-  /** Likewise of those that could have been sent to the server. */
-  wantedAtMs: number[];
 }
 
 /** Requests that another router sent to a server, as of its last report that has some. */
 interface PeerCounts {
   readonly atMs: number;
   readonly sentByAge: readonly number[];
-  readonly wanted: number;
+}
+
+interface PeerDemands {
+  readonly atMs: number;
+  readonly demands: readonly LimitedDemand[];
 }
 
 export function createServerLimits(): ServerLimits {
   const states = new Map<ServerId, LimitState>();
   const peerCounts = new Map<ServerId, Map<HostId, PeerCounts>>();
+  const peerDemands = new Map<HostId, PeerDemands>();
+  /** Times of this router's requests that servers with limits could have got, by service. */
+  const wantedAtMs = new Map<ServiceName, number[]>();
 
   function stateOf(serverId: ServerId): LimitState {
     const known = states.get(serverId);
@@ -118,7 +134,6 @@
       namedAtMs: -Infinity,
       toldAtMs: -Infinity,
       sentAtMs: [],
-      wantedAtMs: [],
     };
     states.set(serverId, created);
     return created;
@@ -144,18 +159,26 @@
 
   function dropOld(state: LimitState, nowMs: number): void {
     state.sentAtMs = state.sentAtMs.filter((atMs) => nowMs - atMs < WINDOW_MS);
-    state.wantedAtMs = state.wantedAtMs.filter((atMs) => nowMs - atMs < WINDOW_MS);
   }
 
-  /** Requests that the other routers would send unseen if all their requests came to this server. */
-  function unseenMax(serverId: ServerId, nowMs: number): number {
+  /** Requests that the other routers would send unseen if all their requests came to one server. */
+  function unseenMax(service: ServiceName, nowMs: number): number {
     let wanted = 0;
-    peerCounts.get(serverId)?.forEach((counts) => {
-      if (nowMs - counts.atMs < WINDOW_MS) wanted += counts.wanted;
+    peerDemands.forEach(({ atMs, demands }, hostId) => {
+      if (nowMs - atMs >= WINDOW_MS) peerDemands.delete(hostId);
+      else wanted += demands.find((demand) => demand.service === service)?.requests ?? 0;
     });
     return (wanted / WINDOW_MS) * UNSEEN_MS;
   }
 
+  function ownDemands(nowMs: number): LimitedDemand[] {
+    return [...wantedAtMs].flatMap(([service, times]) => {
+      const recent = times.filter((atMs) => nowMs - atMs < WINDOW_MS);
+      wantedAtMs.set(service, recent);
+      return recent.length === 0 ? [] : [{ service, requests: recent.length }];
+    });
+  }
+
   /** Times until the counted requests of all routers leave the window, in order. */
   function timesLeftMs(serverId: ServerId, nowMs: number): number[] {
     const state = stateOf(serverId);
@@ -174,10 +197,10 @@
 
   /** Replaces what the router reported before; without reports, its requests leave the window by age. */
   function setPeerCounts(hostId: HostId, report: ServerLimitReport, atMs: number): void {
-    const { serverId, sentByAge, wanted } = report;
+    const { serverId, sentByAge } = report;
     const counts = peerCounts.get(serverId) ?? new Map<HostId, PeerCounts>();
     peerCounts.set(serverId, counts);
-    counts.set(hostId, { atMs, sentByAge, wanted });
+    counts.set(hostId, { atMs, sentByAge });
   }
 
   /** Room that the server has for requests of all routers; Infinity without a limit. */
@@ -189,8 +212,8 @@
 
   function hasRoom(serverId: ServerId, claim: LimitClaim, nowMs: number): boolean {
     const room = roomOf(serverId, claim.isFailover ? FAILOVER_BURST : BURST, nowMs);
-    const unseen = claim.isFailover ? 0 : unseenMax(serverId, nowMs);
-    return room > claim.draw * unseen;
+    if (claim.isFailover || room === Infinity) return room > 0;
+    return room > claim.draw * unseenMax(claim.service, nowMs);
   }
 
   /** Time until the server may have room; 0 if it may have room now. */
@@ -219,7 +242,7 @@
     const { requestsPerSec, toldAtMs } = state;
     const ageMs = nowMs - toldAtMs;
     const named = ageMs < REPORT_REPEAT_MS ? { requestsPerSec, ageMs } : undefined;
-    return { serverId, named, sentByAge, wanted: state.wantedAtMs.length };
+    return { serverId, named, sentByAge };
   }
 
   return {
@@ -231,8 +254,9 @@
       return change;
     },
     onPeerReports: (hostId, reports, nowMs) => {
-      reports.forEach((report) => setPeerCounts(hostId, report, nowMs));
-      return reports.flatMap(({ serverId, named }): LimitChange[] => {
+      peerDemands.set(hostId, { atMs: nowMs, demands: reports.demands });
+      reports.servers.forEach((report) => setPeerCounts(hostId, report, nowMs));
+      return reports.servers.flatMap(({ serverId, named }): LimitChange[] => {
         if (named === undefined) return [];
         const atMs = nowMs - named.ageMs;
         const knownAtMs = states.get(serverId)?.namedAtMs ?? -Infinity;
@@ -248,10 +272,9 @@
       state.sentAtMs.push(nowMs);
       return true;
     },
-    onWanted: (serverIds, nowMs) => {
-      serverIds.forEach((serverId) => {
-        if (limitOf(serverId, nowMs) !== undefined) stateOf(serverId).wantedAtMs.push(nowMs);
-      });
+    onWanted: (service, serverIds, nowMs) => {
+      if (serverIds.every((serverId) => limitOf(serverId, nowMs) === undefined)) return;
+      wantedAtMs.set(service, [...(wantedAtMs.get(service) ?? []), nowMs]);
     },
     hasRoom,
     usedRatio: (serverId, nowMs) => {
@@ -263,12 +286,12 @@
       Math.min(...serverIds.map((serverId) => waitMs(serverId, nowMs))),
     ownReports: (nowMs) => {
       dropIdle(nowMs);
-      return [...states]
-        .filter(([, { sentAtMs, wantedAtMs, toldAtMs }]) => {
-          const hasRequests = sentAtMs.length + wantedAtMs.length > 0;
-          return hasRequests || nowMs - toldAtMs < REPORT_REPEAT_MS;
+      const servers = [...states]
+        .filter(([, { sentAtMs, toldAtMs }]) => {
+          return sentAtMs.length > 0 || nowMs - toldAtMs < REPORT_REPEAT_MS;
         })
         .map(([serverId, state]) => reportOf(serverId, state, nowMs));
+      return { servers, demands: ownDemands(nowMs) };
     },
     count: (nowMs) =>
       [...states.keys()].filter((serverId) => limitOf(serverId, nowMs) !== undefined).length,
@@ -281,5 +304,5 @@
 
 /** Most requests that all routers together may send within a window. */
 function windowMax(requestsPerSec: number, burst: number): number {
-  return Math.floor((requestsPerSec * WINDOW_MS) / 1_000) + burst;
+  return Math.round((requestsPerSec * WINDOW_MS) / 1_000) + burst;
 }
--- a/packages/core/test/server-limits.spec.ts
+++ b/packages/core/test/server-limits.spec.ts
@@ -3,12 +3,13 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { describe, expect, it } from 'vitest';
 import { asId, createServerLimits } from '../src/index';
-import type { HostId, ServerId, ServerLimits } from '../src/index';
+import type { HostId, ServerId, ServerLimits, ServiceName } from '../src/index';
 
 const SERVER = asId<ServerId>('s1');
 const OTHER = asId<ServerId>('s2');
-const NEW = { draw: 0.5, isFailover: false };
-const FAILOVER = { draw: 0.5, isFailover: true };
+const SERVICE = asId<ServiceName>('shop');
+const NEW = { service: SERVICE, draw: 0.5, isFailover: false };
+const FAILOVER = { ...NEW, isFailover: true };
 const RULE_WINDOW_MS = 4_000;
 const STEP_MS = 5;
 const RUN_MS = 12_000;
@@ -51,8 +52,8 @@
     inFlight.filter(({ atMs }) => atMs === nowMs).forEach(({ apply }) => apply());
     if (random() < (play.offeredPerSec * STEP_MS) / 1_000) {
       const router = routers[Math.floor(random() * routers.length)];
-      const claim = { draw: random(), isFailover: false };
-      router?.limits.onWanted([SERVER], nowMs);
+      const claim = { ...NEW, draw: random() };
+      router?.limits.onWanted(SERVICE, [SERVER], nowMs);
       if (router?.limits.hasRoom(SERVER, claim, nowMs) === true) {
         sent.push(nowMs);
         router.limits.onSent(SERVER, nowMs);
@@ -150,6 +151,24 @@
     expect(limits.hasRoom(SERVER, NEW, 3_000)).toBe(true);
   });
 
+  it('costs a message few entries, however many servers name limits', () => {
+    // Guards against messages between routers that fill the links of a large fleet.
+    const limits = createServerLimits();
+    const ids = Array.from({ length: 120 }, (_, no) => asId<ServerId>(`s${no}`));
+    const reports = ids.map((serverId) => ({
+      serverId,
+      named: { requestsPerSec: 1, ageMs: 0 },
+      sentByAge: [],
+    }));
+    limits.onPeerReports(asId('r1'), { servers: reports, demands: [] }, 1_000);
+    limits.onWanted(SERVICE, ids, 1_100);
+    limits.onSent(SERVER, 1_100);
+    expect(limits.count(1_200)).toBe(120);
+    const { servers, demands } = limits.ownReports(1_200);
+    expect(servers.map(({ serverId }) => serverId)).toEqual([SERVER]);
+    expect(demands).toEqual([{ service: SERVICE, requests: 1 }]);
+  });
+
   it('is forgotten with the server, and after a time without answers', () => {
     const limits = limited(2, 5, 1_000);
     expect(limits.count(10_900)).toBe(1);
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -207,10 +207,9 @@
     const nowMs = clock.monotonicMs();
     const { limits } = ports.fleet;
     const ids = ports.fleet.usable(service).map(({ server }) => server.serverId);
-    limits.onWanted(ids, nowMs);
-    if (ports.fleet.withRoom(service, { draw, isFailover: false }, nowMs).length > 0) {
-      return undefined;
-    }
+    limits.onWanted(service, ids, nowMs);
+    const claim = { service, draw, isFailover: false };
+    if (ports.fleet.withRoom(service, claim, nowMs).length > 0) return undefined;
     return limits.roomInMs(ids, nowMs) + LIMITED_RETRY_MS * (1 + ports.random());
   }
 
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -8,12 +8,12 @@
   FailureDomain,
   Fleet,
   HostId,
+  LimitReports,
   PeerRegistry,
   PeerFailure,
   PeerMove,
   ServerFailure,
   ServerId,
-  ServerLimitReport,
 } from '@mimosamill/core';
 
 /** Addresses of the other routers. */
@@ -145,7 +145,7 @@
     addresses.forEach((address) => socket.send(address, bytes));
   }
 
-  function onPeerLimits(hostId: HostId, limits: readonly ServerLimitReport[], nowMs: number): void {
+  function onPeerLimits(hostId: HostId, limits: LimitReports, nowMs: number): void {
     fleet.limits.onPeerReports(hostId, limits, nowMs).forEach(({ serverId, requestsPerSec }) => {
       ports.decisions.vital('server.limit', {
         server: serverId,
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -3,6 +3,7 @@
 import type { CrashReports } from './crash-guard';
 import type {
   CallCounts,
+  LimitReports,
   PeerMove,
   PeerUpdate,
   PromptPartId,
@@ -14,7 +15,7 @@
 export interface RouterState {
   readonly update: PeerUpdate;
   readonly crashReports: CrashReports;
-  readonly limits: readonly ServerLimitReport[];
+  readonly limits: LimitReports;
 }
 
 /** Translates the state of a router to a datagram and back; times become ages on the way. */
@@ -41,16 +42,17 @@
   /** Undefined from a router of an earlier release. */
   crashReports?: CrashReportsMessage,
   /** Undefined likewise. */
-  limits?: LimitMessage[],
+  limits?: LimitsMessage,
 ];
 
+type LimitsMessage = [servers: LimitMessage[], demands: [service: string, requests: number][]];
+
 /** A server's limit; a negative age stands for no news, a negative limit for none. */
 type LimitMessage = [
   serverId: string,
   ageMs: number,
   requestsPerSec: number,
   sentByAge: readonly number[],
-  wanted: number,
 ];
 
 /** Reports on crashes, with the age of each in place of its time. */
@@ -117,7 +119,10 @@
       Math.round(slownessSum),
     ]),
     encodeCrashReports(crashReports, nowMs),
-    limits.map(encodeLimit),
+    [
+      limits.servers.map(encodeLimit),
+      limits.demands.map(({ service, requests }) => [service, requests]),
+    ],
   ];
 }
 
@@ -167,27 +172,28 @@
   return {
     update,
     crashReports: decodeCrashReports(crashReports ?? [[], [], []], nowMs),
-    limits: (limits ?? []).map(decodeLimit),
+    limits: decodeLimits(limits ?? [[], []]),
   };
 }
 
-function encodeLimit({ serverId, named, sentByAge, wanted }: ServerLimitReport): LimitMessage {
+function encodeLimit({ serverId, named, sentByAge }: ServerLimitReport): LimitMessage {
   const lastSent = sentByAge.findLastIndex((count) => count > 0);
   const counts = sentByAge.slice(0, lastSent + 1);
-  if (named === undefined) return [serverId, -1, -1, counts, wanted];
-  return [serverId, Math.round(named.ageMs), named.requestsPerSec ?? -1, counts, wanted];
+  if (named === undefined) return [serverId, -1, -1, counts];
+  return [serverId, Math.round(named.ageMs), named.requestsPerSec ?? -1, counts];
+}
+
+function decodeLimits([servers, demands]: LimitsMessage): LimitReports {
+  return {
+    servers: servers.map(decodeLimit),
+    demands: demands.map(([service, requests]) => ({ service: asId(service), requests })),
+  };
 }
 
-function decodeLimit([
-  serverId,
-  ageMs,
-  perSec,
-  sentByAge,
-  wanted,
-]: LimitMessage): ServerLimitReport {
+function decodeLimit([serverId, ageMs, perSec, sentByAge]: LimitMessage): ServerLimitReport {
   const requestsPerSec = perSec < 0 ? undefined : perSec;
   const named = ageMs < 0 ? undefined : { requestsPerSec, ageMs };
-  return { serverId: asId(serverId), named, sentByAge, wanted };
+  return { serverId: asId(serverId), named, sentByAge };
 }
 
 function encodeCrashReports(reports: CrashReports, nowMs: number): CrashReportsMessage {
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -10,6 +10,7 @@
   PromptPartId,
   RequestId,
   ServerId,
+  ServiceName,
 } from '@mimosamill/core';
 import type { ManualClock } from './clock';
 import type { CrashReports } from '../../src/forward/crash-guard';
@@ -162,7 +163,7 @@
     senderClock.advance(15);
     sender.sent.forEach((bytes) => receiver.broadcast.onMessage(bytes, '10.0.0.1:1'));
     const nowMs = receiverClock.monotonicMs();
-    const claim = { draw: 0, isFailover: false };
+    const claim = { service: asId<ServiceName>('shop'), draw: 0, isFailover: false };
     expect(receiver.fleet.limits.count(nowMs)).toBe(1);
     expect(receiver.fleet.limits.hasRoom(limited, claim, nowMs)).toBe(false);
     expect(receiver.fleet.limits.hasRoom(asId('b1'), claim, nowMs)).toBe(true);
