Keep a silent stream whose engine may not be replaced

Callers saw a stream close in the middle, or a 502 before its first event, though its engine only paused.

Cause: a silent attempt was cancelled first, and only then the attempts of the route and the retry budget were looked at. Where neither allowed another attempt, nothing was left to go on.

Change: an attempt is given up for silence only if another one may be sent. Else it is held, until the engine goes on, the budget allows a move, or the deadline passes; its engine is avoided meanwhile like a silent one, and the log says stream.held.

The six tests of stream-held.spec.ts failed before.

--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -103,6 +103,8 @@
       readonly attemptNo: number;
       readonly loss: 'silent' | 'garbled' | undefined;
     }
+  /** The attempt's engine has fallen silent; the attempt is kept, as no other one may be sent. */
+  | { readonly kind: 'hold'; readonly attemptNo: number }
   /** Asks the attempt's engine for a KV cache copy: a new one, or an update of `existingCopy`. */
   | {
       readonly kind: 'copy';
@@ -167,6 +169,8 @@
 const COPY_RETRY_DELAY_MS = 400;
 /** Delay before a new placement when no engine was usable. */
 const PLACEMENT_RETRY_DELAY_MS = 100;
+/** Delay until it is looked again whether a silent attempt may be replaced by another one. */
+const HOLD_RECHECK_MS = 100;
 /** Sends allowed per attempt of the route's limit; sends that reached no engine count as well. */
 const SENDS_PER_ATTEMPT = 2;
 /**
@@ -216,6 +220,8 @@
   let hasEnded = false;
   let suspectedAtMs: number | undefined;
   let placeAtMs: number | undefined;
+  /** Until then the current attempt is kept although it is silent. */
+  let heldUntilMs = -Infinity;
   let lastSendCause: AttemptLoss | 'first' = 'first';
   let mayHaveRun = false;
 
@@ -227,6 +233,7 @@
     lastSendCause = cause;
     suspectedAtMs = undefined;
     placeAtMs = undefined;
+    heldUntilMs = -Infinity;
     current = {
       attemptNo: sendCount,
       isFromCopy: resumeFrom !== undefined,
@@ -314,6 +321,27 @@
     return send(canUseCopy(attempt, loss) ? attempt.copy : undefined, loss);
   }
 
+  /** A silent engine may go on, so its attempt is given up only if another one may be sent. */
+  function mayReplaceSilent(): boolean {
+    return (
+      settings.isResumable &&
+      runCount + 1 < settings.attemptsMax &&
+      sendCount < maxSends() &&
+      settings.budget.available() > 0
+    );
+  }
+
+  function hold(silent: CurrentAttempt, nowMs: number): ForwardStreamEffect[] {
+    const isNew = heldUntilMs < silentAtMs();
+    heldUntilMs = nowMs + HOLD_RECHECK_MS;
+    const effects = requestCopy(silent, nowMs);
+    return isNew ? [{ kind: 'hold', attemptNo: silent.attemptNo }, ...effects] : effects;
+  }
+
+  function giveUpAtMs(): number {
+    return Math.max(silentAtMs(), heldUntilMs);
+  }
+
   function maxSends(): number {
     return settings.attemptsMax * SENDS_PER_ATTEMPT;
   }
@@ -428,7 +456,8 @@
       if (placeAtMs === undefined || nowMs < placeAtMs) return [];
       return send(undefined, lastSendCause);
     }
-    if (nowMs < silentAtMs()) return requestCopy(current, nowMs);
+    if (nowMs < giveUpAtMs()) return requestCopy(current, nowMs);
+    if (!mayReplaceSilent()) return hold(current, nowMs);
     const silent = current;
     return [
       { kind: 'cancel', attemptNo: silent.attemptNo, loss: 'silent' },
@@ -532,7 +561,7 @@
         settings.deadlineAtMs,
         placeAtMs ?? Infinity,
         copyAtMs ?? Infinity,
-        silentAtMs(),
+        giveUpAtMs(),
       );
     },
     hasBegun: () => hasBegun,
--- /dev/null
+++ b/packages/core/test/forward/stream-held.spec.ts
@@ -0,0 +1,146 @@
+import { describe, expect, it } from 'vitest';
+import { createForwardStream, createRetryBudget } from '../../src/index';
+import { id } from './fixtures';
+import type {
+  AttemptLoss,
+  ForwardStream,
+  ForwardStreamEffect,
+  ForwardStreamSettings,
+} from '../../src/index';
+
+const SETTINGS: ForwardStreamSettings = {
+  startedAtMs: 0,
+  deadlineAtMs: 25_000,
+  targetMs: 4_500,
+  gapTargetMs: 700,
+  attemptsMax: 5,
+  isResumable: true,
+  lastEventId: undefined,
+  budget: createRetryBudget({ ratio: 0, burst: 20 }),
+};
+
+/** A stream whose events and losses are fed by hand; its ticks come when they are due. */
+function startStream(changes: Partial<ForwardStreamSettings> = {}) {
+  const stream: ForwardStream = createForwardStream({ ...SETTINGS, ...changes });
+  const kinds: string[] = [];
+  let nowMs = 0;
+  let attemptNo = 0;
+  let tickCount = 0;
+
+  function note(effects: readonly ForwardStreamEffect[]): void {
+    effects.forEach((effect) => {
+      if (effect.kind === 'copy') return;
+      kinds.push(effect.kind);
+      if (effect.kind === 'send') attemptNo = effect.attemptNo;
+    });
+  }
+
+  note(stream.start());
+  return {
+    kinds,
+    count: (kind: ForwardStreamEffect['kind']) => kinds.filter((other) => other === kind).length,
+    ticks: () => tickCount,
+    advanceBy: (ms: number) => {
+      const endMs = nowMs + ms;
+      for (let wake = stream.wakeAtMs(); wake !== undefined && wake <= endMs;) {
+        nowMs = Math.max(nowMs, wake);
+        tickCount += 1;
+        note(stream.onEvent({ kind: 'tick' }, nowMs));
+        wake = stream.wakeAtMs();
+      }
+      nowMs = endMs;
+    },
+    place: (engine: string) =>
+      note(
+        stream.onEvent(
+          {
+            kind: 'placed',
+            attemptNo,
+            placed: { engineId: id(engine), copy: undefined, expectedFirstEventMs: 300 },
+          },
+          nowMs,
+        ),
+      ),
+    unplaced: () =>
+      note(
+        stream.onEvent({ kind: 'unplaced', attemptNo, reason: 'no_engine', message: '' }, nowMs),
+      ),
+    event: (eventId: number) =>
+      note(
+        stream.onEvent(
+          { kind: 'events', attemptNo, events: [{ id: eventId, bytes: new Uint8Array() }] },
+          nowMs,
+        ),
+      ),
+    lose: (loss: AttemptLoss) => note(stream.onEvent({ kind: 'lost', attemptNo, loss }, nowMs)),
+    end: () => note(stream.onEvent({ kind: 'end', attemptNo }, nowMs)),
+  };
+}
+
+describe('a stream whose engine falls silent and goes on', () => {
+  it('is not cut when the retry budget for another attempt is used up', () => {
+    const run = startStream({ budget: createRetryBudget({ ratio: 0, burst: 0 }) });
+    run.place('a1');
+    run.event(1);
+    run.advanceBy(1_500);
+    run.event(2);
+    run.end();
+    expect(run.kinds).toEqual(['send', 'begin', 'deliver', 'hold', 'deliver', 'finish']);
+    expect(run.ticks()).toBeLessThan(30);
+  });
+
+  it('is not cut when the route allows no other attempt', () => {
+    const run = startStream({ attemptsMax: 2 });
+    run.place('a1');
+    run.event(1);
+    run.lose('reset');
+    run.place('a2');
+    run.event(2);
+    run.advanceBy(1_500);
+    run.event(3);
+    run.end();
+    expect(run.count('cancel')).toBe(0);
+    expect(run.kinds.at(-1)).toBe('finish');
+  });
+
+  it('is not cut when it may not resume', () => {
+    const run = startStream({ isResumable: false });
+    run.place('a1');
+    run.event(1);
+    run.advanceBy(1_500);
+    run.event(2);
+    run.end();
+    expect(run.kinds).toEqual(['send', 'begin', 'deliver', 'hold', 'deliver', 'finish']);
+  });
+
+  it('is answered late before its first event, too, when no other attempt is allowed', () => {
+    const run = startStream({ budget: createRetryBudget({ ratio: 0, burst: 0 }) });
+    run.place('a1');
+    run.advanceBy(6_000);
+    run.event(1);
+    run.end();
+    expect(run.kinds).toEqual(['send', 'hold', 'begin', 'deliver', 'finish']);
+  });
+
+  it('moves once the budget allows it again', () => {
+    const budget = createRetryBudget({ ratio: 1, burst: 1 });
+    const run = startStream({ budget });
+    budget.tryTake();
+    run.place('a1');
+    run.event(1);
+    run.advanceBy(1_000);
+    budget.onRequest();
+    run.advanceBy(200);
+    expect(run.kinds.slice(-2)).toEqual(['cancel', 'send']);
+  });
+
+  it('ends at its deadline if the engine stays silent', () => {
+    const run = startStream({ attemptsMax: 1 });
+    run.place('a1');
+    run.event(1);
+    run.advanceBy(24_900);
+    expect(run.count('fail')).toBe(0);
+    run.advanceBy(200);
+    expect(run.kinds.slice(-2)).toEqual(['cancel', 'fail']);
+  });
+});
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -170,6 +170,7 @@
   const copies = createStreamKvCopies(ports, request);
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
+  const budget = ports.retryBudgetOf(service.name);
   const stream = createForwardStream({
     startedAtMs: request.receivedAtMs,
     deadlineAtMs: request.deadlineAtMs,
@@ -178,7 +179,7 @@
     attemptsMax: route.attemptsMax,
     isResumable: route.isResumable,
     lastEventId: head.lastEventId,
-    budget: ports.retryBudgetOf(service.name),
+    budget,
   });
   const entry: ActiveStream = {
     engineId: () => current?.engineId,
@@ -202,6 +203,9 @@
       case 'cancel':
         cancel(effect.attemptNo, effect.loss);
         return;
+      case 'hold':
+        onHeld(effect.attemptNo);
+        return;
       case 'copy':
         void makeCopy(effect.attemptNo, effect.existingCopy);
         return;
@@ -619,6 +623,25 @@
     closeAttempt(attempt);
   }
 
+  /** The engine is avoided like a silent one, while the attempt goes on. */
+  function onHeld(attemptNo: number): void {
+    const attempt = attempts.get(attemptNo);
+    if (attempt === undefined || attempt.isOver) return;
+    const nowMs = clock.monotonicMs();
+    const failure = classifySilence(attempt, nowMs);
+    const { avoidMs } = fleet.onFailure(attempt.engineId, failure, nowMs);
+    ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
+    decisions.notable('stream.held', {
+      request: requestId,
+      attempt: attempt.attemptNo,
+      engine: attempt.engineId,
+      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
+      had_events: attempt.hasEvents,
+      retries_left: budget.available(),
+      avoid_ms: avoidMs,
+    });
+  }
+
   /**
    * An engine that has sent events, or is lost or suspected, counts as silent; any other engine may
    * only be busy with prefills, so the attempt counts as unread.
