Let begun streams wait for an engine or the retry budget

Callers saw a begun stream close in the middle although engines were back a moment later.

Cause: placements that reached no engine counted as sends, so a begun stream ended after ten of them, a second without a usable engine; and one whose engine was lost ended at once where the retry budget was used up.

Change: a stream that has begun is placed again every 100 ms until its deadline, and waits for the budget as long. Requests that have not begun are refused at once, as before. Attempts of the route and the budget bind as before.

The three tests of "a begun stream whose engine is lost" failed before.

--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -167,11 +167,14 @@
  */
 const COPY_UPDATE_PERIOD_MS = 1_000;
 const COPY_RETRY_DELAY_MS = 400;
-/** Delay before a new placement when no engine was usable. */
+/** Delay before a begun stream is placed anew when no engine was usable or the budget is used up. */
 const PLACEMENT_RETRY_DELAY_MS = 100;
 /** Delay until it is looked again whether a silent attempt may be replaced by another one. */
 const HOLD_RECHECK_MS = 100;
-/** Sends allowed per attempt of the route's limit; sends that reached no engine count as well. */
+/**
+ * Sends allowed per attempt of the route's limit, including those that reached no engine. A begun
+ * stream sends on after that, but with a delay.
+ */
 const SENDS_PER_ATTEMPT = 2;
 /**
  * An engine may repeat events that the caller has; one that repeats more than this sends no answer.
@@ -200,6 +203,13 @@
   duplicates: number;
 }
 
+interface NextAttempt {
+  readonly resumeFrom: KvCacheCopy | undefined;
+  readonly cause: AttemptLoss | 'first';
+  /** Whether a retry has still to be taken from the budget for it. */
+  readonly needsBudget: boolean;
+}
+
 /** State machine that delivers one stream completely while its engines may fail. */
 export function createForwardStream(settings: ForwardStreamSettings): ForwardStream {
   const sequence = createEventSequence(settings.lastEventId);
@@ -220,9 +230,10 @@
   let hasEnded = false;
   let suspectedAtMs: number | undefined;
   let placeAtMs: number | undefined;
+  /** What a begun stream sends at `placeAtMs`. */
+  let next: NextAttempt = { resumeFrom: undefined, cause: 'first', needsBudget: false };
   /** Until then the current attempt is kept although it is silent. */
   let heldUntilMs = -Infinity;
-  let lastSendCause: AttemptLoss | 'first' = 'first';
   let mayHaveRun = false;
 
   function send(
@@ -230,7 +241,7 @@
     cause: AttemptLoss | 'first',
   ): ForwardStreamEffect[] {
     sendCount += 1;
-    lastSendCause = cause;
+    next = { resumeFrom: undefined, cause, needsBudget: false };
     suspectedAtMs = undefined;
     placeAtMs = undefined;
     heldUntilMs = -Infinity;
@@ -306,19 +317,37 @@
     if (engineId !== undefined) excluded.add(engineId);
     const mayResume = settings.isResumable || (!hasBegun && !mayHaveRun);
     if (nowMs >= settings.deadlineAtMs) return fail('the deadline passed before the stream ended');
-    if (!mayResume || runCount >= settings.attemptsMax || sendCount >= maxSends()) {
+    if (!mayResume || runCount >= settings.attemptsMax || (!hasBegun && sendCount >= maxSends())) {
       return loss === 'failed' && !hasBegun
         ? passFailure(attempt)
         : fail(`the attempt was lost (${loss}), and the route allows no other one`);
     }
+    const resumeFrom = canUseCopy(attempt, loss) ? attempt.copy : undefined;
     // A request that reached no engine adds no load, so only other repeats draw on the retry
     // budget.
-    if (loss !== 'not_sent' && !settings.budget.tryTake()) {
-      return loss === 'failed' && !hasBegun
+    const needsBudget = loss !== 'not_sent';
+    if (needsBudget && !settings.budget.tryTake()) {
+      if (hasBegun) return sendLater({ resumeFrom, cause: loss, needsBudget }, nowMs);
+      return loss === 'failed'
         ? passFailure(attempt)
         : fail('the attempt was lost, and the retry budget for another one is used up');
     }
-    return send(canUseCopy(attempt, loss) ? attempt.copy : undefined, loss);
+    if (sendCount >= maxSends()) {
+      return sendLater({ resumeFrom, cause: loss, needsBudget: false }, nowMs);
+    }
+    return send(resumeFrom, loss);
+  }
+
+  /** A begun stream goes on trying until its deadline: an error can no longer be sent. */
+  function sendLater(attempt: NextAttempt, nowMs: number): ForwardStreamEffect[] {
+    next = attempt;
+    placeAtMs = nowMs + PLACEMENT_RETRY_DELAY_MS;
+    return [];
+  }
+
+  function sendDue(nowMs: number): ForwardStreamEffect[] {
+    if (next.needsBudget && !settings.budget.tryTake()) return sendLater(next, nowMs);
+    return send(next.resumeFrom, next.cause);
   }
 
   /** A silent engine may go on, so its attempt is given up only if another one may be sent. */
@@ -326,7 +355,7 @@
     return (
       settings.isResumable &&
       runCount + 1 < settings.attemptsMax &&
-      sendCount < maxSends() &&
+      (hasBegun || sendCount < maxSends()) &&
       settings.budget.available() > 0
     );
   }
@@ -454,7 +483,7 @@
     if (nowMs >= settings.deadlineAtMs) return fail('the deadline passed before the stream ended');
     if (current === undefined) {
       if (placeAtMs === undefined || nowMs < placeAtMs) return [];
-      return send(undefined, lastSendCause);
+      return sendDue(nowMs);
     }
     if (nowMs < giveUpAtMs()) return requestCopy(current, nowMs);
     if (!mayReplaceSilent()) return hold(current, nowMs);
@@ -474,11 +503,7 @@
     if (reason === 'condemned') return failCondemned(message);
     // Engines on which attempts were lost may have restarted, and no other engine is usable.
     excluded.clear();
-    const isHopeless =
-      sendCount >= maxSends() || nowMs + PLACEMENT_RETRY_DELAY_MS >= settings.deadlineAtMs;
-    if (!hasBegun || isHopeless) return fail(message);
-    placeAtMs = nowMs + PLACEMENT_RETRY_DELAY_MS;
-    return [];
+    return hasBegun ? sendLater(next, nowMs) : fail(message);
   }
 
   function onAttemptEvent(
--- a/packages/core/test/forward/stream-held.spec.ts
+++ b/packages/core/test/forward/stream-held.spec.ts
@@ -144,3 +144,55 @@
     expect(run.kinds.slice(-2)).toEqual(['cancel', 'fail']);
   });
 });
+
+describe('a begun stream whose engine is lost', () => {
+  it('waits for the retry budget instead of being cut', () => {
+    const budget = createRetryBudget({ ratio: 1, burst: 1 });
+    const run = startStream({ budget });
+    budget.tryTake();
+    run.place('a1');
+    run.event(1);
+    run.lose('reset');
+    run.advanceBy(2_000);
+    expect(run.kinds).toEqual(['send', 'begin', 'deliver']);
+    budget.onRequest();
+    run.advanceBy(200);
+    run.place('a2');
+    run.event(2);
+    run.end();
+    expect(run.kinds.slice(3)).toEqual(['send', 'deliver', 'finish']);
+  });
+
+  it('goes on when engines are usable again after more than a second without any', () => {
+    const run = startStream();
+    run.place('a1');
+    run.event(1);
+    run.lose('reset');
+    for (let no = 0; no < 30; no += 1) {
+      run.unplaced();
+      run.advanceBy(100);
+    }
+    expect(run.count('fail')).toBe(0);
+    run.place('a2');
+    run.event(2);
+    run.end();
+    expect(run.kinds.at(-1)).toBe('finish');
+  });
+
+  it('goes on after all engines have refused connections for more than a second', () => {
+    const run = startStream();
+    run.place('a1');
+    run.event(1);
+    run.lose('reset');
+    for (let no = 0; no < 30; no += 1) {
+      run.place(`b${no}`);
+      run.lose('not_sent');
+      run.advanceBy(100);
+    }
+    expect(run.count('fail')).toBe(0);
+    run.place('a2');
+    run.event(2);
+    run.end();
+    expect(run.kinds.at(-1)).toBe('finish');
+  });
+});
