Keep begun streams that would end after their deadline elsewhere

Callers saw a begun stream close seconds before their deadline.

Cause: a stream that lost its engine and had no copy was ended at once where the estimated prefill and the rest of the stream passed its deadline. The estimate is there to refuse requests; a stream that has begun can no longer be refused, and the estimate can be too long.

Evidence: by reading and by the test.

Change: the estimate does not bind a stream that has begun.

The test of no-answer.spec.ts failed before.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -334,8 +334,9 @@
     placed: PlacedEngine,
     nowMs: number,
   ): number {
-    // Resuming from a KV cache copy needs no prefill, and the caller can use each further event.
-    if (effect.resumeFrom !== undefined) return 0;
+    // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
+    // more, and its caller can use each further event.
+    if (effect.resumeFrom !== undefined || stream.hasBegun()) return 0;
     const remainingMs = placed.isLightlyLoaded
       ? 0
       : ports.streamDurations.minRemainingMs(route.name, effect.lastEventId);
