Answer requests that a stopping router cuts off

Callers whose request was still running at the end of a router's grace period saw their connection close without an answer, also for a call that an engine had only left waiting for a moment.

Cause: at the cut the attempts were cancelled and the connections closed; nothing answered requests that had not begun to be answered.

Change: each of these gets a 502 (it may have run), with 100 ms to write it before the connections close. The log says outcome "cut" for them and for begun streams; "abandoned" now only means that the caller left.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -113,6 +113,8 @@
 /** Part of the grace period that is reserved for closing connections. */
 const CLOSE_MARGIN_MS = 500;
 const CLOSE_TIMEOUT_MS = 250;
+/** Time in which the errors of requests that were cut off are written to their callers. */
+const CUT_FLUSH_MS = 100;
 const WAIT_POLL_PERIOD_MS = 50;
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
@@ -410,8 +412,8 @@
     ingress.startDraining(cutAtMs);
     decisions.vital('router.stopping', { active: ingress.activeCount() });
     await waitUntil(clock, () => clock.monotonicMs() >= drainedAtMs);
-    const cancelCut = clock.runAfter(cutAtMs - clock.monotonicMs(), ingress.cancelAll);
-    await ingress.stopAccepting(cutAtMs - clock.monotonicMs());
+    const cancelCut = clock.runAfter(cutAtMs - clock.monotonicMs(), ingress.cutAll);
+    await ingress.stopAccepting(cutAtMs - clock.monotonicMs() + CUT_FLUSH_MS);
     cancelCut();
     decisions.vital('router.stopped', {
       took_ms: Math.round(clock.monotonicMs() - startedAtMs),
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -42,8 +42,8 @@
   readonly startDraining: (cutAtMs: number) => void;
   /** Accepts no more connections, and closes each one that becomes idle. */
   readonly stopAccepting: (timeoutMs: number) => Promise<void>;
-  /** Cancels all requests that are still running. */
-  readonly cancelAll: () => void;
+  /** Ends all requests that are still running; those without a response yet get an error. */
+  readonly cutAll: () => void;
   readonly activeCount: () => number;
 }
 
@@ -81,6 +81,7 @@
   settings: IngressSettings,
 ): Ingress {
   const { clock, codec, decisions, metrics } = ports;
+  /** How to end each running request when the router stops. */
   const active = new Map<ServerResponse, () => void>();
   /** Set once the router is stopping. */
   let drainUntilMs: number | undefined;
@@ -289,7 +290,12 @@
 
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
     const runningCall = calls.forward(request);
-    active.set(res, runningCall.abandon);
+    active.set(res, () => {
+      const error = cutError();
+      runningCall.abandon();
+      logCall(request, runningCall, 'cut', undefined, error);
+      sendCutError(res, error);
+    });
     res.once('close', () => {
       active.delete(res);
       if (!res.writableEnded) {
@@ -344,13 +350,26 @@
 
   function serveStream(request: ForwardRequest, res: ServerResponse): void {
     const runningCall = streams.forward(request, createSink(res));
-    active.set(res, runningCall.abandon);
+    active.set(res, () => {
+      runningCall.abandon('cut');
+      sendCutError(res, cutError());
+    });
     res.once('close', () => {
       active.delete(res);
-      if (!res.writableEnded) runningCall.abandon();
+      if (!res.writableEnded) runningCall.abandon('abandoned');
     });
   }
 
+  function cutError(): ServeError {
+    const message = 'the router stopped before the request ended';
+    return createServeError('backend_failed', message, 'unknown');
+  }
+
+  function sendCutError(res: ServerResponse, error: ServeError): void {
+    if (!res.headersSent) res.setHeader('connection', 'close');
+    sendError(res, error);
+  }
+
   function createSink(res: ServerResponse): StreamSink {
     return {
       writeHead: (status, headers: IncomingHttpHeaders) => {
@@ -373,7 +392,7 @@
       drainUntilMs = cutAtMs;
     },
     stopAccepting: (timeoutMs) => shell.drain(timeoutMs),
-    cancelAll: () => [...active.values()].forEach((abandon) => abandon()),
+    cutAll: () => [...active.values()].forEach((cut) => cut()),
     activeCount: () => active.size,
   };
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -41,8 +41,10 @@
 }
 
 export interface RunningForwardStream {
-  /** Called when the caller disconnects: makes the engine stop. */
-  readonly abandon: () => void;
+  /**
+   * Makes the engine stop when the caller has disconnected ('abandoned') or the router stops ('cut').
+   */
+  readonly abandon: (outcome: 'abandoned' | 'cut') => void;
 }
 
 /** Forwards streams; when an engine fails, resumes its streams on other engines. */
@@ -725,11 +727,11 @@
   stream.start().forEach(perform);
   alarm.set(stream.wakeAtMs());
   return {
-    abandon: () => {
+    abandon: (outcome) => {
       if (isOver) return;
       isOver = true;
       if (current !== undefined) cancel(current.attemptNo, undefined);
-      end('abandoned');
+      end(outcome);
     },
   };
 }
