--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -41,8 +41,10 @@
 }
 
 export interface RunningForwardStream {
-  /** Called when the caller disconnects: makes the engine stop. */
-  readonly abandon: () => void;
+  /**
+   * Makes the engine stop when the caller has disconnected ('abandoned') or the router stops ('cut').
+   */
+  readonly abandon: (outcome: 'abandoned' | 'cut') => void;
 }
 
 /** Forwards streams; when an engine fails, resumes its streams on other engines. */
@@ -170,6 +172,7 @@
   const copies = createStreamKvCopies(ports, request);
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
+  const budget = ports.retryBudgetOf(service.name);
   const stream = createForwardStream({
     startedAtMs: request.receivedAtMs,
     deadlineAtMs: request.deadlineAtMs,
@@ -178,7 +181,7 @@
     attemptsMax: route.attemptsMax,
     isResumable: route.isResumable,
     lastEventId: head.lastEventId,
-    budget: ports.retryBudgetOf(service.name),
+    budget,
   });
   const entry: ActiveStream = {
     engineId: () => current?.engineId,
@@ -202,6 +205,9 @@
       case 'cancel':
         cancel(effect.attemptNo, effect.loss);
         return;
+      case 'hold':
+        onHeld(effect.attemptNo);
+        return;
       case 'copy':
         void makeCopy(effect.attemptNo, effect.existingCopy);
         return;
@@ -330,8 +336,9 @@
     placed: PlacedEngine,
     nowMs: number,
   ): number {
-    // Resuming from a KV cache copy needs no prefill, and the caller can use each further event.
-    if (effect.resumeFrom !== undefined) return 0;
+    // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
+    // more, and its caller can use each further event.
+    if (effect.resumeFrom !== undefined || stream.hasBegun()) return 0;
     const remainingMs = placed.isLightlyLoaded
       ? 0
       : ports.streamDurations.minRemainingMs(route.name, effect.lastEventId);
@@ -619,6 +626,25 @@
     closeAttempt(attempt);
   }
 
+  /** The engine is avoided like a silent one, while the attempt goes on. */
+  function onHeld(attemptNo: number): void {
+    const attempt = attempts.get(attemptNo);
+    if (attempt === undefined || attempt.isOver) return;
+    const nowMs = clock.monotonicMs();
+    const failure = classifySilence(attempt, nowMs);
+    const { avoidMs } = fleet.onFailure(attempt.engineId, failure, nowMs);
+    ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
+    decisions.notable('stream.held', {
+      request: requestId,
+      attempt: attempt.attemptNo,
+      engine: attempt.engineId,
+      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
+      had_events: attempt.hasEvents,
+      retries_left: budget.available(),
+      avoid_ms: avoidMs,
+    });
+  }
+
   /**
    * An engine that has sent events, or is lost or suspected, counts as silent; any other engine may
    * only be busy with prefills, so the attempt counts as unread.
@@ -701,11 +727,11 @@
   stream.start().forEach(perform);
   alarm.set(stream.wakeAtMs());
   return {
-    abandon: () => {
+    abandon: (outcome) => {
       if (isOver) return;
       isOver = true;
       if (current !== undefined) cancel(current.attemptNo, undefined);
-      end('abandoned');
+      end(outcome);
     },
   };
 }
