Write ended responses out before a stop closes their connections

Callers that read slowly, or over a slow link, got only the first part of a response that a stopping router had ended.

Cause: Node's closeIdleConnections, which a stop calls at once and every 100 ms, takes a response that has ended for one that has been sent, and destroys its connection with what is not yet written.

Change: the server knows by itself which connections are idle: the last response has been handed to the system, and nothing has been read since.

--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -2,7 +2,7 @@
 import { App } from '@tinyhttp/app';
 import { createServeError, httpStatus } from '@mimosamill/core';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { ServeError } from '@mimosamill/core';
 
@@ -71,6 +71,7 @@
   catchRejections(app);
   /** Latest response on each connection. */
   const responses = new WeakMap<Duplex, ServerResponse>();
+  const idle = createIdleConnections();
   const server = createServer(
     {
       maxHeaderSize: limits.maxHeaderBytes,
@@ -81,6 +82,7 @@
     },
     (req, res) => {
       responses.set(req.socket, res);
+      idle.onRequest(req.socket, res);
       if (onRequest !== undefined) {
         onRequest(req, res);
         return;
@@ -100,6 +102,8 @@
     },
   );
   server.maxConnections = limits.maxConnections;
+  // Node's own would also close connections whose response is still being written.
+  server.closeIdleConnections = idle.closeAll;
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (!socket.writable) return;
     const running = responses.get(socket);
@@ -274,6 +278,36 @@
   });
 }
 
+/** Connections whose last response has been written and on which no other request has begun. */
+interface IdleConnections {
+  readonly onRequest: (socket: Socket, res: ServerResponse) => void;
+  readonly closeAll: () => void;
+}
+
+function createIdleConnections(): IdleConnections {
+  /** Bytes that had been read from each when it became idle. */
+  const readBytes = new Map<Socket, number>();
+  const latest = new WeakMap<Socket, ServerResponse>();
+
+  return {
+    onRequest: (socket, res) => {
+      if (!latest.has(socket)) socket.once('close', () => readBytes.delete(socket));
+      latest.set(socket, res);
+      readBytes.delete(socket);
+      res.once('finish', () => {
+        if (latest.get(socket) === res && !socket.destroyed) {
+          readBytes.set(socket, socket.bytesRead);
+        }
+      });
+    },
+    closeAll: () => {
+      readBytes.forEach((bytes, socket) => {
+        if (socket.bytesRead === bytes) socket.destroy();
+      });
+    },
+  };
+}
+
 function drain(server: Server, timeoutMs: number): Promise<void> {
   return new Promise((resolve) => {
     const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
