Answer a request whose handling fails

A request whose handling threw an exception got no answer, and the rejected promise ended the process: all other requests of the router lost theirs too.

Change: the caller gets a 502, and the log a line with the exception.

Evidence: by the test, which failed before (no answer in 60 s, the exception unhandled).

--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -87,9 +87,21 @@
   let drainUntilMs: number | undefined;
 
   const shell = createHttpServer({ ...DEFAULT_HTTP_LIMITS, maxHeaderBytes: 65_536 }, (req, res) => {
-    void handle(req, res);
+    handle(req, res).catch((error: unknown) => onHandlingFailed(req, res, error));
   });
 
+  /** An exception that nobody handles would end the process, and with it all other requests. */
+  function onHandlingFailed(req: IncomingMessage, res: ServerResponse, error: unknown): void {
+    decisions.vital('request.handling_failed', {
+      method: req.method,
+      path: req.url,
+      problem: error instanceof Error ? error.stack : String(error),
+    });
+    active.delete(res);
+    const message = 'the router failed to handle the request';
+    sendError(res, createServeError('backend_failed', message, 'unknown'));
+  }
+
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const receivedAtMs = clock.monotonicMs();
     if (drainUntilMs !== undefined) res.setHeader('connection', 'close');
