Send nothing to a server that said it leaves

Cause: the response header Server-Leaving was not read. Only the list of servers told that a server leaves, and the list tells late, not at all while the store is away, and may show the server as ready again after a restore of the store.

Callers would see requests reach a server that is about to stop, and streams resume from KV cache copies there that end with it.

Change: the codec decodes the header; the fleet keeps what a server said for this start of its process, whatever the list says later. Such a server is not usable for calls, streams and copies, and copies that it holds are made anew elsewhere. An answer of another server at its address, or to another request, does not count.

--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -1,5 +1,6 @@
 import { createServerLimits } from '../limit/server-limits';
 import { createOutlierDetector } from '../route/outlier-detector';
+import { createServerNotices, isRestart } from './server-notices';
 import type { OutlierDetector } from '../route/outlier-detector';
 import type { FailureDomain, RequestId, ServerId, ServiceName } from '../ids';
 import type { LimitClaim, ServerLimits } from '../limit/server-limits';
@@ -30,7 +31,7 @@
 /** State of one server as this process knows it. */
 export interface ServerState {
   server: ForwardServer;
-  /** When this process learned that the server is leaving; undefined while it is not. */
+  /** When this process learned, by the list or an answer, that the server is leaving. */
   leavingSinceMs: number | undefined;
   /** Requests of this router that the server runs. */
   ownRunning: number;
@@ -58,7 +59,7 @@
   readonly added: readonly ForwardServer[];
   readonly removed: readonly ForwardServer[];
   readonly leaving: readonly ForwardServer[];
-  /** Servers that were leaving and are listed as ready again. */
+  /** Servers that were listed as leaving and are listed as ready again. */
   readonly returned: readonly ForwardServer[];
   readonly restarted: readonly ForwardServer[];
 }
@@ -77,6 +78,11 @@
   ) => readonly ServerState[];
   /** Number of listed servers of all services. */
   readonly serverCount: () => number;
+  /**
+   * The server says in an answer that it is leaving, which holds until its process starts anew; true
+   * if that is news.
+   */
+  readonly onLeaving: (server: ForwardServer, nowMs: number) => boolean;
   readonly onLoadReport: (serverId: ServerId, load: ServerLoadReport, nowMs: number) => void;
   readonly onSent: (
     serverId: ServerId,
@@ -148,6 +154,7 @@
   const byService = new Map<ServiceName, ServerState[]>();
   const suspectedAtMsByDomain = new Map<string, number>();
   const limits = createServerLimits();
+  const notices = createServerNotices();
   const outlierDetector = createOutlierDetector({ ejectedMaxRatio: () => EJECTED_MAX_RATIO });
 
   function rebuildIndex(): void {
@@ -165,29 +172,37 @@
     );
   }
 
+  /** When the server was found to be leaving: by its own answer, or by its entry at `listedAtMs`. */
+  function leavingSinceMs(server: ForwardServer, listedAtMs: number): number | undefined {
+    return notices.leavingSinceMs(server) ?? (server.isLeaving ? listedAtMs : undefined);
+  }
+
   function setServers(servers: readonly ForwardServer[], nowMs: number): FleetChange {
     const added: ForwardServer[] = [];
     const leaving: ForwardServer[] = [];
     const returned: ForwardServer[] = [];
     const restarted: ForwardServer[] = [];
     const listed = new Set(servers.map(({ serverId }) => serverId));
+    notices.onListed(listed, nowMs);
     servers.forEach((server) => {
       const known = states.get(server.serverId);
       if (known === undefined) {
-        states.set(server.serverId, createServerState(server, nowMs));
+        states.set(server.serverId, createServerState(server, leavingSinceMs(server, nowMs)));
         added.push(server);
         return;
       }
       if (isRestart(known.server, server)) {
-        states.set(server.serverId, createServerState(server, nowMs));
+        states.set(server.serverId, createServerState(server, leavingSinceMs(server, nowMs)));
         limits.forget(server.serverId);
         restarted.push(server);
         return;
       }
-      if (server.isLeaving && !known.server.isLeaving) leaving.push(server);
-      if (!server.isLeaving && known.server.isLeaving) returned.push(server);
-      known.leavingSinceMs = server.isLeaving ? (known.leavingSinceMs ?? nowMs) : undefined;
+      const wasLeaving = known.leavingSinceMs !== undefined;
       known.server = server;
+      known.leavingSinceMs = leavingSinceMs(server, known.leavingSinceMs ?? nowMs);
+      const isLeaving = known.leavingSinceMs !== undefined;
+      if (isLeaving && !wasLeaving) leaving.push(server);
+      if (!isLeaving && wasLeaving) returned.push(server);
     });
     const removed: ForwardServer[] = [];
     states.forEach(({ server }, serverId) => {
@@ -202,7 +217,7 @@
 
   function usable(service: ServiceName): readonly ServerState[] {
     return (byService.get(service) ?? []).filter(
-      ({ server, isReplaced }) => !server.isLeaving && !isReplaced,
+      (state) => state.leavingSinceMs === undefined && !state.isReplaced,
     );
   }
 
@@ -293,6 +308,15 @@
     withRoom: (service, claim, nowMs) =>
       usable(service).filter(({ server }) => limits.hasRoom(server.serverId, claim, nowMs)),
     serverCount: () => states.size,
+    onLeaving: (server, nowMs) => {
+      if (!notices.onLeaving(server, nowMs)) return false;
+      const state = states.get(server.serverId);
+      // The answer may be of an earlier start of the server's process.
+      if (state === undefined || isRestart(server, state.server)) return false;
+      if (state.leavingSinceMs !== undefined) return false;
+      state.leavingSinceMs = nowMs;
+      return true;
+    },
     onLoadReport: (serverId, load, nowMs) => {
       const state = states.get(serverId);
       if (state === undefined) return;
@@ -337,7 +361,7 @@
       const spare = all.filter(
         (state) =>
           !state.isReplaced &&
-          !state.server.isLeaving &&
+          state.leavingSinceMs === undefined &&
           state.avoidUntilMs <= nowMs &&
           !isSuspected(state, nowMs),
       );
@@ -362,10 +386,10 @@
   return state.prefills.size === 0 ? 0 : Math.max(0, prefillEndAtMs - nowMs);
 }
 
-function createServerState(server: ForwardServer, nowMs: number): ServerState {
+function createServerState(server: ForwardServer, leavingSinceMs: number | undefined): ServerState {
   return {
     server,
-    leavingSinceMs: server.isLeaving ? nowMs : undefined,
+    leavingSinceMs,
     ownRunning: 0,
     prefills: new Map(),
     lastPrefillEndMs: -Infinity,
@@ -381,12 +405,6 @@
   };
 }
 
-function isRestart(before: ForwardServer, after: ForwardServer): boolean {
-  if (before.address !== after.address) return true;
-  if (before.startedAtMs === undefined || after.startedAtMs === undefined) return false;
-  return before.startedAtMs !== after.startedAtMs;
-}
-
 function domainKey(server: ForwardServer): string {
   return `${server.service}\u0000${server.failureDomain}`;
 }
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -107,6 +107,60 @@
     expect(fleet.get(id('a1'))?.ownRunning).toBe(0);
   });
 
+  it('uses no server that said it leaves, though a later list shows it ready, until it starts anew', () => {
+    // Guards against a late, expired or restored entry that brings a leaving server back.
+    const fleet = createFleetOf('a1', 'b1');
+    const usable = () => fleet.usable(GUIDE).map(({ server: { serverId } }) => serverId);
+    expect(fleet.onLeaving(server('a1'), 1_000)).toBe(true);
+    expect(fleet.onLeaving(server('a1'), 1_100)).toBe(false);
+    expect(usable()).toEqual(['b1']);
+    expect(fleet.setServers([server('a1'), server('b1')], 2_000).returned).toEqual([]);
+    expect(usable()).toEqual(['b1']);
+    fleet.setServers([server('b1')], 3_000);
+    fleet.setServers([server('a1'), server('b1')], 4_000);
+    expect(usable()).toEqual(['b1']);
+    fleet.setServers([server('a1'), server('b1')], 4_000_000);
+    fleet.onLeaving(server('b1'), 4_000_001);
+    expect(usable()).toEqual([]);
+    const restarted = fleet.setServers(
+      [{ ...server('a1'), startedAtMs: 9 }, server('b1')],
+      4_001_000,
+    );
+    expect(restarted.restarted.map(({ serverId }) => serverId)).toEqual(['a1']);
+    expect(usable()).toEqual(['a1']);
+  });
+
+  it('uses a restarted server although a late answer of its earlier start says that it leaves', () => {
+    const fleet = createFleetOf('a1');
+    fleet.setServers([{ ...server('a1'), startedAtMs: 7 }], 1_000);
+    expect(fleet.onLeaving(server('a1'), 1_100)).toBe(false);
+    fleet.setServers([{ ...server('a1'), startedAtMs: 7 }], 1_200);
+    expect(fleet.usable(GUIDE)).toHaveLength(1);
+  });
+
+  it('places neither a stream nor a copy on an engine that said it leaves', () => {
+    const fleet = createFleetOf('a1', 'b1');
+    const placer = createPlacer(fleet, createPeerRegistry(), asId('host'), hash32);
+    const input = {
+      service: GUIDE,
+      capacity: CAPACITY,
+      promptTokens: 10,
+      excluded: new Set<ServerId>(),
+      excludedCopyHolders: new Set<ServerId>(),
+      limitDraw: 0,
+    };
+    fleet.onLeaving(server('b1'), 1_000);
+    expect(placer.placeCopy(id('a1'), input, 1_000, createRandom(1))).toBeUndefined();
+    const resumed = placer.placeStream(
+      { ...input, fixedEngineId: id('b1') },
+      1_000,
+      createRandom(1),
+    );
+    expect(resumed.kind).toBe('none');
+    const placed = placer.placeStream({ ...input, isFailover: true }, 1_000, createRandom(1));
+    expect(placed).toMatchObject({ kind: 'ok', engineId: 'a1', copyEngineId: undefined });
+  });
+
   it('avoids engines with a late first event without treating them or their domain as lost', () => {
     // Guards against moving all streams of an engine that only has a long queue of prefills.
     const fleet = createFleetOf('a1', 'a2', 'a3');
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -1,13 +1,21 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { AnswerTimer } from './version-moves';
 import type { Exchange } from '@mimosamill/adapters';
-import type { RequestId, KvCacheCopy, ServerState, ServerId } from '@mimosamill/core';
+import type {
+  ForwardServer,
+  RequestId,
+  KvCacheCopy,
+  ServerState,
+  ServerId,
+} from '@mimosamill/core';
 
 /** State of an attempt's exchange with its engine; the core decides what follows from it. */
 export interface StreamAttempt {
   readonly attemptNo: number;
   readonly engineId: ServerId;
   readonly engineAddress: string;
+  /** Entry of the engine when the attempt was sent. */
+  readonly engine: ForwardServer;
   /** Latest copy of the KV cache. */
   kvCopy: KvCacheCopy | undefined;
   readonly sentAtMs: number;
@@ -43,6 +51,7 @@
     attemptNo,
     engineId: engine.server.serverId,
     engineAddress: engine.server.address,
+    engine: engine.server,
     kvCopy: copyHolder === undefined ? undefined : continuousCopyOf(copyHolder, requestId),
     sentAtMs: nowMs,
     isOnlyPrefill: engine.prefills.size === 0,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -291,7 +291,7 @@
       const nowMs = clock.monotonicMs();
       const metadata = ports.codec.parseResponse(status, headers);
       fleet.onBytesReceived(serverId, nowMs);
-      applyServerStatus(ports, serverId, metadata);
+      applyServerStatus(ports, server, head.requestId, metadata);
       if (metadata.isMisdirected) {
         fleet.onFailure(serverId, 'misdirected', nowMs);
         ports.stateBroadcast.onServerFailure(serverId, 'misdirected');
--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -48,6 +48,8 @@
   /** The response carries the signature that backend servers add to their own responses. */
   readonly isSigned: boolean;
   readonly load: ServerLoadReport | undefined;
+  /** The server is about to stop and takes no new requests for long. */
+  readonly isLeaving: boolean;
   /** Requests a second that the server takes from all routers together; undefined for no limit. */
   readonly limitPerSec: number | undefined;
 }
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -212,6 +212,7 @@
     versionMoves,
     crashGuard,
     serverListAgeMs: () => serverWatch.ageMs(),
+    onServerLeaving: (serverId) => streams.onServerLeaving(serverId),
   });
   const calls = createCallForwarder(ports);
   const streams = createStreamForwarder(ports);
@@ -474,6 +475,7 @@
     | 'versionMoves'
     | 'crashGuard'
     | 'serverListAgeMs'
+    | 'onServerLeaving'
   >,
 ): ForwardPorts {
   const { clock, random, metrics, decisions, codec, kvCopies } = environment;
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -8,6 +8,7 @@
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
+  readonly onServerNotice: (notice: 'leaving') => void;
 }
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
@@ -45,6 +46,11 @@
     'Attempts sent to servers that were leaving, no longer listed or of uncertain state',
     ['state'],
   );
+  const notices = metrics.counter(
+    'mimosamill_forward_server_notices_total',
+    'Times that a backend server newly said something of itself in an answer, by what it said',
+    ['notice'],
+  );
   return {
     onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
     onSend: (kind, cause) => sends.inc({ kind, cause }),
@@ -52,5 +58,6 @@
     onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
     onResumeGap: (gapMs) => gaps.observe(gapMs),
     onDepartingSend: (state) => departingSends.inc({ state }),
+    onServerNotice: (notice) => notices.inc({ notice }),
   };
 }
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -9,6 +9,7 @@
   Placer,
   RequestId,
   RetryBudget,
+  ServerId,
   ServiceName,
   StreamDurations,
 } from '@mimosamill/core';
@@ -60,6 +61,8 @@
   >;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
+  /** Called when a server says in an answer that it is leaving. */
+  readonly onServerLeaving: (serverId: ServerId) => void;
   readonly crashGuard: Pick<
     CrashGuard,
     'onBrokenAttempt' | 'onAnswered' | 'findCondemned' | 'isSuspected'
--- a/packages/router/src/forward/server-status.ts
+++ b/packages/router/src/forward/server-status.ts
@@ -1,18 +1,24 @@
-import type { ServerId } from '@mimosamill/core';
+import { finiteMs } from './finite';
+import type { ForwardServer, RequestId } from '@mimosamill/core';
 import type { ResponseMetadata } from './codec';
 import type { ForwardPorts } from './ports';
 
-/** Takes over what a server says of itself in the head of its response. */
+/** Takes over what a server says of itself in the head of its response to a request. */
 export function applyServerStatus(
-  { clock, fleet, decisions, stateBroadcast }: ForwardPorts,
-  serverId: ServerId,
-  { load, limitPerSec, isMisdirected }: ResponseMetadata,
+  ports: ForwardPorts,
+  server: ForwardServer,
+  requestId: RequestId,
+  metadata: ResponseMetadata,
 ): void {
   // Another server wrote the response.
-  if (isMisdirected) return;
+  if (metadata.isMisdirected) return;
+  const { clock, fleet, decisions, stateBroadcast } = ports;
+  const { serverId } = server;
   const nowMs = clock.monotonicMs();
-  if (load !== undefined) fleet.onLoadReport(serverId, load, nowMs);
-  const change = fleet.limits.onAnswer(serverId, limitPerSec, nowMs);
+  if (metadata.load !== undefined) fleet.onLoadReport(serverId, metadata.load, nowMs);
+  const isOfOtherRequest = metadata.requestId !== undefined && metadata.requestId !== requestId;
+  if (metadata.isLeaving && !isOfOtherRequest) onLeaving(ports, server, requestId, nowMs);
+  const change = fleet.limits.onAnswer(serverId, metadata.limitPerSec, nowMs);
   if (change === undefined) return;
   decisions.vital('server.limit', {
     server: serverId,
@@ -21,3 +27,20 @@
   });
   stateBroadcast.sendSoon();
 }
+
+function onLeaving(
+  { fleet, decisions, metrics, serverListAgeMs, onServerLeaving }: ForwardPorts,
+  server: ForwardServer,
+  requestId: RequestId,
+  nowMs: number,
+): void {
+  if (!fleet.onLeaving(server, nowMs)) return;
+  metrics.onServerNotice('leaving');
+  decisions.vital('server.leaving', {
+    server: server.serverId,
+    started_at_ms: server.startedAtMs,
+    request: requestId,
+    list_age_ms: finiteMs(serverListAgeMs()),
+  });
+  onServerLeaving(server.serverId);
+}
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -496,7 +496,7 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
-    applyServerStatus(ports, attempt.engineId, metadata);
+    applyServerStatus(ports, attempt.engine, requestId, metadata);
     if (metadata.isMisdirected) {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
