Send nothing to a server for the time that its Retry-After names

Cause: the Retry-After of a server's 503 was not read. A server that turned requests away was at most avoided, and each call asked it again, with its retries, as soon as it was the cheapest or the others were avoided too.

Callers would see calls that take turns at servers which refuse them, and refusals that name 150 ms for a pause of seconds.

If no server takes requests, the refusal names the earliest time at which one may; limits and pauses share that decision, which moves from ingress.ts to room.ts, and calls and streams that fail as not run on the way use it too.

--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -70,12 +70,14 @@
   readonly get: (serverId: ServerId) => ServerState | undefined;
   /** Servers of a service that are neither leaving nor replaced by another process. */
   readonly usable: (service: ServiceName) => readonly ServerState[];
-  /** Those of the usable servers to which the request may be sent under the limits they named. */
+  /** Those of the usable servers that take the request, by the limits and pauses they named. */
   readonly withRoom: (
     service: ServiceName,
     claim: LimitClaim,
     nowMs: number,
   ) => readonly ServerState[];
+  /** Time until a usable server of the service may take a new request; 0 if one may now. */
+  readonly roomInMs: (service: ServiceName, nowMs: number) => number;
   /** Number of listed servers of all services. */
   readonly serverCount: () => number;
   /**
@@ -83,6 +85,13 @@
    * if that is news.
    */
   readonly onLeaving: (server: ForwardServer, nowMs: number) => boolean;
+  /**
+   * The server wants no requests of this router for so long, of its process as it is; true if it
+   * took requests until now.
+   */
+  readonly onPause: (server: ForwardServer, pauseMs: number, nowMs: number) => boolean;
+  /** Whether the server wants no requests of this router now. */
+  readonly isPaused: (state: ServerState, nowMs: number) => boolean;
   readonly onLoadReport: (serverId: ServerId, load: ServerLoadReport, nowMs: number) => void;
   readonly onSent: (
     serverId: ServerId,
@@ -221,6 +230,17 @@
     );
   }
 
+  function isPaused({ server }: ServerState, nowMs: number): boolean {
+    return notices.pauseLeftMs(server, nowMs) > 0;
+  }
+
+  function roomInMs(service: ServiceName, nowMs: number): number {
+    const waitsMs = usable(service).map(({ server }) =>
+      Math.max(limits.roomInMs([server.serverId], nowMs), notices.pauseLeftMs(server, nowMs)),
+    );
+    return Math.min(...waitsMs);
+  }
+
   function domainServers(server: ForwardServer): ServerState[] {
     const list = byService.get(server.service) ?? [];
     return list.filter((other) => other.server.failureDomain === server.failureDomain);
@@ -306,7 +326,10 @@
     get: (serverId) => states.get(serverId),
     usable,
     withRoom: (service, claim, nowMs) =>
-      usable(service).filter(({ server }) => limits.hasRoom(server.serverId, claim, nowMs)),
+      usable(service).filter(
+        (state) => !isPaused(state, nowMs) && limits.hasRoom(state.server.serverId, claim, nowMs),
+      ),
+    roomInMs,
     serverCount: () => states.size,
     onLeaving: (server, nowMs) => {
       if (!notices.onLeaving(server, nowMs)) return false;
@@ -317,6 +340,12 @@
       state.leavingSinceMs = nowMs;
       return true;
     },
+    onPause: (server, pauseMs, nowMs) => {
+      const wasPaused = notices.pauseLeftMs(server, nowMs) > 0;
+      notices.onPause(server, nowMs + pauseMs, nowMs);
+      return !wasPaused;
+    },
+    isPaused,
     onLoadReport: (serverId, load, nowMs) => {
       const state = states.get(serverId);
       if (state === undefined) return;
@@ -363,6 +392,7 @@
           !state.isReplaced &&
           state.leavingSinceMs === undefined &&
           state.avoidUntilMs <= nowMs &&
+          !isPaused(state, nowMs) &&
           !isSuspected(state, nowMs),
       );
       return spare.length >= all.length * SPARE_CAPACITY_RATIO;
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -223,7 +223,8 @@
     if (!input.capacity.hasBackups) return undefined;
     const others = fleet
       .usable(input.service)
-      .filter((state) => state !== engine && !input.excludedCopyHolders.has(state.server.serverId));
+      .filter((state) => state !== engine && !input.excludedCopyHolders.has(state.server.serverId))
+      .filter((state) => !fleet.isPaused(state, nowMs));
     const otherDomains = others.filter(
       ({ server }) => server.failureDomain !== engine.server.failureDomain,
     );
@@ -240,7 +241,7 @@
       const all = fleet.usable(input.service);
       const { service, limitDraw: draw } = input;
       const claim = { service, draw, isFailover: input.isFailover === true };
-      const open = all.filter(({ server }) => fleet.limits.hasRoom(server.serverId, claim, nowMs));
+      const open = fleet.withRoom(service, claim, nowMs);
       const choices = open.filter(({ server }) => !input.excluded.has(server.serverId));
       const rank = rankOf(input.service, all);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
--- a/packages/core/src/forward/server-notices.ts
+++ b/packages/core/src/forward/server-notices.ts
@@ -10,13 +10,18 @@
   readonly onLeaving: (server: ForwardServer, nowMs: number) => boolean;
   /** When the server first said that it is leaving; undefined if it has not. */
   readonly leavingSinceMs: (server: ForwardServer) => number | undefined;
+  /** The server wants no requests of this router until then; an earlier notice may last longer. */
+  readonly onPause: (server: ForwardServer, untilMs: number, nowMs: number) => void;
+  /** Time for which the server wants no more requests; 0 if it takes them. */
+  readonly pauseLeftMs: (server: ForwardServer, nowMs: number) => number;
   /** The servers are listed, so what they said must be kept. */
   readonly onListed: (serverIds: ReadonlySet<ServerId>, nowMs: number) => void;
 }
 
 interface Notice {
   readonly server: ForwardServer;
-  readonly leavingSinceMs: number;
+  leavingSinceMs: number | undefined;
+  pausedUntilMs: number;
   /** When the server last said something or was listed. */
   neededAtMs: number;
 }
@@ -32,6 +37,19 @@
     return notice === undefined || isRestart(notice.server, server) ? undefined : notice;
   }
 
+  function noticeFor(server: ForwardServer, nowMs: number): Notice {
+    const known = noticeOf(server);
+    if (known !== undefined) return known;
+    const created: Notice = {
+      server,
+      leavingSinceMs: undefined,
+      pausedUntilMs: -Infinity,
+      neededAtMs: nowMs,
+    };
+    notices.set(server.serverId, created);
+    return created;
+  }
+
   function dropOld(nowMs: number): void {
     notices.forEach(({ neededAtMs }, serverId) => {
       if (nowMs - neededAtMs >= UNLISTED_KEEP_MS) notices.delete(serverId);
@@ -40,10 +58,17 @@
 
   return {
     onLeaving: (server, nowMs) => {
-      if (noticeOf(server) !== undefined) return false;
-      notices.set(server.serverId, { server, leavingSinceMs: nowMs, neededAtMs: nowMs });
+      const notice = noticeFor(server, nowMs);
+      if (notice.leavingSinceMs !== undefined) return false;
+      notice.leavingSinceMs = nowMs;
       return true;
     },
+    onPause: (server, untilMs, nowMs) => {
+      const notice = noticeFor(server, nowMs);
+      notice.pausedUntilMs = Math.max(notice.pausedUntilMs, untilMs);
+    },
+    pauseLeftMs: (server, nowMs) =>
+      Math.max(0, (noticeOf(server)?.pausedUntilMs ?? -Infinity) - nowMs),
     leavingSinceMs: (server) => noticeOf(server)?.leavingSinceMs,
     onListed: (serverIds, nowMs) => {
       notices.forEach((notice, serverId) => {
--- a/packages/core/test/forward/fleet.spec.ts
+++ b/packages/core/test/forward/fleet.spec.ts
@@ -184,6 +184,77 @@
   });
 });
 
+describe('a server that turned a request away for some time', () => {
+  const CLAIM = { service: GUIDE, draw: 0, isFailover: false };
+  const FAILOVER = { ...CLAIM, isFailover: true };
+  const open = (fleet: ReturnType<typeof createFleet>, nowMs: number, claim = CLAIM) =>
+    fleet.withRoom(GUIDE, claim, nowMs).map(({ server: { serverId } }) => serverId);
+
+  it('gets no call, stream or copy until then, although all other servers are avoided', () => {
+    // Guards against a choice that only weighs the pause.
+    const fleet = createFleetOf('a1', 'b1');
+    const placer = createPlacer(fleet, createPeerRegistry(), asId('host'), hash32);
+    const input = {
+      service: GUIDE,
+      capacity: CAPACITY,
+      promptTokens: 10,
+      excluded: new Set<ServerId>(),
+      excludedCopyHolders: new Set<ServerId>(),
+      limitDraw: 0,
+      route: 'r',
+    };
+    expect(fleet.onPause(server('b1'), 3_000, 1_000)).toBe(true);
+    fleet.onFailure(id('a1'), 'refused', 1_000);
+    fleet.onFailure(id('a1'), 'refused', 2_000);
+    fleet.onFailure(id('a1'), 'refused', 3_500);
+    for (const nowMs of [1_001, 2_500, 3_999]) {
+      const random = createRandom(nowMs);
+      expect(placer.placeCall(input, nowMs, random)).toBe('a1');
+      for (const isFailover of [false, true]) {
+        const placed = placer.placeStream({ ...input, isFailover }, nowMs, random);
+        expect(placed).toMatchObject({ engineId: 'a1', copyEngineId: undefined });
+      }
+      const fixed = placer.placeStream({ ...input, fixedEngineId: id('b1') }, nowMs, random);
+      expect(fixed.kind).toBe('none');
+      expect(placer.placeCopy(id('a1'), input, nowMs, random)).toBeUndefined();
+    }
+    expect(placer.placeCall(input, 4_000, createRandom(1))).toBe('b1');
+  });
+
+  it('stays closed for the longest time that it named, to streams that lost their engine too', () => {
+    const fleet = createFleetOf('a1');
+    fleet.onPause(server('a1'), 2_000, 1_000);
+    expect(fleet.onPause(server('a1'), 500, 1_100)).toBe(false);
+    expect(open(fleet, 2_999)).toEqual([]);
+    expect(open(fleet, 2_999, FAILOVER)).toEqual([]);
+    expect(open(fleet, 3_000)).toEqual(['a1']);
+  });
+
+  it('stays closed when its entry expires and comes back, and opens with a new start', () => {
+    const fleet = createFleetOf('a1');
+    fleet.onPause(server('a1'), 9_000, 1_000);
+    fleet.setServers([], 1_500);
+    fleet.setServers([server('a1')], 2_000);
+    expect(open(fleet, 2_100)).toEqual([]);
+    fleet.setServers([{ ...server('a1'), startedAtMs: 5 }], 3_000);
+    expect(open(fleet, 3_100)).toEqual(['a1']);
+    fleet.onPause(server('a1'), 9_000, 3_200);
+    expect(open(fleet, 3_300)).toEqual(['a1']);
+  });
+
+  it('has room when its pause is over and its limit allows it', () => {
+    const fleet = createFleetOf('a1', 'b1');
+    fleet.onPause(server('a1'), 2_000, 1_000);
+    expect(fleet.roomInMs(GUIDE, 1_100)).toBe(0);
+    fleet.onPause(server('b1'), 700, 1_000);
+    expect(fleet.roomInMs(GUIDE, 1_100)).toBe(600);
+    fleet.limits.onAnswer(id('b1'), 0.5, 1_000);
+    fleet.limits.onSent(id('b1'), 1_000);
+    fleet.limits.onSent(id('b1'), 1_000);
+    expect(fleet.roomInMs(GUIDE, 1_100)).toBe(1_900);
+  });
+});
+
 describe('placement of streams', () => {
   const input = {
     service: GUIDE,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -2,6 +2,7 @@
 import { createWakeTimer, createDeferred } from '../call/async';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { withRoomTime } from './room';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -149,13 +150,18 @@
         return;
       case 'answer':
         active.delete(entry);
-        result.resolve(effect.result);
+        result.resolve(withReturnTime(effect.result));
         return;
       default:
         assertNever(effect);
     }
   }
 
+  function withReturnTime(outcome: CallResult<BufferedResponse>): CallResult<BufferedResponse> {
+    if (outcome.kind === 'ok') return outcome;
+    return { kind: 'error', error: withRoomTime(ports, request, outcome.error) };
+  }
+
   function dispatch(attemptNo: number, answer: ServerAnswer<BufferedResponse>): void {
     apply(call.onEvent({ kind: 'answer', attemptNo, answer }, clock.monotonicMs()));
   }
--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -50,6 +50,8 @@
   readonly load: ServerLoadReport | undefined;
   /** The server is about to stop and takes no new requests for long. */
   readonly isLeaving: boolean;
+  /** The server did not run the request, and wants none of this router for so long. */
+  readonly retryAfterMs: number | undefined;
   /** Requests a second that the server takes from all routers together; undefined for no limit. */
   readonly limitPerSec: number | undefined;
 }
--- a/packages/router/src/forward/copies.ts
+++ b/packages/router/src/forward/copies.ts
@@ -37,10 +37,17 @@
     ports.stateBroadcast.sendLater();
   }
 
+  /** Whether the engine wants no calls of this router now. */
+  function isPaused(engineId: ServerId): boolean {
+    const state = fleet.get(engineId);
+    return state !== undefined && fleet.isPaused(state, ports.clock.monotonicMs());
+  }
+
   async function create(
     attempt: StreamAttempt,
     existingCopy: KvCacheCopy | undefined,
   ): Promise<KvCacheCopy | undefined> {
+    if (isPaused(attempt.engineId)) return existingCopy;
     const holderId = existingCopy?.engineId ?? chooseCopyHolder(attempt);
     const holder = holderId === undefined ? undefined : fleet.get(holderId);
     if (holderId === undefined || holder === undefined) return undefined;
@@ -74,8 +81,8 @@
 
   return {
     create,
-    release: ({ kvCopy, engineAddress }) => {
-      if (kvCopy?.isOnDemand !== true) return;
+    release: ({ kvCopy, engineId, engineAddress }) => {
+      if (kvCopy?.isOnDemand !== true || isPaused(engineId)) return;
       void ports.kvCopies.release(engineAddress, kvCopy.id);
     },
   };
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -3,6 +3,7 @@
 import { finiteMs } from './finite';
 import { createRequestContent } from './content';
 import { condemnedMessage } from './crash-guard';
+import { noRoomForMs } from './room';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
@@ -64,8 +65,6 @@
 const STALE_RETRY_MAX_MS = 3_000;
 const STALE_RETRY_RATIO = 0.5;
 const STALE_RETRY_JITTER_RATIO = 0.4;
-/** Callers that servers with limits have no room for come back after this time or twice as late. */
-const LIMITED_RETRY_MS = 250;
 /** Bytes buffered for a caller that reads slowly; with more, its connection is closed. */
 const UNSENT_MAX_BYTES = 4_194_304;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
@@ -179,10 +178,11 @@
       return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
     }
     const limitDraw = ports.random();
-    const limitedMs = limitedForMs(service.name, limitDraw);
-    if (limitedMs !== undefined) {
-      const message = 'all servers of the service have reached the limits that they named';
-      return refused('overloaded', message, limitedMs);
+    noteDemand(service.name);
+    const noRoomMs = noRoomForMs(ports, service.name, limitDraw);
+    if (noRoomMs !== undefined) {
+      const message = 'no server of the service takes requests: they named limits or pauses';
+      return refused('overloaded', message, noRoomMs);
     }
     const budgetMs = Math.min(route.timeoutMs, head.budgetMs ?? Infinity);
     return {
@@ -202,15 +202,10 @@
     };
   }
 
-  /** When a caller may come back if no server of the service can take a request with this draw. */
-  function limitedForMs(service: ServiceName, draw: number): number | undefined {
-    const nowMs = clock.monotonicMs();
-    const { limits } = ports.fleet;
+  /** Counts the request among those that servers with limits could get. */
+  function noteDemand(service: ServiceName): void {
     const ids = ports.fleet.usable(service).map(({ server }) => server.serverId);
-    limits.onWanted(service, ids, nowMs);
-    const claim = { service, draw, isFailover: false };
-    if (ports.fleet.withRoom(service, claim, nowMs).length > 0) return undefined;
-    return limits.roomInMs(ids, nowMs) + LIMITED_RETRY_MS * (1 + ports.random());
+    ports.fleet.limits.onWanted(service, ids, clock.monotonicMs());
   }
 
   /** Whether a request of the route would probably end before the router stops. */
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -8,7 +8,7 @@
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
-  readonly onServerNotice: (notice: 'leaving') => void;
+  readonly onServerNotice: (notice: 'leaving' | 'retry_after') => void;
 }
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
--- a/packages/router/src/forward/server-status.ts
+++ b/packages/router/src/forward/server-status.ts
@@ -17,7 +17,11 @@
   const nowMs = clock.monotonicMs();
   if (metadata.load !== undefined) fleet.onLoadReport(serverId, metadata.load, nowMs);
   const isOfOtherRequest = metadata.requestId !== undefined && metadata.requestId !== requestId;
-  if (metadata.isLeaving && !isOfOtherRequest) onLeaving(ports, server, requestId, nowMs);
+  if (!isOfOtherRequest) {
+    const { isLeaving, retryAfterMs } = metadata;
+    if (isLeaving) onLeaving(ports, server, requestId, nowMs);
+    if (retryAfterMs !== undefined) onPause(ports, server, requestId, retryAfterMs, nowMs);
+  }
   const change = fleet.limits.onAnswer(serverId, metadata.limitPerSec, nowMs);
   if (change === undefined) return;
   decisions.vital('server.limit', {
@@ -44,3 +48,19 @@
   });
   onServerLeaving(server.serverId);
 }
+
+function onPause(
+  { fleet, decisions, metrics }: ForwardPorts,
+  server: ForwardServer,
+  requestId: RequestId,
+  pauseMs: number,
+  nowMs: number,
+): void {
+  if (!fleet.onPause(server, pauseMs, nowMs)) return;
+  metrics.onServerNotice('retry_after');
+  decisions.vital('server.retry_after', {
+    server: server.serverId,
+    request: requestId,
+    retry_after_ms: Math.round(pauseMs),
+  });
+}
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -4,6 +4,7 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { withRoomTime } from './room';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -221,7 +222,7 @@
       case 'fail':
         end('failed', effect.error);
         if (stream.hasBegun()) sink.abort(effect.error.message);
-        else sink.fail(effect.error);
+        else sink.fail(withRoomTime(ports, request, effect.error));
         return;
       default:
         assertNever(effect);
