--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -2,6 +2,7 @@
 import { createWakeTimer, createDeferred } from '../call/async';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { withRoomTime } from './room';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -149,13 +150,18 @@
         return;
       case 'answer':
         active.delete(entry);
-        result.resolve(effect.result);
+        result.resolve(withReturnTime(effect.result));
         return;
       default:
         assertNever(effect);
     }
   }
 
+  function withReturnTime(outcome: CallResult<BufferedResponse>): CallResult<BufferedResponse> {
+    if (outcome.kind === 'ok') return outcome;
+    return { kind: 'error', error: withRoomTime(ports, request, outcome.error) };
+  }
+
   function dispatch(attemptNo: number, answer: ServerAnswer<BufferedResponse>): void {
     apply(call.onEvent({ kind: 'answer', attemptNo, answer }, clock.monotonicMs()));
   }
@@ -291,7 +297,7 @@
       const nowMs = clock.monotonicMs();
       const metadata = ports.codec.parseResponse(status, headers);
       fleet.onBytesReceived(serverId, nowMs);
-      applyServerStatus(ports, serverId, metadata);
+      applyServerStatus(ports, server, head.requestId, metadata);
       if (metadata.isMisdirected) {
         fleet.onFailure(serverId, 'misdirected', nowMs);
         ports.stateBroadcast.onServerFailure(serverId, 'misdirected');
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -4,6 +4,7 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { withRoomTime } from './room';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -227,7 +228,7 @@
       case 'fail':
         end('failed', effect.error);
         if (stream.hasBegun()) sink.abort(effect.error.message);
-        else sink.fail(effect.error);
+        else sink.fail(withRoomTime(ports, request, effect.error));
         return;
       default:
         assertNever(effect);
@@ -503,7 +504,7 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
-    applyServerStatus(ports, attempt.engineId, metadata);
+    applyServerStatus(ports, attempt.engine, requestId, metadata);
     if (metadata.isMisdirected) {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
