Check the shape of what another router relays

Cause: the answer of a relay was parsed as JSON and used without a check. Another process may answer at the address of a router that is gone: null or an object of another shape made the read throw. What callers saw: the poll of the list ended for good, and the rejection that nobody handles ended the process. Evidence: relay.spec.ts against the code without the change: six tests fail, by a TypeError or a relayed answer of undefined rows. Change: an answer of another shape counts as no answer, so that the next source is read.

--- a/packages/router/src/forward/relay.ts
+++ b/packages/router/src/forward/relay.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod';
 import { createHttpServer, sendJson } from '@mimosamill/adapters';
 import type { HttpClient, HttpServer } from '@mimosamill/adapters';
 import type { RelayedChanges, RelaySource, TableChange } from './table-watch';
@@ -88,9 +89,19 @@
   };
 }
 
+/** Another process may answer at the address of a router that is gone. */
+const responseSchema = z.looseObject({
+  changes: z.array(z.object({ key: z.string(), value: z.unknown().optional() })),
+  isAll: z.boolean(),
+  revision: z.number(),
+  storeAsOfMs: z.number(),
+  sinceOutageMs: z.number().nullable(),
+});
+
 function parse(body: string): RelayResponse | undefined {
   try {
-    return JSON.parse(body) as RelayResponse;
+    const json: unknown = JSON.parse(body);
+    return responseSchema.safeParse(json).success ? (json as RelayResponse) : undefined;
   } catch {
     return undefined;
   }
