Keep following a table after a read that throws

Cause: the loop of polls caught no error, and a refresh that threw left its promise as the one that all later refreshes got. What callers saw: after one unexpected error the router followed the list no more, or its process ended. Evidence: the new test in table-watch.spec.ts against the code without the change: it fails, beside an unhandled rejection. Change: an error counts as a failed read: it is logged as table.read_failed, and the next poll follows after the usual delay.

--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -1,3 +1,4 @@
+import { describeError } from '@mimosamill/adapters';
 import { createFreshnessTracker, createOutageTracker } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
 import { finiteMs } from './finite';
@@ -339,10 +340,17 @@
     return delayMs * (1 + RETRY_JITTER_RATIO * random());
   }
 
+  /** An unexpected error must neither end the process nor the polls. */
+  function onUnexpected(error: unknown): false {
+    failures += 1;
+    decisions.vital('table.read_failed', { table: settings.name, message: describeError(error) });
+    return false;
+  }
+
   async function pollLoop(): Promise<void> {
     while (!isStopped) {
       const before = replica.revision();
-      const isOk = await pollOnce();
+      const isOk = await pollOnce().catch(onUnexpected);
       if (isStopped) return;
       const pauseMs = replica.revision() > before ? BATCH_DELAY_MS : 0;
       if (!isOk || pauseMs > 0) {
@@ -354,7 +362,7 @@
 
   function refresh(): Promise<boolean> {
     refreshing ??= (async () => {
-      const isOk = await readChanges(new AbortController(), MIN_WAIT_MS);
+      const isOk = await readChanges(new AbortController(), MIN_WAIT_MS).catch(onUnexpected);
       refreshing = undefined;
       return isOk;
     })();
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -286,6 +286,31 @@
   });
 });
 
+describe('a watch whose read throws an unexpected error', () => {
+  it('goes on following the table, and answers a request for a fresh read', async () => {
+    let isBroken = true;
+    const relay = (): Promise<RelayedChanges<string>> =>
+      isBroken
+        ? Promise.reject(new TypeError('not an object'))
+        : Promise.resolve(relayedAt(7, 100, 'a1'));
+    const { clock, scriptedStore, events, published, watch } = createTestWatch(relay, false);
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a0'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    expect(events).toContain('table.read_failed');
+    isBroken = false;
+    clock.advance(1_000);
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a1']);
+    const refreshed = watch.refresh();
+    scriptedStore.calls.at(-1)?.answer(changes(8, 300, 'a2'));
+    expect(await refreshed).toBe(true);
+    watch.stop();
+  });
+});
+
 describe('a watch that reads from a relay after the loss of its own path to the store', () => {
   it('asks the store again by itself, so that the loss does not last for ever', async () => {
     const { clock, scriptedStore, events, watch } = createTestWatch(
