Count a request to an address that is not valid as not sent

Cause: to make the connection pool of such an address throws, out of the handler of the request or out of a timer; the probe whether a server still takes connections threw for a port out of range. What callers saw: no answer, and the rejection that nobody handles ended the process. Since server entries are checked, no such address is known to get here; this is the second guard. Change: the exchange fails as not sent, and the probe finds no server.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -60,6 +60,7 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const KEEP_ALIVE_MAX_MS = 600_000;
+const PORT_MAX = 65_535;
 
 export function createUpstream(settings: UpstreamSettings): Upstream {
   const pools = new Map<string, Pool>();
@@ -68,6 +69,15 @@
   const resets = createResetDetector();
   const framing = createFramingGuard();
 
+  /** Returns the error instead of a pool if the address is not valid. */
+  function openPool(address: string): Pool | Error {
+    try {
+      return poolOf(address);
+    } catch (error) {
+      return error as Error;
+    }
+  }
+
   function poolOf(address: string): Pool {
     const existing = pools.get(address);
     if (existing !== undefined) return existing;
@@ -100,7 +110,12 @@
 
   function isAccepting(address: string): Promise<boolean> {
     return new Promise((resolve) => {
-      const socket = connectTcp(splitAddress(address));
+      const { host, port } = splitAddress(address);
+      if (port > PORT_MAX) {
+        resolve(false);
+        return;
+      }
+      const socket = connectTcp({ host, port });
       const finish = (isUp: boolean): void => {
         clearTimeout(timer);
         socket.destroy();
@@ -132,7 +147,18 @@
       handler.onEnd();
     }
 
-    poolOf(request.address).dispatch(
+    function cancel(): void {
+      isOver = true;
+      controller?.abort(cancelled);
+    }
+
+    const pool = openPool(request.address);
+    if (pool instanceof Error) {
+      // Deferred, since other failures too are reported once the caller has the exchange.
+      queueMicrotask(() => failOnce('not_sent', describeError(pool)));
+      return { cancel };
+    }
+    pool.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
@@ -187,12 +213,7 @@
         },
       },
     );
-    return {
-      cancel: () => {
-        isOver = true;
-        controller?.abort(cancelled);
-      },
-    };
+    return { cancel };
   }
 
   return {
