Believe a refusal only if it bears the id of the request

Cause: a 421 was believed before the id of its request was compared, and a refusal without an id was believed for any request. A server that writes an earlier refusal once more on a kept connection, where the next answer is expected, made the router take that request for not run. What callers saw: 503 for a request that the server runs (REFUSED); a booking with a second attempt would go to another server too (TWICE); a server was unused until its entry changed, for a 421 that concerned another request. Evidence: earlier-refusal.spec.ts, six of eight tests fail on the code without the change (those with a 503 that bears the earlier id pass). Change: the id is compared first, for each status; an answer with another one, or none, says nothing of the request, and its connection is closed. What such an answer says of its server (load, limit) is not taken over either.

--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -290,6 +290,12 @@
     function onHead(status: number, headers: IncomingHttpHeaders): void {
       const nowMs = clock.monotonicMs();
       const metadata = ports.codec.parseResponse(status, headers);
+      // Also holds for refusals: a server may write an earlier one once more on a kept connection.
+      if (metadata.requestId !== head.requestId) {
+        connection.exchange?.cancel();
+        finishAttempt({ kind: 'unknown' }, 'stray_answer');
+        return;
+      }
       fleet.onBytesReceived(serverId, nowMs);
       applyServerStatus(ports, serverId, metadata);
       if (metadata.isMisdirected) {
@@ -299,13 +305,6 @@
         finishAttempt({ kind: 'not_sent', message, hasArrived: true }, 'misdirected');
         return;
       }
-      const isForRequest =
-        metadata.requestId === head.requestId || (metadata.wasNotRun && !metadata.requestId);
-      if (!isForRequest) {
-        connection.exchange?.cancel();
-        finishAttempt({ kind: 'unknown' }, 'stray_answer');
-        return;
-      }
       if (metadata.wasNotRun) {
         finishAttempt({ kind: 'rejected' }, 'rejected');
         return;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -496,19 +496,18 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
+    // Also holds for refusals: an engine may write an earlier one once more on a kept connection.
+    if (metadata.requestId !== requestId) {
+      attempt.exchange?.cancel();
+      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
+      return;
+    }
     applyServerStatus(ports, attempt.engineId, metadata);
     if (metadata.isMisdirected) {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
     }
     fleet.onBytesReceived(attempt.engineId, nowMs);
-    const isForRequest =
-      metadata.requestId === requestId || (metadata.wasNotRun && !metadata.requestId);
-    if (!isForRequest) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
-      return;
-    }
     const isSuccess = isSuccessStatus(status);
     if (!isSuccess && attempt.isResumedFromCopy) {
       failAttempt(attempt, 'no_copy', undefined);
