Send a call to no server that has refused it, and close a second refusal

Cause: a call that had been refused went to the same server again if no other was left, and a begun stream forgets which engines lost it once no other is usable. The refusal, written once more on the kept connection, bears the id of the request and was believed for the next attempt. What callers saw: 503 for a request that the server runs (REFUSED), and for a stream a second engine beside one that still works on it (TWICE). Change: a call leaves out the servers that refused it. A begun stream may need such an engine again, and makes no promise any more; a second refusal of an engine closes the connection, so that it stops if it runs the request.

--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -101,6 +101,7 @@
   const { head, route, content } = request;
   const result = createDeferred<CallResult<BufferedResponse>>();
   const excluded = new Set<ServerId>();
+  const refusedBy = new Set<ServerId>();
   /** Cancels an attempt that is still running, and says why. */
   const cancels = new Map<number, (cause: 'overtaken' | 'abandoned') => void>();
   const alarm = createWakeTimer(clock, () =>
@@ -160,7 +161,10 @@
     apply(call.onEvent({ kind: 'answer', attemptNo, answer }, clock.monotonicMs()));
   }
 
-  /** Prefers servers that this call was not sent to yet. */
+  /**
+   * Prefers servers that this call was not sent to yet, and leaves out those that refused it: such a
+   * refusal, written once more, could not be told from the answer to another attempt.
+   */
   function pickServer(isOptional: boolean, nowMs: number): ServerId | undefined {
     const input = {
       service: request.service.name,
@@ -180,7 +184,11 @@
     );
     return (
       untriedServerId ??
-      ports.placer.placeCall({ ...input, excluded: excludedByVersion }, nowMs, ports.random)
+      ports.placer.placeCall(
+        { ...input, excluded: new Set([...refusedBy, ...excludedByVersion]) },
+        nowMs,
+        ports.random,
+      )
     );
   }
 
@@ -306,6 +314,7 @@
         return;
       }
       if (metadata.wasNotRun) {
+        refusedBy.add(serverId);
         finishAttempt({ kind: 'rejected' }, 'rejected');
         return;
       }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -160,6 +160,7 @@
   const { head, route, service, content } = request;
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
+  const refusedBy = new Set<ServerId>();
   let current: StreamAttempt | undefined;
   let isOver = false;
   let firstEventAtMs: number | undefined;
@@ -509,6 +510,11 @@
     }
     fleet.onBytesReceived(attempt.engineId, nowMs);
     const isSuccess = isSuccessStatus(status);
+    if (metadata.wasNotRun) {
+      // A second refusal may be the first one, written once more while the engine runs the request.
+      if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
+      refusedBy.add(attempt.engineId);
+    }
     if (!isSuccess && attempt.isResumedFromCopy) {
       failAttempt(attempt, 'no_copy', undefined);
       return;
