--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -102,6 +102,7 @@
   const { head, route, content } = request;
   const result = createDeferred<CallResult<BufferedResponse>>();
   const excluded = new Set<ServerId>();
+  const refusedBy = new Set<ServerId>();
   /** Cancels an attempt that is still running, and says why. */
   const cancels = new Map<number, (cause: 'overtaken' | 'abandoned') => void>();
   const alarm = createWakeTimer(clock, () =>
@@ -166,7 +167,10 @@
     apply(call.onEvent({ kind: 'answer', attemptNo, answer }, clock.monotonicMs()));
   }
 
-  /** Prefers servers that this call was not sent to yet. */
+  /**
+   * Prefers servers that this call was not sent to yet, and leaves out those that refused it: such a
+   * refusal, written once more, could not be told from the answer to another attempt.
+   */
   function pickServer(isOptional: boolean, nowMs: number): ServerId | undefined {
     const input = {
       service: request.service.name,
@@ -186,7 +190,11 @@
     );
     return (
       untriedServerId ??
-      ports.placer.placeCall({ ...input, excluded: excludedByVersion }, nowMs, ports.random)
+      ports.placer.placeCall(
+        { ...input, excluded: new Set([...refusedBy, ...excludedByVersion]) },
+        nowMs,
+        ports.random,
+      )
     );
   }
 
@@ -296,6 +304,12 @@
     function onHead(status: number, headers: IncomingHttpHeaders): void {
       const nowMs = clock.monotonicMs();
       const metadata = ports.codec.parseResponse(status, headers);
+      // Also holds for refusals: a server may write an earlier one once more on a kept connection.
+      if (metadata.requestId !== head.requestId) {
+        connection.exchange?.cancel();
+        finishAttempt({ kind: 'unknown' }, 'stray_answer');
+        return;
+      }
       fleet.onBytesReceived(serverId, nowMs);
       applyServerStatus(ports, server, head.requestId, metadata);
       if (metadata.isMisdirected) {
@@ -305,14 +319,8 @@
         finishAttempt({ kind: 'not_sent', message, hasArrived: true }, 'misdirected');
         return;
       }
-      const isForRequest =
-        metadata.requestId === head.requestId || (metadata.wasNotRun && !metadata.requestId);
-      if (!isForRequest) {
-        connection.exchange?.cancel();
-        finishAttempt({ kind: 'unknown' }, 'stray_answer');
-        return;
-      }
       if (metadata.wasNotRun) {
+        refusedBy.add(serverId);
         finishAttempt({ kind: 'rejected' }, 'rejected');
         return;
       }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -163,6 +163,7 @@
   const { head, route, service, content } = request;
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
+  const refusedBy = new Set<ServerId>();
   let current: StreamAttempt | undefined;
   let isOver = false;
   let firstEventAtMs: number | undefined;
@@ -504,20 +505,24 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
+    // Also holds for refusals: an engine may write an earlier one once more on a kept connection.
+    if (metadata.requestId !== requestId) {
+      attempt.exchange?.cancel();
+      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
+      return;
+    }
     applyServerStatus(ports, attempt.engine, requestId, metadata);
     if (metadata.isMisdirected) {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
     }
     fleet.onBytesReceived(attempt.engineId, nowMs);
-    const isForRequest =
-      metadata.requestId === requestId || (metadata.wasNotRun && !metadata.requestId);
-    if (!isForRequest) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
-      return;
-    }
     const isSuccess = isSuccessStatus(status);
+    if (metadata.wasNotRun) {
+      // A second refusal may be the first one, written once more while the engine runs the request.
+      if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
+      refusedBy.add(attempt.engineId);
+    }
     if (!isSuccess && attempt.isResumedFromCopy) {
       failAttempt(attempt, 'no_copy', undefined);
       return;
