Read what has arrived before a timeout counts a peer as silent

Cause: Node.js runs the timers that are due before it reads its connections. A router that had stood still (a busy, slow or frozen host) ran its timeouts first and took each engine for silent whose events were waiting to be read: the streams of all engines moved at once and used up the retry budget, and a call whose answer had arrived ended at its deadline. What callers see then: streams that are moved or cut, and 504 for an answer that is ready.

The new test of the clock fails on the code before ([ 'timeout' ] where 'answer' comes first).

Change: a timer of the clock, and the timeout of the connection probe, act after the input that is waiting.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,6 +1,7 @@
 import { connect as connectTcp } from 'node:net';
 import { buildConnector, Pool } from 'undici';
 import { splitAddress } from '../runtime/address';
+import { runAfterInput } from '../runtime/clock';
 import { describeError } from '../runtime/fetch';
 import { createFramingGuard } from './framing-guard';
 import { createResetDetector } from './resets';
@@ -117,11 +118,11 @@
       }
       const socket = connectTcp({ host, port });
       const finish = (isUp: boolean): void => {
-        clearTimeout(timer);
+        cancelTimeout();
         socket.destroy();
         resolve(isUp);
       };
-      const timer = setTimeout(() => finish(false), settings.connectTimeoutMs);
+      const cancelTimeout = runAfterInput(settings.connectTimeoutMs, () => finish(false));
       openedCount += 1;
       socket.once('connect', () => finish(true));
       socket.once('error', () => finish(false));
--- a/packages/adapters/src/runtime/clock.ts
+++ b/packages/adapters/src/runtime/clock.ts
@@ -5,7 +5,9 @@
   /** Time that is never set or adjusted, for timeouts and leases. */
   readonly monotonicMs: () => number;
   /**
-   * Calls `fn` once after a delay, of 24 days at most. Returns a function that cancels the call.
+   * Calls `fn` once after a delay, of 24 days at most, and after the input that has arrived by then:
+   * a process that stood still must not take a peer for silent. Returns a function that cancels the
+   * call.
    */
   readonly runAfter: (delayMs: number, fn: () => void) => () => void;
   /** Calls `fn` periodically. Returns a function that ends the calls. */
@@ -20,13 +22,25 @@
   return {
     nowMs: () => Date.now(),
     monotonicMs: () => performance.now(),
-    runAfter: (delayMs, fn) => {
-      const timer = setTimeout(fn, Math.min(delayMs, DELAY_MAX_MS));
-      return () => clearTimeout(timer);
-    },
+    runAfter: runAfterInput,
     runEvery: (periodMs, fn) => {
       const timer = setInterval(fn, periodMs);
       return () => clearInterval(timer);
     },
   };
 }
+
+/** Runs `fn` after a delay and then after the input that is waiting, which Node.js reads after timers. */
+export function runAfterInput(delayMs: number, fn: () => void): () => void {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(
+    () => {
+      immediate = setImmediate(fn);
+    },
+    Math.min(delayMs, DELAY_MAX_MS),
+  );
+  return () => {
+    clearTimeout(timer);
+    clearImmediate(immediate);
+  };
+}
--- a/packages/adapters/test/clock.spec.ts
+++ b/packages/adapters/test/clock.spec.ts
@@ -1,5 +1,7 @@
+import { connect, createServer } from 'node:net';
 import { describe, expect, it } from 'vitest';
 import { createSystemClock } from '../src/index';
+import type { AddressInfo, Socket } from 'node:net';
 
 const SHORT_MS = 40;
 
@@ -16,4 +18,36 @@
     cancel();
     expect(hasEnded).toBe(false);
   });
+
+  it('does not report silence while an answer waits to be read after the process stood still', async () => {
+    const clock = createSystemClock();
+    const server = createServer();
+    const accepted = new Promise<Socket>((resolve) => {
+      server.once('connection', resolve);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    const peer = await accepted;
+    const seen: string[] = [];
+    caller.on('data', () => seen.push('answer'));
+    await new Promise<void>((resolve) => {
+      clock.runAfter(SHORT_MS, () => {
+        seen.push('timeout');
+        resolve();
+      });
+      peer.write('answer');
+      standStill(2 * SHORT_MS);
+    });
+    caller.destroy();
+    peer.destroy();
+    server.close();
+    expect(seen).toEqual(['answer', 'timeout']);
+  });
 });
+
+function standStill(forMs: number): void {
+  const untilMs = performance.now() + forMs;
+  while (performance.now() < untilMs);
+}
