Do not take the engine of a held stream for lost

Cause: each hold reported its engine as silent. Enough of these make the failure domain suspected, and a suspected engine counts as silent after 140 ms. Engines that were only slow (an event each 150 ms) were then held again and again, and each hold renewed the suspicion.

Change: the engine of a held stream is avoided, as one whose first event is late, but not taken for lost.

No test of its own shows it.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -626,14 +626,13 @@
     closeAttempt(attempt);
   }
 
-  /** The engine is avoided like a silent one, while the attempt goes on. */
+  /** The engine is avoided, but not taken for lost: its other streams have no retries left either. */
   function onHeld(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined || attempt.isOver) return;
     const nowMs = clock.monotonicMs();
-    const failure = classifySilence(attempt, nowMs);
-    const { avoidMs } = fleet.onFailure(attempt.engineId, failure, nowMs);
-    ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
+    const { avoidMs } = fleet.onFailure(attempt.engineId, 'unread', nowMs);
+    ports.stateBroadcast.onServerFailure(attempt.engineId, 'unread');
     decisions.notable('stream.held', {
       request: requestId,
       attempt: attempt.attemptNo,
