Continue a stream only from a response of the same kind

Cause: a stream that goes on at another engine took each signed 2xx response with the right id as its rest, whatever its status and media type. What callers saw: a 204, or an empty plain text, ended the stream as if it were complete (ORDER); a text that holds a line "id: 3" stood in its middle (MIXED). Change: the rest must have the status and the media type of the response that the caller has; else the attempt counts as garbled, and another engine is asked. A resumed response of the same kind that ends properly without an event is still taken as the end: the caller has the last event then, and the engine says that there is no more.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -139,6 +139,15 @@
   };
 }
 
+/** Whether a response may go on with the body of another one. */
+function isSameKind(begun: StreamAttempt, status: number, headers: IncomingHttpHeaders): boolean {
+  return begun.status === status && mediaType(begun.headers) === mediaType(headers);
+}
+
+function mediaType(headers: IncomingHttpHeaders): string | undefined {
+  return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase();
+}
+
 /** State shared by all streams of the process. */
 interface StreamRegistry {
   readonly active: Set<ActiveStream>;
@@ -161,6 +170,8 @@
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
   const refusedBy = new Set<ServerId>();
+  /** The attempt whose response head the caller has. */
+  let begun: StreamAttempt | undefined;
   let current: StreamAttempt | undefined;
   let isOver = false;
   let firstEventAtMs: number | undefined;
@@ -232,6 +243,7 @@
   function beginResponse(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined) return;
+    begun = attempt;
     ports.metrics.onFirstEvent(clock.monotonicMs() - request.receivedAtMs);
     sink.writeHead(attempt.status, attempt.headers);
   }
@@ -533,6 +545,11 @@
       );
       return;
     }
+    if (isSuccess && begun !== undefined && !isSameKind(begun, status, headers)) {
+      attempt.exchange?.cancel();
+      failAttempt(attempt, 'garbled', undefined, 'the response is not the rest of the stream');
+      return;
+    }
     attempt.status = status;
     attempt.headers = headers;
     attempt.isErrorResponse = !isSuccess;
