Reject an event that holds the head of a response

Cause: an engine that stops inside an event may write an error with its whole head behind it, in a response that has no length. The head's blank line ended the event, whose id field stood before it. Change: an event with a line of a response head, or whose lines end in different ways, is no event; the attempt counts as garbled, and the stream goes on elsewhere. Data that names a head stands behind "data:" and passes.

--- a/packages/core/src/forward/events.ts
+++ b/packages/core/src/forward/events.ts
@@ -7,7 +7,8 @@
 /** Splits the bytes of a server-sent event stream into complete events. */
 export interface EventSplitter {
   /**
-   * Returns the events that the bytes complete; undefined if one has no numeric id or is too long.
+   * Returns the events that the bytes complete; undefined if one has no numeric id, is too long, or
+   * holds the head of a response.
    */
   readonly push: (bytes: Uint8Array) => StreamEvent[] | undefined;
   /** Number of buffered bytes of an incomplete event. */
@@ -18,14 +19,19 @@
 const CARRIAGE_RETURN = 13;
 const EVENT_MAX_BYTES = 1_048_576;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
+/** Lines of a response head, which no event has; a fault of an engine may write one into an event. */
+const HEAD_LINE =
+  /^(?:HTTP\/1\.[01] \d{3}|(?:connection|content-length|content-type|transfer-encoding):)/im;
+const BARE_LINE_FEED = /(?:^|[^\r])\n/;
 
 export function createEventSplitter(): EventSplitter {
   let pending: Uint8Array = new Uint8Array(0);
   const decoder = new TextDecoder();
 
   function toEvent(bytes: Uint8Array): StreamEvent | undefined {
-    const id = ID_FIELD.exec(decoder.decode(bytes))?.[1];
-    return id === undefined ? undefined : { id: Number(id), bytes };
+    const text = decoder.decode(bytes);
+    const id = ID_FIELD.exec(text)?.[1];
+    return id === undefined || holdsHead(text) ? undefined : { id: Number(id), bytes };
   }
 
   return {
@@ -72,6 +78,11 @@
   };
 }
 
+/** The lines of an event end all alike; a head in its middle may end them differently. */
+function holdsHead(text: string): boolean {
+  return HEAD_LINE.test(text) || (text.includes('\r\n') && BARE_LINE_FEED.test(text));
+}
+
 function concat(first: Uint8Array, second: Uint8Array): Uint8Array {
   if (first.length === 0) return second;
   const joined = new Uint8Array(first.length + second.length);
--- a/packages/core/test/forward/events.spec.ts
+++ b/packages/core/test/forward/events.spec.ts
@@ -48,6 +48,20 @@
     expect(createEventSplitter().push(encoder.encode('HTTP/1.1 200 OK\n\n'))).toBeUndefined();
   });
 
+  it.each([
+    ['of LF lines', '\n', 'x-id: 9\r\n\r\n'],
+    ['of CRLF lines', '\r\n', 'content-length: 6\r\n\r\n'],
+    ['of CRLF lines, from its start', '\r\n', '\r\nHTTP/1.1 500 Failed\r\n\r\n'],
+  ])('rejects an event %s that holds a response head', (_name, lineEnd, rest) => {
+    const text = `id: 1${lineEnd}data: tokHTTP/1.1 500 Failed\r\n${rest}`;
+    expect(createEventSplitter().push(encoder.encode(text))).toBeUndefined();
+  });
+
+  it('accepts an event whose data names a head', () => {
+    const text = 'id: 1\ndata: HTTP/1.1 500 Failed\ndata: content-length: 6\n\n';
+    expect(createEventSplitter().push(encoder.encode(text))).toHaveLength(1);
+  });
+
   it('takes the id from the id field only', () => {
     const events = createEventSplitter().push(encoder.encode('data: id: 9\nid: 3\n\n'));
     expect(events?.map(({ id }) => id)).toEqual([3]);
