Do not take a lost connection without an event for a stream's end

Cause: a response without a length ends with its connection. When a stream went on at another engine, and that connection ended right behind the head, this counted as the proper end of the stream. What callers saw: a stream that ended as if it were complete, before its last event (ORDER). Evidence: broken-stream.spec.ts, "an empty stream that ends with its connection", fails without the change, with and without a copy. Change: such an attempt counts as broken, and another engine is asked. An empty response with a length or chunks ends properly, and is taken as the end; a test guards this.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -144,6 +144,11 @@
   return begun.status === status && mediaType(begun.headers) === mediaType(headers);
 }
 
+/** Whether a response ends with its connection, so that a connection that is lost ends it too. */
+function isUnframed(headers: IncomingHttpHeaders): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 function mediaType(headers: IncomingHttpHeaders): string | undefined {
   return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase();
 }
@@ -494,6 +499,10 @@
           failAttempt(attempt, 'garbled', 'reset');
           return;
         }
+        if (begun !== undefined && !attempt.hasEvents && isUnframed(attempt.headers)) {
+          failAttempt(attempt, 'reset', 'reset', 'the connection ended without an event');
+          return;
+        }
         closeAttempt(attempt);
         copies.release(attempt);
         dispatch({ kind: 'end', attemptNo: attempt.attemptNo });
