--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -142,6 +142,20 @@
   };
 }
 
+/** Whether a response may go on with the body of another one. */
+function isSameKind(begun: StreamAttempt, status: number, headers: IncomingHttpHeaders): boolean {
+  return begun.status === status && mediaType(begun.headers) === mediaType(headers);
+}
+
+/** Whether a response ends with its connection, so that a connection that is lost ends it too. */
+function isUnframed(headers: IncomingHttpHeaders): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+function mediaType(headers: IncomingHttpHeaders): string | undefined {
+  return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase();
+}
+
 /** State shared by all streams of the process. */
 interface StreamRegistry {
   readonly active: Set<ActiveStream>;
@@ -164,6 +178,8 @@
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
   const refusedBy = new Set<ServerId>();
+  /** The attempt whose response head the caller has. */
+  let begun: StreamAttempt | undefined;
   let current: StreamAttempt | undefined;
   let isOver = false;
   let firstEventAtMs: number | undefined;
@@ -239,6 +255,7 @@
   function beginResponse(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined) return;
+    begun = attempt;
     ports.metrics.onFirstEvent(clock.monotonicMs() - request.receivedAtMs);
     sink.writeHead(attempt.status, attempt.headers);
   }
@@ -490,6 +507,10 @@
           failAttempt(attempt, 'garbled', 'reset');
           return;
         }
+        if (begun !== undefined && !attempt.hasEvents && isUnframed(attempt.headers)) {
+          failAttempt(attempt, 'reset', 'reset', 'the connection ended without an event');
+          return;
+        }
         closeAttempt(attempt);
         copies.release(attempt);
         dispatch({ kind: 'end', attemptNo: attempt.attemptNo });
@@ -541,6 +562,11 @@
       );
       return;
     }
+    if (isSuccess && begun !== undefined && !isSameKind(begun, status, headers)) {
+      attempt.exchange?.cancel();
+      failAttempt(attempt, 'garbled', undefined, 'the response is not the rest of the stream');
+      return;
+    }
     attempt.status = status;
     attempt.headers = headers;
     attempt.isErrorResponse = !isSuccess;
