Name the era of the store in the lines that name its revisions

A restore of the store from a copy takes revisions back and gives them out again. The logs could not tell it from an outage: no line said to which era a revision belongs. The client of the store notes the era of each answer (Store-Era) with its one owner, createStoreEras; store.restored and mimosamill_forward_store_restores_total tell each restore. No decision uses the era yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -328,6 +328,8 @@
 export type { StreamDurations, CompletedStream } from './forward/durations';
 export { createEventSequence, createEventSplitter } from './forward/events';
 export type { EventSequence, EventSplitter, SequenceVerdict, StreamEvent } from './forward/events';
+export { asStoreEra, createStoreEras, UNKNOWN_ERA } from './forward/store-era';
+export type { EraComparison, StoreEra, StoreEras, StoreRevision } from './forward/store-era';
 export { createOutageTracker } from './forward/outage';
 export type { OutageTracker } from './forward/outage';
 export { CONDEMNED_MS, createCrashSuspects, QUARANTINE_MS } from './forward/crash-suspects';
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -47,6 +47,7 @@
   FreshnessBounds,
   RetryBudget,
   ServiceName,
+  StoreEras,
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
 import type { Ingress } from './ingress';
@@ -66,6 +67,7 @@
   readonly metrics: Metrics;
   readonly decisions: DecisionLog;
   readonly codec: ForwardCodec;
+  readonly storeEras: StoreEras;
   readonly operatorTable: WatchedTable<OperatorRecord>;
   readonly serverTable: WatchedTable<ForwardServer>;
   readonly routerTable: RouterTable;
@@ -122,7 +124,7 @@
   initial: GatewaySettings,
   environment: GatewayEnvironment,
 ): Promise<Gateway> {
-  const { clock, decisions, metrics } = environment;
+  const { clock, decisions, metrics, storeEras } = environment;
   let settings = initial;
   const fleet = createFleet();
   const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
@@ -248,6 +250,19 @@
     },
     { onRows: onServerRows },
   );
+  const storeRestores = metrics.counter(
+    'mimosamill_forward_store_restores_total',
+    'Times that the store was found to be restored from a copy',
+  );
+  storeEras.onRestored((era, before) => {
+    storeRestores.inc();
+    decisions.vital('store.restored', {
+      before,
+      era,
+      operator_revision: operatorWatch.revision(),
+      servers_revision: serverWatch.revision(),
+    });
+  });
   const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed]);
 
   function canReadStore(): boolean {
@@ -291,6 +306,7 @@
       revision: config.revision,
       before,
       store_revision: storeRevision,
+      store_era: storeEras.current(),
       routes: config.routes.length,
       customers: config.customers?.length,
     });
@@ -334,6 +350,7 @@
       source: context?.source ?? 'expiry',
       since_outage_ms: finiteMs(context?.sinceOutageMs),
       store_revision: serverWatch.revision(),
+      store_era: storeEras.current(),
       age_ms: finiteMs(serverWatch.ageMs()),
     };
     const hasChange = Object.values(change).some((list: readonly unknown[]) => list.length > 0);
--- a/packages/router/src/forward/store-readers.ts
+++ b/packages/router/src/forward/store-readers.ts
@@ -1,13 +1,14 @@
 import { asId, chooseStoreReaders } from '@mimosamill/core';
 import { createRelaySource } from './relay';
 import type { HttpClient, HashFunctions, Clock } from '@mimosamill/adapters';
-import type { PeerRegistry, PeerRouter } from '@mimosamill/core';
+import type { PeerRegistry, PeerRouter, StoreEras } from '@mimosamill/core';
 import type { RelaySource, WatchedTable, WatchSources } from './table-watch';
 
 export interface StoreReaderPorts {
   readonly clock: Clock;
   readonly hashes: HashFunctions;
   readonly http: HttpClient;
+  readonly storeEras: StoreEras;
 }
 
 export interface StoreReaderSettings {
@@ -81,6 +82,7 @@
     sourcesOf: <T>(name: string, store: WatchedTable<T>): WatchSources<T> => ({
       store,
       isReader,
+      eras: ports.storeEras,
       relays: (): readonly RelaySource<T>[] =>
         relays().map(({ address }) => createRelaySource<T>(ports.http, name, address)),
     }),
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -3,6 +3,7 @@
 import { finiteMs } from './finite';
 import { createTableReplica } from './table-replica';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
+import type { StoreEra, StoreEras } from '@mimosamill/core';
 import type { RelayResponse, RelayedTable } from './relay';
 
 /** A table of the platform's store, with its rows decoded. */
@@ -21,6 +22,7 @@
       readonly kind: 'ok';
       readonly rows: readonly TableRow<T>[];
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeNowMs: number;
     }
   | StoreFailure;
@@ -31,6 +33,7 @@
       /** In the order they were made; `value` is undefined for a removed row. */
       readonly changes: readonly TableChange<T>[];
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeNowMs: number;
     }
   /** The store no longer has the history since the revision. */
@@ -80,6 +83,7 @@
   readonly relays: () => readonly RelaySource<T>[];
   /** Whether this router reads the store on behalf of other routers. */
   readonly isReader: () => boolean;
+  readonly eras: StoreEras;
 }
 
 export interface WatchSettings {
@@ -204,6 +208,7 @@
     decisions.vital('store.regained', {
       table: settings.name,
       revision: replica.revision(),
+      era: sources.eras.current(),
       lost_ms: Math.round(lostMs),
       since_outage_ms: finiteMs(outageAgeMs),
     });
@@ -216,6 +221,7 @@
     decisions.vital('store.lost', {
       table: settings.name,
       revision: replica.revision(),
+      era: sources.eras.current(),
       age_ms: Math.round(freshness.ageMs(nowMs)),
       message,
     });
@@ -251,7 +257,11 @@
         wakeWaiters();
         return true;
       case 'history_lost':
-        decisions.vital('store.history_lost', { table: settings.name, revision: sinceRevision });
+        decisions.vital('store.history_lost', {
+          table: settings.name,
+          revision: sinceRevision,
+          era: sources.eras.current(),
+        });
         return readAll(abort);
       case 'unavailable':
         onFailure(answer.message);
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { asStoreEra, createStoreEras } from '@mimosamill/core';
 import { createTableReplica } from '../../src/forward/table-replica';
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
@@ -10,6 +11,8 @@
   WatchedTable,
 } from '../../src/forward/table-watch';
 
+const FIRST_ERA = asStoreEra(1);
+
 type Answer = TableContent<string> | TableChanges<string>;
 
 /** A table of the store whose reads the test answers, in the order that the test chooses. */
@@ -34,6 +37,8 @@
 
 function createTestWatch(relay?: RelaySource<string>['readChanges'], isReader = true) {
   const clock = createManualClock();
+  const eras = createStoreEras();
+  eras.observe(FIRST_ERA);
   const scriptedStore = createScriptedTable();
   const events: string[] = [];
   const published: string[][] = [];
@@ -45,6 +50,7 @@
     {
       store: scriptedStore.table,
       isReader: () => isReader,
+      eras,
       relays: () => (relay === undefined ? [] : [{ name: 'peer', readChanges: relay }]),
     },
     clock,
@@ -58,7 +64,7 @@
       },
     },
   );
-  return { clock, scriptedStore, events, published, outageAgesMs, watch };
+  return { clock, eras, scriptedStore, events, published, outageAgesMs, watch };
 }
 
 /** In `content` and `changes`, 'a1' is a row with the key 'a', and 'a-' its removal. */
@@ -66,6 +72,7 @@
   kind: 'ok',
   rows: rows.map((row) => ({ key: row.slice(0, 1), value: row })),
   revision,
+  era: FIRST_ERA,
   storeNowMs,
 });
 
@@ -76,6 +83,7 @@
     value: row.endsWith('-') ? undefined : row,
   })),
   revision,
+  era: FIRST_ERA,
   storeNowMs,
 });
 
