Read a restored table again instead of dropping its lower revisions

Cause: a replica took a full read only if its revision was not lower than its own, and changes only above it. A store that comes back from an older copy takes its revisions back, so each poll got 410 and a full read that was dropped, without a pause; once the counter had passed the replica's revision, polls succeeded again and left out what was written below it. Change: a replica knows the era of its revision. An answer of a newer era is not applied as changes; the table is read again and replaces the replica, concurrent callers share that read, and a pause follows each full read. What the copy lacks counts like entries that expired in an outage that has just ended. Answers older than a restore, and pages of two eras, are not used.

--- a/packages/core/src/forward/freshness.ts
+++ b/packages/core/src/forward/freshness.ts
@@ -10,6 +10,8 @@
    * only after a direct answer of the store, which relates the store's clock to the local one.
    */
   readonly onRelayed: (storeAsOfMs: number) => void;
+  /** The store was restored: times on its clock before and after that do not compare. */
+  readonly onRestored: () => void;
   /** Time on the store's clock at which the data was current; undefined if that is unknown. */
   readonly storeAsOfMs: () => number | undefined;
   /** Upper bound on the age of the newest data; Infinity if it is unknown. */
@@ -59,6 +61,9 @@
       if (anchor === undefined) return;
       asOfMs = Math.max(asOfMs, anchor.sentAtMs + storeAsOfMs - anchor.storeNowMs);
     },
+    onRestored: () => {
+      anchor = undefined;
+    },
     storeAsOfMs: () => {
       if (anchor === undefined || asOfMs < validFromMs) return undefined;
       return anchor.storeNowMs + asOfMs - anchor.sentAtMs;
--- a/packages/core/src/forward/outage.ts
+++ b/packages/core/src/forward/outage.ts
@@ -12,6 +12,8 @@
    * `sinceOutageMs` is what the relay knows of outages.
    */
   readonly onRelayed: (confirmedAtMs: number, sinceOutageMs: number, nowMs: number) => void;
+  /** The store came back from an older copy, so that it lost what was written since that copy. */
+  readonly onRestored: (nowMs: number) => void;
   /** Whether the last call of this process to the store failed. */
   readonly isPathLost: () => boolean;
   /**
@@ -47,6 +49,9 @@
       if (claimedEndMs > confirmedAtMs) outageEndMs = Math.max(outageEndMs, claimedEndMs);
       confirmedAtMs = atMs;
     },
+    onRestored: (nowMs) => {
+      outageEndMs = nowMs;
+    },
     isPathLost: () => pathLostAtMs !== undefined,
     sinceOutageMs: (nowMs) => nowMs - outageEndMs,
   };
--- a/packages/router/src/forward/table-replica.ts
+++ b/packages/router/src/forward/table-replica.ts
@@ -1,15 +1,22 @@
+import { UNKNOWN_ERA } from '@mimosamill/core';
+import type { StoreEra, StoreRevision } from '@mimosamill/core';
 import type { RelayResponse } from './relay';
 import type { TableChange } from './table-watch';
 
 /** A replica of a table that can list the changes since an earlier revision. */
 export interface TableReplica<T> {
   readonly rows: ReadonlyMap<string, T>;
+  /** Revision of the store that the rows reflect; -1 before the first read. */
   readonly revision: () => number;
-  /** Applies changes up to a revision; false if the replica already has that revision. */
-  readonly apply: (changes: readonly TableChange<T>[], revision: number) => boolean;
-  readonly replace: (changes: readonly TableChange<T>[], revision: number) => boolean;
+  /** Era of the store to which the revision belongs. */
+  readonly era: () => StoreEra;
+  /** Applies changes up to a revision; false if they do not follow on what the replica has. */
+  readonly apply: (changes: readonly TableChange<T>[], to: StoreRevision) => boolean;
+  /** Replaces all rows; false if the replica has newer ones. */
+  readonly replace: (rows: readonly TableChange<T>[], to: StoreRevision) => boolean;
+  /** All rows if the changes since the revision are not known. */
   readonly changesSince: (
-    revision: number,
+    from: StoreRevision,
   ) => Pick<RelayResponse, 'changes' | 'isAll' | 'revision'>;
 }
 
@@ -25,6 +32,7 @@
 export function createTableReplica<T>(): TableReplica<T> {
   const entries = new Map<string, ReplicaEntry<T>>();
   const rows = new Map<string, T>();
+  let era = UNKNOWN_ERA;
   let revision = -1;
   /** Removals up to this revision may be forgotten, so readers at an earlier one get the whole table. */
   let historyStart = -1;
@@ -52,27 +60,30 @@
   return {
     rows,
     revision: () => revision,
+    era: () => era,
     apply: (changes, to) => {
-      if (to <= revision) return false;
-      changes.forEach(({ key, value }) => setEntry(key, value, to));
-      revision = to;
+      // Revisions of two eras do not compare: the store gives them out again after a restore.
+      if (to.era !== era || to.revision <= revision) return false;
+      changes.forEach(({ key, value }) => setEntry(key, value, to.revision));
+      revision = to.revision;
       pruneTombstones();
       return true;
     },
     replace: (changes, to) => {
       // An answer that arrives after a newer one would restore rows that were removed since.
-      if (to < revision) return false;
+      if (to.era < era || (to.era === era && to.revision < revision)) return false;
       entries.clear();
       rows.clear();
-      changes.forEach(({ key, value }) => setEntry(key, value, to));
-      revision = to;
-      historyStart = to;
+      changes.forEach(({ key, value }) => setEntry(key, value, to.revision));
+      ({ era, revision } = to);
+      historyStart = revision;
       return true;
     },
     changesSince: (from) => {
-      if (from < historyStart) return { changes: allRows(), isAll: true, revision };
+      if (from.era !== era || from.revision < historyStart)
+        return { changes: allRows(), isAll: true, revision };
       const changed = [...entries]
-        .filter(([, entry]) => entry.revision > from)
+        .filter(([, entry]) => entry.revision > from.revision)
         .map(([key, { value }]) => ({ key, value }));
       return { changes: changed, isAll: false, revision };
     },
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -3,7 +3,7 @@
 import { finiteMs } from './finite';
 import { createTableReplica } from './table-replica';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
-import type { StoreEra, StoreEras } from '@mimosamill/core';
+import type { StoreEra, StoreEras, StoreRevision } from '@mimosamill/core';
 import type { RelayResponse, RelayedTable } from './relay';
 
 /** A table of the platform's store, with its rows decoded. */
@@ -152,6 +152,9 @@
   let lastProbeAtMs = -Infinity;
   let isStopped = false;
   let currentPoll: AbortController | undefined;
+  let currentFullRead: AbortController | undefined;
+  let fullReads = 0;
+  let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
     void pollLoop();
@@ -227,42 +230,62 @@
     });
   }
 
-  async function readAll(abort: AbortController): Promise<boolean> {
+  /** Concurrent callers share one read. */
+  function readAll(): Promise<boolean> {
+    readingAll ??= readAllOnce().finally(() => {
+      readingAll = undefined;
+    });
+    return readingAll;
+  }
+
+  async function readAllOnce(): Promise<boolean> {
+    fullReads += 1;
     const sentAtMs = clock.monotonicMs();
-    const content = await withAbortTimeout(READ_ALL_TIMEOUT_MS, abort, sources.store.readAll);
+    currentFullRead = new AbortController();
+    const content = await withAbortTimeout(
+      READ_ALL_TIMEOUT_MS,
+      currentFullRead,
+      sources.store.readAll,
+    );
     if (content.kind === 'unavailable') {
       onFailure(content.message);
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    if (replica.replace(content.rows, content.revision)) publish(STORE_SOURCE);
+    if (replica.replace(content.rows, content)) publish(STORE_SOURCE);
     wakeWaiters();
     return true;
   }
 
+  /** Whether changes since the replica's revision can be read: it was read in the present era. */
+  function isFollowing(): boolean {
+    return replica.revision() >= 0 && replica.era() === sources.eras.current();
+  }
+
   async function readChanges(abort: AbortController, waitMs: number): Promise<boolean> {
-    if (replica.revision() < 0) return readAll(abort);
-    const sinceRevision = replica.revision();
+    if (!isFollowing()) return readAll();
+    const since = { era: replica.era(), revision: replica.revision() };
     const sentAtMs = clock.monotonicMs();
     const timeoutMs =
       waitMs === MIN_WAIT_MS ? REFRESH_TIMEOUT_MS : waitMs + settings.timeoutMarginMs;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
-      sources.store.readChanges(sinceRevision, waitMs, signal),
+      sources.store.readChanges(since.revision, waitMs, signal),
     );
     switch (answer.kind) {
       case 'ok':
+        // Changes of another era leave out what was written before the revision was given out again.
+        if (answer.era !== since.era) return readAll();
         onAnswer(sentAtMs, answer.storeNowMs);
         // A concurrent call may have updated the replica meanwhile.
-        if (replica.revision() === sinceRevision) applyChanges(answer.changes, answer.revision);
+        if (replica.revision() === since.revision) applyChanges(answer.changes, answer);
         wakeWaiters();
         return true;
       case 'history_lost':
         decisions.vital('store.history_lost', {
           table: settings.name,
-          revision: sinceRevision,
-          era: sources.eras.current(),
+          ...since,
         });
-        return readAll(abort);
+        return readAll();
       case 'unavailable':
         onFailure(answer.message);
         return false;
@@ -271,8 +294,8 @@
     }
   }
 
-  function applyChanges(changes: readonly TableChange<T>[], revision: number): void {
-    const isNewer = replica.apply(changes, revision);
+  function applyChanges(changes: readonly TableChange<T>[], to: StoreRevision): void {
+    const isNewer = replica.apply(changes, to);
     if (isNewer && changes.length > 0) publish(STORE_SOURCE);
   }
 
@@ -297,9 +320,10 @@
     if (answer.kind === 'unavailable') return false;
     checkClocks();
     failures = 0;
+    const to = { era: replica.era(), revision: answer.revision };
     const isNewer = answer.isAll
-      ? replica.replace(answer.changes, answer.revision)
-      : replica.revision() === sinceRevision && replica.apply(answer.changes, answer.revision);
+      ? replica.replace(answer.changes, to)
+      : replica.revision() === sinceRevision && replica.apply(answer.changes, to);
     // An answer older than the replica says nothing about the age of the replica.
     if (answer.revision >= replica.revision()) {
       freshness.onRelayed(answer.storeAsOfMs);
@@ -315,7 +339,7 @@
   function sourcesInOrder(): (RelaySource<T> | undefined)[] {
     const relays = sources.relays();
     const [preferred, ...others] = relays;
-    const isStale = freshForMs() <= 0;
+    const isStale = freshForMs() <= 0 || !isFollowing();
     if (preferred === undefined || sources.isReader() || isStale) return [undefined, ...relays];
     return [preferred, undefined, ...others];
   }
@@ -352,9 +376,11 @@
   async function pollLoop(): Promise<void> {
     while (!isStopped) {
       const before = replica.revision();
+      const fullReadsBefore = fullReads;
       const isOk = await pollOnce();
       if (isStopped) return;
-      const pauseMs = replica.revision() > before ? BATCH_DELAY_MS : 0;
+      const isUpdated = replica.revision() !== before || fullReads > fullReadsBefore;
+      const pauseMs = isUpdated ? BATCH_DELAY_MS : 0;
       if (!isOk || pauseMs > 0) {
         retry.set(clock.monotonicMs() + (isOk ? pauseMs : retryDelayMs()));
         return;
@@ -362,6 +388,15 @@
     }
   }
 
+  /** What the store lost counts like what expired in an outage that has just ended. */
+  function onRestored(): void {
+    freshness.onRestored();
+    outage.onRestored(clock.monotonicMs());
+    if (!isStopped) void refresh();
+  }
+
+  sources.eras.onRestored(onRestored);
+
   function refresh(): Promise<boolean> {
     refreshing ??= (async () => {
       const isOk = await readChanges(new AbortController(), MIN_WAIT_MS);
@@ -376,7 +411,7 @@
     if (replica.revision() < 0 || storeAsOfMs === undefined) return undefined;
     const outageMs = sinceOutageMs();
     return {
-      ...replica.changesSince(sinceRevision),
+      ...replica.changesSince({ era: replica.era(), revision: sinceRevision }),
       storeAsOfMs,
       sinceOutageMs: Number.isFinite(outageMs) ? outageMs : null,
     };
@@ -411,6 +446,7 @@
       isStopped = true;
       retry.set(undefined);
       currentPoll?.abort();
+      currentFullRead?.abort();
       wakeWaiters();
     },
   };
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -3,6 +3,7 @@
 import { createTableReplica } from '../../src/forward/table-replica';
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
+import type { StoreEra, StoreRevision } from '@mimosamill/core';
 import type {
   RelayedChanges,
   RelaySource,
@@ -12,6 +13,7 @@
 } from '../../src/forward/table-watch';
 
 const FIRST_ERA = asStoreEra(1);
+const SECOND_ERA = asStoreEra(2);
 
 type Answer = TableContent<string> | TableChanges<string>;
 
@@ -68,14 +70,22 @@
 }
 
 /** In `content` and `changes`, 'a1' is a row with the key 'a', and 'a-' its removal. */
-const content = (revision: number, storeNowMs: number, ...rows: string[]): Answer => ({
+const contentIn = (
+  era: StoreEra,
+  revision: number,
+  storeNowMs: number,
+  ...rows: string[]
+): Answer => ({
   kind: 'ok',
   rows: rows.map((row) => ({ key: row.slice(0, 1), value: row })),
   revision,
-  era: FIRST_ERA,
+  era,
   storeNowMs,
 });
 
+const content = (revision: number, storeNowMs: number, ...rows: string[]): Answer =>
+  contentIn(FIRST_ERA, revision, storeNowMs, ...rows);
+
 const changes = (revision: number, storeNowMs: number, ...rows: string[]): Answer => ({
   kind: 'ok',
   changes: rows.map((row) => ({
@@ -321,21 +331,88 @@
   });
 });
 
+describe('a watch whose store comes back from an older copy', () => {
+  async function startAt(revision: number) {
+    const test = createTestWatch();
+    test.watch.start();
+    test.scriptedStore.calls[0]?.answer(content(revision, 100, 'a1', 'b1'));
+    await flushMicrotasks();
+    test.clock.advance(100);
+    await flushMicrotasks();
+    return test;
+  }
+
+  it('replaces its rows by those of the copy, although their revision is lower', async () => {
+    const { eras, scriptedStore, published, outageAgesMs, watch } = await startAt(27);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.slice(2).map(({ what }) => what)).toEqual(['all']);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a0']);
+    expect(watch.revision()).toBe(25);
+    // Entries that the copy lacks are kept like those that expired in an outage.
+    expect(outageAgesMs).toEqual([Infinity, 0]);
+    watch.stop();
+  });
+
+  it('does not apply changes since a revision that was given out again', async () => {
+    const { eras, scriptedStore, published, watch } = await startAt(27);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ ...changes(28, 200, 'a2'), era: SECOND_ERA } as Answer);
+    await flushMicrotasks();
+    expect(published).toHaveLength(1);
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    watch.stop();
+  });
+
+  it('does not count as up to date while it has not read the restored table', async () => {
+    const { clock, eras, scriptedStore, watch } = await startAt(27);
+    const ageMs = watch.ageMs();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ ...changes(28, 5_000), era: SECOND_ERA } as Answer);
+    scriptedStore.calls[2]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    clock.advance(50);
+    expect(watch.ageMs()).toBe(ageMs + 50);
+    clock.advance(200);
+    await flushMicrotasks();
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    watch.stop();
+  });
+});
+
 describe('a table replica', () => {
+  const at = (revision: number, era = 1): StoreRevision => ({ era: asStoreEra(era), revision });
+
   it('lists the changes since a revision, including removals', () => {
     const replica = createTableReplica<string>();
-    replica.replace([{ key: 'a', value: 'a1' }], 3);
-    replica.apply([{ key: 'b', value: 'b1' }], 4);
-    replica.apply([{ key: 'a', value: undefined }], 6);
-    expect(replica.changesSince(4)).toEqual({
+    replica.replace([{ key: 'a', value: 'a1' }], at(3));
+    replica.apply([{ key: 'b', value: 'b1' }], at(4));
+    replica.apply([{ key: 'a', value: undefined }], at(6));
+    expect(replica.changesSince(at(4))).toEqual({
       changes: [{ key: 'a', value: undefined }],
       isAll: false,
       revision: 6,
     });
-    expect(replica.changesSince(2)).toEqual({
+    expect(replica.changesSince(at(2))).toEqual({
       changes: [{ key: 'b', value: 'b1' }],
       isAll: true,
       revision: 6,
     });
   });
+
+  it('takes a lower revision of a later era, and gives all rows to readers of the era before', () => {
+    const replica = createTableReplica<string>();
+    replica.replace([{ key: 'a', value: 'a1' }], at(9));
+    expect(replica.apply([{ key: 'b', value: 'b1' }], at(10, 2))).toBe(false);
+    expect(replica.replace([{ key: 'b', value: 'b2' }], at(4, 2))).toBe(true);
+    expect(replica.replace([{ key: 'a', value: 'a3' }], at(12, 1))).toBe(false);
+    expect(replica.changesSince(at(9))).toEqual({
+      changes: [{ key: 'b', value: 'b2' }],
+      isAll: true,
+      revision: 4,
+    });
+  });
 });
