Let routers relay tables with the era of their revision

Cause: a relay and its readers compared revisions alone. After a restore of the store a reader that held a higher revision waited at its relay for one that did not come, or got changes since a revision that had been given out again; a relay that had not noticed the restore yet handed on rows of before it; and the age of relayed rows was taken from a time on the store's clock, which need not go on over a restore. Change: request and response name the era. A reader of another era gets all rows, an older response is not used, a newer one tells the reader of the restore (and a newer request the relay). The relation to the store's clock is dropped at a restore. Responses without an era, from earlier versions of the router, count as before.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -263,7 +263,7 @@
       servers_revision: serverWatch.revision(),
     });
   });
-  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed]);
+  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed], storeEras);
 
   function canReadStore(): boolean {
     return !isStopping && !operatorWatch.isStoreUnreachable() && !serverWatch.isStoreUnreachable();
--- a/packages/router/src/forward/relay.ts
+++ b/packages/router/src/forward/relay.ts
@@ -1,5 +1,7 @@
 import { createHttpServer, sendJson } from '@mimosamill/adapters';
+import { asStoreEra } from '@mimosamill/core';
 import type { HttpClient, HttpServer } from '@mimosamill/adapters';
+import type { StoreEra, StoreEras, StoreRevision } from '@mimosamill/core';
 import type { RelayedChanges, RelaySource, TableChange } from './table-watch';
 
 /** A table that this router relays to other routers. */
@@ -10,7 +12,7 @@
    * renews the age of the content, and after `waitMs`. Undefined if the table was never read.
    */
   readonly waitForNewer: (
-    sinceRevision: number,
+    since: StoreRevision,
     waitMs: number,
   ) => Promise<RelayResponse | undefined>;
 }
@@ -21,16 +23,19 @@
   /** True if `changes` holds all rows instead of those changed since the requested revision. */
   readonly isAll: boolean;
   readonly revision: number;
+  /** Era of the revision; absent in responses of earlier versions of the router. */
+  readonly era?: StoreEra;
   /** Time by the store's clock at which the content was known to be current. */
   readonly storeAsOfMs: number;
   readonly sinceOutageMs: number | null;
 }
 
 const RELAY_PATH = '/relay/:table';
+const ERA_PATTERN = /^\d{1,15}$/u;
 const LONG_POLL_MAX_MS = 10_000;
 
 /** Serves this router's tables to other routers, so that not every router has to read the store. */
-export function createRelayServer(tables: readonly RelayedTable[]): HttpServer {
+export function createRelayServer(tables: readonly RelayedTable[], eras: StoreEras): HttpServer {
   const byName = new Map(tables.map((table) => [table.name, table]));
   const shell = createHttpServer();
   shell.app.get(RELAY_PATH, async (req, res) => {
@@ -41,11 +46,14 @@
     if (table === undefined || !Number.isFinite(since) || !Number.isFinite(waitMs)) {
       sendJson(res, 400, {
         error:
-          'expected /relay/TABLE?since=REVISION&wait_ms=MS with a table that this router relays',
+          'expected /relay/TABLE?since=REVISION&era=ERA&wait_ms=MS with a table that this router relays',
       });
       return;
     }
-    const answer = await table.waitForNewer(since, waitMs);
+    const era = parseEra(query.get('era')) ?? eras.current();
+    // The other router may have learned of a restore of the store first.
+    eras.observe(era);
+    const answer = await table.waitForNewer({ era, revision: since }, waitMs);
     if (answer === undefined) sendJson(res, 503, { error: 'the table has not been read yet' });
     else sendJson(res, 200, answer);
   });
@@ -60,8 +68,9 @@
 ): RelaySource<T> {
   return {
     name: address,
-    readChanges: async (sinceRevision, waitMs, signal): Promise<RelayedChanges<T>> => {
-      const query = `since=${sinceRevision}&wait_ms=${Math.round(waitMs)}`;
+    readChanges: async (since, waitMs, signal): Promise<RelayedChanges<T>> => {
+      const { revision, era } = since;
+      const query = `since=${revision}&era=${era}&wait_ms=${Math.round(waitMs)}`;
       const outcome = await http.fetch(`http://${address}/relay/${table}?${query}`, {
         method: 'GET',
         timeoutMs: LONG_POLL_MAX_MS + 1_000,
@@ -81,6 +90,7 @@
         changes: answer.changes as readonly TableChange<T>[],
         isAll: answer.isAll,
         revision: answer.revision,
+        era: answer.era ?? era,
         storeAsOfMs: answer.storeAsOfMs,
         sinceOutageMs: answer.sinceOutageMs ?? Infinity,
       };
@@ -88,6 +98,10 @@
   };
 }
 
+function parseEra(text: string | null): StoreEra | undefined {
+  return text !== null && ERA_PATTERN.test(text) ? asStoreEra(Number(text)) : undefined;
+}
+
 function parse(body: string): RelayResponse | undefined {
   try {
     return JSON.parse(body) as RelayResponse;
--- a/packages/router/src/forward/table-replica.ts
+++ b/packages/router/src/forward/table-replica.ts
@@ -80,8 +80,9 @@
       return true;
     },
     changesSince: (from) => {
-      if (from.era !== era || from.revision < historyStart)
+      if (from.era !== era || from.revision < historyStart) {
         return { changes: allRows(), isAll: true, revision };
+      }
       const changed = [...entries]
         .filter(([, entry]) => entry.revision > from.revision)
         .map(([key, { value }]) => ({ key, value }));
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -59,7 +59,7 @@
 export interface RelaySource<T> {
   readonly name: string;
   readonly readChanges: (
-    sinceRevision: number,
+    since: StoreRevision,
     waitMs: number,
     signal: AbortSignal,
   ) => Promise<RelayedChanges<T>>;
@@ -71,6 +71,7 @@
       readonly changes: readonly TableChange<T>[];
       readonly isAll: boolean;
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeAsOfMs: number;
       readonly sinceOutageMs: number;
     }
@@ -310,22 +311,22 @@
    */
   async function readRelay(relay: RelaySource<T>, abort: AbortController): Promise<boolean> {
     probeLostPath();
-    const sinceRevision = replica.revision();
+    const since = { era: replica.era(), revision: replica.revision() };
     const isFresh = freshForMs() > 0;
     const waitMs = isFresh ? settings.waitMs : MIN_WAIT_MS;
     const timeoutMs = isFresh ? freshForMs() : REFRESH_TIMEOUT_MS;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
-      relay.readChanges(sinceRevision, waitMs, signal),
+      relay.readChanges(since, waitMs, signal),
     );
     if (answer.kind === 'unavailable') return false;
+    if (sources.eras.observe(answer.era) === 'older') return false;
     checkClocks();
     failures = 0;
-    const to = { era: replica.era(), revision: answer.revision };
     const isNewer = answer.isAll
-      ? replica.replace(answer.changes, to)
-      : replica.revision() === sinceRevision && replica.apply(answer.changes, to);
+      ? replica.replace(answer.changes, answer)
+      : replica.revision() === since.revision && replica.apply(answer.changes, answer);
     // An answer older than the replica says nothing about the age of the replica.
-    if (answer.revision >= replica.revision()) {
+    if (answer.era === replica.era() && answer.revision >= replica.revision()) {
       freshness.onRelayed(answer.storeAsOfMs);
       const nowMs = clock.monotonicMs();
       outage.onRelayed(nowMs - freshness.ageMs(nowMs), answer.sinceOutageMs, nowMs);
@@ -406,24 +407,30 @@
     return refreshing;
   }
 
-  function relayResponse(sinceRevision: number): RelayResponse | undefined {
+  function relayResponse(since: StoreRevision): RelayResponse | undefined {
     const storeAsOfMs = freshness.storeAsOfMs();
     if (replica.revision() < 0 || storeAsOfMs === undefined) return undefined;
     const outageMs = sinceOutageMs();
     return {
-      ...replica.changesSince({ era: replica.era(), revision: sinceRevision }),
+      ...replica.changesSince(since),
+      era: replica.era(),
       storeAsOfMs,
       sinceOutageMs: Number.isFinite(outageMs) ? outageMs : null,
     };
   }
 
-  function waitForNewer(sinceRevision: number, waitMs: number): Promise<RelayResponse | undefined> {
-    if (replica.revision() > sinceRevision) return Promise.resolve(relayResponse(sinceRevision));
+  function isNewerThan(since: StoreRevision): boolean {
+    if (replica.era() !== since.era) return replica.era() > since.era;
+    return replica.revision() > since.revision;
+  }
+
+  function waitForNewer(since: StoreRevision, waitMs: number): Promise<RelayResponse | undefined> {
+    if (isNewerThan(since)) return Promise.resolve(relayResponse(since));
     return new Promise((resolve) => {
       const wake = (): void => {
         waiters.delete(wake);
         cancel();
-        resolve(relayResponse(sinceRevision));
+        resolve(relayResponse(since));
       };
       const cancel = clock.runAfter(waitMs, wake);
       waiters.add(wake);
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -110,6 +110,7 @@
   })),
   isAll: false,
   revision,
+  era: FIRST_ERA,
   storeAsOfMs,
   sinceOutageMs: Infinity,
 });
@@ -183,6 +184,7 @@
       changes: [],
       isAll: false,
       revision: 5,
+      era: FIRST_ERA,
       storeAsOfMs: 300,
       sinceOutageMs: Infinity,
     };
@@ -206,6 +208,7 @@
       changes: [],
       isAll: false,
       revision: 5,
+      era: FIRST_ERA,
       storeAsOfMs: 100,
       sinceOutageMs: Infinity,
     };
@@ -258,6 +261,7 @@
       changes: [{ key: 'a', value: 'a9' }],
       isAll: false,
       revision: 9,
+      era: FIRST_ERA,
       storeAsOfMs: 900,
       sinceOutageMs: Infinity,
     };
@@ -383,6 +387,73 @@
   });
 });
 
+describe('a watch that reads from a relay while the store comes back from an older copy', () => {
+  const restored: RelayedChanges<string> = {
+    kind: 'relayed',
+    changes: [{ key: 'a', value: 'a0' }],
+    isAll: true,
+    revision: 25,
+    era: SECOND_ERA,
+    storeAsOfMs: 900,
+    sinceOutageMs: Infinity,
+  };
+
+  async function startBehind(relayed: readonly RelayedChanges<string>[]) {
+    const answers = [...relayed];
+    const since: StoreRevision[] = [];
+    const test = createTestWatch((from) => {
+      since.push(from);
+      return Promise.resolve(answers.shift() ?? { kind: 'unavailable', message: 'no more' });
+    }, false);
+    test.watch.start();
+    test.scriptedStore.calls[0]?.answer(content(27, 100, 'a1', 'b1'));
+    await flushMicrotasks();
+    test.clock.advance(100);
+    await flushMicrotasks();
+    return { ...test, since };
+  }
+
+  it('takes all rows of the later era from the relay, although their revision is lower', async () => {
+    const { eras, published, since, watch } = await startBehind([restored]);
+    expect(since[0]).toEqual({ era: FIRST_ERA, revision: 27 });
+    expect(published.at(-1)).toEqual(['a=a0']);
+    expect(eras.current()).toBe(SECOND_ERA);
+    watch.stop();
+  });
+
+  it('does not take the age of content from a time on the clock that the store had before', async () => {
+    const { clock, watch } = await startBehind([restored]);
+    const ageMs = watch.ageMs();
+    clock.advance(10);
+    expect(watch.ageMs()).toBe(ageMs + 10);
+    watch.stop();
+  });
+
+  it('does not use what a relay still has of the era before', async () => {
+    const late = createTestWatch(() => Promise.resolve(relayedAt(30, 900, 'b1')), false);
+    late.eras.observe(SECOND_ERA);
+    late.watch.start();
+    late.scriptedStore.calls[0]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    late.clock.advance(100);
+    await flushMicrotasks();
+    expect(late.published).toEqual([['a=a0']]);
+    expect(late.scriptedStore.calls.at(-1)?.what).toBe('since 25');
+    late.watch.stop();
+  });
+
+  it('answers a router of the era before with all rows as soon as it has read them', async () => {
+    const { eras, scriptedStore, watch } = await startBehind([]);
+    const waiting = watch.relayed.waitForNewer({ era: FIRST_ERA, revision: 27 }, 1_000);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls.at(-1)?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    const rows = [{ key: 'a', value: 'a0' }];
+    expect(await waiting).toMatchObject({ changes: rows, isAll: true, revision: 25, era: 2 });
+    watch.stop();
+  });
+});
+
 describe('a table replica', () => {
   const at = (revision: number, era = 1): StoreRevision => ({ era: asStoreEra(era), revision });
 
