Do not use servers again that only a restored copy shows as ready

Cause: after a restore of the store the list shows servers as they were when the copy was made, until each has written its entry again. A server that had been leaving came back as ready, one that had been removed was used again, and one that had restarted was taken for its former process, which ended its streams. Servers that the copy lacks stay usable as uncertain. Three of the five new tests of freshness.spec.ts failed before; two guard what must go on to hold.

--- a/packages/core/test/forward/freshness.spec.ts
+++ b/packages/core/test/forward/freshness.spec.ts
@@ -100,3 +100,60 @@
     expect(ids(directory.servers(1_800))).toEqual(['a', 'b']);
   });
 });
+
+describe('the server directory after the store came back from an older copy', () => {
+  const a = server('a');
+  const b = server('b');
+  const ids = (servers: readonly ForwardServer[]): string[] =>
+    servers.map(
+      ({ serverId, isLeaving, isUncertain }) =>
+        `${serverId}${isLeaving ? '-' : ''}${isUncertain === true ? '?' : ''}`,
+    );
+
+  function open(...servers: ForwardServer[]) {
+    const directory = createServerDirectory(3_000);
+    directory.update(servers, Infinity, 0);
+    return directory;
+  }
+
+  it('does not send requests again to a server that was leaving when the copy shows it as ready', () => {
+    const directory = open(a, { ...b, isLeaving: true });
+    directory.update([a, b], 0, 1_000, true);
+    expect(ids(directory.servers(1_000))).toEqual(['a', 'b-']);
+    directory.update([a, b], 9_000, 10_000);
+    expect(ids(directory.servers(10_000))).toEqual(['a', 'b-']);
+  });
+
+  it('uses a server that starts again under the id of one that was leaving', () => {
+    const directory = open(a, { ...b, isLeaving: true });
+    directory.update([a, b], 0, 1_000, true);
+    directory.update([a, { ...b, startedAtMs: 2 }], 500, 1_500);
+    expect(ids(directory.servers(1_500))).toEqual(['a', 'b']);
+  });
+
+  it('does not use a server that had been removed until the store would have removed it again', () => {
+    const directory = open(a, b);
+    directory.update([a], 60_000, 1_000);
+    directory.update([a, b], 0, 2_000, true);
+    expect(ids(directory.servers(2_000))).toEqual(['a']);
+    const expiryMs = directory.nextExpiryMs() ?? 0;
+    expect(ids(directory.servers(expiryMs - 1))).toEqual(['a']);
+    expect(ids(directory.servers(expiryMs))).toEqual(['a', 'b']);
+  });
+
+  it('does not take a restarted server for the process that ran under its id before', () => {
+    const restarted = { ...b, startedAtMs: 5, address: '10.9.9.9:1' };
+    const directory = open(a, b);
+    directory.update([a, restarted], Infinity, 1_000);
+    directory.update([a, b], 0, 2_000, true);
+    expect(directory.servers(2_000)).toEqual([a, restarted]);
+  });
+
+  it('keeps a server that registered since the copy was made until it has registered again', () => {
+    const directory = open(a, b);
+    directory.update([a], 0, 1_000, true);
+    expect(ids(directory.servers(1_000))).toEqual(['a', 'b?']);
+    directory.update([a, b], 800, 1_800);
+    expect(ids(directory.servers(1_800))).toEqual(['a', 'b']);
+  });
+});
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -314,7 +314,12 @@
 
   function onServerRows(rows: ReadonlyMap<string, ForwardServer>, context: WatchContext): void {
     isServerListKnown = true;
-    directory.update([...rows.values()], context.sinceOutageMs, clock.monotonicMs());
+    directory.update(
+      [...rows.values()],
+      context.sinceOutageMs,
+      clock.monotonicMs(),
+      context.isRestored,
+    );
     applyDirectory(context);
   }
 
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -104,6 +104,8 @@
   readonly revision: number;
   /** Time since the last outage of the store before the rows were read; Infinity if there was none. */
   readonly sinceOutageMs: number;
+  /** The store was restored since the last call: the rows are those of an older copy. */
+  readonly isRestored: boolean;
   /** 'store', or the name of the router that relayed the rows. */
   readonly source: string;
 }
@@ -179,10 +181,11 @@
     return outage.sinceOutageMs(clock.monotonicMs());
   }
 
-  function publish(source: string): void {
+  function publish(source: string, isRestored = false): void {
     handlers.onRows(replica.rows, {
       revision: replica.revision(),
       sinceOutageMs: sinceOutageMs(),
+      isRestored,
       source,
     });
   }
@@ -253,11 +256,17 @@
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    if (replica.replace(content.rows, content)) publish(STORE_SOURCE);
+    const isRestored = isOfOtherEra(content);
+    if (replica.replace(content.rows, content)) publish(STORE_SOURCE, isRestored);
     wakeWaiters();
     return true;
   }
 
+  /** Whether the replica was read before the store was restored to the answer's era. */
+  function isOfOtherEra({ era }: StoreRevision): boolean {
+    return replica.revision() >= 0 && replica.era() !== era;
+  }
+
   /** Whether changes since the replica's revision can be read: it was read in the present era. */
   function isFollowing(): boolean {
     return replica.revision() >= 0 && replica.era() === sources.eras.current();
@@ -322,6 +331,7 @@
     if (sources.eras.observe(answer.era) === 'older') return false;
     checkClocks();
     failures = 0;
+    const isRestored = isOfOtherEra(answer);
     const isNewer = answer.isAll
       ? replica.replace(answer.changes, answer)
       : replica.revision() === since.revision && replica.apply(answer.changes, answer);
@@ -331,7 +341,7 @@
       const nowMs = clock.monotonicMs();
       outage.onRelayed(nowMs - freshness.ageMs(nowMs), answer.sinceOutageMs, nowMs);
     }
-    if (isNewer && answer.changes.length > 0) publish(relay.name);
+    if (isNewer && answer.changes.length > 0) publish(relay.name, isRestored);
     wakeWaiters();
     return freshForMs() > 0;
   }
