Bind write conditions to the era in which their revision was read

Cause: a restored store gives revisions out again, so a condition on a revision that was read before the restore may hold for another state of the row, and the write then replaces what was written since. Change: a condition carries its era.

--- a/packages/router/src/forward/router-registry.ts
+++ b/packages/router/src/forward/router-registry.ts
@@ -1,5 +1,5 @@
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
-import type { HostId } from '@mimosamill/core';
+import type { HostId, StoreRevision } from '@mimosamill/core';
 import type { PeerDirectory } from './state-broadcast';
 
 /** A router as the platform's store lists it. */
@@ -7,13 +7,13 @@
   readonly hostId: HostId;
   readonly peerAddress: string;
   /** Revision of the router's row. */
-  readonly revision: number;
+  readonly at: StoreRevision;
 }
 
 /** Table in which routers register, so that they find each other. */
 export interface RouterTable {
   /** Writes this router's own row; false if it may not have been written. */
-  readonly register: (self: Omit<ListedRouter, 'revision'>) => Promise<boolean>;
+  readonly register: (self: Omit<ListedRouter, 'at'>) => Promise<boolean>;
   readonly list: () => Promise<readonly ListedRouter[] | undefined>;
   /** Removes a router's row unless the row has changed since it was read. */
   readonly remove: (router: ListedRouter) => Promise<void>;
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -1,4 +1,4 @@
-import { addEvidence, asId, nextMoveStep } from '@mimosamill/core';
+import { addEvidence, asId, nextMoveStep, UNKNOWN_ERA } from '@mimosamill/core';
 import { isElected } from './election';
 import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
 import type {
@@ -11,6 +11,7 @@
   PeerMove,
   ServerId,
   ServiceName,
+  StoreRevision,
   VersionOrder,
 } from '@mimosamill/core';
 
@@ -22,7 +23,7 @@
     service: ServiceName,
     version: string,
     state: MoveState,
-    expectedRevision: number,
+    expected: StoreRevision,
   ) => Promise<'ok' | 'conflict' | 'unknown'>;
 }
 
@@ -31,7 +32,7 @@
       readonly kind: 'ok';
       /** Undefined if there is no row. */
       readonly record: { readonly version: string; readonly state: MoveState } | undefined;
-      readonly revision: number;
+      readonly at: StoreRevision;
     }
   | { readonly kind: 'unavailable' };
 
@@ -86,7 +87,8 @@
   isWriting: boolean;
   evidence: MoveEvidence;
   shareRatio: number;
-  revision: number;
+  /** Revision of the stored state. */
+  at: StoreRevision;
 }
 
 const STEP_PERIOD_MS = 200;
@@ -152,7 +154,7 @@
     const outcome = await ports.table.read(move.order.service);
     if (outcome.kind === 'unavailable') return;
     move.isStateLoaded = true;
-    move.revision = outcome.revision;
+    move.at = outcome.at;
     if (outcome.record?.version !== move.order.version) return;
     if (outcome.record.state !== 'running') endMove(move, outcome.record.state, 'store');
   }
@@ -228,7 +230,7 @@
     if (move.isWriting || !move.isStateLoaded) return;
     move.isWriting = true;
     const { service, version } = move.order;
-    const outcome = await ports.table.write(service, version, state, move.revision);
+    const outcome = await ports.table.write(service, version, state, move.at);
     move.isWriting = false;
     if (outcome === 'ok') endMove(move, state, 'written');
     // Another router wrote first, or this write was applied and its answer lost; the row tells which.
@@ -379,6 +381,6 @@
     isWriting: false,
     evidence: NO_EVIDENCE,
     shareRatio: 0,
-    revision: 0,
+    at: { era: UNKNOWN_ERA, revision: 0 },
   };
 }
--- a/packages/router/test/forward/router-registry.spec.ts
+++ b/packages/router/test/forward/router-registry.spec.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest';
-import { asId } from '@mimosamill/core';
+import { asId, UNKNOWN_ERA } from '@mimosamill/core';
 import { createRouterRegistry } from '../../src/forward/router-registry';
 import { createManualClock } from './clock';
 import type { DecisionLog } from '@mimosamill/adapters';
+import type { StoreRevision } from '@mimosamill/core';
 import type { ListedRouter, RouterTable } from '../../src/forward/router-registry';
 
 const LOG: DecisionLog = {
@@ -12,13 +13,15 @@
   droppedCount: () => 0,
 };
 
+const at = (revision: number): StoreRevision => ({ era: UNKNOWN_ERA, revision });
+
 function createTable(): { table: RouterTable; rows: Map<string, ListedRouter> } {
   const rows = new Map<string, ListedRouter>();
   return {
     rows,
     table: {
       register: (self) => {
-        rows.set(self.hostId, { ...self, revision: rows.size + 1 });
+        rows.set(self.hostId, { ...self, at: at(rows.size + 1) });
         return Promise.resolve(true);
       },
       list: () => Promise.resolve([...rows.values()]),
@@ -60,7 +63,7 @@
 
   it('removes a router that has sent no message since it was listed', async () => {
     const { table, rows } = createTable();
-    rows.set('gone', { hostId: asId('gone'), peerAddress: 'gone:1', revision: 1 });
+    rows.set('gone', { hostId: asId('gone'), peerAddress: 'gone:1', at: at(1) });
     const { clock } = start('a', table);
     await settle();
     for (let no = 0; no < 3; no += 1) {
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createFleet, createPeerRegistry } from '@mimosamill/core';
+import { asId, createFleet, createPeerRegistry, UNKNOWN_ERA } from '@mimosamill/core';
 import { createVersionMoves } from '../../src/forward/version-moves';
 import { createManualClock } from './clock';
 import type { ForwardServer, MoveState, ServerId, ServiceName } from '@mimosamill/core';
 
 const SERVICE = asId<ServiceName>('guide');
+const UNSET = { era: UNKNOWN_ERA, revision: 0 };
 const FORMER = asId<ServerId>('former');
 const FRESH = asId<ServerId>('fresh');
 
@@ -35,7 +36,7 @@
     peerRegistry: createPeerRegistry(),
     hashes: { hash32: (text) => text.length, hash64: (text) => text },
     table: {
-      read: () => Promise.resolve({ kind: 'ok', record: undefined, revision: 0 }),
+      read: () => Promise.resolve({ kind: 'ok', record: undefined, at: UNSET }),
       write: (_service, _version, written) => {
         state = written;
         return Promise.resolve('ok');
