Keep the configuration that a restored copy of the store lost

Cause: after a restore the replica of the operators' table was that of the copy, and this router relayed it. A router that started, or read through the relay, then came up with an older configuration: a key taken away in the lost seconds was valid there again, an added route was missing. A version order that the copy lacks was lost in the same way. Change: the replica goes on with the newest configuration and the orders that it has, until the store has them again. The relay test of store-restore.spec.ts failed before.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -22,6 +22,7 @@
 import { finiteMs } from './finite';
 import { createForwardMetrics } from './metrics';
 import { createRouterRegistry } from './router-registry';
+import { keepLostRecords } from './operator-record';
 import { isElected } from './election';
 import { createIngress } from './ingress';
 import { createCrashGuard } from './crash-guard';
@@ -236,7 +237,7 @@
       ),
       timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
     },
-    { onRows: onOperatorRows },
+    { onRows: onOperatorRows, keepLost: keepLostRecords },
   );
   const serverWatch: TableWatch = createTableWatch(
     storeReaders.sourcesOf('servers', environment.serverTable),
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -98,6 +98,14 @@
 export interface WatchHandlers<T> {
   /** Called with all rows after a change, and after the whole table was read again. */
   readonly onRows: (rows: ReadonlyMap<string, T>, context: WatchContext) => void;
+  /**
+   * Called when the store came back from an older copy; returns the rows to go on with, which may hold
+   * known ones that the copy lost. Without it, those of the copy are used.
+   */
+  readonly keepLost?: (
+    known: ReadonlyMap<string, T>,
+    copy: readonly TableChange<T>[],
+  ) => readonly TableChange<T>[];
 }
 
 export interface WatchContext {
@@ -257,11 +265,17 @@
     }
     onAnswer(sentAtMs, content.storeNowMs);
     const isRestored = isOfOtherEra(content);
-    if (replica.replace(content.rows, content)) publish(STORE_SOURCE, isRestored);
+    if (replaceAll(content.rows, content)) publish(STORE_SOURCE, isRestored);
     wakeWaiters();
     return true;
   }
 
+  function replaceAll(rows: readonly TableChange<T>[], to: StoreRevision): boolean {
+    const isCopy = isOfOtherEra(to);
+    const kept = isCopy ? handlers.keepLost?.(replica.rows, rows) : undefined;
+    return replica.replace(kept ?? rows, to);
+  }
+
   /** Whether the replica was read before the store was restored to the answer's era. */
   function isOfOtherEra({ era }: StoreRevision): boolean {
     return replica.revision() >= 0 && replica.era() !== era;
@@ -333,7 +347,7 @@
     failures = 0;
     const isRestored = isOfOtherEra(answer);
     const isNewer = answer.isAll
-      ? replica.replace(answer.changes, answer)
+      ? replaceAll(answer.changes, answer)
       : replica.revision() === since.revision && replica.apply(answer.changes, answer);
     // An answer older than the replica says nothing about the age of the replica.
     if (answer.era === replica.era() && answer.revision >= replica.revision()) {
