Carry out no earlier version order that only a restored copy shows

Cause: a copy that was made between two orders for a service shows the earlier one, which was taken for a new order: a move back to a version whose servers may be stopped. Seen by reading the code; no run has shown it. Change: order-history.ts knows which orders were replaced, and ignores one that the copy shows again until the operator writes another. The new test covers the module, which did not exist before.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -289,6 +289,7 @@
       [...rows.values()].flatMap((record) =>
         record.kind === 'version_order' ? [record.order] : [],
       ),
+      context.isRestored,
     );
     rows.forEach((record, key) => {
       if (record.kind === 'unknown') {
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -1,5 +1,6 @@
 import { addEvidence, asId, nextMoveStep, UNKNOWN_ERA } from '@mimosamill/core';
 import { isElected } from './election';
+import { createOrderHistory } from './order-history';
 import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
 import type {
   Fleet,
@@ -62,7 +63,8 @@
 
 /** Shifts the traffic of services to new versions step by step, and rolls bad versions back. */
 export interface VersionMoves {
-  readonly setOrders: (orders: readonly VersionOrder[]) => void;
+  /** `isCopy` tells that the store has just been restored from an older copy, which the orders show. */
+  readonly setOrders: (orders: readonly VersionOrder[], isCopy?: boolean) => void;
   /** Servers whose version must not serve a request; `draw` is a uniform random number. */
   readonly excludedServers: (service: ServiceName, draw: number) => ReadonlySet<ServerId>;
   /**
@@ -135,11 +137,12 @@
    * Exponential moving average of the time of each service's phases, without those of a new version.
    */
   const meanMsByPhase = new Map<string, number>();
+  const orderHistory = createOrderHistory();
   const cancel = clock.runEvery(STEP_PERIOD_MS, advanceAll);
 
-  function setOrders(orders: readonly VersionOrder[]): void {
+  function setOrders(orders: readonly VersionOrder[], isCopy = false): void {
     orders.forEach((order) => {
-      if (moves.get(order.service)?.order.version === order.version) return;
+      if (!orderHistory.isNew(order, isCopy)) return;
       moves.set(order.service, createMove(order, clock.monotonicMs()));
       decisions.vital('move.ordered', {
         service: order.service,
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { asId, createFleet, createPeerRegistry, UNKNOWN_ERA } from '@mimosamill/core';
 import { createVersionMoves } from '../../src/forward/version-moves';
+import { createOrderHistory } from '../../src/forward/order-history';
 import { createManualClock } from './clock';
 import type { ForwardServer, MoveState, ServerId, ServiceName } from '@mimosamill/core';
 
@@ -147,3 +148,19 @@
     expect([...moves.excludedCopyHolders(SERVICE)]).toEqual([FORMER]);
   });
 });
+
+describe('moves after the store came back from an older copy', () => {
+  it('do not start anew for an earlier order that only the copy shows', () => {
+    const history = createOrderHistory();
+    const order = (version: string) => ({ service: SERVICE, version, withinMs: 15_000 });
+    const isNew = [
+      history.isNew(order('v2'), false),
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), true),
+      history.isNew(order('v2'), false),
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), false),
+    ];
+    expect(isNew).toEqual([true, true, false, false, false, true]);
+  });
+});
