Write rows again that a restored copy of the store lost

Cause: what routers had written was taken to last. After a restore a router was missing from the list of routers for up to a minute, so that one that started meanwhile did not find it; the end of a version move was missing for the operator for good; and a condemned prompt part would not outlive the loss of all routers. Change: each router registers again within half a second of learning of the restore, ends of moves are read and written again by the elected router (move.recorded_again), and the condemned parts are listed and written again.

--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -55,6 +55,8 @@
   readonly isSuspected: (content: RequestContent) => boolean;
   readonly ownReports: (nowMs: number) => CrashReports;
   readonly onPeerReports: (reports: CrashReports) => void;
+  /** The store came back from an older copy, which may lack rows that were written. */
+  readonly onStoreRestored: () => void;
   readonly stop: () => void;
 }
 
@@ -175,7 +177,7 @@
     if (suspects.condemn(condemnation, clock.monotonicMs())) announce(condemnation, source);
   }
 
-  /** Reads the store once after the start, then keeps the rows in step with what is condemned. */
+  /** Reads the store once after the start and after a restore, then keeps the rows in step with what is condemned. */
   async function stepStore(): Promise<void> {
     if (isStepping) return;
     isStepping = true;
@@ -188,6 +190,7 @@
     const rows = await ports.table.list();
     if (rows === undefined) return;
     isLoaded = true;
+    stored.clear();
     rows.forEach(({ suspect, condemnedAtWallMs }) => {
       stored.add(suspect);
       const ageMs = Math.max(0, clock.nowMs() - condemnedAtWallMs);
@@ -235,6 +238,9 @@
       return { crashes, cleared, condemned: suspects.condemned(nowMs) };
     },
     onPeerReports,
+    onStoreRestored: () => {
+      isLoaded = false;
+    },
     stop: () => cancelSteps(),
   };
 }
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -263,6 +263,9 @@
       operator_revision: operatorWatch.revision(),
       servers_revision: serverWatch.revision(),
     });
+    routerRegistry.onStoreRestored();
+    versionMoves.onStoreRestored();
+    crashGuard.onStoreRestored();
   });
   const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed], storeEras);
 
--- a/packages/router/src/forward/router-registry.ts
+++ b/packages/router/src/forward/router-registry.ts
@@ -26,12 +26,16 @@
 
 export interface RouterRegistry extends PeerDirectory {
   readonly start: () => void;
+  /** The store came back from an older copy, which may lack this router. */
+  readonly onStoreRestored: () => void;
   readonly stop: () => void;
 }
 
 const READ_PERIOD_MS = 60_000;
 const READ_JITTER_MS = 5_000;
 const REGISTER_RETRY_MS = 500;
+/** Spreads the calls of all routers after a restore. */
+const RESTORED_JITTER_MS = 500;
 const READ_RETRY_MS = 700;
 /** A listed router that has sent no message for this time is taken to be replaced. */
 const REMOVE_SILENT_AFTER_MS = 90_000;
@@ -53,6 +57,7 @@
 
   function schedule(delayMs: number, step: () => Promise<void>): void {
     if (isStopped) return;
+    cancel();
     cancel = clock.runAfter(delayMs, () => {
       void step();
     });
@@ -116,6 +121,7 @@
     start: () => {
       void registerSelf();
     },
+    onStoreRestored: () => schedule(RESTORED_JITTER_MS * random(), registerSelf),
     stop: () => {
       isStopped = true;
       cancel();
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -65,6 +65,8 @@
 export interface VersionMoves {
   /** `isCopy` tells that the store has just been restored from an older copy, which the orders show. */
   readonly setOrders: (orders: readonly VersionOrder[], isCopy?: boolean) => void;
+  /** The store came back from an older copy, which may lack the ends of moves. */
+  readonly onStoreRestored: () => void;
   /** Servers whose version must not serve a request; `draw` is a uniform random number. */
   readonly excludedServers: (service: ServiceName, draw: number) => ReadonlySet<ServerId>;
   /**
@@ -91,6 +93,9 @@
   shareRatio: number;
   /** Revision of the stored state. */
   at: StoreRevision;
+  /** The store may have lost the end of the move. */
+  isEndInDoubt: boolean;
+  nextEndCheckAtMs: number;
 }
 
 const STEP_PERIOD_MS = 200;
@@ -99,6 +104,8 @@
 const OVERTAKEN_FACTOR = 1.5;
 /** Time after a completed move by which the former version's servers are no longer listed. */
 const FORMER_SERVERS_GONE_AFTER_MS = 10_000;
+/** Time between two looks for the end of a move that another router is to write again. */
+const END_CHECK_PERIOD_MS = 1_000;
 const SMOOTHING_RATIO = 0.1;
 /**
  * What is timed: the time to the answer or to the first event, or the pace of the events after it. A
@@ -138,6 +145,7 @@
    */
   const meanMsByPhase = new Map<string, number>();
   const orderHistory = createOrderHistory();
+  let isRestored = false;
   const cancel = clock.runEvery(STEP_PERIOD_MS, advanceAll);
 
   function setOrders(orders: readonly VersionOrder[], isCopy = false): void {
@@ -166,6 +174,7 @@
     if (move.state !== 'running') return;
     move.state = state;
     move.endedAtMs = clock.monotonicMs();
+    move.isEndInDoubt = isRestored && cause === 'peer';
     const { fresh, former } = totalEvidence(move);
     decisions.vital('move.ended', {
       service: move.order.service,
@@ -196,9 +205,36 @@
         });
       }
       advance(move);
+      if (move.isEndInDoubt && !move.isWriting && clock.monotonicMs() >= move.nextEndCheckAtMs) {
+        void confirmEnd(move);
+      }
     });
   }
 
+  /** Writes the end of a move again if the store, restored from a copy, lacks it. */
+  async function confirmEnd(move: Move): Promise<void> {
+    move.isWriting = true;
+    move.nextEndCheckAtMs = clock.monotonicMs() + END_CHECK_PERIOD_MS;
+    const { service, version } = move.order;
+    const outcome = await ports.table.read(service);
+    if (outcome.kind === 'ok') {
+      const { record, at } = outcome;
+      if (record?.version === version && record.state !== 'running') move.isEndInDoubt = false;
+      else if (isWriterOf(service)) {
+        const written = await ports.table.write(service, version, move.state, at);
+        if (written === 'ok') {
+          move.isEndInDoubt = false;
+          decisions.vital('move.recorded_again', { service, version, state: move.state });
+        }
+      }
+    }
+    move.isWriting = false;
+  }
+
+  function isWriterOf(service: ServiceName): boolean {
+    return isElected(service, hostId, peerRegistry, ports.hashes, clock.monotonicMs());
+  }
+
   function advance(move: Move): void {
     if (move.state !== 'running') return;
     const ended = peerRegistry
@@ -225,7 +261,7 @@
     if (next.kind === 'roll_back') move.shareRatio = 0;
     else move.shareRatio = 1;
     const { service } = move.order;
-    if (!isElected(service, hostId, peerRegistry, ports.hashes, clock.monotonicMs())) return;
+    if (!isWriterOf(service)) return;
     void write(move, next.kind === 'roll_back' ? 'rolled_back' : 'completed');
   }
 
@@ -356,6 +392,12 @@
 
   return {
     setOrders,
+    onStoreRestored: () => {
+      isRestored = true;
+      moves.forEach((move) => {
+        if (move.state !== 'running') move.isEndInDoubt = true;
+      });
+    },
     excludedServers,
     excludedCopyHolders,
     trackAttempt,
@@ -385,5 +427,7 @@
     evidence: NO_EVIDENCE,
     shareRatio: 0,
     at: { era: UNKNOWN_ERA, revision: 0 },
+    isEndInDoubt: false,
+    nextEndCheckAtMs: -Infinity,
   };
 }
--- a/packages/router/test/forward/router-registry.spec.ts
+++ b/packages/router/test/forward/router-registry.spec.ts
@@ -72,4 +72,15 @@
     }
     expect([...rows.keys()]).toEqual(['a']);
   });
+
+  it('registers again at once, not a minute later, when the store came back without its row', async () => {
+    const { table, rows } = createTable();
+    const { clock, hosts } = start('a', table);
+    await settle();
+    rows.clear();
+    hosts.onStoreRestored();
+    clock.advance(600);
+    await settle();
+    expect([...rows.keys()]).toEqual(['a']);
+  });
 });
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -30,6 +30,7 @@
   fleet.setServers([serverOf(FORMER, 'v1'), serverOf(FRESH, 'v2')], 0);
   const ignore = (): undefined => undefined;
   let state: MoveState | undefined;
+  const writes: MoveState[] = [];
   const moves = createVersionMoves(asId('host'), {
     clock,
     decisions: { routine: ignore, notable: ignore, vital: ignore, droppedCount: () => 0 },
@@ -40,6 +41,7 @@
       read: () => Promise.resolve({ kind: 'ok', record: undefined, at: UNSET }),
       write: (_service, _version, written) => {
         state = written;
+        writes.push(written);
         return Promise.resolve('ok');
       },
     },
@@ -47,7 +49,7 @@
     broadcastLater: ignore,
   });
   moves.setOrders([{ service: SERVICE, version: 'v2', withinMs: 15_000 }]);
-  return { clock, moves, state: () => state };
+  return { clock, moves, state: () => state, writes };
 }
 
 async function advance(clock: ReturnType<typeof createManualClock>, ms: number): Promise<void> {
@@ -150,6 +152,17 @@
 });
 
 describe('moves after the store came back from an older copy', () => {
+  it('have their end written again when the copy lacks it', async () => {
+    const { clock, moves, writes } = createMoveOfService();
+    await advance(clock, 500);
+    for (let no = 0; no < 6; no += 1) moves.trackAttempt(FRESH, 'answer').onGivenUp();
+    await advance(clock, 500);
+    expect(writes).toEqual(['rolled_back']);
+    moves.onStoreRestored();
+    await advance(clock, 3_000);
+    expect(writes).toEqual(['rolled_back', 'rolled_back']);
+  });
+
   it('do not start anew for an earlier order that only the copy shows', () => {
     const history = createOrderHistory();
     const order = (version: string) => ({ service: SERVICE, version, withinMs: 15_000 });
