--- a/packages/core/test/forward/store-era.spec.ts
+++ b/packages/core/test/forward/store-era.spec.ts
@@ -22,4 +22,25 @@
       [2, 4],
     ]);
   });
+
+  it('tells its listeners of the restore of a store whose first era is 0', () => {
+    const eras = createStoreEras();
+    const restores: number[] = [];
+    eras.onRestored((era) => restores.push(era));
+    eras.observe(asStoreEra(0));
+    expect(eras.observe(asStoreEra(1))).toBe('newer');
+    expect(restores).toEqual([1]);
+  });
+
+  it('tells all its listeners of a restore although one of them throws', () => {
+    const eras = createStoreEras();
+    const restores: number[] = [];
+    eras.onRestored(() => {
+      throw new Error('a fault of the listener');
+    });
+    eras.onRestored((era) => restores.push(era));
+    eras.observe(asStoreEra(1));
+    expect(eras.observe(asStoreEra(2))).toBe('newer');
+    expect(restores).toEqual([2]);
+  });
 });
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -387,6 +387,45 @@
   });
 });
 
+describe('a watch that has a call under way when the store comes back from an older copy', () => {
+  it('reads the restored table at once although a full read of the era before gets no answer', async () => {
+    const { clock, eras, scriptedStore, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.map(({ what }) => what)).toEqual(['all', 'since 27', 'all']);
+    eras.observe(SECOND_ERA);
+    clock.advance(500);
+    await flushMicrotasks();
+    expect(scriptedStore.calls).toHaveLength(4);
+    watch.stop();
+  });
+
+  it('does not count its path as lost for an answer of the era before', async () => {
+    const { clock, eras, scriptedStore, events, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({
+      kind: 'unavailable',
+      message: 'the answer is older than a restore of the store',
+    });
+    await flushMicrotasks();
+    expect(watch.isStoreUnreachable()).toBe(false);
+    expect(events).not.toContain('store.lost');
+    watch.stop();
+  });
+});
+
 describe('a watch that reads from a relay while the store comes back from an older copy', () => {
   const restored: RelayedChanges<string> = {
     kind: 'relayed',
