Tell a store whose first era is 0 from one that names no era

The first restore of such a store was not noticed: no listener was called, and write conditions read in era 0 were sent in era 1, where another row may have the revision.

--- a/packages/core/src/forward/store-era.ts
+++ b/packages/core/src/forward/store-era.ts
@@ -26,8 +26,8 @@
 
 export type RestoreListener = (era: StoreEra, before: StoreEra) => void;
 
-/** Era of a store that has not named one. */
-export const UNKNOWN_ERA = asStoreEra(0);
+/** Era of a store that has not named one; a store may name 0. */
+export const UNKNOWN_ERA = asStoreEra(-1);
 
 export function createStoreEras(): StoreEras {
   const listeners: RestoreListener[] = [];
