Let polls of an ended era of the store say nothing of the path to it

A poll that was under way during a restore ends as no answer once the restore is known by another call. The router then counted its path as lost: it logged store.lost, stopped being a reader for the others and read the whole table again.

--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -295,6 +295,8 @@
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
       sources.store.readChanges(since.revision, waitMs, signal),
     );
+    // A poll of an era that has ended tells nothing of the path to the store.
+    if (since.era !== sources.eras.current()) return isFollowing() || readAll();
     switch (answer.kind) {
       case 'ok':
         // Changes of another era leave out what was written before the revision was given out again.
