--- a/packages/core/test/forward/directory.spec.ts
+++ b/packages/core/test/forward/directory.spec.ts
@@ -1,16 +1,15 @@
 import { describe, expect, it } from 'vitest';
-import { createServerDirectory } from '../../src/index';
-import { id } from './fixtures';
+import { asId, createServerDirectory } from '../../src/index';
 import type { ForwardServer } from '../../src/index';
 
 const KEEP_MAX_MS = 2_000;
 
 function serverOf(changes: Partial<ForwardServer> = {}): ForwardServer {
   return {
-    serverId: id('s1'),
-    service: id('guide'),
+    serverId: asId('s1'),
+    service: asId('guide'),
     address: '10.0.0.1:80',
-    failureDomain: id('east'),
+    failureDomain: asId('east'),
     version: 'v1',
     slots: 8,
     isLeaving: false,
@@ -35,12 +34,12 @@
   it('keeps a server out that the router learnt to be gone only by a change of the copy', () => {
     const directory = createServerDirectory(KEEP_MAX_MS);
     directory.update(
-      [serverOf(), serverOf({ serverId: id('s2'), address: '10.0.0.2:80' })],
+      [serverOf(), serverOf({ serverId: asId('s2'), address: '10.0.0.2:80' })],
       Infinity,
       0,
     );
     directory.update([serverOf()], Infinity, 100);
-    const s2 = serverOf({ serverId: id('s2'), address: '10.0.0.2:80' });
+    const s2 = serverOf({ serverId: asId('s2'), address: '10.0.0.2:80' });
     directory.update([serverOf(), s2], 0, 1_000, true);
     expect(directory.servers(1_000).map(({ serverId }) => serverId)).toEqual(['s1']);
     // Another server's change publishes all rows again.
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -10,6 +10,7 @@
   TableChanges,
   TableContent,
   WatchedTable,
+  WatchHandlers,
 } from '../../src/forward/table-watch';
 
 const FIRST_ERA = asStoreEra(1);
@@ -37,7 +38,11 @@
   for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
 };
 
-function createTestWatch(relay?: RelaySource<string>['readChanges'], isReader = true) {
+function createTestWatch(
+  relay?: RelaySource<string>['readChanges'],
+  isReader = true,
+  keepLost?: WatchHandlers<string>['keepLost'],
+) {
   const clock = createManualClock();
   const eras = createStoreEras();
   eras.observe(FIRST_ERA);
@@ -64,6 +69,7 @@
         published.push([...rows].map(([key, value]) => `${key}=${value}`));
         outageAgesMs.push(context.sinceOutageMs);
       },
+      ...(keepLost === undefined ? {} : { keepLost }),
     },
   );
   return { clock, eras, scriptedStore, events, published, outageAgesMs, watch };
@@ -426,6 +432,36 @@
   });
 });
 
+describe('a row that a restored copy lost and the watch keeps', () => {
+  it('is kept until it is written again, also when the table is read twice before that', async () => {
+    const { clock, eras, scriptedStore, published, watch } = createTestWatch(
+      undefined,
+      true,
+      (known, copy) => [...copy, ...[...known].map(([key, value]) => ({ key, value }))],
+    );
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a1']);
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[3]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    scriptedStore.calls.at(-1)?.answer(contentIn(SECOND_ERA, 25, 300, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a1']);
+    watch.stop();
+  });
+});
+
 describe('a watch that reads from a relay while the store comes back from an older copy', () => {
   const restored: RelayedChanges<string> = {
     kind: 'relayed',
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -176,4 +176,15 @@
     ];
     expect(isNew).toEqual([true, true, false, false, false, true]);
   });
+
+  it('do not start for an order from before the start of the router that only the copy shows', () => {
+    const history = createOrderHistory();
+    const order = (version: string) => ({ service: SERVICE, version, withinMs: 15_000 });
+    const isNew = [
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), true),
+      history.isNew(order('v3'), false),
+    ];
+    expect(isNew).toEqual([true, false, false]);
+  });
 });
