--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -22,6 +22,7 @@
 import { finiteMs } from './finite';
 import { createForwardMetrics } from './metrics';
 import { createRouterRegistry } from './router-registry';
+import { keepLostRecords } from './operator-record';
 import { isElected } from './election';
 import { createIngress } from './ingress';
 import { createCrashGuard } from './crash-guard';
@@ -47,6 +48,7 @@
   FreshnessBounds,
   RetryBudget,
   ServiceName,
+  StoreEras,
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
 import type { Ingress } from './ingress';
@@ -66,6 +68,7 @@
   readonly metrics: Metrics;
   readonly decisions: DecisionLog;
   readonly codec: ForwardCodec;
+  readonly storeEras: StoreEras;
   readonly operatorTable: WatchedTable<OperatorRecord>;
   readonly serverTable: WatchedTable<ForwardServer>;
   readonly routerTable: RouterTable;
@@ -124,7 +127,7 @@
   initial: GatewaySettings,
   environment: GatewayEnvironment,
 ): Promise<Gateway> {
-  const { clock, decisions, metrics } = environment;
+  const { clock, decisions, metrics, storeEras } = environment;
   let settings = initial;
   const fleet = createFleet();
   const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
@@ -237,7 +240,7 @@
       ),
       timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
     },
-    { onRows: onOperatorRows },
+    { onRows: onOperatorRows, keepLost: keepLostRecords },
   );
   const serverWatch: TableWatch = createTableWatch(
     storeReaders.sourcesOf('servers', environment.serverTable),
@@ -251,7 +254,23 @@
     },
     { onRows: onServerRows },
   );
-  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed]);
+  const storeRestores = metrics.counter(
+    'mimosamill_forward_store_restores_total',
+    'Times that the store was found to be restored from a copy',
+  );
+  storeEras.onRestored((era, before) => {
+    storeRestores.inc();
+    decisions.vital('store.restored', {
+      before,
+      era,
+      operator_revision: operatorWatch.revision(),
+      servers_revision: serverWatch.revision(),
+    });
+    routerRegistry.onStoreRestored();
+    versionMoves.onStoreRestored();
+    crashGuard.onStoreRestored();
+  });
+  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed], storeEras);
 
   function canReadStore(): boolean {
     return !isStopping && !operatorWatch.isStoreUnreachable() && !serverWatch.isStoreUnreachable();
@@ -276,6 +295,7 @@
       [...rows.values()].flatMap((record) =>
         record.kind === 'version_order' ? [record.order] : [],
       ),
+      context.isRestored,
     );
     rows.forEach((record, key) => {
       if (record.kind === 'unknown') {
@@ -294,6 +314,7 @@
       revision: config.revision,
       before,
       store_revision: storeRevision,
+      store_era: storeEras.current(),
       routes: config.routes.length,
       customers: config.customers?.length,
     });
@@ -301,7 +322,12 @@
 
   function onServerRows(rows: ReadonlyMap<string, ForwardServer>, context: WatchContext): void {
     isServerListKnown = true;
-    directory.update([...rows.values()], context.sinceOutageMs, clock.monotonicMs());
+    directory.update(
+      [...rows.values()],
+      context.sinceOutageMs,
+      clock.monotonicMs(),
+      context.isRestored,
+    );
     applyDirectory(context);
   }
 
@@ -337,6 +363,7 @@
       source: context?.source ?? 'expiry',
       since_outage_ms: finiteMs(context?.sinceOutageMs),
       store_revision: serverWatch.revision(),
+      store_era: storeEras.current(),
       age_ms: finiteMs(serverWatch.ageMs()),
     };
     const hasChange = Object.values(change).some((list: readonly unknown[]) => list.length > 0);
--- a/packages/router/src/forward/router-registry.ts
+++ b/packages/router/src/forward/router-registry.ts
@@ -1,5 +1,5 @@
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
-import type { HostId } from '@mimosamill/core';
+import type { HostId, StoreRevision } from '@mimosamill/core';
 import type { PeerDirectory } from './state-broadcast';
 
 /** A router as the platform's store lists it. */
@@ -7,13 +7,13 @@
   readonly hostId: HostId;
   readonly peerAddress: string;
   /** Revision of the router's row. */
-  readonly revision: number;
+  readonly at: StoreRevision;
 }
 
 /** Table in which routers register, so that they find each other. */
 export interface RouterTable {
   /** Writes this router's own row; false if it may not have been written. */
-  readonly register: (self: Omit<ListedRouter, 'revision'>) => Promise<boolean>;
+  readonly register: (self: Omit<ListedRouter, 'at'>) => Promise<boolean>;
   readonly list: () => Promise<readonly ListedRouter[] | undefined>;
   /** Removes a router's row unless the row has changed since it was read. */
   readonly remove: (router: ListedRouter) => Promise<void>;
@@ -26,12 +26,16 @@
 
 export interface RouterRegistry extends PeerDirectory {
   readonly start: () => void;
+  /** The store came back from an older copy, which may lack this router. */
+  readonly onStoreRestored: () => void;
   readonly stop: () => void;
 }
 
 const READ_PERIOD_MS = 60_000;
 const READ_JITTER_MS = 5_000;
 const REGISTER_RETRY_MS = 500;
+/** Spreads the calls of all routers after a restore. */
+const RESTORED_JITTER_MS = 500;
 const READ_RETRY_MS = 700;
 /** A listed router that has sent no message for this time is taken to be replaced. */
 const REMOVE_SILENT_AFTER_MS = 90_000;
@@ -53,6 +57,7 @@
 
   function schedule(delayMs: number, step: () => Promise<void>): void {
     if (isStopped) return;
+    cancel();
     cancel = clock.runAfter(delayMs, () => {
       void step();
     });
@@ -116,6 +121,7 @@
     start: () => {
       void registerSelf();
     },
+    onStoreRestored: () => schedule(RESTORED_JITTER_MS * random(), registerSelf),
     stop: () => {
       isStopped = true;
       cancel();
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -4,6 +4,7 @@
 import { finiteMs } from './finite';
 import { createTableReplica } from './table-replica';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
+import type { StoreEra, StoreEras, StoreRevision } from '@mimosamill/core';
 import type { RelayResponse, RelayedTable } from './relay';
 
 /** A table of the platform's store, with its rows decoded. */
@@ -22,6 +23,7 @@
       readonly kind: 'ok';
       readonly rows: readonly TableRow<T>[];
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeNowMs: number;
     }
   | StoreFailure;
@@ -32,6 +34,7 @@
       /** In the order they were made; `value` is undefined for a removed row. */
       readonly changes: readonly TableChange<T>[];
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeNowMs: number;
     }
   /** The store no longer has the history since the revision. */
@@ -57,7 +60,7 @@
 export interface RelaySource<T> {
   readonly name: string;
   readonly readChanges: (
-    sinceRevision: number,
+    since: StoreRevision,
     waitMs: number,
     signal: AbortSignal,
   ) => Promise<RelayedChanges<T>>;
@@ -69,6 +72,7 @@
       readonly changes: readonly TableChange<T>[];
       readonly isAll: boolean;
       readonly revision: number;
+      readonly era: StoreEra;
       readonly storeAsOfMs: number;
       readonly sinceOutageMs: number;
     }
@@ -81,6 +85,7 @@
   readonly relays: () => readonly RelaySource<T>[];
   /** Whether this router reads the store on behalf of other routers. */
   readonly isReader: () => boolean;
+  readonly eras: StoreEras;
 }
 
 export interface WatchSettings {
@@ -94,12 +99,22 @@
 export interface WatchHandlers<T> {
   /** Called with all rows after a change, and after the whole table was read again. */
   readonly onRows: (rows: ReadonlyMap<string, T>, context: WatchContext) => void;
+  /**
+   * Called when the store came back from an older copy; returns the rows to go on with, which may hold
+   * known ones that the copy lost. Without it, those of the copy are used.
+   */
+  readonly keepLost?: (
+    known: ReadonlyMap<string, T>,
+    copy: readonly TableChange<T>[],
+  ) => readonly TableChange<T>[];
 }
 
 export interface WatchContext {
   readonly revision: number;
   /** Time since the last outage of the store before the rows were read; Infinity if there was none. */
   readonly sinceOutageMs: number;
+  /** The store was restored since the last call: the rows are those of an older copy. */
+  readonly isRestored: boolean;
   /** 'store', or the name of the router that relayed the rows. */
   readonly source: string;
 }
@@ -149,6 +164,9 @@
   let lastProbeAtMs = -Infinity;
   let isStopped = false;
   let currentPoll: AbortController | undefined;
+  let currentFullRead: AbortController | undefined;
+  let fullReads = 0;
+  let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
     void pollLoop();
@@ -172,10 +190,11 @@
     return outage.sinceOutageMs(clock.monotonicMs());
   }
 
-  function publish(source: string): void {
+  function publish(source: string, isRestored = false): void {
     handlers.onRows(replica.rows, {
       revision: replica.revision(),
       sinceOutageMs: sinceOutageMs(),
+      isRestored,
       source,
     });
   }
@@ -205,6 +224,7 @@
     decisions.vital('store.regained', {
       table: settings.name,
       revision: replica.revision(),
+      era: sources.eras.current(),
       lost_ms: Math.round(lostMs),
       since_outage_ms: finiteMs(outageAgeMs),
     });
@@ -217,43 +237,82 @@
     decisions.vital('store.lost', {
       table: settings.name,
       revision: replica.revision(),
+      era: sources.eras.current(),
       age_ms: Math.round(freshness.ageMs(nowMs)),
       message,
     });
   }
 
-  async function readAll(abort: AbortController): Promise<boolean> {
+  /** Concurrent callers share one read. */
+  function readAll(): Promise<boolean> {
+    readingAll ??= readAllOnce().finally(() => {
+      readingAll = undefined;
+    });
+    return readingAll;
+  }
+
+  async function readAllOnce(): Promise<boolean> {
+    fullReads += 1;
     const sentAtMs = clock.monotonicMs();
-    const content = await withAbortTimeout(READ_ALL_TIMEOUT_MS, abort, sources.store.readAll);
+    currentFullRead = new AbortController();
+    const content = await withAbortTimeout(
+      READ_ALL_TIMEOUT_MS,
+      currentFullRead,
+      sources.store.readAll,
+    );
     if (content.kind === 'unavailable') {
       onFailure(content.message);
       return false;
     }
     onAnswer(sentAtMs, content.storeNowMs);
-    if (replica.replace(content.rows, content.revision)) publish(STORE_SOURCE);
+    const isRestored = isOfOtherEra(content);
+    if (replaceAll(content.rows, content)) publish(STORE_SOURCE, isRestored);
     wakeWaiters();
     return true;
   }
 
+  function replaceAll(rows: readonly TableChange<T>[], to: StoreRevision): boolean {
+    const isCopy = isOfOtherEra(to);
+    const kept = isCopy ? handlers.keepLost?.(replica.rows, rows) : undefined;
+    return replica.replace(kept ?? rows, to);
+  }
+
+  /** Whether the replica was read before the store was restored to the answer's era. */
+  function isOfOtherEra({ era }: StoreRevision): boolean {
+    return replica.revision() >= 0 && replica.era() !== era;
+  }
+
+  /** Whether changes since the replica's revision can be read: it was read in the present era. */
+  function isFollowing(): boolean {
+    return replica.revision() >= 0 && replica.era() === sources.eras.current();
+  }
+
   async function readChanges(abort: AbortController, waitMs: number): Promise<boolean> {
-    if (replica.revision() < 0) return readAll(abort);
-    const sinceRevision = replica.revision();
+    if (!isFollowing()) return readAll();
+    const since = { era: replica.era(), revision: replica.revision() };
     const sentAtMs = clock.monotonicMs();
     const timeoutMs =
       waitMs === MIN_WAIT_MS ? REFRESH_TIMEOUT_MS : waitMs + settings.timeoutMarginMs;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
-      sources.store.readChanges(sinceRevision, waitMs, signal),
+      sources.store.readChanges(since.revision, waitMs, signal),
     );
+    // A poll of an era that has ended tells nothing of the path to the store.
+    if (since.era !== sources.eras.current()) return isFollowing() || readAll();
     switch (answer.kind) {
       case 'ok':
+        // Changes of another era leave out what was written before the revision was given out again.
+        if (answer.era !== since.era) return readAll();
         onAnswer(sentAtMs, answer.storeNowMs);
         // A concurrent call may have updated the replica meanwhile.
-        if (replica.revision() === sinceRevision) applyChanges(answer.changes, answer.revision);
+        if (replica.revision() === since.revision) applyChanges(answer.changes, answer);
         wakeWaiters();
         return true;
       case 'history_lost':
-        decisions.vital('store.history_lost', { table: settings.name, revision: sinceRevision });
-        return readAll(abort);
+        decisions.vital('store.history_lost', {
+          table: settings.name,
+          ...since,
+        });
+        return readAll();
       case 'unavailable':
         onFailure(answer.message);
         return false;
@@ -262,8 +321,8 @@
     }
   }
 
-  function applyChanges(changes: readonly TableChange<T>[], revision: number): void {
-    const isNewer = replica.apply(changes, revision);
+  function applyChanges(changes: readonly TableChange<T>[], to: StoreRevision): void {
+    const isNewer = replica.apply(changes, to);
     if (isNewer && changes.length > 0) publish(STORE_SOURCE);
   }
 
@@ -278,26 +337,28 @@
    */
   async function readRelay(relay: RelaySource<T>, abort: AbortController): Promise<boolean> {
     probeLostPath();
-    const sinceRevision = replica.revision();
+    const since = { era: replica.era(), revision: replica.revision() };
     const isFresh = freshForMs() > 0;
     const waitMs = isFresh ? settings.waitMs : MIN_WAIT_MS;
     const timeoutMs = isFresh ? freshForMs() : REFRESH_TIMEOUT_MS;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
-      relay.readChanges(sinceRevision, waitMs, signal),
+      relay.readChanges(since, waitMs, signal),
     );
     if (answer.kind === 'unavailable') return false;
+    if (sources.eras.observe(answer.era) === 'older') return false;
     checkClocks();
     failures = 0;
+    const isRestored = isOfOtherEra(answer);
     const isNewer = answer.isAll
-      ? replica.replace(answer.changes, answer.revision)
-      : replica.revision() === sinceRevision && replica.apply(answer.changes, answer.revision);
+      ? replaceAll(answer.changes, answer)
+      : replica.revision() === since.revision && replica.apply(answer.changes, answer);
     // An answer older than the replica says nothing about the age of the replica.
-    if (answer.revision >= replica.revision()) {
+    if (answer.era === replica.era() && answer.revision >= replica.revision()) {
       freshness.onRelayed(answer.storeAsOfMs);
       const nowMs = clock.monotonicMs();
       outage.onRelayed(nowMs - freshness.ageMs(nowMs), answer.sinceOutageMs, nowMs);
     }
-    if (isNewer && answer.changes.length > 0) publish(relay.name);
+    if (isNewer && answer.changes.length > 0) publish(relay.name, isRestored);
     wakeWaiters();
     return freshForMs() > 0;
   }
@@ -306,7 +367,7 @@
   function sourcesInOrder(): (RelaySource<T> | undefined)[] {
     const relays = sources.relays();
     const [preferred, ...others] = relays;
-    const isStale = freshForMs() <= 0;
+    const isStale = freshForMs() <= 0 || !isFollowing();
     if (preferred === undefined || sources.isReader() || isStale) return [undefined, ...relays];
     return [preferred, undefined, ...others];
   }
@@ -350,9 +411,11 @@
   async function pollLoop(): Promise<void> {
     while (!isStopped) {
       const before = replica.revision();
+      const fullReadsBefore = fullReads;
       const isOk = await pollOnce().catch(onUnexpected);
       if (isStopped) return;
-      const pauseMs = replica.revision() > before ? BATCH_DELAY_MS : 0;
+      const isUpdated = replica.revision() !== before || fullReads > fullReadsBefore;
+      const pauseMs = isUpdated ? BATCH_DELAY_MS : 0;
       if (!isOk || pauseMs > 0) {
         retry.set(clock.monotonicMs() + (isOk ? pauseMs : retryDelayMs()));
         return;
@@ -360,6 +423,15 @@
     }
   }
 
+  /** What the store lost counts like what expired in an outage that has just ended. */
+  function onRestored(): void {
+    freshness.onRestored();
+    outage.onRestored(clock.monotonicMs());
+    if (!isStopped) void refresh();
+  }
+
+  sources.eras.onRestored(onRestored);
+
   function refresh(): Promise<boolean> {
     refreshing ??= (async () => {
       const isOk = await readChanges(new AbortController(), MIN_WAIT_MS).catch(onUnexpected);
@@ -369,24 +441,30 @@
     return refreshing;
   }
 
-  function relayResponse(sinceRevision: number): RelayResponse | undefined {
+  function relayResponse(since: StoreRevision): RelayResponse | undefined {
     const storeAsOfMs = freshness.storeAsOfMs();
     if (replica.revision() < 0 || storeAsOfMs === undefined) return undefined;
     const outageMs = sinceOutageMs();
     return {
-      ...replica.changesSince(sinceRevision),
+      ...replica.changesSince(since),
+      era: replica.era(),
       storeAsOfMs,
       sinceOutageMs: Number.isFinite(outageMs) ? outageMs : null,
     };
   }
 
-  function waitForNewer(sinceRevision: number, waitMs: number): Promise<RelayResponse | undefined> {
-    if (replica.revision() > sinceRevision) return Promise.resolve(relayResponse(sinceRevision));
+  function isNewerThan(since: StoreRevision): boolean {
+    if (replica.era() !== since.era) return replica.era() > since.era;
+    return replica.revision() > since.revision;
+  }
+
+  function waitForNewer(since: StoreRevision, waitMs: number): Promise<RelayResponse | undefined> {
+    if (isNewerThan(since)) return Promise.resolve(relayResponse(since));
     return new Promise((resolve) => {
       const wake = (): void => {
         waiters.delete(wake);
         cancel();
-        resolve(relayResponse(sinceRevision));
+        resolve(relayResponse(since));
       };
       const cancel = clock.runAfter(waitMs, wake);
       waiters.add(wake);
@@ -409,6 +487,7 @@
       isStopped = true;
       retry.set(undefined);
       currentPoll?.abort();
+      currentFullRead?.abort();
       wakeWaiters();
     },
   };
--- a/packages/router/test/forward/relay.spec.ts
+++ b/packages/router/test/forward/relay.spec.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { createHttpClient, createHttpServer, sendText } from '@mimosamill/adapters';
+import { UNKNOWN_ERA } from '@mimosamill/core';
 import { createRelaySource } from '../../src/forward/relay';
 import type { HttpClient, HttpServer } from '@mimosamill/adapters';
 
@@ -17,7 +18,7 @@
   const port = await server.listen('127.0.0.1', 0);
   http = createHttpClient(1);
   const source = createRelaySource<string>(http, 'servers', `127.0.0.1:${port}`);
-  return source.readChanges(1, 1, AbortSignal.timeout(2_000));
+  return source.readChanges({ era: UNKNOWN_ERA, revision: 1 }, 1, AbortSignal.timeout(2_000));
 }
 
 describe('a read from another router', () => {
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -1,15 +1,21 @@
 import { describe, expect, it } from 'vitest';
+import { asStoreEra, createStoreEras } from '@mimosamill/core';
 import { createTableReplica } from '../../src/forward/table-replica';
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
+import type { StoreEra, StoreRevision } from '@mimosamill/core';
 import type {
   RelayedChanges,
   RelaySource,
   TableChanges,
   TableContent,
   WatchedTable,
+  WatchHandlers,
 } from '../../src/forward/table-watch';
 
+const FIRST_ERA = asStoreEra(1);
+const SECOND_ERA = asStoreEra(2);
+
 type Answer = TableContent<string> | TableChanges<string>;
 
 /** A table of the store whose reads the test answers, in the order that the test chooses. */
@@ -32,8 +38,14 @@
   for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
 };
 
-function createTestWatch(relay?: RelaySource<string>['readChanges'], isReader = true) {
+function createTestWatch(
+  relay?: RelaySource<string>['readChanges'],
+  isReader = true,
+  keepLost?: WatchHandlers<string>['keepLost'],
+) {
   const clock = createManualClock();
+  const eras = createStoreEras();
+  eras.observe(FIRST_ERA);
   const scriptedStore = createScriptedTable();
   const events: string[] = [];
   const published: string[][] = [];
@@ -45,6 +57,7 @@
     {
       store: scriptedStore.table,
       isReader: () => isReader,
+      eras,
       relays: () => (relay === undefined ? [] : [{ name: 'peer', readChanges: relay }]),
     },
     clock,
@@ -56,19 +69,29 @@
         published.push([...rows].map(([key, value]) => `${key}=${value}`));
         outageAgesMs.push(context.sinceOutageMs);
       },
+      ...(keepLost === undefined ? {} : { keepLost }),
     },
   );
-  return { clock, scriptedStore, events, published, outageAgesMs, watch };
+  return { clock, eras, scriptedStore, events, published, outageAgesMs, watch };
 }
 
 /** In `content` and `changes`, 'a1' is a row with the key 'a', and 'a-' its removal. */
-const content = (revision: number, storeNowMs: number, ...rows: string[]): Answer => ({
+const contentIn = (
+  era: StoreEra,
+  revision: number,
+  storeNowMs: number,
+  ...rows: string[]
+): Answer => ({
   kind: 'ok',
   rows: rows.map((row) => ({ key: row.slice(0, 1), value: row })),
   revision,
+  era,
   storeNowMs,
 });
 
+const content = (revision: number, storeNowMs: number, ...rows: string[]): Answer =>
+  contentIn(FIRST_ERA, revision, storeNowMs, ...rows);
+
 const changes = (revision: number, storeNowMs: number, ...rows: string[]): Answer => ({
   kind: 'ok',
   changes: rows.map((row) => ({
@@ -76,6 +99,7 @@
     value: row.endsWith('-') ? undefined : row,
   })),
   revision,
+  era: FIRST_ERA,
   storeNowMs,
 });
 
@@ -92,6 +116,7 @@
   })),
   isAll: false,
   revision,
+  era: FIRST_ERA,
   storeAsOfMs,
   sinceOutageMs: Infinity,
 });
@@ -165,6 +190,7 @@
       changes: [],
       isAll: false,
       revision: 5,
+      era: FIRST_ERA,
       storeAsOfMs: 300,
       sinceOutageMs: Infinity,
     };
@@ -188,6 +214,7 @@
       changes: [],
       isAll: false,
       revision: 5,
+      era: FIRST_ERA,
       storeAsOfMs: 100,
       sinceOutageMs: Infinity,
     };
@@ -240,6 +267,7 @@
       changes: [{ key: 'a', value: 'a9' }],
       isAll: false,
       revision: 9,
+      era: FIRST_ERA,
       storeAsOfMs: 900,
       sinceOutageMs: Infinity,
     };
@@ -338,21 +366,224 @@
   });
 });
 
+describe('a watch whose store comes back from an older copy', () => {
+  async function startAt(revision: number) {
+    const test = createTestWatch();
+    test.watch.start();
+    test.scriptedStore.calls[0]?.answer(content(revision, 100, 'a1', 'b1'));
+    await flushMicrotasks();
+    test.clock.advance(100);
+    await flushMicrotasks();
+    return test;
+  }
+
+  it('replaces its rows by those of the copy, although their revision is lower', async () => {
+    const { eras, scriptedStore, published, outageAgesMs, watch } = await startAt(27);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.slice(2).map(({ what }) => what)).toEqual(['all']);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a0']);
+    expect(watch.revision()).toBe(25);
+    // Entries that the copy lacks are kept like those that expired in an outage.
+    expect(outageAgesMs).toEqual([Infinity, 0]);
+    watch.stop();
+  });
+
+  it('does not apply changes since a revision that was given out again', async () => {
+    const { eras, scriptedStore, published, watch } = await startAt(27);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ ...changes(28, 200, 'a2'), era: SECOND_ERA } as Answer);
+    await flushMicrotasks();
+    expect(published).toHaveLength(1);
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    watch.stop();
+  });
+
+  it('does not count as up to date while it has not read the restored table', async () => {
+    const { clock, eras, scriptedStore, watch } = await startAt(27);
+    const ageMs = watch.ageMs();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[1]?.answer({ ...changes(28, 5_000), era: SECOND_ERA } as Answer);
+    scriptedStore.calls[2]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    clock.advance(50);
+    expect(watch.ageMs()).toBe(ageMs + 50);
+    clock.advance(200);
+    await flushMicrotasks();
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    watch.stop();
+  });
+});
+
+describe('a watch that has a call under way when the store comes back from an older copy', () => {
+  it('reads the restored table at once although a full read of the era before gets no answer', async () => {
+    const { clock, eras, scriptedStore, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.map(({ what }) => what)).toEqual(['all', 'since 27', 'all']);
+    eras.observe(SECOND_ERA);
+    clock.advance(500);
+    await flushMicrotasks();
+    expect(scriptedStore.calls).toHaveLength(4);
+    watch.stop();
+  });
+
+  it('does not count its path as lost for an answer of the era before', async () => {
+    const { clock, eras, scriptedStore, events, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({
+      kind: 'unavailable',
+      message: 'the answer is older than a restore of the store',
+    });
+    await flushMicrotasks();
+    expect(watch.isStoreUnreachable()).toBe(false);
+    expect(events).not.toContain('store.lost');
+    watch.stop();
+  });
+});
+
+describe('a row that a restored copy lost and the watch keeps', () => {
+  it('is kept until it is written again, also when the table is read twice before that', async () => {
+    const { clock, eras, scriptedStore, published, watch } = createTestWatch(
+      undefined,
+      true,
+      (known, copy) => [...copy, ...[...known].map(([key, value]) => ({ key, value }))],
+    );
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(27, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls[2]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a1']);
+    scriptedStore.calls[1]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[3]?.answer({ kind: 'history_lost' });
+    await flushMicrotasks();
+    expect(scriptedStore.calls.at(-1)?.what).toBe('all');
+    scriptedStore.calls.at(-1)?.answer(contentIn(SECOND_ERA, 25, 300, 'a0'));
+    await flushMicrotasks();
+    expect(published.at(-1)).toEqual(['a=a1']);
+    watch.stop();
+  });
+});
+
+describe('a watch that reads from a relay while the store comes back from an older copy', () => {
+  const restored: RelayedChanges<string> = {
+    kind: 'relayed',
+    changes: [{ key: 'a', value: 'a0' }],
+    isAll: true,
+    revision: 25,
+    era: SECOND_ERA,
+    storeAsOfMs: 900,
+    sinceOutageMs: Infinity,
+  };
+
+  async function startBehind(relayed: readonly RelayedChanges<string>[]) {
+    const answers = [...relayed];
+    const since: StoreRevision[] = [];
+    const test = createTestWatch((from) => {
+      since.push(from);
+      return Promise.resolve(answers.shift() ?? { kind: 'unavailable', message: 'no more' });
+    }, false);
+    test.watch.start();
+    test.scriptedStore.calls[0]?.answer(content(27, 100, 'a1', 'b1'));
+    await flushMicrotasks();
+    test.clock.advance(100);
+    await flushMicrotasks();
+    return { ...test, since };
+  }
+
+  it('takes all rows of the later era from the relay, although their revision is lower', async () => {
+    const { eras, published, since, watch } = await startBehind([restored]);
+    expect(since[0]).toEqual({ era: FIRST_ERA, revision: 27 });
+    expect(published.at(-1)).toEqual(['a=a0']);
+    expect(eras.current()).toBe(SECOND_ERA);
+    watch.stop();
+  });
+
+  it('does not take the age of content from a time on the clock that the store had before', async () => {
+    const { clock, watch } = await startBehind([restored]);
+    const ageMs = watch.ageMs();
+    clock.advance(10);
+    expect(watch.ageMs()).toBe(ageMs + 10);
+    watch.stop();
+  });
+
+  it('does not use what a relay still has of the era before', async () => {
+    const late = createTestWatch(() => Promise.resolve(relayedAt(30, 900, 'b1')), false);
+    late.eras.observe(SECOND_ERA);
+    late.watch.start();
+    late.scriptedStore.calls[0]?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    late.clock.advance(100);
+    await flushMicrotasks();
+    expect(late.published).toEqual([['a=a0']]);
+    expect(late.scriptedStore.calls.at(-1)?.what).toBe('since 25');
+    late.watch.stop();
+  });
+
+  it('answers a router of the era before with all rows as soon as it has read them', async () => {
+    const { eras, scriptedStore, watch } = await startBehind([]);
+    const waiting = watch.relayed.waitForNewer({ era: FIRST_ERA, revision: 27 }, 1_000);
+    eras.observe(SECOND_ERA);
+    scriptedStore.calls.at(-1)?.answer(contentIn(SECOND_ERA, 25, 200, 'a0'));
+    await flushMicrotasks();
+    const rows = [{ key: 'a', value: 'a0' }];
+    expect(await waiting).toMatchObject({ changes: rows, isAll: true, revision: 25, era: 2 });
+    watch.stop();
+  });
+});
+
 describe('a table replica', () => {
+  const at = (revision: number, era = 1): StoreRevision => ({ era: asStoreEra(era), revision });
+
   it('lists the changes since a revision, including removals', () => {
     const replica = createTableReplica<string>();
-    replica.replace([{ key: 'a', value: 'a1' }], 3);
-    replica.apply([{ key: 'b', value: 'b1' }], 4);
-    replica.apply([{ key: 'a', value: undefined }], 6);
-    expect(replica.changesSince(4)).toEqual({
+    replica.replace([{ key: 'a', value: 'a1' }], at(3));
+    replica.apply([{ key: 'b', value: 'b1' }], at(4));
+    replica.apply([{ key: 'a', value: undefined }], at(6));
+    expect(replica.changesSince(at(4))).toEqual({
       changes: [{ key: 'a', value: undefined }],
       isAll: false,
       revision: 6,
     });
-    expect(replica.changesSince(2)).toEqual({
+    expect(replica.changesSince(at(2))).toEqual({
       changes: [{ key: 'b', value: 'b1' }],
       isAll: true,
       revision: 6,
     });
   });
+
+  it('takes a lower revision of a later era, and gives all rows to readers of the era before', () => {
+    const replica = createTableReplica<string>();
+    replica.replace([{ key: 'a', value: 'a1' }], at(9));
+    expect(replica.apply([{ key: 'b', value: 'b1' }], at(10, 2))).toBe(false);
+    expect(replica.replace([{ key: 'b', value: 'b2' }], at(4, 2))).toBe(true);
+    expect(replica.replace([{ key: 'a', value: 'a3' }], at(12, 1))).toBe(false);
+    expect(replica.changesSince(at(9))).toEqual({
+      changes: [{ key: 'b', value: 'b2' }],
+      isAll: true,
+      revision: 4,
+    });
+  });
 });
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createFleet, createPeerRegistry } from '@mimosamill/core';
+import { asId, createFleet, createPeerRegistry, UNKNOWN_ERA } from '@mimosamill/core';
 import { createVersionMoves } from '../../src/forward/version-moves';
+import { createOrderHistory } from '../../src/forward/order-history';
 import { createManualClock } from './clock';
 import type { ForwardServer, MoveState, ServerId, ServiceName } from '@mimosamill/core';
 
 const SERVICE = asId<ServiceName>('guide');
+const UNSET = { era: UNKNOWN_ERA, revision: 0 };
 const FORMER = asId<ServerId>('former');
 const FRESH = asId<ServerId>('fresh');
 
@@ -28,6 +30,7 @@
   fleet.setServers([serverOf(FORMER, 'v1'), serverOf(FRESH, 'v2')], 0);
   const ignore = (): undefined => undefined;
   let state: MoveState | undefined;
+  const writes: MoveState[] = [];
   const moves = createVersionMoves(asId('host'), {
     clock,
     decisions: { routine: ignore, notable: ignore, vital: ignore, droppedCount: () => 0 },
@@ -35,9 +38,10 @@
     peerRegistry: createPeerRegistry(),
     hashes: { hash32: (text) => text.length, hash64: (text) => text },
     table: {
-      read: () => Promise.resolve({ kind: 'ok', record: undefined, revision: 0 }),
+      read: () => Promise.resolve({ kind: 'ok', record: undefined, at: UNSET }),
       write: (_service, _version, written) => {
         state = written;
+        writes.push(written);
         return Promise.resolve('ok');
       },
     },
@@ -45,7 +49,7 @@
     broadcastLater: ignore,
   });
   moves.setOrders([{ service: SERVICE, version: 'v2', withinMs: 15_000 }]);
-  return { clock, moves, state: () => state };
+  return { clock, moves, state: () => state, writes };
 }
 
 async function advance(clock: ReturnType<typeof createManualClock>, ms: number): Promise<void> {
@@ -146,3 +150,41 @@
     expect([...moves.excludedCopyHolders(SERVICE)]).toEqual([FORMER]);
   });
 });
+
+describe('moves after the store came back from an older copy', () => {
+  it('have their end written again when the copy lacks it', async () => {
+    const { clock, moves, writes } = createMoveOfService();
+    await advance(clock, 500);
+    for (let no = 0; no < 6; no += 1) moves.trackAttempt(FRESH, 'answer').onGivenUp();
+    await advance(clock, 500);
+    expect(writes).toEqual(['rolled_back']);
+    moves.onStoreRestored();
+    await advance(clock, 3_000);
+    expect(writes).toEqual(['rolled_back', 'rolled_back']);
+  });
+
+  it('do not start anew for an earlier order that only the copy shows', () => {
+    const history = createOrderHistory();
+    const order = (version: string) => ({ service: SERVICE, version, withinMs: 15_000 });
+    const isNew = [
+      history.isNew(order('v2'), false),
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), true),
+      history.isNew(order('v2'), false),
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), false),
+    ];
+    expect(isNew).toEqual([true, true, false, false, false, true]);
+  });
+
+  it('do not start for an order from before the start of the router that only the copy shows', () => {
+    const history = createOrderHistory();
+    const order = (version: string) => ({ service: SERVICE, version, withinMs: 15_000 });
+    const isNew = [
+      history.isNew(order('v3'), false),
+      history.isNew(order('v2'), true),
+      history.isNew(order('v3'), false),
+    ];
+    expect(isNew).toEqual([true, false, false]);
+  });
+});
