Tell all listeners of a restore although one of them fails

Cause: the owner of the era called its listeners one after the other, so the first that threw kept the later ones, which hold revisions too, from being told. None is known to throw; the review showed it by a test, which failed before.

Change: all are told, then the failure is thrown. The test expected no throw at all, which would have hidden the failure; it now requires the throw besides all that it required before.

--- a/packages/core/src/forward/store-era.ts
+++ b/packages/core/src/forward/store-era.ts
@@ -33,6 +33,19 @@
   const listeners: RestoreListener[] = [];
   let current = UNKNOWN_ERA;
 
+  /** Tells all listeners before it reports that one of them failed. */
+  function notify(era: StoreEra, before: StoreEra): void {
+    const errors: unknown[] = [];
+    listeners.forEach((listener) => {
+      try {
+        listener(era, before);
+      } catch (error) {
+        errors.push(error);
+      }
+    });
+    if (errors.length > 0) throw new AggregateError(errors, 'a listener of a restore failed');
+  }
+
   return {
     current: () => current,
     observe: (era) => {
@@ -41,7 +54,7 @@
       const before = current;
       current = era;
       if (before === UNKNOWN_ERA) return 'same';
-      listeners.forEach((listener) => listener(era, before));
+      notify(era, before);
       return 'newer';
     },
     onRestored: (listener) => {
--- a/packages/core/test/forward/store-era.spec.ts
+++ b/packages/core/test/forward/store-era.spec.ts
@@ -40,7 +40,7 @@
     });
     eras.onRestored((era) => restores.push(era));
     eras.observe(asStoreEra(1));
-    expect(eras.observe(asStoreEra(2))).toBe('newer');
-    expect(restores).toEqual([2]);
+    expect(() => eras.observe(asStoreEra(2))).toThrow('a listener of a restore failed');
+    expect([restores, eras.current()]).toEqual([[2], 2]);
   });
 });
