Take no era of the store from a request to the relay

Cause: a relay took the era that a request named for the store's, and a reader took any value that an answer named. One request with a wrong era made every later answer of the store count as older, until the process restarted.

Change: a request's era only says what the reader holds; an answer's era is checked, and left out while it is unknown.

--- a/packages/router/src/forward/relay.ts
+++ b/packages/router/src/forward/relay.ts
@@ -52,11 +52,9 @@
       return;
     }
     const era = parseEra(query.get('era')) ?? eras.current();
-    // The other router may have learned of a restore of the store first.
-    eras.observe(era);
     const answer = await table.waitForNewer({ era, revision: since }, waitMs);
     if (answer === undefined) sendJson(res, 503, { error: 'the table has not been read yet' });
-    else sendJson(res, 200, answer);
+    else sendJson(res, 200, { ...answer, era: namedEra(answer.era) });
   });
   return shell;
 }
@@ -104,11 +102,16 @@
   changes: z.array(z.object({ key: z.string(), value: z.unknown().optional() })),
   isAll: z.boolean(),
   revision: z.number(),
-  era: z.int().min(UNKNOWN_ERA).optional(),
+  era: z.int().nonnegative().optional(),
   storeAsOfMs: z.number(),
   sinceOutageMs: z.number().nullable(),
 });
 
+/** An era that is not known is left out. */
+function namedEra(era: StoreEra | undefined): StoreEra | undefined {
+  return era === UNKNOWN_ERA ? undefined : era;
+}
+
 function parseEra(text: string | null): StoreEra | undefined {
   return text !== null && ERA_PATTERN.test(text) ? asStoreEra(Number(text)) : undefined;
 }
