Keep what a restored copy lost in later reads of the whole table, too

Cause: rows that the copy lacks were kept only when the era changed. A second read of the whole table in the new era (a lost history, a compaction) took the copy's older manifest into the replica and its relay, from which a router that starts reads its first configuration.

Change: after a restore every read of the whole table keeps them; the newest manifest wins in each. An order that the operator removes stays known until the restart, as orders did before.

--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -166,6 +166,7 @@
   let currentPoll: AbortController | undefined;
   let currentFullRead: AbortController | undefined;
   let fullReads = 0;
+  let hasSeenRestore = false;
   let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
@@ -272,8 +273,9 @@
   }
 
   function replaceAll(rows: readonly TableChange<T>[], to: StoreRevision): boolean {
-    const isCopy = isOfOtherEra(to);
-    const kept = isCopy ? handlers.keepLost?.(replica.rows, rows) : undefined;
+    hasSeenRestore ||= isOfOtherEra(to);
+    // Also in later reads: the store lacks the rows until they are written again.
+    const kept = hasSeenRestore ? handlers.keepLost?.(replica.rows, rows) : undefined;
     return replica.replace(kept ?? rows, to);
   }
 
