Give up calls of an era that has ended, and read the restored table at once

Cause: a read of the whole table that was under way when the store was restored was shared by the read after the restore.

Change: a restore gives up the poll and the reads of the era before, and begins a read of its own.

--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -167,6 +167,7 @@
   let currentFullRead: AbortController | undefined;
   let fullReads = 0;
   let hasSeenRestore = false;
+  let restores = 0;
   let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
@@ -246,14 +247,18 @@
 
   /** Concurrent callers share one read. */
   function readAll(): Promise<boolean> {
-    readingAll ??= readAllOnce().finally(() => {
-      readingAll = undefined;
-    });
+    if (readingAll === undefined) {
+      const read = readAllOnce().finally(() => {
+        if (readingAll === read) readingAll = undefined;
+      });
+      readingAll = read;
+    }
     return readingAll;
   }
 
   async function readAllOnce(): Promise<boolean> {
     fullReads += 1;
+    const restoresBefore = restores;
     const sentAtMs = clock.monotonicMs();
     currentFullRead = new AbortController();
     const content = await withAbortTimeout(
@@ -262,6 +267,8 @@
       sources.store.readAll,
     );
     if (content.kind === 'unavailable') {
+      // Given up for the restore, which has begun another read.
+      if (restores !== restoresBefore) return readAll();
       onFailure(content.message);
       return false;
     }
@@ -429,17 +436,30 @@
   function onRestored(): void {
     freshness.onRestored();
     outage.onRestored(clock.monotonicMs());
+    restores += 1;
+    abandonCalls();
     if (!isStopped) void refresh();
   }
 
+  /** Calls of an era that has ended may get no answer; none waits for them. */
+  function abandonCalls(): void {
+    currentPoll?.abort();
+    currentFullRead?.abort();
+    readingAll = undefined;
+    refreshing = undefined;
+  }
+
   sources.eras.onRestored(onRestored);
 
   function refresh(): Promise<boolean> {
-    refreshing ??= (async () => {
-      const isOk = await readChanges(new AbortController(), MIN_WAIT_MS).catch(onUnexpected);
-      refreshing = undefined;
-      return isOk;
-    })();
+    if (refreshing === undefined) {
+      const refreshed = readChanges(new AbortController(), MIN_WAIT_MS)
+        .catch(onUnexpected)
+        .finally(() => {
+          if (refreshing === refreshed) refreshing = undefined;
+        });
+      refreshing = refreshed;
+    }
     return refreshing;
   }
 
