Survive a server whose address nothing can connect to

An entry with a port out of range, or with a host that is none, ended the process of each router that sent to it or asked whether it accepts connections: all requests of the router lost their answers.

Cause: both the HTTP client and net.connect throw on such an address, in handlers that nobody guards.

Change: such a request fails as not sent, and such a server does not accept.

The tests of upstream.spec.ts failed before ("Invalid URL"). Entries should be refused where they are decoded as well; that is another change.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -60,6 +60,7 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const KEEP_ALIVE_MAX_MS = 600_000;
+const PORT_MAX = 65_535;
 
 export function createUpstream(settings: UpstreamSettings): Upstream {
   const pools = new Map<string, Pool>();
@@ -100,6 +101,10 @@
 
   function isAccepting(address: string): Promise<boolean> {
     return new Promise((resolve) => {
+      if (!isAddress(address)) {
+        resolve(false);
+        return;
+      }
       const socket = connectTcp(splitAddress(address));
       const finish = (isUp: boolean): void => {
         clearTimeout(timer);
@@ -132,6 +137,15 @@
       handler.onEnd();
     }
 
+    if (!isAddress(request.address)) {
+      // Deferred: callers expect no event before they have the exchange.
+      queueMicrotask(() => failOnce('not_sent', `${request.address} is no address`));
+      return {
+        cancel: () => {
+          isOver = true;
+        },
+      };
+    }
     poolOf(request.address).dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -218,3 +232,10 @@
     },
   };
 }
+
+/** A list of servers may hold an entry that is none. */
+function isAddress(address: string): boolean {
+  const { port } = splitAddress(address);
+  const isPort = Number.isInteger(port) && port > 0 && port <= PORT_MAX;
+  return isPort && URL.canParse(`http://${address}`);
+}
