--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -70,15 +70,6 @@
   const resets = createResetDetector();
   const framing = createFramingGuard();
 
-  /** Returns the error instead of a pool if the address is not valid. */
-  function openPool(address: string): Pool | Error {
-    try {
-      return poolOf(address);
-    } catch (error) {
-      return error as Error;
-    }
-  }
-
   function poolOf(address: string): Pool {
     const existing = pools.get(address);
     if (existing !== undefined) return existing;
@@ -111,12 +102,11 @@
 
   function isAccepting(address: string): Promise<boolean> {
     return new Promise((resolve) => {
-      const { host, port } = splitAddress(address);
-      if (port > PORT_MAX) {
+      if (!isAddress(address)) {
         resolve(false);
         return;
       }
-      const socket = connectTcp({ host, port });
+      const socket = connectTcp(splitAddress(address));
       const finish = (isUp: boolean): void => {
         cancelTimeout();
         socket.destroy();
@@ -153,13 +143,12 @@
       controller?.abort(cancelled);
     }
 
-    const pool = openPool(request.address);
-    if (pool instanceof Error) {
+    if (!isAddress(request.address)) {
       // Deferred, since other failures too are reported once the caller has the exchange.
-      queueMicrotask(() => failOnce('not_sent', describeError(pool)));
+      queueMicrotask(() => failOnce('not_sent', `${request.address} is not a valid address`));
       return { cancel };
     }
-    pool.dispatch(
+    poolOf(request.address).dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
@@ -240,3 +229,10 @@
     },
   };
 }
+
+/** Whether a connection can be tried to the address; entries of other writers hold any text. */
+function isAddress(address: string): boolean {
+  const { port } = splitAddress(address);
+  const isPort = Number.isInteger(port) && port > 0 && port <= PORT_MAX;
+  return isPort && URL.canParse(`http://${address}`);
+}
--- a/packages/adapters/test/upstream.spec.ts
+++ b/packages/adapters/test/upstream.spec.ts
@@ -57,11 +57,14 @@
 }
 
 describe('a request to an address that is not valid', () => {
-  it.each(['127.0.0.1:99999', '999.1.1.1:80'])('%s counts as not sent', async (address) => {
-    upstream = createUpstream(SETTINGS);
-    expect(await exchange(address, 'r1')).toEqual(['not_sent']);
-    expect(await upstream.isAccepting('127.0.0.1:99999')).toBe(false);
-  });
+  it.each(['127.0.0.1:99999', '127.0.0.1:x', '999.1.1.1:80', 'no address', 'a b:80'])(
+    '%s counts as not sent, and as a server that takes no connections',
+    async (address) => {
+      upstream = createUpstream(SETTINGS);
+      expect(await exchange(address, 'r1')).toEqual(['not_sent']);
+      expect(await upstream.isAccepting(address)).toBe(false);
+    },
+  );
 });
 
 describe('an earlier answer that a server writes once more on a kept connection', () => {
