Keep a server's limit when an answer names it in other text

Callers would see a server in need get all the requests that the routers have for it.

Unreadable text changes nothing; without readable answers the limit expires after 10 s as before.

--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -35,6 +35,13 @@
   readonly isPrioritized: boolean;
 }
 
+/** What a server says about the requests that it takes from all routers together. */
+export type LimitNotice =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'named'; readonly requestsPerSec: number }
+  /** It names a limit, but not one that can be read. */
+  | { readonly kind: 'unreadable' };
+
 /** What the header fields of a backend server's response say. */
 export interface ResponseMetadata {
   /** Request that the answer belongs to; undefined if it does not say. */
@@ -52,8 +59,7 @@
   readonly isLeaving: boolean;
   /** The server did not run the request, and wants none of this router for so long. */
   readonly retryAfterMs: number | undefined;
-  /** Requests a second that the server takes from all routers together; undefined for no limit. */
-  readonly limitPerSec: number | undefined;
+  readonly limit: LimitNotice;
 }
 
 export interface ErrorResponse {
--- a/packages/router/src/forward/server-status.ts
+++ b/packages/router/src/forward/server-status.ts
@@ -1,6 +1,6 @@
 import { finiteMs } from './finite';
-import type { ForwardServer, RequestId } from '@mimosamill/core';
-import type { ResponseMetadata } from './codec';
+import type { ForwardServer, RequestId, ServerId } from '@mimosamill/core';
+import type { LimitNotice, ResponseMetadata } from './codec';
 import type { ForwardPorts } from './ports';
 
 /** Takes over what a server says of itself in the head of its response to a request. */
@@ -12,7 +12,7 @@
 ): void {
   // Another server wrote the response.
   if (metadata.isMisdirected) return;
-  const { clock, fleet, decisions, stateBroadcast } = ports;
+  const { clock, fleet } = ports;
   const { serverId } = server;
   const nowMs = clock.monotonicMs();
   if (metadata.load !== undefined) fleet.onLoadReport(serverId, metadata.load, nowMs);
@@ -22,7 +22,19 @@
     if (isLeaving) onLeaving(ports, server, requestId, nowMs);
     if (retryAfterMs !== undefined) onPause(ports, server, requestId, retryAfterMs, nowMs);
   }
-  const change = fleet.limits.onAnswer(serverId, metadata.limitPerSec, nowMs);
+  onLimit(ports, serverId, metadata.limit, nowMs);
+}
+
+function onLimit(
+  { fleet, decisions, stateBroadcast }: ForwardPorts,
+  serverId: ServerId,
+  limit: LimitNotice,
+  nowMs: number,
+): void {
+  // The server is still in need, so what it named before holds on.
+  if (limit.kind === 'unreadable') return;
+  const requestsPerSec = limit.kind === 'named' ? limit.requestsPerSec : undefined;
+  const change = fleet.limits.onAnswer(serverId, requestsPerSec, nowMs);
   if (change === undefined) return;
   decisions.vital('server.limit', {
     server: serverId,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -74,6 +74,7 @@
 export { gatewaySettingsSchema } from './forward/settings';
 export type { GatewaySettings } from './forward/settings';
 export type {
+  LimitNotice,
   ResponseMetadata,
   KvCacheCopySource,
   ErrorResponse,
