Take no load or limit of a server from an answer to another request

Cause: the load and the limit in an answer's head were taken over before its request id was checked. A faulty server that sends an earlier answer once more on a kept connection so ended a limit that it still names, or brought one back.

Callers would see a server in need get too many requests until its next answer. Evidence: server-status.spec.ts; the limit was forgotten before the change.

Change: an answer that names another request tells nothing of its server, as for Server-Leaving and Retry-After. Answers without a request id count as before.

--- a/packages/router/src/forward/server-status.ts
+++ b/packages/router/src/forward/server-status.ts
@@ -10,18 +10,16 @@
   requestId: RequestId,
   metadata: ResponseMetadata,
 ): void {
-  // Another server wrote the response.
-  if (metadata.isMisdirected) return;
+  // Another server wrote the response, or it is an earlier one that was sent once more.
+  const isOfOtherRequest = metadata.requestId !== undefined && metadata.requestId !== requestId;
+  if (metadata.isMisdirected || isOfOtherRequest) return;
   const { clock, fleet } = ports;
   const { serverId } = server;
+  const { load, isLeaving, retryAfterMs } = metadata;
   const nowMs = clock.monotonicMs();
-  if (metadata.load !== undefined) fleet.onLoadReport(serverId, metadata.load, nowMs);
-  const isOfOtherRequest = metadata.requestId !== undefined && metadata.requestId !== requestId;
-  if (!isOfOtherRequest) {
-    const { isLeaving, retryAfterMs } = metadata;
-    if (isLeaving) onLeaving(ports, server, requestId, nowMs);
-    if (retryAfterMs !== undefined) onPause(ports, server, requestId, retryAfterMs, nowMs);
-  }
+  if (load !== undefined) fleet.onLoadReport(serverId, load, nowMs);
+  if (isLeaving) onLeaving(ports, server, requestId, nowMs);
+  if (retryAfterMs !== undefined) onPause(ports, server, requestId, retryAfterMs, nowMs);
   onLimit(ports, serverId, metadata.limit, nowMs);
 }
 
