Keep a silent attempt until another engine can be chosen for its stream

A silent attempt was cancelled once the attempts and the retry budget allowed another one, before it was known whether the router could place it: all other engines may be excluded, leaving, at the limits they named, paused or of the wrong version, or there is only one. Before the first event the caller got 502 or 504 although the engine went on; after it the same engine ran the stream a second time.

The core now asks the router, which chooses by the same input and the same random numbers as the attempt that follows, and by the deadline for a stream that has not begun. The attempt is held while there is no choice. An engine that is no longer listed, was replaced or has started anew is not waited for: its connection is dead.

The four new tests in stream-held.spec.ts failed with the former state machine.

--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -25,6 +25,15 @@
   /** No event arrived within the allowed time. */
   | 'silent';
 
+/** The attempt that would replace a silent one. */
+export interface ReplacementAttempt {
+  readonly silentEngineId: ServerId;
+  /** Engines that must not run it; contains the silent one. */
+  readonly excluded: ReadonlySet<ServerId>;
+  readonly resumeFrom: KvCacheCopy | undefined;
+  readonly lastEventId: number | undefined;
+}
+
 export interface ForwardStreamSettings {
   readonly startedAtMs: number;
   /** The earlier of the caller's own deadline and the route's timeout. */
@@ -35,6 +44,11 @@
   readonly isResumable: boolean;
   readonly lastEventId: number | undefined;
   readonly budget: RetryBudget;
+  /**
+   * Whether an engine can be chosen for the replacement now. Also true if the process of the silent
+   * engine that ran the attempt is gone, so that it is useless to wait for it.
+   */
+  readonly canPlaceElsewhere: (replacement: ReplacementAttempt, nowMs: number) => boolean;
 }
 
 /**
@@ -103,7 +117,7 @@
       readonly attemptNo: number;
       readonly loss: 'silent' | 'garbled' | undefined;
     }
-  /** The attempt's engine has fallen silent; the attempt is kept, as no other one may be sent. */
+  /** The attempt's engine has fallen silent; the attempt is kept, as no other one can be sent. */
   | { readonly kind: 'hold'; readonly attemptNo: number }
   /** Asks the attempt's engine for a KV cache copy: a new one, or an update of `existingCopy`. */
   | {
@@ -169,7 +183,7 @@
 const COPY_RETRY_DELAY_MS = 400;
 /** Delay before a begun stream is placed anew when no engine was usable or the budget is used up. */
 const PLACEMENT_RETRY_DELAY_MS = 100;
-/** Delay until it is looked again whether a silent attempt may be replaced by another one. */
+/** Delay until it is looked again whether a silent attempt can be replaced by another one. */
 const HOLD_RECHECK_MS = 100;
 /**
  * Sends allowed per attempt of the route's limit, including those that reached no engine. A begun
@@ -350,16 +364,30 @@
     return send(next.resumeFrom, next.cause);
   }
 
-  /** A silent engine may go on, so its attempt is given up only if another one may be sent. */
-  function mayReplaceSilent(): boolean {
+  /** A silent engine may go on, so its attempt is given up only if another one can be sent. */
+  function canReplaceSilent(silent: CurrentAttempt, nowMs: number): boolean {
     return (
       settings.isResumable &&
       runCount + 1 < settings.attemptsMax &&
       (hasBegun || sendCount < maxSends()) &&
-      settings.budget.available() > 0
+      settings.budget.available() > 0 &&
+      canPlaceElsewhere(silent, nowMs)
     );
   }
 
+  function canPlaceElsewhere(silent: CurrentAttempt, nowMs: number): boolean {
+    if (silent.placed === undefined) return false;
+    const silentEngineId = silent.placed.engineId;
+    const replacement = {
+      silentEngineId,
+      // A begun stream that finds no engine tries those again on which it was lost before.
+      excluded: new Set(hasBegun ? [silentEngineId] : [...excluded, silentEngineId]),
+      resumeFrom: canUseCopy(silent, 'silent') ? silent.copy : undefined,
+      lastEventId: sequence.lastId(),
+    };
+    return settings.canPlaceElsewhere(replacement, nowMs);
+  }
+
   function hold(silent: CurrentAttempt, nowMs: number): ForwardStreamEffect[] {
     const isNew = heldUntilMs < silentAtMs();
     heldUntilMs = nowMs + HOLD_RECHECK_MS;
@@ -486,7 +514,7 @@
       return sendDue(nowMs);
     }
     if (nowMs < giveUpAtMs()) return requestCopy(current, nowMs);
-    if (!mayReplaceSilent()) return hold(current, nowMs);
+    if (!canReplaceSilent(current, nowMs)) return hold(current, nowMs);
     const silent = current;
     return [
       { kind: 'cancel', attemptNo: silent.attemptNo, loss: 'silent' },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -371,6 +371,7 @@
   MoveStep,
   VersionOrder,
 } from './forward/rollout';
+export { isRestart } from './forward/server-notices';
 export { createForwardStream } from './forward/stream';
 export type {
   AttemptLoss,
@@ -378,6 +379,7 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   ForwardStreamSettings,
+  ReplacementAttempt,
   PlacedAttempt,
   KvCacheCopy,
 } from './forward/stream';
--- a/packages/core/test/forward/stream-held.spec.ts
+++ b/packages/core/test/forward/stream-held.spec.ts
@@ -17,6 +17,7 @@
   isResumable: true,
   lastEventId: undefined,
   budget: createRetryBudget({ ratio: 0, burst: 20 }),
+  canPlaceElsewhere: () => true,
 };
 
 /** A stream whose events and losses are fed by hand; its ticks come when they are due. */
@@ -134,6 +135,49 @@
     expect(run.kinds.slice(-2)).toEqual(['cancel', 'send']);
   });
 
+  it.each([
+    ['before its first event', [], 6_000],
+    ['after its first event', [1], 1_500],
+  ])('is not cut %s while no other engine can take it', (_when, eventIds, pauseMs) => {
+    const run = startStream({ canPlaceElsewhere: () => false });
+    run.place('a1');
+    eventIds.forEach(run.event);
+    run.advanceBy(pauseMs);
+    run.event(eventIds.length + 1);
+    run.end();
+    expect([run.count('hold'), run.count('cancel'), run.count('send')]).toEqual([1, 0, 1]);
+    expect(run.kinds.at(-1)).toBe('finish');
+  });
+
+  it('moves once another engine can take it', () => {
+    let canPlace = false;
+    const run = startStream({ canPlaceElsewhere: () => canPlace });
+    run.place('a1');
+    run.event(1);
+    run.advanceBy(1_000);
+    canPlace = true;
+    run.advanceBy(200);
+    expect(run.kinds.slice(-3)).toEqual(['hold', 'cancel', 'send']);
+  });
+
+  it('does not wait for an engine that only an earlier loss excludes, once it has begun', () => {
+    const excluded: string[][] = [];
+    const run = startStream({
+      canPlaceElsewhere: (replacement) => {
+        excluded.push([...replacement.excluded]);
+        return true;
+      },
+    });
+    run.place('a1');
+    run.lose('reset');
+    run.place('a2');
+    run.advanceBy(4_600);
+    run.place('a3');
+    run.event(1);
+    run.advanceBy(1_000);
+    expect(excluded).toEqual([['a1', 'a2'], ['a3']]);
+  });
+
   it('ends at its deadline if the engine stays silent', () => {
     const run = startStream({ attemptsMax: 1 });
     run.place('a1');
--- a/packages/core/test/forward/stream.spec.ts
+++ b/packages/core/test/forward/stream.spec.ts
@@ -23,6 +23,7 @@
     isResumable: true,
     lastEventId: undefined,
     budget,
+    canPlaceElsewhere: () => true,
     ...changes,
   });
   const log: string[] = [];
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -1,9 +1,10 @@
-import { assertNever, createEventSplitter, createForwardStream } from '@mimosamill/core';
+import { assertNever, createEventSplitter, createForwardStream, isRestart } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { createRepeatableRandom } from './repeatable-random';
 import { withRoomTime } from './room';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
@@ -14,6 +15,7 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
+  ReplacementAttempt,
   ServeError,
   ServerState,
   ServerFailure,
@@ -166,6 +168,22 @@
 
 type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
 
+/** What an attempt needs of its engine. */
+interface WantedEngine {
+  readonly isFailover: boolean;
+  readonly excluded: ReadonlySet<ServerId>;
+  readonly resumeFrom: KvCacheCopy | undefined;
+  readonly lastEventId: number | undefined;
+}
+
+type EngineChoice =
+  | { readonly kind: 'ok'; readonly placed: PlacedEngine }
+  | {
+      readonly kind: 'none';
+      readonly reason: 'no_engine' | 'no_time';
+      readonly message: string;
+    };
+
 function forwardStream(
   ports: ForwardPorts,
   request: ForwardRequest,
@@ -188,6 +206,7 @@
   let failoverCount = 0;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
+  const placementRandom = createRepeatableRandom(ports.random);
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
   const budget = ports.retryBudgetOf(service.name);
@@ -200,6 +219,7 @@
     isResumable: route.isResumable,
     lastEventId: head.lastEventId,
     budget,
+    canPlaceElsewhere,
   });
   const entry: ActiveStream = {
     engineId: () => current?.engineId,
@@ -306,43 +326,72 @@
       reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnation));
       return;
     }
+    const choice = chooseEngine({ ...effect, isFailover: effect.cause !== 'first' }, nowMs);
+    placementRandom.reset();
+    if (choice.kind === 'none') {
+      reportUnplaced(effect.attemptNo, choice.reason, choice.message);
+      return;
+    }
+    logPlacement(effect, choice.placed, nowMs);
+    openAttempt(effect, choice.placed, nowMs);
+  }
+
+  /** Only chooses, and changes nothing. */
+  function chooseEngine(wanted: WantedEngine, nowMs: number): EngineChoice {
+    const random = placementRandom.next;
     const capacity = service.engine;
     if (capacity === undefined) {
-      reportUnplaced(effect.attemptNo, 'no_engine', 'the service has no engines configured');
-      return;
+      const message = 'the service has no engines configured';
+      return { kind: 'none', reason: 'no_engine', message };
     }
     const input = {
       service: service.name,
       capacity,
       promptTokens,
-      isFailover: effect.cause !== 'first',
+      isFailover: wanted.isFailover,
       limitDraw: request.limitDraw,
       excluded: new Set([
-        ...effect.excluded,
-        ...ports.versionMoves.excludedServers(service.name, ports.random()),
+        ...wanted.excluded,
+        ...ports.versionMoves.excludedServers(service.name, random()),
       ]),
       excludedCopyHolders: ports.versionMoves.excludedCopyHolders(service.name),
     };
     const placement = ports.placer.placeStream(
-      effect.resumeFrom === undefined
+      wanted.resumeFrom === undefined
         ? input
-        : { ...input, fixedEngineId: effect.resumeFrom.engineId },
+        : { ...input, fixedEngineId: wanted.resumeFrom.engineId },
       nowMs,
-      ports.random,
+      random,
     );
     if (placement.kind === 'none') {
       const message = `no engine can take the stream: ${placement.reason}`;
-      reportUnplaced(effect.attemptNo, 'no_engine', message);
-      return;
+      return { kind: 'none', reason: 'no_engine', message };
     }
-    const overrunMs = deadlineOverrunMs(effect, placement, nowMs);
-    if (overrunMs > 0) {
-      const message = `the stream would end about ${Math.round(overrunMs)} ms after its deadline`;
-      reportUnplaced(effect.attemptNo, 'no_time', message);
-      return;
-    }
-    logPlacement(effect, placement, nowMs);
-    openAttempt(effect, placement, nowMs);
+    const overrunMs = deadlineOverrunMs(wanted, placement, nowMs);
+    if (overrunMs <= 0) return { kind: 'ok', placed: placement };
+    const message = `the stream would end about ${Math.round(overrunMs)} ms after its deadline`;
+    return { kind: 'none', reason: 'no_time', message };
+  }
+
+  function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
+    if (isGone(replacement.silentEngineId)) return true;
+    const wanted = { ...replacement, isFailover: true };
+    placementRandom.reset();
+    const canPlace =
+      chooseEngine(wanted, nowMs).kind === 'ok' ||
+      (wanted.resumeFrom !== undefined &&
+        chooseEngine({ ...wanted, resumeFrom: undefined }, nowMs).kind === 'ok');
+    // The attempt that follows chooses by the same numbers.
+    if (canPlace) placementRandom.rewind();
+    else placementRandom.reset();
+    return canPlace;
+  }
+
+  /** Whether the process that ran the current attempt has ended, and its connection with it. */
+  function isGone(engineId: ServerId): boolean {
+    const state = fleet.get(engineId);
+    if (state === undefined || state.isReplaced) return true;
+    return current !== undefined && isRestart(current.engine, state.server);
   }
 
   /**
@@ -350,17 +399,13 @@
    * time to the first event always counts. The time from there to the end is only an estimate, so
    * it counts only if the engine is busy and the stream would take capacity from others.
    */
-  function deadlineOverrunMs(
-    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
-    placed: PlacedEngine,
-    nowMs: number,
-  ): number {
+  function deadlineOverrunMs(wanted: WantedEngine, placed: PlacedEngine, nowMs: number): number {
     // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
     // more, and its caller can use each further event.
-    if (effect.resumeFrom !== undefined || stream.hasBegun()) return 0;
+    if (wanted.resumeFrom !== undefined || stream.hasBegun()) return 0;
     const remainingMs = placed.isLightlyLoaded
       ? 0
-      : ports.streamDurations.minRemainingMs(route.name, effect.lastEventId);
+      : ports.streamDurations.minRemainingMs(route.name, wanted.lastEventId);
     const expectedEndAtMs =
       nowMs + placed.expectedFirstEventMs * PREFILL_TIME_MIN_RATIO + remainingMs;
     return expectedEndAtMs - request.deadlineAtMs;
