Tell the streams of a failure domain that a held stream makes suspected

A stream that is held reports its engine to the fleet, but dropped the answer that the whole failure domain is now suspected. The fleet then says it to nobody else for the time of the suspicion, so the domain's other streams waited their full silence, and no domain.doubted was logged. It happens if the domain lost engines just before and too few to be suspected then, e.g. as some of its engines were listed until now.

Both reports of a failure now share this step. The new test failed before (only the first stream was held in its time) and passes now.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -703,12 +703,12 @@
     closeAttempt(attempt);
   }
 
-  /** The engine is avoided, but not taken for lost: its other streams have no retries left either. */
+  /** The engine is avoided, but not taken for lost: its other streams could not be moved either. */
   function onHeld(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined || attempt.isOver) return;
     const nowMs = clock.monotonicMs();
-    const { avoidMs } = fleet.onFailure(attempt.engineId, 'unread', nowMs);
+    const { avoidMs, suspectedDomain } = fleet.onFailure(attempt.engineId, 'unread', nowMs);
     ports.stateBroadcast.onServerFailure(attempt.engineId, 'unread');
     decisions.notable('stream.held', {
       request: requestId,
@@ -719,6 +719,7 @@
       retries_left: budget.available(),
       avoid_ms: avoidMs,
     });
+    reportSuspectedDomain(suspectedDomain);
   }
 
   /**
@@ -761,9 +762,12 @@
     });
     const lostEngineId = attempt.engineId;
     if (failure !== 'unread') queueMicrotask(() => onServerLost(lostEngineId));
-    if (effect.suspectedDomain === undefined) return;
-    decisions.vital('domain.doubted', { domain: effect.suspectedDomain, request: requestId });
-    const domain = effect.suspectedDomain;
+    reportSuspectedDomain(effect.suspectedDomain);
+  }
+
+  function reportSuspectedDomain(domain: FailureDomain | undefined): void {
+    if (domain === undefined) return;
+    decisions.vital('domain.doubted', { domain, request: requestId });
     queueMicrotask(() => onDomainSuspected(domain));
   }
 
--- /dev/null
+++ b/packages/router/test/forward/stream.spec.ts
@@ -0,0 +1,122 @@
+import { describe, expect, it } from 'vitest';
+import { asId, createFleet, createRetryBudget } from '@mimosamill/core';
+import { createStreamForwarder } from '../../src/forward/stream';
+import { createManualClock } from './clock';
+import type { ForwardServer, RequestId, ServerId } from '@mimosamill/core';
+import type { ForwardPorts, ForwardRequest } from '../../src/forward/ports';
+import type { StreamSink } from '../../src/forward/stream';
+
+function engine(name: string): ForwardServer {
+  return {
+    serverId: asId(name),
+    service: asId('engines'),
+    address: `${name}:80`,
+    failureDomain: asId(name.slice(0, 1)),
+    version: 'v1',
+    slots: 8,
+    isLeaving: false,
+    startedAtMs: 1,
+  };
+}
+
+function nothing(): undefined {
+  return undefined;
+}
+
+const SINK = { fail: nothing, abort: nothing } as unknown as StreamSink;
+
+/** Streams that may not resume, each sent to a given engine that accepts it and then says nothing. */
+function createSilentStreams() {
+  const clock = createManualClock();
+  const fleet = createFleet();
+  const logged: string[] = [];
+  const log = (event: string, { request }: { readonly request?: unknown }): void => {
+    logged.push(`${event} ${String(request)}`);
+  };
+  let nextEngineId: ServerId = asId('');
+  const ports = {
+    clock,
+    random: () => 0,
+    fleet,
+    placer: {
+      placeStream: () => ({
+        kind: 'ok',
+        engineId: nextEngineId,
+        copyEngineId: undefined,
+        expectedFirstEventMs: 100,
+        isLightlyLoaded: true,
+      }),
+    },
+    upstream: {
+      send: (_request: unknown, handler: { readonly onSent: () => void }) => {
+        queueMicrotask(handler.onSent);
+        return { cancel: nothing };
+      },
+    },
+    codec: { toServerHeaders: () => [] },
+    decisions: { routine: log, notable: log, vital: log },
+    metrics: { onSend: nothing, onAnswer: nothing, onLoss: nothing },
+    stateBroadcast: { sendSoon: nothing, sendLater: nothing, onServerFailure: nothing },
+    versionMoves: {
+      excludedServers: () => new Set(),
+      excludedCopyHolders: () => new Set(),
+      trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing }),
+    },
+    crashGuard: { findCondemned: nothing },
+    retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
+  } as unknown as ForwardPorts;
+  const streams = createStreamForwarder(ports);
+  return {
+    clock,
+    fleet,
+    logged,
+    start: (requestId: string, engineId: string) => {
+      nextEngineId = asId(engineId);
+      const request = {
+        head: { requestId: asId<RequestId>(requestId), promptTokens: 100, sharedParts: [] },
+        rawHeaders: [],
+        route: {
+          name: 'r',
+          targetMs: 4_500,
+          gapTargetMs: 700,
+          attemptsMax: 3,
+          isResumable: false,
+        },
+        service: { name: 'engines', engine: { slots: 8, memoryTokens: 50_000, hasBackups: false } },
+        limitDraw: 0,
+        receivedAtMs: clock.monotonicMs(),
+        deadlineAtMs: clock.monotonicMs() + 20_000,
+      } as unknown as ForwardRequest;
+      streams.forward(request, SINK);
+    },
+    advance: async (ms: number) => {
+      await Promise.resolve();
+      clock.advance(ms);
+      await Promise.resolve();
+    },
+  };
+}
+
+describe('a silent engine whose stream is held', () => {
+  it('makes the other streams of its failure domain wait less once the domain is suspected', async () => {
+    const { clock, fleet, logged, start, advance } = createSilentStreams();
+    const others = Array.from({ length: 10 }, (_, no) => engine(`b${no}`));
+    const listed = ['a1', 'a2', 'a3', 'a4', 'a5'].map(engine);
+    fleet.setServers([...listed, engine('a6'), engine('a7'), ...others], clock.monotonicMs());
+    start('r1', 'a3');
+    await advance(2_000);
+    start('r2', 'a4');
+    await advance(1_500);
+    // Two lost engines are too few of seven to suspect the domain, but enough of five.
+    fleet.onFailure(asId('a1'), 'silent', clock.monotonicMs());
+    fleet.onFailure(asId('a2'), 'silent', clock.monotonicMs());
+    fleet.setServers([...listed, ...others], clock.monotonicMs());
+    await advance(600);
+    await advance(300);
+    expect(logged.filter((line) => /held|doubted/u.test(line))).toEqual([
+      'stream.held r1',
+      'domain.doubted r1',
+      'stream.held r2',
+    ]);
+  });
+});
