Leave a call alone at the cut whose answer is already being sent

A call stays among the running ones until its response has been flushed. At the end of a stopping router's grace period such a call was logged and counted a second time as cut, and its connection destroyed, so that its caller got part of an answer. A result that arrived after the cut likewise ended the call a second time, and closed the connection on which its error was being sent.

The cut of a call and of a stream, and the answer of a call, now return if the response is complete. Two new tests in ingress.spec.ts failed before: the caller's response was aborted, and the call was logged and counted as cut and as backend_failed. They pass now. The same line in the cut of a stream has no test.

--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -43,7 +43,10 @@
   readonly startDraining: (cutAtMs: number) => void;
   /** Accepts no more connections, and closes each one that becomes idle. */
   readonly stopAccepting: (timeoutMs: number) => Promise<void>;
-  /** Ends all requests that are still running; those without a response yet get an error. */
+  /**
+   * Ends all requests that are still running; those without a response yet get an error. Responses
+   * that are complete are still sent to their callers.
+   */
   readonly cutAll: () => void;
   readonly activeCount: () => number;
 }
@@ -298,6 +301,7 @@
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
     const runningCall = calls.forward(request);
     active.set(res, () => {
+      if (res.writableEnded) return;
       const error = cutError();
       runningCall.abandon();
       logCall(request, runningCall, 'cut', undefined, error);
@@ -320,7 +324,7 @@
     res: ServerResponse,
     result: CallResult<BufferedResponse>,
   ): void {
-    if (res.destroyed) return;
+    if (res.destroyed || res.writableEnded) return;
     if (result.kind === 'ok') {
       const outcome = isSuccessStatus(result.status) ? 'complete' : 'server_failure';
       logCall(request, runningCall, outcome, result.status);
@@ -358,6 +362,7 @@
   function serveStream(request: ForwardRequest, res: ServerResponse): void {
     const runningCall = streams.forward(request, createSink(res));
     active.set(res, () => {
+      if (res.writableEnded) return;
       runningCall.abandon('cut');
       sendCutError(res, cutError());
     });
