Read the tables from one router a failure domain at the start, too

Cause: routers that start together have heard of no other one, so each read every table and polled it until the first messages came: about ten calls to the store a host and start, again when all are killed or lose power. Change: the list of routers names their failure domains. A router lists the others before it reads anything, and takes listed routers for candidates for its first two seconds; the list's answer relates the store's clock, so a relay's first answer counts. Only an elected router keeps the table of condemned requests, whose content the others hear in messages.

--- a/packages/core/src/forward/freshness.ts
+++ b/packages/core/src/forward/freshness.ts
@@ -5,9 +5,16 @@
    * clock at the answer.
    */
   readonly onAnswer: (sentAtMs: number, storeNowMs: number) => void;
+  /**
+   * The store answered a call about other data: relates its clock to the local one, and says nothing
+   * about the age of the data.
+   */
+  readonly onClockRead: (sentAtMs: number, storeNowMs: number) => void;
+  /** Whether the store's clock is related to the local one, so that relayed data counts. */
+  readonly knowsStoreClock: () => boolean;
   /**
    * Another process relayed data that was current at `storeAsOfMs` on the store's clock. It counts
-   * only after a direct answer of the store, which relates the store's clock to the local one.
+   * only once the store's clock is related to the local one.
    */
   readonly onRelayed: (storeAsOfMs: number) => void;
   /** The store was restored: times on its clock before and after that do not compare. */
@@ -46,17 +53,26 @@
   let anchor: ClockPair | undefined;
   let lastClocks: { readonly nowMs: number; readonly wallMs: number } | undefined;
 
+  /** Upper bound on the local time of the answer's content; undefined if it is unknown. */
+  function relateClocks(sentAtMs: number, storeNowMs: number): number | undefined {
+    // The call was sent before a clock discrepancy, so the age of its answer is unknown.
+    if (sentAtMs < validFromMs) return undefined;
+    const predictedMs =
+      anchor === undefined ? -Infinity : anchor.sentAtMs + storeNowMs - anchor.storeNowMs;
+    const isRestarted = anchor !== undefined && storeNowMs < anchor.storeNowMs;
+    if (isRestarted || sentAtMs >= predictedMs) anchor = { sentAtMs, storeNowMs };
+    return isRestarted ? sentAtMs : Math.max(sentAtMs, predictedMs);
+  }
+
   return {
     onAnswer: (sentAtMs, storeNowMs) => {
-      // The call was sent before a clock discrepancy, so the age of its answer is unknown.
-      if (sentAtMs < validFromMs) return;
-      const predictedMs =
-        anchor === undefined ? -Infinity : anchor.sentAtMs + storeNowMs - anchor.storeNowMs;
-      const isRestarted = anchor !== undefined && storeNowMs < anchor.storeNowMs;
-      if (isRestarted || sentAtMs >= predictedMs) anchor = { sentAtMs, storeNowMs };
-      const boundMs = isRestarted ? sentAtMs : Math.max(sentAtMs, predictedMs);
-      asOfMs = Math.max(asOfMs, boundMs);
+      const boundMs = relateClocks(sentAtMs, storeNowMs);
+      if (boundMs !== undefined) asOfMs = Math.max(asOfMs, boundMs);
+    },
+    onClockRead: (sentAtMs, storeNowMs) => {
+      relateClocks(sentAtMs, storeNowMs);
     },
+    knowsStoreClock: () => anchor !== undefined,
     onRelayed: (storeAsOfMs) => {
       if (anchor === undefined) return;
       asOfMs = Math.max(asOfMs, anchor.sentAtMs + storeAsOfMs - anchor.storeNowMs);
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -65,8 +65,8 @@
   readonly decisions: DecisionLog;
   readonly upstream: Pick<Upstream, 'isAccepting'>;
   readonly table: CondemnedTable;
-  /** Whether this router writes the rows of a matter on behalf of all. */
-  readonly isElected: (matter: string) => boolean;
+  /** Whether this router keeps the table on behalf of all. */
+  readonly isElected: () => boolean;
   /** Sends this router's reports to the others after a short batch delay. */
   readonly broadcastSoon: () => void;
   readonly onCondemned: () => void;
@@ -177,9 +177,16 @@
     if (suspects.condemn(condemnation, clock.monotonicMs())) announce(condemnation, source);
   }
 
-  /** Reads the store once after the start and after a restore, then keeps the rows in step with what is condemned. */
+  /**
+   * Reads the store when this router is elected and after a restore, then keeps the rows in step with
+   * what is condemned. The others learn what is condemned from messages.
+   */
   async function stepStore(): Promise<void> {
     if (isStepping) return;
+    if (!ports.isElected()) {
+      isLoaded = false;
+      return;
+    }
     isStepping = true;
     if (isLoaded) await writeRows();
     else await load();
@@ -205,7 +212,7 @@
     const current = suspects.condemned(nowMs).filter(({ forMs }) => forMs >= CONDEMNED_MS);
     const ids = new Set(current.map(({ suspect }) => suspect));
     for (const { suspect, condemnedAtMs } of current) {
-      if (!stored.has(suspect) && ports.isElected(suspect)) {
+      if (!stored.has(suspect)) {
         const condemnedAtWallMs = clock.nowMs() - (nowMs - condemnedAtMs);
         if (await ports.table.put({ suspect, condemnedAtWallMs })) stored.add(suspect);
       }
@@ -213,14 +220,13 @@
     for (const suspect of stored) {
       if (!ids.has(suspect)) {
         stored.delete(suspect);
-        if (ports.isElected(suspect)) await ports.table.remove(suspect);
+        await ports.table.remove(suspect);
       }
     }
   }
 
   return {
     start: () => {
-      void stepStore();
       cancelSteps = clock.runEvery(STORE_STEP_PERIOD_MS, () => {
         void stepStore();
       });
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -152,6 +152,18 @@
     {
       hostId: asId(settings.hostId),
       peerAddress,
+      failureDomain: asId(settings.failureDomain),
+    },
+    {
+      onStarted: () => {
+        stateBroadcast.sendSoon();
+        operatorWatch.start();
+        serverWatch.start();
+      },
+      onStoreClock: (sentAtMs, storeNowMs) => {
+        operatorWatch.onStoreClock(sentAtMs, storeNowMs);
+        serverWatch.onStoreClock(sentAtMs, storeNowMs);
+      },
     },
   );
   const socket: { datagrams?: DatagramSocket } = {};
@@ -193,9 +205,9 @@
     decisions,
     upstream,
     table: environment.condemnedTable,
-    isElected: (matter) =>
+    isElected: () =>
       isElected(
-        matter,
+        'condemned',
         asId(settings.hostId),
         peerRegistry,
         environment.hashes,
@@ -226,7 +238,13 @@
   let isStopping = false;
   let wasReady = false;
 
-  const storeReaders = createStoreReaders(settings, peerRegistry, environment, canReadStore);
+  const storeReaders = createStoreReaders(
+    settings,
+    peerRegistry,
+    environment,
+    canReadStore,
+    routerRegistry.listed,
+  );
   const operatorWatch: TableWatch = createTableWatch(
     storeReaders.sourcesOf('operator', environment.operatorTable),
     clock,
@@ -419,8 +437,6 @@
     settings.peerPort,
     stateBroadcast.onMessage,
   );
-  operatorWatch.start();
-  serverWatch.start();
   routerRegistry.start();
   crashGuard.start();
   await listenOn(ingress.shell.listen, settings.callerAddress);
--- a/packages/router/src/forward/router-registry.ts
+++ b/packages/router/src/forward/router-registry.ts
@@ -1,20 +1,28 @@
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
-import type { HostId, StoreRevision } from '@mimosamill/core';
+import type { FailureDomain, HostId, StoreRevision } from '@mimosamill/core';
 import type { PeerDirectory } from './state-broadcast';
 
 /** A router as the platform's store lists it. */
 export interface ListedRouter {
   readonly hostId: HostId;
   readonly peerAddress: string;
+  /** Undefined in a row of an earlier release. */
+  readonly failureDomain: FailureDomain | undefined;
   /** Revision of the router's row. */
   readonly at: StoreRevision;
 }
 
+/** The listed routers, and the time on the store's clock at the answer. */
+export interface RouterList {
+  readonly routers: readonly ListedRouter[];
+  readonly storeNowMs: number;
+}
+
 /** Table in which routers register, so that they find each other. */
 export interface RouterTable {
   /** Writes this router's own row; false if it may not have been written. */
   readonly register: (self: Omit<ListedRouter, 'at'>) => Promise<boolean>;
-  readonly list: () => Promise<readonly ListedRouter[] | undefined>;
+  readonly list: () => Promise<RouterList | undefined>;
   /** Removes a router's row unless the row has changed since it was read. */
   readonly remove: (router: ListedRouter) => Promise<void>;
 }
@@ -22,10 +30,20 @@
 export interface RouterRegistrySettings {
   readonly hostId: HostId;
   readonly peerAddress: string;
+  readonly failureDomain: FailureDomain;
+}
+
+export interface RouterRegistryHandlers {
+  /** Called after the first read of the list, or when it has not succeeded in time. */
+  readonly onStarted: () => void;
+  /** Called when the list was read by a call sent at `sentAtMs`. */
+  readonly onStoreClock: (sentAtMs: number, storeNowMs: number) => void;
 }
 
 export interface RouterRegistry extends PeerDirectory {
   readonly start: () => void;
+  /** The other listed routers, whether they run or not. */
+  readonly listed: () => readonly ListedRouter[];
   /** The store came back from an older copy, which may lack this router. */
   readonly onStoreRestored: () => void;
   readonly stop: () => void;
@@ -37,6 +55,8 @@
 /** Spreads the calls of all routers after a restore. */
 const RESTORED_JITTER_MS = 500;
 const READ_RETRY_MS = 700;
+/** Longest wait for the first list: without the store, other routers are found by their messages. */
+const FIRST_LIST_WAIT_MS = 300;
 /** A listed router that has sent no message for this time is taken to be replaced. */
 const REMOVE_SILENT_AFTER_MS = 90_000;
 /** An address that is not listed is a peer for this time after each message from it. */
@@ -48,12 +68,20 @@
   random: () => number,
   decisions: DecisionLog,
   settings: RouterRegistrySettings,
+  handlers: RouterRegistryHandlers,
 ): RouterRegistry {
   const lastMessageAtMs = new Map<string, number>();
   const listedSinceMs = new Map<string, number>();
   let listed: readonly ListedRouter[] = [];
   let cancel = (): void => undefined;
   let isStopped = false;
+  let isStarted = false;
+
+  function noteStarted(): void {
+    if (isStarted || isStopped) return;
+    isStarted = true;
+    handlers.onStarted();
+  }
 
   function schedule(delayMs: number, step: () => Promise<void>): void {
     if (isStopped) return;
@@ -74,9 +102,13 @@
   }
 
   async function readList(): Promise<void> {
-    const routers = await table.list();
-    if (routers !== undefined) await onListed(routers);
-    const delayMs = routers === undefined ? READ_RETRY_MS : READ_PERIOD_MS;
+    const sentAtMs = clock.monotonicMs();
+    const list = await table.list();
+    if (list !== undefined) {
+      handlers.onStoreClock(sentAtMs, list.storeNowMs);
+      await onListed(list.routers);
+    }
+    const delayMs = list === undefined ? READ_RETRY_MS : READ_PERIOD_MS;
     schedule(delayMs + READ_JITTER_MS * random(), readList);
   }
 
@@ -88,6 +120,7 @@
       if (!listedSinceMs.has(peerAddress)) listedSinceMs.set(peerAddress, nowMs);
     });
     if (listed.length !== before) decisions.vital('routers.listed', { count: listed.length });
+    noteStarted();
     // Another router may have removed this router while this one was disconnected.
     const isListed = routers.some(({ hostId }) => hostId === settings.hostId);
     if (!isListed) await table.register(settings);
@@ -120,7 +153,9 @@
   return {
     start: () => {
       void registerSelf();
+      clock.runAfter(FIRST_LIST_WAIT_MS, noteStarted);
     },
+    listed: () => listed,
     onStoreRestored: () => schedule(RESTORED_JITTER_MS * random(), registerSelf),
     stop: () => {
       isStopped = true;
--- a/packages/router/src/forward/store-readers.ts
+++ b/packages/router/src/forward/store-readers.ts
@@ -2,6 +2,7 @@
 import { createRelaySource } from './relay';
 import type { HttpClient, HashFunctions, Clock } from '@mimosamill/adapters';
 import type { PeerRegistry, PeerRouter, StoreEras } from '@mimosamill/core';
+import type { ListedRouter } from './router-registry';
 import type { RelaySource, WatchedTable, WatchSources } from './table-watch';
 
 export interface StoreReaderPorts {
@@ -26,22 +27,42 @@
  * is lost or cannot reach the store is replaced as soon as the others learn of it.
  */
 const READERS_PER_DOMAIN = 1;
+/**
+ * Routers that are only listed count as candidates for this time after the start: all routers of a
+ * fleet may start together, and none has heard of another one then. Afterwards only those count that
+ * have sent a message.
+ */
+const LISTED_CANDIDATE_MS = 2_000;
 
 export function createStoreReaders(
   settings: StoreReaderSettings,
   peerRegistry: PeerRegistry,
   ports: StoreReaderPorts,
   canRead: () => boolean,
+  listedRouters: () => readonly ListedRouter[],
 ): StoreReaders {
+  const startedAtMs = ports.clock.monotonicMs();
+
+  function listedOnly(heard: readonly PeerRouter[]): PeerRouter[] {
+    if (ports.clock.monotonicMs() - startedAtMs > LISTED_CANDIDATE_MS) return [];
+    const heardIds = new Set(heard.map(({ hostId }) => hostId));
+    return listedRouters().flatMap(({ hostId, failureDomain, peerAddress }) =>
+      failureDomain === undefined || heardIds.has(hostId)
+        ? []
+        : [{ hostId, failureDomain, address: peerAddress, canReadStore: true }],
+    );
+  }
+
   /** All routers that may be chosen, including this one. */
   function candidates(): PeerRouter[] {
+    const heard = peerRegistry.routers(ports.clock.monotonicMs());
     const self: PeerRouter = {
       hostId: asId(settings.hostId),
       failureDomain: asId(settings.failureDomain),
       address: '',
       canReadStore: canRead(),
     };
-    return [self, ...peerRegistry.routers(ports.clock.monotonicMs())];
+    return [self, ...heard, ...listedOnly(heard)];
   }
 
   function readersOf(failureDomain: string, all: readonly PeerRouter[]): PeerRouter[] {
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -119,6 +119,8 @@
 /** Keeps a replica of a table up to date, and tracks its age. */
 export interface TableWatch {
   readonly start: () => void;
+  /** The store answered a call about another table. */
+  readonly onStoreClock: (sentAtMs: number, storeNowMs: number) => void;
   readonly ageMs: () => number;
   readonly revision: () => number;
   /** Whether the last call to the store failed. */
@@ -137,6 +139,8 @@
 /** Longer than for changes: reading the whole table transfers more bytes. */
 const READ_ALL_TIMEOUT_MS = 1_200;
 const REFRESH_TIMEOUT_MS = 400;
+/** A relay that started at the same time answers once it has read the table. */
+const FIRST_RELAY_WAIT_MS = 300;
 /** Shortest wait for changes, with which the store answers at once. */
 const MIN_WAIT_MS = 1;
 /** Changes come in bursts, e.g. when all servers of a failure domain restart; a pause batches them. */
@@ -339,7 +343,7 @@
     probeLostPath();
     const since = { era: replica.era(), revision: replica.revision() };
     const isFresh = freshForMs() > 0;
-    const waitMs = isFresh ? settings.waitMs : MIN_WAIT_MS;
+    const waitMs = isFresh ? settings.waitMs : staleWaitMs();
     const timeoutMs = isFresh ? freshForMs() : REFRESH_TIMEOUT_MS;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
       relay.readChanges({ since, knownAsOfMs: freshness.storeAsOfMs(), waitMs }, signal),
@@ -363,12 +367,23 @@
     return freshForMs() > 0;
   }
 
+  function staleWaitMs(): number {
+    return replica.revision() < 0 ? FIRST_RELAY_WAIT_MS : MIN_WAIT_MS;
+  }
+
+  /** Whether only the store can tell how old the content is, or what it is. */
+  function needsStore(): boolean {
+    if (replica.revision() < 0) return !freshness.knowsStoreClock();
+    return freshForMs() <= 0 || !isFollowing();
+  }
+
   /** Sources in the order in which to try them; undefined stands for the store. */
   function sourcesInOrder(): (RelaySource<T> | undefined)[] {
     const relays = sources.relays();
     const [preferred, ...others] = relays;
-    const isStale = freshForMs() <= 0 || !isFollowing();
-    if (preferred === undefined || sources.isReader() || isStale) return [undefined, ...relays];
+    if (preferred === undefined || sources.isReader() || needsStore()) {
+      return [undefined, ...relays];
+    }
     return [preferred, undefined, ...others];
   }
 
@@ -458,6 +473,7 @@
     start: () => {
       void pollLoop();
     },
+    onStoreClock: freshness.onClockRead,
     ageMs: () => {
       checkClocks();
       return freshness.ageMs(clock.monotonicMs());
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -82,7 +82,7 @@
   ParsedRequest,
   ForwardMetadata,
 } from './forward/codec';
-export type { ListedRouter, RouterTable } from './forward/router-registry';
+export type { ListedRouter, RouterList, RouterTable } from './forward/router-registry';
 export type { KvCacheCopyOutcome, KvCacheCopyClient } from './forward/ports';
 export type { CondemnedTable, StoredCondemnation } from './forward/crash-guard';
 export type { OperatorRecord } from './forward/operator-record';
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -108,7 +108,7 @@
   revision: number,
   storeAsOfMs: number,
   ...rows: string[]
-): RelayedChanges<string> => ({
+): Extract<RelayedChanges<string>, { kind: 'relayed' }> => ({
   kind: 'relayed',
   changes: rows.map((row) => ({
     key: row.slice(0, 1),
@@ -207,6 +207,44 @@
     watch.stop();
   });
 
+  it('reads the whole table from another router at the start, not from the store', async () => {
+    // Guards against a fleet that starts together: each router read each table, and polled it.
+    const all: RelayedChanges<string> = { ...relayedAt(5, 300, 'a1'), isAll: true };
+    const { clock, scriptedStore, published, watch } = createTestWatch(
+      () =>
+        new Promise((resolve) => {
+          clock.runAfter(200, () => resolve(all));
+        }),
+      false,
+    );
+    watch.onStoreClock(clock.monotonicMs(), 300);
+    watch.start();
+    clock.advance(200);
+    await flushMicrotasks();
+    expect(published).toEqual([['a=a1']]);
+    expect(scriptedStore.calls).toEqual([]);
+    expect(watch.ageMs()).toBe(200);
+    watch.stop();
+  });
+
+  it('reads the store at the start if the other router does not answer', async () => {
+    const { clock, scriptedStore, watch } = createTestWatch(
+      (_query, signal) =>
+        new Promise((resolve) => {
+          signal.addEventListener('abort', () => {
+            resolve({ kind: 'unavailable', message: 'aborted' });
+          });
+        }),
+      false,
+    );
+    watch.onStoreClock(clock.monotonicMs(), 300);
+    watch.start();
+    clock.advance(400);
+    await flushMicrotasks();
+    expect(scriptedStore.calls.map(({ what }) => what)).toEqual(['all']);
+    watch.stop();
+  });
+
   it('asks the store when a relay keeps answering with outdated content', async () => {
     let relayCalls = 0;
     const stale: RelayedChanges<string> = {
