Take a stream's answer that ends behind its head for broken, whatever its connection says

Cause: an operator reported answers that stop within their head and reach callers as whole. One case was left: an answer without a length that ends right behind its head was an empty, complete stream. Change: a stream's answer without a length and without an event is broken, for the first attempt as for later ones; 204 has no body and stays as it is.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -80,6 +80,8 @@
 /** The pace of a stream is judged over this number of events. */
 const PACE_EVENTS = 20;
 const CONNECT_TIMEOUT_MS = 200;
+/** Has no body, so it also ends without a length. */
+const STATUS_NO_CONTENT = 204;
 /** Losses with which the connection of an attempt ends when its engine crashes. */
 const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
 /** Assumed mean duration until streams have completed. */
@@ -150,8 +152,10 @@
 }
 
 /** Whether a response ends with its connection, so that a connection that is lost ends it too. */
-function isUnframed(headers: IncomingHttpHeaders): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+function isCloseDelimited({ status, headers }: StreamAttempt): boolean {
+  const isFramed =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return !isFramed && status !== STATUS_NO_CONTENT;
 }
 
 function mediaType(headers: IncomingHttpHeaders): string | undefined {
@@ -552,7 +556,7 @@
           failAttempt(attempt, 'garbled', 'reset');
           return;
         }
-        if (begun !== undefined && !attempt.hasEvents && isUnframed(attempt.headers)) {
+        if (!attempt.hasEvents && isCloseDelimited(attempt)) {
           failAttempt(attempt, 'reset', 'reset', 'the connection ended without an event');
           return;
         }
