Refuse calls that could still run when the router stops

Cause: in a planned stop a call was taken if 1.3 times its target fitted into the grace period. One that a kept connection brought late, and that took longer, was cut off at the end: its caller got 502, which promises nothing, for bookings too. A request that waited for a refresh of the configuration at the cut got no answer at all. Change: a call is taken only if its time budget ends before the cut; a request that might wait past it is refused at once. Both are refused as not run, with a short Retry-After, and another router serves them.

--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -72,7 +72,7 @@
 const UNSENT_MAX_BYTES = 4_194_304;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
 const STOPPING_RETRY_MS = 50;
-/** Durations vary, and cutting a request off is worse than sending it to another router. */
+/** Durations vary, and cutting a stream off is worse than sending it to another router. */
 const STOPPING_DURATION_MARGIN = 1.3;
 
 export function createIngress(
@@ -140,6 +140,7 @@
     body: Uint8Array | undefined,
     receivedAtMs: number,
   ): Promise<Admission> {
+    if (stopsSoon(receivedAtMs)) return refuseStopping();
     const { serveMaxAgeMs, denyMaxAgeMs } = settings.freshness();
     let table = currentConfig.table();
     let route = table?.match(head.host, head.path);
@@ -190,9 +191,8 @@
     if (condemnation !== undefined) {
       return refused('request_condemned', condemnedMessage(condemnation));
     }
-    if (!endsInTime(route, receivedAtMs)) {
-      return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
-    }
+    const budgetMs = Math.min(route.timeoutMs, head.budgetMs ?? Infinity);
+    if (!endsInTime(route, budgetMs, receivedAtMs)) return refuseStopping();
     const limitDraw = ports.random();
     noteDemand(service.name);
     const noRoomMs = noRoomForMs(ports, service.name, limitDraw);
@@ -200,7 +200,6 @@
       const message = 'no server of the service takes requests: they named limits or pauses';
       return refused('overloaded', message, noRoomMs);
     }
-    const budgetMs = Math.min(route.timeoutMs, head.budgetMs ?? Infinity);
     return {
       kind: 'ok',
       request: {
@@ -224,11 +223,24 @@
     ports.fleet.limits.onWanted(service, ids, clock.monotonicMs());
   }
 
-  /** Whether a request of the route would probably end before the router stops. */
-  function endsInTime(route: ForwardRoute, nowMs: number): boolean {
+  /**
+   * Whether a request ends before the router stops: a stream probably, a call certainly. A call that is
+   * cut off may have run, so that its caller may not repeat it; another router can serve it at once.
+   */
+  function endsInTime(route: ForwardRoute, budgetMs: number, nowMs: number): boolean {
     if (drainUntilMs === undefined) return true;
-    const expectedMs = route.kind === 'stream' ? streams.meanDurationMs() : route.targetMs;
-    return nowMs + expectedMs * STOPPING_DURATION_MARGIN < drainUntilMs;
+    const durationMs =
+      route.kind === 'stream' ? streams.meanDurationMs() * STOPPING_DURATION_MARGIN : budgetMs;
+    return nowMs + durationMs < drainUntilMs;
+  }
+
+  /** Whether a request that had to wait for a refresh of the configuration could be cut off. */
+  function stopsSoon(nowMs: number): boolean {
+    return drainUntilMs !== undefined && nowMs + REFRESH_TIMEOUT_MS >= drainUntilMs;
+  }
+
+  function refuseStopping(): Admission {
+    return refused('shutting_down', 'the router is stopping', STOPPING_RETRY_MS);
   }
 
   function refused(code: ServeError['code'], message: string, retryAfterMs?: number): Admission {
