Refuse streams that cannot end before their deadline on idle engines, too

Cause: after a loss of power callers notice a dead connection 18 s later and come back together, with 1 to 7 s left. Change: there the pace of the fastest stream counts, so only what cannot end at all is refused, at once and as not run.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -382,17 +382,16 @@
   }
 
   /**
-   * Time by which the stream would overrun its deadline; a positive value refuses the stream. The
-   * time to the first event always counts. The time from there to the end is only an estimate, so
-   * it counts only if the engine is busy and the stream would take capacity from others.
+   * Time by which the stream would overrun its deadline; a positive value refuses the stream. The time
+   * from the first event to the end is an estimate. On an engine with little to do the pace of the
+   * fastest stream counts: only what cannot end there at all is refused, before its prompt is read.
    */
   function deadlineOverrunMs(wanted: WantedEngine, placed: PlacedEngine, nowMs: number): number {
     // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
     // more, and its caller can use each further event.
     if (wanted.resumeFrom !== undefined || stream.hasBegun()) return 0;
-    const remainingMs = placed.isLightlyLoaded
-      ? 0
-      : ports.streamDurations.minRemainingMs(route.name, wanted.lastEventId);
+    const pace = placed.isLightlyLoaded ? 'fastest' : 'typical';
+    const remainingMs = ports.streamDurations.minRemainingMs(route.name, wanted.lastEventId, pace);
     const expectedEndAtMs =
       nowMs + placed.expectedFirstEventMs * PREFILL_TIME_MIN_RATIO + remainingMs;
     return expectedEndAtMs - request.deadlineAtMs;
