Check messages of routers before any of them is used

Cause: a datagram was unpacked and taken apart without a check. One with a missing list threw in the socket's listener, and the process of each router that it reached ended (found by a fuzz test; the first message that it made did so). Change: a schema of the whole message (state-schema.ts); what does not match is logged as peer.message_ignored and dropped.

--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -214,7 +214,11 @@
     onMessage: (bytes, from) => {
       const nowMs = clock.monotonicMs();
       const message = codec.decode(bytes, nowMs);
-      if (message === undefined || message.update.hostId === settings.hostId) return;
+      if (message === undefined) {
+        ports.decisions.notable('peer.message_ignored', { from, size_bytes: bytes.length });
+        return;
+      }
+      if (message.update.hostId === settings.hostId) return;
       const { update, crashReports, limits, retryTotals } = message;
       ports.peers.onMessageFrom(from);
       const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -1,15 +1,21 @@
 import { asId, CONDEMNED_MS } from '@mimosamill/core';
 import { Packr } from 'msgpackr';
+import { MESSAGE_FORMAT, stateMessageSchema } from './state-schema';
 import type { CrashReports } from './crash-guard';
 import type { ServiceRetryTotals } from './retry-budgets';
+import type {
+  CrashReportsMessage,
+  LimitMessage,
+  LimitsMessage,
+  StateMessage,
+} from './state-schema';
 import type {
   CallCounts,
   LimitReports,
-  PeerMove,
   PeerUpdate,
   PromptPartId,
-  ServerFailure,
   ServerLimitReport,
+  ServiceName,
 } from '@mimosamill/core';
 
 /** What a router tells the others about itself and the servers. */
@@ -28,74 +34,25 @@
   readonly decode: (bytes: Buffer, nowMs: number) => RouterState | undefined;
 }
 
-const MESSAGE_FORMAT = 4;
-
-/** A message on the wire: an array without field names, to keep it short. */
-type StateMessage = [
-  format: number,
-  hostId: string,
-  failureDomain: string,
-  incarnationId: string,
-  sequence: number,
-  canRead: boolean,
-  loads: [string, number, number, number, number][],
-  failures: [string, ServerFailure, number, number][],
-  moves: readonly PeerMove[],
-  callCounts: [string, string, number, number, number][],
-  /** Undefined from a router of an earlier release. */
-  crashReports?: CrashReportsMessage,
-  /** Undefined likewise. */
-  limits?: LimitsMessage,
-  /** Undefined likewise. */
-  retryTotals?: [service: string, requests: number, retries: number][],
-];
-
-type LimitsMessage = [servers: LimitMessage[], demands: [service: string, requests: number][]];
-
-/** A server's limit; a negative age stands for no news, a negative limit for none. */
-type LimitMessage = [
-  serverId: string,
-  ageMs: number,
-  requestsPerSec: number,
-  sentByAge: readonly number[],
-];
-
-/** Reports on crashes, with the age of each in place of its time. */
-type CrashReportsMessage = [
-  crashes: [
-    requestId: string,
-    engineId: string,
-    failureDomain: string,
-    ageMs: number,
-    combination: string | undefined,
-    parts: string[],
-    // Undefined from a router of an earlier release, as is the last field below.
-    fingerprint?: string,
-    isStream?: boolean,
-  ][],
-  cleared: [suspect: string, ageMs: number][],
-  condemned: [suspect: string, ageMs: number, forMs?: number][],
-];
-
 export function createStateCodec(): StateCodec {
   const packr = new Packr({ useRecords: false });
   return {
     encode: (state, nowMs) => packr.pack(toMessage(state, nowMs)),
     decode: (bytes, nowMs) => {
-      let message: StateMessage;
+      let unpacked: unknown;
       try {
-        message = packr.unpack(bytes) as StateMessage;
+        unpacked = packr.unpack(bytes);
       } catch {
         return undefined;
       }
-      if (!Array.isArray(message) || message[0] !== MESSAGE_FORMAT) return undefined;
-      return toState(message, nowMs);
+      const { data: message } = stateMessageSchema.safeParse(unpacked);
+      return message === undefined ? undefined : toState(message, nowMs);
     },
   };
 }
 
-function toMessage(state: RouterState, nowMs: number): StateMessage {
-  const { update, crashReports, limits, retryTotals } = state;
+function toMessage(routerState: RouterState, nowMs: number): StateMessage {
+  const { update, crashReports, limits, retryTotals } = routerState;
   return [
     MESSAGE_FORMAT,
     update.hostId,
@@ -116,7 +73,12 @@
       failureNo,
       Math.round(ageMs),
     ]),
-    update.moves,
+    update.moves.map(({ service, version, state, evidence }) => ({
+      service,
+      version,
+      state,
+      evidence,
+    })),
     update.callCounts.map(({ serverId, route, successes, failures, slownessSum }) => [
       serverId,
       route,
@@ -168,7 +130,7 @@
       failureNo: no,
       ageMs,
     })),
-    moves,
+    moves: moves.map(({ service, ...move }) => ({ service: asId<ServiceName>(service), ...move })),
     callCounts: counts.map(([serverId, route, successes, failed, slownessSum]): CallCounts => ({
       serverId: asId(serverId),
       route,
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -1,3 +1,5 @@
+import fc from 'fast-check';
+import { pack, unpack } from 'msgpackr';
 import { describe, expect, it } from 'vitest';
 import { asId, createCallOutcomeTracker, createFleet, createPeerRegistry } from '@mimosamill/core';
 import { createRetryBudgets } from '../../src/forward/retry-budgets';
@@ -221,3 +223,31 @@
     expect(receiver.fleet.outlierDetector.weight('b1', ROUTE)).toBe(1);
   });
 });
+
+describe('a message that is no state of a router', () => {
+  it('is ignored, whatever it holds', () => {
+    // Guards against a malformed datagram that ends the process of each router it reaches.
+    const clock = createManualClock();
+    const { broadcast, sent } = createTestRouter('host-1', clock);
+    const receiver = createTestRouter('host-2', clock);
+    clock.advance(1_000);
+    const whole = sent[0];
+    if (whole === undefined) throw new Error('no message was sent');
+    const state = unpack(whole) as unknown[];
+    const odd = fc.anything({ withNullPrototype: false });
+    fc.assert(
+      fc.property(fc.nat({ max: state.length }), odd, fc.nat({ max: 400 }), (at, value, cut) => {
+        const changed = state.with(Math.min(at, state.length - 1), value);
+        const messages = [
+          pack(changed),
+          pack(value),
+          whole.subarray(0, cut),
+          pack(state.slice(0, at)),
+        ];
+        messages.forEach((bytes) => receiver.broadcast.onMessage(Buffer.from(bytes), '10.0.0.7:1'));
+      }),
+      { numRuns: 2_000, seed: 20_261_205 },
+    );
+    broadcast.stop();
+  });
+});
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -62,6 +62,7 @@
       excludedCopyHolders: () => new Set(),
       trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing }),
     },
+    streamDurations: { minRemainingMs: () => 0 },
     crashGuard: { findCondemned: nothing },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
   } as unknown as ForwardPorts;
