--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -227,6 +227,19 @@
     watch.stop();
   });
 
+  it('takes nothing for current at the start that the other router has not confirmed lately', async () => {
+    // Guards against a restarted router that uses a withdrawn key or a server that left: a relay that
+    // lost the store still gives what it has.
+    const old: RelayedChanges<string> = { ...relayedAt(5, 300, 'a1'), isAll: true };
+    const { clock, scriptedStore, watch } = createTestWatch(() => Promise.resolve(old), false);
+    watch.onStoreClock(clock.monotonicMs(), 9_300);
+    watch.start();
+    await flushMicrotasks();
+    expect(watch.ageMs()).toBe(9_000);
+    expect(scriptedStore.calls.map(({ what }) => what)).toEqual(['since 5']);
+    watch.stop();
+  });
+
   it('reads the store at the start if the other router does not answer', async () => {
     const { clock, scriptedStore, watch } = createTestWatch(
       (_query, signal) =>
