Keep KV cache copies off engines with little memory left

Cause: each stream has a copy on another engine, and copies do not yield. In a crowd of three times the traffic for 6 s running streams and copies together exceeded the engines' memory; the engines pushed running streams out and read them in again, so they fell silent, moved, and were read again elsewhere. Failure domains came under suspicion, and it lasted long after the crowd. Change: an engine gets a copy only up to 0.6 of its memory, by the tokens that all routers know of. A stream without a copy is read again if it loses its engine.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -115,6 +115,11 @@
 /** Part of an engine's KV cache, by known tokens, above which the engine counts as full. */
 const MEMORY_FILL_RATIO = 0.9;
 const FULL_ENGINE_COST_MS = 5_000;
+/**
+ * An engine gets a KV cache copy only up to this part of its memory, by known tokens. Copies do not
+ * yield: in a crowd they would push running streams out, which then fall silent and move.
+ */
+const COPY_FILL_RATIO = 0.6;
 /**
  * Below this part of its slots in use an engine is lightly loaded: a stream that may miss its
  * deadline takes no capacity from others there.
@@ -162,10 +167,15 @@
     return fleet.limits.usedRatio(server.serverId, nowMs) * LIMIT_COST_MS;
   }
 
+  /** Prompt tokens of streams and copies of all routers that the engine's memory holds. */
+  function knownTokens(state: ServerState, nowMs: number): number {
+    return state.ownTokens + peers.loadAt(state.server.serverId, nowMs).tokens;
+  }
+
   function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
-    const tokens = state.ownTokens + peerLoad.tokens + input.promptTokens;
+    const tokens = knownTokens(state, nowMs) + input.promptTokens;
     const isFull = tokens > input.capacity.memoryTokens * MEMORY_FILL_RATIO;
     const isOutOfSlots = running >= input.capacity.slots;
     return (
@@ -213,6 +223,11 @@
     return near[Math.floor(random() * near.length)]?.state;
   }
 
+  function hasMemoryForCopy(state: ServerState, input: CopyPlacementInput, nowMs: number): boolean {
+    const tokens = knownTokens(state, nowMs) + input.promptTokens;
+    return tokens <= input.capacity.memoryTokens * COPY_FILL_RATIO;
+  }
+
   /** Prefers engines of other failure domains, because a whole domain may be lost at once. */
   function placeCopy(
     engine: ServerState,
@@ -228,7 +243,8 @@
     const otherDomains = others.filter(
       ({ server }) => server.failureDomain !== engine.server.failureDomain,
     );
-    const choices = otherDomains.length > 0 ? otherDomains : others;
+    const wanted = otherDomains.length > 0 ? otherDomains : others;
+    const choices = wanted.filter((state) => hasMemoryForCopy(state, input, nowMs));
     const spreadMs = input.isFailover === true ? FAILOVER_SPREAD_MS : COPY_SPREAD_MS;
     const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
     const chosen = randomWithin(spreadMs, choices, costOf, random);
