--- a/packages/soak/src/router-process.ts
+++ b/packages/soak/src/router-process.ts
@@ -46,7 +46,9 @@
     });
     spawned.stdout.pipe(log, { end: false });
     spawned.stderr.pipe(log, { end: false });
-    spawned.once('exit', () => {
+    spawned.once('exit', (code, signal) => {
+      // A process that ends before its first line would leave no trace.
+      log.write(`${JSON.stringify({ event: 'soak.process_ended', host: name, code, signal })}\n`);
       if (child === spawned) child = undefined;
     });
     child = spawned;
