--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -167,15 +167,10 @@
     return fleet.limits.usedRatio(server.serverId, nowMs) * LIMIT_COST_MS;
   }
 
-  /** Prompt tokens of streams and copies of all routers that the engine's memory holds. */
-  function knownTokens(state: ServerState, nowMs: number): number {
-    return state.ownTokens + peers.loadAt(state.server.serverId, nowMs).tokens;
-  }
-
   function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
-    const tokens = knownTokens(state, nowMs) + input.promptTokens;
+    const tokens = state.ownTokens + peerLoad.tokens + input.promptTokens;
     const isFull = tokens > input.capacity.memoryTokens * MEMORY_FILL_RATIO;
     const isOutOfSlots = running >= input.capacity.slots;
     return (
@@ -224,7 +219,8 @@
   }
 
   function hasMemoryForCopy(state: ServerState, input: CopyPlacementInput, nowMs: number): boolean {
-    const tokens = knownTokens(state, nowMs) + input.promptTokens;
+    const peerLoad = peers.loadAt(state.server.serverId, nowMs);
+    const tokens = state.ownTokens + peerLoad.tokens + input.promptTokens;
     return tokens <= input.capacity.memoryTokens * COPY_FILL_RATIO;
   }
 
