--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,173 +1,147 @@
-// EXPOSURE: routers remember what a process that has ended said of an earlier order to a version, and
-// take a new order to that version for completed.
+// LOST: a router that serves none of a customer's sound requests takes the part that they share for the
+// deadly one, and all routers refuse them from then on.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { createManifest, PLAIN_SERVICE, runCase, wait } from '../lib/deployment.mjs';
+import { createManifest, MODEL_SERVICE, runCase, wait } from '../lib/deployment.mjs';
 
-const DEADLINE_S = 12;
-const EXPOSURE_SHARE = 0.1;
-const EXPOSURE_SLACK = 50;
-const SENDS_PER_S = 40;
-const CLIENT_MS = 2_500;
-const FAILING_PART = 0.5;
+const CLIENT_MS = 25_000;
+const CONTACT_MS = 3_000;
+const SHARED = '5c1e07a2';
+const DEADLY = 'dead0001';
+const SESSIONS = ['91bd3f01', '91bd3f02', '91bd3f03', '91bd3f04', '91bd3f05', '91bd3f06'];
+const SOUND_PERIOD_MS = 1_500;
+/** The answers of the sound request before have ended by then. */
+const AFTER_SOUND_MS = 550;
+/** Time between the first two deadly requests. */
+const APART_MS = 130;
+const DEADLY_PERIOD_MS = 2_000;
+const BACK_AFTER_MS = 4_000;
+const BEFORE_MS = 33_000;
+const AFTER_MS = 35_000;
 
 const route = {
-  name: 'r-booking',
+  name: 'r-guide',
   host: 'ficu95.example',
-  prefix: '/pule252/',
-  kind: 'unsafe',
-  timeout_ms: 1200,
-  slo_ms: 150,
-  priority: 2,
-  service: PLAIN_SERVICE.name,
-  max_attempts: 1,
+  prefix: '/lohu930/',
+  kind: 'streaming',
+  timeout_ms: 25000,
+  slo_ms: 4500,
+  priority: 1,
+  service: MODEL_SERVICE.name,
+  max_attempts: 5,
   public: false,
+  sticky: true,
+  resumable: true,
+  gap_target_ms: 700,
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (start, isTroubled) => {
-  const { routers, startEngine, engines, engineEvents, store, send, note } = await start(
-    createManifest([route], [PLAIN_SERVICE]),
+  const { routers, startEngine, engineEvents, send, note } = await start(
+    createManifest([route], [MODEL_SERVICE]),
     3,
   );
-  const versionOf = new Map();
-  let engineNo = 0;
-
-  /** Starts three engines of a version beside those that run. */
-  async function startVersion(version) {
-    const started = [];
-    for (let zone = 0; zone < 3; zone += 1) {
-      engineNo += 1;
-      const id = `i-${engineNo}-${version}`;
-      versionOf.set(id, version);
-      started.push(
-        await startEngine({
-          no: engineNo,
-          id,
-          service: PLAIN_SERVICE.name,
-          slots: 6,
-          answerMs: 20,
-          version,
-        }),
-      );
-    }
-    return started;
-  }
-
-  async function stopEngines(list) {
-    list.forEach(({ id, child }) => {
-      store.remove('servers', id);
-      child.kill('SIGKILL');
+  let starts = 0;
+  const launch = async (no) => {
+    starts += 1;
+    const engine = await startEngine({
+      no,
+      id: `i-${no}-${starts}`,
+      service: MODEL_SERVICE.name,
+      slots: 128,
+      prefillMs: 250,
+      gapMs: 30,
+      events: 8,
+      behaviour: { deadlyPart: DEADLY },
     });
-    await wait(500);
-  }
-
-  let running = await startVersion('v1');
+    engine.onExit = () => setTimeout(() => void launch(no).catch(() => undefined), BACK_AFTER_MS);
+  };
+  for (let no = 1; no <= 12; no += 1) await launch(no);
   routers.forEach((router) => router.start());
   await Promise.all(routers.map((router) => router.untilReady()));
   await wait(3_000);
 
-  const isOpen = routers.map(() => true);
-  let isOver = false;
-  let sent = 0;
-  const pending = [];
-  const traffic = (async () => {
-    while (!isOver) {
-      const open = routers.filter((_, at) => isOpen[at]);
-      const router = open[sent % open.length];
-      sent += 1;
-      pending.push(
-        send(router, {
-          client: `client-${sent % 12}`,
-          path: '/pule252/2f',
-          deadlineMs: CLIENT_MS,
-          body: Buffer.from(`booking ${sent}`),
-        }),
-      );
-      await wait(1000 / SENDS_PER_S);
-    }
-  })();
+  const sound = [];
+  const deadly = [];
+  let no = 0;
+  let lastSoundAtMs = 0;
 
-  /** Orders a version and waits for its end or its time; like the platform, stops the old engines then. */
-  async function order(version) {
-    const fresh = await startVersion(version);
-    const orderedAtMs = Date.now();
-    note('order', { version });
-    store.put('op', `rollout/${PLAIN_SERVICE.name}`, {
-      service: PLAIN_SERVICE.name,
-      to: version,
-      deadline_s: DEADLINE_S,
+  function sendPrompt(list, router, client, parts) {
+    no += 1;
+    const entry = { sentAtMs: Date.now(), id: undefined };
+    list.push(entry);
+    const prefix = [...parts, `${(0xe4402000 + no).toString(16)}:250`].join(',');
+    entry.answer = send(router, {
+      client,
+      path: '/lohu930/2f',
+      deadlineMs: CLIENT_MS,
+      headers: { 'x-model': 'm', 'x-token-count': '1250,48', 'x-prompt-prefix': prefix },
+      body: Buffer.from(`prompt ${no}`),
+      note: { prefix },
+    }).then((seen) => {
+      entry.status = seen.status;
+      entry.hasBegun = seen.status === 200 && seen.lastEventId > 0;
+      entry.id = seen.id;
     });
-    const state = () => {
-      const status = store.get('status', `rollout/${PLAIN_SERVICE.name}`);
-      return status?.to === version ? status.state : undefined;
-    };
-    return { fresh, orderedAtMs, state };
-  }
-
-  async function untilEnded({ orderedAtMs, state }) {
-    while (state() !== 'completed' && state() !== 'rolled_back') {
-      if (Date.now() - orderedAtMs > (DEADLINE_S + 3) * 1000) return undefined;
-      await wait(50);
-    }
-    note('order ended', { state: state(), tookMs: Date.now() - orderedAtMs });
-    return state();
   }
 
-  async function moveWell(version) {
-    const move = await order(version);
-    if ((await untilEnded(move)) !== 'completed') throw new Error(`${version} was not completed`);
-    await stopEngines(running);
-    running = move.fresh;
-  }
+  const session = () => `${SESSIONS[no % SESSIONS.length]}:500`;
+  // Two clients keep their channels to the first and the second router.
+  const sendSound = () =>
+    sendPrompt(sound, routers[no % 2], `sound-${no % 2}`, [`${SHARED}:500`, session()]);
+  const sendDeadly = (at) =>
+    sendPrompt(deadly, routers[at % routers.length], `other-${at}`, [
+      `${SHARED}:500`,
+      session(),
+      `${DEADLY}:100`,
+    ]);
 
-  await moveWell('v2');
+  const endAtMs = { value: Infinity };
+  const soundTraffic = (async () => {
+    while (Date.now() < endAtMs.value) {
+      lastSoundAtMs = Date.now();
+      sendSound();
+      await wait(SOUND_PERIOD_MS);
+    }
+  })();
+  await wait(BEFORE_MS);
+  const troubleAtMs = Date.now();
+  endAtMs.value = troubleAtMs + 2 * CONTACT_MS + AFTER_MS;
+  const deadlyTraffic = (async () => {
+    if (!isTroubled) return;
+    let at = 0;
+    note('trouble: requests with a part that crashes engines');
+    // The first two come together, at two machines; the others later, at any machine.
+    await wait(lastSoundAtMs + AFTER_SOUND_MS + SOUND_PERIOD_MS - Date.now());
+    while (Date.now() < endAtMs.value - 2_000) {
+      sendDeadly(at);
+      await wait(at === 0 ? APART_MS : DEADLY_PERIOD_MS);
+      at += 1;
+    }
+  })();
+  await Promise.all([soundTraffic, deadlyTraffic]);
   await wait(2_000);
-  if (isTroubled) {
-    // Planned work: one machine is stopped and started again.
-    const [router] = routers;
-    router.signal('SIGTERM');
-    await wait(2_000);
-    isOpen[0] = false;
-    await router.ended;
-    router.start();
-    await router.untilReady();
-    isOpen[0] = true;
-    await wait(2_000);
-  }
-  await moveWell('v1');
-  await wait(3_000);
 
-  // The version fails now: a part of its answers are failures.
-  const last = await order('v2');
-  last.fresh.forEach(({ child }) => child.send({ fail: FAILING_PART }));
-  const ended = untilEnded(last);
-  await wait(DEADLINE_S * 1000);
-  const untilMs = last.orderedAtMs + DEADLINE_S * 1000;
-  await ended;
-  isOver = true;
-  await traffic;
-  await Promise.all(pending);
-
-  const inTime = engineEvents.filter(
-    ({ kind, atMs }) => kind === 'began' && atMs >= last.orderedAtMs && atMs <= untilMs,
-  );
-  const freshIds = new Set(last.fresh.map(({ id }) => id));
-  const exposed = inTime.filter(({ engine }) => freshIds.has(engine));
-  const failed = engineEvents.filter(
-    ({ engine, status }) => freshIds.has(engine) && status === 500,
+  const crashes = engineEvents.filter(({ kind }) => kind === 'crashed').map(({ atMs }) => atMs);
+  const fifthAtMs = crashes.sort((a, b) => a - b)[4] ?? crashes.at(-1) ?? troubleAtMs;
+  const share = (list) => list.filter(({ hasBegun }) => hasBegun === true).length / list.length;
+  const outside = sound.filter(({ sentAtMs }) => sentAtMs < troubleAtMs);
+  const after = sound.filter(
+    ({ sentAtMs }) => sentAtMs >= fifthAtMs + 2 * CONTACT_MS && sentAtMs <= endAtMs.value,
   );
-  const bound = EXPOSURE_SHARE * inTime.length + EXPOSURE_SLACK;
   note('count', {
-    requests: inTime.length,
-    exposed: exposed.length,
-    bound,
-    failed: failed.length,
-    state: last.state(),
-    engines: engines.size,
+    crashes: crashes.length,
+    deadly: deadly.length,
+    outside: outside.length,
+    outsideBegun: share(outside),
+    after: after.length,
+    afterBegun: share(after),
+    afterStatuses: after.map(({ status }) => status).join(),
   });
-  if (exposed.length <= bound) return [];
+  if (outside.length < 20 || after.length < 20) throw new Error('fewer than 20 sound requests');
+  if (share(after) >= share(outside) / 2) return [];
   return [
-    `EXPOSURE: the bad version got ${exposed.length} of ${inTime.length} requests between the order and ` +
-      `its time budget (bound ${Math.round(bound)}), and failed ${failed.length}; its state is ${last.state()}`,
+    `LOST: ${Math.round(share(outside) * 100)}% of ${outside.length} sound requests with the first part ` +
+      `${SHARED} began before, ${Math.round(share(after) * 100)}% of ${after.length} from 2 x contact_ms ` +
+      `after crash ${Math.min(5, crashes.length)} of ${crashes.length} on`,
   ];
 });
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -5,10 +5,10 @@
 const options = JSON.parse(process.argv[2]);
 /**
  * lose: part of the requests whose answers are lost: they run, and the caller gets no byte
- * fail: part of the requests that are run and answered with 500
+ * fail: part of the requests that are run and answered with 500; with failPath only those under that path
  * deadlyPart: prompt part that crashes the engine when it begins to write an answer
  */
-const behaviour = { lose: 0, fail: 0, deadlyPart: undefined, ...options.behaviour };
+const behaviour = { lose: 0, fail: 0, failPath: '/', deadlyPart: undefined, ...options.behaviour };
 const running = new Set();
 let counter = 0;
 /** Parts that have added up; which request is hit first is left to chance. */
@@ -107,7 +107,7 @@
 function serveCall(req, res) {
   const id = req.headers['x-attempt-id'];
   report({ kind: 'began', id, tenant: req.headers['x-tenant'] });
-  const isFailed = takes('fail');
+  const isFailed = req.url.startsWith(behaviour.failPath) && takes('fail');
   setTimeout(() => {
     const text = isFailed ? 'failed' : `done ${id}`;
     res.writeHead(isFailed ? 500 : 200, headers(req, { 'content-length': text.length }));
