Do not refuse a stream as not run while an engine has it

Cause: whether an engine may have run the stream was kept as a flag that is set when an attempt is lost. An attempt that is still waiting for its answer at the deadline did not count. The log of such a request shows one attempt at an engine, and run: not_run.

The state is derived now, and includes the attempt in progress. Plain calls, calls with a key and our own interface were looked at; they count open attempts already.

The new test failed before for routes with and without resuming.

--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -1,7 +1,7 @@
 import { assertNever, createServeError } from '../outcome';
 import { createSilenceDetector } from '../stream/silence-detector';
 import { createEventSequence } from './events';
-import type { ServeError } from '../outcome';
+import type { RunState, ServeError } from '../outcome';
 import type { ServerId } from '../ids';
 import type { RetryBudget } from '../call/budget';
 import type { StreamEvent } from './events';
@@ -293,24 +293,28 @@
     return [...cancels, effect];
   }
 
+  /** An engine may have run the stream also if it has the current attempt and has not answered yet. */
+  function runState(): RunState {
+    const isPlaced = current?.placed !== undefined;
+    return hasBegun || mayHaveRun || isPlaced ? 'unknown' : 'not_run';
+  }
+
   function fail(message: string): ForwardStreamEffect[] {
-    const isNotRun = !hasBegun && !mayHaveRun;
-    const error = isNotRun
-      ? createServeError('no_backend', message, 'not_run', RETRY_AFTER_MS)
-      : createServeError('backend_failed', message, 'unknown');
+    const error =
+      runState() === 'not_run'
+        ? createServeError('no_backend', message, 'not_run', RETRY_AFTER_MS)
+        : createServeError('backend_failed', message, 'unknown');
     return end({ kind: 'fail', error });
   }
 
   /** Fails without a Retry-After, because a repeat would miss the same deadline. */
   function failForDeadline(message: string): ForwardStreamEffect[] {
-    const runState = !hasBegun && !mayHaveRun ? 'not_run' : 'unknown';
-    return end({ kind: 'fail', error: createServeError('deadline_exceeded', message, runState) });
+    return end({ kind: 'fail', error: createServeError('deadline_exceeded', message, runState()) });
   }
 
   /** Ends the stream without another attempt, and stops the current one before it crashes its engine. */
   function failCondemned(message: string): ForwardStreamEffect[] {
-    const runState = current?.placed === undefined && !mayHaveRun ? 'not_run' : 'unknown';
-    return end({ kind: 'fail', error: createServeError('request_condemned', message, runState) });
+    return end({ kind: 'fail', error: createServeError('request_condemned', message, runState()) });
   }
 
   /** Counts an attempt that the engine may have run; from then on no error may claim `not_run`. */
--- a/packages/core/test/forward/stream.spec.ts
+++ b/packages/core/test/forward/stream.spec.ts
@@ -193,6 +193,30 @@
     expect(lost.log.at(-1)).toBe('0 fail backend_failed unknown');
   });
 
+  it.each([true, false])(
+    'does not say "not_run" at its deadline while an engine has the request (resumable: %s)',
+    (isResumable) => {
+      // Guards against a caller that repeats, as a refusal allows, a stream that an engine has run.
+      const run = simulateStream({
+        isResumable,
+        deadlineAtMs: 6_000,
+        canPlaceElsewhere: () => false,
+      });
+      run.place(1, 'a1');
+      run.advanceTo(6_000);
+      expect(run.log.slice(-2)).toEqual(['6000 cancel 1 ', '6000 fail backend_failed unknown']);
+    },
+  );
+
+  it('says "not_run" at its deadline if its only attempt reached no engine', () => {
+    const run = simulateStream({ deadlineAtMs: 6_000, canPlaceElsewhere: () => false });
+    run.place(1, 'a1');
+    run.advanceTo(5_999);
+    run.lose(1, 'not_sent');
+    run.advanceTo(6_000);
+    expect(run.log.at(-1)).toBe('6000 fail no_backend not_run');
+  });
+
   it('passes on the error response of the last attempt that the route allows', () => {
     const run = simulateStream({ attemptsMax: 2 });
     run.place(1, 'a1');
