Tell other routers of answers before a shared prompt part is condemned

Cause: a part needs six crashes instead of three if a request with it was answered within a minute, but a router knew only the answers that it had passed on itself. A router that had passed on none condemned the part that the customer's requests share, and the others took that over although they had answered such requests.

Routers now tell the last answer to a part from its second crash on. A condemnation says whether it outweighs answers; one that does not is neither taken over nor kept where an answer of the minute before is known.

--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -28,8 +28,19 @@
   readonly suspect: SuspectId;
   readonly condemnedAtMs: number;
   readonly forMs: number;
+  /** Holds although a server answered a request with the suspect within the time before the crashes. */
+  readonly outweighsAnswers: boolean;
 }
 
+/** When a server last began to answer a request with the suspect, as far as is known. */
+export interface SuspectAnswer {
+  readonly suspect: SuspectId;
+  readonly atMs: number;
+}
+
+/** 'refuted': a server answered a request with the suspect shortly before. */
+export type CondemnOutcome = 'adopted' | 'ignored' | 'refuted';
+
 /**
  * Finds requests and prompt parts that crash servers. The content and the prompt parts of a request are
  * suspected of each crash under it, and cleared of all earlier ones when a server begins to answer a
@@ -41,16 +52,26 @@
   readonly onCrash: (crash: ServerCrash) => readonly Condemnation[];
   /**
    * A server has begun to answer a request with these, here or at another router. Returns those that
-   * were suspected or condemned.
+   * were suspected or condemned. An answer of shortly before a condemnation lifts it as well, unless
+   * that outweighs answers.
    */
   readonly onBegun: (suspects: readonly SuspectId[], atMs: number) => readonly SuspectId[];
   /** Likewise for a whole content; true if it was suspected. */
   readonly onAnswered: (fingerprint: () => Fingerprint, atMs: number) => boolean;
   /**
-   * Takes over a condemnation by another router; false if it is known, has expired, or a server has
+   * Takes over a condemnation by another router; 'ignored' if it is known, has expired, or a server has
    * begun to answer a request with the suspect since.
    */
-  readonly condemn: (condemnation: Condemnation, nowMs: number) => boolean;
+  readonly condemn: (condemnation: Condemnation, nowMs: number) => CondemnOutcome;
+  /**
+   * The last answers to requests with these parts, for those parts that the next crash could condemn at
+   * a router which does not know of the answer.
+   */
+  readonly answersInDoubt: (
+    parts: readonly PromptPartId[],
+    nowMs: number,
+  ) => readonly SuspectAnswer[];
+  readonly lastAnswer: (suspect: SuspectId) => SuspectAnswer | undefined;
   /** The first of these that is condemned; undefined if none is. */
   readonly findCondemned: (
     suspects: () => readonly SuspectId[],
@@ -168,12 +189,22 @@
     return suspect === latest?.combination ? CRASHES_MIN_OF_PROMPT : Infinity;
   }
 
-  /** Time for which the suspect is to be condemned after its last crash; 0 for not at all. */
-  function condemnationMs(suspect: SuspectId, record: SuspectRecord, nowMs: number): number {
-    const { length } = record.crashes.filter(({ isMerged }) => !isMerged);
-    if (record.condemnedUntilMs !== undefined) return length > 0 ? CONDEMNED_MS : 0;
-    if (length < crashesMin(suspect, record, nowMs)) return 0;
-    return length >= CRASHES_MIN_OF_FULL_TIME ? CONDEMNED_MS : QUARANTINE_MS;
+  /** The condemnation that follows from the suspect's crashes up to its last one. */
+  function judge(
+    suspect: SuspectId,
+    record: SuspectRecord,
+    condemnedAtMs: number,
+  ): Condemnation | undefined {
+    const count = countUnmerged(record);
+    const isRepeated = record.condemnedUntilMs !== undefined;
+    if (count < (isRepeated ? 1 : crashesMin(suspect, record, condemnedAtMs))) return undefined;
+    const isContent = suspect === record.crashes.at(-1)?.fingerprint;
+    return {
+      suspect,
+      condemnedAtMs,
+      forMs: isRepeated || count >= CRASHES_MIN_OF_FULL_TIME ? CONDEMNED_MS : QUARANTINE_MS,
+      outweighsAnswers: isRepeated || isContent || count >= CRASHES_MIN_AFTER_ANSWER,
+    };
   }
 
   function onCrashUnder(suspect: SuspectId, crash: ServerCrash): Condemnation | undefined {
@@ -183,10 +214,8 @@
     // The request was sent before the condemnation, and its crash is reported late.
     if (crash.atMs < (record.condemnedUntilMs ?? -Infinity)) return undefined;
     addCrash(record, crash);
-    const forMs = condemnationMs(suspect, record, crash.atMs);
-    if (forMs === 0) return undefined;
-    const condemnation = { suspect, condemnedAtMs: crash.atMs, forMs };
-    setCondemned(condemnation);
+    const condemnation = judge(suspect, record, crash.atMs);
+    if (condemnation !== undefined) setCondemned(condemnation);
     return condemnation;
   }
 
@@ -196,12 +225,19 @@
     if (record === undefined) return false;
     const wasSuspected = record.crashes.some((crash) => crash.atMs <= atMs);
     record.crashes = record.crashes.filter((crash) => crash.atMs > atMs);
-    const condemnedAtMs = condemnations.get(suspect)?.condemnedAtMs;
-    if (condemnedAtMs !== undefined && condemnedAtMs > atMs) return wasSuspected;
+    const condemnation = condemnations.get(suspect);
+    if (condemnation !== undefined && condemnation.condemnedAtMs > atMs) {
+      if (!isRefuted(condemnation, atMs)) return wasSuspected;
+    }
     record.condemnedUntilMs = undefined;
     return condemnations.delete(suspect) || wasSuspected;
   }
 
+  function lastAnswer(suspect: SuspectId): SuspectAnswer | undefined {
+    const atMs = answeredAtMs.get(suspect);
+    return atMs === undefined ? undefined : { suspect, atMs };
+  }
+
   function onSurvived(suspect: SuspectId, atMs: number): boolean {
     if (atMs <= (answeredAtMs.get(suspect) ?? -Infinity)) return false;
     answeredAtMs.delete(suspect);
@@ -226,12 +262,21 @@
     condemn: (condemnation, nowMs) => {
       expire(nowMs);
       const { suspect, condemnedAtMs, forMs } = condemnation;
-      const isOutdated =
-        nowMs - condemnedAtMs >= forMs || condemnedAtMs <= (answeredAtMs.get(suspect) ?? -Infinity);
-      if (isOutdated || condemnations.has(suspect)) return false;
+      const lastAnsweredAtMs = answeredAtMs.get(suspect) ?? -Infinity;
+      const isOutdated = nowMs - condemnedAtMs >= forMs || condemnedAtMs <= lastAnsweredAtMs;
+      if (isOutdated || condemnations.has(suspect)) return 'ignored';
+      if (isRefuted(condemnation, lastAnsweredAtMs)) return 'refuted';
       setCondemned(condemnation);
-      return true;
+      return 'adopted';
     },
+    answersInDoubt: (parts, nowMs) =>
+      parts.flatMap((part) => {
+        const record = records.get(part);
+        const isInDoubt = record !== undefined && countUnmerged(record) >= CRASHES_MIN - 1;
+        const answer = isInDoubt ? lastAnswer(part) : undefined;
+        return answer !== undefined && nowMs - answer.atMs < CRASH_EXPIRY_MS ? [answer] : [];
+      }),
+    lastAnswer,
     findCondemned: (suspects, nowMs) => {
       if (condemnations.size === 0) return undefined;
       expire(nowMs);
@@ -249,6 +294,15 @@
   };
 }
 
+function countUnmerged({ crashes }: SuspectRecord): number {
+  return crashes.filter(({ isMerged }) => !isMerged).length;
+}
+
+/** Whether the condemnation would not have come about with the knowledge of this answer before it. */
+function isRefuted({ condemnedAtMs, outweighsAnswers }: Condemnation, answerAtMs: number): boolean {
+  return !outweighsAnswers && condemnedAtMs - answerAtMs < CRASH_EXPIRY_MS;
+}
+
 /** Whether an outage of several servers explains both crashes. */
 function isOneOutage(known: CountedCrash, crash: ServerCrash): boolean {
   if (known.requestId === crash.requestId) return false;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -340,7 +340,15 @@
 export { createOutageTracker } from './forward/outage';
 export type { OutageTracker } from './forward/outage';
 export { CONDEMNED_MS, createCrashSuspects, QUARANTINE_MS } from './forward/crash-suspects';
-export type { Condemnation, CrashSuspects, ServerCrash, SuspectId } from './forward/crash-suspects';
+export type {
+  Condemnation,
+  CondemnOutcome,
+  CrashSuspects,
+  ServerCrash,
+  SuspectAnswer,
+  SuspectId,
+} from './forward/crash-suspects';
+export { evictOldest } from './evict';
 export { createServerDirectory } from './forward/directory';
 export type { ServerDirectory } from './forward/directory';
 export { createFleet } from './forward/fleet';
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -2,6 +2,7 @@
 import { asId, CONDEMNED_MS, createCrashSuspects, QUARANTINE_MS } from '../../src/index';
 import { id, requestId } from './fixtures';
 import type {
+  Condemnation,
   CrashSuspects,
   FailureDomain,
   Fingerprint,
@@ -14,6 +15,9 @@
 const DEADLY = asId<PromptPartId>('deadly');
 const OTHER = asId<PromptPartId>('other');
 
+const condemnation = (suspect: SuspectId, condemnedAtMs: number, outweighsAnswers = false) =>
+  ({ suspect, condemnedAtMs, forMs: CONDEMNED_MS, outweighsAnswers }) satisfies Condemnation;
+
 const crash = (atMs: number, request: string, domain: string, ...parts: PromptPartId[]) =>
   ({
     requestId: requestId(request),
@@ -85,19 +89,11 @@
 
   it('is taken over from another router, unless an answer to it has begun since', () => {
     const suspects = createCrashSuspects();
-    expect(
-      suspects.condemn({ suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900),
-    ).toBe(true);
-    expect(
-      suspects.condemn({ suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900),
-    ).toBe(false);
+    expect(suspects.condemn(condemnation(DEADLY, 500), 900)).toBe('adopted');
+    expect(suspects.condemn(condemnation(DEADLY, 500), 900)).toBe('ignored');
     suspects.onBegun([SHARED], 1_000);
-    expect(
-      suspects.condemn({ suspect: SHARED, condemnedAtMs: 900, forMs: CONDEMNED_MS }, 1_100),
-    ).toBe(false);
-    expect(suspects.condemned(1_200)).toEqual([
-      { suspect: DEADLY, condemnedAtMs: 500, forMs: CONDEMNED_MS },
-    ]);
+    expect(suspects.condemn(condemnation(SHARED, 900), 1_100)).toBe('ignored');
+    expect(suspects.condemned(1_200)).toEqual([condemnation(DEADLY, 500)]);
   });
 });
 
@@ -125,10 +121,52 @@
 
   it('is served again as soon as an answer begins although it was condemned', () => {
     const suspects = createCrashSuspects();
-    suspects.condemn({ suspect: SHARED, condemnedAtMs: 500, forMs: CONDEMNED_MS }, 900);
+    suspects.condemn(condemnation(SHARED, 500), 900);
     expect(suspects.onBegun([SHARED], 1_000)).toEqual([SHARED]);
     expect(findCondemned(suspects, [SHARED], 1_000)).toBeUndefined();
   });
+
+  // The two below guard against refusing all requests that share a sound part because of a router that
+  // has answered none of them.
+  it('is not condemned by a router that did not know of an answer shortly before', () => {
+    const suspects = createCrashSuspects();
+    suspects.onBegun([SHARED], 1_000);
+    expect(suspects.condemn(condemnation(SHARED, 2_000), 2_100)).toBe('refuted');
+    expect(suspects.condemn(condemnation(SHARED, 61_000), 61_100)).toBe('adopted');
+    expect(suspects.condemn(condemnation(DEADLY, 2_000), 2_100)).toBe('adopted');
+  });
+
+  it('is served again once an answer of shortly before its condemnation is known', () => {
+    const suspects = createCrashSuspects();
+    condemnedBy(suspects, crash(2_000, 'r1', 'east', SHARED, DEADLY));
+    condemnedBy(suspects, crash(2_200, 'r1', 'west', SHARED, DEADLY));
+    expect(condemnedBy(suspects, crash(2_400, 'r2', 'north', SHARED, DEADLY, OTHER))).toEqual([
+      SHARED,
+      DEADLY,
+    ]);
+    expect(suspects.onBegun([SHARED], 1_000)).toEqual([SHARED]);
+    expect(findCondemned(suspects, [SHARED], 2_500)).toBeUndefined();
+    expect(findCondemned(suspects, [SHARED, DEADLY], 2_500)).toBe(DEADLY);
+    // Six crashes count although a server answered a request with the part before.
+    condemnedBy(suspects, crash(3_600, 'r3', 'east', SHARED));
+    condemnedBy(suspects, crash(4_200, 'r4', 'west', SHARED, OTHER));
+    const [last] = suspects.onCrash(crash(6_000, 'r5', 'north', SHARED));
+    expect(last).toEqual(condemnation(SHARED, 6_000, true));
+    expect(suspects.onBegun([SHARED], 1_500)).toEqual([]);
+    expect(findCondemned(suspects, [SHARED], 6_100)).toBe(SHARED);
+  });
+
+  it('is vouched for by its last answer, from the second crash that counts on', () => {
+    const suspects = createCrashSuspects();
+    suspects.onBegun([SHARED], 1_000);
+    condemnedBy(suspects, crash(2_000, 'r1', 'east', SHARED, DEADLY));
+    expect(suspects.answersInDoubt([SHARED, DEADLY], 2_000)).toEqual([]);
+    condemnedBy(suspects, crash(2_200, 'r1', 'west', SHARED, DEADLY));
+    expect(suspects.answersInDoubt([SHARED, DEADLY], 2_200)).toEqual([
+      { suspect: SHARED, atMs: 1_000 },
+    ]);
+    expect(suspects.answersInDoubt([SHARED, DEADLY], 61_000)).toEqual([]);
+  });
 });
 
 describe('a whole request that crashes servers', () => {
@@ -156,12 +194,11 @@
 
   it('is condemned again by one more crash until a server answers it', () => {
     const suspects = createCrashSuspects();
-    const condemnation = { suspect: DEADLY_CALL, condemnedAtMs: 0, forMs: CONDEMNED_MS };
-    suspects.condemn(condemnation, 0);
+    suspects.condemn(condemnation(DEADLY_CALL, 0, true), 0);
     expect(condemnedBy(suspects, callCrash(130_000, 'r1', 'east', 'deadly'))).toEqual([
       DEADLY_CALL,
     ]);
-    suspects.condemn({ ...condemnation, condemnedAtMs: 130_000 }, 130_000);
+    suspects.condemn(condemnation(DEADLY_CALL, 130_000, true), 130_000);
     expect(suspects.onAnswered(() => DEADLY_CALL, 260_000)).toBe(true);
     expect(condemnedBy(suspects, callCrash(261_000, 'r2', 'east', 'deadly'))).toEqual([]);
   });
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -1,4 +1,4 @@
-import { asId, CONDEMNED_MS, createCrashSuspects } from '@mimosamill/core';
+import { asId, CONDEMNED_MS, createCrashSuspects, evictOldest } from '@mimosamill/core';
 import type { Clock, DecisionLog, Upstream } from '@mimosamill/adapters';
 import type {
   Condemnation,
@@ -7,6 +7,7 @@
   RequestId,
   ServerCrash,
   ServerId,
+  SuspectAnswer,
   SuspectId,
 } from '@mimosamill/core';
 import type { RequestContent } from './content';
@@ -23,6 +24,7 @@
 export interface StoredCondemnation {
   readonly suspect: SuspectId;
   readonly condemnedAtWallMs: number;
+  readonly outweighsAnswers: boolean;
 }
 
 /** An attempt whose connection broke before its server had begun to answer. */
@@ -38,8 +40,8 @@
 /** What a router tells the others; items are repeated, and applying one again has no effect. */
 export interface CrashReports {
   readonly crashes: readonly ServerCrash[];
-  /** Suspects until a server began to answer a request with them. */
-  readonly cleared: readonly { readonly suspect: SuspectId; readonly atMs: number }[];
+  /** The last answers to requests with suspects, which clear them of what came before. */
+  readonly answers: readonly SuspectAnswer[];
   readonly condemned: readonly Condemnation[];
 }
 
@@ -75,8 +77,9 @@
 
 /** Reports are repeated for this time, since a datagram may be lost. */
 const REPORT_REPEAT_MS = 1_500;
-/** Keeps a message within one datagram when many servers crash together. */
+/** Keep a message within one datagram when many servers crash together. */
 const REPORTED_CRASHES_MAX = 40;
+const REPORTED_ANSWERS_MAX = 40;
 const STORE_STEP_PERIOD_MS = 1_000;
 
 /** Reason that callers and logs get for a condemned request. */
@@ -84,13 +87,19 @@
   return `servers crash when they run a request with the content or prompt part ${suspect}`;
 }
 
+interface ReportedAnswer {
+  readonly answer: SuspectAnswer;
+  readonly reportedAtMs: number;
+}
+
 export function createCrashGuard(ports: CrashGuardPorts): CrashGuard {
   const { clock, decisions } = ports;
   const suspects = createCrashSuspects();
   const probes = new Map<string, Promise<boolean>>();
   const stored = new Set<SuspectId>();
   let crashes: ServerCrash[] = [];
-  let cleared: { readonly suspect: SuspectId; readonly atMs: number }[] = [];
+  /** Ordered by the time of the report, the oldest first. */
+  const answers = new Map<SuspectId, ReportedAnswer>();
   let isLoaded = false;
   let isStepping = false;
   let cancelSteps = (): void => undefined;
@@ -139,6 +148,20 @@
     suspects
       .onCrash(crash)
       .forEach((condemnation) => announce(condemnation, 'crashes', crash.requestId));
+    // A router that has served no request with a part cannot tell a sound one from the one at fault.
+    suspects.answersInDoubt(crash.parts, clock.monotonicMs()).forEach(reportAnswer);
+  }
+
+  function reportAnswer(answer: SuspectAnswer): void {
+    const { suspect, atMs } = answer;
+    const nowMs = clock.monotonicMs();
+    const known = answers.get(suspect);
+    const isRepeated = known !== undefined && nowMs - known.reportedAtMs < REPORT_REPEAT_MS;
+    if (isRepeated && known.answer.atMs >= atMs) return;
+    answers.delete(suspect);
+    answers.set(suspect, { answer, reportedAtMs: nowMs });
+    evictOldest(answers, REPORTED_ANSWERS_MAX);
+    ports.broadcastSoon();
   }
 
   function announce(condemnation: Condemnation, source: string, requestId?: RequestId): void {
@@ -159,22 +182,28 @@
       ...suspects.onBegun(withCombination(parts), atMs),
       ...(wasSuspected ? [fingerprint()] : []),
     ];
-    if (clearedSuspects.length === 0) return;
     clearedSuspects.forEach((suspect) => {
-      cleared.push({ suspect, atMs });
-      decisions.notable('suspect.cleared', { suspect });
+      reportAnswer({ suspect, atMs });
+      decisions.notable('suspect.cleared', { suspect, source: 'answer' });
     });
-    ports.broadcastSoon();
   }
 
   function onPeerReports(reports: CrashReports): void {
-    reports.cleared.forEach(({ suspect, atMs }) => suspects.onBegun([suspect], atMs));
+    reports.answers.forEach(({ suspect, atMs }) => {
+      if (suspects.onBegun([suspect], atMs).length === 0) return;
+      const ageMs = Math.round(clock.monotonicMs() - atMs);
+      decisions.notable('suspect.cleared', { suspect, source: 'peer', age_ms: ageMs });
+    });
     reports.crashes.forEach(applyCrash);
     reports.condemned.forEach((condemned) => adopt(condemned, 'peer'));
   }
 
   function adopt(condemnation: Condemnation, source: string): void {
-    if (suspects.condemn(condemnation, clock.monotonicMs())) announce(condemnation, source);
+    const outcome = suspects.condemn(condemnation, clock.monotonicMs());
+    if (outcome === 'adopted') announce(condemnation, source);
+    if (outcome !== 'refuted') return;
+    const answer = suspects.lastAnswer(condemnation.suspect);
+    if (answer !== undefined) reportAnswer(answer);
   }
 
   /**
@@ -198,11 +227,11 @@
     if (rows === undefined) return;
     isLoaded = true;
     stored.clear();
-    rows.forEach(({ suspect, condemnedAtWallMs }) => {
+    rows.forEach(({ suspect, condemnedAtWallMs, outweighsAnswers }) => {
       stored.add(suspect);
       const ageMs = Math.max(0, clock.nowMs() - condemnedAtWallMs);
       const condemnedAtMs = clock.monotonicMs() - ageMs;
-      adopt({ suspect, condemnedAtMs, forMs: CONDEMNED_MS }, 'store');
+      adopt({ suspect, condemnedAtMs, forMs: CONDEMNED_MS, outweighsAnswers }, 'store');
     });
   }
 
@@ -211,10 +240,11 @@
     const nowMs = clock.monotonicMs();
     const current = suspects.condemned(nowMs).filter(({ forMs }) => forMs >= CONDEMNED_MS);
     const ids = new Set(current.map(({ suspect }) => suspect));
-    for (const { suspect, condemnedAtMs } of current) {
+    for (const { suspect, condemnedAtMs, outweighsAnswers } of current) {
       if (!stored.has(suspect)) {
         const condemnedAtWallMs = clock.nowMs() - (nowMs - condemnedAtMs);
-        if (await ports.table.put({ suspect, condemnedAtWallMs })) stored.add(suspect);
+        const row = { suspect, condemnedAtWallMs, outweighsAnswers };
+        if (await ports.table.put(row)) stored.add(suspect);
       }
     }
     for (const suspect of stored) {
@@ -240,8 +270,14 @@
       crashes = crashes
         .filter(({ atMs }) => nowMs - atMs < REPORT_REPEAT_MS)
         .slice(-REPORTED_CRASHES_MAX);
-      cleared = cleared.filter(({ atMs }) => nowMs - atMs < REPORT_REPEAT_MS);
-      return { crashes, cleared, condemned: suspects.condemned(nowMs) };
+      answers.forEach(({ reportedAtMs }, suspect) => {
+        if (nowMs - reportedAtMs >= REPORT_REPEAT_MS) answers.delete(suspect);
+      });
+      return {
+        crashes,
+        answers: [...answers.values()].map(({ answer }) => answer),
+        condemned: suspects.condemned(nowMs),
+      };
     },
     onPeerReports,
     onStoreRestored: () => {
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -184,17 +184,18 @@
       crash.fingerprint,
       crash.isStream,
     ]),
-    reports.cleared.map(({ suspect, atMs }) => [suspect, ageOf(atMs)]),
-    reports.condemned.map(({ suspect, condemnedAtMs, forMs }) => [
+    reports.answers.map(({ suspect, atMs }) => [suspect, ageOf(atMs)]),
+    reports.condemned.map(({ suspect, condemnedAtMs, forMs, outweighsAnswers }) => [
       suspect,
       ageOf(condemnedAtMs),
       forMs,
+      outweighsAnswers,
     ]),
   ];
 }
 
 function decodeCrashReports(
-  [crashes, cleared, condemned]: CrashReportsMessage,
+  [crashes, answers, condemned]: CrashReportsMessage,
   nowMs: number,
 ): CrashReports {
   return {
@@ -210,14 +211,15 @@
         isStream: isStream ?? true,
       }),
     ),
-    cleared: cleared.map(([suspect, ageMs]) => ({
+    answers: answers.map(([suspect, ageMs]) => ({
       suspect: asId<PromptPartId>(suspect),
       atMs: nowMs - ageMs,
     })),
-    condemned: condemned.map(([suspect, ageMs, forMs]) => ({
+    condemned: condemned.map(([suspect, ageMs, forMs, outweighsAnswers]) => ({
       suspect: asId<PromptPartId>(suspect),
       condemnedAtMs: nowMs - ageMs,
       forMs: forMs ?? CONDEMNED_MS,
+      outweighsAnswers: outweighsAnswers ?? true,
     })),
   };
 }
--- a/packages/router/src/forward/state-schema.ts
+++ b/packages/router/src/forward/state-schema.ts
@@ -34,8 +34,14 @@
   z.string().optional(),
   z.boolean().optional(),
 ]);
-const clearedSuspect = z.tuple([z.string(), z.number()]);
-const condemnedSuspect = z.tuple([z.string(), z.number(), z.number().optional()]);
+const suspectAnswer = z.tuple([z.string(), z.number()]);
+/** Suspect, age, time for which it is condemned, whether that outweighs answers. */
+const condemnedSuspect = z.tuple([
+  z.string(),
+  z.number(),
+  z.number().optional(),
+  z.boolean().optional(),
+]);
 
 /**
  * A message on the wire: an array without field names, to keep it short. Anyone can send a datagram to
@@ -55,8 +61,8 @@
   z.array(failure),
   z.array(move),
   z.array(callCount),
-  /** Crashes, cleared and condemned suspects; absent from a router of an earlier release. */
-  z.tuple([z.array(crash), z.array(clearedSuspect), z.array(condemnedSuspect)]).optional(),
+  /** Crashes, answers to suspects and condemned ones; absent from a router of an earlier release. */
+  z.tuple([z.array(crash), z.array(suspectAnswer), z.array(condemnedSuspect)]).optional(),
   /** Limits of servers and demands of services; absent likewise. */
   z.tuple([z.array(limit), z.array(serviceCount)]).optional(),
   /** Requests and retries of services; absent likewise. */
--- /dev/null
+++ b/packages/router/test/forward/crash-guard.spec.ts
@@ -0,0 +1,130 @@
+import { describe, expect, it } from 'vitest';
+import { asId } from '@mimosamill/core';
+import { createCrashGuard } from '../../src/forward/crash-guard';
+import { createManualClock } from './clock';
+import type { FailureDomain, Fingerprint, PromptPartId, RequestId } from '@mimosamill/core';
+import type { RequestContent } from '../../src/forward/content';
+import type { CrashGuard } from '../../src/forward/crash-guard';
+import type { ManualClock } from './clock';
+
+const SHARED = asId<PromptPartId>('shared');
+const DEADLY = asId<PromptPartId>('deadly');
+const SOUND = createContent('sound', SHARED);
+const DOMAINS = ['east', 'west', 'north'];
+/** Time from a router's report to its arrival at the others. */
+const DELIVERY_MS = 20;
+
+function createContent(name: string, ...parts: PromptPartId[]): RequestContent {
+  return { fingerprint: () => asId<Fingerprint>(`content of ${name}`), parts };
+}
+
+interface GuardFleet {
+  readonly clock: ManualClock;
+  readonly guards: readonly CrashGuard[];
+  /** A server crashes at the router when it begins to answer a prompt with the deadly part. */
+  readonly crashAt: (router: number, request: string) => Promise<void>;
+  readonly refusesSound: () => readonly boolean[];
+  /** Stops or resumes the delivery of what routers tell. */
+  readonly setConnected: (isConnected: boolean) => void;
+}
+
+/** Routers that tell each other what they know as soon as it changes. */
+function createGuardFleet(routerCount: number): GuardFleet {
+  const clock = createManualClock();
+  let isConnected = true;
+  let crashes = 0;
+  const guards: CrashGuard[] = [];
+
+  function tellOthers(router: number): void {
+    clock.runAfter(DELIVERY_MS, () => {
+      const reports = guards[router]?.ownReports(clock.monotonicMs());
+      if (reports === undefined || !isConnected) return;
+      guards.forEach((guard, other) => {
+        if (other !== router) guard.onPeerReports(reports);
+      });
+    });
+  }
+
+  for (let router = 0; router < routerCount; router += 1) {
+    const log = (): void => undefined;
+    guards.push(
+      createCrashGuard({
+        clock,
+        decisions: { routine: log, notable: log, vital: log, droppedCount: () => 0 },
+        upstream: { isAccepting: () => Promise.resolve(false) },
+        table: {
+          list: () => Promise.resolve([]),
+          put: () => Promise.resolve(true),
+          remove: () => Promise.resolve(),
+        },
+        isElected: () => false,
+        broadcastSoon: () => tellOthers(router),
+        onCondemned: () => undefined,
+        hash64: (text) => text,
+      }),
+    );
+  }
+
+  return {
+    clock,
+    guards,
+    crashAt: async (router, request) => {
+      crashes += 1;
+      await guards[router]?.onBrokenAttempt({
+        content: createContent(request, SHARED, asId<PromptPartId>(`session-${request}`), DEADLY),
+        requestId: asId<RequestId>(request),
+        isStream: true,
+        serverId: asId(`e${crashes}`),
+        address: `10.0.0.${crashes}:1`,
+        failureDomain: asId<FailureDomain>(DOMAINS[crashes % DOMAINS.length] ?? ''),
+      });
+    },
+    refusesSound: () => guards.map((guard) => guard.findCondemned(SOUND) !== undefined),
+    setConnected: (value) => {
+      isConnected = value;
+    },
+  };
+}
+
+// Guards against one router that has answered none of a customer's prompts: it took the part that they
+// share for the deadly one, and all routers refused the customer's requests for two minutes.
+describe('routers that know different answers', () => {
+  it('refuse a deadly part, and not the sound one beside it', async () => {
+    const { clock, guards, crashAt, refusesSound } = createGuardFleet(3);
+    guards[0]?.onAnswered(SOUND);
+    clock.advance(1_000);
+    await crashAt(0, 'r1');
+    clock.advance(130);
+    await crashAt(1, 'r2');
+    clock.advance(130);
+    await crashAt(0, 'r1');
+    for (let step = 0; step < 10; step += 1) {
+      clock.advance(50);
+      expect(refusesSound()).toEqual([false, false, false]);
+    }
+    const deadly = createContent('r3', SHARED, DEADLY);
+    expect(guards.map((guard) => guard.findCondemned(deadly)?.suspect)).toEqual([
+      DEADLY,
+      DEADLY,
+      DEADLY,
+    ]);
+  });
+
+  it('agree again after the reports of an answer were lost', async () => {
+    const { clock, guards, crashAt, refusesSound, setConnected } = createGuardFleet(3);
+    guards[0]?.onAnswered(SOUND);
+    clock.advance(1_000);
+    setConnected(false);
+    for (const request of ['r1', 'r2', 'r3']) {
+      await crashAt(2, request);
+      clock.advance(400);
+    }
+    expect(refusesSound()).toEqual([false, false, true]);
+    setConnected(true);
+    await crashAt(1, 'r4');
+    clock.advance(DELIVERY_MS);
+    await crashAt(2, 'r5');
+    clock.advance(10 * DELIVERY_MS);
+    expect(refusesSound()).toEqual([false, false, false]);
+  });
+});
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -53,7 +53,7 @@
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
   const sent: Buffer[] = [];
   const crashReports: TestRouter['crashReports'] = {
-    own: { crashes: [], cleared: [], condemned: [] },
+    own: { crashes: [], answers: [], condemned: [] },
     received: [],
   };
   const retryBudgets = createRetryBudgets(
@@ -171,8 +171,15 @@
     };
     const reportsAt = (nowMs: number): CrashReports => ({
       crashes: [{ ...crash, atMs: nowMs - 300 }],
-      cleared: [{ suspect: asId<PromptPartId>('aa'), atMs: nowMs - 200 }],
-      condemned: [{ suspect: asId<PromptPartId>('bb'), condemnedAtMs: nowMs - 100, forMs: 5_000 }],
+      answers: [{ suspect: asId<PromptPartId>('aa'), atMs: nowMs - 200 }],
+      condemned: [
+        {
+          suspect: asId<PromptPartId>('bb'),
+          condemnedAtMs: nowMs - 100,
+          forMs: 5_000,
+          outweighsAnswers: false,
+        },
+      ],
     });
     sender.crashReports.own = reportsAt(senderClock.monotonicMs() + 15);
     sender.broadcast.sendSoon();
