Tell orders to one version apart by the revision at which they were written

Cause: moves were compared by service and version only. What a process had said of an earlier order to the version was kept for good after its end, and was taken for the end, and as evidence, of the new order. The log shows it: move.ended, cause peer, 0.2 s after the order, with more answers than had been given.

An order now carries the store's revision at which it was written, and so does what routers tell of their moves. A state that was stored before the order was written does not end it either; a test shows that this happened. Of ended processes the last 1,024 are remembered instead of all.

Three new tests failed before.

--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -1,7 +1,9 @@
+import { evictOldest } from '../evict';
+import { isAboutOrder } from './rollout';
 import type { CallCounts } from './call-outcomes';
 import type { FailureDomain, HostId, ServerId, ServiceName } from '../ids';
 import type { ServerFailure } from './fleet';
-import type { MoveEvidence, MoveState } from './rollout';
+import type { MoveEvidence, MoveState, VersionOrder } from './rollout';
 
 /** Load that one router puts on one server. */
 export interface RouterLoad {
@@ -28,6 +30,8 @@
 export interface PeerMove {
   readonly service: ServiceName;
   readonly version: string;
+  /** Revision of its order; absent from a router of an earlier release, or one that does not know it. */
+  readonly orderRevision?: number | undefined;
   readonly state: MoveState;
   readonly evidence: MoveEvidence;
 }
@@ -77,8 +81,8 @@
   ) => readonly PeerFailure[] | undefined;
   /** Sum over the other routers; pending prefills shrink with the age of each update. */
   readonly loadAt: (serverId: ServerId, nowMs: number) => PeerLoad;
-  /** The other routers' states of a move, including routers that have since been lost. */
-  readonly movesOf: (service: ServiceName, version: string) => readonly PeerMove[];
+  /** The other routers' states of an order's move, including routers that have since been lost. */
+  readonly movesOf: (order: VersionOrder) => readonly PeerMove[];
   /** Routers that have sent an update recently. */
   readonly routers: (nowMs: number) => readonly PeerRouter[];
 }
@@ -88,6 +92,8 @@
  * because its requests end with it.
  */
 const PEER_TIMEOUT_MS = 3_000;
+/** Processes whose moves are remembered; those that were heard of longest ago are forgotten. */
+const MOVING_ROUTERS_MAX = 1_024;
 const NO_LOAD: PeerLoad = { running: 0, prefillMs: 0, copies: 0, tokens: 0 };
 
 interface Peer {
@@ -101,6 +107,7 @@
 
 export function createPeerRegistry(): PeerRegistry {
   const peers = new Map<HostId, Peer>();
+  /** By host and incarnation, ordered by the last update. */
   const moves = new Map<string, readonly PeerMove[]>();
 
   function peerFor(update: PeerUpdate, router: PeerRouter, nowMs: number): Peer | undefined {
@@ -120,6 +127,13 @@
     return created;
   }
 
+  function setMoves(update: PeerUpdate): void {
+    const key = `${update.hostId}/${update.incarnationId}`;
+    moves.delete(key);
+    if (update.moves.length > 0) moves.set(key, update.moves);
+    evictOldest(moves, MOVING_ROUTERS_MAX);
+  }
+
   function removeSilentPeers(nowMs: number): void {
     peers.forEach((peer, hostId) => {
       if (nowMs - peer.lastUpdateAtMs > PEER_TIMEOUT_MS) peers.delete(hostId);
@@ -136,7 +150,7 @@
       peer.sequence = update.sequence;
       peer.lastUpdateAtMs = nowMs;
       peer.loads = new Map(update.loads.map((load) => [load.serverId, load]));
-      moves.set(`${hostId}/${update.incarnationId}`, update.moves);
+      setMoves(update);
       const newFailures = update.failures.filter(({ failureNo }) => failureNo > peer.lastFailureNo);
       newFailures.forEach(({ failureNo }) => {
         peer.lastFailureNo = Math.max(peer.lastFailureNo, failureNo);
@@ -158,10 +172,15 @@
       });
       return sum;
     },
-    movesOf: (service, version) =>
+    movesOf: (order) =>
       [...moves.values()]
         .flat()
-        .filter((move) => move.service === service && move.version === version),
+        .filter(
+          ({ service, version, orderRevision }) =>
+            service === order.service &&
+            version === order.version &&
+            isAboutOrder(order, orderRevision),
+        ),
     routers: (nowMs) => {
       removeSilentPeers(nowMs);
       return [...peers.values()].map(({ router }) => router);
--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -5,6 +5,11 @@
   readonly service: ServiceName;
   readonly version: string;
   readonly withinMs: number;
+  /**
+   * Revision of the store at which the order was written. It tells two orders to the same version apart;
+   * absent if a router of an earlier release relayed the order.
+   */
+  readonly revision?: number;
 }
 
 /** State of a move; `completed` and `rolled_back` are final. */
@@ -71,6 +76,18 @@
 /** With these the new version may be worse: it gets no more traffic until there are more answers. */
 const DOUBTFUL_STANDARD_DEVIATIONS = 1;
 
+/** Whether what was said or stored of a move to the same version may be about this order. */
+export function isAboutOrder(order: VersionOrder, orderRevision: number | undefined): boolean {
+  return (
+    order.revision === undefined || orderRevision === undefined || order.revision === orderRevision
+  );
+}
+
+/** Whether a state that was stored at a revision may be about this order, not about an earlier one. */
+export function isStoredSince(order: VersionOrder, storedAtRevision: number): boolean {
+  return order.revision === undefined || storedAtRevision >= order.revision;
+}
+
 /** Whether the new version gave significantly more bad answers than expected of the former one. */
 export function isNewVersionWorse(evidence: MoveEvidence): boolean {
   return hasMoreBad(evidence, BAD_STANDARD_DEVIATIONS);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -377,7 +377,7 @@
   StreamPlacement,
   StreamPlacementInput,
 } from './forward/placement';
-export { addEvidence, isNewVersionWorse, nextMoveStep } from './forward/rollout';
+export { addEvidence, isNewVersionWorse, isStoredSince, nextMoveStep } from './forward/rollout';
 export type {
   AnswerCounts,
   MoveEvidence,
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -73,9 +73,10 @@
       failureNo,
       Math.round(ageMs),
     ]),
-    update.moves.map(({ service, version, state, evidence }) => ({
+    update.moves.map(({ service, version, orderRevision, state, evidence }) => ({
       service,
       version,
+      orderRevision,
       state,
       evidence,
     })),
--- a/packages/router/src/forward/state-schema.ts
+++ b/packages/router/src/forward/state-schema.ts
@@ -12,6 +12,8 @@
 const move = z.object({
   service: z.string(),
   version: z.string(),
+  // Absent from a router of an earlier release.
+  orderRevision: count.optional(),
   state: z.enum(['running', 'completed', 'rolled_back']),
   evidence: z.object({ fresh: answerCounts, former: answerCounts }),
 });
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -1,4 +1,4 @@
-import { addEvidence, asId, nextMoveStep, UNKNOWN_ERA } from '@mimosamill/core';
+import { addEvidence, asId, isStoredSince, nextMoveStep, UNKNOWN_ERA } from '@mimosamill/core';
 import { isElected } from './election';
 import { createOrderHistory } from './order-history';
 import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
@@ -82,7 +82,7 @@
 }
 
 interface Move {
-  readonly order: VersionOrder;
+  order: VersionOrder;
   readonly startedAtMs: number;
   state: MoveState;
   endedAtMs: number;
@@ -150,24 +150,43 @@
 
   function setOrders(orders: readonly VersionOrder[], isCopy = false): void {
     orders.forEach((order) => {
-      if (!orderHistory.isNew(order, isCopy)) return;
+      if (!orderHistory.isNew(order, isCopy)) {
+        if (!isCopy) updateOrder(order);
+        return;
+      }
       moves.set(order.service, createMove(order, clock.monotonicMs()));
       decisions.vital('move.ordered', {
         service: order.service,
         version: order.version,
         within_ms: order.withinMs,
+        order_revision: order.revision,
       });
     });
   }
 
+  /** Operators write an order again after the store was restored; it has another revision then. */
+  function updateOrder(order: VersionOrder): void {
+    const move = moves.get(order.service);
+    if (move?.order.version === order.version) move.order = order;
+  }
+
   /** Reads the stored state, because a move may have ended before this process started. */
   async function loadState(move: Move): Promise<void> {
     const outcome = await ports.table.read(move.order.service);
     if (outcome.kind === 'unavailable') return;
     move.isStateLoaded = true;
     move.at = outcome.at;
-    if (outcome.record?.version !== move.order.version) return;
-    if (outcome.record.state !== 'running') endMove(move, outcome.record.state, 'store');
+    const state = storedEnd(move, outcome);
+    if (state !== undefined) endMove(move, state, 'store');
+  }
+
+  /** The end of the move as stored; undefined if the row is about another order, or says 'running'. */
+  function storedEnd(
+    { order }: Move,
+    { record, at }: Extract<MoveRecordOutcome, { kind: 'ok' }>,
+  ): MoveState | undefined {
+    if (record?.version !== order.version || !isStoredSince(order, at.revision)) return undefined;
+    return record.state === 'running' ? undefined : record.state;
   }
 
   function endMove(move: Move, state: MoveState, cause: string): void {
@@ -181,6 +200,7 @@
       version: move.order.version,
       state,
       cause,
+      order_revision: move.order.revision,
       answers: fresh.answers,
       bad: fresh.bad,
       former_answers: former.answers,
@@ -191,7 +211,7 @@
 
   function totalEvidence(move: Move): MoveEvidence {
     return peerRegistry
-      .movesOf(move.order.service, move.order.version)
+      .movesOf(move.order)
       .reduce((sum, peer) => addEvidence(sum, peer.evidence), move.evidence);
   }
 
@@ -218,10 +238,9 @@
     const { service, version } = move.order;
     const outcome = await ports.table.read(service);
     if (outcome.kind === 'ok') {
-      const { record, at } = outcome;
-      if (record?.version === version && record.state !== 'running') move.isEndInDoubt = false;
+      if (storedEnd(move, outcome) !== undefined) move.isEndInDoubt = false;
       else if (isWriterOf(service)) {
-        const written = await ports.table.write(service, version, move.state, at);
+        const written = await ports.table.write(service, version, move.state, outcome.at);
         if (written === 'ok') {
           move.isEndInDoubt = false;
           decisions.vital('move.recorded_again', { service, version, state: move.state });
@@ -237,9 +256,7 @@
 
   function advance(move: Move): void {
     if (move.state !== 'running') return;
-    const ended = peerRegistry
-      .movesOf(move.order.service, move.order.version)
-      .find(({ state }) => state !== 'running');
+    const ended = peerRegistry.movesOf(move.order).find(({ state }) => state !== 'running');
     if (ended !== undefined) {
       endMove(move, ended.state, 'peer');
       return;
@@ -405,6 +422,7 @@
       [...moves.values()].map(({ order, state, evidence }) => ({
         service: order.service,
         version: order.version,
+        orderRevision: order.revision,
         state,
         evidence,
       })),
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -3,7 +3,18 @@
 import { createVersionMoves } from '../../src/forward/version-moves';
 import { createOrderHistory } from '../../src/forward/order-history';
 import { createManualClock } from './clock';
-import type { ForwardServer, MoveState, ServerId, ServiceName } from '@mimosamill/core';
+import type {
+  FailureDomain,
+  ForwardServer,
+  HostId,
+  MoveState,
+  PeerMove,
+  PeerRegistry,
+  ServerId,
+  ServiceName,
+  VersionOrder,
+} from '@mimosamill/core';
+import type { MoveRecordOutcome } from '../../src/forward/version-moves';
 
 const SERVICE = asId<ServiceName>('guide');
 const UNSET = { era: UNKNOWN_ERA, revision: 0 };
@@ -23,8 +34,20 @@
   };
 }
 
+const ORDER: VersionOrder = { service: SERVICE, version: 'v2', withinMs: 15_000 };
+
+interface MoveWorld {
+  readonly order: VersionOrder;
+  readonly peerRegistry: PeerRegistry;
+  readonly stored: MoveRecordOutcome;
+}
+
 /** One router that moves a service with one server of each version, within 15 seconds. */
-function createMoveOfService() {
+function createMoveOfService({
+  order = ORDER,
+  peerRegistry = createPeerRegistry(),
+  stored = { kind: 'ok', record: undefined, at: UNSET },
+}: Partial<MoveWorld> = {}) {
   const clock = createManualClock();
   const fleet = createFleet();
   fleet.setServers([serverOf(FORMER, 'v1'), serverOf(FRESH, 'v2')], 0);
@@ -35,10 +58,10 @@
     clock,
     decisions: { routine: ignore, notable: ignore, vital: ignore, droppedCount: () => 0 },
     fleet,
-    peerRegistry: createPeerRegistry(),
+    peerRegistry,
     hashes: { hash32: (text) => text.length, hash64: (text) => text },
     table: {
-      read: () => Promise.resolve({ kind: 'ok', record: undefined, at: UNSET }),
+      read: () => Promise.resolve(stored),
       write: (_service, _version, written) => {
         state = written;
         writes.push(written);
@@ -48,7 +71,7 @@
     broadcastSoon: ignore,
     broadcastLater: ignore,
   });
-  moves.setOrders([{ service: SERVICE, version: 'v2', withinMs: 15_000 }]);
+  moves.setOrders([order]);
   return { clock, moves, state: () => state, writes };
 }
 
@@ -151,6 +174,69 @@
   });
 });
 
+/** A registry that has heard of a move at a router whose process has ended since. */
+function createRegistryWith(move: Pick<PeerMove, 'orderRevision' | 'state'>): PeerRegistry {
+  const registry = createPeerRegistry();
+  const evidence = { fresh: { answers: 40, bad: 0 }, former: { answers: 40, bad: 0 } };
+  const update = {
+    hostId: asId<HostId>('other'),
+    failureDomain: asId<FailureDomain>('east'),
+    incarnationId: 'ended',
+    sequence: 1,
+    canReadStore: true,
+    loads: [],
+    failures: [],
+    moves: [{ service: SERVICE, version: 'v2', evidence, ...move }],
+    callCounts: [],
+  };
+  registry.onUpdate(update, '10.0.0.2:1', -60_000);
+  return registry;
+}
+
+// Guards against a bad version that gets all traffic because a good one of its name was moved to before.
+describe('a second order to the same version', () => {
+  const order = { ...ORDER, revision: 90 };
+
+  it('does not end by what a router said of the first one', async () => {
+    const peerRegistry = createRegistryWith({ orderRevision: 40, state: 'completed' });
+    const { clock, moves, state } = createMoveOfService({ order, peerRegistry });
+    await advance(clock, 500);
+    expect(moves.ownMoves()).toMatchObject([{ orderRevision: 90, state: 'running' }]);
+    for (let no = 0; no < 6; no += 1) moves.trackAttempt(FRESH, 'answer').onAnswered(true);
+    await advance(clock, 500);
+    expect(state()).toBe('rolled_back');
+  });
+
+  it('does not end by what was stored of the first one', async () => {
+    const at = { era: UNKNOWN_ERA, revision: 60 };
+    const record = { version: 'v2', state: 'completed' as const };
+    const { clock, moves } = createMoveOfService({ order, stored: { kind: 'ok', record, at } });
+    await advance(clock, 500);
+    expect(moves.ownMoves()).toMatchObject([{ state: 'running' }]);
+  });
+
+  it('ends by what routers said of it, and by what was stored since', async () => {
+    const peerRegistry = createRegistryWith({ orderRevision: 90, state: 'rolled_back' });
+    const byPeer = createMoveOfService({ order, peerRegistry });
+    const at = { era: UNKNOWN_ERA, revision: 91 };
+    const record = { version: 'v2', state: 'completed' as const };
+    const byStore = createMoveOfService({ order, stored: { kind: 'ok', record, at } });
+    await advance(byPeer.clock, 500);
+    await advance(byStore.clock, 500);
+    expect(byPeer.moves.ownMoves()).toMatchObject([{ state: 'rolled_back' }]);
+    expect(byStore.moves.ownMoves()).toMatchObject([{ state: 'completed' }]);
+  });
+
+  it('is one with the first if the operator has only written it again', async () => {
+    const peerRegistry = createRegistryWith({ orderRevision: 95, state: 'completed' });
+    const { clock, moves } = createMoveOfService({ order, peerRegistry });
+    await advance(clock, 500);
+    moves.setOrders([{ ...ORDER, revision: 95 }]);
+    await advance(clock, 500);
+    expect(moves.ownMoves()).toMatchObject([{ orderRevision: 95, state: 'completed' }]);
+  });
+});
+
 describe('moves after the store came back from an older copy', () => {
   it('have their end written again when the copy lacks it', async () => {
     const { clock, moves, writes } = createMoveOfService();
