Take a stream in a planned stop only if the longest of its route would end

Streams that reached a stopping router 3.5 to 4.1 s after SIGTERM, on connections kept open, were passed on and cut at 7.5 s with status 200 (LOST, as the users reported it).

Cause: whether a stream ends in time was estimated by the mean duration of all streams of the process. Beside many short streams of another route a long one counted as short.

The estimate is the longest duration of the route's streams of late, times the margin, plus a second for an engine that pauses, counted from the decision; the stream's deadline if nothing is known.

--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -74,6 +74,8 @@
 const STOPPING_RETRY_MS = 50;
 /** Durations vary, and cutting a stream off is worse than sending it to another router. */
 const STOPPING_DURATION_MARGIN = 1.3;
+/** A sound engine may fall silent for about a second in the middle of a stream. */
+const ENGINE_PAUSE_MS = 1_000;
 
 export function createIngress(
   ports: ForwardPorts,
@@ -140,7 +142,7 @@
     body: Uint8Array | undefined,
     receivedAtMs: number,
   ): Promise<Admission> {
-    if (stopsSoon(receivedAtMs)) return refuseStopping();
+    if (stopsSoon()) return refuseStopping();
     const { serveMaxAgeMs, denyMaxAgeMs } = settings.freshness();
     let table = currentConfig.table();
     let route = table?.match(head.host, head.path);
@@ -227,16 +229,22 @@
    * Whether a request ends before the router stops: a stream probably, a call certainly. A call that is
    * cut off may have run, so that its caller may not repeat it; another router can serve it at once.
    */
-  function endsInTime(route: ForwardRoute, budgetMs: number, nowMs: number): boolean {
+  function endsInTime(route: ForwardRoute, budgetMs: number, receivedAtMs: number): boolean {
     if (drainUntilMs === undefined) return true;
-    const durationMs =
-      route.kind === 'stream' ? streams.meanDurationMs() * STOPPING_DURATION_MARGIN : budgetMs;
-    return nowMs + durationMs < drainUntilMs;
+    const deadlineAtMs = receivedAtMs + budgetMs;
+    return Math.min(deadlineAtMs, probableEndAtMs(route)) < drainUntilMs;
+  }
+
+  /** Counted from now: the body, or a refresh of the configuration, may have taken a while. */
+  function probableEndAtMs(route: ForwardRoute): number {
+    const longestMs = route.kind === 'stream' ? streams.longestDurationMs(route.name) : undefined;
+    if (longestMs === undefined) return Infinity;
+    return clock.monotonicMs() + longestMs * STOPPING_DURATION_MARGIN + ENGINE_PAUSE_MS;
   }
 
   /** Whether a request that had to wait for a refresh of the configuration could be cut off. */
-  function stopsSoon(nowMs: number): boolean {
-    return drainUntilMs !== undefined && nowMs + REFRESH_TIMEOUT_MS >= drainUntilMs;
+  function stopsSoon(): boolean {
+    return drainUntilMs !== undefined && clock.monotonicMs() + REFRESH_TIMEOUT_MS >= drainUntilMs;
   }
 
   function refuseStopping(): Admission {
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -1,4 +1,10 @@
-import { assertNever, createEventSplitter, createForwardStream, isRestart } from '@mimosamill/core';
+import {
+  assertNever,
+  createEventSplitter,
+  createForwardStream,
+  createLongestDurations,
+  isRestart,
+} from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
@@ -16,7 +22,9 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
+  LongestDurations,
   ReplacementAttempt,
+  RouteName,
   ServeError,
   ServerState,
   ServerFailure,
@@ -63,11 +71,16 @@
   /** Called when something is condemned: ends its streams that no engine has begun to answer. */
   readonly onCondemned: () => void;
   readonly activeCount: () => number;
-  /** Mean time from a stream's request to its end. */
-  readonly meanDurationMs: () => number;
+  /**
+   * Longest time that a stream of the route has lately taken from its request to its end, or has taken
+   * until now; undefined if none has completed lately.
+   */
+  readonly longestDurationMs: (route: RouteName) => number | undefined;
 }
 
 interface ActiveStream {
+  readonly route: RouteName;
+  readonly receivedAtMs: number;
   readonly engineId: () => ServerId | undefined;
   readonly copyEngineId: () => ServerId | undefined;
   readonly content: RequestContent;
@@ -83,16 +96,19 @@
 const CONNECT_TIMEOUT_MS = 200;
 /** Losses with which the connection of an attempt ends when its engine crashes. */
 const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
-/** Assumed mean duration until streams have completed. */
-const INITIAL_MEAN_DURATION_MS = 5_000;
-const MEAN_SMOOTHING_RATIO = 0.1;
 
 export function createStreamForwarder(ports: ForwardPorts): StreamForwarder {
   const active = new Set<ActiveStream>();
-  let meanMs = INITIAL_MEAN_DURATION_MS;
+  const durations = createLongestDurations();
 
-  function onComplete(tookMs: number): void {
-    meanMs += MEAN_SMOOTHING_RATIO * (tookMs - meanMs);
+  function longestDurationMs(route: RouteName): number | undefined {
+    const nowMs = ports.clock.monotonicMs();
+    const longestMs = durations.longestMs(route, nowMs);
+    if (longestMs === undefined) return undefined;
+    const ages = [...active]
+      .filter((stream) => stream.route === route)
+      .map(({ receivedAtMs }) => nowMs - receivedAtMs);
+    return Math.max(longestMs, ...ages);
   }
 
   function onDomainSuspected(failureDomain: FailureDomain): void {
@@ -138,19 +154,19 @@
       });
     },
     forward: (request, sink) =>
-      forwardStream(ports, request, sink, { active, onDomainSuspected, onServerLost, onComplete }),
+      forwardStream(ports, request, sink, { active, durations, onDomainSuspected, onServerLost }),
     onDomainSuspected,
     activeCount: () => active.size,
-    meanDurationMs: () => meanMs,
+    longestDurationMs,
   };
 }
 
 /** State shared by all streams of the process. */
 interface StreamRegistry {
   readonly active: Set<ActiveStream>;
+  readonly durations: LongestDurations;
   readonly onDomainSuspected: (failureDomain: FailureDomain) => void;
   readonly onServerLost: (serverId: ServerId) => void;
-  readonly onComplete: (tookMs: number) => void;
 }
 
 type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
@@ -177,7 +193,7 @@
   sink: StreamSink,
   registry: StreamRegistry,
 ): RunningForwardStream {
-  const { active, onDomainSuspected, onServerLost, onComplete } = registry;
+  const { active, durations, onDomainSuspected, onServerLost } = registry;
   const { clock, fleet, decisions } = ports;
   const { head, route, service, content } = request;
   const { requestId } = head;
@@ -209,6 +225,8 @@
     canPlaceElsewhere,
   });
   const entry: ActiveStream = {
+    route: route.name,
+    receivedAtMs: request.receivedAtMs,
     engineId: () => current?.engineId,
     copyEngineId: () => current?.kvCopy?.engineId,
     content,
@@ -292,7 +310,7 @@
       run: error?.runState,
     };
     if (outcome === 'complete') {
-      onComplete(tookMs);
+      durations.onCompleted(route.name, tookMs, clock.monotonicMs());
       recordDuration();
       decisions.routine('stream.end', fields);
     } else decisions.notable('stream.end', fields);
