Bound what all responses hold in a router's memory together

200 streams whose engines send an event that never ends took a router to 612 MB of resident memory, above the 350 MB at which the platform ends it, and with it the requests of all its callers.

Cause: each stream may hold an unfinished event of up to 1 MiB, and their sum had no bound. Whole answers of plain servers had one.

One account now covers both. An event of more than 64 KiB is given up while responses hold more than 8 MiB, an answer while they hold more than 48 MiB. Small responses are always held, so that sound ones are not given up.

--- a/packages/core/src/forward/events.ts
+++ b/packages/core/src/forward/events.ts
@@ -18,6 +18,7 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const EVENT_MAX_BYTES = 1_048_576;
+const JOINED_MAX_BYTES = 4_096;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
 /** Lines of a response head, which no event has; a fault of an engine may write one into an event. */
 const HEAD_LINE =
@@ -25,7 +26,9 @@
 const BARE_LINE_FEED = /(?:^|[^\r])\n/;
 
 export function createEventSplitter(): EventSplitter {
-  let pending: Uint8Array = new Uint8Array(0);
+  /** Chunks of an event that is not complete; joined once a line ends, as an endless line may be long. */
+  let pending: Uint8Array[] = [];
+  let pendingSize = 0;
   const decoder = new TextDecoder();
 
   function toEvent(bytes: Uint8Array): StreamEvent | undefined {
@@ -34,13 +37,32 @@
     return id === undefined || holdsHead(text) ? undefined : { id: Number(id), bytes };
   }
 
+  /** Joins small chunks of about the same size, so that there are few and each byte is copied seldom. */
+  function keep(bytes: Uint8Array): void {
+    pendingSize += bytes.length;
+    let last = bytes;
+    for (
+      let before = pending.at(-1);
+      before !== undefined && before.length <= Math.min(last.length, JOINED_MAX_BYTES);
+      before = pending.at(-1)
+    ) {
+      pending.pop();
+      last = concat([before, last]);
+    }
+    pending.push(last);
+  }
+
   return {
     push: (bytes) => {
-      const joined = concat(pending, bytes);
+      if (!bytes.includes(LINE_FEED)) {
+        keep(bytes);
+        return pendingSize > EVENT_MAX_BYTES ? undefined : [];
+      }
+      const joined = concat([...pending, bytes]);
       const events: StreamEvent[] = [];
       let start = 0;
       // The blank line that ends an event may have started in the previous bytes.
-      let end = findEventEnd(joined, Math.max(0, pending.length - 3));
+      let end = findEventEnd(joined, Math.max(0, pendingSize - 3));
       while (end !== undefined) {
         const event = toEvent(joined.subarray(start, end));
         if (event === undefined) return undefined;
@@ -48,10 +70,12 @@
         start = end;
         end = findEventEnd(joined, start);
       }
-      pending = joined.subarray(start);
-      return pending.length > EVENT_MAX_BYTES ? undefined : events;
+      pending = [];
+      pendingSize = 0;
+      keep(joined.subarray(start));
+      return pendingSize > EVENT_MAX_BYTES ? undefined : events;
     },
-    pendingBytes: () => pending.length,
+    pendingBytes: () => pendingSize,
   };
 }
 
@@ -83,11 +107,15 @@
   return HEAD_LINE.test(text) || (text.includes('\r\n') && BARE_LINE_FEED.test(text));
 }
 
-function concat(first: Uint8Array, second: Uint8Array): Uint8Array {
-  if (first.length === 0) return second;
-  const joined = new Uint8Array(first.length + second.length);
-  joined.set(first);
-  joined.set(second, first.length);
+function concat(parts: readonly Uint8Array[]): Uint8Array {
+  const [only] = parts;
+  if (only !== undefined && parts.length === 1) return only;
+  const joined = new Uint8Array(parts.reduce((sum, { length }) => sum + length, 0));
+  let at = 0;
+  parts.forEach((part) => {
+    joined.set(part, at);
+    at += part.length;
+  });
   return joined;
 }
 
--- /dev/null
+++ b/packages/core/src/forward/response-buffers.ts
@@ -0,0 +1,47 @@
+/** Bytes that one response holds in memory. */
+export interface ResponseBuffer {
+  /** Notes what the response holds now; false if that is too much, and the response must be given up. */
+  readonly hold: (sizeBytes: number) => boolean;
+  readonly release: () => void;
+}
+
+/** A whole answer of a plain server or an error of an engine, or the part of an event that has arrived. */
+export type BufferedKind = 'answer' | 'event';
+
+/** Limits the bytes that all responses of a router hold together: whole answers, and unfinished events. */
+export interface ResponseBuffers {
+  readonly open: (kind: BufferedKind) => ResponseBuffer;
+  readonly heldBytes: () => number;
+}
+
+/**
+ * Held bytes of all responses beyond which one of a kind is given up; keeps servers that send without end
+ * within the memory of a host. An event has some hundred bytes, so a long one is given up sooner.
+ */
+const HELD_MAX_BYTES: Readonly<Record<BufferedKind, number>> = {
+  answer: 50_331_648,
+  event: 8_388_608,
+};
+/** A response may always hold this much, so that the endless ones are given up and not the small. */
+const SMALL_RESPONSE_BYTES = 65_536;
+
+export function createResponseBuffers(): ResponseBuffers {
+  let totalBytes = 0;
+
+  function open(kind: BufferedKind): ResponseBuffer {
+    let ownBytes = 0;
+    const set = (sizeBytes: number): void => {
+      totalBytes += sizeBytes - ownBytes;
+      ownBytes = sizeBytes;
+    };
+    return {
+      hold: (sizeBytes) => {
+        set(sizeBytes);
+        return sizeBytes <= SMALL_RESPONSE_BYTES || totalBytes <= HELD_MAX_BYTES[kind];
+      },
+      release: () => set(0),
+    };
+  }
+
+  return { open, heldBytes: () => totalBytes };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -331,6 +331,8 @@
 export type { ClockCheck, FreshnessBounds, FreshnessTracker } from './forward/freshness';
 export { createCallOutcomeTracker } from './forward/call-outcomes';
 export type { CallCounts, CallOutcome, CallOutcomeTracker } from './forward/call-outcomes';
+export { createResponseBuffers } from './forward/response-buffers';
+export type { BufferedKind, ResponseBuffer, ResponseBuffers } from './forward/response-buffers';
 export { createLongestDurations } from './forward/longest-durations';
 export type { LongestDurations } from './forward/longest-durations';
 export { createStreamDurations } from './forward/durations';
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -4,6 +4,7 @@
 import type {
   ForwardServer,
   RequestId,
+  ResponseBuffer,
   KvCacheCopy,
   ServerState,
   ServerId,
@@ -29,6 +30,8 @@
   isErrorResponse: boolean;
   errorBody: Uint8Array[];
   errorBodyBytes: number;
+  /** Holds the body of an error, or the bytes of an event that is not complete yet. */
+  readonly buffer: ResponseBuffer;
   /** Events since the pace was last judged. */
   eventCount: number;
   /** Judges the time to the first event, then the pace of the events. */
@@ -45,6 +48,7 @@
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
   timer: AnswerTimer,
+  buffer: ResponseBuffer,
   nowMs: number,
 ): StreamAttempt {
   return {
@@ -63,6 +67,7 @@
     isErrorResponse: false,
     errorBody: [],
     errorBodyBytes: 0,
+    buffer,
     eventCount: 0,
     timer,
     hasEvents: false,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -45,7 +45,6 @@
 /** State shared by all calls of the process. */
 interface CallRegistry {
   readonly active: Set<ActiveCall>;
-  readonly buffered: { sizeBytes: number };
 }
 
 interface ActiveCall {
@@ -63,14 +62,12 @@
 const DEFAULT_HEDGE_DELAY_RATIO = 0.5;
 /** Responses are buffered, so that a truncated one never reaches the caller as complete. */
 const RESPONSE_MAX_BYTES = 16_777_216;
-/** All responses that are being buffered; keeps several endless ones within the memory of a host. */
-const BUFFERED_MAX_BYTES = 50_331_648;
 /** Time limit for connecting; at that point nothing of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 300;
 
 export function createCallForwarder(ports: ForwardPorts): CallForwarder {
   const latencies = new Map<string, LatencyWindow>();
-  const registry: CallRegistry = { active: new Set(), buffered: { sizeBytes: 0 } };
+  const registry: CallRegistry = { active: new Set() };
 
   function latencyWindowOf(route: string): LatencyWindow {
     const known = latencies.get(route);
@@ -96,7 +93,7 @@
   ports: ForwardPorts,
   request: ForwardRequest,
   latencies: LatencyWindow,
-  { active, buffered }: CallRegistry,
+  { active }: CallRegistry,
 ): RunningCall {
   const { clock, fleet, decisions, crashGuard } = ports;
   const { head, route, content } = request;
@@ -231,6 +228,7 @@
   function sendTo(attemptNo: number, server: ForwardServer, sentAtMs: number): void {
     const { serverId, address, failureDomain } = server;
     const chunks: Uint8Array[] = [];
+    const buffer = ports.responseBuffers.open('answer');
     let sizeBytes = 0;
     let answer: { status: number; headers: IncomingHttpHeaders } | undefined;
     const connection: { exchange?: Exchange } = {};
@@ -239,7 +237,7 @@
 
     function endAttempt(): void {
       isOver = true;
-      buffered.sizeBytes -= sizeBytes;
+      buffer.release();
       cancelConnectTimeout();
       cancels.delete(attemptNo);
       endingAttempts.delete(attemptNo);
@@ -383,10 +381,8 @@
         onData: (bytes) => {
           if (isOver) return;
           sizeBytes += bytes.length;
-          buffered.sizeBytes += bytes.length;
           chunks.push(bytes);
-          const isTooMuch = buffered.sizeBytes > BUFFERED_MAX_BYTES;
-          if (sizeBytes <= RESPONSE_MAX_BYTES && !isTooMuch) return;
+          if (buffer.hold(sizeBytes) && sizeBytes <= RESPONSE_MAX_BYTES) return;
           connection.exchange?.cancel();
           finishAttempt({ kind: 'unknown' }, 'answer_too_large');
         },
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -6,6 +6,7 @@
   createForwardTable,
   createPeerRegistry,
   createPlacer,
+  createResponseBuffers,
   createStreamDurations,
 } from '@mimosamill/core';
 import {
@@ -425,6 +426,7 @@
     servers: fleet.serverCount,
     limited_servers: () => fleet.limits.count(clock.monotonicMs()),
     peers: () => peerRegistry.routers(clock.monotonicMs()).length,
+    response_bytes_held: ports.responseBuffers.heldBytes,
   });
 
   await relay.listen(settings.ip, settings.peerPort);
@@ -506,6 +508,7 @@
     random,
     ...parts,
     streamDurations: createStreamDurations(),
+    responseBuffers: createResponseBuffers(),
     kvCopies,
     codec,
     decisions,
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -11,6 +11,7 @@
   RetryBudget,
   ServerId,
   ServiceName,
+  ResponseBuffers,
   StreamDurations,
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
@@ -50,6 +51,7 @@
   readonly callOutcomes: CallOutcomeTracker;
   readonly upstream: Upstream;
   readonly streamDurations: StreamDurations;
+  readonly responseBuffers: ResponseBuffers;
   readonly kvCopies: KvCacheCopyClient;
   readonly codec: ForwardCodec;
   readonly decisions: DecisionLog;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -478,6 +478,7 @@
       copyHolder,
       isFromCopy,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
+      ports.responseBuffers.open('event'),
       nowMs,
     );
     attempts.set(effect.attemptNo, attempt);
@@ -539,9 +540,11 @@
           return;
         }
         const events = splitter.push(bytes);
-        if (events === undefined) {
+        const isHeld = attempt.buffer.hold(splitter.pendingBytes());
+        if (events === undefined || !isHeld) {
           attempt.exchange?.cancel();
-          failAttempt(attempt, 'garbled', 'reset');
+          const message = isHeld ? undefined : 'the router holds too many bytes of responses';
+          failAttempt(attempt, 'garbled', 'reset', message);
           return;
         }
         if (events.length > 0) onEvents(attempt, events);
@@ -623,7 +626,8 @@
 
   function collectErrorBody(attempt: StreamAttempt, bytes: Uint8Array): void {
     attempt.errorBodyBytes += bytes.length;
-    if (attempt.errorBodyBytes <= ERROR_BODY_MAX_BYTES) {
+    const isHeld = attempt.buffer.hold(attempt.errorBodyBytes);
+    if (isHeld && attempt.errorBodyBytes <= ERROR_BODY_MAX_BYTES) {
       attempt.errorBody.push(bytes);
       return;
     }
@@ -689,6 +693,7 @@
   function closeAttempt(attempt: StreamAttempt): void {
     if (attempt.isOver) return;
     attempt.isOver = true;
+    attempt.buffer.release();
     attempt.timer.onCancelled();
     attempt.cancelConnectTimeout();
     fleet.onEnd(attempt.engineId, requestId, attempt.isResumedFromCopy ? 0 : promptTokens);
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createFleet, createRetryBudget } from '@mimosamill/core';
+import { asId, createFleet, createResponseBuffers, createRetryBudget } from '@mimosamill/core';
 import { createStreamForwarder } from '../../src/forward/stream';
 import { createManualClock } from './clock';
 import type { ForwardServer, RequestId, ServerId } from '@mimosamill/core';
+import type { ExchangeHandler } from '@mimosamill/adapters';
 import type { ForwardPorts, ForwardRequest } from '../../src/forward/ports';
 import type { StreamSink } from '../../src/forward/stream';
 
@@ -25,10 +26,17 @@
 
 const SINK = { fail: nothing, abort: nothing } as unknown as StreamSink;
 
+/** An exchange of a stream with its engine. */
+interface OpenExchange {
+  readonly onData: (bytes: Uint8Array) => void;
+  isCancelled: boolean;
+}
+
 /** Streams that may not resume, each sent to a given engine that accepts it and then says nothing. */
 function createSilentStreams() {
   const clock = createManualClock();
   const fleet = createFleet();
+  const exchanges: OpenExchange[] = [];
   const logged: string[] = [];
   const log = (event: string, { request }: { readonly request?: unknown }): void => {
     logged.push(`${event} ${String(request)}`);
@@ -48,9 +56,14 @@
       }),
     },
     upstream: {
-      send: (_request: unknown, handler: { readonly onSent: () => void }) => {
-        queueMicrotask(handler.onSent);
-        return { cancel: nothing };
+      send: (_request: unknown, { onSent, onData }: ExchangeHandler) => {
+        queueMicrotask(onSent);
+        const exchange: OpenExchange = { onData, isCancelled: false };
+        exchanges.push(exchange);
+        const cancel = (): void => {
+          exchange.isCancelled = true;
+        };
+        return { cancel };
       },
     },
     codec: { toServerHeaders: () => [] },
@@ -60,10 +73,11 @@
     versionMoves: {
       excludedServers: () => new Set(),
       excludedCopyHolders: () => new Set(),
-      trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing }),
+      trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing, onAnswered: nothing }),
     },
     streamDurations: { minRemainingMs: () => 0 },
-    crashGuard: { findCondemned: nothing },
+    responseBuffers: createResponseBuffers(),
+    crashGuard: { findCondemned: nothing, onBrokenAttempt: () => Promise.resolve() },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
   } as unknown as ForwardPorts;
   const streams = createStreamForwarder(ports);
@@ -71,6 +85,7 @@
     clock,
     fleet,
     logged,
+    exchanges,
     start: (requestId: string, engineId: string) => {
       nextEngineId = asId(engineId);
       const request = {
@@ -84,6 +99,7 @@
           isResumable: false,
         },
         service: { name: 'engines', engine: { slots: 8, memoryTokens: 50_000, hasBackups: false } },
+        content: { fingerprint: () => `content of ${requestId}`, parts: [] },
         limitDraw: 0,
         receivedAtMs: clock.monotonicMs(),
         deadlineAtMs: clock.monotonicMs() + 20_000,
@@ -121,3 +137,22 @@
     ]);
   });
 });
+
+describe('streams of engines that send events without end', () => {
+  it('are given up before they fill the memory of the router', () => {
+    // Guards against a host that runs out of memory, and loses the requests of all its other callers.
+    const { clock, fleet, exchanges, start } = createSilentStreams();
+    fleet.setServers([engine('a1')], clock.monotonicMs());
+    const streamCount = 150;
+    const piece = new Uint8Array(65_536).fill(120);
+    /** A small part of the smallest host's 250 MB; each stream may hold a little in any case. */
+    const memoryMaxBytes = 24 * 1_048_576;
+    for (let no = 0; no < streamCount; no += 1) start(`r${no}`, 'a1');
+    // Less than one event may have.
+    for (let pieces = 1; pieces <= 12; pieces += 1) {
+      exchanges.forEach(({ onData }) => onData(piece));
+      const open = exchanges.filter(({ isCancelled }) => !isCancelled);
+      expect(open.length * pieces * piece.length).toBeLessThan(memoryMaxBytes);
+    }
+  });
+});
