Ask for the server's id when an answer without a length ends

Cause: such an answer counted as whole if its address accepted connections at the moment at which the router looked, whoever listened there.

The router now asks the address for the server's id, by a health check that names the expected server. The answer is whole only if that server answers; if it can't be known, it counts as broken.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -16,6 +16,11 @@
   /** Field names and values, alternating. */
   readonly headers: readonly string[];
   readonly body: Uint8Array | undefined;
+  /**
+   * Asked when a response that has no length ends with its connection, which also happens when the server
+   * dies: whether the response is whole. By default it is if the address accepts connections.
+   */
+  readonly confirmEnd?: () => Promise<boolean>;
 }
 
 /** Why an exchange ended without a complete response. 'not_sent': the server cannot have received it. */
@@ -191,11 +196,10 @@
             endOnce();
             return;
           }
-          // A response without a length ends when its connection closes, which also happens when the
-          // server dies; a server that still accepts connections is taken to have completed it.
-          void isAccepting(request.address).then((isUp) => {
-            if (isUp) endOnce();
-            else failOnce('broken', 'the server is gone, and its response had no length');
+          const confirmEnd = request.confirmEnd ?? (() => isAccepting(request.address));
+          void confirmEnd().then((isWhole) => {
+            if (isWhole) endOnce();
+            else failOnce('broken', 'the response had no length, and its server may be gone');
           });
         },
         onResponseError: (_started, error) => {
--- a/packages/core/src/forward/types.ts
+++ b/packages/core/src/forward/types.ts
@@ -51,6 +51,8 @@
   readonly name: ServiceName;
   /** Most connections that one server accepts from all clients together. */
   readonly connectionsMax: number;
+  /** Path at which servers answer with their id; absent if a router of an earlier release relayed it. */
+  readonly healthPath?: string | undefined;
   /** Undefined for a plain service. */
   readonly engine: EngineCapacity | undefined;
 }
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -3,6 +3,7 @@
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { withRoomTime } from './room';
+import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -371,6 +372,7 @@
           isPrioritized: false,
         }),
         body: request.body,
+        confirmEnd: () => isSameServerRunning(ports, server, request.service, head.requestId),
       },
       {
         onSent: () => {
--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -78,6 +78,10 @@
   /** The caller's header fields without hop-by-hop ones, plus those for the server. */
   readonly toServerHeaders: (rawHeaders: readonly string[], terms: ForwardMetadata) => string[];
   readonly parseResponse: (status: number, headers: IncomingHttpHeaders) => ResponseMetadata;
+  /** Header fields of a health check that only this server is to answer. */
+  readonly toHealthCheckHeaders: (serverId: ServerId) => string[];
+  /** The server that answered a health check; undefined if it does not say. */
+  readonly parseHealthCheck: (headers: IncomingHttpHeaders) => ServerId | undefined;
   /** A server's header fields as the caller gets them. */
   readonly toCallerHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
   readonly toErrorResponse: (error: ServeError) => ErrorResponse;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -13,6 +13,7 @@
 import { createRepeatableRandom } from './repeatable-random';
 import { withRoomTime } from './room';
 import { isCloseDelimited, isSameKind } from './response-kind';
+import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -520,6 +521,7 @@
           isPrioritized: stream.hasBegun(),
         }),
         body: request.body,
+        confirmEnd: () => isSameServerRunning(ports, engine.server, service, requestId),
       },
       createHandler(attempt),
     );
