--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -189,15 +189,21 @@
   }
 
   function onPeerReports(reports: CrashReports): void {
-    reports.answers.forEach(({ suspect, atMs }) => {
-      if (suspects.onBegun([suspect], atMs).length === 0) return;
-      const ageMs = Math.round(clock.monotonicMs() - atMs);
-      decisions.notable('suspect.cleared', { suspect, source: 'peer', age_ms: ageMs });
-    });
+    reports.answers.forEach(onPeerAnswer);
     reports.crashes.forEach(applyCrash);
     reports.condemned.forEach((condemned) => adopt(condemned, 'peer'));
   }
 
+  function onPeerAnswer({ suspect, atMs }: SuspectAnswer): void {
+    const nowMs = clock.monotonicMs();
+    const wasCondemned = suspects.findCondemned(() => [suspect], nowMs) !== undefined;
+    const isCleared = suspects.onBegun([suspect], atMs).length > 0;
+    // Each router hears of each cleared suspicion; only a lifted refusal changes what it does.
+    if (!isCleared || !wasCondemned) return;
+    const ageMs = Math.round(nowMs - atMs);
+    decisions.notable('suspect.cleared', { suspect, source: 'peer', age_ms: ageMs });
+  }
+
   function adopt(condemnation: Condemnation, source: string): void {
     const outcome = suspects.condemn(condemnation, clock.monotonicMs());
     if (outcome === 'adopted') announce(condemnation, source);
