Refuse fewer streams early in a planned stop

Cause: judged every stream in a stop by the longest of its route. Early in a stop most of the grace period is left, and the load balancer still sends callers that have no better choice.

While the router takes connections, the mean of the stream's own route decides; afterwards, when only kept connections bring requests, the longest one does.

--- a/packages/core/src/forward/response-buffers.ts
+++ b/packages/core/src/forward/response-buffers.ts
@@ -5,7 +5,10 @@
   readonly release: () => void;
 }
 
-/** A whole answer of a plain server or an error of an engine, or the part of an event that has arrived. */
+/**
+ * 'answer': the whole answer of a plain server. 'event': what has arrived of an engine's event, or the
+ * body of its error.
+ */
 export type BufferedKind = 'answer' | 'event';
 
 /** Limits the bytes that all responses of a router hold together: whole answers, and unfinished events. */
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -72,6 +72,8 @@
 const UNSENT_MAX_BYTES = 4_194_304;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
 const STOPPING_RETRY_MS = 50;
+/** Assumed for a route of which no stream has completed, while new connections are taken. */
+const UNKNOWN_DURATION_MS = 5_000;
 /** Durations vary, and cutting a stream off is worse than sending it to another router. */
 const STOPPING_DURATION_MARGIN = 1.3;
 /** A sound engine may fall silent for about a second in the middle of a stream. */
@@ -89,6 +91,7 @@
   const active = new Map<ServerResponse, () => void>();
   /** Set once the router is stopping. */
   let drainUntilMs: number | undefined;
+  let takesConnections = true;
 
   const shell = createHttpServer({ ...DEFAULT_HTTP_LIMITS, maxHeaderBytes: 65_536 }, (req, res) => {
     handle(req, res).catch((error: unknown) => onHandlingFailed(req, res, error));
@@ -235,11 +238,21 @@
     return Math.min(deadlineAtMs, probableEndAtMs(route)) < drainUntilMs;
   }
 
-  /** Counted from now: the body, or a refresh of the configuration, may have taken a while. */
+  /**
+   * Counted from now: the body, or a refresh of the configuration, may have taken a while. While the load
+   * balancer still sends callers, other routers may be stopping too, and a refused caller may meet one of
+   * them; the mean will do then, as most of the grace period is left. Later only connections that were kept
+   * open bring requests, which another router can serve, so no stream is taken that could be cut.
+   */
   function probableEndAtMs(route: ForwardRoute): number {
-    const longestMs = route.kind === 'stream' ? streams.longestDurationMs(route.name) : undefined;
-    if (longestMs === undefined) return Infinity;
-    return clock.monotonicMs() + longestMs * STOPPING_DURATION_MARGIN + ENGINE_PAUSE_MS;
+    if (route.kind !== 'stream') return Infinity;
+    const nowMs = clock.monotonicMs();
+    if (takesConnections) {
+      const meanMs = streams.meanDurationMs(route.name) ?? UNKNOWN_DURATION_MS;
+      return nowMs + meanMs * STOPPING_DURATION_MARGIN;
+    }
+    const longestMs = streams.longestDurationMs(route.name) ?? Infinity;
+    return nowMs + longestMs * STOPPING_DURATION_MARGIN + ENGINE_PAUSE_MS;
   }
 
   /** Whether a request that had to wait for a refresh of the configuration could be cut off. */
@@ -423,7 +436,10 @@
     startDraining: (cutAtMs) => {
       drainUntilMs = cutAtMs;
     },
-    stopAccepting: (timeoutMs) => shell.drain(timeoutMs),
+    stopAccepting: (timeoutMs) => {
+      takesConnections = false;
+      return shell.drain(timeoutMs);
+    },
     cutAll: () => [...active.values()].forEach((cut) => cut()),
     activeCount: () => active.size,
   };
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -2,7 +2,7 @@
   assertNever,
   createEventSplitter,
   createForwardStream,
-  createLongestDurations,
+  createStreamTimes,
   isRestart,
 } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
@@ -23,7 +23,6 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
-  LongestDurations,
   ReplacementAttempt,
   RouteName,
   ServeError,
@@ -31,6 +30,7 @@
   ServerFailure,
   ServerId,
   StreamPlacement,
+  StreamTimes,
 } from '@mimosamill/core';
 import type { StreamAttempt } from './attempt';
 import type { RequestContent } from './content';
@@ -72,6 +72,8 @@
   /** Called when something is condemned: ends its streams that no engine has begun to answer. */
   readonly onCondemned: () => void;
   readonly activeCount: () => number;
+  /** Mean time from request to end of the route's streams; undefined if none has completed. */
+  readonly meanDurationMs: (route: RouteName) => number | undefined;
   /**
    * Longest time that a stream of the route has lately taken from its request to its end, or has taken
    * until now; undefined if none has completed lately.
@@ -100,11 +102,11 @@
 
 export function createStreamForwarder(ports: ForwardPorts): StreamForwarder {
   const active = new Set<ActiveStream>();
-  const durations = createLongestDurations();
+  const times = createStreamTimes();
 
   function longestDurationMs(route: RouteName): number | undefined {
     const nowMs = ports.clock.monotonicMs();
-    const longestMs = durations.longestMs(route, nowMs);
+    const longestMs = times.longestMs(route, nowMs);
     if (longestMs === undefined) return undefined;
     const ages = [...active]
       .filter((stream) => stream.route === route)
@@ -155,9 +157,10 @@
       });
     },
     forward: (request, sink) =>
-      forwardStream(ports, request, sink, { active, durations, onDomainSuspected, onServerLost }),
+      forwardStream(ports, request, sink, { active, times, onDomainSuspected, onServerLost }),
     onDomainSuspected,
     activeCount: () => active.size,
+    meanDurationMs: times.meanMs,
     longestDurationMs,
   };
 }
@@ -165,7 +168,7 @@
 /** State shared by all streams of the process. */
 interface StreamRegistry {
   readonly active: Set<ActiveStream>;
-  readonly durations: LongestDurations;
+  readonly times: StreamTimes;
   readonly onDomainSuspected: (failureDomain: FailureDomain) => void;
   readonly onServerLost: (serverId: ServerId) => void;
 }
@@ -194,7 +197,7 @@
   sink: StreamSink,
   registry: StreamRegistry,
 ): RunningForwardStream {
-  const { active, durations, onDomainSuspected, onServerLost } = registry;
+  const { active, times, onDomainSuspected, onServerLost } = registry;
   const { clock, fleet, decisions } = ports;
   const { head, route, service, content } = request;
   const { requestId } = head;
@@ -311,7 +314,7 @@
       run: error?.runState,
     };
     if (outcome === 'complete') {
-      durations.onCompleted(route.name, tookMs, clock.monotonicMs());
+      times.onCompleted(route.name, tookMs, clock.monotonicMs());
       recordDuration();
       decisions.routine('stream.end', fields);
     } else decisions.notable('stream.end', fields);
