--- a/packages/router/src/forward/store-readers.ts
+++ b/packages/router/src/forward/store-readers.ts
@@ -95,26 +95,17 @@
       .filter(({ hostId }) => hostId !== settings.hostId);
   }
 
-  /** Those that were heard of first: others may have ended. */
-  function peers(): PeerRouter[] {
-    return candidates().filter(({ hostId }) => hostId !== settings.hostId);
-  }
-
   function rank(failureDomain: string): number {
     return failureDomain === settings.failureDomain ? 0 : 1;
   }
 
   return {
-    sourcesOf: <T>(name: string, store: WatchedTable<T>): WatchSources<T> => {
-      const toSource = ({ address }: PeerRouter): RelaySource<T> =>
-        createRelaySource<T>(ports.http, name, address);
-      return {
-        store,
-        isReader,
-        eras: ports.storeEras,
-        relays: () => relays().map(toSource),
-        peers: () => peers().map(toSource),
-      };
-    },
+    sourcesOf: <T>(name: string, store: WatchedTable<T>): WatchSources<T> => ({
+      store,
+      isReader,
+      eras: ports.storeEras,
+      relays: (): readonly RelaySource<T>[] =>
+        relays().map(({ address }) => createRelaySource<T>(ports.http, name, address)),
+    }),
   };
 }
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -80,8 +80,6 @@
   readonly store: WatchedTable<T>;
   /** Other routers that read the store, the preferred one first. */
   readonly relays: () => readonly RelaySource<T>[];
-  /** All other routers, also those that do not reach the store now. */
-  readonly peers: () => readonly RelaySource<T>[];
   /** Whether this router reads the store on behalf of other routers. */
   readonly isReader: () => boolean;
   readonly eras: StoreEras;
@@ -99,9 +97,8 @@
   /** Called with all rows after a change, and after the whole table was read again. */
   readonly onRows: (rows: ReadonlyMap<string, T>, context: WatchContext) => void;
   /**
-   * Called when the store came back from an older copy, or may have before this router started; returns
-   * the rows to go on with, which may hold known ones that the copy lost. Without it, those of the copy
-   * are used.
+   * Called when the store came back from an older copy; returns the rows to go on with, which may hold
+   * known ones that the copy lost. Without it, those of the copy are used.
    */
   readonly keepLost?: (
     known: ReadonlyMap<string, T>,
@@ -144,8 +141,6 @@
 const REFRESH_TIMEOUT_MS = 400;
 /** A relay that started at the same time answers once it has read the table. */
 const FIRST_RELAY_WAIT_MS = 300;
-/** Routers that are asked until the first read whether the store lacks what they know. */
-const FIRST_PEERS_MAX = 2;
 /** Shortest wait for changes, with which the store answers at once. */
 const MIN_WAIT_MS = 1;
 /** Changes come in bursts, e.g. when all servers of a failure domain restart; a pause batches them. */
@@ -174,8 +169,6 @@
   let fullReads = 0;
   let hasSeenRestore = false;
   let restores = 0;
-  /** What other routers knew before this one had read the table. */
-  let knownToPeers: readonly ReadonlyMap<string, T>[] = [];
   let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
@@ -262,7 +255,6 @@
     fullReads += 1;
     const restoresBefore = restores;
     const sentAtMs = clock.monotonicMs();
-    const peersRead = replica.revision() < 0 ? readPeers() : undefined;
     currentFullRead = new AbortController();
     const content = await withAbortTimeout(
       READ_ALL_TIMEOUT_MS,
@@ -277,51 +269,11 @@
     }
     onAnswer(sentAtMs, content.storeNowMs);
     const isRestored = isOfOtherEra(content);
-    await peersRead;
-    if (replaceAll(keepKnownToPeers(content.rows), content)) publish(STORE_SOURCE, isRestored);
+    if (replaceAll(content.rows, content)) publish(STORE_SOURCE, isRestored);
     served.wake();
     return true;
   }
 
-  /**
-   * Asks other routers what they know. A store that was restored just before this router started may show
-   * less, and this router has nothing by which to tell.
-   */
-  async function readPeers(): Promise<void> {
-    if (handlers.keepLost === undefined || knownToPeers.length > 0) return;
-    const peers = sources.peers().slice(0, FIRST_PEERS_MAX);
-    const known = await Promise.all(peers.map(readPeer));
-    knownToPeers = known.filter(({ size }) => size > 0);
-  }
-
-  async function readPeer(relay: RelaySource<T>): Promise<ReadonlyMap<string, T>> {
-    const since = { era: sources.eras.current(), revision: -1 };
-    const query = { since, knownAsOfMs: undefined, waitMs: MIN_WAIT_MS };
-    const answer = await withAbortTimeout(FIRST_RELAY_WAIT_MS, new AbortController(), (signal) =>
-      relay.readChanges(query, signal),
-    ).catch((error: unknown) => {
-      onUnexpected(error);
-      return undefined;
-    });
-    if (answer?.kind !== 'relayed') return new Map();
-    return new Map(
-      answer.changes.flatMap(({ key, value }) => (value === undefined ? [] : [[key, value]])),
-    );
-  }
-
-  function keepKnownToPeers(rows: readonly TableChange<T>[]): readonly TableChange<T>[] {
-    const { keepLost } = handlers;
-    if (keepLost === undefined || knownToPeers.length === 0) return rows;
-    const kept = knownToPeers.reduce((all, known) => keepLost(known, all), rows);
-    knownToPeers = [];
-    const stored = new Map(rows.map(({ key, value }) => [key, value]));
-    const lost = kept.filter(({ key, value }) => stored.get(key) !== value).map(({ key }) => key);
-    if (lost.length === 0) return rows;
-    hasSeenRestore = true;
-    decisions.vital('store.lacks_rows', { table: settings.name, keys: lost });
-    return kept;
-  }
-
   function replaceAll(rows: readonly TableChange<T>[], to: StoreRevision): boolean {
     hasSeenRestore ||= isOfOtherEra(to);
     // Also in later reads: the store lacks the rows until they are written again.
