--- a/packages/soak/src/fault-proxy.ts
+++ b/packages/soak/src/fault-proxy.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
 import { splitAddress } from '@mimosamill/adapters';
+import { resetConnection } from '@mimosamill/platform/standin';
 import type { AddressInfo, Socket } from 'node:net';
 
 /** What a proxy does to its connections. */
@@ -46,12 +47,12 @@
   const server = createServer((client) => {
     track(client);
     if (fault.kind === 'reset') {
-      client.resetAndDestroy();
+      resetConnection(client);
       return;
     }
     const upstream = connect(splitAddress(target));
     track(upstream);
-    upstream.on('error', () => client.resetAndDestroy());
+    upstream.on('error', () => resetConnection(client));
     forward(client, upstream, false);
     forward(upstream, client, true);
   });
@@ -63,7 +64,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     setFault: (next) => {
       fault = next;
-      if (next.kind === 'reset') sockets.forEach((socket) => socket.resetAndDestroy());
+      if (next.kind === 'reset') sockets.forEach((socket) => resetConnection(socket));
     },
     close: () =>
       new Promise((resolve) => {
