Ask a store that is away to answer at once

Cause: while the store did not answer, each router went on with long polls. One sent shortly before the return failed only after its wait of 1,500 ms and the margin of 450 ms, up to 910 ms passed before the next one, and that one was answered after another 1,500 ms, as there was no change to tell. What kept routers up to date was the read that a caller's request asks for; a router that no caller reaches, as it reports that it is not ready, has none.

While its path to the store counts as lost, a router now polls without a wait, at most 494 ms after the failure of the poll before. The list of servers is asked for less often, and at once when the store answers a call about the configuration.

Ruled out: the age of relayed content (the store's clock is known on all hosts), a connection that stays silent (an aborted call closes its connection, and the next one opens another), the balancer (with fewer than half of a domain's hosts ready it uses all).

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -97,6 +97,14 @@
 const WAIT_CONFIG_RATIO = 0.6;
 const WAIT_DRAIN_RATIO = 0.6;
 const WAIT_TIMEOUT_MARGIN_MS = 450;
+/**
+ * While the store is away, a poll fails after the margin, and the next one follows after this delay and
+ * its jitter of 0.3. Together they stay under the second after which what callers are owed must be
+ * served again.
+ */
+const OPERATOR_RETRY_MAX_MS = 380;
+/** Longer, as each call to the store is paid for: the list is read as soon as the store answers any call. */
+const SERVERS_RETRY_MAX_MS = 1_500;
 /**
  * Longest time, as a part of the drain bound, for which a removed server is kept; the rest covers the
  * time until the removal is known.
@@ -254,8 +262,13 @@
         (settings.revokeMs ?? Infinity) * WAIT_REVOKE_RATIO,
       ),
       timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
+      retryMaxMs: OPERATOR_RETRY_MAX_MS,
+    },
+    {
+      onRows: onOperatorRows,
+      keepLost: keepLostRecords,
+      onStoreRegained: () => serverWatch.onStoreReachable(),
     },
-    { onRows: onOperatorRows, keepLost: keepLostRecords },
   );
   const serverWatch: TableWatch = createTableWatch(
     storeReaders.sourcesOf('servers', environment.serverTable),
@@ -266,8 +279,9 @@
       name: 'servers',
       waitMs: settings.drainMs * WAIT_DRAIN_RATIO,
       timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
+      retryMaxMs: SERVERS_RETRY_MAX_MS,
     },
-    { onRows: onServerRows },
+    { onRows: onServerRows, onStoreRegained: () => operatorWatch.onStoreReachable() },
   );
   const storeRestores = metrics.counter(
     'mimosamill_forward_store_restores_total',
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -91,6 +91,8 @@
   readonly waitMs: number;
   /** Added to `waitMs`; a call that takes longer counts as failed. */
   readonly timeoutMarginMs: number;
+  /** Longest delay between two polls while no source answers, before jitter. */
+  readonly retryMaxMs: number;
 }
 
 export interface WatchHandlers<T> {
@@ -104,6 +106,8 @@
     known: ReadonlyMap<string, T>,
     copy: readonly TableChange<T>[],
   ) => readonly TableChange<T>[];
+  /** Called when the store answers again after calls to it have failed. */
+  readonly onStoreRegained?: () => void;
 }
 
 export interface WatchContext {
@@ -125,20 +129,30 @@
   readonly revision: () => number;
   /** Whether the last call to the store failed. */
   readonly isStoreUnreachable: () => boolean;
-  /** Asks the store at once; true if the replica now reflects a time after the call. */
+  /**
+   * Asks the store at once; true if the replica now reflects a time after the call. False without a
+   * call if one has just failed while the store is unreachable.
+   */
   readonly refresh: () => Promise<boolean>;
+  /** The store answers this router again: polls now instead of after the rest of a retry delay. */
+  readonly onStoreReachable: () => void;
   /** The replica as other routers read it. */
   readonly relayed: RelayedTable;
   readonly stop: () => void;
 }
 
-/** Delay after a failed call; it doubles with each further failure, up to RETRY_MAX_MS. */
+/** Delay after a failed call; it doubles with each further failure, up to the setting. */
 const RETRY_MIN_MS = 120;
-const RETRY_MAX_MS = 700;
 const RETRY_JITTER_RATIO = 0.3;
+/**
+ * For this time after a failed call, the store counts as still unreachable: requests that need a fresh
+ * read are refused at once, and many of them cause few calls.
+ */
+const KNOWN_UNREACHABLE_MS = 200;
 /** Longer than for changes: reading the whole table transfers more bytes. */
 const READ_ALL_TIMEOUT_MS = 1_200;
-const REFRESH_TIMEOUT_MS = 400;
+/** A relay is asked to answer at once while the content is outdated. */
+const STALE_RELAY_TIMEOUT_MS = 400;
 /** A relay that started at the same time answers once it has read the table. */
 const FIRST_RELAY_WAIT_MS = 300;
 /** Shortest wait for changes, with which the store answers at once. */
@@ -163,7 +177,10 @@
   const outage = createOutageTracker();
   const served = createServedTable(settings.name, replica, freshness, clock, sinceOutageMs);
   let lastProbeAtMs = -Infinity;
+  let lastFailureAtMs = -Infinity;
   let isStopped = false;
+  /** Whether the next poll waits for the retry timer. */
+  let isPausing = false;
   let currentPoll: AbortController | undefined;
   let currentFullRead: AbortController | undefined;
   let fullReads = 0;
@@ -172,6 +189,7 @@
   let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
   const retry = createWakeTimer(clock, () => {
+    isPausing = false;
     void pollLoop();
   });
 
@@ -217,6 +235,7 @@
     failures = 0;
     const lostMs = outage.onStoreAnswered(clock.monotonicMs());
     if (lostMs === undefined) return;
+    lastFailureAtMs = -Infinity;
     const outageAgeMs = sinceOutageMs();
     decisions.vital('store.regained', {
       table: settings.name,
@@ -225,11 +244,13 @@
       lost_ms: Math.round(lostMs),
       since_outage_ms: finiteMs(outageAgeMs),
     });
+    handlers.onStoreRegained?.();
   }
 
   function onFailure(message: string): void {
     failures += 1;
     const nowMs = clock.monotonicMs();
+    lastFailureAtMs = nowMs;
     if (!outage.onStoreFailed(nowMs)) return;
     decisions.vital('store.lost', {
       table: settings.name,
@@ -295,8 +316,7 @@
     if (!isFollowing()) return readAll();
     const since = { era: replica.era(), revision: replica.revision() };
     const sentAtMs = clock.monotonicMs();
-    const timeoutMs =
-      waitMs === MIN_WAIT_MS ? REFRESH_TIMEOUT_MS : waitMs + settings.timeoutMarginMs;
+    const timeoutMs = waitMs + settings.timeoutMarginMs;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
       sources.store.readChanges(since.revision, waitMs, signal),
     );
@@ -344,7 +364,7 @@
     const since = { era: replica.era(), revision: replica.revision() };
     const isFresh = freshForMs() > 0;
     const waitMs = isFresh ? settings.waitMs : staleWaitMs();
-    const timeoutMs = isFresh ? freshForMs() : REFRESH_TIMEOUT_MS;
+    const timeoutMs = isFresh ? freshForMs() : STALE_RELAY_TIMEOUT_MS;
     const answer = await withAbortTimeout(timeoutMs, abort, (signal) =>
       relay.readChanges({ since, knownAsOfMs: freshness.storeAsOfMs(), waitMs }, signal),
     );
@@ -395,7 +415,16 @@
     const nowMs = clock.monotonicMs();
     if (!outage.isPathLost() || nowMs - lastProbeAtMs < PATH_PROBE_PERIOD_MS) return;
     lastProbeAtMs = nowMs;
-    void refresh();
+    void readNow();
+  }
+
+  /**
+   * While the path counts as lost, the store is asked to answer at once. A long poll sent to a store
+   * that is away fails only after its full wait, and one that arrives after the return is answered
+   * only after a change or that wait, so that the content stays outdated for seconds.
+   */
+  function pollStore(abort: AbortController): Promise<boolean> {
+    return outage.isPathLost() ? readNow() : readChanges(abort, settings.waitMs);
   }
 
   /** Reads from the first source that answers. */
@@ -403,16 +432,14 @@
     for (const source of sourcesInOrder()) {
       currentPoll = new AbortController();
       const isOk =
-        source === undefined
-          ? await readChanges(currentPoll, settings.waitMs)
-          : await readRelay(source, currentPoll);
+        source === undefined ? await pollStore(currentPoll) : await readRelay(source, currentPoll);
       if (isOk || isStopped) return true;
     }
     return false;
   }
 
   function retryDelayMs(): number {
-    const delayMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** Math.max(0, failures - 1));
+    const delayMs = Math.min(settings.retryMaxMs, RETRY_MIN_MS * 2 ** Math.max(0, failures - 1));
     return delayMs * (1 + RETRY_JITTER_RATIO * random());
   }
 
@@ -432,6 +459,7 @@
       const isUpdated = replica.revision() !== before || fullReads > fullReadsBefore;
       const pauseMs = isUpdated ? BATCH_DELAY_MS : 0;
       if (!isOk || pauseMs > 0) {
+        isPausing = true;
         retry.set(clock.monotonicMs() + (isOk ? pauseMs : retryDelayMs()));
         return;
       }
@@ -444,7 +472,7 @@
     outage.onRestored(clock.monotonicMs());
     restores += 1;
     abandonCalls();
-    if (!isStopped) void refresh();
+    if (!isStopped) void readNow();
   }
 
   /** Calls of an era that has ended may get no answer; none waits for them. */
@@ -458,6 +486,13 @@
   sources.eras.onRestored(onRestored);
 
   function refresh(): Promise<boolean> {
+    const sinceFailureMs = clock.monotonicMs() - lastFailureAtMs;
+    const isKnownUnreachable = outage.isPathLost() && sinceFailureMs < KNOWN_UNREACHABLE_MS;
+    return isKnownUnreachable && refreshing === undefined ? Promise.resolve(false) : readNow();
+  }
+
+  /** Asks the store for an answer at once; concurrent callers share one read. */
+  function readNow(): Promise<boolean> {
     if (refreshing === undefined) {
       const refreshed = readChanges(new AbortController(), MIN_WAIT_MS)
         .catch(onUnexpected)
@@ -481,9 +516,13 @@
     revision: replica.revision,
     isStoreUnreachable: outage.isPathLost,
     refresh,
+    onStoreReachable: () => {
+      if (outage.isPathLost() && isPausing) retry.set(clock.monotonicMs());
+    },
     relayed: served,
     stop: () => {
       isStopped = true;
+      isPausing = false;
       retry.set(undefined);
       currentPoll?.abort();
       currentFullRead?.abort();
--- a/packages/router/test/forward/relayed-table.spec.ts
+++ b/packages/router/test/forward/relayed-table.spec.ts
@@ -46,7 +46,7 @@
     clock,
     () => 0,
     { routine: log, notable: log, vital: log, droppedCount: () => 0 },
-    { name: 'operator', waitMs: WAIT_MS, timeoutMarginMs: 450 },
+    { name: 'operator', waitMs: WAIT_MS, timeoutMarginMs: 450, retryMaxMs: 380 },
     { onRows: () => undefined },
   );
 }
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -4,6 +4,7 @@
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
 import type { StoreEra, StoreRevision } from '@mimosamill/core';
+import type { ManualClock } from './clock';
 import type {
   RelayedChanges,
   RelaySource,
@@ -63,7 +64,7 @@
     clock,
     () => 0,
     { routine: logEvent, notable: logEvent, vital: logEvent, droppedCount: () => 0 },
-    { name: 'operator', waitMs: 1_000, timeoutMarginMs: 400 },
+    { name: 'operator', waitMs: 1_000, timeoutMarginMs: 400, retryMaxMs: 380 },
     {
       onRows: (rows, context) => {
         published.push([...rows].map(([key, value]) => `${key}=${value}`));
@@ -417,6 +418,113 @@
   });
 });
 
+/** A store that answers nothing until it is back; a long poll without news is answered after its wait. */
+function createAwayStore(clock: ManualClock, awayFromMs: number, backAtMs: number) {
+  const sentAtMs: number[] = [];
+  const answerAfter = (delayMs: number, answer: Answer, signal: AbortSignal): Promise<never> =>
+    new Promise((resolve) => {
+      const nowMs = clock.monotonicMs();
+      sentAtMs.push(nowMs);
+      signal.addEventListener('abort', () =>
+        resolve({ kind: 'unavailable', message: 'aborted' } as never),
+      );
+      const isAway = nowMs + delayMs >= awayFromMs && nowMs < backAtMs;
+      if (!isAway) clock.runAfter(delayMs, () => resolve(answer as never));
+    });
+  const table: WatchedTable<string> = {
+    readAll: (signal) => answerAfter(4, content(5, clock.monotonicMs(), 'a1'), signal),
+    readChanges: (_since, waitMs, signal) =>
+      answerAfter(waitMs + 4, changes(5, clock.monotonicMs() + waitMs), signal),
+  };
+  return { table, sentAtMs };
+}
+
+describe('a watch whose store stays silent for 8 s, without a change meanwhile', () => {
+  const PHASE_STEP_MS = 100;
+  const AWAY_FROM_MS = 5_000;
+
+  /** Time from the return of the store until the content is confirmed, and the calls meanwhile. */
+  async function measureReturn(backAtMs: number) {
+    const clock = createManualClock();
+    const eras = createStoreEras();
+    eras.observe(FIRST_ERA);
+    const store = createAwayStore(clock, AWAY_FROM_MS, backAtMs);
+    const ignore = (): void => undefined;
+    const watch = createTableWatch(
+      { store: store.table, isReader: () => true, eras, relays: () => [] },
+      clock,
+      () => 1,
+      { routine: ignore, notable: ignore, vital: ignore, droppedCount: () => 0 },
+      { name: 'operator', waitMs: 1_500, timeoutMarginMs: 450, retryMaxMs: 380 },
+      { onRows: ignore },
+    );
+    watch.start();
+    while (clock.monotonicMs() < backAtMs || watch.ageMs() > clock.monotonicMs() - backAtMs) {
+      clock.advance(10);
+      await flushMicrotasks();
+    }
+    watch.stop();
+    const isDuring = (atMs: number): boolean => atMs >= AWAY_FROM_MS && atMs < backAtMs;
+    return {
+      tookMs: clock.monotonicMs() - backAtMs,
+      calls: store.sentAtMs.filter(isDuring).length,
+    };
+  }
+
+  it('is up to date within a second of the return, whenever that is, with a call a second', async () => {
+    // Guards against routers that no caller reaches, e.g. as they are not ready, and that stay outdated
+    // for seconds: a long poll hung until its timeout, and the next one waited for a change.
+    for (let phaseMs = 0; phaseMs < 1_000; phaseMs += PHASE_STEP_MS) {
+      const { tookMs, calls } = await measureReturn(13_000 + phaseMs);
+      expect(tookMs).toBeLessThanOrEqual(1_000);
+      expect(calls).toBeLessThanOrEqual(10);
+    }
+  });
+});
+
+describe('a watch asked for a fresh read while the store is known to be unreachable', () => {
+  it('answers at once without a call, and asks again soon afterwards', async () => {
+    // Guards against callers that wait for a read that has just failed.
+    const { clock, scriptedStore, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    expect(await watch.refresh()).toBe(false);
+    expect(scriptedStore.calls).toHaveLength(2);
+    clock.advance(200);
+    const refreshed = watch.refresh();
+    await flushMicrotasks();
+    scriptedStore.calls.at(-1)?.answer(changes(5, 500));
+    expect(await refreshed).toBe(true);
+    watch.stop();
+  });
+});
+
+describe('a watch that waits to ask the store again', () => {
+  it('asks at once when the store has answered a call about another table', async () => {
+    // Guards against an outdated list of servers for the rest of a long delay.
+    const { clock, scriptedStore, events, watch } = createTestWatch();
+    watch.start();
+    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+    await flushMicrotasks();
+    clock.advance(100);
+    await flushMicrotasks();
+    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
+    await flushMicrotasks();
+    watch.onStoreReachable();
+    clock.advance(0);
+    await flushMicrotasks();
+    scriptedStore.calls[2]?.answer(changes(5, 500));
+    await flushMicrotasks();
+    expect(events).toContain('store.regained');
+    watch.stop();
+  });
+});
+
 describe('a watch whose store comes back from an older copy', () => {
   async function startAt(revision: number) {
     const test = createTestWatch();
