Divide the watch of a table by concept

No change of behaviour. `store-path.ts` holds what a watch knows of its path to the store and of the age of its content, `followed-rows.ts` the rows across restores of the store, `watched-table.ts` the shapes of a table and of those who relay it. `table-watch.ts` keeps the polls: which source is asked, when, and for how long.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -58,7 +58,9 @@
 import type { GatewaySettings } from './settings';
 import type { CondemnedTable } from './crash-guard';
 import type { MoveTable } from './version-moves';
-import type { TableWatch, WatchContext, WatchedTable } from './table-watch';
+import type { TableWatch } from './table-watch';
+import type { WatchContext } from './followed-rows';
+import type { WatchedTable } from './watched-table';
 
 /** Adapters of the platform and the runtime that a gateway uses. */
 export interface GatewayEnvironment {
--- a/packages/router/src/forward/operator-record.ts
+++ b/packages/router/src/forward/operator-record.ts
@@ -1,5 +1,5 @@
 import type { ForwardConfig, VersionOrder } from '@mimosamill/core';
-import type { TableChange } from './table-watch';
+import type { TableChange } from './watched-table';
 
 /** A row that operators write to the store. */
 export type OperatorRecord =
--- a/packages/router/src/forward/relay.ts
+++ b/packages/router/src/forward/relay.ts
@@ -3,7 +3,7 @@
 import { asStoreEra, UNKNOWN_ERA } from '@mimosamill/core';
 import type { HttpClient, HttpServer } from '@mimosamill/adapters';
 import type { StoreEra, StoreEras, StoreRevision } from '@mimosamill/core';
-import type { RelayedChanges, RelaySource, TableChange } from './table-watch';
+import type { RelayedChanges, RelaySource, TableChange } from './watched-table';
 
 /** A table that this router relays to other routers. */
 export interface RelayedTable {
--- a/packages/router/src/forward/store-readers.ts
+++ b/packages/router/src/forward/store-readers.ts
@@ -3,7 +3,7 @@
 import type { HttpClient, HashFunctions, Clock } from '@mimosamill/adapters';
 import type { PeerRegistry, PeerRouter, StoreEras } from '@mimosamill/core';
 import type { ListedRouter } from './router-registry';
-import type { RelaySource, WatchedTable, WatchSources } from './table-watch';
+import type { RelaySource, WatchedTable, WatchSources } from './watched-table';
 
 export interface StoreReaderPorts {
   readonly clock: Clock;
--- a/packages/router/src/forward/table-replica.ts
+++ b/packages/router/src/forward/table-replica.ts
@@ -1,7 +1,7 @@
 import { UNKNOWN_ERA } from '@mimosamill/core';
 import type { StoreEra, StoreRevision } from '@mimosamill/core';
 import type { RelayResponse } from './relay';
-import type { TableChange } from './table-watch';
+import type { TableChange } from './watched-table';
 
 /** A replica of a table that can list the changes since an earlier revision. */
 export interface TableReplica<T> {
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -1,89 +1,13 @@
 import { describeError } from '@mimosamill/adapters';
-import { createFreshnessTracker, createOutageTracker } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
-import { finiteMs } from './finite';
+import { createFollowedRows } from './followed-rows';
 import { createServedTable } from './relayed-table';
-import { createTableReplica } from './table-replica';
+import { createStorePath } from './store-path';
 import type { Clock, DecisionLog } from '@mimosamill/adapters';
-import type { StoreEra, StoreEras, StoreRevision } from '@mimosamill/core';
-import type { RelayedTable, RelayQuery } from './relay';
-
-/** A table of the platform's store, with its rows decoded. */
-export interface WatchedTable<T> {
-  readonly readAll: (signal: AbortSignal) => Promise<TableContent<T>>;
-  /** Long-polls for changes after a revision; answers with none if there are none within `waitMs`. */
-  readonly readChanges: (
-    sinceRevision: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ) => Promise<TableChanges<T>>;
-}
-
-export type TableContent<T> =
-  | {
-      readonly kind: 'ok';
-      readonly rows: readonly TableRow<T>[];
-      readonly revision: number;
-      readonly era: StoreEra;
-      readonly storeNowMs: number;
-    }
-  | StoreFailure;
-
-export type TableChanges<T> =
-  | {
-      readonly kind: 'ok';
-      /** In the order they were made; `value` is undefined for a removed row. */
-      readonly changes: readonly TableChange<T>[];
-      readonly revision: number;
-      readonly era: StoreEra;
-      readonly storeNowMs: number;
-    }
-  /** The store no longer has the history since the revision. */
-  | { readonly kind: 'history_lost' }
-  | StoreFailure;
-
-export interface TableRow<T> {
-  readonly key: string;
-  readonly value: T;
-}
-
-export interface TableChange<T> {
-  readonly key: string;
-  readonly value: T | undefined;
-}
-
-export interface StoreFailure {
-  readonly kind: 'unavailable';
-  readonly message: string;
-}
-
-/** Another router that relays a table. */
-export interface RelaySource<T> {
-  readonly name: string;
-  readonly readChanges: (query: RelayQuery, signal: AbortSignal) => Promise<RelayedChanges<T>>;
-}
-
-export type RelayedChanges<T> =
-  | {
-      readonly kind: 'relayed';
-      readonly changes: readonly TableChange<T>[];
-      readonly isAll: boolean;
-      readonly revision: number;
-      readonly era: StoreEra;
-      readonly storeAsOfMs: number;
-      readonly sinceOutageMs: number;
-    }
-  | StoreFailure;
-
-/** Where a watch reads its table from. */
-export interface WatchSources<T> {
-  readonly store: WatchedTable<T>;
-  /** Other routers that read the store, the preferred one first. */
-  readonly relays: () => readonly RelaySource<T>[];
-  /** Whether this router reads the store on behalf of other routers. */
-  readonly isReader: () => boolean;
-  readonly eras: StoreEras;
-}
+import type { RowHandlers } from './followed-rows';
+import type { RelayedTable } from './relay';
+import type { RelaySource, TableChange, WatchSources } from './watched-table';
+import type { StoreRevision } from '@mimosamill/core';
 
 export interface WatchSettings {
   readonly name: string;
@@ -95,31 +19,11 @@
   readonly retryMaxMs: number;
 }
 
-export interface WatchHandlers<T> {
-  /** Called with all rows after a change, and after the whole table was read again. */
-  readonly onRows: (rows: ReadonlyMap<string, T>, context: WatchContext) => void;
-  /**
-   * Called when the store came back from an older copy; returns the rows to go on with, which may hold
-   * known ones that the copy lost. Without it, those of the copy are used.
-   */
-  readonly keepLost?: (
-    known: ReadonlyMap<string, T>,
-    copy: readonly TableChange<T>[],
-  ) => readonly TableChange<T>[];
+export interface WatchHandlers<T> extends RowHandlers<T> {
   /** Called when the store answers again after calls to it have failed. */
   readonly onStoreRegained?: () => void;
 }
 
-export interface WatchContext {
-  readonly revision: number;
-  /** Time since the last outage of the store before the rows were read; Infinity if there was none. */
-  readonly sinceOutageMs: number;
-  /** The store was restored since the last call: the rows are those of an older copy. */
-  readonly isRestored: boolean;
-  /** 'store', or the name of the router that relayed the rows. */
-  readonly source: string;
-}
-
 /** Keeps a replica of a table up to date, and tracks its age. */
 export interface TableWatch {
   readonly start: () => void;
@@ -144,11 +48,6 @@
 /** Delay after a failed call; it doubles with each further failure, up to the setting. */
 const RETRY_MIN_MS = 120;
 const RETRY_JITTER_RATIO = 0.3;
-/**
- * For this time after a failed call, the store counts as still unreachable: requests that need a fresh
- * read are refused at once, and many of them cause few calls.
- */
-const KNOWN_UNREACHABLE_MS = 200;
 /** Longer than for changes: reading the whole table transfers more bytes. */
 const READ_ALL_TIMEOUT_MS = 1_200;
 /** A relay is asked to answer at once while the content is outdated. */
@@ -171,20 +70,28 @@
   settings: WatchSettings,
   handlers: WatchHandlers<T>,
 ): TableWatch {
-  const freshness = createFreshnessTracker();
-  const replica = createTableReplica<T>();
+  const path = createStorePath(
+    settings.name,
+    sources.eras,
+    () => replica.revision(),
+    () => handlers.onStoreRegained?.(),
+    clock,
+    decisions,
+  );
+  const { freshness } = path;
+  const { replica, replaceAll, isOfOtherEra, publish } = createFollowedRows(
+    handlers,
+    path.sinceOutageMs,
+  );
+  const served = createServedTable(settings.name, replica, freshness, clock, path.sinceOutageMs);
   let failures = 0;
-  const outage = createOutageTracker();
-  const served = createServedTable(settings.name, replica, freshness, clock, sinceOutageMs);
   let lastProbeAtMs = -Infinity;
-  let lastFailureAtMs = -Infinity;
   let isStopped = false;
   /** Whether the next poll waits for the retry timer. */
   let isPausing = false;
   let currentPoll: AbortController | undefined;
   let currentFullRead: AbortController | undefined;
   let fullReads = 0;
-  let hasSeenRestore = false;
   let restores = 0;
   let readingAll: Promise<boolean> | undefined;
   let refreshing: Promise<boolean> | undefined;
@@ -207,58 +114,14 @@
     }
   }
 
-  function sinceOutageMs(): number {
-    return outage.sinceOutageMs(clock.monotonicMs());
-  }
-
-  function publish(source: string, isRestored = false): void {
-    handlers.onRows(replica.rows, {
-      revision: replica.revision(),
-      sinceOutageMs: sinceOutageMs(),
-      isRestored,
-      source,
-    });
-  }
-
-  function checkClocks(): void {
-    const check = freshness.checkClocks(clock.monotonicMs(), clock.nowMs());
-    if (check.kind === 'ok') return;
-    decisions.vital('clock.discrepancy', {
-      table: settings.name,
-      difference_ms: Math.round(check.differenceMs),
-    });
-  }
-
   function onAnswer(sentAtMs: number, storeNowMs: number): void {
-    checkClocks();
-    freshness.onAnswer(sentAtMs, storeNowMs);
     failures = 0;
-    const lostMs = outage.onStoreAnswered(clock.monotonicMs());
-    if (lostMs === undefined) return;
-    lastFailureAtMs = -Infinity;
-    const outageAgeMs = sinceOutageMs();
-    decisions.vital('store.regained', {
-      table: settings.name,
-      revision: replica.revision(),
-      era: sources.eras.current(),
-      lost_ms: Math.round(lostMs),
-      since_outage_ms: finiteMs(outageAgeMs),
-    });
-    handlers.onStoreRegained?.();
+    path.onAnswer(sentAtMs, storeNowMs);
   }
 
   function onFailure(message: string): void {
     failures += 1;
-    const nowMs = clock.monotonicMs();
-    lastFailureAtMs = nowMs;
-    if (!outage.onStoreFailed(nowMs)) return;
-    decisions.vital('store.lost', {
-      table: settings.name,
-      revision: replica.revision(),
-      era: sources.eras.current(),
-      age_ms: Math.round(freshness.ageMs(nowMs)),
-      message,
-    });
+    path.onFailure(message);
   }
 
   /** Concurrent callers share one read. */
@@ -295,18 +158,6 @@
     return true;
   }
 
-  function replaceAll(rows: readonly TableChange<T>[], to: StoreRevision): boolean {
-    hasSeenRestore ||= isOfOtherEra(to);
-    // Also in later reads: the store lacks the rows until they are written again.
-    const kept = hasSeenRestore ? handlers.keepLost?.(replica.rows, rows) : undefined;
-    return replica.replace(kept ?? rows, to);
-  }
-
-  /** Whether the replica was read before the store was restored to the answer's era. */
-  function isOfOtherEra({ era }: StoreRevision): boolean {
-    return replica.revision() >= 0 && replica.era() !== era;
-  }
-
   /** Whether changes since the replica's revision can be read: it was read in the present era. */
   function isFollowing(): boolean {
     return replica.revision() >= 0 && replica.era() === sources.eras.current();
@@ -352,7 +203,7 @@
 
   /** Time until the content is so old that the next source must be asked; negative if it is. */
   function freshForMs(): number {
-    return settings.waitMs + settings.timeoutMarginMs - freshness.ageMs(clock.monotonicMs());
+    return settings.waitMs + settings.timeoutMarginMs - path.ageMs();
   }
 
   /**
@@ -370,7 +221,7 @@
     );
     if (answer.kind === 'unavailable') return false;
     if (sources.eras.observe(answer.era) === 'older') return false;
-    checkClocks();
+    path.checkClocks();
     failures = 0;
     const isRestored = isOfOtherEra(answer);
     const isNewer = answer.isAll
@@ -378,9 +229,7 @@
       : replica.revision() === since.revision && replica.apply(answer.changes, answer);
     // An answer older than the replica says nothing about the age of the replica.
     if (answer.era === replica.era() && answer.revision >= replica.revision()) {
-      freshness.onRelayed(answer.storeAsOfMs);
-      const nowMs = clock.monotonicMs();
-      outage.onRelayed(nowMs - freshness.ageMs(nowMs), answer.sinceOutageMs, nowMs);
+      path.onRelayed(answer.storeAsOfMs, answer.sinceOutageMs);
     }
     if (isNewer && answer.changes.length > 0) publish(relay.name, isRestored);
     served.wake();
@@ -413,7 +262,7 @@
    */
   function probeLostPath(): void {
     const nowMs = clock.monotonicMs();
-    if (!outage.isPathLost() || nowMs - lastProbeAtMs < PATH_PROBE_PERIOD_MS) return;
+    if (!path.isLost() || nowMs - lastProbeAtMs < PATH_PROBE_PERIOD_MS) return;
     lastProbeAtMs = nowMs;
     void readNow();
   }
@@ -424,7 +273,7 @@
    * only after a change or that wait, so that the content stays outdated for seconds.
    */
   function pollStore(abort: AbortController): Promise<boolean> {
-    return outage.isPathLost() ? readNow() : readChanges(abort, settings.waitMs);
+    return path.isLost() ? readNow() : readChanges(abort, settings.waitMs);
   }
 
   /** Reads from the first source that answers. */
@@ -466,10 +315,8 @@
     }
   }
 
-  /** What the store lost counts like what expired in an outage that has just ended. */
   function onRestored(): void {
-    freshness.onRestored();
-    outage.onRestored(clock.monotonicMs());
+    path.onRestored();
     restores += 1;
     abandonCalls();
     if (!isStopped) void readNow();
@@ -486,9 +333,8 @@
   sources.eras.onRestored(onRestored);
 
   function refresh(): Promise<boolean> {
-    const sinceFailureMs = clock.monotonicMs() - lastFailureAtMs;
-    const isKnownUnreachable = outage.isPathLost() && sinceFailureMs < KNOWN_UNREACHABLE_MS;
-    return isKnownUnreachable && refreshing === undefined ? Promise.resolve(false) : readNow();
+    if (refreshing === undefined && path.isKnownUnreachable()) return Promise.resolve(false);
+    return readNow();
   }
 
   /** Asks the store for an answer at once; concurrent callers share one read. */
@@ -510,14 +356,14 @@
     },
     onStoreClock: freshness.onClockRead,
     ageMs: () => {
-      checkClocks();
-      return freshness.ageMs(clock.monotonicMs());
+      path.checkClocks();
+      return path.ageMs();
     },
     revision: replica.revision,
-    isStoreUnreachable: outage.isPathLost,
+    isStoreUnreachable: path.isLost,
     refresh,
     onStoreReachable: () => {
-      if (outage.isPathLost() && isPausing) retry.set(clock.monotonicMs());
+      if (path.isLost() && isPausing) retry.set(clock.monotonicMs());
     },
     relayed: served,
     stop: () => {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -94,4 +94,4 @@
   TableContent,
   TableRow,
   WatchedTable,
-} from './forward/table-watch';
+} from './forward/watched-table';
--- a/packages/router/test/forward/relayed-table.spec.ts
+++ b/packages/router/test/forward/relayed-table.spec.ts
@@ -3,7 +3,8 @@
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
 import type { ManualClock } from './clock';
-import type { RelaySource, TableWatch, WatchedTable } from '../../src/forward/table-watch';
+import type { TableWatch } from '../../src/forward/table-watch';
+import type { RelaySource, WatchedTable } from '../../src/forward/watched-table';
 
 const ERA = asStoreEra(1);
 const WAIT_MS = 1_500;
--- a/packages/router/test/forward/store-readers.spec.ts
+++ b/packages/router/test/forward/store-readers.spec.ts
@@ -6,7 +6,7 @@
 import type { HttpClient } from '@mimosamill/adapters';
 import type { FailureDomain } from '@mimosamill/core';
 import type { ListedRouter } from '../../src/forward/router-registry';
-import type { WatchedTable } from '../../src/forward/table-watch';
+import type { WatchedTable } from '../../src/forward/watched-table';
 
 const DOMAINS = ['east', 'west', 'north'];
 const ROUTERS = 90;
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -4,6 +4,7 @@
 import { createTableWatch } from '../../src/forward/table-watch';
 import { createManualClock } from './clock';
 import type { StoreEra, StoreRevision } from '@mimosamill/core';
+import type { WatchHandlers } from '../../src/forward/table-watch';
 import type { ManualClock } from './clock';
 import type {
   RelayedChanges,
@@ -11,8 +12,7 @@
   TableChanges,
   TableContent,
   WatchedTable,
-  WatchHandlers,
-} from '../../src/forward/table-watch';
+} from '../../src/forward/watched-table';
 
 const FIRST_ERA = asStoreEra(1);
 const SECOND_ERA = asStoreEra(2);
