Sum the load of other routers over those that have some at the server

Cause: a placement asked the peer registry for the load of each engine two or three times, and each answer went through all routers: routers times engines for every stream.

Change: the registry keeps for each server the routers that have load there, which the streams of the server bound, and its last sum for the time at which it was made. The sums are the same. The measurement 'broadcast' gives the processor time of a message and of a placement by routers and engines.

--- a/packages/bench/src/measure/registry.ts
+++ b/packages/bench/src/measure/registry.ts
@@ -1,3 +1,4 @@
+import { broadcastMeasurement } from './broadcast';
 import { callsMeasurement } from './calls';
 import { configMeasurement } from './config';
 import { limitsMeasurement } from './limit/limits';
@@ -16,6 +17,7 @@
 
 /** Every measurement that the command can run. */
 export const MEASUREMENTS: readonly Measurement[] = [
+  broadcastMeasurement,
   callsMeasurement,
   configMeasurement,
   limitsMeasurement,
--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -102,11 +102,22 @@
   sequence: number;
   lastUpdateAtMs: number;
   lastFailureNo: number;
-  loads: Map<ServerId, RouterLoad>;
+  loads: readonly RouterLoad[];
+}
+
+/**
+ * The peers with load at one server. A placement asks for the load of each server several times at one
+ * time, and most peers have load at few servers: a sum over all peers would cost peers times servers.
+ */
+interface LoadsAtServer {
+  readonly byPeer: Map<Peer, RouterLoad>;
+  /** The last sum, and the time that it holds for; undefined after an update. */
+  sum: { readonly load: PeerLoad; readonly atMs: number } | undefined;
 }
 
 export function createPeerRegistry(): PeerRegistry {
   const peers = new Map<HostId, Peer>();
+  const loadsByServer = new Map<ServerId, LoadsAtServer>();
   /** By host and incarnation, ordered by the last update. */
   const moves = new Map<string, readonly PeerMove[]>();
 
@@ -115,18 +126,39 @@
     if (known !== undefined && known.incarnationId === update.incarnationId) {
       return update.sequence > known.sequence ? known : undefined;
     }
+    if (known !== undefined) setLoads(known, []);
     const created: Peer = {
       router,
       incarnationId: update.incarnationId,
       sequence: 0,
       lastUpdateAtMs: nowMs,
       lastFailureNo: 0,
-      loads: new Map(),
+      loads: [],
     };
     peers.set(update.hostId, created);
     return created;
   }
 
+  function setLoads(peer: Peer, loads: readonly RouterLoad[]): void {
+    peer.loads.forEach(({ serverId }) => {
+      const at = loadsByServer.get(serverId);
+      if (at === undefined) return;
+      at.byPeer.delete(peer);
+      at.sum = undefined;
+      if (at.byPeer.size === 0) loadsByServer.delete(serverId);
+    });
+    peer.loads = loads;
+    loads.forEach((load) => {
+      const at = loadsByServer.get(load.serverId);
+      if (at === undefined) {
+        loadsByServer.set(load.serverId, { byPeer: new Map([[peer, load]]), sum: undefined });
+        return;
+      }
+      at.byPeer.set(peer, load);
+      at.sum = undefined;
+    });
+  }
+
   function setMoves(update: PeerUpdate): void {
     const key = `${update.hostId}/${update.incarnationId}`;
     moves.delete(key);
@@ -136,7 +168,9 @@
 
   function removeSilentPeers(nowMs: number): void {
     peers.forEach((peer, hostId) => {
-      if (nowMs - peer.lastUpdateAtMs > PEER_TIMEOUT_MS) peers.delete(hostId);
+      if (nowMs - peer.lastUpdateAtMs <= PEER_TIMEOUT_MS) return;
+      setLoads(peer, []);
+      peers.delete(hostId);
     });
   }
 
@@ -149,7 +183,7 @@
       peer.router = router;
       peer.sequence = update.sequence;
       peer.lastUpdateAtMs = nowMs;
-      peer.loads = new Map(update.loads.map((load) => [load.serverId, load]));
+      setLoads(peer, update.loads);
       setMoves(update);
       const newFailures = update.failures.filter(({ failureNo }) => failureNo > peer.lastFailureNo);
       newFailures.forEach(({ failureNo }) => {
@@ -158,19 +192,10 @@
       return newFailures;
     },
     loadAt: (serverId, nowMs) => {
-      let sum = NO_LOAD;
-      peers.forEach((peer) => {
-        const load = peer.loads.get(serverId);
-        const ageMs = nowMs - peer.lastUpdateAtMs;
-        if (load === undefined || ageMs > PEER_TIMEOUT_MS) return;
-        sum = {
-          running: sum.running + load.running,
-          prefillMs: sum.prefillMs + Math.max(0, load.prefillMs - ageMs),
-          copies: sum.copies + load.copies,
-          tokens: sum.tokens + load.tokens,
-        };
-      });
-      return sum;
+      const at = loadsByServer.get(serverId);
+      if (at === undefined) return NO_LOAD;
+      if (at.sum?.atMs !== nowMs) at.sum = { load: sumOf(at.byPeer, nowMs), atMs: nowMs };
+      return at.sum.load;
     },
     movesOf: (order) =>
       [...moves.values()]
@@ -187,3 +212,19 @@
     },
   };
 }
+
+function sumOf(byPeer: ReadonlyMap<Peer, RouterLoad>, nowMs: number): PeerLoad {
+  let running = 0;
+  let prefillMs = 0;
+  let copies = 0;
+  let tokens = 0;
+  byPeer.forEach((load, peer) => {
+    const ageMs = nowMs - peer.lastUpdateAtMs;
+    if (ageMs > PEER_TIMEOUT_MS) return;
+    running += load.running;
+    prefillMs += Math.max(0, load.prefillMs - ageMs);
+    copies += load.copies;
+    tokens += load.tokens;
+  });
+  return { running, prefillMs, copies, tokens };
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -82,6 +82,9 @@
   ParsedRequest,
   ForwardMetadata,
 } from './forward/codec';
+export { createRetryBudgets } from './forward/retry-budgets';
+export { createStateBroadcast } from './forward/state-broadcast';
+export type { StateBroadcast } from './forward/state-broadcast';
 export type { ListedRouter, RouterList, RouterTable } from './forward/router-registry';
 export type { KvCacheCopyOutcome, KvCacheCopyClient } from './forward/ports';
 export type { CondemnedTable, StoredCondemnation } from './forward/crash-guard';
