Choose servers without copying and hashing the list for each request

Cause: each placement filtered the list of servers twice, joined the ids of all servers to look up its ranking, and built a key of text for the failure domain of each server. Each datagram to another router waited for a lookup of an IP address in a later tick.

Change: the usable servers of a service are kept until one changes, and are returned as they are while no server names a limit or a pause; rankings are compared by id only if the list was made anew; suspected domains are kept by service; datagrams to IP addresses are sent at once. The choices are the same.

--- a/packages/adapters/src/forward/datagram-socket.ts
+++ b/packages/adapters/src/forward/datagram-socket.ts
@@ -1,5 +1,8 @@
 import { createSocket } from 'node:dgram';
+import { lookup } from 'node:dns';
+import { isIPv4 } from 'node:net';
 import { splitAddress } from '../runtime/address';
+import type { SocketOptions } from 'node:dgram';
 
 /** Sends datagrams between routers. A datagram may be lost; the next one carries the full state again. */
 export interface DatagramSocket {
@@ -13,7 +16,7 @@
   port: number,
   onMessage: (bytes: Buffer, from: string) => void,
 ): Promise<DatagramSocket> {
-  const socket = createSocket('udp4');
+  const socket = createSocket({ type: 'udp4', lookup: lookupHost });
   let isClosed = false;
   socket.on('message', (bytes, from) => onMessage(bytes, `${from.address}:${from.port}`));
   return new Promise((resolve, reject) => {
@@ -36,3 +39,11 @@
     });
   });
 }
+
+type LookupFunction = NonNullable<SocketOptions['lookup']>;
+
+/** Peers are listed by IP address; the standard lookup would defer each datagram to a later tick. */
+const lookupHost: LookupFunction = (host, options, callback) => {
+  if (isIPv4(host)) callback(null, host, 4);
+  else lookup(host, options, callback);
+};
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -161,13 +161,16 @@
 export function createFleet(): Fleet {
   const states = new Map<ServerId, ServerState>();
   const byService = new Map<ServiceName, ServerState[]>();
-  const suspectedAtMsByDomain = new Map<string, number>();
+  /** The usable ones of `byService`, made anew after a change of the servers or of their usability. */
+  const usableByService = new Map<ServiceName, readonly ServerState[]>();
+  const suspectedAtMsByService = new Map<ServiceName, Map<FailureDomain, number>>();
   const limits = createServerLimits();
   const notices = createServerNotices();
   const outlierDetector = createOutlierDetector({ ejectedMaxRatio: () => EJECTED_MAX_RATIO });
 
   function rebuildIndex(): void {
     byService.clear();
+    usableByService.clear();
     states.forEach((state) => {
       const list = byService.get(state.server.service);
       if (list === undefined) byService.set(state.server.service, [state]);
@@ -225,9 +228,25 @@
   }
 
   function usable(service: ServiceName): readonly ServerState[] {
-    return (byService.get(service) ?? []).filter(
+    const known = usableByService.get(service);
+    if (known !== undefined) return known;
+    const made = (byService.get(service) ?? []).filter(
       (state) => state.leavingSinceMs === undefined && !state.isReplaced,
     );
+    usableByService.set(service, made);
+    return made;
+  }
+
+  function withRoom(
+    service: ServiceName,
+    claim: LimitClaim,
+    nowMs: number,
+  ): readonly ServerState[] {
+    // Most servers never name a limit or a pause.
+    if (!limits.hasAny() && !notices.hasPause(nowMs)) return usable(service);
+    return usable(service).filter(
+      (state) => !isPaused(state, nowMs) && limits.hasRoom(state.server.serverId, claim, nowMs),
+    );
   }
 
   function isPaused({ server }: ServerState, nowMs: number): boolean {
@@ -254,9 +273,11 @@
     );
     const needed = Math.max(DOMAIN_SUSPECT_MIN, Math.ceil(servers.length * DOMAIN_SUSPECT_RATIO));
     if (lost.length < needed) return undefined;
-    const key = domainKey(server);
-    const isNew = nowMs - (suspectedAtMsByDomain.get(key) ?? -Infinity) > SUSPICION_MS;
-    suspectedAtMsByDomain.set(key, nowMs);
+    const suspected =
+      suspectedAtMsByService.get(server.service) ?? new Map<FailureDomain, number>();
+    suspectedAtMsByService.set(server.service, suspected);
+    const isNew = nowMs - (suspected.get(server.failureDomain) ?? -Infinity) > SUSPICION_MS;
+    suspected.set(server.failureDomain, nowMs);
     return isNew ? server.failureDomain : undefined;
   }
 
@@ -264,8 +285,10 @@
    * Repeated failures of a server count as one loss; a replaced or merely late server is not lost.
    */
   function markLost(state: ServerState, failure: ServerFailure, atMs: number): void {
-    if (failure === 'misdirected') state.isReplaced = true;
-    else if (failure !== 'unread') state.lostAtMs ??= atMs;
+    if (failure === 'misdirected') {
+      state.isReplaced = true;
+      usableByService.delete(state.server.service);
+    } else if (failure !== 'unread') state.lostAtMs ??= atMs;
   }
 
   function onFailure(serverId: ServerId, failure: ServerFailure, nowMs: number): FailureEffect {
@@ -314,7 +337,8 @@
   }
 
   function isSuspected(state: ServerState, nowMs: number): boolean {
-    const suspectedAtMs = suspectedAtMsByDomain.get(domainKey(state.server));
+    const { service, failureDomain } = state.server;
+    const suspectedAtMs = suspectedAtMsByService.get(service)?.get(failureDomain);
     if (suspectedAtMs === undefined || nowMs - suspectedAtMs > SUSPICION_MS) return false;
     return state.lastReceivedAtMs <= suspectedAtMs;
   }
@@ -325,10 +349,7 @@
     ownLoads,
     get: (serverId) => states.get(serverId),
     usable,
-    withRoom: (service, claim, nowMs) =>
-      usable(service).filter(
-        (state) => !isPaused(state, nowMs) && limits.hasRoom(state.server.serverId, claim, nowMs),
-      ),
+    withRoom,
     roomInMs,
     serverCount: () => states.size,
     onLeaving: (server, nowMs) => {
@@ -338,6 +359,7 @@
       if (state === undefined || isRestart(server, state.server)) return false;
       if (state.leavingSinceMs !== undefined) return false;
       state.leavingSinceMs = nowMs;
+      usableByService.delete(state.server.service);
       return true;
     },
     onPause: (server, pauseMs, nowMs) => {
@@ -434,7 +456,3 @@
     lastReceivedAtMs: -Infinity,
   };
 }
-
-function domainKey(server: ForwardServer): string {
-  return `${server.service}\u0000${server.failureDomain}`;
-}
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -140,19 +140,18 @@
   let prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
   const ranks = new Map<
     ServiceName,
-    { readonly key: string; readonly rank: Map<ServerId, number> }
+    { readonly states: readonly ServerState[]; readonly rank: Map<ServerId, number> }
   >();
 
   /** Position of each server in this router's ranking, from 0 to 1. */
   function rankOf(service: ServiceName, states: readonly ServerState[]): Map<ServerId, number> {
-    const key = states.map(({ server }) => server.serverId).join();
     const known = ranks.get(service);
-    if (known?.key === key) return known.rank;
+    if (known !== undefined && haveSameIds(known.states, states)) return known.rank;
     const ordered = rankByRendezvous(hostId, states, ({ server }) => server.serverId, hash);
     const rank = new Map(
       ordered.map(({ server }, at) => [server.serverId, at / Math.max(1, ordered.length - 1)]),
     );
-    ranks.set(service, { key, rank });
+    ranks.set(service, { states, rank });
     return rank;
   }
 
@@ -324,6 +323,12 @@
   };
 }
 
+function haveSameIds(before: readonly ServerState[], after: readonly ServerState[]): boolean {
+  if (before === after) return true;
+  if (before.length !== after.length) return false;
+  return before.every(({ server }, at) => server.serverId === after[at]?.server.serverId);
+}
+
 function avoidCostMsOf(state: ServerState): number {
   return state.lastFailure?.kind === 'refused' ? REFUSED_COST_MS : AVOIDED_COST_MS;
 }
--- a/packages/core/src/forward/server-notices.ts
+++ b/packages/core/src/forward/server-notices.ts
@@ -14,6 +14,8 @@
   readonly onPause: (server: ForwardServer, untilMs: number, nowMs: number) => void;
   /** Time for which the server wants no more requests; 0 if it takes them. */
   readonly pauseLeftMs: (server: ForwardServer, nowMs: number) => number;
+  /** Whether any server may want no more requests. */
+  readonly hasPause: (nowMs: number) => boolean;
   /** The servers are listed, so what they said must be kept. */
   readonly onListed: (serverIds: ReadonlySet<ServerId>, nowMs: number) => void;
 }
@@ -31,6 +33,7 @@
 
 export function createServerNotices(): ServerNotices {
   const notices = new Map<ServerId, Notice>();
+  let lastPauseEndMs = -Infinity;
 
   function noticeOf(server: ForwardServer): Notice | undefined {
     const notice = notices.get(server.serverId);
@@ -66,9 +69,11 @@
     onPause: (server, untilMs, nowMs) => {
       const notice = noticeFor(server, nowMs);
       notice.pausedUntilMs = Math.max(notice.pausedUntilMs, untilMs);
+      lastPauseEndMs = Math.max(lastPauseEndMs, untilMs);
     },
     pauseLeftMs: (server, nowMs) =>
       Math.max(0, (noticeOf(server)?.pausedUntilMs ?? -Infinity) - nowMs),
+    hasPause: (nowMs) => lastPauseEndMs > nowMs,
     leavingSinceMs: (server) => noticeOf(server)?.leavingSinceMs,
     onListed: (serverIds, nowMs) => {
       notices.forEach((notice, serverId) => {
--- a/packages/core/src/limit/server-limits.ts
+++ b/packages/core/src/limit/server-limits.ts
@@ -66,6 +66,8 @@
   readonly onSent: (serverId: ServerId, nowMs: number) => boolean;
   /** A request of this router could be sent to any of these servers of the service. */
   readonly onWanted: (service: ServiceName, serverIds: readonly ServerId[], nowMs: number) => void;
+  /** Whether any server may have a limit. */
+  readonly hasAny: () => boolean;
   /** Whether the request may be sent to the server. */
   readonly hasRoom: (serverId: ServerId, claim: LimitClaim, nowMs: number) => boolean;
   /** Part of the server's limit that is used up, from 0 to 1; 0 without a limit. */
@@ -276,6 +278,7 @@
       if (serverIds.every((serverId) => limitOf(serverId, nowMs) === undefined)) return;
       wantedAtMs.set(service, [...(wantedAtMs.get(service) ?? []), nowMs]);
     },
+    hasAny: () => states.size > 0,
     hasRoom,
     usedRatio: (serverId, nowMs) => {
       const limit = limitOf(serverId, nowMs);
