Send fewer messages between routers where there are more than 30

Cause: a router told all others of each stream by three or four messages, of each server that it found lost by one at once, although another router had told of it, and each router wrote a log line for each of these reports: 60 lines for one lost server at each of 61 hosts.

Change: above the number of routers at which the batch delay begins to grow, a stream's first event and end wait for the next message, at most the heartbeat of 1 s; a batch takes along what waits for a longer one; a failure that was sent or received within 0.5 s goes with the next batch. News of a failure, retry totals, limits, crashes and moves are sent as before. The others' reports of a server are all applied, and the first within 0.5 s is logged.

Small deployments send as before; only the repeated log lines are left out there. Tests cover both sides of the bound.

--- a/packages/router/src/forward/copies.ts
+++ b/packages/router/src/forward/copies.ts
@@ -34,7 +34,7 @@
     if (attempt.kvCopy !== undefined) fleet.onCopy(attempt.kvCopy.engineId, promptTokens, -1);
     if (copy !== undefined) fleet.onCopy(copy.engineId, promptTokens, 1);
     attempt.kvCopy = copy;
-    ports.stateBroadcast.sendLater();
+    ports.stateBroadcast.sendWithNext();
   }
 
   /** Whether the engine wants no calls of this router now. */
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -56,7 +56,10 @@
   readonly codec: ForwardCodec;
   readonly decisions: DecisionLog;
   readonly metrics: ForwardMetrics;
-  readonly stateBroadcast: Pick<StateBroadcast, 'sendSoon' | 'sendLater' | 'onServerFailure'>;
+  readonly stateBroadcast: Pick<
+    StateBroadcast,
+    'sendSoon' | 'sendLater' | 'sendWithNext' | 'onServerFailure'
+  >;
   readonly versionMoves: Pick<
     VersionMoves,
     'excludedServers' | 'excludedCopyHolders' | 'trackAttempt'
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,3 +1,4 @@
+import { evictOldest } from '@mimosamill/core';
 import { createStateCodec } from './state-message';
 import type { CrashReports } from './crash-guard';
 import type { RetryBudgets, ServiceRetryTotals } from './retry-budgets';
@@ -59,6 +60,12 @@
   readonly sendSoon: () => void;
   /** For changes that can wait; sent after a longer batch delay. */
   readonly sendLater: () => void;
+  /**
+   * For streams that begin to send or end, which others estimate by age or learn soon enough with the
+   * next message: sent like other changes that can wait, but not by a message of its own among many
+   * routers.
+   */
+  readonly sendWithNext: () => void;
   readonly onServerFailure: (serverId: ServerId, failure: ServerFailure) => void;
   readonly onMessage: (bytes: Buffer, from: string) => void;
   readonly stop: () => void;
@@ -73,8 +80,19 @@
 const BATCH_DELAY_MS_PER_PEER = 0.5;
 const LATER_BATCH_DELAY_MS = 200;
 const LATER_BATCH_DELAY_MS_PER_PEER = 6;
+/**
+ * Above this number of routers the batch delay grows, and messages that tell little are left out: what
+ * a router receives grows with the number of routers, and so does what each of their messages costs.
+ */
+const FEW_PEERS_MAX = BATCH_DELAY_MS / BATCH_DELAY_MS_PER_PEER;
+/**
+ * A failure of the same server that was sent or received within this time is known to the others. When
+ * a failure domain is lost, each router finds each of its servers, most of them after another has.
+ */
+const KNOWN_FAILURE_MS = 500;
 /** A failure is sent at once, and repeated in each message for this time, since a datagram may be lost. */
 const FAILURE_REPEAT_MS = 1_500;
+const TOLD_FAILURES_MAX = 2_048;
 /** Longest time between two messages. */
 const HEARTBEAT_PERIOD_MS = 1_000;
 
@@ -101,6 +119,8 @@
   let lastPeerCount = 0;
   let failureNo = 0;
   let failures: OwnFailure[] = [];
+  /** When a failure of a server was last sent or received, by server and kind of failure. */
+  const failureToldAtMs = new Map<string, number>();
   /** Retries that the last message told of, by service. */
   const sentRetries = new Map<ServiceName, number>();
   let cancelUrgent: (() => void) | undefined;
@@ -144,6 +164,27 @@
     };
   }
 
+  function hasManyPeers(): boolean {
+    return lastPeerCount > FEW_PEERS_MAX;
+  }
+
+  /** Whether the others know of such a failure; notes that they will. */
+  function isFailureKnown(serverId: ServerId, failure: ServerFailure, nowMs: number): boolean {
+    const key = `${serverId}/${failure}`;
+    const toldAtMs = failureToldAtMs.get(key) ?? -Infinity;
+    if (nowMs - toldAtMs < KNOWN_FAILURE_MS) return true;
+    failureToldAtMs.delete(key);
+    failureToldAtMs.set(key, nowMs);
+    evictOldest(failureToldAtMs, TOLD_FAILURES_MAX);
+    return false;
+  }
+
+  /** Sends what the batch delay was for; among many routers also what waits for a longer one. */
+  function sendBatch(): void {
+    if (cancelLater !== undefined && hasManyPeers()) sendAll();
+    else sendUrgent();
+  }
+
   /** Sends everything except what can wait for the next full message. */
   function sendUrgent(): void {
     send({ callCounts: [], retryTotals: urgentTotals() });
@@ -184,32 +225,45 @@
   }
 
   function onPeerFailure(hostId: HostId, failed: PeerFailure, nowMs: number): void {
+    const isKnown = isFailureKnown(failed.serverId, failed.failure, nowMs);
     const effect = fleet.onPeerFailure(failed.serverId, failed.failure, nowMs - failed.ageMs);
     if (effect === undefined) return;
-    ports.decisions.notable('server.lost_by_peer', {
-      server: failed.serverId,
-      loss: failed.failure,
-      peer: hostId,
-      age_ms: failed.ageMs,
-      doubted_domain: effect.suspectedDomain,
-    });
+    // Each router reports each server of a lost failure domain; the first report tells.
+    if (!isKnown || effect.suspectedDomain !== undefined) {
+      ports.decisions.notable('server.lost_by_peer', {
+        server: failed.serverId,
+        loss: failed.failure,
+        peer: hostId,
+        age_ms: failed.ageMs,
+        doubted_domain: effect.suspectedDomain,
+      });
+    }
     if (failed.failure !== 'unread') ports.onServerLost(failed.serverId);
     if (effect.suspectedDomain !== undefined) ports.onDomainSuspected(effect.suspectedDomain);
   }
 
+  function sendSoon(): void {
+    const delayMs = Math.max(BATCH_DELAY_MS, lastPeerCount * BATCH_DELAY_MS_PER_PEER);
+    cancelUrgent ??= clock.runAfter(delayMs, sendBatch);
+  }
+
+  function sendLater(): void {
+    const delayMs = Math.max(LATER_BATCH_DELAY_MS, lastPeerCount * LATER_BATCH_DELAY_MS_PER_PEER);
+    cancelLater ??= clock.runAfter(delayMs, sendAll);
+  }
+
   return {
-    sendSoon: () => {
-      const delayMs = Math.max(BATCH_DELAY_MS, lastPeerCount * BATCH_DELAY_MS_PER_PEER);
-      cancelUrgent ??= clock.runAfter(delayMs, sendUrgent);
-    },
-    sendLater: () => {
-      const delayMs = Math.max(LATER_BATCH_DELAY_MS, lastPeerCount * LATER_BATCH_DELAY_MS_PER_PEER);
-      cancelLater ??= clock.runAfter(delayMs, sendAll);
+    sendSoon,
+    sendLater,
+    sendWithNext: () => {
+      if (!hasManyPeers()) sendLater();
     },
     onServerFailure: (serverId, failure) => {
+      const nowMs = clock.monotonicMs();
       failureNo += 1;
-      failures.push({ serverId, failure, failureNo, atMs: clock.monotonicMs() });
-      sendUrgent();
+      failures.push({ serverId, failure, failureNo, atMs: nowMs });
+      if (isFailureKnown(serverId, failure, nowMs) && hasManyPeers()) sendSoon();
+      else sendUrgent();
     },
     onMessage: (bytes, from) => {
       const nowMs = clock.monotonicMs();
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -652,7 +652,7 @@
       attempt.timer.onAnswered(false);
       attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
-      ports.stateBroadcast.sendLater();
+      ports.stateBroadcast.sendWithNext();
       if (attempt.isOnlyPrefill && !attempt.isResumedFromCopy) {
         ports.placer.onPrefill(promptTokens, nowMs - attempt.sentAtMs);
       }
@@ -703,7 +703,7 @@
     attempt.cancelConnectTimeout();
     fleet.onEnd(attempt.engineId, requestId, attempt.isResumedFromCopy ? 0 : promptTokens);
     if (attempt.kvCopy !== undefined) fleet.onCopy(attempt.kvCopy.engineId, promptTokens, -1);
-    ports.stateBroadcast.sendLater();
+    ports.stateBroadcast.sendWithNext();
   }
 
   function cancel(attemptNo: number, loss: 'silent' | 'garbled' | undefined): void {
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -43,6 +43,8 @@
   readonly callOutcomes: ReturnType<typeof createCallOutcomeTracker>;
   readonly retryBudgets: RetryBudgets;
   readonly sent: Buffer[];
+  /** Names of the notable decisions that were logged. */
+  readonly logged: string[];
   /** What the router tells of prompt parts, and what others told it. */
   readonly crashReports: { own: CrashReports; readonly received: CrashReports[] };
 }
@@ -52,6 +54,7 @@
   fleet.setServers(SERVERS.map(serverOf), 0);
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
   const sent: Buffer[] = [];
+  const logged: string[] = [];
   const crashReports: TestRouter['crashReports'] = {
     own: { crashes: [], answers: [], condemned: [] },
     received: [],
@@ -68,7 +71,7 @@
       clock,
       decisions: {
         routine: () => undefined,
-        notable: () => undefined,
+        notable: (event) => logged.push(event),
         vital: () => undefined,
         droppedCount: () => 0,
       },
@@ -93,7 +96,7 @@
       onCrashReports: (reports) => crashReports.received.push(reports),
     },
   );
-  return { broadcast, fleet, callOutcomes, retryBudgets, sent, crashReports };
+  return { broadcast, fleet, callOutcomes, retryBudgets, sent, logged, crashReports };
 }
 
 describe('the state broadcast between routers', () => {
@@ -133,6 +136,65 @@
     expect(sent).toHaveLength(200);
   });
 
+  it('tells of a stream that ends by a message of its own only among few routers', () => {
+    // Guards against messages whose number grows with streams times routers.
+    const clock = createManualClock();
+    const few = createTestRouter('host-1', clock, 9);
+    const many = createTestRouter('host-2', clock, 61);
+    clock.advance(1_000);
+    [few, many].forEach(({ broadcast, sent }) => {
+      sent.length = 0;
+      broadcast.sendWithNext();
+    });
+    clock.advance(999);
+    expect([few.sent.length, many.sent.length]).toEqual([9, 0]);
+    clock.advance(1);
+    expect(many.sent).toHaveLength(61);
+  });
+
+  it('sends a failure at once, but one that others told of with the next batch among many routers', () => {
+    // Guards against a message from each router to each other one for each server that is lost.
+    const clock = createManualClock();
+    const peerCount = 61;
+    const teller = createTestRouter('host-1', clock, peerCount);
+    const few = createTestRouter('host-2', clock, 9);
+    const many = createTestRouter('host-3', clock, peerCount);
+    clock.advance(1_000);
+    [teller, few, many].forEach(({ sent }) => sent.splice(0));
+    teller.broadcast.onServerFailure(asId('a1'), 'silent');
+    expect(teller.sent).toHaveLength(peerCount);
+    [few, many].forEach(({ broadcast }) => {
+      broadcast.onMessage(teller.sent[0] ?? Buffer.alloc(0), '10.0.0.9:1');
+      broadcast.onServerFailure(asId('a1'), 'silent');
+    });
+    expect([few.sent.length, many.sent.length]).toEqual([9, 0]);
+    // Another kind of failure, or another server, is news.
+    many.broadcast.onServerFailure(asId('a1'), 'refused');
+    expect(many.sent).toHaveLength(peerCount);
+    many.broadcast.onServerFailure(asId('b1'), 'silent');
+    expect(many.sent).toHaveLength(2 * peerCount);
+    // The batch of the known failure went with the first of these messages.
+    clock.advance(100);
+    expect(many.sent).toHaveLength(2 * peerCount);
+    clock.advance(500);
+    many.broadcast.onServerFailure(asId('a1'), 'silent');
+    expect(many.sent).toHaveLength(3 * peerCount);
+  });
+
+  it('logs a server that many routers report once, and applies each of the reports', () => {
+    // Guards against a line for each router and lost server, which drops lines that tell more.
+    const clock = createManualClock();
+    const receiver = createTestRouter('host-0', clock, 61);
+    for (let no = 1; no <= 20; no += 1) {
+      const { broadcast, sent } = createTestRouter(`host-${no}`, clock, 1);
+      clock.advance(1);
+      broadcast.onServerFailure(asId('a1'), 'silent');
+      receiver.broadcast.onMessage(sent.at(-1) ?? Buffer.alloc(0), '10.0.0.9:1');
+    }
+    expect(receiver.logged).toEqual(['server.lost_by_peer']);
+    expect(receiver.fleet.get(asId('a1'))?.avoidUntilMs).toBe(clock.monotonicMs() + 1_500);
+  });
+
   it('counts the retries of the other routers in the budget of a service', () => {
     // Guards against routers that each spend what the service may get from all together.
     const clock = createManualClock();
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -69,7 +69,12 @@
     codec: { toServerHeaders: () => [] },
     decisions: { routine: log, notable: log, vital: log },
     metrics: { onSend: nothing, onAnswer: nothing, onLoss: nothing },
-    stateBroadcast: { sendSoon: nothing, sendLater: nothing, onServerFailure: nothing },
+    stateBroadcast: {
+      sendSoon: nothing,
+      sendLater: nothing,
+      sendWithNext: nothing,
+      onServerFailure: nothing,
+    },
     versionMoves: {
       excludedServers: () => new Set(),
       excludedCopyHolders: () => new Set(),
