Tell a host's own slow connections from servers that are lost

Cause: hosts with links of 10 Mbit/s fell into a state that they did not leave. Each timeout was told to the 60 other routers at once, in a message that repeats all losses of 1.5 s: about 1.4 KB, 60 receivers, 25 times a second are 16 Mbit/s. The full link made more connections time out, and the others avoided sound servers.

Messages between routers take at most a fifth of the link, where the settings name its rate (linkMbps).

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -54,7 +54,8 @@
 }
 
 export interface UpstreamSettings {
-  readonly connectTimeoutMs: number;
+  /** Time allowed for a connection that is begun now. */
+  readonly connectTimeoutMs: () => number;
   readonly connectionsPerServer: number;
 }
 
@@ -68,13 +69,24 @@
 const KEEP_ALIVE_MAX_MS = 600_000;
 const PORT_MAX = 65_535;
 
+type Connector = ReturnType<typeof buildConnector>;
+
 export function createUpstream(settings: UpstreamSettings): Upstream {
   const pools = new Map<string, Pool>();
-  const connect = buildConnector({ timeout: settings.connectTimeoutMs });
+  /** By their timeouts, of which there are few. */
+  const connectors = new Map<number, Connector>();
   let openedCount = 0;
   const resets = createResetDetector();
   const framing = createFramingGuard();
 
+  function connectorFor(timeoutMs: number): Connector {
+    const existing = connectors.get(timeoutMs);
+    if (existing !== undefined) return existing;
+    const connector = buildConnector({ timeout: timeoutMs });
+    connectors.set(timeoutMs, connector);
+    return connector;
+  }
+
   function poolOf(address: string): Pool {
     const existing = pools.get(address);
     if (existing !== undefined) return existing;
@@ -87,7 +99,7 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MAX_MS,
       connect: (options, callback) => {
-        connect(options, (error, socket) => {
+        connectorFor(settings.connectTimeoutMs())(options, (error, socket) => {
           if (error === null) {
             resets.watch(socket);
             framing.watch(socket);
@@ -117,7 +129,7 @@
         socket.destroy();
         resolve(isUp);
       };
-      const cancelTimeout = runAfterInput(settings.connectTimeoutMs, () => finish(false));
+      const cancelTimeout = runAfterInput(settings.connectTimeoutMs(), () => finish(false));
       openedCount += 1;
       socket.once('connect', () => finish(true));
       socket.once('error', () => finish(false));
--- a/packages/adapters/test/endless.spec.ts
+++ b/packages/adapters/test/endless.spec.ts
@@ -77,7 +77,7 @@
 ])('a response that never ends, with endless bytes in %s', (_name, start, piece) => {
   it('fails, and its connection is closed after a bounded number of bytes', async () => {
     const server = await startEndless(start, piece);
-    const upstream = createUpstream({ connectTimeoutMs: 300, connectionsPerServer: 1 });
+    const upstream = createUpstream({ connectTimeoutMs: () => 300, connectionsPerServer: 1 });
     const failure = new Promise<string>((resolve) => {
       upstream.send(
         { address: server.address, method: 'GET', path: '/', headers: [], body: undefined },
@@ -100,7 +100,7 @@
 describe('a body that never ends', () => {
   it('ends with its connection when its exchange is cancelled', async () => {
     const server = await startEndless(`${OK}\r\n`, PIECE);
-    const upstream = createUpstream({ connectTimeoutMs: 300, connectionsPerServer: 1 });
+    const upstream = createUpstream({ connectTimeoutMs: () => 300, connectionsPerServer: 1 });
     const exchange = upstream.send(
       { address: server.address, method: 'GET', path: '/', headers: [], body: undefined },
       {
--- a/packages/adapters/test/upstream.spec.ts
+++ b/packages/adapters/test/upstream.spec.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Upstream } from '../src/index';
 
-const SETTINGS = { connectTimeoutMs: 300, connectionsPerServer: 1 };
+const SETTINGS = { connectTimeoutMs: () => 300, connectionsPerServer: 1 };
 const REQUEST_END = '\r\n\r\n';
 
 let upstream: Upstream | undefined;
--- a/packages/bench/src/measure/broadcast.ts
+++ b/packages/bench/src/measure/broadcast.ts
@@ -173,7 +173,12 @@
   const peerRegistry = createPeerRegistry();
   const addresses = Array.from({ length: peerCount }, (_, no) => `${LOOPBACK}:${20_000 + no}`);
   const broadcast = createStateBroadcast(
-    { hostId: asId(name), failureDomain: asId('a'), incarnationId: `${name}-1` },
+    {
+      hostId: asId(name),
+      failureDomain: asId('a'),
+      incarnationId: `${name}-1`,
+      linkMbps: undefined,
+    },
     {
       clock,
       decisions: {
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -333,10 +333,13 @@
       endingAttempts.add(attemptNo);
     }
 
-    const cancelConnectTimeout = clock.runAfter(CONNECT_TIMEOUT_MS, () => {
+    const connectTimeoutMs = ports.connections.timeoutMs(CONNECT_TIMEOUT_MS);
+    const cancelConnectTimeout = clock.runAfter(connectTimeoutMs, () => {
       connection.exchange?.cancel();
-      fleet.onFailure(serverId, 'refused', clock.monotonicMs());
-      ports.stateBroadcast.onServerFailure(serverId, 'refused');
+      if (!ports.connections.onTimeout(server)) {
+        fleet.onFailure(serverId, 'refused', clock.monotonicMs());
+        ports.stateBroadcast.onServerFailure(serverId, 'refused');
+      }
       finishAttempt(
         { kind: 'not_sent', message: 'no connection within the connect timeout' },
         'no_connection',
@@ -377,6 +380,7 @@
       {
         onSent: () => {
           cancelConnectTimeout();
+          ports.connections.onWriting(server, sentAtMs);
           noteDepartingSend(ports, head.requestId, attemptNo, serverId);
         },
         onHead,
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -21,6 +21,7 @@
 import { createCallForwarder } from './call';
 import { finiteMs } from './finite';
 import { stopGracefully } from './graceful-stop';
+import { createConnectionWatch } from './connection-watch';
 import { createForwardMetrics } from './metrics';
 import { createRetryBudgets } from './retry-budgets';
 import { createRouterRegistry } from './router-registry';
@@ -127,8 +128,10 @@
   let settings = initial;
   const fleet = createFleet();
   const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
+  const forwardMetrics = createForwardMetrics(metrics);
+  const connections = createConnectionWatch(clock, decisions, forwardMetrics);
   const upstream = createUpstream({
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    connectTimeoutMs: () => connections.timeoutMs(CONNECT_TIMEOUT_MS),
     connectionsPerServer: CONNECTIONS_PER_SERVER,
   });
   const peerRegistry = createPeerRegistry();
@@ -177,6 +180,7 @@
       hostId: asId(settings.hostId),
       failureDomain: asId(settings.failureDomain),
       incarnationId: environment.incarnationId,
+      linkMbps: settings.linkMbps,
     },
     {
       clock,
@@ -231,6 +235,8 @@
     placer,
     callOutcomes,
     upstream,
+    connections,
+    metrics: forwardMetrics,
     stateBroadcast,
     versionMoves,
     crashGuard,
@@ -510,6 +516,8 @@
     | 'placer'
     | 'callOutcomes'
     | 'upstream'
+    | 'connections'
+    | 'metrics'
     | 'stateBroadcast'
     | 'versionMoves'
     | 'crashGuard'
@@ -518,7 +526,7 @@
     | 'retryBudgetOf'
   >,
 ): ForwardPorts {
-  const { clock, random, metrics, decisions, codec, kvCopies } = environment;
+  const { clock, random, decisions, codec, kvCopies } = environment;
   return {
     clock,
     random,
@@ -528,7 +536,6 @@
     kvCopies,
     codec,
     decisions,
-    metrics: createForwardMetrics(metrics),
     hash64: environment.hashes.hash64,
   };
 }
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -5,6 +5,8 @@
   readonly onAnswer: (kind: string, outcome: string, tookMs: number) => void;
   readonly onSend: (kind: string, cause: string) => void;
   readonly onLoss: (loss: string) => void;
+  /** A connection timed out, by what was slow. */
+  readonly onConnectTimeout: (slow: 'host' | 'server') => void;
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
@@ -31,6 +33,11 @@
     'Attempts that ended without finishing their request',
     ['loss'],
   );
+  const connectTimeouts = metrics.counter(
+    'mimosamill_forward_connect_timeouts_total',
+    'Connections to backend servers that timed out, by whether the server or this host was slow',
+    ['slow'],
+  );
   const firstEvents = metrics.histogram(
     'mimosamill_forward_first_event_ms',
     'Time from a stream request to its first event in milliseconds',
@@ -55,6 +62,7 @@
     onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
     onSend: (kind, cause) => sends.inc({ kind, cause }),
     onLoss: (loss) => losses.inc({ loss }),
+    onConnectTimeout: (slow) => connectTimeouts.inc({ slow }),
     onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
     onResumeGap: (gapMs) => gaps.observe(gapMs),
     onDepartingSend: (state) => departingSends.inc({ state }),
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -15,6 +15,7 @@
   StreamDurations,
 } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
+import type { ConnectionWatch } from './connection-watch';
 import type { RequestContent } from './content';
 import type { ForwardMetrics } from './metrics';
 import type { CrashGuard } from './crash-guard';
@@ -50,6 +51,7 @@
   readonly placer: Placer;
   readonly callOutcomes: CallOutcomeTracker;
   readonly upstream: Upstream;
+  readonly connections: ConnectionWatch;
   readonly streamDurations: StreamDurations;
   readonly responseBuffers: ResponseBuffers;
   readonly kvCopies: KvCacheCopyClient;
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -31,6 +31,8 @@
   /** Fleet-wide retry budget of a service: a ratio of its requests, plus a fixed number. */
   retryRatio: ratio,
   retrySlack: ratio,
+  /** Rate of the host's link in Mbit/s, of which messages to other routers take a part; absent if unknown. */
+  linkMbps: z.number().positive().optional(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,4 +1,4 @@
-import { evictOldest } from '@mimosamill/core';
+import { createLinkPace, evictOldest } from '@mimosamill/core';
 import { createStateCodec } from './state-message';
 import type { CrashReports } from './crash-guard';
 import type { RetryBudgets, ServiceRetryTotals } from './retry-budgets';
@@ -30,6 +30,8 @@
   readonly hostId: HostId;
   readonly failureDomain: FailureDomain;
   readonly incarnationId: string;
+  /** Rate of this host's link; undefined if it is not known. */
+  readonly linkMbps: number | undefined;
 }
 
 export interface StateBroadcastPorts {
@@ -92,6 +94,8 @@
 const KNOWN_FAILURE_MS = 500;
 /** A failure is sent at once, and repeated in each message for this time, since a datagram may be lost. */
 const FAILURE_REPEAT_MS = 1_500;
+/** Bytes of a datagram beside its content. */
+const DATAGRAM_HEADER_BYTES = 42;
 const TOLD_FAILURES_MAX = 2_048;
 /** Longest time between two messages. */
 const HEARTBEAT_PERIOD_MS = 1_000;
@@ -115,6 +119,7 @@
 ): StateBroadcast {
   const { clock, fleet, peerRegistry } = ports;
   const codec = createStateCodec();
+  const linkPace = createLinkPace(settings.linkMbps);
   let sequence = 0;
   let lastPeerCount = 0;
   let failureNo = 0;
@@ -212,6 +217,7 @@
     const addresses = ports.peers.addresses();
     lastPeerCount = addresses.length;
     addresses.forEach((address) => socket.send(address, bytes));
+    linkPace.onSent((bytes.length + DATAGRAM_HEADER_BYTES) * addresses.length, nowMs);
   }
 
   function onPeerLimits(hostId: HostId, limits: LimitReports, nowMs: number): void {
@@ -243,12 +249,14 @@
   }
 
   function sendSoon(): void {
-    const delayMs = Math.max(BATCH_DELAY_MS, lastPeerCount * BATCH_DELAY_MS_PER_PEER);
+    const batchMs = Math.max(BATCH_DELAY_MS, lastPeerCount * BATCH_DELAY_MS_PER_PEER);
+    const delayMs = Math.max(batchMs, linkPace.delayMs(clock.monotonicMs()));
     cancelUrgent ??= clock.runAfter(delayMs, sendBatch);
   }
 
   function sendLater(): void {
-    const delayMs = Math.max(LATER_BATCH_DELAY_MS, lastPeerCount * LATER_BATCH_DELAY_MS_PER_PEER);
+    const batchMs = Math.max(LATER_BATCH_DELAY_MS, lastPeerCount * LATER_BATCH_DELAY_MS_PER_PEER);
+    const delayMs = Math.max(batchMs, linkPace.delayMs(clock.monotonicMs()));
     cancelLater ??= clock.runAfter(delayMs, sendAll);
   }
 
@@ -262,7 +270,8 @@
       const nowMs = clock.monotonicMs();
       failureNo += 1;
       failures.push({ serverId, failure, failureNo, atMs: nowMs });
-      if (isFailureKnown(serverId, failure, nowMs) && hasManyPeers()) sendSoon();
+      const isKnown = isFailureKnown(serverId, failure, nowMs) && hasManyPeers();
+      if (isKnown || linkPace.delayMs(nowMs) > 0) sendSoon();
       else sendUrgent();
     },
     onMessage: (bytes, from) => {
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -384,6 +384,8 @@
 
   function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
     if (isGone(replacement.silentEngineId)) return true;
+    // The events of the present engine wait at this host's link, as those of another one would.
+    if (ports.connections.isOwnTrouble()) return false;
     const wanted = { ...replacement, isFailover: true };
     placementRandom.reset();
     const canPlace =
@@ -504,9 +506,11 @@
     fleet.limits.onSent(placed.engineId, nowMs);
     if (copyHolder !== undefined) fleet.onCopy(copyHolder.server.serverId, promptTokens, 1);
     ports.stateBroadcast.sendSoon();
-    attempt.cancelConnectTimeout = clock.runAfter(CONNECT_TIMEOUT_MS, () => {
+    const connectTimeoutMs = ports.connections.timeoutMs(CONNECT_TIMEOUT_MS);
+    attempt.cancelConnectTimeout = clock.runAfter(connectTimeoutMs, () => {
       attempt.exchange?.cancel();
-      failAttempt(attempt, 'not_sent', 'refused');
+      const isOwnTrouble = ports.connections.onTimeout(engine.server);
+      failAttempt(attempt, 'not_sent', isOwnTrouble ? undefined : 'refused');
     });
     attempt.exchange = ports.upstream.send(
       {
@@ -535,6 +539,7 @@
     return {
       onSent: () => {
         attempt.cancelConnectTimeout();
+        ports.connections.onWriting(attempt.engine, attempt.sentAtMs);
         noteDepartingSend(ports, requestId, attempt.attemptNo, attempt.engineId);
       },
       onHead: (status: number, headers: IncomingHttpHeaders) => onHead(attempt, status, headers),
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -49,7 +49,12 @@
   readonly crashReports: { own: CrashReports; readonly received: CrashReports[] };
 }
 
-function createTestRouter(name: string, clock: ManualClock, peerCount = 1): TestRouter {
+function createTestRouter(
+  name: string,
+  clock: ManualClock,
+  peerCount = 1,
+  linkMbps?: number,
+): TestRouter {
   const fleet = createFleet();
   fleet.setServers(SERVERS.map(serverOf), 0);
   const callOutcomes = createCallOutcomeTracker(fleet.outlierDetector);
@@ -66,7 +71,7 @@
     () => ({ known: 1, heard: 1 }),
   );
   const broadcast = createStateBroadcast(
-    { hostId: asId(name), failureDomain: asId('a'), incarnationId: 'x' },
+    { hostId: asId(name), failureDomain: asId('a'), incarnationId: 'x', linkMbps },
     {
       clock,
       decisions: {
@@ -195,6 +200,26 @@
     expect(receiver.fleet.get(asId('a1'))?.avoidUntilMs).toBe(clock.monotonicMs() + 1_500);
   });
 
+  it('keeps to its part of a narrow link when many servers are lost', () => {
+    // Guards against messages that fill the link, so that connections to sound servers time out: with 40
+    // servers lost in a second, a router sent its 60 peers over 3 MB, three times what the link carries.
+    const bytesIn3Secs = (linkMbps: number | undefined): number => {
+      const clock = createManualClock();
+      const { broadcast, sent } = createTestRouter('host-1', clock, 60, linkMbps);
+      clock.advance(1_000);
+      sent.length = 0;
+      for (let no = 0; no < 120; no += 1) {
+        broadcast.onServerFailure(asId(`server-${no}`), 'refused');
+        clock.advance(25);
+      }
+      return sent.reduce((total, { length }) => total + length + 42, 0);
+    };
+    const linkBytes = (10 * 125 * 3_000) / 1;
+    expect(bytesIn3Secs(undefined)).toBeGreaterThan(linkBytes);
+    expect(bytesIn3Secs(10)).toBeLessThan(linkBytes * 0.3);
+    expect(bytesIn3Secs(1_000)).toBe(bytesIn3Secs(undefined));
+  });
+
   it('counts the retries of the other routers in the budget of a service', () => {
     // Guards against routers that each spend what the service may get from all together.
     const clock = createManualClock();
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -66,6 +66,12 @@
         return { cancel };
       },
     },
+    connections: {
+      timeoutMs: (usualMs: number) => usualMs,
+      onTimeout: () => false,
+      onWriting: nothing,
+      isOwnTrouble: () => false,
+    },
     codec: { toServerHeaders: () => [] },
     decisions: { routine: log, notable: log, vital: log },
     metrics: { onSend: nothing, onAnswer: nothing, onLoss: nothing },
