--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,8 +1,10 @@
-import { defineConfig } from 'vitest/config';
+import { configDefaults, defineConfig } from 'vitest/config';
 
 export default defineConfig({
   test: {
     include: ['packages/*/test/**/*.spec.ts', 'platform/test/**/*.spec.ts'],
+    // These run on their own, with vitest.hostile.config.ts.
+    exclude: [...configDefaults.exclude, '**/*.hostile.spec.ts'],
     pool: 'forks',
     maxWorkers: 4,
     testTimeout: 60_000,
