Add one budget for the bytes that a router holds

Change: memory-budget.ts counts claims by size. A quarter is kept for claims of up to 64 KiB, so that small requests go on. A transfer that stands still for a second, or is slower than 125 B/ms altogether, gives its room to others when they need it. host-limits.ts derives the budget and the connections from the size of the host. Answers held in memory count toward the budget.

--- a/packages/core/src/forward/response-buffers.ts
+++ b/packages/core/src/forward/response-buffers.ts
@@ -1,3 +1,5 @@
+import type { MemoryBudget } from '../limit/memory-budget';
+
 /** Bytes that one response holds in memory. */
 export interface ResponseBuffer {
   /** Notes what the response holds now; false if that is too much, and the response must be given up. */
@@ -28,23 +30,23 @@
 /** A response may always hold this much, so that the endless ones are given up and not the small. */
 const SMALL_RESPONSE_BYTES = 65_536;
 
-export function createResponseBuffers(): ResponseBuffers {
-  let totalBytes = 0;
+/** The bytes also count toward the budget that responses share with requests. */
+export function createResponseBuffers(
+  budget: MemoryBudget,
+  monotonicMs: () => number,
+): ResponseBuffers {
+  const heldBytes = (): number => budget.heldBytes('answer') + budget.heldBytes('event');
 
   function open(kind: BufferedKind): ResponseBuffer {
-    let ownBytes = 0;
-    const set = (sizeBytes: number): void => {
-      totalBytes += sizeBytes - ownBytes;
-      ownBytes = sizeBytes;
-    };
+    const claim = budget.open(kind);
     return {
       hold: (sizeBytes) => {
-        set(sizeBytes);
-        return sizeBytes <= SMALL_RESPONSE_BYTES || totalBytes <= HELD_MAX_BYTES[kind];
+        if (!claim.resize(sizeBytes, monotonicMs())) return false;
+        return sizeBytes <= SMALL_RESPONSE_BYTES || heldBytes() <= HELD_MAX_BYTES[kind];
       },
-      release: () => set(0),
+      release: claim.release,
     };
   }
 
-  return { open, heldBytes: () => totalBytes };
+  return { open, heldBytes };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -218,6 +218,10 @@
   ServerLimitReport,
   ServerLimits,
 } from './limit/server-limits';
+export { createMemoryBudget, progressDueAtMs, SMALL_CLAIM_BYTES } from './limit/memory-budget';
+export type { HeldKind, MemoryBudget, MemoryClaim } from './limit/memory-budget';
+export { hostLimits } from './limit/host-limits';
+export type { HostLimits, HostSize } from './limit/host-limits';
 export { createFairQueue } from './limit/fair-queue';
 export type {
   DequeueResult,
