Bound what callers hold while their requests arrive

Cause: readBody and readJsonBody kept a buffer for each chunk, so that 40 bodies in one-byte chunks ended a process (JS heap of 96 MB full); 40 connections with 100 pipelined requests each did so too, on. Change: a body is collected in one buffer and claimed in the budget, by its announced length before it is read. More than two bodies at once in very small chunks are refused. A refusal before the body's end closes the connection after 2 s or 4 MB of reading on. A body is asked for by 100 Continue only when it is taken. Past 0.9 of the connections those without a request, or with a body that has not come for a second, are closed for new ones; 17 requests waiting on one connection close it. Attempts share the body's memory with the request instead of copying it.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -158,7 +158,7 @@
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: [...request.headers],
-        body: request.body === undefined ? null : Buffer.from(request.body),
+        body: request.body === undefined ? null : asBuffer(request.body),
       },
       {
         onRequestStart: (started) => {
@@ -234,6 +234,11 @@
   };
 }
 
+/** The same memory as a buffer: a copy for each attempt would not be counted as held. */
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
 /** Whether a connection can be tried to the address; entries of other writers hold any text. */
 function isAddress(address: string): boolean {
   const { port } = splitAddress(address);
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -54,13 +54,23 @@
 export {
   createHttpServer,
   DEFAULT_HTTP_LIMITS,
+  NO_ROOM_RETRY_MS,
   readJsonBody,
+  releaseAtEnd,
   sendError,
   sendJson,
   sendText,
   toErrorBody,
 } from './runtime/http';
-export type { JsonBodyOutcome, HttpLimits, HttpServer, RawRequestHandler } from './runtime/http';
+export { createBodyReader, isBodyOutstanding, respondBeforeBody } from './runtime/request-body';
+export type { BodyOutcome, BodyReader } from './runtime/request-body';
+export type {
+  BodyRoom,
+  JsonBodyOutcome,
+  HttpLimits,
+  HttpServer,
+  RawRequestHandler,
+} from './runtime/http';
 export { createLog } from './runtime/log';
 export type { Log, LogFields, LogLevel } from './runtime/log';
 export { createMetrics } from './runtime/metrics';
--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -1,10 +1,18 @@
 import { createServer } from 'node:http';
 import { App } from '@tinyhttp/app';
-import { createServeError, httpStatus } from '@mimosamill/core';
+import { assertNever, createMemoryBudget, createServeError, httpStatus } from '@mimosamill/core';
+import { createConnectionLimit } from './connection-limit';
+import {
+  createBodyReader,
+  deferContinue,
+  isBodyOutstanding,
+  respondBeforeBody,
+} from './request-body';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import type { ServeError } from '@mimosamill/core';
+import type { MemoryClaim, ServeError } from '@mimosamill/core';
+import type { BodyReader } from './request-body';
 
 export interface HttpLimits {
   readonly maxBodyBytes: number;
@@ -29,6 +37,8 @@
 const ROUTE_METHODS = ['get', 'post', 'put', 'patch', 'delete'] as const;
 /** Time in which the caller can read an error response before its connection is closed. */
 const LINGERING_CLOSE_MS = 2_000;
+/** Room comes back as bodies end or are given up, which takes about a second. */
+export const NO_ROOM_RETRY_MS = 1_000;
 /** Period at which a graceful stop closes the connections that have become idle. */
 const IDLE_CLOSE_PERIOD_MS = 100;
 
@@ -43,6 +53,8 @@
   readonly drain: (timeoutMs: number) => Promise<void>;
   /** Closes all connections at once. */
   readonly close: () => Promise<void>;
+  /** Connections that were closed to make room for new ones. */
+  readonly evictedConnectionCount: () => number;
   /** Sets how long a connection may stay idle and how long a request's headers may take. */
   readonly setTimeouts: (idleTimeoutMs: number, headersTimeoutMs: number) => void;
 }
@@ -72,6 +84,7 @@
   /** Latest response on each connection. */
   const responses = new WeakMap<Duplex, ServerResponse>();
   const idle = createIdleConnections();
+  const connectionLimit = createConnectionLimit(limits.maxConnections);
   const server = createServer(
     {
       maxHeaderSize: limits.maxHeaderBytes,
@@ -80,27 +93,37 @@
       connectionsCheckingInterval: 1_000,
       noDelay: true,
     },
-    (req, res) => {
-      responses.set(req.socket, res);
-      idle.onRequest(req.socket, res);
-      if (onRequest !== undefined) {
-        onRequest(req, res);
-        return;
-      }
-      if (!hasValidPath(req.url ?? '')) {
-        sendError(
-          res,
-          createServeError('bad_request', 'expected a path with valid percent-encoding'),
-        );
-        return;
-      }
-      try {
-        app.handler(req as never, res as never);
-      } catch (error) {
-        sendHandlerError(res, error);
-      }
-    },
+    handle,
   );
+
+  function handle(req: IncomingMessage, res: ServerResponse): void {
+    responses.set(req.socket, res);
+    idle.onRequest(req.socket, res);
+    // Requests that arrived with the one for which the connection was closed are not looked at.
+    if (!connectionLimit.onRequest(req, res)) return;
+    if (onRequest !== undefined) {
+      onRequest(req, res);
+      return;
+    }
+    if (!hasValidPath(req.url ?? '')) {
+      sendError(
+        res,
+        createServeError('bad_request', 'expected a path with valid percent-encoding'),
+      );
+      return;
+    }
+    try {
+      app.handler(req as never, res as never);
+    } catch (error) {
+      sendHandlerError(res, error);
+    }
+  }
+
+  server.on('checkContinue', (req, res) => {
+    deferContinue(req, res);
+    handle(req, res);
+  });
+  server.on('connection', connectionLimit.onConnection);
   server.maxConnections = limits.maxConnections;
   // Node's own would also close connections whose response is still being written.
   server.closeIdleConnections = idle.closeAll;
@@ -118,6 +141,7 @@
   });
   return {
     app,
+    evictedConnectionCount: connectionLimit.evictedCount,
     listen: (ip, port) => listen(server, ip, port),
     drain: (timeoutMs) => drain(server, timeoutMs),
     close: () => closeNow(server),
@@ -128,37 +152,58 @@
   };
 }
 
-/** Reads a JSON body of at most `maxBytes`. */
+/** Where the memory for a body comes from. The end of the response gives it back. */
+export interface BodyRoom {
+  readonly bodies: BodyReader;
+  readonly res: ServerResponse;
+}
+
+/** Reads a JSON body of at most `maxBytes`; without `room`, several together have no bound. */
 export async function readJsonBody(
   req: IncomingMessage,
   maxBytes: number,
+  room?: BodyRoom,
 ): Promise<JsonBodyOutcome> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    // Leaving the loop must not destroy the connection: the error response is sent on it.
-    for await (const chunk of req.iterator({ destroyOnReturn: false })) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > maxBytes) {
-        const message = `expected a body of at most ${maxBytes} bytes`;
-        return { kind: 'error', error: createServeError('body_too_large', message) };
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return {
-      kind: 'error',
-      error: createServeError('request_timeout', 'the body did not arrive completely'),
-    };
+  const bodies =
+    room?.bodies ?? createBodyReader(createMemoryBudget(Infinity), () => performance.now());
+  const body = await bodies.read(req, maxBytes);
+  switch (body.kind) {
+    case 'ok':
+      if (room !== undefined) releaseAtEnd(room.res, body.claim);
+      return parseJsonBody(body.bytes?.toString('utf8') ?? '');
+    case 'too_large':
+      return bodyError('body_too_large', `expected a body of at most ${maxBytes} bytes`);
+    case 'no_room':
+    case 'fragmented':
+      return bodyError('overloaded', 'no room is left for the body', NO_ROOM_RETRY_MS);
+    case 'too_slow':
+      return bodyError('request_timeout', 'the body arrived too slowly', NO_ROOM_RETRY_MS);
+    case 'gone':
+      return bodyError('request_timeout', 'the body did not arrive completely');
+    default:
+      return assertNever(body);
   }
-  const text = Buffer.concat(chunks).toString('utf8');
+}
+
+/** Releases memory once the response is sent or its connection is closed. */
+export function releaseAtEnd(res: ServerResponse, claim: MemoryClaim): void {
+  if (res.destroyed || res.closed) claim.release();
+  else res.once('close', claim.release);
+}
+
+function bodyError(
+  code: ServeError['code'],
+  message: string,
+  retryAfterMs?: number,
+): JsonBodyOutcome {
+  return { kind: 'error', error: createServeError(code, message, 'not_run', retryAfterMs) };
+}
+
+function parseJsonBody(text: string): JsonBodyOutcome {
   try {
     return { kind: 'ok', text, json: JSON.parse(text) as unknown };
   } catch {
-    return {
-      kind: 'error',
-      error: createServeError('bad_json', 'expected valid JSON in the body'),
-    };
+    return bodyError('bad_json', 'expected valid JSON in the body');
   }
 }
 
@@ -194,30 +239,17 @@
   if (error.retryAfterMs !== undefined) {
     res.setHeader('retry-after', Math.ceil(error.retryAfterMs / 1000));
   }
-  if (error.code === 'body_too_large') sendAndDiscardBody(res, error);
-  else sendJson(res, httpStatus(error.code), toErrorBody(error));
-}
-
-/**
- * Discards the rest of the request's body for a while before closing. Closing a connection with
- * unread bytes resets it, and the caller could lose the error response.
- */
-function sendAndDiscardBody(res: ServerResponse, error: ServeError): void {
+  if (error.code !== 'body_too_large' && !isBodyOutstanding(res.req)) {
+    sendJson(res, httpStatus(error.code), toErrorBody(error));
+    return;
+  }
   const text = JSON.stringify(toErrorBody(error));
   res.writeHead(httpStatus(error.code), {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
     connection: 'close',
   });
-  res.write(text);
-  const timer = setTimeout(() => res.end(), LINGERING_CLOSE_MS);
-  const finish = (): void => {
-    clearTimeout(timer);
-    res.end();
-  };
-  res.req.once('end', finish);
-  res.req.once('close', finish);
-  res.req.resume();
+  respondBeforeBody(res, text);
 }
 
 /** Responds to a request whose handler failed, with an unknown outcome: it may have run in part. */
