Refuse request bodies past the budget of a router

Change: the router reads bodies, holds answers and counts unsent bytes of more than 16 KiB in one budget, derived from the settings memoryMb and maxFds, which the deployment's template fills in. Refusals: 503 as not run with Retry-After, 408 for a body that came too slowly, 413 only past the configured limit. A caller that reads nothing of a write for 30 s is cut off. The fakes of two tests got the new port; their checks are as before.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -4,10 +4,12 @@
   createCallOutcomeTracker,
   createFleet,
   createForwardTable,
+  createMemoryBudget,
   createPeerRegistry,
   createPlacer,
   createResponseBuffers,
   createStreamDurations,
+  hostLimits,
 } from '@mimosamill/core';
 import {
   createHttpServer,
@@ -117,6 +119,8 @@
   let settings = initial;
   const fleet = createFleet();
   const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
+  const limits = hostLimits(settings);
+  const memory = createMemoryBudget(limits.heldMaxBytes);
   const upstream = createUpstream({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     connectionsPerServer: CONNECTIONS_PER_SERVER,
@@ -218,6 +222,7 @@
   });
   const ports = createPorts(environment, {
     fleet,
+    memory,
     placer,
     callOutcomes,
     upstream,
@@ -302,7 +307,10 @@
       ageMs: () => operatorWatch.ageMs(),
       refresh: () => operatorWatch.refresh(),
     },
-    { freshness: () => freshnessOf(settings) },
+    {
+      freshness: () => freshnessOf(settings),
+      maxConnections: limits.callerConnectionsMax,
+    },
   );
 
   function onOperatorRows(rows: ReadonlyMap<string, OperatorRecord>, context: WatchContext): void {
@@ -325,6 +333,12 @@
     const before = table?.config.revision;
     table = createForwardTable(config);
     ingress.shell.setTimeouts(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
+    if (config.limits.bodyMaxBytes > memory.claimMaxBytes) {
+      decisions.vital('config.body_limit_exceeds_memory', {
+        body_max_bytes: config.limits.bodyMaxBytes,
+        served_max_bytes: memory.claimMaxBytes,
+      });
+    }
     decisions.vital('config.applied', {
       revision: config.revision,
       before,
@@ -427,6 +441,11 @@
     limited_servers: () => fleet.limits.count(clock.monotonicMs()),
     peers: () => peerRegistry.routers(clock.monotonicMs()).length,
     response_bytes_held: ports.responseBuffers.heldBytes,
+    request_bytes_held: () => memory.heldBytes('request'),
+    unsent_bytes_held: () => memory.heldBytes('unsent'),
+    held_bytes_max: () => memory.maxBytes,
+    holders_revoked: memory.revokedCount,
+    caller_connections_evicted: ingress.shell.evictedConnectionCount,
   });
 
   await relay.listen(settings.ip, settings.peerPort);
@@ -491,6 +510,7 @@
   parts: Pick<
     ForwardPorts,
     | 'fleet'
+    | 'memory'
     | 'placer'
     | 'callOutcomes'
     | 'upstream'
@@ -508,7 +528,7 @@
     random,
     ...parts,
     streamDurations: createStreamDurations(),
-    responseBuffers: createResponseBuffers(),
+    responseBuffers: createResponseBuffers(parts.memory, clock.monotonicMs),
     kvCopies,
     codec,
     decisions,
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -1,10 +1,19 @@
 import { checkAccess, createServeError, pickTarget } from '@mimosamill/core';
-import { createHttpServer, DEFAULT_HTTP_LIMITS } from '@mimosamill/adapters';
+import {
+  createBodyReader,
+  createHttpServer,
+  DEFAULT_HTTP_LIMITS,
+  isBodyOutstanding,
+  releaseAtEnd,
+  respondBeforeBody,
+} from '@mimosamill/adapters';
 import { finiteMs } from './finite';
 import { createRequestContent } from './content';
 import { condemnedMessage } from './crash-guard';
 import { noRoomForMs } from './room';
 import { isSuccessStatus } from './status';
+import { bodyError } from './request-body';
+import { createUnsentTracker } from './unsent';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
 import type {
@@ -31,6 +40,8 @@
 
 export interface IngressSettings {
   readonly freshness: () => FreshnessBounds;
+  /** Connections of callers; undefined for the usual limit. */
+  readonly maxConnections?: number | undefined;
 }
 
 /** Receives the requests of callers, admits or refuses them, and forwards the admitted ones. */
@@ -68,8 +79,6 @@
 const STALE_RETRY_MAX_MS = 3_000;
 const STALE_RETRY_RATIO = 0.5;
 const STALE_RETRY_JITTER_RATIO = 0.4;
-/** Bytes buffered for a caller that reads slowly; with more, its connection is closed. */
-const UNSENT_MAX_BYTES = 4_194_304;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
 const STOPPING_RETRY_MS = 50;
 /** Assumed for a route of which no stream has completed, while new connections are taken. */
@@ -93,9 +102,15 @@
   let drainUntilMs: number | undefined;
   let takesConnections = true;
 
-  const shell = createHttpServer({ ...DEFAULT_HTTP_LIMITS, maxHeaderBytes: 65_536 }, (req, res) => {
-    handle(req, res).catch((error: unknown) => onHandlingFailed(req, res, error));
-  });
+  const { maxConnections = DEFAULT_HTTP_LIMITS.maxConnections } = settings;
+  const shell = createHttpServer(
+    { ...DEFAULT_HTTP_LIMITS, maxHeaderBytes: 65_536, maxConnections },
+    (req, res) => {
+      handle(req, res).catch((error: unknown) => onHandlingFailed(req, res, error));
+    },
+  );
+  const bodies = createBodyReader(ports.memory, clock.monotonicMs);
+  const trackUnsent = createUnsentTracker(ports.memory, clock);
 
   /** An exception that nobody handles would end the process, and with it all other requests. */
   function onHandlingFailed(req: IncomingMessage, res: ServerResponse, error: unknown): void {
@@ -120,14 +135,14 @@
     const { head } = outcome;
     const maxBytes =
       currentConfig.table()?.config.limits.bodyMaxBytes ?? DEFAULT_HTTP_LIMITS.maxBodyBytes;
-    const body = await readBody(req, maxBytes);
+    const body = await bodies.read(req, maxBytes);
     if (body.kind === 'gone') return;
-    if (body.kind === 'too_large') {
-      res.setHeader('connection', 'close');
-      const message = `the body is larger than ${maxBytes} bytes`;
-      refuse(res, head, createServeError('body_too_large', message), receivedAtMs);
+    if (body.kind !== 'ok') {
+      metrics.onBodyRefused(body.kind);
+      refuse(res, head, bodyError(body.kind, maxBytes, ports.random()), receivedAtMs);
       return;
     }
+    releaseAtEnd(res, body.claim);
     const admission = await admit(req, head, body.bytes, receivedAtMs);
     if (res.destroyed) return;
     if (admission.kind === 'refused') {
@@ -318,8 +333,11 @@
       return;
     }
     const answer = codec.toErrorResponse(error);
+    const isEarly = error.code === 'body_too_large' || isBodyOutstanding(res.req);
+    if (isEarly) res.setHeader('connection', 'close');
     res.writeHead(answer.status, answer.headers);
-    res.end(answer.body);
+    if (isEarly) respondBeforeBody(res, answer.body);
+    else res.end(answer.body);
   }
 
   function sendWhole(res: ServerResponse, answer: BufferedResponse): void {
@@ -329,6 +347,7 @@
       'content-length': answer.body.length,
     });
     res.end(answer.body);
+    trackUnsent(res).onWritten();
   }
 
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
@@ -416,13 +435,14 @@
   }
 
   function createSink(res: ServerResponse): StreamSink {
+    const unsent = trackUnsent(res);
     return {
       writeHead: (status, headers: IncomingHttpHeaders) => {
         res.writeHead(status, codec.toCallerHeaders(headers));
       },
       write: (bytes) => {
         res.write(bytes);
-        if (res.writableLength > UNSENT_MAX_BYTES) res.destroy();
+        unsent.onWritten();
       },
       end: () => res.end(),
       sendErrorResponse: (status, headers, body) => sendWhole(res, { status, headers, body }),
@@ -444,26 +464,3 @@
     activeCount: () => active.size,
   };
 }
-
-type BodyOutcome =
-  | { readonly kind: 'ok'; readonly bytes: Uint8Array | undefined }
-  | { readonly kind: 'too_large' }
-  /** The caller disconnected before its whole body had arrived. */
-  | { readonly kind: 'gone' };
-
-function readBody(req: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    req.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= maxBytes) chunks.push(chunk);
-      else resolve({ kind: 'too_large' });
-    });
-    req.once('end', () => {
-      const hasBody = chunks.length > 0 || req.headers['content-length'] !== undefined;
-      resolve({ kind: 'ok', bytes: hasBody ? Buffer.concat(chunks) : undefined });
-    });
-    req.once('close', () => resolve({ kind: 'gone' }));
-  });
-}
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -8,6 +8,7 @@
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
+  readonly onBodyRefused: (reason: string) => void;
   readonly onServerNotice: (notice: 'leaving' | 'retry_after') => void;
 }
 
@@ -46,6 +47,11 @@
     'Attempts sent to servers that were leaving, no longer listed or of uncertain state',
     ['state'],
   );
+  const bodiesRefused = metrics.counter(
+    'mimosamill_forward_bodies_refused_total',
+    'Requests refused before their body had arrived, by reason',
+    ['reason'],
+  );
   const notices = metrics.counter(
     'mimosamill_forward_server_notices_total',
     'Times that a backend server newly said something of itself in an answer, by what it said',
@@ -58,6 +64,7 @@
     onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
     onResumeGap: (gapMs) => gaps.observe(gapMs),
     onDepartingSend: (state) => departingSends.inc({ state }),
+    onBodyRefused: (reason) => bodiesRefused.inc({ reason }),
     onServerNotice: (notice) => notices.inc({ notice }),
   };
 }
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -6,6 +6,7 @@
   Fleet,
   ForwardRoute,
   ForwardService,
+  MemoryBudget,
   Placer,
   RequestId,
   RetryBudget,
@@ -52,6 +53,8 @@
   readonly upstream: Upstream;
   readonly streamDurations: StreamDurations;
   readonly responseBuffers: ResponseBuffers;
+  /** Bounds what is held for callers and servers together. */
+  readonly memory: MemoryBudget;
   readonly kvCopies: KvCacheCopyClient;
   readonly codec: ForwardCodec;
   readonly decisions: DecisionLog;
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -6,10 +6,6 @@
 const port = z.number().int().min(0).max(65_535);
 const durationMs = z.number().positive();
 const ratio = z.number().min(0);
-/** A router without any traffic needs more than half of this. */
-const MEMORY_MIN_MB = 128;
-/** Leaves a hundred connections for callers beside the files and the router's own connections. */
-const DESCRIPTORS_MIN = 512;
 
 /** Settings of a forwarding router; deploy/settings.jsonc explains each. */
 export const gatewaySettingsSchema = z.strictObject({
@@ -36,9 +32,9 @@
   retryRatio: ratio,
   retrySlack: ratio,
   /** Memory of the host for the process, in MB; absent if it is not known. */
-  memoryMb: z.number().int().min(MEMORY_MIN_MB).optional(),
+  memoryMb: z.number().positive().optional(),
   /** Descriptors that the process may have open; absent if it is not known. */
-  maxFds: z.number().int().min(DESCRIPTORS_MIN).optional(),
+  maxFds: z.number().int().positive().optional(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/router/src/http/server.ts
+++ b/packages/router/src/http/server.ts
@@ -1,4 +1,5 @@
 import {
+  createBodyReader,
   createHttpServer,
   DEFAULT_HTTP_LIMITS,
   readJsonBody,
@@ -7,7 +8,7 @@
   sendText,
   sha256Hex,
 } from '@mimosamill/adapters';
-import { asId, createServeError } from '@mimosamill/core';
+import { asId, createMemoryBudget, createServeError, hostLimits } from '@mimosamill/core';
 import { scopesOf } from '../limit/scopes';
 import { createAuthenticator, mayUse } from './auth';
 import { createJsonConnection, createSseConnection } from './caller';
@@ -19,6 +20,7 @@
   EngineServiceConfig,
   FleetConfig,
   FleetDefaults,
+  MemoryBudget,
   RequestId,
   ServeError,
   ServiceName,
@@ -41,6 +43,8 @@
   readonly metrics: Metrics;
   readonly log: Log;
   readonly limits?: Partial<HttpLimits>;
+  /** Bounds the bodies of all requests together; by default that of the smallest host. */
+  readonly memory?: MemoryBudget;
   readonly createRequestId: () => RequestId;
   /** Returns the settings in force for a service and customer. */
   readonly settingsFor: (
@@ -65,6 +69,8 @@
 export function createCallerServer(options: CallerServerOptions): HttpServer {
   const { streams, calls, clock, config } = options;
   const limits: HttpLimits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
+  const memory = options.memory ?? createMemoryBudget(hostLimits({}).heldMaxBytes);
+  const bodies = createBodyReader(memory, clock.monotonicMs);
   const server = createHttpServer(limits);
   const auth = createAuthenticator(config, sha256Hex);
   const requests = options.metrics.counter(
@@ -89,7 +95,7 @@
     }
     const caller = auth.authenticate(req);
     if (caller.kind === 'error') return refuse(res, kind, caller.error);
-    const body = await readJsonBody(req, limits.maxBodyBytes);
+    const body = await readJsonBody(req, limits.maxBodyBytes, { bodies, res });
     if (body.kind === 'error') return refuse(res, kind, body.error);
     const parsed = parseCompletion(kind, body.json);
     if (parsed.kind === 'error') return refuse(res, kind, parsed.error);
@@ -228,7 +234,7 @@
     }
     const caller = auth.authenticate(req);
     if (caller.kind === 'error') return refuse(res, 'call', caller.error);
-    const body = await readJsonBody(req, limits.maxBodyBytes);
+    const body = await readJsonBody(req, limits.maxBodyBytes, { bodies, res });
     if (body.kind === 'error') return refuse(res, 'call', body.error);
     const found = caller.config.services[path.service];
     if (found?.kind !== 'plain') {
--- a/packages/router/test/forward/ingress.spec.ts
+++ b/packages/router/test/forward/ingress.spec.ts
@@ -1,6 +1,6 @@
 import { request } from 'node:http';
 import { describe, expect, it } from 'vitest';
-import { createServeError } from '@mimosamill/core';
+import { createMemoryBudget, createServeError } from '@mimosamill/core';
 import { createIngress } from '../../src/forward/ingress';
 import type { IncomingMessage } from 'node:http';
 import type { CallForwarder, RunningCall } from '../../src/forward/call';
@@ -13,6 +13,7 @@
     const logged: string[] = [];
     const ports = {
       clock: { monotonicMs: () => performance.now() },
+      memory: createMemoryBudget(Infinity),
       codec: {
         parseRequest: () => {
           throw new Error('cannot be parsed');
@@ -60,7 +61,8 @@
     service: () => ({ name: 's' }),
   };
   const ports = {
-    clock: { monotonicMs: () => performance.now() },
+    clock: { monotonicMs: () => performance.now(), runAfter: () => () => undefined },
+    memory: createMemoryBudget(Infinity),
     random: () => 0,
     codec: {
       parseRequest: () => ({ kind: 'ok', head: { requestId: 'r1', sharedParts: [] } }),
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { asId, createFleet, createResponseBuffers, createRetryBudget } from '@mimosamill/core';
+import {
+  asId,
+  createFleet,
+  createMemoryBudget,
+  createResponseBuffers,
+  createRetryBudget,
+} from '@mimosamill/core';
 import { createStreamForwarder } from '../../src/forward/stream';
 import { createManualClock } from './clock';
 import type { ForwardServer, RequestId, ServerId } from '@mimosamill/core';
@@ -36,6 +42,7 @@
 function createSilentStreams() {
   const clock = createManualClock();
   const fleet = createFleet();
+  const memory = createMemoryBudget(Infinity);
   const exchanges: OpenExchange[] = [];
   const logged: string[] = [];
   const log = (event: string, { request }: { readonly request?: unknown }): void => {
@@ -76,7 +83,8 @@
       trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing, onAnswered: nothing }),
     },
     streamDurations: { minRemainingMs: () => 0 },
-    responseBuffers: createResponseBuffers(),
+    responseBuffers: createResponseBuffers(memory, () => 0),
+    memory,
     crashGuard: { findCondemned: nothing, onBrokenAttempt: () => Promise.resolve() },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
   } as unknown as ForwardPorts;
