--- a/packages/adapters/test/request-body.spec.ts
+++ b/packages/adapters/test/request-body.spec.ts
@@ -79,8 +79,9 @@
     const { reader } = createReader();
     const all = Array.from({ length: 3 }, () => createRequest(CHUNKED));
     const outcomes = all.map(({ req }) => reader.read(req, 1_000_000));
-    for (let no = 0; no < 5_000; no += 1)
-      {all.forEach(({ stream }) => stream.write(Buffer.from('x')));}
+    for (let no = 0; no < 5_000; no += 1) {
+      all.forEach(({ stream }) => stream.write(Buffer.from('x')));
+    }
     all.forEach(({ stream }) => stream.end());
     expect((await Promise.all(outcomes)).map(({ kind }) => kind)).toEqual([
       'ok',
