--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -4,14 +4,17 @@
   createCallOutcomeTracker,
   createFleet,
   createForwardTable,
+  createMemoryBudget,
   createPeerRegistry,
   createPlacer,
   createResponseBuffers,
   createStreamDurations,
+  hostLimits,
 } from '@mimosamill/core';
 import {
   createHttpServer,
   createUpstream,
+  noteFreedBytes,
   openDatagramSocket,
   sendJson,
   sendText,
@@ -130,6 +133,8 @@
   const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
   const forwardMetrics = createForwardMetrics(metrics);
   const connections = createConnectionWatch(clock, decisions, forwardMetrics);
+  const limits = hostLimits(settings);
+  const memory = createMemoryBudget(limits.heldMaxBytes, noteFreedBytes);
   const upstream = createUpstream({
     connectTimeoutMs: () => connections.timeoutMs(CONNECT_TIMEOUT_MS),
     connectionsPerServer: CONNECTIONS_PER_SERVER,
@@ -232,6 +237,7 @@
   });
   const ports = createPorts(environment, {
     fleet,
+    memory,
     placer,
     callOutcomes,
     upstream,
@@ -324,7 +330,10 @@
       ageMs: () => operatorWatch.ageMs(),
       refresh: () => operatorWatch.refresh(),
     },
-    { freshness: () => freshnessOf(settings) },
+    {
+      freshness: () => freshnessOf(settings),
+      maxConnections: limits.callerConnectionsMax,
+    },
   );
 
   function onOperatorRows(rows: ReadonlyMap<string, OperatorRecord>, context: WatchContext): void {
@@ -347,6 +356,12 @@
     const before = table?.config.revision;
     table = createForwardTable(config);
     ingress.shell.setTimeouts(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
+    if (config.limits.bodyMaxBytes > memory.claimMaxBytes) {
+      decisions.vital('config.body_limit_exceeds_memory', {
+        body_max_bytes: config.limits.bodyMaxBytes,
+        served_max_bytes: memory.claimMaxBytes,
+      });
+    }
     decisions.vital('config.applied', {
       revision: config.revision,
       before,
@@ -449,6 +464,11 @@
     limited_servers: () => fleet.limits.count(clock.monotonicMs()),
     peers: () => peerRegistry.routers(clock.monotonicMs()).length,
     response_bytes_held: ports.responseBuffers.heldBytes,
+    request_bytes_held: () => memory.heldBytes('request'),
+    unsent_bytes_held: () => memory.heldBytes('unsent'),
+    held_bytes_max: () => memory.maxBytes,
+    holders_revoked: memory.revokedCount,
+    caller_connections_evicted: ingress.shell.evictedConnectionCount,
   });
 
   await relay.listen(settings.ip, settings.peerPort);
@@ -513,6 +533,7 @@
   parts: Pick<
     ForwardPorts,
     | 'fleet'
+    | 'memory'
     | 'placer'
     | 'callOutcomes'
     | 'upstream'
@@ -532,7 +553,7 @@
     random,
     ...parts,
     streamDurations: createStreamDurations(),
-    responseBuffers: createResponseBuffers(),
+    responseBuffers: createResponseBuffers(parts.memory, clock.monotonicMs),
     kvCopies,
     codec,
     decisions,
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -6,6 +6,7 @@
   Fleet,
   ForwardRoute,
   ForwardService,
+  MemoryBudget,
   Placer,
   RequestId,
   RetryBudget,
@@ -54,6 +55,8 @@
   readonly connections: ConnectionWatch;
   readonly streamDurations: StreamDurations;
   readonly responseBuffers: ResponseBuffers;
+  /** Bounds what is held for callers and servers together. */
+  readonly memory: MemoryBudget;
   readonly kvCopies: KvCacheCopyClient;
   readonly codec: ForwardCodec;
   readonly decisions: DecisionLog;
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -33,6 +33,10 @@
   retrySlack: ratio,
   /** Rate of the host's link in Mbit/s, of which messages to other routers take a part; absent if unknown. */
   linkMbps: z.number().positive().optional(),
+  /** Memory of the host for the process, in MB; absent if it is not known. */
+  memoryMb: z.number().positive().optional(),
+  /** Descriptors that the process may have open; absent if it is not known. */
+  maxFds: z.number().int().positive().optional(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
