Ask the store for each request that needs a fresh read

Cause: after a failed read, requests were refused for 0.2 s without another one.

Change: the rule is removed; concurrent requests share one read, as before.

--- a/packages/router/src/forward/store-path.ts
+++ b/packages/router/src/forward/store-path.ts
@@ -17,16 +17,8 @@
   readonly sinceOutageMs: () => number;
   /** Whether the last call to the store failed. */
   readonly isLost: () => boolean;
-  /** Whether the last call failed so lately that another one would fail too. */
-  readonly isKnownUnreachable: () => boolean;
 }
 
-/**
- * For this time after a failed call, the store counts as still unreachable: requests that need a fresh
- * read are refused at once, and many of them cause few calls.
- */
-const KNOWN_UNREACHABLE_MS = 200;
-
 export function createStorePath(
   tableName: string,
   eras: StoreEras,
@@ -37,7 +29,6 @@
 ): StorePath {
   const freshness = createFreshnessTracker();
   const outage = createOutageTracker();
-  let lastFailureAtMs = -Infinity;
 
   function sinceOutageMs(): number {
     return outage.sinceOutageMs(clock.monotonicMs());
@@ -59,7 +50,6 @@
       freshness.onAnswer(sentAtMs, storeNowMs);
       const lostMs = outage.onStoreAnswered(clock.monotonicMs());
       if (lostMs === undefined) return;
-      lastFailureAtMs = -Infinity;
       decisions.vital('store.regained', {
         table: tableName,
         revision: revision(),
@@ -71,7 +61,6 @@
     },
     onFailure: (message) => {
       const nowMs = clock.monotonicMs();
-      lastFailureAtMs = nowMs;
       if (!outage.onStoreFailed(nowMs)) return;
       decisions.vital('store.lost', {
         table: tableName,
@@ -94,7 +83,5 @@
     ageMs: () => freshness.ageMs(clock.monotonicMs()),
     sinceOutageMs,
     isLost: outage.isPathLost,
-    isKnownUnreachable: () =>
-      outage.isPathLost() && clock.monotonicMs() - lastFailureAtMs < KNOWN_UNREACHABLE_MS,
   };
 }
--- a/packages/router/src/forward/table-watch.ts
+++ b/packages/router/src/forward/table-watch.ts
@@ -33,10 +33,7 @@
   readonly revision: () => number;
   /** Whether the last call to the store failed. */
   readonly isStoreUnreachable: () => boolean;
-  /**
-   * Asks the store at once; true if the replica now reflects a time after the call. False without a
-   * call if one has just failed while the store is unreachable.
-   */
+  /** Asks the store at once; true if the replica now reflects a time after the call. */
   readonly refresh: () => Promise<boolean>;
   /** The store answers this router again: polls now instead of after the rest of a retry delay. */
   readonly onStoreReachable: () => void;
@@ -264,7 +261,7 @@
     const nowMs = clock.monotonicMs();
     if (!path.isLost() || nowMs - lastProbeAtMs < PATH_PROBE_PERIOD_MS) return;
     lastProbeAtMs = nowMs;
-    void readNow();
+    void refresh();
   }
 
   /**
@@ -273,7 +270,7 @@
    * only after a change or that wait, so that the content stays outdated for seconds.
    */
   function pollStore(abort: AbortController): Promise<boolean> {
-    return path.isLost() ? readNow() : readChanges(abort, settings.waitMs);
+    return path.isLost() ? refresh() : readChanges(abort, settings.waitMs);
   }
 
   /** Reads from the first source that answers. */
@@ -319,7 +316,7 @@
     path.onRestored();
     restores += 1;
     abandonCalls();
-    if (!isStopped) void readNow();
+    if (!isStopped) void refresh();
   }
 
   /** Calls of an era that has ended may get no answer; none waits for them. */
@@ -332,13 +329,8 @@
 
   sources.eras.onRestored(onRestored);
 
-  function refresh(): Promise<boolean> {
-    if (refreshing === undefined && path.isKnownUnreachable()) return Promise.resolve(false);
-    return readNow();
-  }
-
   /** Asks the store for an answer at once; concurrent callers share one read. */
-  function readNow(): Promise<boolean> {
+  function refresh(): Promise<boolean> {
     if (refreshing === undefined) {
       const refreshed = readChanges(new AbortController(), MIN_WAIT_MS)
         .catch(onUnexpected)
