--- /dev/null
+++ b/packages/core/src/forward/call-placement.ts
@@ -0,0 +1,65 @@
+import type { ServerId } from '../ids';
+import type { Fleet, ServerState } from './fleet';
+import type { CallPlacementInput } from './placement-types';
+
+/** What the placement of calls shares with that of streams. */
+export interface CallPlacementParts {
+  readonly fleet: Fleet;
+  readonly penaltyMs: (state: ServerState, nowMs: number) => number;
+  readonly limitCostMs: (state: ServerState, nowMs: number) => number;
+  readonly cheapest: (
+    states: readonly ServerState[],
+    costOf: (state: ServerState) => number,
+  ) => ServerState | undefined;
+}
+
+export type CallPlacer = (
+  input: CallPlacementInput,
+  nowMs: number,
+  random: () => number,
+) => ServerId | undefined;
+
+/** Cost of a server to which the outlier detector gives weight 0. */
+const UNHEALTHY_COST_MS = 4_000;
+/** Time constant with which other routers' load in a server's report decays. */
+const REPORT_DECAY_MS = 3_000;
+/** Cost of a plain server whose slots are all in use; proportionally less or more otherwise. */
+const CALL_QUEUE_COST_MS = 100;
+const CALL_JITTER_MS = 20;
+
+/** Chooses plain servers for calls, while many routers choose from reports of different ages. */
+export function createCallPlacer(parts: CallPlacementParts): CallPlacer {
+  const { fleet, penaltyMs, limitCostMs, cheapest } = parts;
+
+  return (input, nowMs, random) => {
+    const { service, limitDraw: draw } = input;
+    const claim = { service, draw, isFailover: false };
+    const open = fleet.withRoom(input.service, claim, nowMs).filter(({ server: { serverId } }) => {
+      const isSpare = fleet.limits.usedRatio(serverId, nowMs) === 0;
+      return !input.excluded.has(serverId) && (input.isOptional !== true || isSpare);
+    });
+    const probe = open.find(({ server }) =>
+      fleet.outlierDetector.claimProbe(server.serverId, input.route, nowMs),
+    );
+    if (probe !== undefined) return probe.server.serverId;
+    return cheapest(open, (state) => {
+      const running = state.ownRunning + othersRunning(state, nowMs);
+      const weight = fleet.outlierDetector.weight(state.server.serverId, input.route);
+      return (
+        (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS +
+        (1 - weight) * UNHEALTHY_COST_MS +
+        limitCostMs(state, nowMs) +
+        penaltyMs(state, nowMs) +
+        CALL_JITTER_MS * random()
+      );
+    })?.server.serverId;
+  };
+}
+
+/** Requests of other routers at the server, estimated from its last load report. */
+function othersRunning(state: ServerState, nowMs: number): number {
+  const { report } = state;
+  if (report === undefined) return 0;
+  const others = Math.max(0, report.running + report.waiting - report.ownRunning);
+  return others * Math.exp(-Math.max(0, nowMs - report.atMs) / REPORT_DECAY_MS);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -380,7 +380,7 @@
   Placer,
   StreamPlacement,
   StreamPlacementInput,
-} from './forward/placement';
+} from './forward/placement-types';
 export { addEvidence, isNewVersionWorse, isStoredSince, nextMoveStep } from './forward/rollout';
 export type {
   AnswerCounts,
