Place streams by the pace of engines and the reading time of prompts

Cause: placement knew one prefill time for all engines, and gave the engine that looked idle in old reports several prompts at once. On the new deployments engines of one service state 60, 100 or 160 lastingly, with moments of 2.5 times that.

Change: fleet.pace learns the lasting pace of each server from its reports; what a single report says beyond it counts for parts of a second. Where a server of the service states its pace, placement, copies, expected times and what routers tell each other of their prefills follow it, overdue prefills count as work left, memory is counted with the expected output, and an engine without memory is closed while another has room. There, or where prompts differ a lot in size, the random cost of a new stream's engines grows with the time that its prompt takes to read. Other services are served as before.

--- a/packages/core/src/forward/call-placement.ts
+++ b/packages/core/src/forward/call-placement.ts
@@ -26,6 +26,8 @@
 /** Cost of a plain server whose slots are all in use; proportionally less or more otherwise. */
 const CALL_QUEUE_COST_MS = 100;
 const CALL_JITTER_MS = 20;
+/** Cost of a plain server where work takes twice as long as usual; bounded like the pace. */
+const CALL_PACE_COST_MS = 50;
 
 /** Chooses plain servers for calls, while many routers choose from reports of different ages. */
 export function createCallPlacer(parts: CallPlacementParts): CallPlacer {
@@ -45,8 +47,10 @@
     return cheapest(open, (state) => {
       const running = state.ownRunning + othersRunning(state, nowMs);
       const weight = fleet.outlierDetector.weight(state.server.serverId, input.route);
+      const paceRatio = fleet.pace.paceRatio(state.server.serverId, nowMs);
       return (
-        (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS +
+        (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS * paceRatio +
+        (paceRatio - 1) * CALL_PACE_COST_MS +
         (1 - weight) * UNHEALTHY_COST_MS +
         limitCostMs(state, nowMs) +
         penaltyMs(state, nowMs) +
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -1,10 +1,12 @@
 import { createServerLimits } from '../limit/server-limits';
 import { createOutlierDetector } from '../route/outlier-detector';
 import { createServerNotices, isRestart } from './server-notices';
+import { createServerPace } from './server-pace';
 import type { OutlierDetector } from '../route/outlier-detector';
 import type { FailureDomain, RequestId, ServerId, ServiceName } from '../ids';
 import type { LimitClaim, ServerLimits } from '../limit/server-limits';
 import type { RouterLoad } from './peers';
+import type { ServerPace } from './server-pace';
 import type { ForwardServer } from './types';
 
 /** Load that a server reports about itself: the requests of all its callers. */
@@ -12,6 +14,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes there at this moment, in percent of the usual time; undefined if not stated. */
+  readonly workTimePercent?: number | undefined;
 }
 
 /**
@@ -39,7 +43,7 @@
   readonly prefills: Map<RequestId, Prefill>;
   /** When the last prefill of this router ended. */
   lastPrefillEndMs: number;
-  /** Prompt tokens of this router's streams that run there or whose KV cache copy is there. */
+  /** KV cache that this router's streams need there, and their copies there, in tokens. */
   ownTokens: number;
   ownCopies: number;
   report: (ServerLoadReport & { readonly atMs: number; readonly ownRunning: number }) | undefined;
@@ -96,11 +100,15 @@
   readonly onSent: (
     serverId: ServerId,
     requestId: RequestId,
+    /** Prompt tokens that the server has to read. */
     tokens: number,
     nowMs: number,
+    /** KV cache that the run will need there; the prompt alone by default. */
+    memoryTokens?: number,
   ) => void;
   readonly onFirstEvent: (serverId: ServerId, requestId: RequestId, nowMs: number) => void;
-  readonly onEnd: (serverId: ServerId, requestId: RequestId, tokens: number) => void;
+  /** `memoryTokens` as they were given to `onSent`. */
+  readonly onEnd: (serverId: ServerId, requestId: RequestId, memoryTokens: number) => void;
   readonly onCopy: (serverId: ServerId, tokens: number, delta: 1 | -1) => void;
   /** Bytes arrived from the server. */
   readonly onBytesReceived: (serverId: ServerId, nowMs: number) => void;
@@ -120,6 +128,12 @@
    */
   readonly isSuspected: (state: ServerState, nowMs: number) => boolean;
   readonly outlierDetector: OutlierDetector;
+  readonly pace: ServerPace;
+  /**
+   * Time until an engine has done the prefills of this router, at the engine's pace where the service
+   * states one.
+   */
+  readonly prefillLeftMs: (state: ServerState, nowMs: number, usualMsPerToken: number) => number;
   /** Limits that servers name for the requests of all routers together. */
   readonly limits: ServerLimits;
 }
@@ -164,6 +178,7 @@
   const suspectedAtMsByDomain = new Map<string, number>();
   const limits = createServerLimits();
   const notices = createServerNotices();
+  const pace = createServerPace();
   const outlierDetector = createOutlierDetector({ ejectedMaxRatio: () => EJECTED_MAX_RATIO });
 
   function rebuildIndex(): void {
@@ -203,6 +218,7 @@
       if (isRestart(known.server, server)) {
         states.set(server.serverId, createServerState(server, leavingSinceMs(server, nowMs)));
         limits.forget(server.serverId);
+        pace.forget(server.serverId);
         restarted.push(server);
         return;
       }
@@ -218,6 +234,7 @@
       if (listed.has(serverId)) return;
       states.delete(serverId);
       limits.forget(serverId);
+      pace.forget(serverId);
       removed.push(server);
     });
     rebuildIndex();
@@ -298,6 +315,16 @@
     return { avoidMs, suspectedDomain: updateDomainSuspicion(state.server, atMs) };
   }
 
+  function prefillLeftMs(state: ServerState, nowMs: number, usualMsPerToken: number): number {
+    const { serverId, service } = state.server;
+    if (!pace.isStated(service)) return remainingPrefillMs(state, nowMs, usualMsPerToken);
+    const msPerToken = usualMsPerToken * pace.paceRatio(serverId, nowMs);
+    return Math.max(
+      remainingPrefillMs(state, nowMs, msPerToken),
+      overduePrefillMs(state, nowMs, msPerToken),
+    );
+  }
+
   function ownLoads(nowMs: number, prefillMsPerToken: number): RouterLoad[] {
     const loads: RouterLoad[] = [];
     states.forEach((state, serverId) => {
@@ -305,7 +332,7 @@
       loads.push({
         serverId,
         running: state.ownRunning,
-        prefillMs: remainingPrefillMs(state, nowMs, prefillMsPerToken),
+        prefillMs: prefillLeftMs(state, nowMs, prefillMsPerToken),
         copies: state.ownCopies,
         tokens: state.ownTokens,
       });
@@ -350,24 +377,25 @@
       const state = states.get(serverId);
       if (state === undefined) return;
       state.report = { ...load, atMs: nowMs, ownRunning: state.ownRunning };
+      pace.onReport(state.server, load.workTimePercent, nowMs);
     },
-    onSent: (serverId, requestId, tokens, nowMs) => {
+    onSent: (serverId, requestId, tokens, nowMs, memoryTokens = tokens) => {
       const state = states.get(serverId);
       if (state === undefined) return;
       state.ownRunning += 1;
-      state.ownTokens += tokens;
+      state.ownTokens += memoryTokens;
       if (tokens > 0) state.prefills.set(requestId, { tokens, sentAtMs: nowMs });
     },
     onFirstEvent: (serverId, requestId, nowMs) => {
       const state = states.get(serverId);
       if (state?.prefills.delete(requestId) === true) state.lastPrefillEndMs = nowMs;
     },
-    onEnd: (serverId, requestId, tokens) => {
+    onEnd: (serverId, requestId, memoryTokens) => {
       const state = states.get(serverId);
       if (state === undefined) return;
       state.prefills.delete(requestId);
       state.ownRunning = Math.max(0, state.ownRunning - 1);
-      state.ownTokens = Math.max(0, state.ownTokens - tokens);
+      state.ownTokens = Math.max(0, state.ownTokens - memoryTokens);
     },
     onCopy: (serverId, tokens, delta) => {
       const state = states.get(serverId);
@@ -399,6 +427,8 @@
     },
     isSuspected,
     outlierDetector,
+    pace,
+    prefillLeftMs,
     limits,
   };
 }
@@ -416,6 +446,20 @@
   return state.prefills.size === 0 ? 0 : Math.max(0, prefillEndAtMs - nowMs);
 }
 
+/**
+ * Time that prefills still take which should have ended before now: an engine that is late has a queue
+ * or is slow, so it is expected to need as long again as it is late, at most the time of the prompts.
+ */
+function overduePrefillMs(state: ServerState, nowMs: number, msPerToken: number): number {
+  let expectedEndAtMs = state.lastPrefillEndMs;
+  let wholeMs = 0;
+  state.prefills.forEach(({ tokens, sentAtMs }) => {
+    wholeMs += tokens * msPerToken;
+    expectedEndAtMs = Math.max(expectedEndAtMs, sentAtMs) + tokens * msPerToken;
+  });
+  return state.prefills.size === 0 ? 0 : Math.min(wholeMs, Math.max(0, nowMs - expectedEndAtMs));
+}
+
 function createServerState(server: ForwardServer, leavingSinceMs: number | undefined): ServerState {
   return {
     server,
--- a/packages/core/src/forward/placement-types.ts
+++ b/packages/core/src/forward/placement-types.ts
@@ -6,6 +6,8 @@
   readonly service: ServiceName;
   readonly capacity: EngineCapacity;
   readonly promptTokens: number;
+  /** Tokens that the answer is expected to add to the KV cache; 0 by default. */
+  readonly outputTokens?: number;
   /** Engines that must hold no copy, and from whose copies the stream must not resume. */
   readonly excludedCopyHolders: ReadonlySet<ServerId>;
   /** The stream lost its engine; other streams probably lost theirs at the same moment. */
@@ -25,6 +27,9 @@
   readonly fixedEngineId?: ServerId;
 }
 
+/** Size of a prompt among those of its service; undefined while they are of about the same size. */
+export type PromptSize = 'long' | 'short' | undefined;
+
 export type StreamPlacement =
   | {
       readonly kind: 'ok';
@@ -35,6 +40,9 @@
       readonly expectedFirstEventMs: number;
       /** The engine does no prefill now, and less than half of its slots are in use. */
       readonly isLightlyLoaded: boolean;
+      /** How long work takes on the engine now, as a part of the usual time; 1 if nothing is known. */
+      readonly paceRatio: number;
+      readonly promptSize: PromptSize;
     }
   | { readonly kind: 'none'; readonly reason: 'unlisted' | 'excluded' };
 
@@ -49,6 +57,14 @@
   readonly limitDraw: number;
 }
 
+/** Engine that did a prefill. */
+export interface PrefilledEngine {
+  readonly engineId: ServerId;
+  /** No router was known to have another prefill there when this one was sent. */
+  readonly wasIdle: boolean;
+  readonly nowMs: number;
+}
+
 /** Chooses engines and servers, while many routers choose at the same time from the same state. */
 export interface Placer {
   readonly placeStream: (
@@ -69,6 +85,6 @@
     random: () => number,
   ) => ServerId | undefined;
   /** A prefill took this time, with no other prefill of this router ahead of it. */
-  readonly onPrefill: (tokens: number, tookMs: number) => void;
+  readonly onPrefill: (tokens: number, tookMs: number, engine?: PrefilledEngine) => void;
   readonly prefillMsPerToken: () => number;
 }
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -1,12 +1,18 @@
-import { rankByRendezvous } from '../hash/rendezvous';
 import { createCallPlacer } from './call-placement';
 import { createCopyPlacer } from './copy-placement';
-import { remainingPrefillMs } from './fleet';
+import { createPromptSizes } from './prompt-sizes';
+import { createServerRanks } from './server-ranks';
 import type { Hash32 } from '../hash/rendezvous';
-import type { HostId, ServerId, ServiceName } from '../ids';
+import type { HostId } from '../ids';
 import type { Fleet, ServerState } from './fleet';
-import type { PeerRegistry } from './peers';
-import type { CopyPlacementInput, Placer } from './placement-types';
+import type { PeerLoad, PeerRegistry } from './peers';
+import type {
+  CopyPlacementInput,
+  Placer,
+  PromptSize,
+  StreamPlacementInput,
+} from './placement-types';
+import type { PromptSizes } from './prompt-sizes';
 import type { EngineCapacity } from './types';
 
 /** Assumed prefill time of a token until a prefill has been observed. */
@@ -47,30 +53,33 @@
 const LIGHT_LOAD_RATIO = 0.5;
 /** Cost of a server that has no room left under the limit that it named; proportionally less before. */
 const LIMIT_COST_MS = 100;
+/**
+ * Cost of an engine that has no memory left for the run: it may crash, and all its streams with it. It
+ * is higher than that of any queue on an engine that has memory, so the engine is closed while another
+ * one has room, and lower than that of a server which is probably lost.
+ */
+const NO_MEMORY_COST_MS = 9_500;
+/**
+ * Engines that cost less than this many times the reading time of the prompt apart are chosen from at
+ * random. Other routers choose from the same old reports, so the engine that looks idle is given
+ * several prompts at once, and each of them waits for the reading of the others.
+ */
+const SPREAD_READING_TIMES = 2;
 
 export function createPlacer(
   fleet: Fleet,
   peers: PeerRegistry,
   hostId: HostId,
   hash: Hash32,
+  sizes: PromptSizes = createPromptSizes(),
 ): Placer {
   let prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
-  const ranks = new Map<
-    ServiceName,
-    { readonly key: string; readonly rank: Map<ServerId, number> }
-  >();
-
-  /** Position of each server in this router's ranking, from 0 to 1. */
-  function rankOf(service: ServiceName, states: readonly ServerState[]): Map<ServerId, number> {
-    const key = states.map(({ server }) => server.serverId).join();
-    const known = ranks.get(service);
-    if (known?.key === key) return known.rank;
-    const ordered = rankByRendezvous(hostId, states, ({ server }) => server.serverId, hash);
-    const rank = new Map(
-      ordered.map(({ server }, at) => [server.serverId, at / Math.max(1, ordered.length - 1)]),
-    );
-    ranks.set(service, { key, rank });
-    return rank;
+  const ranks = createServerRanks(hostId, hash);
+
+  function promptSizeOf({ service, promptTokens }: StreamPlacementInput): PromptSize {
+    const split = sizes.splitOf(service);
+    if (split === undefined) return undefined;
+    return promptTokens > split.borderTokens ? 'long' : 'short';
   }
 
   function penaltyMs(state: ServerState, nowMs: number): number {
@@ -87,20 +96,42 @@
   function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
-    const tokens = state.ownTokens + peerLoad.tokens + input.promptTokens;
-    const isFull = tokens > input.capacity.memoryTokens * MEMORY_FILL_RATIO;
-    const isOutOfSlots = running >= input.capacity.slots;
+    const paceRatio = paceRatioOf(state, nowMs);
     return (
-      remainingPrefillMs(state, nowMs, prefillMsPerToken) +
+      fleet.prefillLeftMs(state, nowMs, prefillMsPerToken) +
       peerLoad.prefillMs +
-      running * STREAM_COST_MS +
+      input.promptTokens * prefillMsPerToken * (paceRatio - 1) +
+      running * STREAM_COST_MS * paceRatio +
       (state.ownCopies + peerLoad.copies) * COPY_COST_MS +
-      (isFull || isOutOfSlots ? FULL_ENGINE_COST_MS : 0) +
+      fullCostMs(state, peerLoad, input) +
       limitCostMs(state, nowMs) +
       penaltyMs(state, nowMs)
     );
   }
 
+  function paceRatioOf({ server: { serverId } }: ServerState, nowMs: number): number {
+    return fleet.pace.paceRatio(serverId, nowMs);
+  }
+
+  function fullCostMs(state: ServerState, peerLoad: PeerLoad, input: CopyPlacementInput): number {
+    const neededTokens = input.promptTokens + (input.outputTokens ?? 0);
+    const tokens = state.ownTokens + peerLoad.tokens + neededTokens;
+    if (tokens > input.capacity.memoryTokens * MEMORY_FILL_RATIO) {
+      return fleet.pace.isStated(input.service) ? NO_MEMORY_COST_MS : FULL_ENGINE_COST_MS;
+    }
+    const isOutOfSlots = state.ownRunning + peerLoad.running >= input.capacity.slots;
+    return isOutOfSlots ? FULL_ENGINE_COST_MS : 0;
+  }
+
+  /**
+   * Highest random cost of a new stream's engines. Where prompts differ a lot in size, or engines in
+   * speed, it grows with the reading time of the prompt: a long prompt holds up others for longer.
+   */
+  function maxJitterMsOf({ service, promptTokens }: StreamPlacementInput): number {
+    const isUneven = sizes.splitOf(service) !== undefined || fleet.pace.isStated(service);
+    return isUneven ? SPREAD_READING_TIMES * promptTokens * prefillMsPerToken : JITTER_MS;
+  }
+
   function cheapest(
     states: readonly ServerState[],
     costOf: (state: ServerState) => number,
@@ -116,6 +147,22 @@
     return cheapestState;
   }
 
+  /** Counts the prefills of other routers only where engines state their pace. */
+  function expectedFirstEventMs(
+    state: ServerState,
+    input: StreamPlacementInput,
+    nowMs: number,
+  ): number {
+    const { serverId, service } = state.server;
+    const peerMs = fleet.pace.isStated(service) ? peers.loadAt(serverId, nowMs).prefillMs : 0;
+    return (
+      BASE_FIRST_EVENT_MS +
+      fleet.prefillLeftMs(state, nowMs, prefillMsPerToken) +
+      peerMs +
+      input.promptTokens * prefillMsPerToken * paceRatioOf(state, nowMs)
+    );
+  }
+
   function isLightlyLoaded(state: ServerState, capacity: EngineCapacity, nowMs: number): boolean {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const isPrefilling = state.prefills.size > 0 || peerLoad.prefillMs > 0;
@@ -147,12 +194,14 @@
       const claim = { service, draw, isFailover: input.isFailover === true };
       const open = fleet.withRoom(service, claim, nowMs);
       const choices = open.filter(({ server }) => !input.excluded.has(server.serverId));
-      const rank = rankOf(input.service, all);
+      if (input.isFailover !== true) sizes.onPrompt(service, input.promptTokens);
+      const rank = ranks.rankOf(service, all);
+      const maxJitterMs = maxJitterMsOf(input);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
       const rankedCostOf = (state: ServerState): number =>
         costOf(state) +
         (rank.get(state.server.serverId) ?? 0) * RANK_COST_MAX_MS +
-        JITTER_MS * random();
+        maxJitterMs * random();
       const chooseEngine = (): ServerState | undefined => {
         const { fixedEngineId } = input;
         if (fixedEngineId !== undefined) {
@@ -171,11 +220,10 @@
         kind: 'ok',
         engineId: engine.server.serverId,
         copyEngineId: placeCopy(engine, input, nowMs, random),
-        expectedFirstEventMs:
-          BASE_FIRST_EVENT_MS +
-          remainingPrefillMs(engine, nowMs, prefillMsPerToken) +
-          input.promptTokens * prefillMsPerToken,
+        expectedFirstEventMs: expectedFirstEventMs(engine, input, nowMs),
         isLightlyLoaded: isLightlyLoaded(engine, input.capacity, nowMs),
+        paceRatio: paceRatioOf(engine, nowMs),
+        promptSize: promptSizeOf(input),
       };
     },
     placeCopy: (engineId, input, nowMs, random) => {
@@ -183,10 +231,14 @@
       return engine === undefined ? undefined : placeCopy(engine, input, nowMs, random);
     },
     placeCall,
-    onPrefill: (tokens, tookMs) => {
-      if (tokens <= 0) return;
+    onPrefill: (tokens, tookMs, engine) => {
+      const state = engine === undefined ? undefined : fleet.get(engine.engineId);
+      const isPaced = state !== undefined && fleet.pace.isStated(state.server.service);
+      // A queue of other routers' prompts says nothing of how fast prompts are read.
+      if (tokens <= 0 || (isPaced && engine?.wasIdle !== true)) return;
       const sample = Math.max(0, tookMs - BASE_FIRST_EVENT_MS) / tokens;
-      prefillMsPerToken += PREFILL_SMOOTHING_RATIO * (sample - prefillMsPerToken);
+      const usual = isPaced ? sample / paceRatioOf(state, engine?.nowMs ?? 0) : sample;
+      prefillMsPerToken += PREFILL_SMOOTHING_RATIO * (usual - prefillMsPerToken);
     },
     prefillMsPerToken: () => prefillMsPerToken,
   };
--- /dev/null
+++ b/packages/core/src/forward/server-pace.ts
@@ -0,0 +1,97 @@
+import type { ServerId, ServiceName } from '../ids';
+
+/**
+ * How long work takes on each server now, as a part of what is usual in its service: 2 is twice as
+ * long. It answers a load in which servers of one service differ in speed, and each of them slows down
+ * for parts of a second, while a router hears of most servers seldom. The lasting part is learned from
+ * several reports; what a single report says beyond it counts only while the report is fresh.
+ */
+export interface ServerPace {
+  /** The server stated how long work takes there, in percent of the usual time; undefined if not. */
+  readonly onReport: (
+    server: PacedServer,
+    workTimePercent: number | undefined,
+    nowMs: number,
+  ) => void;
+  /** 1 for a server of which nothing is known, or not lately. */
+  readonly paceRatio: (serverId: ServerId, nowMs: number) => number;
+  /** Age of the last report; undefined if there is none. */
+  readonly ageMs: (serverId: ServerId, nowMs: number) => number | undefined;
+  /** Whether a server of the service has stated how long work takes: only then the pace is used. */
+  readonly isStated: (service: ServiceName) => boolean;
+  readonly forget: (serverId: ServerId) => void;
+}
+
+export interface PacedServer {
+  readonly serverId: ServerId;
+  readonly service: ServiceName;
+}
+
+/** Above this a figure is a fault of the server: nothing is served there a hundred times slower. */
+export const WORK_TIME_MAX_PERCENT = 10_000;
+const USUAL_PERCENT = 100;
+/** A figure moves placement, so a wrong one must neither draw all streams nor shut a server. */
+const RATIO_MIN = 0.5;
+const RATIO_MAX = 3;
+/** Time constant with which a momentary slowness, which lasts for parts of a second, stops counting. */
+const MOMENT_LIFE_MS = 400;
+/** Time constant with which the lasting pace of a server that is not heard decays to the usual one. */
+const LASTING_LIFE_MS = 120_000;
+/** Reports whose median is the lasting pace: a server that changes is followed after three. */
+const REPORTS_KEPT = 5;
+
+interface HeardPace {
+  /** Logarithms of the last ratios, since twice as fast and twice as slow weigh the same. */
+  readonly logs: readonly number[];
+  readonly lastAtMs: number;
+}
+
+export function createServerPace(): ServerPace {
+  const heard = new Map<ServerId, HeardPace>();
+  const stated = new Set<ServiceName>();
+
+  return {
+    onReport: ({ serverId, service }, workTimePercent, nowMs) => {
+      if (workTimePercent === undefined || !isPlausible(workTimePercent)) return;
+      stated.add(service);
+      const log = Math.log(bounded(workTimePercent / USUAL_PERCENT));
+      const earlier = heard.get(serverId)?.logs ?? [];
+      heard.set(serverId, { logs: [...earlier, log].slice(-REPORTS_KEPT), lastAtMs: nowMs });
+    },
+    paceRatio: (serverId, nowMs) => {
+      const pace = heard.get(serverId);
+      if (pace === undefined) return 1;
+      const ageMs = ageOf(pace, nowMs);
+      const lasting = lastingLog(pace.logs) * Math.exp(-ageMs / LASTING_LIFE_MS);
+      const moment = ((pace.logs.at(-1) ?? 0) - lasting) * Math.exp(-ageMs / MOMENT_LIFE_MS);
+      return bounded(Math.exp(lasting + moment));
+    },
+    ageMs: (serverId, nowMs) => {
+      const pace = heard.get(serverId);
+      return pace === undefined ? undefined : ageOf(pace, nowMs);
+    },
+    isStated: (service) => stated.has(service),
+    forget: (serverId) => {
+      heard.delete(serverId);
+    },
+  };
+}
+
+/** Median of the reports, nearer to the usual pace the fewer there are: one may tell of a moment. */
+function lastingLog(logs: readonly number[]): number {
+  const sorted = [...logs].sort((a, b) => a - b);
+  const median = sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+  return (median * sorted.length) / (sorted.length + 1);
+}
+
+function isPlausible(percent: number): boolean {
+  return percent > 0 && percent <= WORK_TIME_MAX_PERCENT;
+}
+
+function bounded(ratio: number): number {
+  return Math.min(RATIO_MAX, Math.max(RATIO_MIN, ratio));
+}
+
+function ageOf({ lastAtMs }: HeardPace, nowMs: number): number {
+  return Math.max(0, nowMs - lastAtMs);
+}
--- a/packages/core/src/forward/types.ts
+++ b/packages/core/src/forward/types.ts
@@ -109,7 +109,10 @@
   /** Id of the last event that the caller has received, if the request resumes a stream. */
   readonly lastEventId: number | undefined;
   readonly promptTokens: number;
+  /** Most tokens that the answer may have; 0 if not stated. */
   readonly outputTokens: number;
+  /** The caller's estimate of the tokens of the answer; undefined if it has none. */
+  readonly lengthHint: number | undefined;
   /** Parts of the prompt that other requests may have too: all but the last. */
   readonly sharedParts: readonly PromptPartId[];
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -375,6 +375,12 @@
   PeerRouter,
 } from './forward/peers';
 export { createPlacer } from './forward/placement';
+export { createPromptSizes } from './forward/prompt-sizes';
+export type { PromptSizes, PromptSplit } from './forward/prompt-sizes';
+export { WORK_TIME_MAX_PERCENT, createServerPace } from './forward/server-pace';
+export type { ServerPace } from './forward/server-pace';
+export { createOutputSizes } from './forward/output-sizes';
+export type { OutputSizes } from './forward/output-sizes';
 export type {
   CallPlacementInput,
   Placer,
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -23,6 +23,10 @@
   /** The engine had no other prefill of this router's, so the time to the first event measures one. */
   readonly isOnlyPrefill: boolean;
   readonly isResumedFromCopy: boolean;
+  /** KV cache that the run is expected to need on the engine. */
+  readonly memoryTokens: number;
+  /** No router was known to have a prefill there, and few streams ran. */
+  readonly wasEngineIdle: boolean;
   exchange: Exchange | undefined;
   cancelConnectTimeout: () => void;
   status: number;
@@ -47,6 +51,8 @@
   engine: ServerState,
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
+  memoryTokens: number,
+  wasEngineIdle: boolean,
   timer: AnswerTimer,
   buffer: ResponseBuffer,
   nowMs: number,
@@ -60,6 +66,8 @@
     sentAtMs: nowMs,
     isOnlyPrefill: engine.prefills.size === 0,
     isResumedFromCopy,
+    memoryTokens,
+    wasEngineIdle,
     exchange: undefined,
     cancelConnectTimeout: () => undefined,
     status: 0,
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -11,6 +11,7 @@
   RetryBudget,
   ServerId,
   ServiceName,
+  OutputSizes,
   ResponseBuffers,
   StreamDurations,
 } from '@mimosamill/core';
@@ -51,6 +52,7 @@
   readonly callOutcomes: CallOutcomeTracker;
   readonly upstream: Upstream;
   readonly streamDurations: StreamDurations;
+  readonly outputSizes: OutputSizes;
   readonly responseBuffers: ResponseBuffers;
   readonly kvCopies: KvCacheCopyClient;
   readonly codec: ForwardCodec;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -10,6 +10,7 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { finiteMs } from './finite';
 import { createRepeatableRandom } from './repeatable-random';
 import { withRoomTime } from './room';
 import { isCloseDelimited, isSameKind } from './response-kind';
@@ -216,6 +217,7 @@
   const placementRandom = createRepeatableRandom(ports.random);
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
+  ports.outputSizes.onRequest(route.name, head);
   const budget = ports.retryBudgetOf(service.name);
   const stream = createForwardStream({
     startedAtMs: request.receivedAtMs,
@@ -357,6 +359,7 @@
       service: service.name,
       capacity,
       promptTokens,
+      outputTokens: expectedOutputTokens(),
       isFailover: wanted.isFailover,
       limitDraw: request.limitDraw,
       excluded: new Set([
@@ -382,6 +385,16 @@
     return { kind: 'none', reason: 'no_time', message };
   }
 
+  /**
+   * 0 where engines do not state their pace. Those that do share their machines with others, and crash
+   * when the requests that they hold exceed their memory.
+   */
+  function expectedOutputTokens(): number {
+    return fleet.pace.isStated(service.name)
+      ? ports.outputSizes.expectedTokens(route.name, head)
+      : 0;
+  }
+
   function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
     if (isGone(replacement.silentEngineId)) return true;
     const wanted = { ...replacement, isFailover: true };
@@ -449,6 +462,12 @@
       from_copy: effect.resumeFrom !== undefined,
       after_event: effect.lastEventId,
       expected_ms: Math.round(placed.expectedFirstEventMs),
+      prompt_tokens: promptTokens,
+      output_tokens: head.outputTokens,
+      length_hint: head.lengthHint,
+      size: placed.promptSize,
+      pace: Number(placed.paceRatio.toFixed(2)),
+      pace_age_ms: finiteMs(fleet.pace.ageMs(placed.engineId, nowMs)),
       own_running: state?.ownRunning,
       report_age_ms:
         state?.report === undefined ? undefined : Math.round(nowMs - state.report.atMs),
@@ -462,6 +481,13 @@
     decisions.notable('stream.move', fields);
   }
 
+  /** Where engines do not state their pace, a run that resumes from a copy is not counted. */
+  function memoryTokensOf(isFromCopy: boolean): number {
+    const outputTokens = expectedOutputTokens();
+    if (isFromCopy && outputTokens === 0) return 0;
+    return promptTokens + outputTokens;
+  }
+
   function openAttempt(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
     placed: PlacedEngine,
@@ -481,6 +507,8 @@
       engine,
       copyHolder,
       isFromCopy,
+      memoryTokensOf(isFromCopy),
+      placed.isLightlyLoaded,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
       ports.responseBuffers.open('event'),
       nowMs,
@@ -500,7 +528,8 @@
       },
       nowMs,
     );
-    fleet.onSent(placed.engineId, requestId, isFromCopy ? 0 : promptTokens, nowMs);
+    const prefillTokens = isFromCopy ? 0 : promptTokens;
+    fleet.onSent(placed.engineId, requestId, prefillTokens, nowMs, attempt.memoryTokens);
     fleet.limits.onSent(placed.engineId, nowMs);
     if (copyHolder !== undefined) fleet.onCopy(copyHolder.server.serverId, promptTokens, 1);
     ports.stateBroadcast.sendSoon();
@@ -654,7 +683,9 @@
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.stateBroadcast.sendLater();
       if (attempt.isOnlyPrefill && !attempt.isResumedFromCopy) {
-        ports.placer.onPrefill(promptTokens, nowMs - attempt.sentAtMs);
+        const { engineId, wasEngineIdle } = attempt;
+        const engine = { engineId, wasIdle: wasEngineIdle, nowMs };
+        ports.placer.onPrefill(promptTokens, nowMs - attempt.sentAtMs, engine);
       }
       if (lastEventAtMs !== undefined) logResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
@@ -701,7 +732,7 @@
     attempt.buffer.release();
     attempt.timer.onCancelled();
     attempt.cancelConnectTimeout();
-    fleet.onEnd(attempt.engineId, requestId, attempt.isResumedFromCopy ? 0 : promptTokens);
+    fleet.onEnd(attempt.engineId, requestId, attempt.memoryTokens);
     if (attempt.kvCopy !== undefined) fleet.onCopy(attempt.kvCopy.engineId, promptTokens, -1);
     ports.stateBroadcast.sendLater();
   }
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -53,6 +53,8 @@
         copyEngineId: undefined,
         expectedFirstEventMs: 100,
         isLightlyLoaded: true,
+        paceRatio: 1,
+        promptSize: undefined,
       }),
     },
     upstream: {
@@ -76,6 +78,7 @@
       trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing, onAnswered: nothing }),
     },
     streamDurations: { minRemainingMs: () => 0 },
+    outputSizes: { onRequest: nothing, expectedTokens: () => 0 },
     responseBuffers: createResponseBuffers(),
     crashGuard: { findCondemned: nothing, onBrokenAttempt: () => Promise.resolve() },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
