--- a/packages/core/src/forward/server-pace.ts
+++ b/packages/core/src/forward/server-pace.ts
@@ -19,6 +19,8 @@
   readonly ageMs: (serverId: ServerId, nowMs: number) => number | undefined;
   /** Whether a server of the service has stated how long work takes: only then the pace is used. */
   readonly isStated: (service: ServiceName) => boolean;
+  /** Servers whose pace is known. */
+  readonly count: () => number;
   readonly forget: (serverId: ServerId) => void;
 }
 
@@ -71,6 +73,7 @@
       return pace === undefined ? undefined : ageOf(pace, nowMs);
     },
     isStated: (service) => stated.has(service),
+    count: () => heard.size,
     forget: (serverId) => {
       heard.delete(serverId);
     },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -384,6 +384,7 @@
 export type {
   CallPlacementInput,
   Placer,
+  PromptSize,
   StreamPlacement,
   StreamPlacementInput,
 } from './forward/placement-types';
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -3,13 +3,18 @@
 import type { Exchange } from '@mimosamill/adapters';
 import type {
   ForwardServer,
+  PromptSize,
   RequestId,
   ResponseBuffer,
   KvCacheCopy,
   ServerState,
   ServerId,
+  StreamPlacement,
 } from '@mimosamill/core';
 
+/** Engine that was chosen for an attempt. */
+export type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
+
 /** State of an attempt's exchange with its engine; the core decides what follows from it. */
 export interface StreamAttempt {
   readonly attemptNo: number;
@@ -27,6 +32,8 @@
   readonly memoryTokens: number;
   /** No router was known to have a prefill there, and few streams ran. */
   readonly wasEngineIdle: boolean;
+  /** Size of the prompt among those of its service. */
+  readonly promptSize: PromptSize;
   exchange: Exchange | undefined;
   cancelConnectTimeout: () => void;
   status: number;
@@ -52,7 +59,7 @@
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
   memoryTokens: number,
-  wasEngineIdle: boolean,
+  placed: PlacedEngine,
   timer: AnswerTimer,
   buffer: ResponseBuffer,
   nowMs: number,
@@ -67,7 +74,8 @@
     isOnlyPrefill: engine.prefills.size === 0,
     isResumedFromCopy,
     memoryTokens,
-    wasEngineIdle,
+    wasEngineIdle: placed.isLightlyLoaded,
+    promptSize: placed.promptSize,
     exchange: undefined,
     cancelConnectTimeout: () => undefined,
     status: 0,
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -425,6 +425,7 @@
     connections_opened: upstream.openedConnectionCount,
     log_lines_dropped: decisions.droppedCount,
     servers: fleet.serverCount,
+    paced_servers: fleet.pace.count,
     limited_servers: () => fleet.limits.count(clock.monotonicMs()),
     peers: () => peerRegistry.routers(clock.monotonicMs()).length,
     response_bytes_held: ports.responseBuffers.heldBytes,
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -5,7 +5,8 @@
   readonly onAnswer: (kind: string, outcome: string, tookMs: number) => void;
   readonly onSend: (kind: string, cause: string) => void;
   readonly onLoss: (loss: string) => void;
-  readonly onFirstEvent: (tookMs: number) => void;
+  /** `size` is undefined while the prompts of the service are of about the same size. */
+  readonly onFirstEvent: (tookMs: number, size: 'long' | 'short' | undefined) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
   readonly onServerNotice: (notice: 'leaving' | 'retry_after') => void;
@@ -36,6 +37,12 @@
     'Time from a stream request to its first event in milliseconds',
     LATENCY_BUCKETS_MS,
   );
+  const sizedFirstEvents = metrics.histogram(
+    'mimosamill_forward_first_event_by_size_ms',
+    'Time from a stream request to its first event in milliseconds, where prompts differ a lot in size',
+    LATENCY_BUCKETS_MS,
+    ['size'],
+  );
   const gaps = metrics.histogram(
     'mimosamill_forward_resume_gap_ms',
     'Pause between the events before and after a stream moved, in milliseconds',
@@ -55,7 +62,10 @@
     onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
     onSend: (kind, cause) => sends.inc({ kind, cause }),
     onLoss: (loss) => losses.inc({ loss }),
-    onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
+    onFirstEvent: (tookMs, size) => {
+      firstEvents.observe(tookMs);
+      if (size !== undefined) sizedFirstEvents.observe({ size }, tookMs);
+    },
     onResumeGap: (gapMs) => gaps.observe(gapMs),
     onDepartingSend: (state) => departingSends.inc({ state }),
     onServerNotice: (notice) => notices.inc({ notice }),
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -30,10 +30,9 @@
   ServerState,
   ServerFailure,
   ServerId,
-  StreamPlacement,
   StreamTimes,
 } from '@mimosamill/core';
-import type { StreamAttempt } from './attempt';
+import type { PlacedEngine, StreamAttempt } from './attempt';
 import type { RequestContent } from './content';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
@@ -174,8 +173,6 @@
   readonly onServerLost: (serverId: ServerId) => void;
 }
 
-type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
-
 /** What an attempt needs of its engine. */
 interface WantedEngine {
   readonly isFailover: boolean;
@@ -287,7 +284,7 @@
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined) return;
     begun = attempt;
-    ports.metrics.onFirstEvent(clock.monotonicMs() - request.receivedAtMs);
+    ports.metrics.onFirstEvent(clock.monotonicMs() - request.receivedAtMs, attempt.promptSize);
     sink.writeHead(attempt.status, attempt.headers);
   }
 
@@ -508,7 +505,7 @@
       copyHolder,
       isFromCopy,
       memoryTokensOf(isFromCopy),
-      placed.isLightlyLoaded,
+      placed,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
       ports.responseBuffers.open('event'),
       nowMs,
