Leave other routers' prefills out of the expected time to the first event

The wait for a first event follows from the expected time. With what other routers told in it, streams waited for their whole target on lost engines.

--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -147,18 +147,18 @@
     return cheapestState;
   }
 
-  /** Counts the prefills of other routers only where engines state their pace. */
+  /**
+   * Without the prefills of other routers: what is known of them is old, and a longer time would keep
+   * streams waiting on engines that are lost.
+   */
   function expectedFirstEventMs(
     state: ServerState,
     input: StreamPlacementInput,
     nowMs: number,
   ): number {
-    const { serverId, service } = state.server;
-    const peerMs = fleet.pace.isStated(service) ? peers.loadAt(serverId, nowMs).prefillMs : 0;
     return (
       BASE_FIRST_EVENT_MS +
       fleet.prefillLeftMs(state, nowMs, prefillMsPerToken) +
-      peerMs +
       input.promptTokens * prefillMsPerToken * paceRatioOf(state, nowMs)
     );
   }
