--- a/packages/core/src/forward/prompt-sizes.ts
+++ b/packages/core/src/forward/prompt-sizes.ts
@@ -22,14 +22,14 @@
 /** Each prompt takes this part away from what earlier ones count, so that borders follow demand. */
 const DECAY_RATIO = 1 / 64;
 /** Fewer prompts say too little of how sizes are distributed. */
-const PROMPTS_MIN = 8;
+const PROMPTS_MIN = 30;
 /**
- * Prompts differ a lot if the largest tenth is this many times larger than the smallest tenth: nine of
- * ten prompts of one kind differ by about two times.
+ * Prompts differ a lot if the largest tenth is this many times larger than the smallest tenth: the
+ * tenths of prompts of one kind are about two times apart.
  */
-const SPREAD_ON_RATIO = 2.8;
+const SPREAD_ON_RATIO = 2.6;
 /** Lower than the ratio to begin with, so that the split does not come and go. */
-const SPREAD_OFF_RATIO = 2.4;
+const SPREAD_OFF_RATIO = 2.3;
 const TAIL_PART = 0.1;
 
 interface SizeHistogram {
