--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -383,12 +383,19 @@
   PeerRouter,
 } from './forward/peers';
 export { createPlacer } from './forward/placement';
+export { createPromptSizes } from './forward/prompt-sizes';
+export type { PromptSizes, PromptSplit } from './forward/prompt-sizes';
+export { WORK_TIME_MAX_PERCENT, createServerPace } from './forward/server-pace';
+export type { ServerPace } from './forward/server-pace';
+export { createOutputSizes } from './forward/output-sizes';
+export type { OutputSizes } from './forward/output-sizes';
 export type {
   CallPlacementInput,
   Placer,
+  PromptSize,
   StreamPlacement,
   StreamPlacementInput,
-} from './forward/placement';
+} from './forward/placement-types';
 export { addEvidence, isNewVersionWorse, isStoredSince, nextMoveStep } from './forward/rollout';
 export type {
   AnswerCounts,
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -3,13 +3,18 @@
 import type { Exchange } from '@mimosamill/adapters';
 import type {
   ForwardServer,
+  PromptSize,
   RequestId,
   ResponseBuffer,
   KvCacheCopy,
   ServerState,
   ServerId,
+  StreamPlacement,
 } from '@mimosamill/core';
 
+/** Engine that was chosen for an attempt. */
+export type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
+
 /** State of an attempt's exchange with its engine; the core decides what follows from it. */
 export interface StreamAttempt {
   readonly attemptNo: number;
@@ -23,6 +28,12 @@
   /** The engine had no other prefill of this router's, so the time to the first event measures one. */
   readonly isOnlyPrefill: boolean;
   readonly isResumedFromCopy: boolean;
+  /** KV cache that the run is expected to need on the engine. */
+  readonly memoryTokens: number;
+  /** No router was known to have a prefill there, and few streams ran. */
+  readonly wasEngineIdle: boolean;
+  /** Size of the prompt among those of its service. */
+  readonly promptSize: PromptSize;
   exchange: Exchange | undefined;
   cancelConnectTimeout: () => void;
   status: number;
@@ -47,6 +58,8 @@
   engine: ServerState,
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
+  memoryTokens: number,
+  placed: PlacedEngine,
   timer: AnswerTimer,
   buffer: ResponseBuffer,
   nowMs: number,
@@ -60,6 +73,9 @@
     sentAtMs: nowMs,
     isOnlyPrefill: engine.prefills.size === 0,
     isResumedFromCopy,
+    memoryTokens,
+    wasEngineIdle: placed.isLightlyLoaded,
+    promptSize: placed.promptSize,
     exchange: undefined,
     cancelConnectTimeout: () => undefined,
     status: 0,
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -7,7 +7,8 @@
   readonly onLoss: (loss: string) => void;
   /** A connection timed out, by what was slow. */
   readonly onConnectTimeout: (slow: 'host' | 'server') => void;
-  readonly onFirstEvent: (tookMs: number) => void;
+  /** `size` is undefined while the prompts of the service are of about the same size. */
+  readonly onFirstEvent: (tookMs: number, size: 'long' | 'short' | undefined) => void;
   readonly onResumeGap: (gapMs: number) => void;
   readonly onDepartingSend: (state: string) => void;
   readonly onBodyRefused: (reason: string) => void;
@@ -44,6 +45,12 @@
     'Time from a stream request to its first event in milliseconds',
     LATENCY_BUCKETS_MS,
   );
+  const sizedFirstEvents = metrics.histogram(
+    'mimosamill_forward_first_event_by_size_ms',
+    'Time from a stream request to its first event in milliseconds, where prompts differ a lot in size',
+    LATENCY_BUCKETS_MS,
+    ['size'],
+  );
   const gaps = metrics.histogram(
     'mimosamill_forward_resume_gap_ms',
     'Pause between the events before and after a stream moved, in milliseconds',
@@ -69,7 +76,10 @@
     onSend: (kind, cause) => sends.inc({ kind, cause }),
     onLoss: (loss) => losses.inc({ loss }),
     onConnectTimeout: (slow) => connectTimeouts.inc({ slow }),
-    onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
+    onFirstEvent: (tookMs, size) => {
+      firstEvents.observe(tookMs);
+      if (size !== undefined) sizedFirstEvents.observe({ size }, tookMs);
+    },
     onResumeGap: (gapMs) => gaps.observe(gapMs),
     onDepartingSend: (state) => departingSends.inc({ state }),
     onBodyRefused: (reason) => bodiesRefused.inc({ reason }),
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -12,6 +12,7 @@
   RetryBudget,
   ServerId,
   ServiceName,
+  OutputSizes,
   ResponseBuffers,
   StreamDurations,
 } from '@mimosamill/core';
@@ -54,6 +55,7 @@
   readonly upstream: Upstream;
   readonly connections: ConnectionWatch;
   readonly streamDurations: StreamDurations;
+  readonly outputSizes: OutputSizes;
   readonly responseBuffers: ResponseBuffers;
   /** Bounds what is held for callers and servers together. */
   readonly memory: MemoryBudget;
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -60,6 +60,8 @@
         copyEngineId: undefined,
         expectedFirstEventMs: 100,
         isLightlyLoaded: true,
+        paceRatio: 1,
+        promptSize: undefined,
       }),
     },
     upstream: {
@@ -94,6 +96,7 @@
       trackAttempt: () => ({ onCancelled: nothing, onGivenUp: nothing, onAnswered: nothing }),
     },
     streamDurations: { minRemainingMs: () => 0 },
+    outputSizes: { onRequest: nothing, expectedTokens: () => 0 },
     responseBuffers: createResponseBuffers(memory, () => 0),
     memory,
     crashGuard: { findCondemned: nothing, onBrokenAttempt: () => Promise.resolve() },
