Tell engines the urgency of streams by their priority

The priorities of routes and customers were decoded and used by nothing, so engines served paid and bulk streams alike and preempted whichever was newest.

Where the streams of a service have different valid priorities (0 to 9, a customer's before the route's), a new stream of the highest priority now goes before others, and begun or resumed streams before new ones. Services whose streams have one priority, or a route with an invalid one, are served as before: urgency is stated only for streams that have begun.

--- a/packages/core/src/forward/table.ts
+++ b/packages/core/src/forward/table.ts
@@ -1,4 +1,6 @@
+import { createPriorityClasses } from './priority';
 import type { CustomerId, ServiceName } from '../ids';
+import type { PriorityClasses } from './priority';
 import type {
   ForwardConfig,
   ForwardCustomer,
@@ -14,6 +16,7 @@
   readonly match: (host: string, path: string) => ForwardRoute | undefined;
   readonly customerOf: (key: string) => ForwardCustomer | undefined;
   readonly service: (name: ServiceName) => ForwardService | undefined;
+  readonly priorityClassOf: PriorityClasses;
 }
 
 /** Result of the access check of a request. */
@@ -45,6 +48,7 @@
     },
     customerOf: (key) => byKey.get(key),
     service: (name) => services.get(name),
+    priorityClassOf: createPriorityClasses(config),
   };
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -327,6 +327,8 @@
 // forwarded traffic
 export { createForwardTable, checkAccess, pickTarget } from './forward/table';
 export type { AccessOutcome, ForwardTable } from './forward/table';
+export { urgencyOf } from './forward/urgency';
+export type { Urgency, UrgencyInput } from './forward/urgency';
 export { createFreshnessTracker } from './forward/freshness';
 export type { ClockCheck, FreshnessBounds, FreshnessTracker } from './forward/freshness';
 export { createCallOutcomeTracker } from './forward/call-outcomes';
@@ -391,6 +393,8 @@
   VersionOrder,
 } from './forward/rollout';
 export { isRestart } from './forward/server-notices';
+export { createPriorityClasses } from './forward/priority';
+export type { PriorityClass, PriorityClasses } from './forward/priority';
 export { createForwardStream } from './forward/stream';
 export type {
   AttemptLoss,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -369,7 +369,7 @@
           lastEventId: head.lastEventId,
           kvCopyAddress: undefined,
           resumeFrom: undefined,
-          isPrioritized: false,
+          urgency: 'ordinary',
         }),
         body: request.body,
         confirmEnd: () => isSameServerRunning(ports, server, request.service, head.requestId),
--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -6,6 +6,7 @@
   ServeError,
   ServerId,
   ServerLoadReport,
+  Urgency,
 } from '@mimosamill/core';
 
 export type ParsedRequest =
@@ -31,8 +32,7 @@
   /** Engine that is to hold a copy of the stream's KV cache. */
   readonly kvCopyAddress: string | undefined;
   readonly resumeFrom: KvCacheCopySource | undefined;
-  /** A stream that has begun goes before those that have not. */
-  readonly isPrioritized: boolean;
+  readonly urgency: Urgency;
 }
 
 /** What a server says about the requests that it takes from all routers together. */
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -18,7 +18,7 @@
   ServiceName,
 } from '@mimosamill/core';
 import type { CallForwarder, RunningCall, BufferedResponse } from './call';
-import type { ForwardPorts, ForwardRequest } from './ports';
+import type { AdmissionTerms, ForwardPorts, ForwardRequest } from './ports';
 import type { StreamForwarder, StreamSink } from './stream';
 
 /** The configuration in use, and its age. */
@@ -218,10 +218,22 @@
         limitDraw,
         receivedAtMs,
         deadlineAtMs: receivedAtMs + Math.max(1, budgetMs - RESPONSE_MARGIN_MS),
+        admission: admissionTerms(table, route, service.name, head.key),
       },
     };
   }
 
+  function admissionTerms(
+    table: ForwardTable,
+    route: ForwardRoute,
+    service: ServiceName,
+    key: string | undefined,
+  ): AdmissionTerms | undefined {
+    if (route.kind !== 'stream') return undefined;
+    const priorityClass = table.priorityClassOf(route, service, key);
+    return priorityClass === undefined ? undefined : { priorityClass, draw: ports.random() };
+  }
+
   /** Counts the request among those that servers with limits could get. */
   function noteDemand(service: ServiceName): void {
     const ids = ports.fleet.usable(service).map(({ server }) => server.serverId);
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -7,6 +7,7 @@
   ForwardRoute,
   ForwardService,
   Placer,
+  PriorityClass,
   RequestId,
   RetryBudget,
   ServerId,
@@ -87,4 +88,13 @@
   readonly receivedAtMs: number;
   /** Time by which the response must be ready; the time to write it is already subtracted. */
   readonly deadlineAtMs: number;
+  /** Undefined if the configuration gives all streams of the service one priority. */
+  readonly admission: AdmissionTerms | undefined;
+}
+
+/** What decides which streams of a service are sent first. */
+export interface AdmissionTerms {
+  readonly priorityClass: PriorityClass;
+  /** Random number from 0 to 1 by which equal requests of all routers are told apart. */
+  readonly draw: number;
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -4,6 +4,7 @@
   createForwardStream,
   createStreamTimes,
   isRestart,
+  urgencyOf,
 } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
 import { createStreamAttempt } from './attempt';
@@ -521,7 +522,11 @@
           lastEventId: effect.lastEventId,
           kvCopyAddress: copyHolder?.server.address,
           resumeFrom: effect.resumeFrom,
-          isPrioritized: stream.hasBegun(),
+          urgency: urgencyOf({
+            priorityClass: request.admission?.priorityClass,
+            hasBegun: stream.hasBegun(),
+            isResumed: head.lastEventId !== undefined,
+          }),
         }),
         body: request.body,
         confirmEnd: () => isSameServerRunning(ports, engine.server, service, requestId),
