Let less urgent streams yield while a service's engines are full

A stream went to an engine at once, whatever its priority: in a crowd, paid and bulk streams waited alike, and the ones with the shorter target failed more.

Where the configuration gives the streams of a service different priorities, the most urgent are still sent at once. Each other stream compares the load of all routers on the service with a ceiling that falls with its priority and varies with its draw; above it, it waits for up to an eighth of its target and is then refused, with a Retry-After spread over the time in which room is expected and its target can still be met. One in three has no ceiling, so that no priority starves. Nobody waits while less than half of the slots are used and nothing waits at the engines.

--- /dev/null
+++ b/packages/core/src/forward/admission.ts
@@ -0,0 +1,139 @@
+import type { PriorityClass } from './priority';
+
+/** Load of all routers together on the engines of one service, by the newest reports. */
+export interface ServiceLoad {
+  /** Part of the slots of all engines that are not avoided or lost, from 0. */
+  readonly slotsRatio: number;
+  /** Part of the memory of these engines, by known tokens. */
+  readonly memoryRatio: number;
+  /** Mean time until one of these engines has done the prefills that were sent to it. */
+  readonly prefillMs: number;
+  /** An engine lately reported that requests wait there. */
+  readonly hasWaiting: boolean;
+}
+
+export interface StreamAdmissionInput {
+  readonly priorityClass: PriorityClass;
+  readonly load: ServiceLoad;
+  readonly targetMs: number;
+  /** Time since this router received the request. */
+  readonly usedMs: number;
+  /** Time until the request's deadline. */
+  readonly leftMs: number;
+  /** Expected time from the send to the first event, at the engine that would be chosen. */
+  readonly expectedFirstEventMs: number;
+  /** Mean time from a stream's request to its end; undefined if it is unknown. */
+  readonly durationMs: number | undefined;
+  /** The request's own random number from 0 to 1, the same at each decision. */
+  readonly draw: number;
+}
+
+export type StreamAdmission =
+  | { readonly kind: 'send' }
+  /** To be decided anew after this time. */
+  | { readonly kind: 'wait'; readonly waitMs: number }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'yields' | 'late';
+      readonly retryAfterMs: number;
+    };
+
+/** Less urgent streams see no more room where the engines are filled to the second of these parts. */
+const YIELD_FROM_RATIO = 0.55;
+const YIELD_FULL_RATIO = 0.9;
+/**
+ * The same for the prefills that engines have to do, as parts of the shortest target: with half of it
+ * used up, a more urgent prompt still meets its target after another prefill of its size.
+ */
+const YIELD_FROM_TARGET_RATIO = 0.25;
+const YIELD_FULL_TARGET_RATIO = 0.5;
+/** Part of the less urgent streams that is admitted like the most urgent ones, so that none starve. */
+const ADMITTED_MIN_RATIO = 1 / 3;
+/** Callers that are refused later than this part of their target can't find room elsewhere in time. */
+const WAIT_MAX_TARGET_RATIO = 1 / 8;
+/** Period of new decisions, spread by each request's draw; the reports are about as old. */
+const RECHECK_MS = 120;
+/** With more of the slots free and nothing waiting, refusing a caller would leave engines unused. */
+const BUSY_SLOTS_RATIO = 0.5;
+const RETRY_MIN_MS = 250;
+/** Callers come back after a Retry-After of up to about this part of the time they have left. */
+const RETRY_MAX_LEFT_RATIO = 0.3;
+const DEFAULT_DURATION_MS = 5_000;
+
+/**
+ * Answers a crowd of streams of several priorities that together exceed what the engines can serve.
+ * The most urgent are sent at once. All others compare the load with a ceiling of their own, which
+ * falls with the priority and varies with the request's draw: the fuller the engines, the fewer of
+ * them see room. As all routers compare the same load, their waiting requests act as one queue, and
+ * when room opens it goes to one ceiling after the other instead of to all at once.
+ */
+export function decideStreamAdmission(input: StreamAdmissionInput): StreamAdmission {
+  const { priorityClass, load, draw } = input;
+  if (priorityClass.level === 0) return { kind: 'send' };
+  const pressure = pressureOf(load, priorityClass.shortestTargetMs);
+  if (pressure <= 0) return { kind: 'send' };
+  const ceiling = ceilingOf(input);
+  const isLate = input.usedMs + input.expectedFirstEventMs > input.targetMs;
+  if (pressure < ceiling && (!isLate || ceiling === Infinity)) return { kind: 'send' };
+  if (!isBusy(load, input)) return { kind: 'send' };
+  const waitLeftMs = input.targetMs * WAIT_MAX_TARGET_RATIO - input.usedMs;
+  if (!isLate && waitLeftMs > 0) {
+    return { kind: 'wait', waitMs: Math.min(waitLeftMs, RECHECK_MS * (0.5 + draw)) };
+  }
+  return {
+    kind: 'refuse',
+    reason: isLate ? 'late' : 'yields',
+    retryAfterMs: retryAfterMsOf(input),
+  };
+}
+
+/** From 0, where all streams see room, to 1 and more, where only the most urgent ones do. */
+function pressureOf(load: ServiceLoad, shortestTargetMs: number): number {
+  const filledRatio = Math.max(load.slotsRatio, load.memoryRatio);
+  return Math.max(
+    (filledRatio - YIELD_FROM_RATIO) / (YIELD_FULL_RATIO - YIELD_FROM_RATIO),
+    (load.prefillMs / Math.max(1, shortestTargetMs) - YIELD_FROM_TARGET_RATIO) /
+      (YIELD_FULL_TARGET_RATIO - YIELD_FROM_TARGET_RATIO),
+  );
+}
+
+/**
+ * Pressure below which the request is sent. It rises as the time runs out in which the stream can
+ * still begin within its target, so that of equal requests the one with the least time left goes first.
+ */
+function ceilingOf(input: StreamAdmissionInput): number {
+  const { level, levels } = input.priorityClass;
+  if (input.draw < ADMITTED_MIN_RATIO) return Infinity;
+  const share = (1 - input.draw) / (1 - ADMITTED_MIN_RATIO);
+  const neededMs = input.usedMs + input.expectedFirstEventMs;
+  const needRatio = Math.min(1, neededMs / Math.max(1, input.targetMs));
+  const own = share + (1 - share) * needRatio * 0.5;
+  return (levels - 1 - level + own) / (levels - 1);
+}
+
+function isBusy(load: ServiceLoad, { expectedFirstEventMs }: StreamAdmissionInput): boolean {
+  const hasQueue = load.hasWaiting || load.prefillMs > expectedFirstEventMs;
+  return hasQueue || load.slotsRatio >= BUSY_SLOTS_RATIO;
+}
+
+/**
+ * Spreads the returns over the time in which room is expected and the stream can still begin within
+ * its target; a stream that can't comes back as late as callers do.
+ */
+function retryAfterMsOf(input: StreamAdmissionInput): number {
+  const { load, priorityClass, draw } = input;
+  const filledRatio = Math.max(load.slotsRatio, load.memoryRatio);
+  const excessRatio = Math.max(0, 1 - YIELD_FROM_RATIO / Math.max(filledRatio, 1e-9));
+  const roomInMs = Math.max(
+    load.prefillMs - priorityClass.shortestTargetMs * YIELD_FROM_TARGET_RATIO,
+    excessRatio * (input.durationMs ?? DEFAULT_DURATION_MS),
+    RETRY_MIN_MS,
+  );
+  const latestMs = Math.max(RETRY_MIN_MS, input.leftMs * RETRY_MAX_LEFT_RATIO);
+  const inTargetMs = input.targetMs - input.usedMs - input.expectedFirstEventMs;
+  const lastMs = inTargetMs > RETRY_MIN_MS ? Math.min(latestMs, inTargetMs) : latestMs;
+  const firstMs = Math.min(roomInMs, lastMs / 2);
+  // The draws of refused requests lie above the admitted share.
+  const spread = Math.min(1, Math.max(0, (draw - ADMITTED_MIN_RATIO) / (1 - ADMITTED_MIN_RATIO)));
+  return firstMs + spread * (Math.min(lastMs, 2 * roomInMs + RETRY_MIN_MS) - firstMs);
+}
--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -85,6 +85,13 @@
       readonly reason: 'no_engine' | 'no_time' | 'condemned';
       readonly message: string;
     }
+  /** The stream is not sent now, as its service has no room for it. */
+  | {
+      readonly kind: 'not_admitted';
+      readonly attemptNo: number;
+      readonly message: string;
+      readonly retryAfterMs: number;
+    }
   | { readonly kind: 'events'; readonly attemptNo: number; readonly events: readonly StreamEvent[] }
   /** The engine sent the complete stream. */
   | { readonly kind: 'end'; readonly attemptNo: number }
@@ -538,6 +545,15 @@
     return hasBegun ? sendLater(next, nowMs) : fail(message);
   }
 
+  function onNotAdmitted({
+    message,
+    retryAfterMs,
+  }: Extract<ForwardStreamEvent, { kind: 'not_admitted' }>): ForwardStreamEffect[] {
+    current = undefined;
+    const error = createServeError('overloaded', message, runState(), retryAfterMs);
+    return end({ kind: 'fail', error });
+  }
+
   function onAttemptEvent(
     attempt: CurrentAttempt,
     event: Extract<ForwardStreamEvent, { attemptNo: number }>,
@@ -552,6 +568,8 @@
         return [];
       case 'unplaced':
         return onUnplaced(event, nowMs);
+      case 'not_admitted':
+        return onNotAdmitted(event);
       case 'events':
         return onEvents(attempt, event.events, nowMs);
       case 'end': {
@@ -601,6 +619,7 @@
         case 'not_copied':
         case 'placed':
         case 'unplaced':
+        case 'not_admitted':
         case 'events':
         case 'end':
         case 'lost':
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -327,6 +327,10 @@
 // forwarded traffic
 export { createForwardTable, checkAccess, pickTarget } from './forward/table';
 export type { AccessOutcome, ForwardTable } from './forward/table';
+export { decideStreamAdmission } from './forward/admission';
+export type { ServiceLoad, StreamAdmission, StreamAdmissionInput } from './forward/admission';
+export { createServiceLoads } from './forward/service-load';
+export type { ServiceLoads } from './forward/service-load';
 export { urgencyOf } from './forward/urgency';
 export type { Urgency, UrgencyInput } from './forward/urgency';
 export { createFreshnessTracker } from './forward/freshness';
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -7,6 +7,7 @@
   createPeerRegistry,
   createPlacer,
   createResponseBuffers,
+  createServiceLoads,
   createStreamDurations,
 } from '@mimosamill/core';
 import {
@@ -219,6 +220,7 @@
   const ports = createPorts(environment, {
     fleet,
     placer,
+    serviceLoads: createServiceLoads(fleet, peerRegistry, placer.prefillMsPerToken),
     callOutcomes,
     upstream,
     stateBroadcast,
@@ -492,6 +494,7 @@
     ForwardPorts,
     | 'fleet'
     | 'placer'
+    | 'serviceLoads'
     | 'callOutcomes'
     | 'upstream'
     | 'stateBroadcast'
--- a/packages/router/src/forward/metrics.ts
+++ b/packages/router/src/forward/metrics.ts
@@ -4,6 +4,7 @@
 export interface ForwardMetrics {
   readonly onAnswer: (kind: string, outcome: string, tookMs: number) => void;
   readonly onSend: (kind: string, cause: string) => void;
+  readonly onAdmission: (decision: 'wait' | 'yields' | 'late') => void;
   readonly onLoss: (loss: string) => void;
   readonly onFirstEvent: (tookMs: number) => void;
   readonly onResumeGap: (gapMs: number) => void;
@@ -26,6 +27,11 @@
     'Attempts sent to backend servers, by what caused them',
     ['kind', 'cause'],
   );
+  const admissions = metrics.counter(
+    'mimosamill_forward_admissions_total',
+    'Streams that were not sent at once, by what was decided: to wait, or why they were refused',
+    ['decision'],
+  );
   const losses = metrics.counter(
     'mimosamill_forward_losses_total',
     'Attempts that ended without finishing their request',
@@ -54,6 +60,7 @@
   return {
     onAnswer: (kind, outcome, tookMs) => answers.observe({ kind, outcome }, tookMs),
     onSend: (kind, cause) => sends.inc({ kind, cause }),
+    onAdmission: (decision) => admissions.inc({ decision }),
     onLoss: (loss) => losses.inc({ loss }),
     onFirstEvent: (tookMs) => firstEvents.observe(tookMs),
     onResumeGap: (gapMs) => gaps.observe(gapMs),
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -11,6 +11,7 @@
   RequestId,
   RetryBudget,
   ServerId,
+  ServiceLoads,
   ServiceName,
   ResponseBuffers,
   StreamDurations,
@@ -49,6 +50,7 @@
   readonly random: () => number;
   readonly fleet: Fleet;
   readonly placer: Placer;
+  readonly serviceLoads: ServiceLoads;
   readonly callOutcomes: CallOutcomeTracker;
   readonly upstream: Upstream;
   readonly streamDurations: StreamDurations;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -7,6 +7,7 @@
   urgencyOf,
 } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
+import { admitStream } from './admission';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
@@ -212,6 +213,7 @@
   let lastEventAtMs: number | undefined;
   let eventCount = 0;
   let failoverCount = 0;
+  let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
   const placementRandom = createRepeatableRandom(ports.random);
@@ -300,6 +302,7 @@
   function end(outcome: string, error?: ServeError): void {
     isOver = true;
     active.delete(entry);
+    cancelWait?.();
     alarm.set(undefined);
     const tookMs = clock.monotonicMs() - request.receivedAtMs;
     ports.metrics.onAnswer('stream', outcome, tookMs);
@@ -342,10 +345,39 @@
       reportUnplaced(effect.attemptNo, choice.reason, choice.message);
       return;
     }
+    if (effect.cause === 'first' && !isAdmitted(effect, choice.placed, nowMs)) return;
     logPlacement(effect, choice.placed, nowMs);
     openAttempt(effect, choice.placed, nowMs);
   }
 
+  /** Sends the stream later, or refuses it, unless it is admitted now. */
+  function isAdmitted(
+    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
+    placed: PlacedEngine,
+    nowMs: number,
+  ): boolean {
+    const admission = admitStream(ports, request, placed, times.meanMs(route.name), nowMs);
+    switch (admission.kind) {
+      case 'send':
+        return true;
+      case 'wait':
+        cancelWait = clock.runAfter(admission.waitMs, () => {
+          if (!isOver) send(effect);
+        });
+        return false;
+      case 'refuse':
+        dispatchLater({
+          kind: 'not_admitted',
+          attemptNo: effect.attemptNo,
+          message: admission.message,
+          retryAfterMs: admission.retryAfterMs,
+        });
+        return false;
+      default:
+        return assertNever(admission);
+    }
+  }
+
   /** Only chooses, and changes nothing. */
   function chooseEngine(wanted: WantedEngine, nowMs: number): EngineChoice {
     const random = placementRandom.next;
