--- a/packages/core/src/forward/admission.ts
+++ b/packages/core/src/forward/admission.ts
@@ -113,7 +113,8 @@
 
 function isBusy(load: ServiceLoad, { expectedFirstEventMs }: StreamAdmissionInput): boolean {
   const hasQueue = load.hasWaiting || load.prefillMs > expectedFirstEventMs;
-  return hasQueue || load.slotsRatio >= BUSY_SLOTS_RATIO;
+  const isFull = load.memoryRatio >= YIELD_FULL_RATIO;
+  return hasQueue || isFull || load.slotsRatio >= BUSY_SLOTS_RATIO;
 }
 
 /**
