--- a/packages/core/src/forward/admission.ts
+++ b/packages/core/src/forward/admission.ts
@@ -55,6 +55,8 @@
 const RECHECK_MS = 120;
 /** With more of the slots free and nothing waiting, refusing a caller would leave engines unused. */
 const BUSY_SLOTS_RATIO = 0.5;
+/** A shorter wait changes nothing, and a rounded one could be repeated without end. */
+const WAIT_MIN_MS = 5;
 const RETRY_MIN_MS = 250;
 /** Callers come back after a Retry-After of up to about this part of the time they have left. */
 const RETRY_MAX_LEFT_RATIO = 0.3;
@@ -77,7 +79,7 @@
   if (pressure < ceiling && (!isLate || ceiling === Infinity)) return { kind: 'send' };
   if (!isBusy(load, input)) return { kind: 'send' };
   const waitLeftMs = input.targetMs * WAIT_MAX_TARGET_RATIO - input.usedMs;
-  if (!isLate && waitLeftMs > 0) {
+  if (!isLate && waitLeftMs >= WAIT_MIN_MS) {
     return { kind: 'wait', waitMs: Math.min(waitLeftMs, RECHECK_MS * (0.5 + draw)) };
   }
   return {
--- a/packages/core/test/forward/admission.spec.ts
+++ b/packages/core/test/forward/admission.spec.ts
@@ -263,6 +263,7 @@
     // Guards against long waits without an offer, and against returns that are of no use.
     const waits = decideStreamAdmission({ ...input, usedMs: 1_200 });
     expect(waits).toEqual({ kind: 'wait', waitMs: 50 });
+    expect(decideStreamAdmission({ ...input, usedMs: 1_250 - 1e-9 }).kind).toBe('refuse');
     for (let draw = 0.9; draw < 1; draw += 0.01) {
       const refusal = decideStreamAdmission({ ...input, draw });
       const retryAfterMs = refusal.kind === 'refuse' ? refusal.retryAfterMs : 0;
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -2,9 +2,9 @@
 import { asId, createFleet, createResponseBuffers, createRetryBudget } from '@mimosamill/core';
 import { createStreamForwarder } from '../../src/forward/stream';
 import { createManualClock } from './clock';
-import type { ForwardServer, RequestId, ServerId } from '@mimosamill/core';
+import type { ForwardServer, RequestId, ServeError, ServerId, ServiceLoad } from '@mimosamill/core';
 import type { ExchangeHandler } from '@mimosamill/adapters';
-import type { ForwardPorts, ForwardRequest } from '../../src/forward/ports';
+import type { AdmissionTerms, ForwardPorts, ForwardRequest } from '../../src/forward/ports';
 import type { StreamSink } from '../../src/forward/stream';
 
 function engine(name: string): ForwardServer {
@@ -24,8 +24,6 @@
   return undefined;
 }
 
-const SINK = { fail: nothing, abort: nothing } as unknown as StreamSink;
-
 /** An exchange of a stream with its engine. */
 interface OpenExchange {
   readonly onData: (bytes: Uint8Array) => void;
@@ -37,6 +35,12 @@
   const clock = createManualClock();
   const fleet = createFleet();
   const exchanges: OpenExchange[] = [];
+  const errors: ServeError[] = [];
+  const sink = {
+    fail: (error: ServeError) => errors.push(error),
+    abort: nothing,
+  } as unknown as StreamSink;
+  let load: ServiceLoad = { slotsRatio: 0, memoryRatio: 0, prefillMs: 0, hasWaiting: false };
   const logged: string[] = [];
   const log = (event: string, { request }: { readonly request?: unknown }): void => {
     logged.push(`${event} ${String(request)}`);
@@ -55,6 +59,7 @@
         isLightlyLoaded: true,
       }),
     },
+    serviceLoads: { of: () => load },
     upstream: {
       send: (_request: unknown, { onSent, onData }: ExchangeHandler) => {
         queueMicrotask(onSent);
@@ -68,7 +73,7 @@
     },
     codec: { toServerHeaders: () => [] },
     decisions: { routine: log, notable: log, vital: log },
-    metrics: { onSend: nothing, onAnswer: nothing, onLoss: nothing },
+    metrics: { onSend: nothing, onAdmission: nothing, onAnswer: nothing, onLoss: nothing },
     stateBroadcast: { sendSoon: nothing, sendLater: nothing, onServerFailure: nothing },
     versionMoves: {
       excludedServers: () => new Set(),
@@ -86,7 +91,11 @@
     fleet,
     logged,
     exchanges,
-    start: (requestId: string, engineId: string) => {
+    errors,
+    setLoad: (next: ServiceLoad) => {
+      load = next;
+    },
+    start: (requestId: string, engineId: string, admission?: AdmissionTerms) => {
       nextEngineId = asId(engineId);
       const request = {
         head: { requestId: asId<RequestId>(requestId), promptTokens: 100, sharedParts: [] },
@@ -103,8 +112,9 @@
         limitDraw: 0,
         receivedAtMs: clock.monotonicMs(),
         deadlineAtMs: clock.monotonicMs() + 20_000,
+        admission,
       } as unknown as ForwardRequest;
-      streams.forward(request, SINK);
+      return streams.forward(request, sink);
     },
     advance: async (ms: number) => {
       await Promise.resolve();
@@ -156,3 +166,53 @@
     }
   });
 });
+
+describe('a less urgent stream while the engines of its service are full', () => {
+  const full = { slotsRatio: 0.9, memoryRatio: 0.95, prefillMs: 0, hasWaiting: true };
+  const terms = { priorityClass: { level: 1, levels: 2, shortestTargetMs: 4_000 }, draw: 0.99 };
+  const startBusy = () => {
+    const streams = createSilentStreams();
+    streams.fleet.setServers([engine('a1')], streams.clock.monotonicMs());
+    streams.setLoad(full);
+    return streams;
+  };
+
+  it('waits unsent, and is sent when room opens', async () => {
+    // Guards against streams that are held although there is room, or sent although there is none.
+    const { exchanges, setLoad, start, advance, logged } = startBusy();
+    start('r1', 'a1', terms);
+    await advance(400);
+    expect(exchanges).toHaveLength(0);
+    setLoad({ ...full, slotsRatio: 0.2, memoryRatio: 0.3, hasWaiting: false });
+    await advance(200);
+    expect(exchanges).toHaveLength(1);
+    expect(new Set(logged)).toEqual(new Set(['stream.wait r1', 'stream.place r1']));
+  });
+
+  it('is refused as not run after an eighth of its target, with the time to return', async () => {
+    // Guards against requests that are held until their time is up.
+    const { exchanges, errors, start, advance } = startBusy();
+    start('r1', 'a1', terms);
+    await advance(600);
+    expect(exchanges).toHaveLength(0);
+    expect(errors).toMatchObject([{ code: 'overloaded', runState: 'not_run' }]);
+    expect(errors[0]?.retryAfterMs).toBeGreaterThanOrEqual(250);
+  });
+
+  it('is not sent after its caller has left', async () => {
+    // Guards against prompts that are read for nobody.
+    const { exchanges, setLoad, start, advance } = startBusy();
+    start('r1', 'a1', terms).abandon('abandoned');
+    setLoad({ ...full, slotsRatio: 0.2, memoryRatio: 0.3, hasWaiting: false });
+    await advance(1_000);
+    expect(exchanges).toHaveLength(0);
+  });
+
+  it('does not keep back the most urgent streams, nor those of services without an order', () => {
+    // Guards against a change for deployments whose streams have one priority.
+    const { exchanges, start } = startBusy();
+    start('r1', 'a1', { ...terms, priorityClass: { ...terms.priorityClass, level: 0 } });
+    start('r2', 'a1');
+    expect(exchanges).toHaveLength(2);
+  });
+});
