Compare streams by their customer's priority, then by their route's

On the deployment whose stream routes differ in priority, customers have priorities too. With the customer's in place of the route's, the streams of both routes of a customer had one class, and no order acted between them.

The route's priority now decides among streams of equal customers, and only stream routes that differ in priority switch the order on. stream.place tells the level.

--- a/packages/core/src/forward/priority.ts
+++ b/packages/core/src/forward/priority.ts
@@ -22,14 +22,16 @@
 const PRIORITY_MAX = 9;
 
 interface ServiceOrder {
-  readonly priorities: readonly number[];
+  /** The ranks that streams of the service can have, the most urgent first. */
+  readonly ranks: readonly number[];
   readonly shortestTargetMs: number;
 }
 
 /**
- * Orders the streams of each service by the priorities of customers and routes; a customer's takes
- * precedence. A service whose streams all have one priority, or a route with an invalid one, is not
- * ordered. An invalid priority of a customer is ignored.
+ * Orders the streams of a service whose routes differ in priority. The priority of the customer
+ * takes precedence; among streams of equal customers, and those of customers without a priority,
+ * that of the route decides. A service whose stream routes have one priority, or an invalid one, is
+ * not ordered. An invalid priority of a customer is ignored.
  */
 export function createPriorityClasses(config: ForwardConfig): PriorityClasses {
   const customerPriorities = new Map<string, number>();
@@ -40,8 +42,7 @@
   const orders = new Map<ServiceName, ServiceOrder | undefined>();
 
   function orderOf(service: ServiceName): ServiceOrder | undefined {
-    const known = orders.get(service);
-    if (known !== undefined || orders.has(service)) return known;
+    if (orders.has(service)) return orders.get(service);
     const order = createOrder(config, service, [...customerPriorities.values()]);
     orders.set(service, order);
     return order;
@@ -50,15 +51,15 @@
   return (route, service, key) => {
     const order = route.kind === 'stream' ? orderOf(service) : undefined;
     if (order === undefined) return undefined;
-    const own = key === undefined ? undefined : customerPriorities.get(key);
-    const level = order.priorities.indexOf(own ?? route.priority);
-    const { shortestTargetMs, priorities } = order;
-    return level < 0 ? undefined : { level, levels: priorities.length, shortestTargetMs };
+    const customerPriority = key === undefined ? undefined : customerPriorities.get(key);
+    const level = order.ranks.indexOf(rankOf(customerPriority, route.priority));
+    const { shortestTargetMs, ranks } = order;
+    return level < 0 ? undefined : { level, levels: ranks.length, shortestTargetMs };
   };
 }
 
 function createOrder(
-  { routes }: ForwardConfig,
+  { routes, customers }: ForwardConfig,
   service: ServiceName,
   customerPriorities: readonly number[],
 ): ServiceOrder | undefined {
@@ -66,14 +67,25 @@
     ({ kind, targets }) =>
       kind === 'stream' && targets.some((target) => target.service === service),
   );
-  const routePriorities = streams.map(({ priority }) => priority);
-  if (!routePriorities.every(isValid)) return undefined;
-  const priorities = [...new Set([...routePriorities, ...customerPriorities])].sort(
-    (a, b) => a - b,
+  const routePriorities = new Set(streams.map(({ priority }) => priority));
+  if (routePriorities.size < 2 || ![...routePriorities].every(isValid)) return undefined;
+  const hasOthers =
+    customers === undefined ||
+    streams.some(({ isPublic }) => isPublic) ||
+    customers.some(({ priority }) => priority === undefined || !isValid(priority));
+  const choices = [...customerPriorities, ...(hasOthers ? [undefined] : [])];
+  const ranks = [...routePriorities].flatMap((route) =>
+    choices.map((customer) => rankOf(customer, route)),
   );
-  if (priorities.length < 2) return undefined;
-  const shortestTargetMs = Math.min(...streams.map(({ targetMs }) => targetMs));
-  return { priorities, shortestTargetMs };
+  return {
+    ranks: [...new Set(ranks)].sort((a, b) => a - b),
+    shortestTargetMs: Math.min(...streams.map(({ targetMs }) => targetMs)),
+  };
+}
+
+/** Compares by the customer's priority first, then by the route's. */
+function rankOf(customerPriority: number | undefined, routePriority: number): number {
+  return (customerPriority ?? routePriority) * (PRIORITY_MAX + 1) + routePriority;
 }
 
 function isValid(priority: number): boolean {
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -476,6 +476,7 @@
       request: requestId,
       attempt: effect.attemptNo,
       cause: effect.cause,
+      level: request.admission?.priorityClass.level,
       engine: placed.engineId,
       domain: state?.server.failureDomain,
       copy_at: placed.copyEngineId,
