Let less urgent streams yield only when they would miss their own target

Less urgent streams yielded from 0.55 of the engines' slots or memory on.

They now compare the mean wait at the engines with their own target.

--- a/packages/core/src/forward/admission.ts
+++ b/packages/core/src/forward/admission.ts
@@ -38,15 +38,12 @@
       readonly retryAfterMs: number;
     };
 
-/** Less urgent streams see no more room where the engines are filled to the second of these parts. */
-const YIELD_FROM_RATIO = 0.55;
-const YIELD_FULL_RATIO = 0.9;
 /**
- * The same for the prefills that engines have to do, as parts of the shortest target: with half of it
- * used up, a more urgent prompt still meets its target after another prefill of its size.
+ * Less urgent streams see no more room once a prompt waits at an engine for the second of these parts
+ * of their target: then they could not begin in time, and would only take room from others.
  */
-const YIELD_FROM_TARGET_RATIO = 0.25;
-const YIELD_FULL_TARGET_RATIO = 0.5;
+const YIELD_FROM_TARGET_RATIO = 0.5;
+const YIELD_FULL_TARGET_RATIO = 1;
 /** Part of the less urgent streams that is admitted like the most urgent ones, so that none starve. */
 const ADMITTED_MIN_RATIO = 1 / 3;
 /** Callers that are refused later than this part of their target can't find room elsewhere in time. */
@@ -72,10 +69,10 @@
 export function decideStreamAdmission(input: StreamAdmissionInput): StreamAdmission {
   const { priorityClass, load, draw } = input;
   if (priorityClass.level === 0) return { kind: 'send' };
-  const pressure = pressureOf(load, priorityClass.shortestTargetMs);
+  const pressure = pressureOf(input);
   if (pressure <= 0) return { kind: 'send' };
   const ceiling = ceilingOf(input);
-  const isLate = input.usedMs + input.expectedFirstEventMs > input.targetMs;
+  const isLate = input.usedMs + expectedStartMs(input) > input.targetMs;
   if (pressure < ceiling && (!isLate || ceiling === Infinity)) return { kind: 'send' };
   if (!isBusy(load, input)) return { kind: 'send' };
   const waitLeftMs = input.targetMs * WAIT_MAX_TARGET_RATIO - input.usedMs;
@@ -90,15 +87,27 @@
 }
 
 /** From 0, where all streams see room, to 1 and more, where only the most urgent ones do. */
-function pressureOf(load: ServiceLoad, shortestTargetMs: number): number {
-  const filledRatio = Math.max(load.slotsRatio, load.memoryRatio);
-  return Math.max(
-    (filledRatio - YIELD_FROM_RATIO) / (YIELD_FULL_RATIO - YIELD_FROM_RATIO),
-    (load.prefillMs / Math.max(1, shortestTargetMs) - YIELD_FROM_TARGET_RATIO) /
-      (YIELD_FULL_TARGET_RATIO - YIELD_FROM_TARGET_RATIO),
+function pressureOf(input: StreamAdmissionInput): number {
+  const waitRatio = engineWaitMs(input) / Math.max(1, input.targetMs);
+  return (
+    (waitRatio - YIELD_FROM_TARGET_RATIO) / (YIELD_FULL_TARGET_RATIO - YIELD_FROM_TARGET_RATIO)
   );
 }
 
+/**
+ * Mean wait of a less urgent prompt at an engine: until the prefills sent there are done, and until
+ * streams have ended whose place or memory it needs.
+ */
+function engineWaitMs({ load, durationMs }: StreamAdmissionInput): number {
+  const excessRatio = Math.max(load.slotsRatio, load.memoryRatio) - 1;
+  return Math.max(load.prefillMs, excessRatio * (durationMs ?? DEFAULT_DURATION_MS));
+}
+
+/** The chosen engine may be better than the mean, but what other routers send there comes first. */
+function expectedStartMs(input: StreamAdmissionInput): number {
+  return Math.max(input.expectedFirstEventMs, engineWaitMs(input));
+}
+
 /**
  * Pressure below which the request is sent. It rises as the time runs out in which the stream can
  * still begin within its target, so that of equal requests the one with the least time left goes first.
@@ -107,7 +116,7 @@
   const { level, levels } = input.priorityClass;
   if (input.draw < ADMITTED_MIN_RATIO) return Infinity;
   const share = (1 - input.draw) / (1 - ADMITTED_MIN_RATIO);
-  const neededMs = input.usedMs + input.expectedFirstEventMs;
+  const neededMs = input.usedMs + expectedStartMs(input);
   const needRatio = Math.min(1, neededMs / Math.max(1, input.targetMs));
   const own = share + (1 - share) * needRatio * 0.5;
   return (levels - 1 - level + own) / (levels - 1);
@@ -115,7 +124,7 @@
 
 function isBusy(load: ServiceLoad, { expectedFirstEventMs }: StreamAdmissionInput): boolean {
   const hasQueue = load.hasWaiting || load.prefillMs > expectedFirstEventMs;
-  const isFull = load.memoryRatio >= YIELD_FULL_RATIO;
+  const isFull = load.memoryRatio >= 1;
   return hasQueue || isFull || load.slotsRatio >= BUSY_SLOTS_RATIO;
 }
 
@@ -124,16 +133,10 @@
  * its target; a stream that can't comes back as late as callers do.
  */
 function retryAfterMsOf(input: StreamAdmissionInput): number {
-  const { load, priorityClass, draw } = input;
-  const filledRatio = Math.max(load.slotsRatio, load.memoryRatio);
-  const excessRatio = Math.max(0, 1 - YIELD_FROM_RATIO / Math.max(filledRatio, 1e-9));
-  const roomInMs = Math.max(
-    load.prefillMs - priorityClass.shortestTargetMs * YIELD_FROM_TARGET_RATIO,
-    excessRatio * (input.durationMs ?? DEFAULT_DURATION_MS),
-    RETRY_MIN_MS,
-  );
+  const { draw, targetMs, usedMs } = input;
+  const roomInMs = Math.max(RETRY_MIN_MS, engineWaitMs(input) - targetMs * YIELD_FROM_TARGET_RATIO);
   const latestMs = Math.max(RETRY_MIN_MS, input.leftMs * RETRY_MAX_LEFT_RATIO);
-  const inTargetMs = input.targetMs - input.usedMs - input.expectedFirstEventMs;
+  const inTargetMs = targetMs - usedMs - input.expectedFirstEventMs;
   const lastMs = inTargetMs > RETRY_MIN_MS ? Math.min(latestMs, inTargetMs) : latestMs;
   const firstMs = Math.min(roomInMs, lastMs / 2);
   // The draws of refused requests lie above the admitted share.
--- a/packages/core/src/forward/priority.ts
+++ b/packages/core/src/forward/priority.ts
@@ -7,8 +7,6 @@
   readonly level: number;
   /** Number of different priorities; at least 2. */
   readonly levels: number;
-  /** Shortest target of the service's streams for the time to the first event. */
-  readonly shortestTargetMs: number;
 }
 
 /** Class of a stream; undefined if the configuration does not order the streams of the service. */
@@ -21,12 +19,6 @@
 /** Higher numbers are taken for mistakes, since they order nothing that lower ones can't. */
 const PRIORITY_MAX = 9;
 
-interface ServiceOrder {
-  /** The ranks that streams of the service can have, the most urgent first. */
-  readonly ranks: readonly number[];
-  readonly shortestTargetMs: number;
-}
-
 /**
  * Orders the streams of a service whose routes differ in priority. The priority of the customer
  * takes precedence; among streams of equal customers, and those of customers without a priority,
@@ -39,11 +31,11 @@
     if (priority === undefined || !isValid(priority)) return;
     keys.forEach((key) => customerPriorities.set(key, priority));
   });
-  const orders = new Map<ServiceName, ServiceOrder | undefined>();
+  const orders = new Map<ServiceName, readonly number[] | undefined>();
 
-  function orderOf(service: ServiceName): ServiceOrder | undefined {
+  function orderOf(service: ServiceName): readonly number[] | undefined {
     if (orders.has(service)) return orders.get(service);
-    const order = createOrder(config, service, [...customerPriorities.values()]);
+    const order = ranksOf(config, service, [...customerPriorities.values()]);
     orders.set(service, order);
     return order;
   }
@@ -52,17 +44,17 @@
     const order = route.kind === 'stream' ? orderOf(service) : undefined;
     if (order === undefined) return undefined;
     const customerPriority = key === undefined ? undefined : customerPriorities.get(key);
-    const level = order.ranks.indexOf(rankOf(customerPriority, route.priority));
-    const { shortestTargetMs, ranks } = order;
-    return level < 0 ? undefined : { level, levels: ranks.length, shortestTargetMs };
+    const level = order.indexOf(rankOf(customerPriority, route.priority));
+    return level < 0 ? undefined : { level, levels: order.length };
   };
 }
 
-function createOrder(
+/** The ranks that streams of a service can have, the most urgent first. */
+function ranksOf(
   { routes, customers }: ForwardConfig,
   service: ServiceName,
   customerPriorities: readonly number[],
-): ServiceOrder | undefined {
+): readonly number[] | undefined {
   const streams = routes.filter(
     ({ kind, targets }) =>
       kind === 'stream' && targets.some((target) => target.service === service),
@@ -77,10 +69,7 @@
   const ranks = [...routePriorities].flatMap((route) =>
     choices.map((customer) => rankOf(customer, route)),
   );
-  return {
-    ranks: [...new Set(ranks)].sort((a, b) => a - b),
-    shortestTargetMs: Math.min(...streams.map(({ targetMs }) => targetMs)),
-  };
+  return [...new Set(ranks)].sort((a, b) => a - b);
 }
 
 /** Compares by the customer's priority first, then by the route's. */
