--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -331,6 +331,12 @@
 // forwarded traffic
 export { createForwardTable, checkAccess, pickTarget } from './forward/table';
 export type { AccessOutcome, ForwardTable } from './forward/table';
+export { decideStreamAdmission } from './forward/admission';
+export type { ServiceLoad, StreamAdmission, StreamAdmissionInput } from './forward/admission';
+export { createServiceLoads } from './forward/service-load';
+export type { ServiceLoads } from './forward/service-load';
+export { urgencyOf } from './forward/urgency';
+export type { Urgency, UrgencyInput } from './forward/urgency';
 export { createFreshnessTracker } from './forward/freshness';
 export type { ClockCheck, FreshnessBounds, FreshnessTracker } from './forward/freshness';
 export { createLinkPace } from './forward/link-pace';
@@ -406,6 +412,8 @@
   VersionOrder,
 } from './forward/rollout';
 export { isRestart } from './forward/server-notices';
+export { createPriorityClasses } from './forward/priority';
+export type { PriorityClass, PriorityClasses } from './forward/priority';
 export { createForwardStream } from './forward/stream';
 export type {
   AttemptLoss,
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -9,6 +9,7 @@
   createPeerRegistry,
   createPlacer,
   createResponseBuffers,
+  createServiceLoads,
   createStreamDurations,
   hostLimits,
 } from '@mimosamill/core';
@@ -240,6 +241,7 @@
     fleet,
     memory,
     placer,
+    serviceLoads: createServiceLoads(fleet, peerRegistry, placer.prefillMsPerToken),
     callOutcomes,
     upstream,
     connections,
@@ -537,6 +539,7 @@
     | 'fleet'
     | 'memory'
     | 'placer'
+    | 'serviceLoads'
     | 'callOutcomes'
     | 'upstream'
     | 'connections'
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -8,9 +8,11 @@
   ForwardService,
   MemoryBudget,
   Placer,
+  PriorityClass,
   RequestId,
   RetryBudget,
   ServerId,
+  ServiceLoads,
   ServiceName,
   OutputSizes,
   ResponseBuffers,
@@ -51,6 +53,7 @@
   readonly random: () => number;
   readonly fleet: Fleet;
   readonly placer: Placer;
+  readonly serviceLoads: ServiceLoads;
   readonly callOutcomes: CallOutcomeTracker;
   readonly upstream: Upstream;
   readonly connections: ConnectionWatch;
@@ -97,4 +100,13 @@
   readonly receivedAtMs: number;
   /** Time by which the response must be ready; the time to write it is already subtracted. */
   readonly deadlineAtMs: number;
+  /** Undefined if the configuration gives all streams of the service one priority. */
+  readonly admission: AdmissionTerms | undefined;
+}
+
+/** What decides which streams of a service are sent first. */
+export interface AdmissionTerms {
+  readonly priorityClass: PriorityClass;
+  /** Random number from 0 to 1 by which equal requests of all routers are told apart. */
+  readonly draw: number;
 }
