Tell the other routers how long work takes on servers

Cause: at 58 routers and 84 engines a router hears of an engine once in minutes, so the pace of most engines is unknown to most routers.

Change: a router tells the figures that it heard in the last 0.7 s in its state broadcast, in a last field that is optional.

--- a/packages/core/src/forward/server-pace.ts
+++ b/packages/core/src/forward/server-pace.ts
@@ -1,4 +1,5 @@
-import type { ServerId, ServiceName } from '../ids';
+import { evictOldest } from '../evict';
+import type { HostId, ServerId, ServiceName } from '../ids';
 
 /**
  * How long work takes on each server now, as a part of what is usual in its service: 2 is twice as
@@ -19,11 +20,27 @@
   readonly ageMs: (serverId: ServerId, nowMs: number) => number | undefined;
   /** Whether a server of the service has stated how long work takes: only then the pace is used. */
   readonly isStated: (service: ServiceName) => boolean;
+  /** What this router heard lately: of most servers, the others hear seldom. */
+  readonly ownReports: (nowMs: number) => readonly PaceReport[];
+  /** Another router heard it; its repeats count once. */
+  readonly onPeerReport: (
+    server: PacedServer,
+    report: PaceReport,
+    hostId: HostId,
+    nowMs: number,
+  ) => void;
   /** Servers whose pace is known. */
   readonly count: () => number;
   readonly forget: (serverId: ServerId) => void;
 }
 
+/** A figure that another router's server report gave. */
+export interface PaceReport {
+  readonly serverId: ServerId;
+  readonly workTimePercent: number;
+  readonly ageMs: number;
+}
+
 export interface PacedServer {
   readonly serverId: ServerId;
   readonly service: ServiceName;
@@ -41,6 +58,12 @@
 const LASTING_LIFE_MS = 120_000;
 /** Reports whose median is the lasting pace: a server that changes is followed after three. */
 const REPORTS_KEPT = 5;
+/** Own reports are told for so long, in several messages, of which some are lost. */
+const TELL_MS = 700;
+/** Two reports of a router on one server that are this close are one, told twice. */
+const REPEAT_MS = 100;
+/** Times of the last reports that are remembered, to tell repeats. */
+const TOLD_MAX = 1_024;
 
 interface HeardPace {
   /** Logarithms of the last ratios, since twice as fast and twice as slow weigh the same. */
@@ -48,17 +71,50 @@
   readonly lastAtMs: number;
 }
 
+interface OwnReport {
+  readonly percent: number;
+  readonly atMs: number;
+}
+
 export function createServerPace(): ServerPace {
   const heard = new Map<ServerId, HeardPace>();
   const stated = new Set<ServiceName>();
+  const own = new Map<ServerId, OwnReport>();
+  const lastTold = new Map<string, number>();
+
+  function learn({ serverId, service }: PacedServer, percent: number, atMs: number): void {
+    stated.add(service);
+    const log = Math.log(bounded(percent / USUAL_PERCENT));
+    const known = heard.get(serverId);
+    const logs = [...(known?.logs ?? []), log].slice(-REPORTS_KEPT);
+    heard.set(serverId, { logs, lastAtMs: Math.max(atMs, known?.lastAtMs ?? -Infinity) });
+  }
 
   return {
-    onReport: ({ serverId, service }, workTimePercent, nowMs) => {
+    onReport: (server, workTimePercent, nowMs) => {
       if (workTimePercent === undefined || !isPlausible(workTimePercent)) return;
-      stated.add(service);
-      const log = Math.log(bounded(workTimePercent / USUAL_PERCENT));
-      const earlier = heard.get(serverId)?.logs ?? [];
-      heard.set(serverId, { logs: [...earlier, log].slice(-REPORTS_KEPT), lastAtMs: nowMs });
+      learn(server, workTimePercent, nowMs);
+      own.set(server.serverId, { percent: workTimePercent, atMs: nowMs });
+    },
+    ownReports: (nowMs) => {
+      own.forEach(({ atMs }, serverId) => {
+        if (nowMs - atMs > TELL_MS) own.delete(serverId);
+      });
+      return [...own].map(([serverId, { percent, atMs }]) => ({
+        serverId,
+        workTimePercent: percent,
+        ageMs: nowMs - atMs,
+      }));
+    },
+    onPeerReport: (server, { workTimePercent, ageMs }, hostId, nowMs) => {
+      if (!isPlausible(workTimePercent)) return;
+      const atMs = nowMs - ageMs;
+      const key = `${server.serverId}\u0000${hostId}`;
+      if (atMs - (lastTold.get(key) ?? -Infinity) < REPEAT_MS) return;
+      lastTold.delete(key);
+      lastTold.set(key, atMs);
+      evictOldest(lastTold, TOLD_MAX);
+      learn(server, workTimePercent, atMs);
     },
     paceRatio: (serverId, nowMs) => {
       const pace = heard.get(serverId);
@@ -76,6 +132,7 @@
     count: () => heard.size,
     forget: (serverId) => {
       heard.delete(serverId);
+      own.delete(serverId);
     },
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -378,7 +378,7 @@
 export { createPromptSizes } from './forward/prompt-sizes';
 export type { PromptSizes, PromptSplit } from './forward/prompt-sizes';
 export { WORK_TIME_MAX_PERCENT, createServerPace } from './forward/server-pace';
-export type { ServerPace } from './forward/server-pace';
+export type { PaceReport, ServerPace } from './forward/server-pace';
 export { createOutputSizes } from './forward/output-sizes';
 export type { OutputSizes } from './forward/output-sizes';
 export type {
--- a/packages/core/test/forward/uneven-load.spec.ts
+++ b/packages/core/test/forward/uneven-load.spec.ts
@@ -131,6 +131,7 @@
 
   function tell({ hostId, fleet, placer }: Router): void {
     sequence += 1;
+    const toldAtMs = nowMs;
     const update = {
       hostId,
       failureDomain: asId<never>('domain-a'),
@@ -142,9 +143,16 @@
       moves: [],
       callCounts: [],
     };
+    const paces = fleet.pace.ownReports(nowMs);
     at(nowMs + 100 + 900 * random(), () =>
       routers.forEach((other) => {
-        if (other.hostId !== hostId) other.peers.onUpdate(update, '', nowMs);
+        if (other.hostId === hostId) return;
+        other.peers.onUpdate(update, '', nowMs);
+        paces.forEach((report) => {
+          const engine = other.fleet.get(report.serverId)?.server;
+          const told = { ...report, ageMs: report.ageMs + nowMs - toldAtMs };
+          if (engine !== undefined) other.fleet.pace.onPeerReport(engine, told, hostId, nowMs);
+        });
       }),
     );
   }
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -141,6 +141,7 @@
       crashReports: ports.ownCrashReports(nowMs),
       limits: fleet.limits.ownReports(nowMs),
       retryTotals: noteSent(retryTotals),
+      paces: fleet.pace.ownReports(nowMs),
     };
   }
 
@@ -219,7 +220,7 @@
         return;
       }
       if (message.update.hostId === settings.hostId) return;
-      const { update, crashReports, limits, retryTotals } = message;
+      const { update, crashReports, limits, retryTotals, paces } = message;
       ports.peers.onMessageFrom(from);
       const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
       if (peerFailures === undefined) return;
@@ -233,6 +234,10 @@
       ports.retryBudgets.onPeerTotals(update.hostId, update.incarnationId, retryTotals);
       ports.onCrashReports(crashReports);
       onPeerLimits(update.hostId, limits, nowMs);
+      paces.forEach((report) => {
+        const server = fleet.get(report.serverId)?.server;
+        if (server !== undefined) fleet.pace.onPeerReport(server, report, update.hostId, nowMs);
+      });
     },
     stop: () => {
       cancelUrgent?.();
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -12,6 +12,7 @@
 import type {
   CallCounts,
   LimitReports,
+  PaceReport,
   PeerUpdate,
   PromptPartId,
   ServerLimitReport,
@@ -25,6 +26,7 @@
   readonly limits: LimitReports;
   /** Services of which the message tells nothing new may be left out. */
   readonly retryTotals: readonly ServiceRetryTotals[];
+  readonly paces: readonly PaceReport[];
 }
 
 /** Translates the state of a router to a datagram and back; times become ages on the way. */
@@ -52,7 +54,7 @@
 }
 
 function toMessage(routerState: RouterState, nowMs: number): StateMessage {
-  const { update, crashReports, limits, retryTotals } = routerState;
+  const { update, crashReports, limits, retryTotals, paces } = routerState;
   return [
     MESSAGE_FORMAT,
     update.hostId,
@@ -93,6 +95,7 @@
       limits.demands.map(({ service, requests }) => [service, requests]),
     ],
     retryTotals.map(({ service, requests, retries }) => [service, requests, retries]),
+    paces.map((pace) => [pace.serverId, pace.workTimePercent, Math.round(pace.ageMs)]),
   ];
 }
 
@@ -111,6 +114,7 @@
     crashReports,
     limits,
     retryTotals,
+    paces,
   ] = message;
   const update: PeerUpdate = {
     hostId: asId(hostId),
@@ -149,6 +153,11 @@
       requests,
       retries,
     })),
+    paces: (paces ?? []).map(([serverId, workTimePercent, ageMs]) => ({
+      serverId: asId(serverId),
+      workTimePercent,
+      ageMs,
+    })),
   };
 }
 
--- a/packages/router/src/forward/state-schema.ts
+++ b/packages/router/src/forward/state-schema.ts
@@ -69,6 +69,8 @@
   z.tuple([z.array(limit), z.array(serviceCount)]).optional(),
   /** Requests and retries of services; absent likewise. */
   z.array(retryTotals).optional(),
+  /** Servers, how long work takes there in percent of the usual time, ages; absent likewise. */
+  z.array(z.tuple([z.string(), count, count])).optional(),
 ]);
 
 export type StateMessage = z.infer<typeof stateMessageSchema>;
--- a/packages/router/test/forward/state-broadcast.spec.ts
+++ b/packages/router/test/forward/state-broadcast.spec.ts
@@ -188,6 +188,33 @@
     expect(receiver.crashReports.received).toEqual([reportsAt(receiverClock.monotonicMs())]);
   });
 
+  it('carries how long work takes on servers, and counts a report that is told twice once', () => {
+    // Guards against routers that each take a slow engine for a usual one until they have used it.
+    const clock = createManualClock();
+    const sender = createTestRouter('host-1', clock);
+    const receiver = createTestRouter('host-2', clock);
+    const slow = asId<ServerId>('a1');
+    const load = { running: 1, waiting: 0, slots: 6, workTimePercent: 160 };
+    sender.fleet.onLoadReport(slow, load, clock.monotonicMs());
+    const tell = (): void => {
+      sender.broadcast.sendSoon();
+      clock.advance(15);
+      sender.sent.splice(0).forEach((bytes) => receiver.broadcast.onMessage(bytes, '10.0.0.1:1'));
+    };
+    tell();
+    const { pace } = receiver.fleet;
+    expect(pace.isStated(asId('shop'))).toBe(true);
+    expect(pace.ageMs(slow, clock.monotonicMs())).toBe(15);
+    clock.advance(400);
+    const before = pace.paceRatio(slow, clock.monotonicMs() + 15);
+    expect(before).toBeGreaterThan(1.2);
+    tell();
+    expect(pace.paceRatio(slow, clock.monotonicMs())).toBeCloseTo(before, 6);
+    clock.advance(1_000);
+    tell();
+    expect(sender.fleet.pace.ownReports(clock.monotonicMs())).toEqual([]);
+  });
+
   it('carries the limits that servers name, and what was sent to them', () => {
     // Guards against routers that each use the whole limit of a server.
     const senderClock = createManualClock();
