--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -55,7 +55,7 @@
 
 function toMessage(routerState: RouterState, nowMs: number): StateMessage {
   const { update, crashReports, limits, retryTotals, paces } = routerState;
-  return [
+  const message: StateMessage = [
     MESSAGE_FORMAT,
     update.hostId,
     update.failureDomain,
@@ -95,8 +95,10 @@
       limits.demands.map(({ service, requests }) => [service, requests]),
     ],
     retryTotals.map(({ service, requests, retries }) => [service, requests, retries]),
-    paces.map((pace) => [pace.serverId, pace.workTimePercent, Math.round(pace.ageMs)]),
   ];
+  // A router of an earlier release cannot read a message with this field.
+  if (paces.length > 0) message[13] = paces.map(encodePace);
+  return message;
 }
 
 function toState(message: StateMessage, nowMs: number): RouterState {
@@ -161,6 +163,10 @@
   };
 }
 
+function encodePace({ serverId, workTimePercent, ageMs }: PaceReport): [string, number, number] {
+  return [serverId, workTimePercent, Math.round(ageMs)];
+}
+
 function encodeLimit({ serverId, named, sentByAge }: ServerLimitReport): LimitMessage {
   const lastSent = sentByAge.findLastIndex((count) => count > 0);
   const counts = sentByAge.slice(0, lastSent + 1);
