--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,4 +1,5 @@
 import { createLinkPace, evictOldest } from '@mimosamill/core';
+import { createPaceCodec } from './pace-message';
 import { createStateCodec } from './state-message';
 import type { CrashReports } from './crash-guard';
 import type { RetryBudgets, ServiceRetryTotals } from './retry-budgets';
@@ -119,6 +120,7 @@
 ): StateBroadcast {
   const { clock, fleet, peerRegistry } = ports;
   const codec = createStateCodec();
+  const paceCodec = createPaceCodec();
   const linkPace = createLinkPace(settings.linkMbps);
   let sequence = 0;
   let lastPeerCount = 0;
@@ -202,6 +204,34 @@
       callCounts: ports.callOutcomes.recentCounts(clock.monotonicMs()),
       retryTotals: ports.retryBudgets.ownTotals(),
     });
+    sendPaces();
+  }
+
+  /** Only services whose servers state how long work takes have reports, and most messages none. */
+  function sendPaces(): void {
+    const reports = fleet.pace.ownReports(clock.monotonicMs());
+    if (reports.length > 0) sendBytes(paceCodec.encode({ hostId: settings.hostId, reports }));
+  }
+
+  function sendBytes(bytes: Uint8Array): void {
+    const socket = ports.datagrams();
+    if (socket === undefined) return;
+    const addresses = ports.peers.addresses();
+    lastPeerCount = addresses.length;
+    addresses.forEach((address) => socket.send(address, bytes));
+    const sentBytes = (bytes.length + DATAGRAM_HEADER_BYTES) * addresses.length;
+    linkPace.onSent(sentBytes, clock.monotonicMs());
+  }
+
+  /** Whether the bytes were reports of another router on the pace of servers. */
+  function onPaceMessage(bytes: Buffer, nowMs: number): boolean {
+    const news = paceCodec.decode(bytes);
+    if (news === undefined) return false;
+    news.reports.forEach((report) => {
+      const server = fleet.get(report.serverId)?.server;
+      if (server !== undefined) fleet.pace.onPeerReport(server, report, news.hostId, nowMs);
+    });
+    return true;
   }
 
   function send(parts: MessageParts): void {
@@ -209,15 +239,10 @@
     cancelUrgent = undefined;
     cancelHeartbeat();
     cancelHeartbeat = clock.runAfter(HEARTBEAT_PERIOD_MS, sendAll);
-    const socket = ports.datagrams();
-    if (socket === undefined) return;
+    if (ports.datagrams() === undefined) return;
     const nowMs = clock.monotonicMs();
     failures = failures.filter(({ atMs }) => nowMs - atMs < FAILURE_REPEAT_MS);
-    const bytes = codec.encode(currentState(nowMs, parts), nowMs);
-    const addresses = ports.peers.addresses();
-    lastPeerCount = addresses.length;
-    addresses.forEach((address) => socket.send(address, bytes));
-    linkPace.onSent((bytes.length + DATAGRAM_HEADER_BYTES) * addresses.length, nowMs);
+    sendBytes(codec.encode(currentState(nowMs, parts), nowMs));
   }
 
   function onPeerLimits(hostId: HostId, limits: LimitReports, nowMs: number): void {
@@ -277,6 +302,7 @@
     onMessage: (bytes, from) => {
       const nowMs = clock.monotonicMs();
       const message = codec.decode(bytes, nowMs);
+      if (message === undefined && onPaceMessage(bytes, nowMs)) return;
       if (message === undefined) {
         ports.decisions.notable('peer.message_ignored', { from, size_bytes: bytes.length });
         return;
--- a/packages/router/src/forward/state-schema.ts
+++ b/packages/router/src/forward/state-schema.ts
@@ -170,3 +170,21 @@
 export function isStateMessage(value: unknown): value is StateMessage {
   return isMessage(value);
 }
+
+/** Servers, how long work takes there in percent of the usual time, and the ages of these figures. */
+export type PaceMessage = [
+  kind: 'pace',
+  hostId: string,
+  reports: [serverId: string, workTimePercent: number, ageMs: number][],
+];
+
+const isPace = tupleOf([
+  (value) => value === 'pace',
+  (value) => isText(value) && value !== '',
+  listOf(tupleOf([isText, isCount, isCount])),
+]);
+
+/** Checks a message before any of it is used, as for states. */
+export function isPaceMessage(value: unknown): value is PaceMessage {
+  return isPace(value);
+}
