Order new streams at engines only by a setting

An engine whose memory is full preempts running streams of a lower priority for a new one. They fall silent, are moved, and their prompts are read again.

urgentStreamsFirst, false by default, tells engines the priority of new and begun streams. Without it they are told what they were before.

--- a/packages/core/src/forward/urgency.ts
+++ b/packages/core/src/forward/urgency.ts
@@ -8,7 +8,7 @@
 
 /** What decides the urgency of one send of a stream. */
 export interface UrgencyInput {
-  /** Undefined if the configuration does not order the streams of the service. */
+  /** Undefined if the streams of the service are not to be ordered at engines. */
   readonly priorityClass: PriorityClass | undefined;
   /** The caller has events of the stream from this router. */
   readonly hasBegun: boolean;
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -38,6 +38,7 @@
 import type {
   Clock,
   DatagramSocket,
+  DecisionFields,
   DecisionLog,
   HashFunctions,
   HttpClient,
@@ -227,6 +228,7 @@
     versionMoves,
     crashGuard,
     serverListAgeMs: () => serverWatch.ageMs(),
+    servesUrgentFirst: () => settings.urgentStreamsFirst ?? false,
     retryBudgetOf: retryBudgets.of,
     onServerLeaving: (serverId) => streams.onServerLeaving(serverId),
   });
@@ -501,6 +503,7 @@
     | 'versionMoves'
     | 'crashGuard'
     | 'serverListAgeMs'
+    | 'servesUrgentFirst'
     | 'onServerLeaving'
     | 'retryBudgetOf'
   >,
@@ -527,7 +530,7 @@
   };
 }
 
-function describeSettings(settings: GatewaySettings): Record<string, string | number | undefined> {
+function describeSettings(settings: GatewaySettings): DecisionFields {
   return { ...settings };
 }
 
--- a/packages/router/src/forward/ports.ts
+++ b/packages/router/src/forward/ports.ts
@@ -64,6 +64,8 @@
     VersionMoves,
     'excludedServers' | 'excludedCopyHolders' | 'trackAttempt'
   >;
+  /** Whether engines are told to serve new streams in the order of their priorities. */
+  readonly servesUrgentFirst: () => boolean;
   /** Age of the list of servers; Infinity if it is unknown. */
   readonly serverListAgeMs: () => number;
   /** Called when a server says in an answer that it is leaving. */
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -31,6 +31,8 @@
   /** Fleet-wide retry budget of a service: a ratio of its requests, plus a fixed number. */
   retryRatio: ratio,
   retrySlack: ratio,
+  /** Engines serve new streams by priority, and preempt running ones for them; false if absent. */
+  urgentStreamsFirst: z.boolean().optional(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -556,7 +556,7 @@
           kvCopyAddress: copyHolder?.server.address,
           resumeFrom: effect.resumeFrom,
           urgency: urgencyOf({
-            priorityClass: request.admission?.priorityClass,
+            priorityClass: ports.servesUrgentFirst() ? request.admission?.priorityClass : undefined,
             hasBegun: stream.hasBegun(),
             isResumed: head.lastEventId !== undefined,
           }),
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -60,6 +60,7 @@
       }),
     },
     serviceLoads: { of: () => load },
+    servesUrgentFirst: () => false,
     upstream: {
       send: (_request: unknown, { onSent, onData }: ExchangeHandler) => {
         queueMicrotask(onSent);
