--- a/packages/core/src/forward/service-load.ts
+++ b/packages/core/src/forward/service-load.ts
@@ -1,4 +1,3 @@
-import { remainingPrefillMs } from './fleet';
 import type { ServiceName } from '../ids';
 import type { ServiceLoad } from './admission';
 import type { Fleet, ServerState } from './fleet';
@@ -39,7 +38,7 @@
       const peerLoad = peers.loadAt(state.server.serverId, nowMs);
       running += state.ownRunning + peerLoad.running;
       tokens += state.ownTokens + peerLoad.tokens;
-      prefillMs += remainingPrefillMs(state, nowMs, prefillMsPerToken()) + peerLoad.prefillMs;
+      prefillMs += fleet.prefillLeftMs(state, nowMs, prefillMsPerToken()) + peerLoad.prefillMs;
     });
     return {
       slotsRatio: running / (engines.length * Math.max(1, capacity.slots)),
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -43,6 +43,7 @@
 import type {
   Clock,
   DatagramSocket,
+  DecisionFields,
   DecisionLog,
   HashFunctions,
   HttpClient,
@@ -250,6 +251,7 @@
     versionMoves,
     crashGuard,
     serverListAgeMs: () => serverWatch.ageMs(),
+    servesUrgentFirst: () => settings.urgentStreamsFirst ?? false,
     retryBudgetOf: retryBudgets.of,
     onServerLeaving: (serverId) => streams.onServerLeaving(serverId),
   });
@@ -548,6 +550,7 @@
     | 'versionMoves'
     | 'crashGuard'
     | 'serverListAgeMs'
+    | 'servesUrgentFirst'
     | 'onServerLeaving'
     | 'retryBudgetOf'
   >,
@@ -574,7 +577,7 @@
   };
 }
 
-function describeSettings(settings: GatewaySettings): Record<string, string | number | undefined> {
+function describeSettings(settings: GatewaySettings): DecisionFields {
   return { ...settings };
 }
 
--- a/packages/router/src/forward/settings.ts
+++ b/packages/router/src/forward/settings.ts
@@ -37,6 +37,8 @@
   memoryMb: z.number().positive().optional(),
   /** Descriptors that the process may have open; absent if it is not known. */
   maxFds: z.number().int().positive().optional(),
+  /** Engines serve new streams by priority, and preempt running ones for them; false if absent. */
+  urgentStreamsFirst: z.boolean().optional(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -69,6 +69,7 @@
       }),
     },
     serviceLoads: { of: () => load },
+    servesUrgentFirst: () => false,
     upstream: {
       send: (_request: unknown, { onSent, onData }: ExchangeHandler) => {
         queueMicrotask(onSent);
