Leave a busy engine before its first event only for one with little to do

Cause: a stream without an event left its engine once another one could still meet the target. In a crowd both are busy: the stream loses its place, and what was read of its prompt.

Change: an engine that is not doubted, and from which this router or others get events, counts as busy; the stream moves only to an engine that has little to do. It acts where servers state how long work takes, so that a slow engine is known as such.

--- a/packages/core/src/forward/placement-types.ts
+++ b/packages/core/src/forward/placement-types.ts
@@ -87,4 +87,6 @@
   /** A prefill took this time, with no other prefill of this router ahead of it. */
   readonly onPrefill: (tokens: number, tookMs: number, engine?: PrefilledEngine) => void;
   readonly prefillMsPerToken: () => number;
+  /** Streams that other routers have on an engine. */
+  readonly peersRunning: (engineId: ServerId, nowMs: number) => number;
 }
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -241,6 +241,7 @@
       prefillMsPerToken += PREFILL_SMOOTHING_RATIO * (usual - prefillMsPerToken);
     },
     prefillMsPerToken: () => prefillMsPerToken,
+    peersRunning: (engineId, nowMs) => peers.loadAt(engineId, nowMs).running,
   };
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -339,6 +339,7 @@
 export type { Urgency, UrgencyInput } from './forward/urgency';
 export { createFreshnessTracker } from './forward/freshness';
 export type { ClockCheck, FreshnessBounds, FreshnessTracker } from './forward/freshness';
+export { isProbablyBusy } from './forward/busy-engine';
 export { createLinkPace } from './forward/link-pace';
 export type { LinkPace } from './forward/link-pace';
 export { createConnectTimeouts } from './forward/connect-timeouts';
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -3,6 +3,7 @@
   createEventSplitter,
   createForwardStream,
   createStreamTimes,
+  isProbablyBusy,
   isRestart,
   urgencyOf,
 } from '@mimosamill/core';
@@ -432,7 +433,7 @@
     const wanted = { ...replacement, isFailover: true };
     placementRandom.reset();
     const canPlace =
-      chooseEngine(wanted, nowMs).kind === 'ok' ||
+      isWorthMoving(chooseEngine(wanted, nowMs), replacement.silentEngineId, nowMs) ||
       (wanted.resumeFrom !== undefined &&
         chooseEngine({ ...wanted, resumeFrom: undefined }, nowMs).kind === 'ok');
     // The attempt that follows chooses by the same numbers.
@@ -441,6 +442,23 @@
     return canPlace;
   }
 
+  /**
+   * A stream without an event leaves an engine that is only busy for one that has little to do. Where
+   * servers do not state how long work takes, such an engine may also be very slow, so it is left.
+   */
+  function isWorthMoving(choice: EngineChoice, silentEngineId: ServerId, nowMs: number): boolean {
+    if (choice.kind !== 'ok') return false;
+    const isPaceStated = fleet.pace.isStated(service.name);
+    if (!isPaceStated || current?.hasEvents === true || choice.placed.isLightlyLoaded) return true;
+    const state = fleet.get(silentEngineId);
+    if (state === undefined) return true;
+    return !isProbablyBusy({
+      isDoubted: state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs),
+      receivedAgeMs: nowMs - state.lastReceivedAtMs,
+      peersRunning: ports.placer.peersRunning(silentEngineId, nowMs),
+    });
+  }
+
   /** Whether the process that ran the current attempt has ended, and its connection with it. */
   function isGone(engineId: ServerId): boolean {
     const state = fleet.get(engineId);
