Bound heads by the configured limit, and collect buffers sooner

Change: a head may have twice max_header_bytes; buffers are collected after 2 MB received and 4 MB given up.

--- a/packages/adapters/src/runtime/buffer-collection.ts
+++ b/packages/adapters/src/runtime/buffer-collection.ts
@@ -7,9 +7,9 @@
 // buffers gather that nothing refers to. On a host of 210 MB that is a quarter of the memory.
 
 /** Bytes that arrived in buffers of up to 64 KiB, after which the young ones among them are freed. */
-const COLLECT_RECEIVED_BYTES = 4_194_304;
+const COLLECT_RECEIVED_BYTES = 2_097_152;
 /** Bytes of large buffers that were given up, after which they are freed; they are old by then. */
-const COLLECT_FREED_BYTES = 12_582_912;
+const COLLECT_FREED_BYTES = 4_194_304;
 
 /** One count for the process, since its heap is one. */
 let receivedBytes = 0;
--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -57,6 +57,8 @@
   readonly evictedConnectionCount: () => number;
   /** Sets how long a connection may stay idle and how long a request's headers may take. */
   readonly setTimeouts: (idleTimeoutMs: number, headersTimeoutMs: number) => void;
+  /** Sets the size of the largest head that new connections may send. */
+  readonly setMaxHeaderBytes: (maxHeaderBytes: number) => void;
 }
 
 /** Handles every request in place of the application's routes. */
@@ -145,6 +147,8 @@
     listen: (ip, port) => listen(server, ip, port),
     drain: (timeoutMs) => drain(server, timeoutMs),
     close: () => closeNow(server),
+    // Node reads the property for each new connection; its types don't have it.
+    setMaxHeaderBytes: (maxHeaderBytes) => Object.assign(server, { maxHeaderSize: maxHeaderBytes }),
     setTimeouts: (idleTimeoutMs, headersTimeoutMs) => {
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headersTimeoutMs;
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -108,6 +108,8 @@
 /** Connecting takes one round trip; with a lost packet it would take a second, so it is given up before. */
 const CONNECT_TIMEOUT_MS = 300;
 const CONNECTIONS_PER_SERVER = 64;
+/** Node also counts the request line, and each connection may hold so much before its head ends. */
+const HEADER_LIMIT_RATIO = 2;
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
 
@@ -333,6 +335,7 @@
     if (table !== undefined && config.revision <= table.config.revision) return;
     const before = table?.config.revision;
     table = createForwardTable(config);
+    ingress.shell.setMaxHeaderBytes(config.limits.headerMaxBytes * HEADER_LIMIT_RATIO);
     ingress.shell.setTimeouts(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
     if (config.limits.bodyMaxBytes > memory.claimMaxBytes) {
       decisions.vital('config.body_limit_exceeds_memory', {
