Mend what the review of the merged parts found

Each was shown by a trial of the review, or by reading: - A stream that had waited for admission was sent without a timer for its silence, and stayed on a silent engine until its deadline. - A host could take lost servers for its own trouble without end: an episode lasts 2.5 s at most, bytes that arrive count as a sign that the link works, and streams leave engines that are taken for lost. - Other routers' streams that only wait made a lost engine look busy: they count until the target of the stream only. - A full budget of held bytes ended streams by events of any size, and held it against their engines. - An older report of another router counted as the pace of the moment. - Messages between routers could be paced by seconds: by 250 ms at most. - Resumed streams were made to wait and refused like new ones, and a wait could pass the deadline. - A prompt that waited was counted anew at each look. - A pipelined request hid a body that never comes from the limit of connections, and a caller that reads slowly but steadily was cut after 30 s.

Tests: the first, second, fifth and ninth have one that fails without the change.

--- a/packages/adapters/src/runtime/connection-limit.ts
+++ b/packages/adapters/src/runtime/connection-limit.ts
@@ -24,8 +24,8 @@
   /** Connections in the order in which they came to be so; a Set keeps the order of insertion. */
   const unused = new Set<Socket>();
   const idle = new Set<Socket>();
-  /** Time at which the request whose body is arriving began. */
-  const receiving = new Map<Socket, number>();
+  /** The request whose body is arriving, and when it began. */
+  const receiving = new Map<Socket, { readonly req: IncomingMessage; readonly sinceMs: number }>();
   const runningCounts = new Map<Socket, number>();
   const open = new Set<Socket>();
   let evictedCount = 0;
@@ -41,7 +41,7 @@
   function slowestReceiving(): Socket | undefined {
     const [first] = receiving;
     if (first === undefined) return undefined;
-    const [socket, sinceMs] = first;
+    const [socket, { sinceMs }] = first;
     return performance.now() - sinceMs > RECEIVE_GRACE_MS ? socket : undefined;
   }
 
@@ -55,11 +55,17 @@
     socket.destroy();
   }
 
-  function onEnded(socket: Socket): void {
+  function onReceived(req: IncomingMessage): void {
+    // A later request on the connection may still be arriving.
+    if (receiving.get(req.socket)?.req === req) receiving.delete(req.socket);
+  }
+
+  function onEnded(req: IncomingMessage): void {
+    const { socket } = req;
     if (!open.has(socket)) return;
     const count = (runningCounts.get(socket) ?? 1) - 1;
     runningCounts.set(socket, count);
-    receiving.delete(socket);
+    onReceived(req);
     if (count === 0 && !socket.destroyed) idle.add(socket);
   }
 
@@ -81,9 +87,9 @@
         return false;
       }
       runningCounts.set(socket, count);
-      receiving.set(socket, performance.now());
-      req.once('end', () => receiving.delete(socket));
-      res.once('close', () => onEnded(socket));
+      receiving.set(socket, { req, sinceMs: performance.now() });
+      req.once('end', () => onReceived(req));
+      res.once('close', () => onEnded(req));
       return true;
     },
     evictedCount: () => evictedCount,
--- a/packages/adapters/test/connection-limit.spec.ts
+++ b/packages/adapters/test/connection-limit.spec.ts
@@ -58,6 +58,21 @@
     expect(socket.destroyed).toBe(true);
   });
 
+  it('closes one whose body does not come, also after another request on it', async () => {
+    // Guards against pipelined requests that keep connections from being closed for others.
+    const limit = createConnectionLimit(2);
+    const socket = open(limit);
+    const first = sendRequest(limit, socket);
+    sendRequest(limit, socket);
+    first.endBody();
+    first.answer();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1_050);
+    });
+    open(limit);
+    expect(socket.destroyed).toBe(true);
+  });
+
   it('counts the requests that wait, not those that were answered', () => {
     const limit = createConnectionLimit(10);
     const socket = open(limit);
--- a/packages/core/src/forward/admission.ts
+++ b/packages/core/src/forward/admission.ts
@@ -75,7 +75,10 @@
   const isLate = input.usedMs + expectedStartMs(input) > input.targetMs;
   if (pressure < ceiling && (!isLate || ceiling === Infinity)) return { kind: 'send' };
   if (!isBusy(load, input)) return { kind: 'send' };
-  const waitLeftMs = input.targetMs * WAIT_MAX_TARGET_RATIO - input.usedMs;
+  const waitLeftMs = Math.min(
+    input.targetMs * WAIT_MAX_TARGET_RATIO - input.usedMs,
+    input.leftMs - input.expectedFirstEventMs,
+  );
   if (!isLate && waitLeftMs >= WAIT_MIN_MS) {
     return { kind: 'wait', waitMs: Math.min(waitLeftMs, RECHECK_MS * (0.5 + draw)) };
   }
--- a/packages/core/src/forward/connect-timeouts.ts
+++ b/packages/core/src/forward/connect-timeouts.ts
@@ -12,7 +12,7 @@
 export interface ConnectTimeouts {
   /** A connection attempt timed out; true if that says nothing about the server. */
   readonly onTimeout: (server: ForwardServer, nowMs: number) => boolean;
-  /** A new connection was made in time. */
+  /** A new connection was made in time, or bytes arrived from the server. */
   readonly onConnected: (server: ForwardServer, nowMs: number) => void;
   /** Time allowed for a connection that usually gets `usualMs`. */
   readonly timeoutMs: (usualMs: number, nowMs: number) => number;
@@ -22,6 +22,11 @@
 
 /** Allowed while the host itself is slow: a lost packet is sent again after a second. */
 const SLOW_CONNECT_TIMEOUT_MS = 1_200;
+/**
+ * A host counts as slow for this long at most, and then not for as long again: timeouts that go on may be
+ * those of servers that are really lost, which others have to avoid.
+ */
+const TROUBLE_MAX_MS = 2_500;
 /** Attempts count for this time, in which an attempt with the longer timeout ends. */
 const WINDOW_MS = 1_500;
 /** Servers in this many failure domains must be affected: a lost domain is not the host's trouble. */
@@ -42,6 +47,7 @@
 export function createConnectTimeouts(): ConnectTimeouts {
   /** The last attempt at each server within the window. */
   const attempts = new Map<ServerId, ServerAttempt>();
+  let troubleSinceMs: number | undefined;
 
   function record(server: ForwardServer, hasTimedOut: boolean, nowMs: number): void {
     attempts.delete(server.serverId);
@@ -57,6 +63,15 @@
   }
 
   function isOwnTrouble(nowMs: number): boolean {
+    if (!isSlowToAll(nowMs)) {
+      troubleSinceMs = undefined;
+      return false;
+    }
+    troubleSinceMs ??= nowMs;
+    return (nowMs - troubleSinceMs) % (2 * TROUBLE_MAX_MS) < TROUBLE_MAX_MS;
+  }
+
+  function isSlowToAll(nowMs: number): boolean {
     const recent = [...attempts.values()].filter(({ atMs }) => nowMs - atMs <= WINDOW_MS);
     const timedOut = recent.filter(({ hasTimedOut }) => hasTimedOut);
     const domains = new Set(timedOut.map(({ failureDomain }) => failureDomain));
--- a/packages/core/src/forward/link-pace.ts
+++ b/packages/core/src/forward/link-pace.ts
@@ -15,6 +15,8 @@
 const MESSAGES_RATIO = 0.2;
 /** Messages may use the whole link for this long before they are paced. */
 const BURST_MS = 50;
+/** Limits, retries and crashes must reach the others within half a second, whatever the link. */
+const DELAY_MAX_MS = 250;
 const BYTES_PER_MS_PER_MBPS = 125;
 
 /** @param linkMbps Rate of the host's link; undefined if it is not known, so that nothing is paced. */
@@ -29,6 +31,7 @@
     onSent: (bytes, nowMs) => {
       paidUntilMs = Math.max(paidUntilMs, nowMs) + bytes / bytesPerMs;
     },
-    delayMs: (nowMs) => Math.max(0, paidUntilMs - nowMs - BURST_MS / MESSAGES_RATIO),
+    delayMs: (nowMs) =>
+      Math.min(DELAY_MAX_MS, Math.max(0, paidUntilMs - nowMs - BURST_MS / MESSAGES_RATIO)),
   };
 }
--- a/packages/core/src/forward/placement-types.ts
+++ b/packages/core/src/forward/placement-types.ts
@@ -12,6 +12,8 @@
   readonly excludedCopyHolders: ReadonlySet<ServerId>;
   /** The stream lost its engine; other streams probably lost theirs at the same moment. */
   readonly isFailover?: boolean;
+  /** The stream has waited since an engine was chosen for it before. */
+  readonly isRecheck?: boolean;
 }
 
 /** Requirements of one stream on its engine. */
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -194,7 +194,8 @@
       const claim = { service, draw, isFailover: input.isFailover === true };
       const open = fleet.withRoom(service, claim, nowMs);
       const choices = open.filter(({ server }) => !input.excluded.has(server.serverId));
-      if (input.isFailover !== true) sizes.onPrompt(service, input.promptTokens);
+      const isFirstChoice = input.isFailover !== true && input.isRecheck !== true;
+      if (isFirstChoice) sizes.onPrompt(service, input.promptTokens);
       const rank = ranks.rankOf(service, all);
       const maxJitterMs = maxJitterMsOf(input);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
--- a/packages/core/src/forward/response-buffers.ts
+++ b/packages/core/src/forward/response-buffers.ts
@@ -41,8 +41,9 @@
     const claim = budget.open(kind);
     return {
       hold: (sizeBytes) => {
-        if (!claim.resize(sizeBytes, monotonicMs())) return false;
-        return sizeBytes <= SMALL_RESPONSE_BYTES || heldBytes() <= HELD_MAX_BYTES[kind];
+        const isGranted = claim.resize(sizeBytes, monotonicMs());
+        if (sizeBytes <= SMALL_RESPONSE_BYTES) return true;
+        return isGranted && heldBytes() <= HELD_MAX_BYTES[kind];
       },
       release: claim.release,
     };
--- a/packages/core/src/forward/server-pace.ts
+++ b/packages/core/src/forward/server-pace.ts
@@ -63,7 +63,9 @@
 /** Two reports of a router on one server that are this close are one, told twice. */
 const REPEAT_MS = 100;
 /** Times of the last reports that are remembered, to tell repeats. */
-const TOLD_MAX = 1_024;
+const TOLD_MAX = 16_384;
+/** An older report tells nothing of the moment; a message that was held up may bring one. */
+const PEER_REPORT_MAX_AGE_MS = 2_000;
 
 interface HeardPace {
   /** Logarithms of the last ratios, since twice as fast and twice as slow weigh the same. */
@@ -107,8 +109,10 @@
       }));
     },
     onPeerReport: (server, { workTimePercent, ageMs }, hostId, nowMs) => {
-      if (!isPlausible(workTimePercent)) return;
+      if (!isPlausible(workTimePercent) || ageMs > PEER_REPORT_MAX_AGE_MS) return;
       const atMs = nowMs - ageMs;
+      // The newest report says what the server does at the moment.
+      if (atMs < (heard.get(server.serverId)?.lastAtMs ?? -Infinity)) return;
       const key = `${server.serverId}\u0000${hostId}`;
       if (atMs - (lastTold.get(key) ?? -Infinity) < REPEAT_MS) return;
       lastTold.delete(key);
--- a/packages/core/test/forward/connect-timeouts.spec.ts
+++ b/packages/core/test/forward/connect-timeouts.spec.ts
@@ -40,6 +40,21 @@
     expect(timeOut(timeouts, 'aabb')).not.toContain(true);
   });
 
+  it('are held against the servers again if they go on for seconds', () => {
+    // Guards against servers of two lost failure domains that are never avoided.
+    const timeouts = createConnectTimeouts();
+    const verdicts = Array.from({ length: 100 }, (_, no) =>
+      timeouts.onTimeout(server(no % 2 === 0 ? 'a' : 'b', no % 8), no * 100),
+    );
+    const longest = verdicts
+      .map((isOwn) => (isOwn ? 'x' : ' '))
+      .join('')
+      .split(' ')
+      .reduce((most, run) => Math.max(most, run.length), 0);
+    expect(longest * 100).toBeLessThanOrEqual(2_500);
+    expect(verdicts.filter(Boolean).length).toBeLessThanOrEqual(60);
+  });
+
   it('count once for each server, by its last attempt', () => {
     // Guards against one server that is tried again and again, and against trouble that is over.
     const timeouts = createConnectTimeouts();
--- a/packages/core/test/forward/server-pace.spec.ts
+++ b/packages/core/test/forward/server-pace.spec.ts
@@ -32,6 +32,17 @@
     expect(pace.ageMs(ENGINE.serverId, 3_000)).toBe(2_960);
   });
 
+  it('is not taken from a report of another router that is older than the own one', () => {
+    // Guards against a figure of the past that counts as what the server does now.
+    const pace = createServerPace();
+    pace.onReport(ENGINE, 100, 5_000);
+    const told = { serverId: ENGINE.serverId, workTimePercent: 300 };
+    pace.onPeerReport(ENGINE, { ...told, ageMs: 1_200 }, asId('host-2'), 5_000);
+    expect(pace.paceRatio(ENGINE.serverId, 5_000)).toBe(1);
+    pace.onPeerReport(ENGINE, { ...told, ageMs: 0 }, asId('host-2'), 5_200);
+    expect(pace.paceRatio(ENGINE.serverId, 5_200)).toBeGreaterThan(1.5);
+  });
+
   it('has a bounded effect, and none by figures that no server can mean', () => {
     // Guards against one wrong figure that shuts an engine or draws all streams to it.
     const pace = createServerPace();
--- a/packages/core/test/forward/uneven-load.spec.ts
+++ b/packages/core/test/forward/uneven-load.spec.ts
@@ -22,7 +22,7 @@
 const TARGET_MS = 4_500;
 const GAP_TARGET_MS = 700;
 const SECONDS = 20;
-/** Lasting differences of the engines' speeds, and what shares their machines at times. */
+/** Lasting differences of the engines' speeds, and what shares their hosts at times. */
 const UNEVEN = [0.6, 1, 1.6];
 const MOMENT_RATIO = 2.5;
 const MOMENT_MS = 500;
--- a/packages/router/src/forward/admission.ts
+++ b/packages/router/src/forward/admission.ts
@@ -24,6 +24,8 @@
 ): AdmissionOutcome {
   const { admission: terms, head, route, service } = request;
   if (terms === undefined || service.engine === undefined) return { kind: 'send' };
+  // Engines have worked for a stream that is resumed, and a refusal would waste that.
+  if (head.lastEventId !== undefined) return { kind: 'send' };
   const load = ports.serviceLoads.of(service.name, service.engine, nowMs);
   const { expectedFirstEventMs } = placed;
   const usedMs = nowMs - request.receivedAtMs;
--- a/packages/router/src/forward/connection-watch.ts
+++ b/packages/router/src/forward/connection-watch.ts
@@ -11,6 +11,8 @@
   readonly onTimeout: (server: ForwardServer) => boolean;
   /** The request that was handed over at `sentAtMs` is being written to a connection. */
   readonly onWriting: (server: ForwardServer, sentAtMs: number) => void;
+  /** Bytes arrived from the server, so that this host's link works. */
+  readonly onReceived: (server: ForwardServer) => void;
   readonly isOwnTrouble: () => boolean;
 }
 
@@ -49,6 +51,9 @@
       const nowMs = clock.monotonicMs();
       if (nowMs - sentAtMs >= NEW_CONNECTION_MIN_MS) timeouts.onConnected(server, nowMs);
     },
+    onReceived: (server) => {
+      if (wasOwnTrouble) timeouts.onConnected(server, clock.monotonicMs());
+    },
     isOwnTrouble,
   };
 }
--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -212,6 +212,8 @@
   let lastEventAtMs: number | undefined;
   let eventCount = 0;
   let failoverCount = 0;
+  /** An engine was chosen before, and the stream has waited since. */
+  let isRecheck = false;
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
@@ -362,7 +364,10 @@
         return true;
       case 'wait':
         cancelWait = clock.runAfter(admission.waitMs, () => {
-          if (!isOver) send(effect);
+          if (isOver) return;
+          isRecheck = true;
+          send(effect);
+          alarm.set(isOver ? undefined : stream.wakeAtMs());
         });
         return false;
       case 'refuse':
@@ -392,6 +397,7 @@
       promptTokens,
       outputTokens: expectedOutputTokens(),
       isFailover: wanted.isFailover,
+      isRecheck,
       limitDraw: request.limitDraw,
       excluded: new Set([
         ...wanted.excluded,
@@ -417,7 +423,7 @@
   }
 
   /**
-   * 0 where engines do not state their pace. Those that do share their machines with others, and crash
+   * 0 where engines do not state their pace. Those that do share their hosts with others, and crash
    * when the requests that they hold exceed their memory.
    */
   function expectedOutputTokens(): number {
@@ -429,7 +435,9 @@
   function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
     if (isGone(replacement.silentEngineId)) return true;
     // The events of the present engine wait at this host's link, as those of another one would.
-    if (ports.connections.isOwnTrouble()) return false;
+    if (ports.connections.isOwnTrouble() && !isDoubted(replacement.silentEngineId, nowMs)) {
+      return false;
+    }
     const wanted = { ...replacement, isFailover: true };
     placementRandom.reset();
     const canPlace =
@@ -450,15 +458,21 @@
     if (choice.kind !== 'ok') return false;
     const isPaceStated = fleet.pace.isStated(service.name);
     if (!isPaceStated || current?.hasEvents === true || choice.placed.isLightlyLoaded) return true;
-    const state = fleet.get(silentEngineId);
-    if (state === undefined) return true;
     return !isProbablyBusy({
-      isDoubted: state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs),
-      receivedAgeMs: nowMs - state.lastReceivedAtMs,
+      isDoubted: isDoubted(silentEngineId, nowMs),
+      receivedAgeMs: nowMs - (fleet.get(silentEngineId)?.lastReceivedAtMs ?? -Infinity),
       peersRunning: ports.placer.peersRunning(silentEngineId, nowMs),
+      waitedMs: nowMs - (current?.sentAtMs ?? nowMs),
+      targetMs: route.targetMs,
     });
   }
 
+  /** Whether the engine or its failure domain is taken for lost. */
+  function isDoubted(engineId: ServerId, nowMs: number): boolean {
+    const state = fleet.get(engineId);
+    return state === undefined || state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs);
+  }
+
   /** Whether the process that ran the current attempt has ended, and its connection with it. */
   function isGone(engineId: ServerId): boolean {
     const state = fleet.get(engineId);
@@ -636,7 +650,8 @@
         if (events === undefined || !isHeld) {
           attempt.exchange?.cancel();
           const message = isHeld ? undefined : 'the router holds too many bytes of responses';
-          failAttempt(attempt, 'garbled', 'reset', message);
+          // Lack of room here says nothing about the engine.
+          failAttempt(attempt, 'garbled', isHeld ? 'reset' : undefined, message);
           return;
         }
         if (events.length > 0) onEvents(attempt, events);
@@ -733,6 +748,7 @@
   ): void {
     const nowMs = clock.monotonicMs();
     fleet.onBytesReceived(attempt.engineId, nowMs);
+    ports.connections.onReceived(attempt.engine);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
       ports.crashGuard.onAnswered(content);
--- a/packages/router/src/forward/unsent.ts
+++ b/packages/router/src/forward/unsent.ts
@@ -38,6 +38,15 @@
       res.once('close', onRead);
     }
 
+    /** Ends the response once its caller has read nothing for the whole time. */
+    function watchProgress(): () => void {
+      const sentBytes = res.socket?.bytesWritten;
+      return clock.runAfter(UNREAD_MAX_MS, () => {
+        if (res.socket?.bytesWritten === sentBytes) res.destroy();
+        else cancelTimeout = watchProgress();
+      });
+    }
+
     return {
       onWritten: () => {
         const unsentBytes = res.writableLength;
@@ -52,7 +61,7 @@
           res.destroy();
           return;
         }
-        cancelTimeout ??= clock.runAfter(UNREAD_MAX_MS, () => res.destroy());
+        cancelTimeout ??= watchProgress();
       },
     };
   };
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -85,6 +85,7 @@
       timeoutMs: (usualMs: number) => usualMs,
       onTimeout: () => false,
       onWriting: nothing,
+      onReceived: nothing,
       isOwnTrouble: () => false,
     },
     codec: { toServerHeaders: () => [] },
@@ -212,6 +213,17 @@
     expect(new Set(logged)).toEqual(new Set(['stream.wait r1', 'stream.place r1']));
   });
 
+  it('is watched for silence after its wait like a stream that was sent at once', async () => {
+    // Guards against streams that stay on a silent engine until their deadline.
+    const { setLoad, start, advance, logged } = startBusy();
+    start('r1', 'a1', terms);
+    await advance(200);
+    setLoad({ ...full, prefillMs: 500 });
+    await advance(150);
+    await advance(8_000);
+    expect(logged).toContain('stream.held r1');
+  });
+
   it('is refused as not run after an eighth of its target, with the time to return', async () => {
     // Guards against requests that are held until their time is up.
     const { exchanges, errors, start, advance } = startBusy();
