Explain placements from the costs by which they are made

Operators can't see where a request would go now, and a description apart from the placement would differ from it sooner or later.

The cost functions of streams, copies and calls pass their parts to an optional recorder and sum them in the same order as before; placement passes none, so nothing is allocated for each engine. The outlier detector tells whether a probe is due without claiming it, the fleet lists all servers of a service, and the peer registry tells the age of a load.

Over 300 random fleets the explanation names the choice of the placement whose random part is 0, its parts add up, and it changes no later choice.

--- a/packages/core/src/forward/call-placement.ts
+++ b/packages/core/src/forward/call-placement.ts
@@ -1,18 +1,25 @@
 import type { ServerId } from '../ids';
 import type { Fleet, ServerState } from './fleet';
-import type { CallPlacementInput } from './placement-types';
+import type { CallPlacementInput, CostRecorder } from './placement-types';
 
 /** What the placement of calls shares with that of streams. */
 export interface CallPlacementParts {
   readonly fleet: Fleet;
-  readonly penaltyMs: (state: ServerState, nowMs: number) => number;
-  readonly limitCostMs: (state: ServerState, nowMs: number) => number;
+  readonly penaltyMs: (state: ServerState, nowMs: number, record?: CostRecorder) => number;
+  readonly limitCostMs: (state: ServerState, nowMs: number, record?: CostRecorder) => number;
   readonly cheapest: (
     states: readonly ServerState[],
     costOf: (state: ServerState) => number,
   ) => ServerState | undefined;
 }
 
+export type CallCost = (
+  state: ServerState,
+  route: string,
+  nowMs: number,
+  record?: CostRecorder,
+) => number;
+
 export type CallPlacer = (
   input: CallPlacementInput,
   nowMs: number,
@@ -30,10 +37,34 @@
 const CALL_PACE_COST_MS = 50;
 
 /** Chooses plain servers for calls, while many routers choose from reports of different ages. */
-export function createCallPlacer(parts: CallPlacementParts): CallPlacer {
+export function createCallPlacer(parts: CallPlacementParts): {
+  readonly placeCall: CallPlacer;
+  /** Without the random part. */
+  readonly callCostMs: CallCost;
+  readonly callMaxJitterMs: number;
+} {
   const { fleet, penaltyMs, limitCostMs, cheapest } = parts;
 
-  return (input, nowMs, random) => {
+  const callCostMs: CallCost = (state, route, nowMs, record) => {
+    const running = state.ownRunning + othersRunning(state, nowMs);
+    const weight = fleet.outlierDetector.weight(state.server.serverId, route);
+    const paceRatio = fleet.pace.paceRatio(state.server.serverId, nowMs);
+    const queueMs = (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS * paceRatio;
+    const paceMs = (paceRatio - 1) * CALL_PACE_COST_MS;
+    const unhealthyMs = (1 - weight) * UNHEALTHY_COST_MS;
+    record?.('queue', queueMs);
+    record?.('pace', paceMs);
+    record?.('unhealthy', unhealthyMs);
+    return (
+      queueMs +
+      paceMs +
+      unhealthyMs +
+      limitCostMs(state, nowMs, record) +
+      penaltyMs(state, nowMs, record)
+    );
+  };
+
+  const placeCall: CallPlacer = (input, nowMs, random) => {
     const { service, limitDraw: draw } = input;
     const claim = { service, draw, isFailover: false };
     const open = fleet.withRoom(input.service, claim, nowMs).filter(({ server: { serverId } }) => {
@@ -44,20 +75,12 @@
       fleet.outlierDetector.claimProbe(server.serverId, input.route, nowMs),
     );
     if (probe !== undefined) return probe.server.serverId;
-    return cheapest(open, (state) => {
-      const running = state.ownRunning + othersRunning(state, nowMs);
-      const weight = fleet.outlierDetector.weight(state.server.serverId, input.route);
-      const paceRatio = fleet.pace.paceRatio(state.server.serverId, nowMs);
-      return (
-        (running / Math.max(1, state.server.slots)) * CALL_QUEUE_COST_MS * paceRatio +
-        (paceRatio - 1) * CALL_PACE_COST_MS +
-        (1 - weight) * UNHEALTHY_COST_MS +
-        limitCostMs(state, nowMs) +
-        penaltyMs(state, nowMs) +
-        CALL_JITTER_MS * random()
-      );
-    })?.server.serverId;
+    const costOf = (state: ServerState): number =>
+      callCostMs(state, input.route, nowMs) + CALL_JITTER_MS * random();
+    return cheapest(open, costOf)?.server.serverId;
   };
+
+  return { placeCall, callCostMs, callMaxJitterMs: CALL_JITTER_MS };
 }
 
 /** Requests of other routers at the server, estimated from its last load report. */
--- a/packages/core/src/forward/copy-placement.ts
+++ b/packages/core/src/forward/copy-placement.ts
@@ -36,8 +36,21 @@
  */
 const COPY_FILL_RATIO = 0.6;
 
+/** Engines that may hold the copy, and the cost above the cheapest up to which one is chosen. */
+export interface CopyChoices {
+  readonly choices: readonly ServerState[];
+  readonly spreadMs: number;
+}
+
 /** Chooses the engines that hold KV cache copies, while many routers place copies at the same time. */
-export function createCopyPlacer(parts: CopyPlacementParts): CopyPlacer {
+export function createCopyPlacer(parts: CopyPlacementParts): {
+  readonly placeCopy: CopyPlacer;
+  readonly copyChoices: (
+    engine: ServerState,
+    input: CopyPlacementInput,
+    nowMs: number,
+  ) => CopyChoices;
+} {
   const { fleet, peers, engineCostMs, penaltyMs, randomWithin, failoverSpreadMs } = parts;
 
   function hasMemoryForCopy(state: ServerState, input: CopyPlacementInput, nowMs: number): boolean {
@@ -47,13 +60,9 @@
   }
 
   /** Prefers engines of other failure domains, because a whole domain may be lost at once. */
-  function placeCopy(
-    engine: ServerState,
-    input: CopyPlacementInput,
-    nowMs: number,
-    random: () => number,
-  ): ServerId | undefined {
-    if (!input.capacity.hasBackups) return undefined;
+  function copyChoices(engine: ServerState, input: CopyPlacementInput, nowMs: number): CopyChoices {
+    const spreadMs = input.isFailover === true ? failoverSpreadMs : COPY_SPREAD_MS;
+    if (!input.capacity.hasBackups) return { choices: [], spreadMs };
     const others = fleet
       .usable(input.service)
       .filter((state) => state !== engine && !input.excludedCopyHolders.has(state.server.serverId))
@@ -63,12 +72,22 @@
     );
     const wanted = otherDomains.length > 0 ? otherDomains : others;
     const choices = wanted.filter((state) => hasMemoryForCopy(state, input, nowMs));
-    const spreadMs = input.isFailover === true ? failoverSpreadMs : COPY_SPREAD_MS;
+    return { choices, spreadMs };
+  }
+
+  function placeCopy(
+    engine: ServerState,
+    input: CopyPlacementInput,
+    nowMs: number,
+    random: () => number,
+  ): ServerId | undefined {
+    if (!input.capacity.hasBackups) return undefined;
+    const { choices, spreadMs } = copyChoices(engine, input, nowMs);
     const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
     const chosen = randomWithin(spreadMs, choices, costOf, random);
     if (chosen === undefined || penaltyMs(chosen, nowMs) > 0) return undefined;
     return chosen.server.serverId;
   }
 
-  return placeCopy;
+  return { placeCopy, copyChoices };
 }
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -72,6 +72,8 @@
 export interface Fleet {
   readonly setServers: (servers: readonly ForwardServer[], nowMs: number) => FleetChange;
   readonly get: (serverId: ServerId) => ServerState | undefined;
+  /** All servers of a service, also those that are leaving or replaced. */
+  readonly listed: (service: ServiceName) => readonly ServerState[];
   /** Servers of a service that are neither leaving nor replaced by another process. */
   readonly usable: (service: ServiceName) => readonly ServerState[];
   /** Those of the usable servers that take the request, by the limits and pauses they named. */
@@ -375,6 +377,7 @@
     onPeerFailure,
     ownLoads,
     get: (serverId) => states.get(serverId),
+    listed: (service) => byService.get(service) ?? [],
     usable,
     withRoom,
     roomInMs,
--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -81,6 +81,8 @@
   ) => readonly PeerFailure[] | undefined;
   /** Sum over the other routers; pending prefills shrink with the age of each update. */
   readonly loadAt: (serverId: ServerId, nowMs: number) => PeerLoad;
+  /** Age of the oldest update that the load at the server is summed from; undefined without load. */
+  readonly loadAgeMs: (serverId: ServerId, nowMs: number) => number | undefined;
   /** The other routers' states of an order's move, including routers that have since been lost. */
   readonly movesOf: (order: VersionOrder) => readonly PeerMove[];
   /** Routers that have sent an update recently. */
@@ -197,6 +199,12 @@
       if (at.sum?.atMs !== nowMs) at.sum = { load: sumOf(at.byPeer, nowMs), atMs: nowMs };
       return at.sum.load;
     },
+    loadAgeMs: (serverId, nowMs) => {
+      const ages = [...(loadsByServer.get(serverId)?.byPeer.keys() ?? [])]
+        .map(({ lastUpdateAtMs }) => nowMs - lastUpdateAtMs)
+        .filter((ageMs) => ageMs <= PEER_TIMEOUT_MS);
+      return ages.length === 0 ? undefined : Math.max(...ages);
+    },
     movesOf: (order) =>
       [...moves.values()]
         .flat()
--- a/packages/core/src/forward/placement-types.ts
+++ b/packages/core/src/forward/placement-types.ts
@@ -1,6 +1,29 @@
 import type { ServerId, ServiceName } from '../ids';
+import type { PlacementExplainer } from './placement-explain';
 import type { EngineCapacity } from './types';
 
+/** Parts of the cost by which engines and servers are compared. */
+export type CostPart =
+  | 'own_prefill'
+  | 'peer_prefill'
+  /** Reading time of the prompt beyond the usual one, by the engine's pace. */
+  | 'reading'
+  | 'streams'
+  | 'copies'
+  | 'memory'
+  | 'slots'
+  | 'limit'
+  | 'avoided'
+  | 'suspected'
+  | 'uncertain'
+  | 'rank'
+  /** Of plain servers: requests there, pace and the outlier detector's weight. */
+  | 'queue'
+  | 'pace'
+  | 'unhealthy';
+
+export type CostRecorder = (part: CostPart, costMs: number) => void;
+
 /** Requirements of the KV cache copy of one stream on its engine. */
 export interface CopyPlacementInput {
   readonly service: ServiceName;
@@ -84,6 +107,7 @@
     nowMs: number,
     random: () => number,
   ) => ServerId | undefined;
+  readonly explain: PlacementExplainer;
   /** A prefill took this time, with no other prefill of this router ahead of it. */
   readonly onPrefill: (tokens: number, tookMs: number, engine?: PrefilledEngine) => void;
   readonly prefillMsPerToken: () => number;
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -1,13 +1,15 @@
 import { createCallPlacer } from './call-placement';
 import { createCopyPlacer } from './copy-placement';
+import { createPlacementExplainer } from './placement-explain';
 import { createPromptSizes } from './prompt-sizes';
 import { createServerRanks } from './server-ranks';
 import type { Hash32 } from '../hash/rendezvous';
-import type { HostId } from '../ids';
+import type { HostId, ServerId } from '../ids';
 import type { Fleet, ServerState } from './fleet';
 import type { PeerLoad, PeerRegistry } from './peers';
 import type {
   CopyPlacementInput,
+  CostRecorder,
   Placer,
   PromptSize,
   StreamPlacementInput,
@@ -82,30 +84,50 @@
     return promptTokens > split.borderTokens ? 'long' : 'short';
   }
 
-  function penaltyMs(state: ServerState, nowMs: number): number {
+  function penaltyMs(state: ServerState, nowMs: number, record?: CostRecorder): number {
     const avoidMs = state.avoidUntilMs > nowMs ? avoidCostMsOf(state) : 0;
     const suspectedMs = fleet.isSuspected(state, nowMs) ? SUSPECTED_COST_MS : 0;
     const uncertainMs = state.server.isUncertain === true ? UNCERTAIN_COST_MS : 0;
+    record?.('avoided', avoidMs);
+    record?.('suspected', suspectedMs);
+    record?.('uncertain', uncertainMs);
     return avoidMs + suspectedMs + uncertainMs;
   }
 
-  function limitCostMs({ server }: ServerState, nowMs: number): number {
-    return fleet.limits.usedRatio(server.serverId, nowMs) * LIMIT_COST_MS;
+  function limitCostMs({ server }: ServerState, nowMs: number, record?: CostRecorder): number {
+    const limitMs = fleet.limits.usedRatio(server.serverId, nowMs) * LIMIT_COST_MS;
+    record?.('limit', limitMs);
+    return limitMs;
   }
 
-  function engineCostMs(state: ServerState, input: CopyPlacementInput, nowMs: number): number {
+  /** Placement sums the cost of many engines, so its parts are passed on only to a recorder. */
+  function engineCostMs(
+    state: ServerState,
+    input: CopyPlacementInput,
+    nowMs: number,
+    record?: CostRecorder,
+  ): number {
     const peerLoad = peers.loadAt(state.server.serverId, nowMs);
     const running = state.ownRunning + peerLoad.running;
     const paceRatio = paceRatioOf(state, nowMs);
+    const ownPrefillMs = fleet.prefillLeftMs(state, nowMs, prefillMsPerToken);
+    const readingMs = input.promptTokens * prefillMsPerToken * (paceRatio - 1);
+    const streamsMs = running * STREAM_COST_MS * paceRatio;
+    const copiesMs = (state.ownCopies + peerLoad.copies) * COPY_COST_MS;
+    record?.('own_prefill', ownPrefillMs);
+    record?.('peer_prefill', peerLoad.prefillMs);
+    record?.('reading', readingMs);
+    record?.('streams', streamsMs);
+    record?.('copies', copiesMs);
     return (
-      fleet.prefillLeftMs(state, nowMs, prefillMsPerToken) +
+      ownPrefillMs +
       peerLoad.prefillMs +
-      input.promptTokens * prefillMsPerToken * (paceRatio - 1) +
-      running * STREAM_COST_MS * paceRatio +
-      (state.ownCopies + peerLoad.copies) * COPY_COST_MS +
-      fullCostMs(state, peerLoad, input) +
-      limitCostMs(state, nowMs) +
-      penaltyMs(state, nowMs)
+      readingMs +
+      streamsMs +
+      copiesMs +
+      fullCostMs(state, peerLoad, input, record) +
+      limitCostMs(state, nowMs, record) +
+      penaltyMs(state, nowMs, record)
     );
   }
 
@@ -113,14 +135,23 @@
     return fleet.pace.paceRatio(serverId, nowMs);
   }
 
-  function fullCostMs(state: ServerState, peerLoad: PeerLoad, input: CopyPlacementInput): number {
+  function fullCostMs(
+    state: ServerState,
+    peerLoad: PeerLoad,
+    input: CopyPlacementInput,
+    record?: CostRecorder,
+  ): number {
     const neededTokens = input.promptTokens + (input.outputTokens ?? 0);
     const tokens = state.ownTokens + peerLoad.tokens + neededTokens;
     if (tokens > input.capacity.memoryTokens * MEMORY_FILL_RATIO) {
-      return fleet.pace.isStated(input.service) ? NO_MEMORY_COST_MS : FULL_ENGINE_COST_MS;
+      const memoryMs = fleet.pace.isStated(input.service) ? NO_MEMORY_COST_MS : FULL_ENGINE_COST_MS;
+      record?.('memory', memoryMs);
+      return memoryMs;
     }
     const isOutOfSlots = state.ownRunning + peerLoad.running >= input.capacity.slots;
-    return isOutOfSlots ? FULL_ENGINE_COST_MS : 0;
+    const slotsMs = isOutOfSlots ? FULL_ENGINE_COST_MS : 0;
+    record?.('slots', slotsMs);
+    return slotsMs;
   }
 
   /**
@@ -184,8 +215,26 @@
 
   const failoverSpreadMs = FAILOVER_SPREAD_MS;
   const shared = { fleet, peers, penaltyMs, limitCostMs, engineCostMs, cheapest, randomWithin };
-  const placeCopy = createCopyPlacer({ ...shared, failoverSpreadMs });
-  const placeCall = createCallPlacer(shared);
+  const { placeCopy, copyChoices } = createCopyPlacer({ ...shared, failoverSpreadMs });
+  const { placeCall, callCostMs, callMaxJitterMs } = createCallPlacer(shared);
+  const rankCost = (
+    rank: ReadonlyMap<ServerId, number>,
+    { server: { serverId } }: ServerState,
+  ): number => (rank.get(serverId) ?? 0) * RANK_COST_MAX_MS;
+  const explainer = createPlacementExplainer({
+    fleet,
+    peers,
+    engineCostMs,
+    callCostMs,
+    callMaxJitterMs,
+    copyChoices,
+    maxJitterMsOf,
+    expectedFirstEventMs,
+    rankCostOf: (service) => {
+      const rank = ranks.rankOf(service, fleet.usable(service));
+      return (state) => rankCost(rank, state);
+    },
+  });
 
   return {
     placeStream: (input, nowMs, random) => {
@@ -199,9 +248,7 @@
       const maxJitterMs = maxJitterMsOf(input);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
       const rankedCostOf = (state: ServerState): number =>
-        costOf(state) +
-        (rank.get(state.server.serverId) ?? 0) * RANK_COST_MAX_MS +
-        maxJitterMs * random();
+        costOf(state) + rankCost(rank, state) + maxJitterMs * random();
       const chooseEngine = (): ServerState | undefined => {
         const { fixedEngineId } = input;
         if (fixedEngineId !== undefined) {
@@ -231,6 +278,7 @@
       return engine === undefined ? undefined : placeCopy(engine, input, nowMs, random);
     },
     placeCall,
+    explain: explainer,
     onPrefill: (tokens, tookMs, engine) => {
       const state = engine === undefined ? undefined : fleet.get(engine.engineId);
       const isPaced = state !== undefined && fleet.pace.isStated(state.server.service);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -389,6 +389,14 @@
   PeerRouter,
 } from './forward/peers';
 export { createPlacer } from './forward/placement';
+export { EXPLAINED_SERVERS_MAX } from './forward/placement-explain';
+export type {
+  CandidateExplanation,
+  CopyCandidate,
+  ExcludedServer,
+  PlacementExplainer,
+  PlacementExplanation,
+} from './forward/placement-explain';
 export { createPromptSizes } from './forward/prompt-sizes';
 export type { PromptSizes, PromptSplit } from './forward/prompt-sizes';
 export { WORK_TIME_MAX_PERCENT, createServerPace } from './forward/server-pace';
@@ -397,6 +405,7 @@
 export type { OutputSizes } from './forward/output-sizes';
 export type {
   CallPlacementInput,
+  CostPart,
   Placer,
   PromptSize,
   StreamPlacement,
--- a/packages/core/src/route/outlier-detector.ts
+++ b/packages/core/src/route/outlier-detector.ts
@@ -15,6 +15,8 @@
    * over, once per probe period.
    */
   readonly claimProbe: (serverId: string, route: string, nowMs: number) => boolean;
+  /** Whether `claimProbe` would be true; claims nothing. */
+  readonly isProbeDue: (serverId: string, route: string, nowMs: number) => boolean;
   readonly ejectedCount: (service: string) => number;
   /** Whether any server of the service is ejected; if not, there is nothing to probe. */
   readonly hasEjected: (service: string) => boolean;
@@ -194,6 +196,13 @@
     service.ejectedCount = countEjected(service);
   }
 
+  /** State of an ejected server on the route if a probe may be sent there now. */
+  function dueProbe(serverId: string, route: string, nowMs: number): RouteHealth | undefined {
+    const health = servers.get(serverId)?.routes.get(route);
+    if (health?.ejectedUntilMs === undefined) return undefined;
+    return nowMs < health.ejectedUntilMs || nowMs < health.nextProbeAtMs ? undefined : health;
+  }
+
   function onProbeResult(health: RouteHealth, result: ServerResult, nowMs: number): void {
     const isProbeSuccessful = result.isSuccess && (result.slownessRatio ?? 1) <= TOLERATED_SLOWNESS;
     if (!isProbeSuccessful) {
@@ -259,12 +268,12 @@
       return Math.max(MIN_WEIGHT, healthOf(health));
     },
     claimProbe: (serverId, route, nowMs) => {
-      const health = servers.get(serverId)?.routes.get(route);
-      if (health?.ejectedUntilMs === undefined) return false;
-      if (nowMs < health.ejectedUntilMs || nowMs < health.nextProbeAtMs) return false;
+      const health = dueProbe(serverId, route, nowMs);
+      if (health === undefined) return false;
       health.nextProbeAtMs = nowMs + PROBE_PERIOD_MS;
       return true;
     },
+    isProbeDue: (serverId, route, nowMs) => dueProbe(serverId, route, nowMs) !== undefined,
     ejectedCount: (name) => services.get(name)?.ejectedCount ?? 0,
     hasEjected: (name) => (services.get(name)?.ejectedCount ?? 0) > 0,
   };
