Answer on the metrics port where a request would go now

Operators of a running router had only the log lines of past requests.

GET /explain takes host, path, method, tokens, customer and draw, never a key, and tells the configuration, route and service, the check that would refuse the request with the range of its Retry-After, the parts of its priority's streams that are admitted, and the placement. It has sums of the load of its own, since those that requests are decided by are kept for a while. Ingress shares its messages and Retry-After times. A missing, unknown, repeated or invalid parameter is answered with 400.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -24,6 +24,7 @@
 } from '@mimosamill/adapters';
 import { createWakeTimer } from '../call/async';
 import { createCallForwarder } from './call';
+import { createExplainer } from './explain';
 import { finiteMs } from './finite';
 import { stopGracefully } from './graceful-stop';
 import { createConnectionWatch } from './connection-watch';
@@ -123,6 +124,7 @@
 const CONNECTIONS_PER_SERVER = 64;
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
+const EXPLAIN_PATH = '/explain';
 
 /** Starts a router that forwards the requests of callers to backend servers. */
 export async function startGateway(
@@ -459,6 +461,26 @@
   metricsShell.app.get(METRICS_PATH, async (_req, res) => {
     sendText(res, 200, metrics.contentType, await metrics.text());
   });
+  const explain = createExplainer({
+    hostId: settings.hostId,
+    clock,
+    fleet,
+    placer,
+    // Sums of its own: those that requests are decided by are kept for a while.
+    serviceLoads: createServiceLoads(fleet, peerRegistry, placer.prefillMsPerToken),
+    outputSizes: ports.outputSizes,
+    versionMoves,
+    table: () => table,
+    configAgeMs: () => operatorWatch.ageMs(),
+    serverListAgeMs: () => serverWatch.ageMs(),
+    freshness: () => freshnessOf(settings),
+    meanDurationMs: streams.meanDurationMs,
+    refusesToStop: ingress.refusesToStop,
+  });
+  metricsShell.app.get(EXPLAIN_PATH, (req, res) => {
+    const { status, body } = explain(req.url);
+    sendJson(res, status, body);
+  });
   registerGauges(metrics, {
     streams: streams.activeCount,
     connections_opened: upstream.openedConnectionCount,
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -60,6 +60,8 @@
    */
   readonly cutAll: () => void;
   readonly activeCount: () => number;
+  /** Whether a request of the route would be refused now because the router stops; any if undefined. */
+  readonly refusesToStop: (route: ForwardRoute | undefined) => boolean;
 }
 
 type Admission =
@@ -70,7 +72,7 @@
 const REFRESH_TIMEOUT_MS = 350;
 /** Reserved from the time of each request for writing the response. */
 const RESPONSE_MARGIN_MS = 15;
-const NO_BACKEND_RETRY_MS = 500;
+export const NO_BACKEND_RETRY_MS = 500;
 /**
  * With an outdated configuration, callers are told to retry after about half the time that the store
  * has been unreachable, within these limits.
@@ -80,7 +82,7 @@
 const STALE_RETRY_RATIO = 0.5;
 const STALE_RETRY_JITTER_RATIO = 0.4;
 /** Retry delay for requests refused while stopping; short, as other routers can serve them at once. */
-const STOPPING_RETRY_MS = 50;
+export const STOPPING_RETRY_MS = 50;
 /** Assumed for a route of which no stream has completed, while new connections are taken. */
 const UNKNOWN_DURATION_MS = 5_000;
 /** Durations vary, and cutting a stream off is worse than sending it to another router. */
@@ -88,6 +90,21 @@
 /** A sound engine may fall silent for about a second in the middle of a stream. */
 const ENGINE_PAUSE_MS = 1_000;
 
+export const OUTDATED_MESSAGE = 'the configuration of this router is too old to serve the request';
+export const NO_ROOM_MESSAGE =
+  'no server of the service takes requests: they named limits or pauses';
+
+/** When callers come back that an outdated configuration refuses; `draw` is from 0 to 1. */
+export function outdatedRetryMs(ageMs: number, draw: number): number {
+  const outageMs = Number.isFinite(ageMs) ? ageMs : 0;
+  const meanMs = Math.min(
+    STALE_RETRY_MAX_MS,
+    Math.max(STALE_RETRY_MIN_MS, outageMs * STALE_RETRY_RATIO),
+  );
+  // Jitter: callers that were refused at the same time must not all retry at the same time.
+  return meanMs * (1 + STALE_RETRY_JITTER_RATIO * (2 * draw - 1));
+}
+
 export function createIngress(
   ports: ForwardPorts,
   calls: CallForwarder,
@@ -217,8 +234,7 @@
     noteDemand(service.name);
     const noRoomMs = noRoomForMs(ports, service.name, limitDraw);
     if (noRoomMs !== undefined) {
-      const message = 'no server of the service takes requests: they named limits or pauses';
-      return refused('overloaded', message, noRoomMs);
+      return refused('overloaded', NO_ROOM_MESSAGE, noRoomMs);
     }
     return {
       kind: 'ok',
@@ -296,15 +312,7 @@
   }
 
   function refuseOutdated(ageMs: number): Admission {
-    const outageMs = Number.isFinite(ageMs) ? ageMs : 0;
-    const meanMs = Math.min(
-      STALE_RETRY_MAX_MS,
-      Math.max(STALE_RETRY_MIN_MS, outageMs * STALE_RETRY_RATIO),
-    );
-    // Jitter: callers that were refused at the same time must not all retry at the same time.
-    const retryAfterMs = meanMs * (1 + STALE_RETRY_JITTER_RATIO * (2 * ports.random() - 1));
-    const message = 'the configuration of this router is too old to serve the request';
-    return refused('not_ready', message, retryAfterMs);
+    return refused('not_ready', OUTDATED_MESSAGE, outdatedRetryMs(ageMs, ports.random()));
   }
 
   function refreshWithin(waitMs: number): Promise<boolean> {
@@ -474,5 +482,7 @@
     },
     cutAll: () => [...active.values()].forEach((cut) => cut()),
     activeCount: () => active.size,
+    refusesToStop: (route) =>
+      route === undefined ? stopsSoon() : !endsInTime(route, route.timeoutMs, clock.monotonicMs()),
   };
 }
