--- a/packages/admin/src/cli/main.ts
+++ b/packages/admin/src/cli/main.ts
@@ -4,7 +4,9 @@
 import { createCommands, STANDARD_INPUT } from './commands';
 import { EXIT } from './exit';
 import { explainFiles } from './explain';
+import { DEFAULT_ROUTER, explainRequest } from './explain-request';
 import type { CommandOptions } from './commands';
+import type { ExplainRequestOptions } from './explain-request';
 
 const VERSION = '0.1.0';
 const DEFAULT_SERVER = '127.0.0.1:7300';
@@ -163,6 +165,24 @@
       printError: (text) => console.error(text),
     });
   });
+cli
+  .command(
+    'explain-request <host> <path>',
+    'Show where a router would send a request now, and why, without sending it',
+  )
+  .option('--router <ip:port>', `Address of the router's metrics (${DEFAULT_ROUTER})`)
+  .option('--method <name>', 'Method of the request')
+  .option('--prompt-tokens <count>', 'Tokens of the prompt')
+  .option('--output-tokens <count>', 'Most tokens of the answer')
+  .option('--length-hint <count>', "Caller's estimate of the tokens of the answer")
+  .option('--customer <id>', 'Customer whose key the request has')
+  .option('--draw <number>', 'Random number of the request, from 0 to below 1')
+  .action(async (host: string, path: string, options: ExplainRequestOptions) => {
+    process.exitCode = await explainRequest(host, path, options, {
+      print: (text) => console.log(text),
+      printError: (text) => console.error(text),
+    });
+  });
 cli.help();
 cli.version(VERSION);
 
