--- a/packages/router/src/forward/explain.ts
+++ b/packages/router/src/forward/explain.ts
@@ -1,5 +1,5 @@
 import { decideStreamAdmission, pickTarget } from '@mimosamill/core';
-import * as z from 'zod';
+import { parseExplainQuery } from './explain-query';
 import { finiteMs } from './finite';
 import {
   NO_BACKEND_RETRY_MS,
@@ -21,6 +21,7 @@
   RouteName,
   StreamAdmission,
 } from '@mimosamill/core';
+import type { ExplainQuery } from './explain-query';
 import type { Ingress } from './ingress';
 import type { ForwardPorts } from './ports';
 
@@ -80,44 +81,16 @@
   readonly body: unknown;
 }
 
-const TOKENS_MAX = 10_000_000;
-const TEXT_MAX_CHARS = 2_048;
-const DEFAULT_DRAW = 0.5;
 /** Admission is asked for this many evenly spaced random numbers. */
 const ADMISSION_DRAWS = 50;
 /** What depends on the body or the key of a request, or on its earlier attempts. */
 const NOT_CHECKED = ['key', 'condemned_content', 'end_before_deadline', 'memory_for_bodies'];
 
-const text = z.string({ error: 'missing' }).min(1, 'missing').max(TEXT_MAX_CHARS);
-const tokens = z
-  .string()
-  .regex(/^\d+$/, 'expected a whole number of tokens')
-  .transform(Number)
-  .pipe(z.number().max(TOKENS_MAX, `expected at most ${TOKENS_MAX} tokens`));
-const QUERY = z.strictObject({
-  host: text,
-  path: text.startsWith('/', 'expected a path from "/" on'),
-  method: z
-    .string()
-    .regex(/^[A-Z]{1,16}$/, 'expected a method in capitals')
-    .default('POST'),
-  prompt_tokens: tokens.default(0),
-  output_tokens: tokens.default(0),
-  length_hint: tokens.optional(),
-  customer: text.optional(),
-  draw: z
-    .string()
-    .regex(/^0(\.\d+)?$/, 'expected a number from 0 to below 1')
-    .transform(Number)
-    .default(DEFAULT_DRAW),
-});
-type Query = z.infer<typeof QUERY>;
-
 /** Answers operators who ask where a request would go now; it sends, counts and claims nothing. */
 export function createExplainer(ports: ExplainPorts): (url: string) => ExplainAnswer {
   const { clock, fleet, placer, versionMoves } = ports;
 
-  function explain(query: Query) {
+  function explain(query: ExplainQuery) {
     const table = ports.table();
     const route = table?.match(query.host, query.path);
     const name = route === undefined ? undefined : pickTarget(route.targets, query.draw);
@@ -160,7 +133,7 @@
   function refusalBeforeService(
     table: ForwardTable | undefined,
     route: ForwardRoute | undefined,
-    query: Query,
+    query: ExplainQuery,
     customer: ForwardCustomer | undefined,
   ): Refusal | undefined {
     const stopping: Refusal = {
@@ -202,7 +175,7 @@
     service: ForwardService | undefined,
     placement: PlacementExplanation | undefined,
     admission: AdmissionShares | undefined,
-    { draw }: Query,
+    { draw }: ExplainQuery,
   ): Refusal | undefined {
     const retryAfterMs = exactly(NO_BACKEND_RETRY_MS);
     if (service === undefined) {
@@ -237,7 +210,7 @@
   function placementOf(
     route: ForwardRoute,
     service: ForwardService,
-    query: Query,
+    query: ExplainQuery,
     nowMs: number,
   ): PlacementExplanation | undefined {
     const common = {
@@ -293,7 +266,7 @@
   }
 
   return (url) => {
-    const query = parseQuery(url);
+    const query = parseExplainQuery(url);
     if (typeof query === 'string') {
       return { status: 400, body: { error: { code: 'bad_request', message: query } } };
     }
@@ -316,22 +289,6 @@
   };
 }
 
-/** The query, or what is wrong with it. */
-function parseQuery(url: string): Query | string {
-  const pairs = [...new URL(url, 'http://router').searchParams];
-  const repeated = pairs.find(([name], at) => pairs.findIndex(([other]) => other === name) < at);
-  if (repeated !== undefined) return `${repeated[0]}: given more than once`;
-  const parsed = QUERY.safeParse(Object.fromEntries(pairs));
-  if (parsed.success) return parsed.data;
-  return parsed.error.issues
-    .map((issue) =>
-      issue.code === 'unrecognized_keys'
-        ? `${issue.keys.join(', ')}: not a parameter`
-        : `${issue.path.join('.')}: ${issue.message}`,
-    )
-    .join('; ');
-}
-
 function exactly(ms: number): RangeMs {
   return { min: ms, max: ms };
 }
