Move the engine choice of a stream into a module of its own

Change: forward/engine-choice.ts chooses the engines of one stream; it asks the stream only for its current attempt and whether it has begun. No change of behaviour.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -3,8 +3,6 @@
   createEventSplitter,
   createForwardStream,
   createStreamTimes,
-  isProbablyBusy,
-  isRestart,
   urgencyOf,
 } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
@@ -13,8 +11,8 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { createStreamEngineChoice } from './engine-choice';
 import { finiteMs } from './finite';
-import { createRepeatableRandom } from './repeatable-random';
 import { withRoomTime } from './room';
 import { isCloseDelimited, isSameKind } from './response-kind';
 import { isSameServerRunning } from './server-identity';
@@ -27,7 +25,6 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
-  ReplacementAttempt,
   RouteName,
   ServeError,
   ServerState,
@@ -95,8 +92,6 @@
 
 /** An error response with a larger body counts as garbled. */
 const ERROR_BODY_MAX_BYTES = 65_536;
-/** Counted part of the expected prefill time: part of the prompt may be in the engine's cache. */
-const PREFILL_TIME_MIN_RATIO = 0.8;
 /** The pace of a stream is judged over this number of events. */
 const PACE_EVENTS = 20;
 const CONNECT_TIMEOUT_MS = 200;
@@ -176,22 +171,6 @@
   readonly onServerLost: (serverId: ServerId) => void;
 }
 
-/** What an attempt needs of its engine. */
-interface WantedEngine {
-  readonly isFailover: boolean;
-  readonly excluded: ReadonlySet<ServerId>;
-  readonly resumeFrom: KvCacheCopy | undefined;
-  readonly lastEventId: number | undefined;
-}
-
-type EngineChoice =
-  | { readonly kind: 'ok'; readonly placed: PlacedEngine }
-  | {
-      readonly kind: 'none';
-      readonly reason: 'no_engine' | 'no_time';
-      readonly message: string;
-    };
-
 function forwardStream(
   ports: ForwardPorts,
   request: ForwardRequest,
@@ -215,7 +194,10 @@
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
-  const placementRandom = createRepeatableRandom(ports.random);
+  const engineChoice = createStreamEngineChoice(ports, request, {
+    currentAttempt: () => current,
+    hasBegun: () => stream.hasBegun(),
+  });
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
   ports.outputSizes.onRequest(route.name, head);
@@ -229,7 +211,7 @@
     isResumable: route.isResumable,
     lastEventId: head.lastEventId,
     budget,
-    canPlaceElsewhere,
+    canPlaceElsewhere: engineChoice.canPlaceElsewhere,
   });
   const entry: ActiveStream = {
     route: route.name,
@@ -339,8 +321,8 @@
       reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnation));
       return;
     }
-    const choice = chooseEngine({ ...effect, isFailover: effect.cause !== 'first' }, nowMs);
-    placementRandom.reset();
+    const wanted = { ...effect, isFailover: effect.cause !== 'first' };
+    const choice = engineChoice.choose(wanted, nowMs);
     if (choice.kind === 'none') {
       reportUnplaced(effect.attemptNo, choice.reason, choice.message);
       return;
@@ -378,110 +360,6 @@
     }
   }
 
-  /** Only chooses, and changes nothing. */
-  function chooseEngine(wanted: WantedEngine, nowMs: number): EngineChoice {
-    const random = placementRandom.next;
-    const capacity = service.engine;
-    if (capacity === undefined) {
-      const message = 'the service has no engines configured';
-      return { kind: 'none', reason: 'no_engine', message };
-    }
-    const input = {
-      service: service.name,
-      capacity,
-      promptTokens,
-      outputTokens: expectedOutputTokens(),
-      isFailover: wanted.isFailover,
-      limitDraw: request.limitDraw,
-      excluded: new Set([
-        ...wanted.excluded,
-        ...ports.versionMoves.excludedServers(service.name, random()),
-      ]),
-      excludedCopyHolders: ports.versionMoves.excludedCopyHolders(service.name),
-    };
-    const placement = ports.placer.placeStream(
-      wanted.resumeFrom === undefined
-        ? input
-        : { ...input, fixedEngineId: wanted.resumeFrom.engineId },
-      nowMs,
-      random,
-    );
-    if (placement.kind === 'none') {
-      const message = `no engine can take the stream: ${placement.reason}`;
-      return { kind: 'none', reason: 'no_engine', message };
-    }
-    const overrunMs = deadlineOverrunMs(wanted, placement, nowMs);
-    if (overrunMs <= 0) return { kind: 'ok', placed: placement };
-    const message = `the stream would end about ${Math.round(overrunMs)} ms after its deadline`;
-    return { kind: 'none', reason: 'no_time', message };
-  }
-
-  /**
-   * 0 where engines do not state their pace. Those that do share their machines with others, and crash
-   * when the requests that they hold exceed their memory.
-   */
-  function expectedOutputTokens(): number {
-    return fleet.pace.isStated(service.name)
-      ? ports.outputSizes.expectedTokens(route.name, head)
-      : 0;
-  }
-
-  function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
-    if (isGone(replacement.silentEngineId)) return true;
-    // The events of the present engine wait at this host's link, as those of another one would.
-    if (ports.connections.isOwnTrouble()) return false;
-    const wanted = { ...replacement, isFailover: true };
-    placementRandom.reset();
-    const canPlace =
-      isWorthMoving(chooseEngine(wanted, nowMs), replacement.silentEngineId, nowMs) ||
-      (wanted.resumeFrom !== undefined &&
-        chooseEngine({ ...wanted, resumeFrom: undefined }, nowMs).kind === 'ok');
-    // The attempt that follows chooses by the same numbers.
-    if (canPlace) placementRandom.rewind();
-    else placementRandom.reset();
-    return canPlace;
-  }
-
-  /**
-   * A stream without an event leaves an engine that is only busy for one that has little to do. Where
-   * servers do not state how long work takes, such an engine may also be very slow, so it is left.
-   */
-  function isWorthMoving(choice: EngineChoice, silentEngineId: ServerId, nowMs: number): boolean {
-    if (choice.kind !== 'ok') return false;
-    const isPaceStated = fleet.pace.isStated(service.name);
-    if (!isPaceStated || current?.hasEvents === true || choice.placed.isLightlyLoaded) return true;
-    const state = fleet.get(silentEngineId);
-    if (state === undefined) return true;
-    return !isProbablyBusy({
-      isDoubted: state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs),
-      receivedAgeMs: nowMs - state.lastReceivedAtMs,
-      peersRunning: ports.placer.peersRunning(silentEngineId, nowMs),
-    });
-  }
-
-  /** Whether the process that ran the current attempt has ended, and its connection with it. */
-  function isGone(engineId: ServerId): boolean {
-    const state = fleet.get(engineId);
-    if (state === undefined || state.isReplaced) return true;
-    return current !== undefined && isRestart(current.engine, state.server);
-  }
-
-  /**
-   * Time by which the stream would overrun its deadline; a positive value refuses the stream. The time
-   * from the first event to the end is an estimate. On an engine with little to do the pace of the
-   * fastest stream counts: only what cannot end there at all is refused, before its prompt is read.
-   */
-  function deadlineOverrunMs(wanted: WantedEngine, placed: PlacedEngine, nowMs: number): number {
-    // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
-    // more, and its caller can use each further event.
-    if (wanted.resumeFrom !== undefined || stream.hasBegun()) return 0;
-    const pace = placed.isLightlyLoaded ? 'fastest' : 'typical';
-    const remainingMs = ports.streamDurations.minRemainingMs(route.name, wanted.lastEventId, pace);
-    const expectedEndAtMs =
-      nowMs + placed.expectedFirstEventMs * PREFILL_TIME_MIN_RATIO + remainingMs;
-    return expectedEndAtMs - request.deadlineAtMs;
-  }
-
   function reportUnplaced(
     attemptNo: number,
     reason: 'no_engine' | 'no_time' | 'condemned',
@@ -532,13 +410,6 @@
     decisions.notable('stream.move', fields);
   }
 
-  /** Where engines do not state their pace, a run that resumes from a copy is not counted. */
-  function memoryTokensOf(isFromCopy: boolean): number {
-    const outputTokens = expectedOutputTokens();
-    if (isFromCopy && outputTokens === 0) return 0;
-    return promptTokens + outputTokens;
-  }
-
   function openAttempt(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
     placed: PlacedEngine,
@@ -558,7 +429,7 @@
       engine,
       copyHolder,
       isFromCopy,
-      memoryTokensOf(isFromCopy),
+      engineChoice.memoryTokensOf(isFromCopy),
       placed,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
       ports.responseBuffers.open('event'),
