Classify the response heads of engines in a pure function

Cause: the handler of response heads mixed what a head means with what follows from it, in an order that only the whole function showed.

Change: forward/response-head.ts says what a head means, as one of six kinds; the stream acts on the kind. No change of behaviour.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -14,10 +14,10 @@
 import { createStreamEngineChoice } from './engine-choice';
 import { finiteMs } from './finite';
 import { withRoomTime } from './room';
-import { isCloseDelimited, isSameKind } from './response-kind';
+import { classifyResponseHead } from './response-head';
+import { isCloseDelimited } from './response-kind';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
-import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   AttemptLoss,
@@ -541,50 +541,48 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
-    // Also holds for refusals: an engine may write an earlier one once more on a kept connection.
-    if (metadata.requestId !== requestId) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
+    const { isResumedFromCopy } = attempt;
+    const received = { requestId, status, headers, metadata, isResumedFromCopy, begun };
+    const meaning = classifyResponseHead(received);
+    if (meaning.kind === 'other_request') {
+      failUnreadable(attempt, meaning.message);
       return;
     }
     applyServerStatus(ports, attempt.engine, requestId, metadata);
-    if (metadata.isMisdirected) {
+    if (meaning.kind === 'misdirected') {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
     }
     fleet.onBytesReceived(attempt.engineId, nowMs);
-    const isSuccess = isSuccessStatus(status);
-    if (metadata.wasNotRun) {
-      // A second refusal may be the first one, written once more while the engine runs the request.
-      if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
-      refusedBy.add(attempt.engineId);
-    }
-    if (!isSuccess && attempt.isResumedFromCopy) {
-      failAttempt(attempt, 'no_copy', undefined);
-      return;
-    }
-    if (metadata.wasNotRun) {
-      failAttempt(attempt, 'rejected', undefined);
-      return;
-    }
-    if (isSuccess && (metadata.isEncoded || !metadata.isSigned)) {
-      attempt.exchange?.cancel();
-      failAttempt(
-        attempt,
-        'garbled',
-        undefined,
-        'the response is encoded, or lacks the signature of the engine',
-      );
-      return;
-    }
-    if (isSuccess && begun !== undefined && !isSameKind(begun, status, headers)) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response is not the rest of the stream');
-      return;
+    if (metadata.wasNotRun) onRefusal(attempt);
+    switch (meaning.kind) {
+      case 'no_copy':
+      case 'rejected':
+        failAttempt(attempt, meaning.kind, undefined);
+        return;
+      case 'garbled':
+        failUnreadable(attempt, meaning.message);
+        return;
+      case 'answer':
+        attempt.status = status;
+        attempt.headers = headers;
+        attempt.isErrorResponse = meaning.isError;
+        return;
+      default:
+        assertNever(meaning);
     }
-    attempt.status = status;
-    attempt.headers = headers;
-    attempt.isErrorResponse = !isSuccess;
+  }
+
+  /** Gives up a response that can't be used; it does not count as a failure of the engine. */
+  function failUnreadable(attempt: StreamAttempt, message: string): void {
+    attempt.exchange?.cancel();
+    failAttempt(attempt, 'garbled', undefined, message);
+  }
+
+  /** A second refusal may be the first one, written once more while the engine runs the request. */
+  function onRefusal(attempt: StreamAttempt): void {
+    if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
+    refusedBy.add(attempt.engineId);
   }
 
   function collectErrorBody(attempt: StreamAttempt, bytes: Uint8Array): void {
