Move the report of a stream's losses into a module of its own

Cause: what an attempt shows about its engine was reported from several places of the closure in forward/stream.ts.

Change: forward/loss-report.ts tells the fleet, the other routers, the crash guard and the decision log of failed, silent, held and broken attempts. No change of behaviour.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -13,6 +13,7 @@
 import { noteDepartingSend } from './departing';
 import { createStreamEngineChoice } from './engine-choice';
 import { finiteMs } from './finite';
+import { createStreamLossReport } from './loss-report';
 import { withRoomTime } from './room';
 import { classifyResponseHead } from './response-head';
 import { isCloseDelimited } from './response-kind';
@@ -177,7 +178,7 @@
   sink: StreamSink,
   registry: StreamRegistry,
 ): RunningForwardStream {
-  const { active, times, onDomainSuspected, onServerLost } = registry;
+  const { active, times } = registry;
   const { clock, fleet, decisions } = ports;
   const { head, route, service, content } = request;
   const { requestId } = head;
@@ -202,6 +203,12 @@
 
   ports.outputSizes.onRequest(route.name, head);
   const budget = ports.retryBudgetOf(service.name);
+  const losses = createStreamLossReport(ports, request, {
+    budget,
+    lastEventAtMs: () => lastEventAtMs,
+    onDomainSuspected: registry.onDomainSuspected,
+    onServerLost: registry.onServerLost,
+  });
   const stream = createForwardStream({
     startedAtMs: request.receivedAtMs,
     deadlineAtMs: request.deadlineAtMs,
@@ -669,78 +676,17 @@
     if (attempt === undefined || attempt.isOver) return;
     attempt.exchange?.cancel();
     const nowMs = clock.monotonicMs();
-    if (loss === 'silent') attempt.timer.onGivenUp();
-    if (loss === 'silent') reportFailure(attempt, classifySilence(attempt, nowMs), nowMs, loss);
-    else if (loss === 'garbled') reportFailure(attempt, 'reset', nowMs, loss);
+    if (loss === 'silent') {
+      attempt.timer.onGivenUp();
+      losses.onSilence(attempt, nowMs);
+    } else if (loss === 'garbled') losses.onFailure(attempt, 'reset', nowMs, loss);
     closeAttempt(attempt);
   }
 
-  /** The engine is avoided, but not taken for lost: its other streams could not be moved either. */
   function onHeld(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined || attempt.isOver) return;
-    const nowMs = clock.monotonicMs();
-    const { avoidMs, suspectedDomain } = fleet.onFailure(attempt.engineId, 'unread', nowMs);
-    ports.stateBroadcast.onServerFailure(attempt.engineId, 'unread');
-    decisions.notable('stream.held', {
-      request: requestId,
-      attempt: attempt.attemptNo,
-      engine: attempt.engineId,
-      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
-      had_events: attempt.hasEvents,
-      retries_left: budget.available(),
-      avoid_ms: avoidMs,
-    });
-    reportSuspectedDomain(suspectedDomain);
-  }
-
-  /**
-   * An engine that has sent events, or is lost or suspected, counts as silent; any other engine may
-   * only be busy with prefills, so the attempt counts as unread.
-   */
-  function classifySilence(attempt: StreamAttempt, nowMs: number): ServerFailure {
-    if (attempt.hasEvents) return 'silent';
-    const state = fleet.get(attempt.engineId);
-    if (state === undefined) return 'silent';
-    return state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs) ? 'silent' : 'unread';
-  }
-
-  function reportFailure(
-    attempt: StreamAttempt,
-    failure: ServerFailure,
-    nowMs: number,
-    loss: string,
-    message?: string,
-  ): void {
-    const state = fleet.get(attempt.engineId);
-    const effect = fleet.onFailure(attempt.engineId, failure, nowMs);
-    // The other connections to a silent engine are dead too, and each later request would have to
-    // find that out by a timeout of its own.
-    if (failure === 'silent' && state !== undefined) ports.upstream.reconnect(state.server.address);
-    ports.metrics.onLoss(loss);
-    ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
-    decisions.notable('stream.attempt_lost', {
-      request: requestId,
-      fingerprint: content.fingerprint(),
-      attempt: attempt.attemptNo,
-      engine: attempt.engineId,
-      domain: state?.server.failureDomain,
-      loss,
-      message,
-      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
-      had_events: attempt.hasEvents,
-      parts: attempt.hasEvents ? undefined : head.sharedParts,
-      avoid_ms: effect.avoidMs,
-    });
-    const lostEngineId = attempt.engineId;
-    if (failure !== 'unread') queueMicrotask(() => onServerLost(lostEngineId));
-    reportSuspectedDomain(effect.suspectedDomain);
-  }
-
-  function reportSuspectedDomain(domain: FailureDomain | undefined): void {
-    if (domain === undefined) return;
-    decisions.vital('domain.doubted', { domain, request: requestId });
-    queueMicrotask(() => onDomainSuspected(domain));
+    losses.onHeld(attempt);
   }
 
   function failAttempt(
@@ -754,27 +700,13 @@
     if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
     if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
-      reportBrokenAttempt(attempt);
+      losses.onBroken(attempt);
     }
-    if (failure !== undefined) reportFailure(attempt, failure, nowMs, loss, message);
+    if (failure !== undefined) losses.onFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
     dispatch({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
   }
 
-  /** The engine may have crashed on beginning to answer this prompt. */
-  function reportBrokenAttempt(attempt: StreamAttempt): void {
-    const state = fleet.get(attempt.engineId);
-    if (state === undefined) return;
-    void ports.crashGuard.onBrokenAttempt({
-      requestId,
-      isStream: true,
-      serverId: attempt.engineId,
-      address: attempt.engineAddress,
-      failureDomain: state.server.failureDomain,
-      content,
-    });
-  }
-
   active.add(entry);
   stream.start().forEach(perform);
   alarm.set(stream.wakeAtMs());
