--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -3,8 +3,6 @@
   createEventSplitter,
   createForwardStream,
   createStreamTimes,
-  isProbablyBusy,
-  isRestart,
   urgencyOf,
 } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
@@ -13,13 +11,14 @@
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { createStreamEngineChoice } from './engine-choice';
 import { finiteMs } from './finite';
-import { createRepeatableRandom } from './repeatable-random';
+import { createStreamLossReport } from './loss-report';
 import { withRoomTime } from './room';
-import { isCloseDelimited, isSameKind } from './response-kind';
+import { classifyResponseHead } from './response-head';
+import { isCloseDelimited } from './response-kind';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
-import { isSuccessStatus } from './status';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   AttemptLoss,
@@ -27,7 +26,6 @@
   ForwardStreamEffect,
   ForwardStreamEvent,
   KvCacheCopy,
-  ReplacementAttempt,
   RouteName,
   ServeError,
   ServerState,
@@ -95,8 +93,6 @@
 
 /** An error response with a larger body counts as garbled. */
 const ERROR_BODY_MAX_BYTES = 65_536;
-/** Counted part of the expected prefill time: part of the prompt may be in the engine's cache. */
-const PREFILL_TIME_MIN_RATIO = 0.8;
 /** The pace of a stream is judged over this number of events. */
 const PACE_EVENTS = 20;
 const CONNECT_TIMEOUT_MS = 200;
@@ -176,29 +172,13 @@
   readonly onServerLost: (serverId: ServerId) => void;
 }
 
-/** What an attempt needs of its engine. */
-interface WantedEngine {
-  readonly isFailover: boolean;
-  readonly excluded: ReadonlySet<ServerId>;
-  readonly resumeFrom: KvCacheCopy | undefined;
-  readonly lastEventId: number | undefined;
-}
-
-type EngineChoice =
-  | { readonly kind: 'ok'; readonly placed: PlacedEngine }
-  | {
-      readonly kind: 'none';
-      readonly reason: 'no_engine' | 'no_time';
-      readonly message: string;
-    };
-
 function forwardStream(
   ports: ForwardPorts,
   request: ForwardRequest,
   sink: StreamSink,
   registry: StreamRegistry,
 ): RunningForwardStream {
-  const { active, times, onDomainSuspected, onServerLost } = registry;
+  const { active, times } = registry;
   const { clock, fleet, decisions } = ports;
   const { head, route, service, content } = request;
   const { requestId } = head;
@@ -212,16 +192,23 @@
   let lastEventAtMs: number | undefined;
   let eventCount = 0;
   let failoverCount = 0;
-  /** An engine was chosen before, and the stream has waited since. */
-  let isRecheck = false;
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
-  const placementRandom = createRepeatableRandom(ports.random);
+  const engineChoice = createStreamEngineChoice(ports, request, {
+    currentAttempt: () => current,
+    hasBegun: () => stream.hasBegun(),
+  });
   const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
 
   ports.outputSizes.onRequest(route.name, head);
   const budget = ports.retryBudgetOf(service.name);
+  const losses = createStreamLossReport(ports, request, {
+    budget,
+    lastEventAtMs: () => lastEventAtMs,
+    onDomainSuspected: registry.onDomainSuspected,
+    onServerLost: registry.onServerLost,
+  });
   const stream = createForwardStream({
     startedAtMs: request.receivedAtMs,
     deadlineAtMs: request.deadlineAtMs,
@@ -231,7 +218,7 @@
     isResumable: route.isResumable,
     lastEventId: head.lastEventId,
     budget,
-    canPlaceElsewhere,
+    canPlaceElsewhere: engineChoice.canPlaceElsewhere,
   });
   const entry: ActiveStream = {
     route: route.name,
@@ -341,8 +328,8 @@
       reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnation));
       return;
     }
-    const choice = chooseEngine({ ...effect, isFailover: effect.cause !== 'first' }, nowMs);
-    placementRandom.reset();
+    const wanted = { ...effect, isFailover: effect.cause !== 'first' };
+    const choice = engineChoice.choose(wanted, nowMs);
     if (choice.kind === 'none') {
       reportUnplaced(effect.attemptNo, choice.reason, choice.message);
       return;
@@ -365,7 +352,6 @@
       case 'wait':
         cancelWait = clock.runAfter(admission.waitMs, () => {
           if (isOver) return;
-          isRecheck = true;
           send(effect);
           alarm.set(isOver ? undefined : stream.wakeAtMs());
         });
@@ -383,119 +369,6 @@
     }
   }
 
-  /** Only chooses, and changes nothing. */
-  function chooseEngine(wanted: WantedEngine, nowMs: number): EngineChoice {
-    const random = placementRandom.next;
-    const capacity = service.engine;
-    if (capacity === undefined) {
-      const message = 'the service has no engines configured';
-      return { kind: 'none', reason: 'no_engine', message };
-    }
-    const input = {
-      service: service.name,
-      capacity,
-      promptTokens,
-      outputTokens: expectedOutputTokens(),
-      isFailover: wanted.isFailover,
-      isRecheck,
-      limitDraw: request.limitDraw,
-      excluded: new Set([
-        ...wanted.excluded,
-        ...ports.versionMoves.excludedServers(service.name, random()),
-      ]),
-      excludedCopyHolders: ports.versionMoves.excludedCopyHolders(service.name),
-    };
-    const placement = ports.placer.placeStream(
-      wanted.resumeFrom === undefined
-        ? input
-        : { ...input, fixedEngineId: wanted.resumeFrom.engineId },
-      nowMs,
-      random,
-    );
-    if (placement.kind === 'none') {
-      const message = `no engine can take the stream: ${placement.reason}`;
-      return { kind: 'none', reason: 'no_engine', message };
-    }
-    const overrunMs = deadlineOverrunMs(wanted, placement, nowMs);
-    if (overrunMs <= 0) return { kind: 'ok', placed: placement };
-    const message = `the stream would end about ${Math.round(overrunMs)} ms after its deadline`;
-    return { kind: 'none', reason: 'no_time', message };
-  }
-
-  /**
-   * 0 where engines do not state their pace. Those that do share their hosts with others, and crash
-   * when the requests that they hold exceed their memory.
-   */
-  function expectedOutputTokens(): number {
-    return fleet.pace.isStated(service.name)
-      ? ports.outputSizes.expectedTokens(route.name, head)
-      : 0;
-  }
-
-  function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
-    if (isGone(replacement.silentEngineId)) return true;
-    // The events of the present engine wait at this host's link, as those of another one would.
-    if (ports.connections.isOwnTrouble() && !isDoubted(replacement.silentEngineId, nowMs)) {
-      return false;
-    }
-    const wanted = { ...replacement, isFailover: true };
-    placementRandom.reset();
-    const canPlace =
-      isWorthMoving(chooseEngine(wanted, nowMs), replacement.silentEngineId, nowMs) ||
-      (wanted.resumeFrom !== undefined &&
-        chooseEngine({ ...wanted, resumeFrom: undefined }, nowMs).kind === 'ok');
-    // The attempt that follows chooses by the same numbers.
-    if (canPlace) placementRandom.rewind();
-    else placementRandom.reset();
-    return canPlace;
-  }
-
-  /**
-   * A stream without an event leaves an engine that is only busy for one that has little to do. Where
-   * servers do not state how long work takes, such an engine may also be very slow, so it is left.
-   */
-  function isWorthMoving(choice: EngineChoice, silentEngineId: ServerId, nowMs: number): boolean {
-    if (choice.kind !== 'ok') return false;
-    const isPaceStated = fleet.pace.isStated(service.name);
-    if (!isPaceStated || current?.hasEvents === true || choice.placed.isLightlyLoaded) return true;
-    return !isProbablyBusy({
-      isDoubted: isDoubted(silentEngineId, nowMs),
-      receivedAgeMs: nowMs - (fleet.get(silentEngineId)?.lastReceivedAtMs ?? -Infinity),
-      peersRunning: ports.placer.peersRunning(silentEngineId, nowMs),
-      waitedMs: nowMs - (current?.sentAtMs ?? nowMs),
-      targetMs: route.targetMs,
-    });
-  }
-
-  /** Whether the engine or its failure domain is taken for lost. */
-  function isDoubted(engineId: ServerId, nowMs: number): boolean {
-    const state = fleet.get(engineId);
-    return state === undefined || state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs);
-  }
-
-  /** Whether the process that ran the current attempt has ended, and its connection with it. */
-  function isGone(engineId: ServerId): boolean {
-    const state = fleet.get(engineId);
-    if (state === undefined || state.isReplaced) return true;
-    return current !== undefined && isRestart(current.engine, state.server);
-  }
-
-  /**
-   * Time by which the stream would overrun its deadline; a positive value refuses the stream. The time
-   * from the first event to the end is an estimate. On an engine with little to do the pace of the
-   * fastest stream counts: only what cannot end there at all is refused, before its prompt is read.
-   */
-  function deadlineOverrunMs(wanted: WantedEngine, placed: PlacedEngine, nowMs: number): number {
-    // Resuming from a KV cache copy needs no prefill. A stream that has begun can't be refused any
-    // more, and its caller can use each further event.
-    if (wanted.resumeFrom !== undefined || stream.hasBegun()) return 0;
-    const pace = placed.isLightlyLoaded ? 'fastest' : 'typical';
-    const remainingMs = ports.streamDurations.minRemainingMs(route.name, wanted.lastEventId, pace);
-    const expectedEndAtMs =
-      nowMs + placed.expectedFirstEventMs * PREFILL_TIME_MIN_RATIO + remainingMs;
-    return expectedEndAtMs - request.deadlineAtMs;
-  }
-
   function reportUnplaced(
     attemptNo: number,
     reason: 'no_engine' | 'no_time' | 'condemned',
@@ -546,13 +419,6 @@
     decisions.notable('stream.move', fields);
   }
 
-  /** Where engines do not state their pace, a run that resumes from a copy is not counted. */
-  function memoryTokensOf(isFromCopy: boolean): number {
-    const outputTokens = expectedOutputTokens();
-    if (isFromCopy && outputTokens === 0) return 0;
-    return promptTokens + outputTokens;
-  }
-
   function openAttempt(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
     placed: PlacedEngine,
@@ -572,7 +438,7 @@
       engine,
       copyHolder,
       isFromCopy,
-      memoryTokensOf(isFromCopy),
+      engineChoice.memoryTokensOf(isFromCopy),
       placed,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
       ports.responseBuffers.open('event'),
@@ -685,50 +551,48 @@
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
     const metadata = ports.codec.parseResponse(status, headers);
-    // Also holds for refusals: an engine may write an earlier one once more on a kept connection.
-    if (metadata.requestId !== requestId) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response carries the id of another request');
+    const { isResumedFromCopy } = attempt;
+    const received = { requestId, status, headers, metadata, isResumedFromCopy, begun };
+    const meaning = classifyResponseHead(received);
+    if (meaning.kind === 'other_request') {
+      failUnreadable(attempt, meaning.message);
       return;
     }
     applyServerStatus(ports, attempt.engine, requestId, metadata);
-    if (metadata.isMisdirected) {
+    if (meaning.kind === 'misdirected') {
       failAttempt(attempt, 'misdirected', 'misdirected');
       return;
     }
     fleet.onBytesReceived(attempt.engineId, nowMs);
-    const isSuccess = isSuccessStatus(status);
-    if (metadata.wasNotRun) {
-      // A second refusal may be the first one, written once more while the engine runs the request.
-      if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
-      refusedBy.add(attempt.engineId);
-    }
-    if (!isSuccess && attempt.isResumedFromCopy) {
-      failAttempt(attempt, 'no_copy', undefined);
-      return;
-    }
-    if (metadata.wasNotRun) {
-      failAttempt(attempt, 'rejected', undefined);
-      return;
-    }
-    if (isSuccess && (metadata.isEncoded || !metadata.isSigned)) {
-      attempt.exchange?.cancel();
-      failAttempt(
-        attempt,
-        'garbled',
-        undefined,
-        'the response is encoded, or lacks the signature of the engine',
-      );
-      return;
-    }
-    if (isSuccess && begun !== undefined && !isSameKind(begun, status, headers)) {
-      attempt.exchange?.cancel();
-      failAttempt(attempt, 'garbled', undefined, 'the response is not the rest of the stream');
-      return;
+    if (metadata.wasNotRun) onRefusal(attempt);
+    switch (meaning.kind) {
+      case 'no_copy':
+      case 'rejected':
+        failAttempt(attempt, meaning.kind, undefined);
+        return;
+      case 'garbled':
+        failUnreadable(attempt, meaning.message);
+        return;
+      case 'answer':
+        attempt.status = status;
+        attempt.headers = headers;
+        attempt.isErrorResponse = meaning.isError;
+        return;
+      default:
+        assertNever(meaning);
     }
-    attempt.status = status;
-    attempt.headers = headers;
-    attempt.isErrorResponse = !isSuccess;
+  }
+
+  /** Gives up a response that can't be used; it does not count as a failure of the engine. */
+  function failUnreadable(attempt: StreamAttempt, message: string): void {
+    attempt.exchange?.cancel();
+    failAttempt(attempt, 'garbled', undefined, message);
+  }
+
+  /** A second refusal may be the first one, written once more while the engine runs the request. */
+  function onRefusal(attempt: StreamAttempt): void {
+    if (refusedBy.has(attempt.engineId)) attempt.exchange?.cancel();
+    refusedBy.add(attempt.engineId);
   }
 
   function collectErrorBody(attempt: StreamAttempt, bytes: Uint8Array): void {
@@ -816,78 +680,17 @@
     if (attempt === undefined || attempt.isOver) return;
     attempt.exchange?.cancel();
     const nowMs = clock.monotonicMs();
-    if (loss === 'silent') attempt.timer.onGivenUp();
-    if (loss === 'silent') reportFailure(attempt, classifySilence(attempt, nowMs), nowMs, loss);
-    else if (loss === 'garbled') reportFailure(attempt, 'reset', nowMs, loss);
+    if (loss === 'silent') {
+      attempt.timer.onGivenUp();
+      losses.onSilence(attempt, nowMs);
+    } else if (loss === 'garbled') losses.onFailure(attempt, 'reset', nowMs, loss);
     closeAttempt(attempt);
   }
 
-  /** The engine is avoided, but not taken for lost: its other streams could not be moved either. */
   function onHeld(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     if (attempt === undefined || attempt.isOver) return;
-    const nowMs = clock.monotonicMs();
-    const { avoidMs, suspectedDomain } = fleet.onFailure(attempt.engineId, 'unread', nowMs);
-    ports.stateBroadcast.onServerFailure(attempt.engineId, 'unread');
-    decisions.notable('stream.held', {
-      request: requestId,
-      attempt: attempt.attemptNo,
-      engine: attempt.engineId,
-      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
-      had_events: attempt.hasEvents,
-      retries_left: budget.available(),
-      avoid_ms: avoidMs,
-    });
-    reportSuspectedDomain(suspectedDomain);
-  }
-
-  /**
-   * An engine that has sent events, or is lost or suspected, counts as silent; any other engine may
-   * only be busy with prefills, so the attempt counts as unread.
-   */
-  function classifySilence(attempt: StreamAttempt, nowMs: number): ServerFailure {
-    if (attempt.hasEvents) return 'silent';
-    const state = fleet.get(attempt.engineId);
-    if (state === undefined) return 'silent';
-    return state.lostAtMs !== undefined || fleet.isSuspected(state, nowMs) ? 'silent' : 'unread';
-  }
-
-  function reportFailure(
-    attempt: StreamAttempt,
-    failure: ServerFailure,
-    nowMs: number,
-    loss: string,
-    message?: string,
-  ): void {
-    const state = fleet.get(attempt.engineId);
-    const effect = fleet.onFailure(attempt.engineId, failure, nowMs);
-    // The other connections to a silent engine are dead too, and each later request would have to
-    // find that out by a timeout of its own.
-    if (failure === 'silent' && state !== undefined) ports.upstream.reconnect(state.server.address);
-    ports.metrics.onLoss(loss);
-    ports.stateBroadcast.onServerFailure(attempt.engineId, failure);
-    decisions.notable('stream.attempt_lost', {
-      request: requestId,
-      fingerprint: content.fingerprint(),
-      attempt: attempt.attemptNo,
-      engine: attempt.engineId,
-      domain: state?.server.failureDomain,
-      loss,
-      message,
-      silent_ms: Math.round(nowMs - (lastEventAtMs ?? attempt.sentAtMs)),
-      had_events: attempt.hasEvents,
-      parts: attempt.hasEvents ? undefined : head.sharedParts,
-      avoid_ms: effect.avoidMs,
-    });
-    const lostEngineId = attempt.engineId;
-    if (failure !== 'unread') queueMicrotask(() => onServerLost(lostEngineId));
-    reportSuspectedDomain(effect.suspectedDomain);
-  }
-
-  function reportSuspectedDomain(domain: FailureDomain | undefined): void {
-    if (domain === undefined) return;
-    decisions.vital('domain.doubted', { domain, request: requestId });
-    queueMicrotask(() => onDomainSuspected(domain));
+    losses.onHeld(attempt);
   }
 
   function failAttempt(
@@ -901,27 +704,13 @@
     if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
     if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
-      reportBrokenAttempt(attempt);
+      losses.onBroken(attempt);
     }
-    if (failure !== undefined) reportFailure(attempt, failure, nowMs, loss, message);
+    if (failure !== undefined) losses.onFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
     dispatch({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
   }
 
-  /** The engine may have crashed on beginning to answer this prompt. */
-  function reportBrokenAttempt(attempt: StreamAttempt): void {
-    const state = fleet.get(attempt.engineId);
-    if (state === undefined) return;
-    void ports.crashGuard.onBrokenAttempt({
-      requestId,
-      isStream: true,
-      serverId: attempt.engineId,
-      address: attempt.engineAddress,
-      failureDomain: state.server.failureDomain,
-      content,
-    });
-  }
-
   active.add(entry);
   stream.start().forEach(perform);
   alarm.set(stream.wakeAtMs());
