Move the decision log lines of a stream into a module of its own

Cause: the fields of the log lines took up much of the closure in forward/stream.ts, between the steps that they describe.

Change: forward/stream-log.ts writes the lines stream.place, stream.move, stream.resumed and stream.end. Metrics and counts stay with the stream. No change of behaviour.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -12,13 +12,13 @@
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { createStreamEngineChoice } from './engine-choice';
-import { finiteMs } from './finite';
 import { createStreamLossReport } from './loss-report';
 import { withRoomTime } from './room';
 import { classifyResponseHead } from './response-head';
 import { isCloseDelimited } from './response-kind';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
+import { createStreamLog } from './stream-log';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   AttemptLoss,
@@ -179,7 +179,7 @@
   registry: StreamRegistry,
 ): RunningForwardStream {
   const { active, times } = registry;
-  const { clock, fleet, decisions } = ports;
+  const { clock, fleet } = ports;
   const { head, route, service, content } = request;
   const { requestId } = head;
   const attempts = new Map<number, StreamAttempt>();
@@ -195,6 +195,7 @@
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
+  const log = createStreamLog(ports, request);
   const engineChoice = createStreamEngineChoice(ports, request, {
     currentAttempt: () => current,
     hasBegun: () => stream.hasBegun(),
@@ -295,22 +296,12 @@
     alarm.set(undefined);
     const tookMs = clock.monotonicMs() - request.receivedAtMs;
     ports.metrics.onAnswer('stream', outcome, tookMs);
-    const fields = {
-      request: requestId,
-      route: route.name,
-      outcome,
-      took_ms: Math.round(tookMs),
-      moves: failoverCount,
-      attempts: attempts.size,
-      engine: current?.engineId,
-      reason: error?.message,
-      run: error?.runState,
-    };
     if (outcome === 'complete') {
       times.onCompleted(route.name, tookMs, clock.monotonicMs());
       recordDuration();
-      decisions.routine('stream.end', fields);
-    } else decisions.notable('stream.end', fields);
+    }
+    const engineId = current?.engineId;
+    log.onEnd({ outcome, tookMs, failoverCount, attemptCount: attempts.size, engineId, error });
   }
 
   /** Records the duration only of streams that a single engine served from first to last event. */
@@ -335,7 +326,9 @@
       return;
     }
     if (effect.cause === 'first' && !isAdmitted(effect, choice.placed, nowMs)) return;
-    logPlacement(effect, choice.placed, nowMs);
+    ports.metrics.onSend('stream', effect.cause);
+    log.onPlaced(effect, choice.placed, lastEventAtMs, nowMs);
+    if (effect.cause !== 'first') failoverCount += 1;
     openAttempt(effect, choice.placed, nowMs);
   }
 
@@ -380,43 +373,6 @@
     queueMicrotask(() => dispatch(event));
   }
 
-  function logPlacement(
-    effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
-    placed: PlacedEngine,
-    nowMs: number,
-  ): void {
-    ports.metrics.onSend('stream', effect.cause);
-    const state = fleet.get(placed.engineId);
-    const fields = {
-      request: requestId,
-      attempt: effect.attemptNo,
-      cause: effect.cause,
-      level: request.admission?.priorityClass.level,
-      engine: placed.engineId,
-      domain: state?.server.failureDomain,
-      copy_at: placed.copyEngineId,
-      from_copy: effect.resumeFrom !== undefined,
-      after_event: effect.lastEventId,
-      expected_ms: Math.round(placed.expectedFirstEventMs),
-      prompt_tokens: promptTokens,
-      output_tokens: head.outputTokens,
-      length_hint: head.lengthHint,
-      size: placed.promptSize,
-      pace: Number(placed.paceRatio.toFixed(2)),
-      pace_age_ms: finiteMs(fleet.pace.ageMs(placed.engineId, nowMs)),
-      own_running: state?.ownRunning,
-      report_age_ms:
-        state?.report === undefined ? undefined : Math.round(nowMs - state.report.atMs),
-      since_event_ms: lastEventAtMs === undefined ? undefined : Math.round(nowMs - lastEventAtMs),
-    };
-    if (effect.cause === 'first') {
-      decisions.routine('stream.place', fields);
-      return;
-    }
-    failoverCount += 1;
-    decisions.notable('stream.move', fields);
-  }
-
   function openAttempt(
     effect: Extract<ForwardStreamEffect, { kind: 'send' }>,
     placed: PlacedEngine,
@@ -621,7 +577,7 @@
         const engine = { engineId, wasIdle: wasEngineIdle, nowMs };
         ports.placer.onPrefill(promptTokens, nowMs - attempt.sentAtMs, engine);
       }
-      if (lastEventAtMs !== undefined) logResumed(attempt, nowMs - lastEventAtMs, nowMs);
+      if (lastEventAtMs !== undefined) onResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
     firstEventAtMs ??= nowMs;
     lastEventAtMs = nowMs;
@@ -630,6 +586,11 @@
     dispatch({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
+  function onResumed(attempt: StreamAttempt, gapMs: number, nowMs: number): void {
+    ports.metrics.onResumeGap(gapMs);
+    log.onResumed(attempt, gapMs, nowMs);
+  }
+
   /** Times each run of PACE_EVENTS events as a phase of its own. */
   function timePace(attempt: StreamAttempt, count: number): void {
     attempt.eventCount += count;
@@ -639,18 +600,6 @@
     attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
   }
 
-  function logResumed(attempt: StreamAttempt, gapMs: number, nowMs: number): void {
-    ports.metrics.onResumeGap(gapMs);
-    decisions.notable('stream.resumed', {
-      request: requestId,
-      attempt: attempt.attemptNo,
-      engine: attempt.engineId,
-      from_copy: attempt.isResumedFromCopy,
-      gap_ms: Math.round(gapMs),
-      since_send_ms: Math.round(nowMs - attempt.sentAtMs),
-    });
-  }
-
   async function makeCopy(attemptNo: number, existingCopy: KvCacheCopy | undefined): Promise<void> {
     const attempt = attempts.get(attemptNo);
     const copy = attempt === undefined ? undefined : await copies.create(attempt, existingCopy);
