Move the timing of a stream's phases into a module of its own

Cause: the times of a stream's events were kept by the closure in forward/stream.ts beside the state of the exchange.

Change: forward/stream-timing.ts times the pace of engines and the duration of the stream. No change of behaviour.

--- a/packages/router/src/forward/stream.ts
+++ b/packages/router/src/forward/stream.ts
@@ -19,6 +19,7 @@
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
 import { createStreamLog } from './stream-log';
+import { createStreamTiming } from './stream-timing';
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   AttemptLoss,
@@ -93,8 +94,6 @@
 
 /** An error response with a larger body counts as garbled. */
 const ERROR_BODY_MAX_BYTES = 65_536;
-/** The pace of a stream is judged over this number of events. */
-const PACE_EVENTS = 20;
 const CONNECT_TIMEOUT_MS = 200;
 /** Losses with which the connection of an attempt ends when its engine crashes. */
 const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
@@ -188,14 +187,12 @@
   let begun: StreamAttempt | undefined;
   let current: StreamAttempt | undefined;
   let isOver = false;
-  let firstEventAtMs: number | undefined;
-  let lastEventAtMs: number | undefined;
-  let eventCount = 0;
   let failoverCount = 0;
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
   const log = createStreamLog(ports, request);
+  const timing = createStreamTiming(ports, request);
   const engineChoice = createStreamEngineChoice(ports, request, {
     currentAttempt: () => current,
     hasBegun: () => stream.hasBegun(),
@@ -206,7 +203,7 @@
   const budget = ports.retryBudgetOf(service.name);
   const losses = createStreamLossReport(ports, request, {
     budget,
-    lastEventAtMs: () => lastEventAtMs,
+    lastEventAtMs: timing.lastEventAtMs,
     onDomainSuspected: registry.onDomainSuspected,
     onServerLost: registry.onServerLost,
   });
@@ -298,20 +295,12 @@
     ports.metrics.onAnswer('stream', outcome, tookMs);
     if (outcome === 'complete') {
       times.onCompleted(route.name, tookMs, clock.monotonicMs());
-      recordDuration();
+      timing.recordDuration(failoverCount);
     }
     const engineId = current?.engineId;
     log.onEnd({ outcome, tookMs, failoverCount, attemptCount: attempts.size, engineId, error });
   }
 
-  /** Records the duration only of streams that a single engine served from first to last event. */
-  function recordDuration(): void {
-    if (failoverCount > 0 || head.lastEventId !== undefined) return;
-    if (firstEventAtMs === undefined || lastEventAtMs === undefined) return;
-    const tookMs = lastEventAtMs - firstEventAtMs;
-    ports.streamDurations.onCompleted(route.name, { events: eventCount, tookMs });
-  }
-
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
     const nowMs = clock.monotonicMs();
     const condemnation = stream.hasBegun() ? undefined : ports.crashGuard.findCondemned(content);
@@ -327,7 +316,7 @@
     }
     if (effect.cause === 'first' && !isAdmitted(effect, choice.placed, nowMs)) return;
     ports.metrics.onSend('stream', effect.cause);
-    log.onPlaced(effect, choice.placed, lastEventAtMs, nowMs);
+    log.onPlaced(effect, choice.placed, timing.lastEventAtMs(), nowMs);
     if (effect.cause !== 'first') failoverCount += 1;
     openAttempt(effect, choice.placed, nowMs);
   }
@@ -568,8 +557,7 @@
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
       ports.crashGuard.onAnswered(content);
-      attempt.timer.onAnswered(false);
-      attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
+      timing.startPacePhase(attempt);
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.stateBroadcast.sendWithNext();
       if (attempt.isOnlyPrefill && !attempt.isResumedFromCopy) {
@@ -577,12 +565,10 @@
         const engine = { engineId, wasIdle: wasEngineIdle, nowMs };
         ports.placer.onPrefill(promptTokens, nowMs - attempt.sentAtMs, engine);
       }
+      const lastEventAtMs = timing.lastEventAtMs();
       if (lastEventAtMs !== undefined) onResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
-    firstEventAtMs ??= nowMs;
-    lastEventAtMs = nowMs;
-    eventCount += events.length;
-    timePace(attempt, events.length);
+    timing.onEvents(attempt, events.length, nowMs);
     dispatch({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
@@ -591,15 +577,6 @@
     log.onResumed(attempt, gapMs, nowMs);
   }
 
-  /** Times each run of PACE_EVENTS events as a phase of its own. */
-  function timePace(attempt: StreamAttempt, count: number): void {
-    attempt.eventCount += count;
-    if (attempt.eventCount < PACE_EVENTS) return;
-    attempt.eventCount = 0;
-    attempt.timer.onAnswered(false);
-    attempt.timer = ports.versionMoves.trackAttempt(attempt.engineId, 'pace');
-  }
-
   async function makeCopy(attemptNo: number, existingCopy: KvCacheCopy | undefined): Promise<void> {
     const attempt = attempts.get(attemptNo);
     const copy = attempt === undefined ? undefined : await copies.create(attempt, existingCopy);
