Test the order in which response heads are classified

Cause: the classification is a pure function now, and its order decides between kinds that fit the same head.

Change: a test guards the order: a refusal of another request, of another server and of a copy are not taken for one of this attempt.

--- /dev/null
+++ b/packages/router/test/forward/response-head.spec.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from 'vitest';
+import { asId } from '@mimosamill/core';
+import { classifyResponseHead } from '../../src/forward/response-head';
+import type { RequestId } from '@mimosamill/core';
+import type { ReceivedHead } from '../../src/forward/response-head';
+import type { ResponseMetadata } from '../../src/forward/codec';
+
+const REQUEST: RequestId = asId('r1');
+const OTHER_REQUEST: RequestId = asId('r0');
+const STREAM_HEADERS = { 'content-type': 'text/event-stream' };
+
+function kindOf(
+  status: number,
+  metadata: Partial<ResponseMetadata> = {},
+  received: Partial<ReceivedHead> = {},
+): string {
+  const head = classifyResponseHead({
+    requestId: REQUEST,
+    status,
+    headers: STREAM_HEADERS,
+    metadata: {
+      requestId: REQUEST,
+      wasNotRun: false,
+      isMisdirected: false,
+      isEncoded: false,
+      isSigned: true,
+      load: undefined,
+      isLeaving: false,
+      retryAfterMs: undefined,
+      limit: { kind: 'none' },
+      ...metadata,
+    },
+    isResumedFromCopy: false,
+    begun: undefined,
+    ...received,
+  });
+  return head.kind === 'answer' && head.isError ? 'error' : head.kind;
+}
+
+// Guards against a check that comes too late: a head that fits several kinds would be taken for a
+// weaker one, for example a late refusal of another request for one of this attempt.
+describe('the head of a response', () => {
+  it('counts for nothing if it names another request or none', () => {
+    expect(kindOf(503, { requestId: OTHER_REQUEST, wasNotRun: true })).toBe('other_request');
+    expect(kindOf(421, { requestId: undefined, isMisdirected: true })).toBe('other_request');
+  });
+
+  it('is of another server before it is a refusal', () => {
+    expect(kindOf(421, { isMisdirected: true, wasNotRun: true })).toBe('misdirected');
+  });
+
+  it('refuses the copy before it refuses the request', () => {
+    expect(kindOf(503, { wasNotRun: true }, { isResumedFromCopy: true })).toBe('no_copy');
+    expect(kindOf(500, {}, { isResumedFromCopy: true })).toBe('no_copy');
+    expect(kindOf(503, { wasNotRun: true })).toBe('rejected');
+  });
+
+  it('is garbled if a success was changed on its way or is of another kind', () => {
+    expect(kindOf(200, { isEncoded: true })).toBe('garbled');
+    expect(kindOf(200, { isSigned: false })).toBe('garbled');
+    const begun = { status: 200, headers: { 'content-type': 'application/json' } };
+    expect(kindOf(200, {}, { begun })).toBe('garbled');
+  });
+
+  it('is followed by events or by the description of an error', () => {
+    expect(kindOf(200, {}, { begun: { status: 200, headers: STREAM_HEADERS } })).toBe('answer');
+    expect(kindOf(500, { isSigned: false })).toBe('error');
+  });
+});
