Move the watches of a router's tables into a module of their own

Cause: forward/gateway.ts put the parts of a router together and also applied the rows of two tables, in one function of about 400 lines.

Change: forward/store-watches.ts watches the operator's records and the servers, and applies their rows; the gateway asks it for the configuration in use. No change of behaviour.

--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -1,9 +1,7 @@
 import {
   asId,
-  createServerDirectory,
   createCallOutcomeTracker,
   createFleet,
-  createForwardTable,
   createMemoryBudget,
   createOutputSizes,
   createPeerRegistry,
@@ -22,7 +20,6 @@
   sendText,
   splitAddress,
 } from '@mimosamill/adapters';
-import { createWakeTimer } from '../call/async';
 import { createCallForwarder } from './call';
 import { finiteMs } from './finite';
 import { stopGracefully } from './graceful-stop';
@@ -30,7 +27,6 @@
 import { createForwardMetrics } from './metrics';
 import { createRetryBudgets } from './retry-budgets';
 import { createRouterRegistry } from './router-registry';
-import { keepLostRecords } from './operator-record';
 import { isElected } from './election';
 import { createIngress } from './ingress';
 import { createCrashGuard } from './crash-guard';
@@ -39,7 +35,7 @@
 import { createRelayServer } from './relay';
 import { createStreamForwarder } from './stream';
 import { createVersionMoves } from './version-moves';
-import { createTableWatch } from './table-watch';
+import { createStoreWatches } from './store-watches';
 import type {
   Clock,
   DatagramSocket,
@@ -50,13 +46,7 @@
   Metrics,
   RunningProgram,
 } from '@mimosamill/adapters';
-import type {
-  FleetChange,
-  ForwardServer,
-  ForwardTable,
-  FreshnessBounds,
-  StoreEras,
-} from '@mimosamill/core';
+import type { ForwardServer, FreshnessBounds, StoreEras } from '@mimosamill/core';
 import type { ForwardCodec } from './codec';
 import type { Ingress } from './ingress';
 import type { RouterTable } from './router-registry';
@@ -65,8 +55,6 @@
 import type { GatewaySettings } from './settings';
 import type { CondemnedTable } from './crash-guard';
 import type { MoveTable } from './version-moves';
-import type { TableWatch } from './table-watch';
-import type { WatchContext } from './followed-rows';
 import type { WatchedTable } from './watched-table';
 
 /** Adapters of the platform and the runtime that a gateway uses. */
@@ -101,29 +89,9 @@
  */
 const SERVE_MAX_AGE_RATIO = 0.9;
 const DENY_MAX_AGE_RATIO = 0.8;
-/** Long polls wait for this part of the bound on the age of the data that they fetch. */
-const WAIT_REVOKE_RATIO = 0.3;
-const WAIT_CONFIG_RATIO = 0.6;
-const WAIT_DRAIN_RATIO = 0.6;
-const WAIT_TIMEOUT_MARGIN_MS = 450;
-/**
- * While the store is away, a poll fails after the margin, and the next one follows after this delay and
- * its jitter of 0.3. Together they stay under the second after which what callers are owed must be
- * served again.
- */
-const OPERATOR_RETRY_MAX_MS = 380;
-/** Longer, as each call to the store is paid for: the list is read as soon as the store answers any call. */
-const SERVERS_RETRY_MAX_MS = 1_500;
-/**
- * Longest time, as a part of the drain bound, for which a removed server is kept; the rest covers the
- * time until the removal is known.
- */
-const KEEP_DRAIN_RATIO = 0.8;
 /** Connecting takes one round trip; with a lost packet it would take a second, so it is given up before. */
 const CONNECT_TIMEOUT_MS = 300;
 const CONNECTIONS_PER_SERVER = 64;
-/** Node also counts the request line, and each connection may hold so much before its head ends. */
-const HEADER_LIMIT_RATIO = 2;
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
 
@@ -135,7 +103,6 @@
   const { clock, decisions, metrics, storeEras } = environment;
   let settings = initial;
   const fleet = createFleet();
-  const directory = createServerDirectory(settings.drainMs * KEEP_DRAIN_RATIO);
   const forwardMetrics = createForwardMetrics(metrics);
   const connections = createConnectionWatch(clock, decisions, forwardMetrics);
   const limits = hostLimits(settings);
@@ -166,12 +133,12 @@
     {
       onStarted: () => {
         stateBroadcast.sendSoon();
-        operatorWatch.start();
-        serverWatch.start();
+        watches.operator.start();
+        watches.servers.start();
       },
       onStoreClock: (sentAtMs, storeNowMs) => {
-        operatorWatch.onStoreClock(sentAtMs, storeNowMs);
-        serverWatch.onStoreClock(sentAtMs, storeNowMs);
+        watches.operator.onStoreClock(sentAtMs, storeNowMs);
+        watches.servers.onStoreClock(sentAtMs, storeNowMs);
       },
     },
   );
@@ -252,15 +219,13 @@
     stateBroadcast,
     versionMoves,
     crashGuard,
-    serverListAgeMs: () => serverWatch.ageMs(),
+    serverListAgeMs: () => watches.servers.ageMs(),
     servesUrgentFirst: () => settings.urgentStreamsFirst ?? false,
     retryBudgetOf: retryBudgets.of,
     onServerLeaving: (serverId) => streams.onServerLeaving(serverId),
   });
   const calls = createCallForwarder(ports);
   const streams = createStreamForwarder(ports);
-  let table: ForwardTable | undefined;
-  let isServerListKnown = false;
   let isStopping = false;
   let wasReady = false;
 
@@ -271,39 +236,15 @@
     canReadStore,
     routerRegistry.listed,
   );
-  const operatorWatch: TableWatch = createTableWatch(
-    storeReaders.sourcesOf('operator', environment.operatorTable),
-    clock,
-    environment.random,
-    decisions,
-    {
-      name: 'operator',
-      waitMs: Math.min(
-        settings.configMs * WAIT_CONFIG_RATIO,
-        (settings.revokeMs ?? Infinity) * WAIT_REVOKE_RATIO,
-      ),
-      timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
-      retryMaxMs: OPERATOR_RETRY_MAX_MS,
-    },
-    {
-      onRows: onOperatorRows,
-      keepLost: keepLostRecords,
-      onStoreRegained: () => serverWatch.onStoreReachable(),
-    },
-  );
-  const serverWatch: TableWatch = createTableWatch(
-    storeReaders.sourcesOf('servers', environment.serverTable),
-    clock,
-    environment.random,
-    decisions,
-    {
-      name: 'servers',
-      waitMs: settings.drainMs * WAIT_DRAIN_RATIO,
-      timeoutMarginMs: WAIT_TIMEOUT_MARGIN_MS,
-      retryMaxMs: SERVERS_RETRY_MAX_MS,
-    },
-    { onRows: onServerRows, onStoreRegained: () => operatorWatch.onStoreReachable() },
-  );
+  const watches = createStoreWatches(settings, environment, storeReaders, {
+    fleet,
+    memory,
+    upstream,
+    callOutcomes,
+    versionMoves,
+    streams,
+    ingressShell: () => ingress.shell,
+  });
   const storeRestores = metrics.counter(
     'mimosamill_forward_store_restores_total',
     'Times that the store was found to be restored from a copy',
@@ -313,29 +254,27 @@
     decisions.vital('store.restored', {
       before,
       era,
-      operator_revision: operatorWatch.revision(),
-      servers_revision: serverWatch.revision(),
+      operator_revision: watches.operator.revision(),
+      servers_revision: watches.servers.revision(),
     });
     routerRegistry.onStoreRestored();
     versionMoves.onStoreRestored();
     crashGuard.onStoreRestored();
   });
-  const relay = createRelayServer([operatorWatch.relayed, serverWatch.relayed], storeEras);
+  const relay = createRelayServer([watches.operator.relayed, watches.servers.relayed], storeEras);
 
   function canReadStore(): boolean {
-    return !isStopping && !operatorWatch.isStoreUnreachable() && !serverWatch.isStoreUnreachable();
+    return !isStopping && watches.isStoreReachable();
   }
 
-  const directoryExpiry = createWakeTimer(clock, () => applyDirectory());
-
   const ingress: Ingress = createIngress(
     ports,
     calls,
     streams,
     {
-      table: () => table,
-      ageMs: () => operatorWatch.ageMs(),
-      refresh: () => operatorWatch.refresh(),
+      table: watches.table,
+      ageMs: () => watches.operator.ageMs(),
+      refresh: () => watches.operator.refresh(),
     },
     {
       freshness: () => freshnessOf(settings),
@@ -343,100 +282,13 @@
     },
   );
 
-  function onOperatorRows(rows: ReadonlyMap<string, OperatorRecord>, context: WatchContext): void {
-    versionMoves.setOrders(
-      [...rows.values()].flatMap((record) =>
-        record.kind === 'version_order' ? [record.order] : [],
-      ),
-      context.isRestored,
-    );
-    rows.forEach((record, key) => {
-      if (record.kind === 'unknown') {
-        decisions.vital('operator.unreadable', { key, problem: record.problem });
-      }
-      if (record.kind === 'config') applyConfig(record.config, context.revision);
-    });
-  }
-
-  function applyConfig(config: ForwardTable['config'], storeRevision: number): void {
-    if (table !== undefined && config.revision <= table.config.revision) return;
-    const before = table?.config.revision;
-    table = createForwardTable(config);
-    ingress.shell.setMaxHeaderBytes(config.limits.headerMaxBytes * HEADER_LIMIT_RATIO);
-    ingress.shell.setTimeouts(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
-    if (config.limits.bodyMaxBytes > memory.claimMaxBytes) {
-      decisions.vital('config.body_limit_exceeds_memory', {
-        body_max_bytes: config.limits.bodyMaxBytes,
-        served_max_bytes: memory.claimMaxBytes,
-      });
-    }
-    decisions.vital('config.applied', {
-      revision: config.revision,
-      before,
-      store_revision: storeRevision,
-      store_era: storeEras.current(),
-      routes: config.routes.length,
-      customers: config.customers?.length,
-    });
-  }
-
-  function onServerRows(rows: ReadonlyMap<string, ForwardServer>, context: WatchContext): void {
-    isServerListKnown = true;
-    directory.update(
-      [...rows.values()],
-      context.sinceOutageMs,
-      clock.monotonicMs(),
-      context.isRestored,
-    );
-    applyDirectory(context);
-  }
-
-  /** Applies the list of servers: after a change of the rows, or when a kept server expires. */
-  function applyDirectory(context?: WatchContext): void {
-    const nowMs = clock.monotonicMs();
-    const servers = directory.servers(nowMs);
-    const change = fleet.setServers(servers, nowMs);
-    noteFleetChange(change, servers, context);
-    [...change.removed, ...change.restarted].forEach(({ serverId }) => {
-      streams.onServerLost(serverId);
-    });
-    change.leaving.forEach(({ serverId }) => streams.onServerLeaving(serverId));
-    upstream.retainOnly(new Set(servers.map(({ address }) => address)));
-    callOutcomes.retain(new Set(servers.map(({ serverId }) => serverId)));
-    directoryExpiry.set(directory.nextExpiryMs());
-  }
-
-  function noteFleetChange(
-    change: FleetChange,
-    servers: readonly ForwardServer[],
-    context: WatchContext | undefined,
-  ): void {
-    const ids = (list: readonly ForwardServer[]): readonly string[] | undefined =>
-      list.length === 0 ? undefined : list.map(({ serverId }) => serverId);
-    const fields = {
-      added: ids(change.added),
-      removed: ids(change.removed),
-      leaving: ids(change.leaving),
-      returned: ids(change.returned),
-      restarted: ids(change.restarted),
-      uncertain: ids(servers.filter(({ isUncertain }) => isUncertain === true)),
-      source: context?.source ?? 'expiry',
-      since_outage_ms: finiteMs(context?.sinceOutageMs),
-      store_revision: serverWatch.revision(),
-      store_era: storeEras.current(),
-      age_ms: finiteMs(serverWatch.ageMs()),
-    };
-    const hasChange = Object.values(change).some((list: readonly unknown[]) => list.length > 0);
-    const hasUncertain = context !== undefined && fields.uncertain !== undefined;
-    if (hasChange || hasUncertain) decisions.vital('servers.changed', fields);
-  }
-
   /** 'ready', or the reason why the load balancer should send no callers here. */
   function readiness(): string {
     if (isStopping) return 'stopping';
-    if (table === undefined) return 'no configuration';
-    if (!isServerListKnown) return 'no list of servers';
-    if (operatorWatch.ageMs() > freshnessOf(settings).serveMaxAgeMs) return 'configuration too old';
+    if (watches.table() === undefined) return 'no configuration';
+    if (!watches.isServerListKnown()) return 'no list of servers';
+    const { serveMaxAgeMs } = freshnessOf(settings);
+    if (watches.operator.ageMs() > serveMaxAgeMs) return 'configuration too old';
     return 'ready';
   }
 
@@ -444,10 +296,10 @@
     const state = readiness();
     const isReady = state === 'ready';
     if (isReady !== wasReady) {
-      const ageMs = operatorWatch.ageMs();
+      const ageMs = watches.operator.ageMs();
       decisions.vital('router.readiness', {
         state,
-        config_revision: table?.config.revision,
+        config_revision: watches.table()?.config.revision,
         config_age_ms: finiteMs(ageMs),
       });
     }
@@ -504,8 +356,8 @@
       decisions,
       ingress,
       stopParts: () => {
-        operatorWatch.stop();
-        serverWatch.stop();
+        watches.operator.stop();
+        watches.servers.stop();
         routerRegistry.stop();
         stateBroadcast.stop();
         versionMoves.stop();
