--- a/packages/adapters/src/runtime/request-body.ts
+++ b/packages/adapters/src/runtime/request-body.ts
@@ -22,7 +22,7 @@
   /** The caller disconnected before its whole body had arrived. */
   | { readonly kind: 'gone' };
 
-/** Memory that a running request needs beside its body, rounded up from 15 KB that were measured. */
+/** Memory that a running request needs beside its body. */
 const REQUEST_BYTES = 16_384;
 const CHUNKED_FIRST_BYTES = 4_096;
 /** Period at which a claim notes that its body still arrives; a fraction of the time after which it is slow. */
