--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -6,6 +6,7 @@
   createBodyReader,
   deferContinue,
   isBodyOutstanding,
+  LINGERING_CLOSE_MS,
   respondBeforeBody,
 } from './request-body';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -35,8 +36,6 @@
 type RouteHandler = (req: IncomingMessage, res: ServerResponse, next: unknown) => unknown;
 
 const ROUTE_METHODS = ['get', 'post', 'put', 'patch', 'delete'] as const;
-/** Time in which the caller can read an error response before its connection is closed. */
-const LINGERING_CLOSE_MS = 2_000;
 /** Room comes back as bodies end or are given up, which takes about a second. */
 export const NO_ROOM_RETRY_MS = 1_000;
 /** Period at which a graceful stop closes the connections that have become idle. */
--- a/packages/adapters/src/runtime/request-body.ts
+++ b/packages/adapters/src/runtime/request-body.ts
@@ -36,7 +36,7 @@
  */
 const FRAGMENTED_MAX = 2;
 /** Time in which a caller can read a refusal before its connection is closed. */
-const LINGERING_CLOSE_MS = 2_000;
+export const LINGERING_CLOSE_MS = 2_000;
 /** Bytes of a refused body that are read and discarded meanwhile, so that the refusal is not lost. */
 const DISCARD_MAX_BYTES = 4_194_304;
 /** What a discarded chunk costs beside its bytes, in processor time of so many bytes. */
--- a/packages/core/src/forward/connect-timeouts.ts
+++ b/packages/core/src/forward/connect-timeouts.ts
@@ -20,7 +20,7 @@
   readonly isOwnTrouble: (nowMs: number) => boolean;
 }
 
-/** Allowed while the host itself is slow: a lost packet is sent again after a second. */
+/** Allowed for a connection while the host itself is slow: a lost packet is sent again after a second. */
 const SLOW_CONNECT_TIMEOUT_MS = 1_200;
 /**
  * A host counts as slow for this long at most, and then not for as long again: timeouts that go on may be
@@ -47,6 +47,7 @@
 export function createConnectTimeouts(): ConnectTimeouts {
   /** The last attempt at each server within the window. */
   const attempts = new Map<ServerId, ServerAttempt>();
+  let lastTimeoutAtMs = -Infinity;
   let troubleSinceMs: number | undefined;
 
   function record(server: ForwardServer, hasTimedOut: boolean, nowMs: number): void {
@@ -72,6 +73,8 @@
   }
 
   function isSlowToAll(nowMs: number): boolean {
+    // Asked before each send; connections seldom time out.
+    if (nowMs - lastTimeoutAtMs > WINDOW_MS) return false;
     const recent = [...attempts.values()].filter(({ atMs }) => nowMs - atMs <= WINDOW_MS);
     const timedOut = recent.filter(({ hasTimedOut }) => hasTimedOut);
     const domains = new Set(timedOut.map(({ failureDomain }) => failureDomain));
@@ -84,6 +87,7 @@
 
   return {
     onTimeout: (server, nowMs) => {
+      lastTimeoutAtMs = nowMs;
       record(server, true, nowMs);
       return isOwnTrouble(nowMs);
     },
--- a/packages/core/src/forward/fleet.ts
+++ b/packages/core/src/forward/fleet.ts
@@ -339,14 +339,20 @@
     return { avoidMs, suspectedDomain: updateDomainSuspicion(state.server, atMs) };
   }
 
+  /**
+   * An engine that states its pace and is late has a queue or is slow, so it is expected to need as long
+   * again as it is late, at most the time of the prompts.
+   */
   function prefillLeftMs(state: ServerState, nowMs: number, usualMsPerToken: number): number {
+    if (state.prefills.size === 0) return 0;
     const { serverId, service } = state.server;
-    if (!pace.isStated(service)) return remainingPrefillMs(state, nowMs, usualMsPerToken);
-    const msPerToken = usualMsPerToken * pace.paceRatio(serverId, nowMs);
-    return Math.max(
-      remainingPrefillMs(state, nowMs, msPerToken),
-      overduePrefillMs(state, nowMs, msPerToken),
-    );
+    const isPaced = pace.isStated(service);
+    const msPerToken = isPaced
+      ? usualMsPerToken * pace.paceRatio(serverId, nowMs)
+      : usualMsPerToken;
+    const { endAtMs, readingMs } = expectedPrefills(state, msPerToken);
+    if (endAtMs >= nowMs) return endAtMs - nowMs;
+    return isPaced ? Math.min(readingMs, nowMs - endAtMs) : 0;
   }
 
   function ownLoads(nowMs: number, prefillMsPerToken: number): RouterLoad[] {
@@ -457,31 +463,18 @@
   };
 }
 
-/** Time until an engine has done the prefills of this router; it does them one after the other. */
-export function remainingPrefillMs(
+/** An engine does the prefills of this router one after the other: when the last ends, and their sum. */
+function expectedPrefills(
   state: ServerState,
-  nowMs: number,
-  prefillMsPerToken: number,
-): number {
-  let prefillEndAtMs = state.lastPrefillEndMs;
-  state.prefills.forEach(({ tokens, sentAtMs }) => {
-    prefillEndAtMs = Math.max(prefillEndAtMs, sentAtMs) + tokens * prefillMsPerToken;
-  });
-  return state.prefills.size === 0 ? 0 : Math.max(0, prefillEndAtMs - nowMs);
-}
-
-/**
- * Time that prefills still take which should have ended before now: an engine that is late has a queue
- * or is slow, so it is expected to need as long again as it is late, at most the time of the prompts.
- */
-function overduePrefillMs(state: ServerState, nowMs: number, msPerToken: number): number {
-  let expectedEndAtMs = state.lastPrefillEndMs;
-  let wholeMs = 0;
+  msPerToken: number,
+): { readonly endAtMs: number; readonly readingMs: number } {
+  let endAtMs = state.lastPrefillEndMs;
+  let readingMs = 0;
   state.prefills.forEach(({ tokens, sentAtMs }) => {
-    wholeMs += tokens * msPerToken;
-    expectedEndAtMs = Math.max(expectedEndAtMs, sentAtMs) + tokens * msPerToken;
+    endAtMs = Math.max(endAtMs, sentAtMs) + tokens * msPerToken;
+    readingMs += tokens * msPerToken;
   });
-  return state.prefills.size === 0 ? 0 : Math.min(wholeMs, Math.max(0, nowMs - expectedEndAtMs));
+  return { endAtMs, readingMs };
 }
 
 function addTo<K>(lists: Map<K, ServerState[]>, key: K, state: ServerState): void {
--- a/packages/core/src/forward/placement.ts
+++ b/packages/core/src/forward/placement.ts
@@ -14,7 +14,7 @@
   PromptSize,
   StreamPlacementInput,
 } from './placement-types';
-import type { PromptSizes } from './prompt-sizes';
+import type { PromptSizes, PromptSplit } from './prompt-sizes';
 import type { EngineCapacity } from './types';
 
 /** Assumed prefill time of a token until a prefill has been observed. */
@@ -78,8 +78,10 @@
   let prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
   const ranks = createServerRanks(hostId, hash);
 
-  function promptSizeOf({ service, promptTokens }: StreamPlacementInput): PromptSize {
-    const split = sizes.splitOf(service);
+  function promptSizeOf(
+    { promptTokens }: StreamPlacementInput,
+    split: PromptSplit | undefined,
+  ): PromptSize {
     if (split === undefined) return undefined;
     return promptTokens > split.borderTokens ? 'long' : 'short';
   }
@@ -158,8 +160,11 @@
    * Highest random cost of a new stream's engines. Where prompts differ a lot in size, or engines in
    * speed, it grows with the reading time of the prompt: a long prompt holds up others for longer.
    */
-  function maxJitterMsOf({ service, promptTokens }: StreamPlacementInput): number {
-    const isUneven = sizes.splitOf(service) !== undefined || fleet.pace.isStated(service);
+  function maxJitterMsOf(
+    { service, promptTokens }: StreamPlacementInput,
+    split = sizes.splitOf(service),
+  ): number {
+    const isUneven = split !== undefined || fleet.pace.isStated(service);
     return isUneven ? SPREAD_READING_TIMES * promptTokens * prefillMsPerToken : JITTER_MS;
   }
 
@@ -246,7 +251,8 @@
       const isFirstChoice = input.isFailover !== true && input.isRecheck !== true;
       if (isFirstChoice) sizes.onPrompt(service, input.promptTokens);
       const rank = ranks.rankOf(service, all);
-      const maxJitterMs = maxJitterMsOf(input);
+      const split = sizes.splitOf(service);
+      const maxJitterMs = maxJitterMsOf(input, split);
       const costOf = (state: ServerState): number => engineCostMs(state, input, nowMs);
       const rankedCostOf = (state: ServerState): number =>
         costOf(state) + rankCost(rank, state) + maxJitterMs * random();
@@ -271,7 +277,7 @@
         expectedFirstEventMs: expectedFirstEventMs(engine, input, nowMs),
         isLightlyLoaded: isLightlyLoaded(engine, input.capacity, nowMs),
         paceRatio: paceRatioOf(engine, nowMs),
-        promptSize: promptSizeOf(input),
+        promptSize: promptSizeOf(input, split),
       };
     },
     placeCopy: (engineId, input, nowMs, random) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -403,7 +403,7 @@
 export { WORK_TIME_MAX_PERCENT, createServerPace } from './forward/server-pace';
 export type { PaceReport, ServerPace } from './forward/server-pace';
 export { createOutputSizes } from './forward/output-sizes';
-export type { OutputSizes } from './forward/output-sizes';
+export type { OutputBounds, OutputSizes } from './forward/output-sizes';
 export type {
   CallPlacementInput,
   CostPart,
--- a/packages/router/src/forward/admission.ts
+++ b/packages/router/src/forward/admission.ts
@@ -1,14 +1,14 @@
 import { decideStreamAdmission } from '@mimosamill/core';
-import type { StreamAdmission, StreamPlacement } from '@mimosamill/core';
+import type { StreamAdmission } from '@mimosamill/core';
+import type { PlacedEngine } from './attempt';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
-type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
-
 export type AdmissionOutcome =
   | Exclude<StreamAdmission, { kind: 'refuse' }>
   | { readonly kind: 'refuse'; readonly message: string; readonly retryAfterMs: number };
 
-const MESSAGES = {
+/** Why a stream is refused, for its caller. */
+export const ADMISSION_MESSAGES = {
   yields: 'the engines are busy, and more urgent streams go first',
   late: 'the stream could not begin in time, and the engines are busy',
 } as const;
@@ -60,5 +60,5 @@
   ports.metrics.onAdmission(reason);
   const retry = Math.round(retryAfterMs);
   ports.decisions.notable('stream.not_admitted', { ...fields, reason, retry_after_ms: retry });
-  return { kind: 'refuse', message: MESSAGES[reason], retryAfterMs };
+  return { kind: 'refuse', message: ADMISSION_MESSAGES[reason], retryAfterMs };
 }
--- a/packages/router/src/forward/connection-watch.ts
+++ b/packages/router/src/forward/connection-watch.ts
@@ -27,8 +27,7 @@
   const timeouts = createConnectTimeouts();
   let wasOwnTrouble = false;
 
-  function isOwnTrouble(): boolean {
-    const isOwn = timeouts.isOwnTrouble(clock.monotonicMs());
+  function note(isOwn: boolean): boolean {
     if (isOwn !== wasOwnTrouble) {
       wasOwnTrouble = isOwn;
       decisions.vital('host.connections', { state: isOwn ? 'slow to all servers' : 'usual' });
@@ -36,14 +35,17 @@
     return isOwn;
   }
 
+  function isOwnTrouble(): boolean {
+    return note(timeouts.isOwnTrouble(clock.monotonicMs()));
+  }
+
   return {
     timeoutMs: (usualMs) => {
       isOwnTrouble();
       return timeouts.timeoutMs(usualMs, clock.monotonicMs());
     },
     onTimeout: (server) => {
-      timeouts.onTimeout(server, clock.monotonicMs());
-      const isOwn = isOwnTrouble();
+      const isOwn = note(timeouts.onTimeout(server, clock.monotonicMs()));
       metrics.onConnectTimeout(isOwn ? 'host' : 'server');
       return isOwn;
     },
--- a/packages/router/src/forward/engine-choice.ts
+++ b/packages/router/src/forward/engine-choice.ts
@@ -1,6 +1,13 @@
 import { isProbablyBusy, isRestart } from '@mimosamill/core';
 import { createRepeatableRandom } from './repeatable-random';
-import type { KvCacheCopy, ReplacementAttempt, ServerId } from '@mimosamill/core';
+import type {
+  KvCacheCopy,
+  OutputBounds,
+  ReplacementAttempt,
+  RouteName,
+  ServerId,
+  ServiceName,
+} from '@mimosamill/core';
 import type { PlacedEngine, StreamAttempt } from './attempt';
 import type { ForwardPorts, ForwardRequest } from './ports';
 
@@ -40,6 +47,19 @@
 /** Counted part of the expected prefill time: part of the prompt may be in the engine's cache. */
 const PREFILL_TIME_MIN_RATIO = 0.8;
 
+/**
+ * Tokens that an answer is expected to add to the KV cache; 0 where engines do not state their pace. Those
+ * that do share their hosts with others, and crash when the requests that they hold exceed their memory.
+ */
+export function expectedOutputTokens(
+  { fleet, outputSizes }: Pick<ForwardPorts, 'fleet' | 'outputSizes'>,
+  route: RouteName,
+  service: ServiceName,
+  bounds: OutputBounds,
+): number {
+  return fleet.pace.isStated(service) ? outputSizes.expectedTokens(route, bounds) : 0;
+}
+
 export function createStreamEngineChoice(
   ports: ForwardPorts,
   request: ForwardRequest,
@@ -64,7 +84,7 @@
       service: service.name,
       capacity,
       promptTokens,
-      outputTokens: expectedOutputTokens(),
+      outputTokens: expectedOutputTokens(ports, route.name, service.name, head),
       isFailover: wanted.isFailover,
       isRecheck: hasChosen,
       limitDraw: request.limitDraw,
@@ -91,16 +111,6 @@
     return { kind: 'none', reason: 'no_time', message };
   }
 
-  /**
-   * 0 where engines do not state their pace. Those that do share their hosts with others, and crash
-   * when the requests that they hold exceed their memory.
-   */
-  function expectedOutputTokens(): number {
-    return fleet.pace.isStated(service.name)
-      ? ports.outputSizes.expectedTokens(route.name, head)
-      : 0;
-  }
-
   function canPlaceElsewhere(replacement: ReplacementAttempt, nowMs: number): boolean {
     if (isGone(replacement.silentEngineId)) return true;
     // The events of the present engine wait at this host's link, as those of another one would.
@@ -177,7 +187,7 @@
     canPlaceElsewhere,
     /** Where engines do not state their pace, a run that resumes from a copy is not counted. */
     memoryTokensOf: (isFromCopy) => {
-      const outputTokens = expectedOutputTokens();
+      const outputTokens = expectedOutputTokens(ports, route.name, service.name, head);
       if (isFromCopy && outputTokens === 0) return 0;
       return promptTokens + outputTokens;
     },
--- a/packages/router/src/forward/explain.ts
+++ b/packages/router/src/forward/explain.ts
@@ -1,9 +1,14 @@
 import { decideStreamAdmission, pickTarget } from '@mimosamill/core';
+import { ADMISSION_MESSAGES } from './admission';
+import { expectedOutputTokens } from './engine-choice';
 import { parseExplainQuery } from './explain-query';
 import { finiteMs } from './finite';
 import {
   NO_BACKEND_RETRY_MS,
   NO_ROOM_MESSAGE,
+  NO_ROUTE_MESSAGE,
+  NO_SERVER_MESSAGE,
+  NO_SERVICE_MESSAGE,
   OUTDATED_MESSAGE,
   outdatedRetryMs,
   STOPPING_RETRY_MS,
@@ -159,7 +164,7 @@
       return { check: 'no_configuration', message: OUTDATED_MESSAGE, retryAfterMs };
     }
     if (route === undefined) {
-      return { check: 'no_route', message: 'no route matches the host and path' };
+      return { check: 'no_route', message: NO_ROUTE_MESSAGE };
     }
     if (isDenied) {
       const message =
@@ -179,11 +184,10 @@
   ): Refusal | undefined {
     const retryAfterMs = exactly(NO_BACKEND_RETRY_MS);
     if (service === undefined) {
-      return { check: 'no_service', message: 'the route has no service', retryAfterMs };
+      return { check: 'no_service', message: NO_SERVICE_MESSAGE, retryAfterMs };
     }
     if (fleet.usable(service.name).length === 0) {
-      const message = 'no server of the service is listed';
-      return { check: 'no_server_listed', message, retryAfterMs };
+      return { check: 'no_server_listed', message: NO_SERVER_MESSAGE, retryAfterMs };
     }
     const roomMs = (random: number): number | undefined =>
       noRoomForMs({ clock, fleet, random: () => random }, service.name, draw);
@@ -199,10 +203,9 @@
       return { check: 'placement', message: 'no server can take the request' };
     }
     if (admission?.refuseRatio !== 1) return undefined;
-    const message = 'the engines are busy, and more urgent streams go first';
     return {
       check: 'admission',
-      message,
+      message: ADMISSION_MESSAGES.yields,
       ...(admission.retryAfterMs && { retryAfterMs: admission.retryAfterMs }),
     };
   }
@@ -228,9 +231,7 @@
         ...common,
         capacity: service.engine,
         promptTokens: query.prompt_tokens,
-        outputTokens: fleet.pace.isStated(service.name)
-          ? ports.outputSizes.expectedTokens(route.name, bounds)
-          : 0,
+        outputTokens: expectedOutputTokens(ports, route.name, service.name, bounds),
         excludedCopyHolders: versionMoves.excludedCopyHolders(service.name),
       },
       nowMs,
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -91,6 +91,9 @@
 const ENGINE_PAUSE_MS = 1_000;
 
 export const OUTDATED_MESSAGE = 'the configuration of this router is too old to serve the request';
+export const NO_ROUTE_MESSAGE = 'no route matches the host and path';
+export const NO_SERVICE_MESSAGE = 'the route has no service';
+export const NO_SERVER_MESSAGE = 'no server of the service is listed';
 export const NO_ROOM_MESSAGE =
   'no server of the service takes requests: they named limits or pauses';
 
@@ -194,7 +197,7 @@
       access = table && route ? checkAccess(table, route, head.key) : undefined;
     }
     if (table === undefined) return refuseOutdated(ageMs);
-    if (route === undefined) return refused('not_found', 'no route matches the host and path');
+    if (route === undefined) return refused('not_found', NO_ROUTE_MESSAGE);
     if (access === undefined || access.kind === 'denied') {
       return refused('unauthorized', 'the key is not known');
     }
@@ -217,10 +220,10 @@
     const name = pickTarget(route.targets, ports.random());
     const service = name === undefined ? undefined : table.service(name);
     if (service === undefined) {
-      return refused('no_backend', 'the route has no service', NO_BACKEND_RETRY_MS);
+      return refused('no_backend', NO_SERVICE_MESSAGE, NO_BACKEND_RETRY_MS);
     }
     if (ports.fleet.usable(service.name).length === 0) {
-      return refused('no_backend', 'no server of the service is listed', NO_BACKEND_RETRY_MS);
+      return refused('no_backend', NO_SERVER_MESSAGE, NO_BACKEND_RETRY_MS);
     }
     const isStream = route.kind === 'stream';
     const content = createRequestContent(head, body, customerId, isStream, ports.hash64);
--- a/packages/router/src/forward/pace-message.ts
+++ b/packages/router/src/forward/pace-message.ts
@@ -1,6 +1,4 @@
 import { asId } from '@mimosamill/core';
-import { Packr } from 'msgpackr';
-import { isPaceMessage } from './state-schema';
 import type { PaceMessage } from './state-schema';
 import type { HostId, PaceReport } from '@mimosamill/core';
 
@@ -11,47 +9,29 @@
 }
 
 /**
- * Translates pace reports to a datagram of their own and back. A router of an earlier release ignores
- * it; as a field of the state message it would make such a router ignore the whole message.
+ * Translates pace reports to a message of their own. A router of an earlier release ignores it; as a
+ * field of the state message it would make such a router ignore the whole message.
  */
-export interface PaceCodec {
-  readonly encode: (news: PaceNews) => Uint8Array;
-  /** Undefined for bytes that are no message of this kind. */
-  readonly decode: (bytes: Buffer) => PaceNews | undefined;
+export function toPaceMessage({ hostId, reports }: PaceNews): PaceMessage {
+  return [
+    'pace',
+    hostId,
+    reports.map(({ serverId, workTimePercent, ageMs }) => [
+      serverId,
+      workTimePercent,
+      Math.round(ageMs),
+    ]),
+  ];
 }
 
-export function createPaceCodec(): PaceCodec {
-  const packr = new Packr({ useRecords: false });
+/** Translates a checked message back. */
+export function fromPaceMessage([, hostId, reports]: PaceMessage): PaceNews {
   return {
-    encode: ({ hostId, reports }) => {
-      const message: PaceMessage = [
-        'pace',
-        hostId,
-        reports.map(({ serverId, workTimePercent, ageMs }) => [
-          serverId,
-          workTimePercent,
-          Math.round(ageMs),
-        ]),
-      ];
-      return packr.pack(message);
-    },
-    decode: (bytes) => {
-      let unpacked: unknown;
-      try {
-        unpacked = packr.unpack(bytes);
-      } catch {
-        return undefined;
-      }
-      if (!isPaceMessage(unpacked)) return undefined;
-      const [, hostId, reports] = unpacked;
-      return {
-        hostId: asId(hostId),
-        reports: reports.map(([serverId, workTimePercent, ageMs]) => ({
-          serverId: asId(serverId),
-          workTimePercent,
-          ageMs,
-        })),
-      };
-    },
+    hostId: asId(hostId),
+    reports: reports.map(([serverId, workTimePercent, ageMs]) => ({
+      serverId: asId(serverId),
+      workTimePercent,
+      ageMs,
+    })),
   };
 }
--- a/packages/router/src/forward/state-broadcast.ts
+++ b/packages/router/src/forward/state-broadcast.ts
@@ -1,8 +1,11 @@
-import { createLinkPace, evictOldest } from '@mimosamill/core';
-import { createPaceCodec } from './pace-message';
-import { createStateCodec } from './state-message';
+import { assertNever, createLinkPace, evictOldest } from '@mimosamill/core';
+import { createMessageCodec } from './message-codec';
+import { fromPaceMessage, toPaceMessage } from './pace-message';
+import { fromStateMessage, toStateMessage } from './state-message';
 import type { CrashReports } from './crash-guard';
 import type { RetryBudgets, ServiceRetryTotals } from './retry-budgets';
+import type { RouterMessage } from './message-codec';
+import type { PaceNews } from './pace-message';
 import type { RouterState } from './state-message';
 import type { Clock, DatagramSocket, DecisionLog } from '@mimosamill/adapters';
 import type {
@@ -119,8 +122,7 @@
   ports: StateBroadcastPorts,
 ): StateBroadcast {
   const { clock, fleet, peerRegistry } = ports;
-  const codec = createStateCodec();
-  const paceCodec = createPaceCodec();
+  const codec = createMessageCodec();
   const linkPace = createLinkPace(settings.linkMbps);
   let sequence = 0;
   let lastPeerCount = 0;
@@ -210,12 +212,13 @@
   /** Only services whose servers state how long work takes have reports, and most messages none. */
   function sendPaces(): void {
     const reports = fleet.pace.ownReports(clock.monotonicMs());
-    if (reports.length > 0) sendBytes(paceCodec.encode({ hostId: settings.hostId, reports }));
+    if (reports.length > 0) sendMessage(toPaceMessage({ hostId: settings.hostId, reports }));
   }
 
-  function sendBytes(bytes: Uint8Array): void {
+  function sendMessage(message: RouterMessage): void {
     const socket = ports.datagrams();
     if (socket === undefined) return;
+    const bytes = codec.encode(message);
     const addresses = ports.peers.addresses();
     lastPeerCount = addresses.length;
     addresses.forEach((address) => socket.send(address, bytes));
@@ -223,15 +226,24 @@
     linkPace.onSent(sentBytes, clock.monotonicMs());
   }
 
-  /** Whether the bytes were reports of another router on the pace of servers. */
-  function onPaceMessage(bytes: Buffer, nowMs: number): boolean {
-    const news = paceCodec.decode(bytes);
-    if (news === undefined) return false;
-    news.reports.forEach((report) => {
+  function onPaceNews({ hostId, reports }: PaceNews, nowMs: number): void {
+    reports.forEach((report) => {
       const server = fleet.get(report.serverId)?.server;
-      if (server !== undefined) fleet.pace.onPeerReport(server, report, news.hostId, nowMs);
+      if (server !== undefined) fleet.pace.onPeerReport(server, report, hostId, nowMs);
     });
-    return true;
+  }
+
+  function onPeerState(state: RouterState, from: string, nowMs: number): void {
+    const { update, crashReports, limits, retryTotals } = state;
+    if (update.hostId === settings.hostId) return;
+    ports.peers.onMessageFrom(from);
+    const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
+    if (peerFailures === undefined) return;
+    peerFailures.forEach((failure) => onPeerFailure(update.hostId, failure, nowMs));
+    ports.callOutcomes.onPeerCounts(update.hostId, update.incarnationId, update.callCounts, nowMs);
+    ports.retryBudgets.onPeerTotals(update.hostId, update.incarnationId, retryTotals);
+    ports.onCrashReports(crashReports);
+    onPeerLimits(update.hostId, limits, nowMs);
   }
 
   function send(parts: MessageParts): void {
@@ -242,7 +254,7 @@
     if (ports.datagrams() === undefined) return;
     const nowMs = clock.monotonicMs();
     failures = failures.filter(({ atMs }) => nowMs - atMs < FAILURE_REPEAT_MS);
-    sendBytes(codec.encode(currentState(nowMs, parts), nowMs));
+    sendMessage(toStateMessage(currentState(nowMs, parts), nowMs));
   }
 
   function onPeerLimits(hostId: HostId, limits: LimitReports, nowMs: number): void {
@@ -301,27 +313,20 @@
     },
     onMessage: (bytes, from) => {
       const nowMs = clock.monotonicMs();
-      const message = codec.decode(bytes, nowMs);
-      if (message === undefined && onPaceMessage(bytes, nowMs)) return;
-      if (message === undefined) {
-        ports.decisions.notable('peer.message_ignored', { from, size_bytes: bytes.length });
-        return;
+      const decoded = codec.decode(bytes);
+      switch (decoded?.kind) {
+        case undefined:
+          ports.decisions.notable('peer.message_ignored', { from, size_bytes: bytes.length });
+          return;
+        case 'state':
+          onPeerState(fromStateMessage(decoded.message, nowMs), from, nowMs);
+          return;
+        case 'pace':
+          onPaceNews(fromPaceMessage(decoded.message), nowMs);
+          return;
+        default:
+          assertNever(decoded);
       }
-      if (message.update.hostId === settings.hostId) return;
-      const { update, crashReports, limits, retryTotals } = message;
-      ports.peers.onMessageFrom(from);
-      const peerFailures = peerRegistry.onUpdate(update, from, nowMs);
-      if (peerFailures === undefined) return;
-      peerFailures.forEach((failure) => onPeerFailure(update.hostId, failure, nowMs));
-      ports.callOutcomes.onPeerCounts(
-        update.hostId,
-        update.incarnationId,
-        update.callCounts,
-        nowMs,
-      );
-      ports.retryBudgets.onPeerTotals(update.hostId, update.incarnationId, retryTotals);
-      ports.onCrashReports(crashReports);
-      onPeerLimits(update.hostId, limits, nowMs);
     },
     stop: () => {
       cancelUrgent?.();
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -1,6 +1,5 @@
 import { asId, CONDEMNED_MS } from '@mimosamill/core';
-import { Packr } from 'msgpackr';
-import { isStateMessage, MESSAGE_FORMAT } from './state-schema';
+import { MESSAGE_FORMAT } from './state-schema';
 import type { CrashReports } from './crash-guard';
 import type { ServiceRetryTotals } from './retry-budgets';
 import type {
@@ -29,30 +28,8 @@
   readonly retryTotals: readonly ServiceRetryTotals[];
 }
 
-/** Translates the state of a router to a datagram and back; times become ages on the way. */
-export interface StateCodec {
-  readonly encode: (state: RouterState, nowMs: number) => Uint8Array;
-  /** Undefined for bytes that are no message of this format. */
-  readonly decode: (bytes: Buffer, nowMs: number) => RouterState | undefined;
-}
-
-export function createStateCodec(): StateCodec {
-  const packr = new Packr({ useRecords: false });
-  return {
-    encode: (state, nowMs) => packr.pack(toMessage(state, nowMs)),
-    decode: (bytes, nowMs) => {
-      let unpacked: unknown;
-      try {
-        unpacked = packr.unpack(bytes);
-      } catch {
-        return undefined;
-      }
-      return isStateMessage(unpacked) ? toState(unpacked, nowMs) : undefined;
-    },
-  };
-}
-
-function toMessage(routerState: RouterState, nowMs: number): StateMessage {
+/** Translates the state of a router to a message; times become ages on the way. */
+export function toStateMessage(routerState: RouterState, nowMs: number): StateMessage {
   const { update, crashReports, limits, retryTotals } = routerState;
   return [
     MESSAGE_FORMAT,
@@ -97,7 +74,8 @@
   ];
 }
 
-function toState(message: StateMessage, nowMs: number): RouterState {
+/** Translates a checked message back. */
+export function fromStateMessage(message: StateMessage, nowMs: number): RouterState {
   const [
     ,
     hostId,
--- a/packages/router/test/forward/response-head.spec.ts
+++ b/packages/router/test/forward/response-head.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { asId } from '@mimosamill/core';
 import { classifyResponseHead } from '../../src/forward/response-head';
+import { answerMetadata } from './answer-metadata';
 import type { RequestId } from '@mimosamill/core';
 import type { ReceivedHead } from '../../src/forward/response-head';
 import type { ResponseMetadata } from '../../src/forward/codec';
@@ -18,18 +19,7 @@
     requestId: REQUEST,
     status,
     headers: STREAM_HEADERS,
-    metadata: {
-      requestId: REQUEST,
-      wasNotRun: false,
-      isMisdirected: false,
-      isEncoded: false,
-      isSigned: true,
-      load: undefined,
-      isLeaving: false,
-      retryAfterMs: undefined,
-      limit: { kind: 'none' },
-      ...metadata,
-    },
+    metadata: { ...answerMetadata(REQUEST), ...metadata },
     isResumedFromCopy: false,
     begun: undefined,
     ...received,
--- a/packages/router/test/forward/server-status.spec.ts
+++ b/packages/router/test/forward/server-status.spec.ts
@@ -2,6 +2,7 @@
 import { asId, createFleet } from '@mimosamill/core';
 import { applyServerStatus } from '../../src/forward/server-status';
 import { createManualClock } from './clock';
+import { answerMetadata } from './answer-metadata';
 import type { ForwardServer, RequestId } from '@mimosamill/core';
 import type { ResponseMetadata } from '../../src/forward/codec';
 import type { ForwardPorts } from '../../src/forward/ports';
@@ -19,17 +20,7 @@
   isLeaving: false,
   startedAtMs: 1,
 };
-const ANSWER: ResponseMetadata = {
-  requestId: REQUEST,
-  wasNotRun: false,
-  isMisdirected: false,
-  isEncoded: false,
-  isSigned: true,
-  load: undefined,
-  isLeaving: false,
-  retryAfterMs: undefined,
-  limit: { kind: 'none' },
-};
+const ANSWER = answerMetadata(REQUEST);
 
 function createStatus() {
   const clock = createManualClock();
--- a/packages/router/test/forward/table-watch.spec.ts
+++ b/packages/router/test/forward/table-watch.spec.ts
@@ -122,6 +122,21 @@
   sinceOutageMs: Infinity,
 });
 
+/** Lets a watch read the table, and the next poll of the store fail. */
+async function readAndLoseStore({
+  clock,
+  scriptedStore,
+  watch,
+}: ReturnType<typeof createTestWatch>): Promise<void> {
+  watch.start();
+  scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
+  await flushMicrotasks();
+  clock.advance(100);
+  await flushMicrotasks();
+  scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
+  await flushMicrotasks();
+}
+
 describe('a watch of a table', () => {
   it('publishes all rows after the first read of the table', async () => {
     const { scriptedStore, published, watch } = createTestWatch();
@@ -323,16 +338,9 @@
       storeAsOfMs: 900,
       sinceOutageMs: Infinity,
     };
-    const { clock, scriptedStore, published, watch } = createTestWatch(() =>
-      Promise.resolve(newer),
-    );
-    watch.start();
-    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
-    await flushMicrotasks();
-    clock.advance(100);
-    await flushMicrotasks();
-    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
-    await flushMicrotasks();
+    const test = createTestWatch(() => Promise.resolve(newer));
+    const { published, watch } = test;
+    await readAndLoseStore(test);
     expect(published.at(-1)).toEqual(['a=a9']);
     watch.stop();
   });
@@ -485,14 +493,9 @@
 describe('a watch asked for a fresh read just after a call has failed', () => {
   it('asks the store, which may have returned meanwhile', async () => {
     // Guards against callers that are refused for seconds although the store answers again.
-    const { clock, scriptedStore, watch } = createTestWatch();
-    watch.start();
-    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
-    await flushMicrotasks();
-    clock.advance(100);
-    await flushMicrotasks();
-    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
-    await flushMicrotasks();
+    const test = createTestWatch();
+    const { scriptedStore, watch } = test;
+    await readAndLoseStore(test);
     const refreshed = watch.refresh();
     await flushMicrotasks();
     expect(scriptedStore.calls).toHaveLength(3);
@@ -505,14 +508,9 @@
 describe('a watch that waits to ask the store again', () => {
   it('asks at once when the store has answered a call about another table', async () => {
     // Guards against an outdated list of servers for the rest of a long delay.
-    const { clock, scriptedStore, events, watch } = createTestWatch();
-    watch.start();
-    scriptedStore.calls[0]?.answer(content(5, 100, 'a1'));
-    await flushMicrotasks();
-    clock.advance(100);
-    await flushMicrotasks();
-    scriptedStore.calls[1]?.answer({ kind: 'unavailable', message: '503' });
-    await flushMicrotasks();
+    const test = createTestWatch();
+    const { clock, scriptedStore, events, watch } = test;
+    await readAndLoseStore(test);
     watch.onStoreReachable();
     clock.advance(0);
     await flushMicrotasks();
