--- a/review/standin-2/engine.mjs
+++ b/review/standin-2/engine.mjs
@@ -56,9 +56,8 @@
     res.writeHead(200, head);
     return { write: (text) => res.write(text), end: () => res.end() };
   }
-  const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`);
   const { socket } = res;
-  socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${lines.join('')}\r\n`);
+  socket.write(headText('200 OK', { connection: 'close', ...head }));
   return { write: (text) => socket.write(text), end: () => socket.end() };
 }
 
@@ -78,18 +77,24 @@
   }, workMs);
 }
 
+/** The lines of a head, in which a field may stand on several lines. */
+function headText(status, fields) {
+  const lines = Object.entries(fields).flatMap(([name, value]) =>
+    [value].flat().map((text) => `${name}: ${text}\r\n`),
+  );
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}\r\n`;
+}
+
 /** Answers with the engine's own 500, with neither a length nor chunks; the request has run. */
 function failUnframed(req, res) {
   running -= 1;
-  const fields = Object.entries({ ...common(req), 'x-server-seal': `seal.${id}` });
-  const lines = [...fields, ...(options.failFields ?? [])].map(
-    ([name, value]) => `${name}: ${value}\r\n`,
-  );
-  res.socket.end(`HTTP/1.1 500 Internal Server Error\r\n${lines.join('')}\r\nfailed`);
+  const fields = { ...common(req), 'x-server-seal': `seal.${id}`, ...options.failureHeaders };
+  res.socket.end(`${headText('500 Internal Server Error', fields)}failed`);
+  tell({ kind: 'answered', id: req.headers['x-attempt-id'], status: 500 });
 }
 
 function runStream(req, res) {
-  if (options.failFields !== undefined) {
+  if (req.url === options.failingPath) {
     setTimeout(() => failUnframed(req, res), prefillMs);
     return;
   }
