--- a/review/standin-2/engine.mjs
+++ b/review/standin-2/engine.mjs
@@ -113,6 +113,7 @@
       finish();
       return;
     }
+    if (isDeadly(req) && options.crashesBeforeFirstPiece) process.exit(1);
     answer ??= startAnswer(
       req,
       res,
--- a/review/standin-2/lib.mjs
+++ b/review/standin-2/lib.mjs
@@ -183,7 +183,7 @@
       service: options.service,
       address: engine.address,
       zone: options.zone,
-      version: 'v1',
+      version: options.version ?? 'v1',
       slots: options.slots ?? 128,
       state: 'ready',
       cold_left_ms: 0,
