Review case 10: one wrong digit in a status line stops the process for seconds

A failed assertion of undici makes Node.js parse the minified bundle, which takes seconds. Adds review/10 and extends the engine's stand-in. Changes no code.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Plays the case; the exit code is 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec node run.mjs
--- a/review/standin-2/engine.mjs
+++ b/review/standin-2/engine.mjs
@@ -64,6 +64,12 @@
 function runCall(req, res) {
   setTimeout(() => {
     running -= 1;
+    if (state.badStatusLine !== undefined) {
+      res.socket.end(`${state.badStatusLine}\r\ncontent-length: 2\r\n\r\nxx`);
+      tell({ kind: 'spoilt', id: req.headers['x-attempt-id'], statusLine: state.badStatusLine });
+      state.badStatusLine = undefined;
+      return;
+    }
     const text = `answer to ${req.headers['x-attempt-id']} `.padEnd(800, 'x');
     const { isUnframed } = state;
     const answer = startAnswer(
