--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -47,6 +47,7 @@
   const router = await deployment.startRouter('front-marka-1', 'marka', store);
   await router.waitReady();
   const answers = [];
+  const sound = [];
   const deadlyIds = new Set();
   const endMs = performance.now() + PLAY_MS;
   for (let no = 0; performance.now() < endMs; no += 1) {
@@ -62,7 +63,7 @@
         deadlineMs: 6_000,
       }),
     );
-    answers.push(
+    sound.push(
       send(record, router, {
         path: '/frame/2f',
         body: `sound ${no}`,
@@ -72,6 +73,7 @@
     );
     await sleep(PERIOD_MS);
   }
+  const seen = await Promise.all(sound);
   await Promise.all(answers);
   isPlaying = false;
   const arrivals = engines
@@ -80,6 +82,8 @@
   record(
     `${crashesAtMs.length} crashes; ${arrivals.length} arrivals of ${deadlyIds.size} requests with the part`,
   );
+  const whole = seen.filter(({ status, isComplete }) => status === 200 && isComplete).length;
+  record(`${whole} of ${seen.length} sound streams reached their clients whole`);
   const [fifthAtMs = Infinity] = crashesAtMs.slice(4);
   const late = arrivals.filter(({ atMs }) => atMs > fifthAtMs + BOUNDS.contact_ms);
   record(`${late.length} arrivals later than contact_ms after the fifth crash`);
