--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -69,13 +69,14 @@
       deadlineMs: 6_000,
     });
   }
+  const percent = (part) => `${Math.round(100 * part)}%`;
   const hasBegun = ({ status, body }) => status === 200 && body !== '';
 
   const before = await Promise.all(
     Array.from({ length: SOUND_BEFORE }, () => sendStream('sound', [])),
   );
   const begunBefore = before.filter(hasBegun).length / before.length;
-  record(`before: ${before.length} sound requests, ${begunBefore} of them begun`);
+  record(`before: ${before.length} sound requests, ${percent(begunBefore)} of them begin`);
   await sleep(QUIET_MS);
 
   const sound = [];
@@ -94,9 +95,11 @@
   const late = seen.filter(({ sentAtMs }) => sentAtMs > referenceMs + 2 * BOUNDS.contact_ms);
   const begunLate = late.filter(hasBegun).length / late.length;
   record(`${crashesAtMs.length} crashes, ${deadly.length} requests with the part`);
-  record(`later: ${late.length} sound requests, ${begunLate} of them begun`);
+  record(`later: ${late.length} sound requests, ${percent(begunLate)} of them begin`);
   if (before.length < 20 || late.length < 20) throw new Error('too few requests to judge');
   return begunLate < begunBefore / 2
-    ? [`LOST: ${begunLate} of the sound requests begin, ${begunBefore} before the crashes`]
+    ? [
+        `LOST: ${percent(begunLate)} of the sound requests begin, ${percent(begunBefore)} before the crashes`,
+      ]
     : [];
 });
