Check response heads in one place, and contain exceptions of one request

Cause: undici gives a list for a field on several lines, but heads were typed as those of Node.js, where `connection` is a text. The TypeError came up when the stream counted its head as written; undici took it for a broken exchange, and the next engine's event made Node.js send a head of its own. Without a length it came up in a promise that nobody waited for.

adapters/src/forward/response-head.ts now decides what a head may hold, and codec, streams, calls and health checks get only its typed result. A transfer encoding other than chunked is malformed; such a body was delivered as complete. error-boundary.ts runs every step of a request, so that an exception ends that request with an unknown outcome. A body without a head throws.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -1,12 +1,14 @@
 import { connect as connectTcp } from 'node:net';
 import { buildConnector, Pool } from 'undici';
+import { assertNever } from '@mimosamill/core';
 import { splitAddress } from '../runtime/address';
 import { runAfterInput } from '../runtime/clock';
 import { describeError } from '../runtime/fetch';
 import { createFramingGuard } from './framing-guard';
 import { createResetDetector } from './resets';
+import { parseResponseHead } from './response-head';
 import type { Dispatcher } from 'undici';
-import type { IncomingHttpHeaders } from 'node:http';
+import type { BodyFraming, ResponseHead } from './response-head';
 
 /** A request to a backend server. */
 export interface UpstreamRequest {
@@ -26,10 +28,11 @@
 /** Why an exchange ended without a complete response. 'not_sent': the server cannot have received it. */
 export type ExchangeFailure = 'not_sent' | 'broken';
 
+/** Reports of an exchange. None may throw: they are called from sockets and promises. */
 export interface ExchangeHandler {
   /** Called when the request is about to be written to a connection. */
   readonly onSent: () => void;
-  readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
+  readonly onHead: (head: ResponseHead) => void;
   readonly onData: (bytes: Uint8Array) => void;
   readonly onEnd: () => void;
   readonly onFailure: (failure: ExchangeFailure, message: string) => void;
@@ -139,7 +142,7 @@
   function send(request: UpstreamRequest, handler: ExchangeHandler): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
-    let isCloseDelimited = false;
+    let bodyFraming: BodyFraming | undefined;
     let bodyBytes = 0;
     const cancelled = new Error('cancelled');
 
@@ -155,6 +158,18 @@
       handler.onEnd();
     }
 
+    /** Ends a response that ended with its connection. */
+    async function endIfConfirmed(): Promise<void> {
+      const confirmEnd = request.confirmEnd ?? (() => isAccepting(request.address));
+      const message = 'the response had no length, and its server may be gone';
+      const problem = await confirmEnd().then(
+        (isWhole) => (isWhole ? undefined : message),
+        (error: unknown) => `${message}: ${describeError(error)}`,
+      );
+      if (problem === undefined) endOnce();
+      else failOnce('broken', problem);
+    }
+
     function cancel(): void {
       isOver = true;
       controller?.abort(cancelled);
@@ -189,11 +204,23 @@
             },
           });
         },
-        onResponseStart: (_started, status, headers) => {
-          if (isOver || status < 200) return;
-          isCloseDelimited =
-            headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-          handler.onHead(status, headers);
+        onResponseStart: (started, status, headers) => {
+          if (isOver) return;
+          const outcome = parseResponseHead(request.method, status, headers);
+          switch (outcome.kind) {
+            case 'interim':
+              return;
+            case 'malformed':
+              failOnce('broken', outcome.message);
+              started.abort(cancelled);
+              return;
+            case 'final':
+              bodyFraming = outcome.head.framing;
+              handler.onHead(outcome.head);
+              return;
+            default:
+              assertNever(outcome);
+          }
         },
         onResponseData: (_started, chunk) => {
           bodyBytes += chunk.length;
@@ -204,15 +231,8 @@
             failOnce('broken', 'the connection was reset before the response ended');
             return;
           }
-          if (!isCloseDelimited) {
-            endOnce();
-            return;
-          }
-          const confirmEnd = request.confirmEnd ?? (() => isAccepting(request.address));
-          void confirmEnd().then((isWhole) => {
-            if (isWhole) endOnce();
-            else failOnce('broken', 'the response had no length, and its server may be gone');
-          });
+          if (bodyFraming === 'connection') void endIfConfirmed();
+          else endOnce();
         },
         onResponseError: (_started, error) => {
           failOnce(controller === undefined ? 'not_sent' : 'broken', describeError(error));
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -114,6 +114,10 @@
   OperationOutcome,
 } from './config/store';
 
+// heads of responses
+export { listElements, singleValue, toFields } from './forward/response-head';
+export type { BodyFraming, HeaderFields, ResponseHead } from './forward/response-head';
+
 // forwarded traffic
 export { createUpstream } from './forward/upstream';
 export type {
--- a/packages/adapters/test/upstream.spec.ts
+++ b/packages/adapters/test/upstream.spec.ts
@@ -25,7 +25,9 @@
       { address, method: 'GET', path: '/', headers: ['x-id', requestId], body: undefined },
       {
         onSent: () => undefined,
-        onHead: (status, headers) => seen.push(`${status} ${String(headers['x-id'])}`),
+        onHead: ({ status, fields }) => {
+          seen.push(`${status} ${String(fields.get('x-id'))}`);
+        },
         onData: () => undefined,
         onEnd: () => resolve([...seen, 'end']),
         onFailure: (failure) => resolve([...seen, failure]),
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -1,6 +1,5 @@
-import type { IncomingHttpHeaders } from 'node:http';
 import type { AnswerTimer } from './version-moves';
-import type { Exchange } from '@mimosamill/adapters';
+import type { Exchange, ResponseHead } from '@mimosamill/adapters';
 import type {
   ForwardServer,
   PromptSize,
@@ -36,8 +35,8 @@
   readonly promptSize: PromptSize;
   exchange: Exchange | undefined;
   cancelConnectTimeout: () => void;
-  status: number;
-  headers: IncomingHttpHeaders;
+  /** Undefined until a response has begun that answers the request. */
+  head: ResponseHead | undefined;
   isErrorResponse: boolean;
   errorBody: Uint8Array[];
   errorBodyBytes: number;
@@ -78,8 +77,7 @@
     promptSize: placed.promptSize,
     exchange: undefined,
     cancelConnectTimeout: () => undefined,
-    status: 0,
-    headers: {},
+    head: undefined,
     isErrorResponse: false,
     errorBody: [],
     errorBodyBytes: 0,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -2,12 +2,12 @@
 import { createWakeTimer, createDeferred } from '../call/async';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
+import { createErrorBoundary } from './error-boundary';
 import { withRoomTime } from './room';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
 import { isSuccessStatus } from './status';
-import type { IncomingHttpHeaders } from 'node:http';
-import type { Exchange } from '@mimosamill/adapters';
+import type { Exchange, ExchangeFailure, ResponseHead } from '@mimosamill/adapters';
 import type {
   CallOutcome,
   CallResult,
@@ -23,8 +23,7 @@
 
 /** A server's response, held completely in memory. */
 export interface BufferedResponse {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
+  readonly head: ResponseHead;
   readonly body: Uint8Array;
 }
 
@@ -103,8 +102,13 @@
   const refusedBy = new Set<ServerId>();
   /** Cancels an attempt that is still running, and says why. */
   const cancels = new Map<number, (cause: 'overtaken' | 'abandoned') => void>();
-  const alarm = createWakeTimer(clock, () =>
-    apply(call.onEvent({ kind: 'tick' }, clock.monotonicMs())),
+  const boundary = createErrorBoundary(decisions, { request: head.requestId }, (error) => {
+    result.resolve({ kind: 'error', error });
+    abandon();
+  });
+  const alarm = createWakeTimer(
+    clock,
+    boundary.wrap(() => apply(call.onEvent({ kind: 'tick' }, clock.monotonicMs()))),
   );
   const startedAtMs = clock.monotonicMs();
   /** Attempts whose outcome is near: the response has begun, or the connection broke. */
@@ -124,10 +128,10 @@
 
   const entry: ActiveCall = {
     content,
-    onCondemned: (message) => {
+    onCondemned: boundary.wrap((message: string) => {
       // A response that has begun is delivered, and a broken attempt leads to the same end.
       if (endingAttempts.size === 0) endCondemned(message);
-    },
+    }),
   };
 
   function endCondemned(message: string): void {
@@ -200,16 +204,15 @@
     const nowMs = clock.monotonicMs();
     const condemnation = crashGuard.findCondemned(content);
     if (condemnation !== undefined) {
-      queueMicrotask(() => endCondemned(condemnedMessage(condemnation)));
+      queueMicrotask(boundary.wrap(() => endCondemned(condemnedMessage(condemnation))));
       return;
     }
     const serverId = pickServer(cause === 'hedge', nowMs);
     const state = serverId === undefined ? undefined : fleet.get(serverId);
     if (serverId === undefined || state === undefined) {
       // Deferred until the current effects are performed: the core takes one event at a time.
-      queueMicrotask(() =>
-        dispatch(attemptNo, { kind: 'not_sent', message: 'no server can take the call now' }),
-      );
+      const message = 'no server can take the call now';
+      queueMicrotask(boundary.wrap(() => dispatch(attemptNo, { kind: 'not_sent', message })));
       return;
     }
     excluded.add(serverId);
@@ -231,7 +234,7 @@
     const chunks: Uint8Array[] = [];
     const buffer = ports.responseBuffers.open('answer');
     let sizeBytes = 0;
-    let answer: { status: number; headers: IncomingHttpHeaders } | undefined;
+    let answer: ResponseHead | undefined;
     const connection: { exchange?: Exchange } = {};
     let isOver = false;
     const answerTimer = ports.versionMoves.trackAttempt(serverId, 'answer');
@@ -300,9 +303,9 @@
       if (!outcome.isSuccess) ports.stateBroadcast.sendLater();
     }
 
-    function onHead(status: number, headers: IncomingHttpHeaders): void {
+    function onHead(responseHead: ResponseHead): void {
       const nowMs = clock.monotonicMs();
-      const metadata = ports.codec.parseResponse(status, headers);
+      const metadata = ports.codec.parseResponse(responseHead);
       // Also holds for refusals: a server may write an earlier one once more on a kept connection.
       if (metadata.requestId !== head.requestId) {
         connection.exchange?.cancel();
@@ -323,28 +326,28 @@
         finishAttempt({ kind: 'rejected' }, 'rejected');
         return;
       }
-      const isSuccess = isSuccessStatus(status);
-      if (isSuccess && (metadata.isEncoded || !metadata.isSigned)) {
+      if (isSuccessStatus(responseHead.status) && (metadata.isEncoded || !metadata.isSigned)) {
         connection.exchange?.cancel();
         finishAttempt({ kind: 'unknown' }, 'garbled');
         return;
       }
-      answer = { status, headers };
+      answer = responseHead;
       endingAttempts.add(attemptNo);
     }
 
     const connectTimeoutMs = ports.connections.timeoutMs(CONNECT_TIMEOUT_MS);
-    const cancelConnectTimeout = clock.runAfter(connectTimeoutMs, () => {
-      connection.exchange?.cancel();
-      if (!ports.connections.onTimeout(server)) {
-        fleet.onFailure(serverId, 'refused', clock.monotonicMs());
-        ports.stateBroadcast.onServerFailure(serverId, 'refused');
-      }
-      finishAttempt(
-        { kind: 'not_sent', message: 'no connection within the connect timeout' },
-        'no_connection',
-      );
-    });
+    const cancelConnectTimeout = clock.runAfter(
+      connectTimeoutMs,
+      boundary.wrap(() => {
+        connection.exchange?.cancel();
+        if (!ports.connections.onTimeout(server)) {
+          fleet.onFailure(serverId, 'refused', clock.monotonicMs());
+          ports.stateBroadcast.onServerFailure(serverId, 'refused');
+        }
+        const message = 'no connection within the connect timeout';
+        finishAttempt({ kind: 'not_sent', message }, 'no_connection');
+      }),
+    );
     cancels.set(attemptNo, (cause) => {
       if (isOver) return;
       endAttempt();
@@ -378,49 +381,47 @@
         confirmEnd: () => isSameServerRunning(ports, server, request.service, head.requestId),
       },
       {
-        onSent: () => {
+        onSent: boundary.wrap(() => {
           cancelConnectTimeout();
           ports.connections.onWriting(server, sentAtMs);
           noteDepartingSend(ports, head.requestId, attemptNo, serverId);
-        },
-        onHead,
-        onData: (bytes) => {
+        }),
+        onHead: boundary.wrap(onHead),
+        onData: boundary.wrap((bytes: Uint8Array) => {
           if (isOver) return;
           sizeBytes += bytes.length;
           chunks.push(bytes);
           if (buffer.hold(sizeBytes) && sizeBytes <= RESPONSE_MAX_BYTES) return;
           connection.exchange?.cancel();
           finishAttempt({ kind: 'unknown' }, 'answer_too_large');
-        },
-        onEnd: () => {
+        }),
+        onEnd: boundary.wrap(() => {
           if (answer === undefined) {
             finishAttempt({ kind: 'unknown' }, 'no_answer');
             return;
           }
-          const body = Buffer.concat(chunks);
-          finishAttempt({ kind: 'ok', status: answer.status, body: { ...answer, body } }, '');
-        },
-        onFailure: (failure, message) => {
+          const body = { head: answer, body: Buffer.concat(chunks) };
+          finishAttempt({ kind: 'ok', status: answer.status, body }, '');
+        }),
+        onFailure: boundary.wrap((failure: ExchangeFailure, message: string) => {
           const nowMs = clock.monotonicMs();
           fleet.onFailure(serverId, failure === 'not_sent' ? 'refused' : 'reset', nowMs);
           // A reset may concern this call only; a refused connection means that the server is lost.
           if (failure === 'not_sent') ports.stateBroadcast.onServerFailure(serverId, 'refused');
           if (failure === 'not_sent') finishAttempt({ kind: 'not_sent', message }, 'no_connection');
-          else void onBroken();
-        },
+          else boundary.watch(onBroken());
+        }),
       },
     );
   }
 
+  function abandon(): void {
+    active.delete(entry);
+    alarm.set(undefined);
+    [...cancels.values()].forEach((cancel) => cancel('abandoned'));
+  }
+
   active.add(entry);
   apply(call.start(startedAtMs));
-  return {
-    result: result.promise,
-    servers: () => [...excluded],
-    abandon: () => {
-      active.delete(entry);
-      alarm.set(undefined);
-      [...cancels.values()].forEach((cancel) => cancel('abandoned'));
-    },
-  };
+  return { result: result.promise, servers: () => [...excluded], abandon };
 }
--- a/packages/router/src/forward/codec.ts
+++ b/packages/router/src/forward/codec.ts
@@ -1,3 +1,4 @@
+import type { HeaderFields, ResponseHead } from '@mimosamill/adapters';
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 import type {
   RequestHead,
@@ -77,12 +78,12 @@
   ) => ParsedRequest;
   /** The caller's header fields without hop-by-hop ones, plus those for the server. */
   readonly toServerHeaders: (rawHeaders: readonly string[], terms: ForwardMetadata) => string[];
-  readonly parseResponse: (status: number, headers: IncomingHttpHeaders) => ResponseMetadata;
+  readonly parseResponse: (head: ResponseHead) => ResponseMetadata;
   /** Header fields of a health check that only this server is to answer. */
   readonly toHealthCheckHeaders: (serverId: ServerId) => string[];
   /** The server that answered a health check; undefined if it does not say. */
-  readonly parseHealthCheck: (headers: IncomingHttpHeaders) => ServerId | undefined;
+  readonly parseHealthCheck: (fields: HeaderFields) => ServerId | undefined;
   /** A server's header fields as the caller gets them. */
-  readonly toCallerHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
+  readonly toCallerHeaders: (fields: HeaderFields) => OutgoingHttpHeaders;
   readonly toErrorResponse: (error: ServeError) => ErrorResponse;
 }
--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -10,11 +10,12 @@
 import { finiteMs } from './finite';
 import { createRequestContent } from './content';
 import { condemnedMessage } from './crash-guard';
+import { reportHandlingError } from './error-boundary';
 import { noRoomForMs } from './room';
 import { isSuccessStatus } from './status';
 import { bodyError } from './request-body';
 import { createUnsentTracker } from './unsent';
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
 import type {
   RequestHead,
@@ -133,15 +134,20 @@
   const trackUnsent = createUnsentTracker(ports.memory, clock);
 
   /** An exception that nobody handles would end the process, and with it all other requests. */
-  function onHandlingFailed(req: IncomingMessage, res: ServerResponse, error: unknown): void {
-    decisions.vital('request.handling_failed', {
-      method: req.method,
-      path: req.url,
-      problem: error instanceof Error ? error.stack : String(error),
-    });
+  function onHandlingFailed(req: IncomingMessage, res: ServerResponse, cause: unknown): void {
     active.delete(res);
-    const message = 'the router failed to handle the request';
-    sendError(res, createServeError('backend_failed', message, 'unknown'));
+    const fields = { method: req.method, path: req.url };
+    sendErrorOrClose(res, reportHandlingError(decisions, fields, cause));
+  }
+
+  /** For a request whose handling has failed: another exception must not end the process either. */
+  function sendErrorOrClose(res: ServerResponse, error: ServeError): void {
+    try {
+      sendError(res, error);
+    } catch (cause) {
+      reportHandlingError(decisions, {}, cause);
+      res.destroy();
+    }
   }
 
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -365,8 +371,8 @@
 
   function sendWhole(res: ServerResponse, answer: BufferedResponse): void {
     if (res.destroyed) return;
-    res.writeHead(answer.status, {
-      ...codec.toCallerHeaders(answer.headers),
+    res.writeHead(answer.head.status, {
+      ...codec.toCallerHeaders(answer.head.fields),
       'content-length': answer.body.length,
     });
     res.end(answer.body);
@@ -459,17 +465,25 @@
 
   function createSink(res: ServerResponse): StreamSink {
     const unsent = trackUnsent(res);
+    /** Without a head, Node.js would send one with status 200. */
+    const requireHead = (): void => {
+      if (!res.headersSent) throw new Error('the body of a response begins without its head');
+    };
     return {
-      writeHead: (status, headers: IncomingHttpHeaders) => {
-        res.writeHead(status, codec.toCallerHeaders(headers));
+      writeHead: ({ status, fields }) => {
+        res.writeHead(status, codec.toCallerHeaders(fields));
       },
       write: (bytes) => {
+        requireHead();
         res.write(bytes);
         unsent.onWritten();
       },
-      end: () => res.end(),
-      sendErrorResponse: (status, headers, body) => sendWhole(res, { status, headers, body }),
-      fail: (error) => sendError(res, error),
+      end: () => {
+        requireHead();
+        res.end();
+      },
+      sendErrorResponse: (head, body) => sendWhole(res, { head, body }),
+      fail: (error) => sendErrorOrClose(res, error),
       abort: () => res.destroy(),
     };
   }
--- a/packages/router/src/forward/loss-report.ts
+++ b/packages/router/src/forward/loss-report.ts
@@ -32,7 +32,7 @@
   /** Reports an attempt whose engine sends nothing, but which the stream can't leave. */
   readonly onHeld: (attempt: StreamAttempt) => void;
   /** Reports an attempt whose connection broke before its first event. */
-  readonly onBroken: (attempt: StreamAttempt) => void;
+  readonly onBroken: (attempt: StreamAttempt) => Promise<void>;
 }
 
 export function createStreamLossReport(
@@ -115,10 +115,10 @@
   }
 
   /** The engine may have crashed on beginning to answer this prompt. */
-  function onBroken(attempt: StreamAttempt): void {
+  async function onBroken(attempt: StreamAttempt): Promise<void> {
     const state = fleet.get(attempt.engineId);
     if (state === undefined) return;
-    void ports.crashGuard.onBrokenAttempt({
+    await ports.crashGuard.onBrokenAttempt({
       requestId,
       isStream: true,
       serverId: attempt.engineId,
--- a/packages/router/src/forward/response-head.ts
+++ b/packages/router/src/forward/response-head.ts
@@ -1,19 +1,17 @@
 import { isSameKind } from './response-kind';
 import { isSuccessStatus } from './status';
-import type { IncomingHttpHeaders } from 'node:http';
+import type { ResponseHead } from '@mimosamill/adapters';
 import type { RequestId } from '@mimosamill/core';
-import type { StreamAttempt } from './attempt';
 import type { ResponseMetadata } from './codec';
 
 /** The head of an engine's response, and what is known of its attempt. */
 export interface ReceivedHead {
   readonly requestId: RequestId;
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
+  readonly head: ResponseHead;
   readonly metadata: ResponseMetadata;
   readonly isResumedFromCopy: boolean;
   /** The response whose head the caller has. */
-  readonly begun: Pick<StreamAttempt, 'status' | 'headers'> | undefined;
+  readonly begun: ResponseHead | undefined;
 }
 
 /** What the head of an engine's response means for its attempt. */
@@ -32,13 +30,13 @@
 
 /** Classifies the head of a response; the first of the kinds that applies counts. */
 export function classifyResponseHead(received: ReceivedHead): ResponseHeadKind {
-  const { metadata, status, headers, begun } = received;
+  const { metadata, head, begun } = received;
   // Also holds for refusals: an engine may write an earlier one once more on a kept connection.
   if (metadata.requestId !== received.requestId) {
     return { kind: 'other_request', message: 'the response carries the id of another request' };
   }
   if (metadata.isMisdirected) return { kind: 'misdirected' };
-  const isSuccess = isSuccessStatus(status);
+  const isSuccess = isSuccessStatus(head.status);
   if (!isSuccess && received.isResumedFromCopy) return { kind: 'no_copy' };
   if (metadata.wasNotRun) return { kind: 'rejected' };
   if (!isSuccess) return { kind: 'answer', isError: true };
@@ -46,7 +44,7 @@
     const message = 'the response is encoded, or lacks the signature of the engine';
     return { kind: 'garbled', message };
   }
-  if (begun !== undefined && !isSameKind(begun, status, headers)) {
+  if (begun !== undefined && !isSameKind(begun, head)) {
     return { kind: 'garbled', message: 'the response is not the rest of the stream' };
   }
   return { kind: 'answer', isError: false };
--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -6,15 +6,15 @@
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { createStreamEngineChoice } from './engine-choice';
+import { createErrorBoundary } from './error-boundary';
 import { createStreamLossReport } from './loss-report';
 import { withRoomTime } from './room';
 import { classifyResponseHead } from './response-head';
-import { isCloseDelimited } from './response-kind';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
 import { createStreamLog } from './stream-log';
 import { createStreamTiming } from './stream-timing';
-import type { IncomingHttpHeaders } from 'node:http';
+import type { ExchangeFailure, ExchangeHandler, ResponseHead } from '@mimosamill/adapters';
 import type {
   AttemptLoss,
   FailureDomain,
@@ -33,16 +33,12 @@
 
 /** The response to the caller of a stream. */
 export interface StreamSink {
-  readonly writeHead: (status: number, headers: IncomingHttpHeaders) => void;
+  readonly writeHead: (head: ResponseHead) => void;
   readonly write: (bytes: Uint8Array) => void;
   readonly end: () => void;
   /** Passes on an error response of a server, with its whole body. */
-  readonly sendErrorResponse: (
-    status: number,
-    headers: IncomingHttpHeaders,
-    body: Uint8Array,
-  ) => void;
-  /** Sends an error of the router; only before the response head was written. */
+  readonly sendErrorResponse: (head: ResponseHead, body: Uint8Array) => void;
+  /** Sends an error of the router; closes the connection if the response has begun. */
   readonly fail: (error: ServeError) => void;
   /** Closes the connection of a response that has begun and cannot be completed. */
   readonly abort: (reason: string) => void;
@@ -106,7 +102,11 @@
     currentAttempt: () => current,
     hasBegun: () => stream.hasBegun(),
   });
-  const alarm = createWakeTimer(clock, () => dispatch({ kind: 'tick' }));
+  const boundary = createErrorBoundary(ports.decisions, { request: requestId }, endAfterError);
+  const alarm = createWakeTimer(
+    clock,
+    boundary.wrap(() => dispatch({ kind: 'tick' })),
+  );
 
   ports.outputSizes.onRequest(route.name, head);
   const budget = ports.retryBudgetOf(service.name);
@@ -133,9 +133,19 @@
     engineId: () => current?.engineId,
     copyEngineId: () => current?.kvCopy?.engineId,
     content,
-    notify: dispatch,
+    notify: boundary.wrap(dispatch),
   };
 
+  /** Ends the stream without a success: what the core counts as delivered may not have been written. */
+  function endAfterError(error: ServeError): void {
+    sink.fail(error);
+    if (!isOver) end('failed', error);
+    attempts.forEach((attempt) => {
+      if (!attempt.isOver) attempt.exchange?.cancel();
+      closeAttempt(attempt);
+    });
+  }
+
   function dispatch(event: ForwardStreamEvent): void {
     if (isOver) return;
     const nowMs = clock.monotonicMs();
@@ -155,7 +165,7 @@
         onHeld(effect.attemptNo);
         return;
       case 'copy':
-        void makeCopy(effect.attemptNo, effect.existingCopy);
+        boundary.watch(makeCopy(effect.attemptNo, effect.existingCopy));
         return;
       case 'begin':
         beginResponse(effect.attemptNo);
@@ -182,17 +192,17 @@
 
   function beginResponse(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
-    if (attempt === undefined) return;
+    if (attempt?.head === undefined) throw new Error('a stream begins without a response head');
     begun = attempt;
     ports.metrics.onFirstEvent(clock.monotonicMs() - request.receivedAtMs, attempt.promptSize);
-    sink.writeHead(attempt.status, attempt.headers);
+    sink.writeHead(attempt.head);
   }
 
   function passErrorResponse(attemptNo: number): void {
     const attempt = attempts.get(attemptNo);
     end('server_failure');
-    if (attempt === undefined) return;
-    sink.sendErrorResponse(attempt.status, attempt.headers, Buffer.concat(attempt.errorBody));
+    if (attempt?.head === undefined) throw new Error('there is no error response to pass on');
+    sink.sendErrorResponse(attempt.head, Buffer.concat(attempt.errorBody));
   }
 
   function end(outcome: string, error?: ServeError): void {
@@ -241,11 +251,14 @@
       case 'send':
         return true;
       case 'wait':
-        cancelWait = clock.runAfter(admission.waitMs, () => {
-          if (isOver) return;
-          send(effect);
-          alarm.set(isOver ? undefined : stream.wakeAtMs());
-        });
+        cancelWait = clock.runAfter(
+          admission.waitMs,
+          boundary.wrap(() => {
+            if (isOver) return;
+            send(effect);
+            alarm.set(isOver ? undefined : stream.wakeAtMs());
+          }),
+        );
         return false;
       case 'refuse':
         dispatchLater({
@@ -270,7 +283,7 @@
 
   /** Defers an event until the current effects are performed: the core takes one event at a time. */
   function dispatchLater(event: ForwardStreamEvent): void {
-    queueMicrotask(() => dispatch(event));
+    queueMicrotask(boundary.wrap(() => dispatch(event)));
   }
 
   function openAttempt(
@@ -319,11 +332,14 @@
     if (copyHolder !== undefined) fleet.onCopy(copyHolder.server.serverId, promptTokens, 1);
     ports.stateBroadcast.sendSoon();
     const connectTimeoutMs = ports.connections.timeoutMs(CONNECT_TIMEOUT_MS);
-    attempt.cancelConnectTimeout = clock.runAfter(connectTimeoutMs, () => {
-      attempt.exchange?.cancel();
-      const isOwnTrouble = ports.connections.onTimeout(engine.server);
-      failAttempt(attempt, 'not_sent', isOwnTrouble ? undefined : 'refused');
-    });
+    attempt.cancelConnectTimeout = clock.runAfter(
+      connectTimeoutMs,
+      boundary.wrap(() => {
+        attempt.exchange?.cancel();
+        const isOwnTrouble = ports.connections.onTimeout(engine.server);
+        failAttempt(attempt, 'not_sent', isOwnTrouble ? undefined : 'refused');
+      }),
+    );
     attempt.exchange = ports.upstream.send(
       {
         address: engine.server.address,
@@ -350,16 +366,16 @@
     );
   }
 
-  function createHandler(attempt: StreamAttempt) {
+  function createHandler(attempt: StreamAttempt): ExchangeHandler {
     const splitter = createEventSplitter();
     return {
-      onSent: () => {
+      onSent: boundary.wrap(() => {
         attempt.cancelConnectTimeout();
         ports.connections.onWriting(attempt.engine, attempt.sentAtMs);
         noteDepartingSend(ports, requestId, attempt.attemptNo, attempt.engineId);
-      },
-      onHead: (status: number, headers: IncomingHttpHeaders) => onHead(attempt, status, headers),
-      onData: (bytes: Uint8Array) => {
+      }),
+      onHead: boundary.wrap((responseHead: ResponseHead) => onHead(attempt, responseHead)),
+      onData: boundary.wrap((bytes: Uint8Array) => {
         if (attempt.isOver) return;
         if (attempt.isErrorResponse) {
           collectErrorBody(attempt, bytes);
@@ -375,38 +391,43 @@
           return;
         }
         if (events.length > 0) onEvents(attempt, events);
-      },
-      onEnd: () => {
+      }),
+      onEnd: boundary.wrap(() => {
         if (attempt.isOver) return;
         if (attempt.isErrorResponse) {
           failAttempt(attempt, 'failed', undefined);
           return;
         }
-        if (attempt.status === 0 || splitter.pendingBytes() > 0) {
+        if (attempt.head === undefined || splitter.pendingBytes() > 0) {
           failAttempt(attempt, 'garbled', 'reset');
           return;
         }
-        if (!attempt.hasEvents && isCloseDelimited(attempt)) {
+        if (!attempt.hasEvents && attempt.head.framing === 'connection') {
           failAttempt(attempt, 'reset', 'reset', 'the connection ended without an event');
           return;
         }
         closeAttempt(attempt);
         copies.release(attempt);
         dispatch({ kind: 'end', attemptNo: attempt.attemptNo });
-      },
-      onFailure: (failure: 'not_sent' | 'broken', message: string) => {
+      }),
+      onFailure: boundary.wrap((failure: ExchangeFailure, message: string) => {
         if (failure === 'not_sent') failAttempt(attempt, 'not_sent', 'refused', message);
         else failAttempt(attempt, 'reset', 'reset', message);
-      },
+      }),
     };
   }
 
-  function onHead(attempt: StreamAttempt, status: number, headers: IncomingHttpHeaders): void {
+  function onHead(attempt: StreamAttempt, responseHead: ResponseHead): void {
     if (attempt.isOver) return;
     const nowMs = clock.monotonicMs();
-    const metadata = ports.codec.parseResponse(status, headers);
-    const { isResumedFromCopy } = attempt;
-    const received = { requestId, status, headers, metadata, isResumedFromCopy, begun };
+    const metadata = ports.codec.parseResponse(responseHead);
+    const received = {
+      requestId,
+      head: responseHead,
+      metadata,
+      isResumedFromCopy: attempt.isResumedFromCopy,
+      begun: begun?.head,
+    };
     const meaning = classifyResponseHead(received);
     if (meaning.kind === 'other_request') {
       failUnreadable(attempt, meaning.message);
@@ -428,8 +449,7 @@
         failUnreadable(attempt, meaning.message);
         return;
       case 'answer':
-        attempt.status = status;
-        attempt.headers = headers;
+        attempt.head = responseHead;
         attempt.isErrorResponse = meaning.isError;
         return;
       default:
@@ -539,22 +559,26 @@
     if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
     if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
-      losses.onBroken(attempt);
+      boundary.watch(losses.onBroken(attempt));
     }
     if (failure !== undefined) losses.onFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
     dispatch({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
   }
 
+  const start = boundary.wrap(() => {
+    stream.start().forEach(perform);
+    alarm.set(stream.wakeAtMs());
+  });
+
   active.add(entry);
-  stream.start().forEach(perform);
-  alarm.set(stream.wakeAtMs());
+  start();
   return {
-    abandon: (outcome) => {
+    abandon: boundary.wrap((outcome: 'abandoned' | 'cut') => {
       if (isOver) return;
       isOver = true;
       if (current !== undefined) cancel(current.attemptNo, undefined);
       end(outcome);
-    },
+    }),
   };
 }
--- a/packages/router/src/forward/server-identity.ts
+++ b/packages/router/src/forward/server-identity.ts
@@ -66,8 +66,8 @@
       },
       {
         onSent: () => undefined,
-        onHead: (status, headers) => {
-          const named = codec.parseHealthCheck(headers);
+        onHead: ({ status, fields }) => {
+          const named = codec.parseHealthCheck(fields);
           finish(
             named === undefined ? { kind: 'unnamed', status } : { kind: 'named', serverId: named },
           );
--- a/packages/router/test/forward/ingress.spec.ts
+++ b/packages/router/test/forward/ingress.spec.ts
@@ -1,6 +1,7 @@
 import { request } from 'node:http';
 import { describe, expect, it } from 'vitest';
 import { createMemoryBudget, createServeError } from '@mimosamill/core';
+import { toFields } from '@mimosamill/adapters';
 import { createIngress } from '../../src/forward/ingress';
 import type { IncomingMessage } from 'node:http';
 import type { CallForwarder, RunningCall } from '../../src/forward/call';
@@ -118,7 +119,7 @@
         kind: 'ok',
         status: 200,
         isReplay: false,
-        body: { status: 200, headers: {}, body },
+        body: { head: { status: 200, fields: toFields({}), framing: 'length' as const }, body },
       }),
       servers: () => [],
       abandon: () => undefined,
--- a/packages/router/test/forward/response-head.spec.ts
+++ b/packages/router/test/forward/response-head.spec.ts
@@ -1,30 +1,34 @@
 import { describe, expect, it } from 'vitest';
 import { asId } from '@mimosamill/core';
+import { toFields } from '@mimosamill/adapters';
 import { classifyResponseHead } from '../../src/forward/response-head';
 import { answerMetadata } from './answer-metadata';
+import type { ResponseHead } from '@mimosamill/adapters';
 import type { RequestId } from '@mimosamill/core';
 import type { ReceivedHead } from '../../src/forward/response-head';
 import type { ResponseMetadata } from '../../src/forward/codec';
 
 const REQUEST: RequestId = asId('r1');
 const OTHER_REQUEST: RequestId = asId('r0');
-const STREAM_HEADERS = { 'content-type': 'text/event-stream' };
+
+function headOf(status: number, contentType: string): ResponseHead {
+  return { status, fields: toFields({ 'content-type': contentType }), framing: 'chunks' };
+}
 
 function kindOf(
   status: number,
   metadata: Partial<ResponseMetadata> = {},
   received: Partial<ReceivedHead> = {},
 ): string {
-  const head = classifyResponseHead({
+  const kind = classifyResponseHead({
     requestId: REQUEST,
-    status,
-    headers: STREAM_HEADERS,
+    head: headOf(status, 'text/event-stream'),
     metadata: { ...answerMetadata(REQUEST), ...metadata },
     isResumedFromCopy: false,
     begun: undefined,
     ...received,
   });
-  return head.kind === 'answer' && head.isError ? 'error' : head.kind;
+  return kind.kind === 'answer' && kind.isError ? 'error' : kind.kind;
 }
 
 // Guards against a check that comes too late: a head that fits several kinds would be taken for a
@@ -48,12 +52,12 @@
   it('is garbled if a success was changed on its way or is of another kind', () => {
     expect(kindOf(200, { isEncoded: true })).toBe('garbled');
     expect(kindOf(200, { isSigned: false })).toBe('garbled');
-    const begun = { status: 200, headers: { 'content-type': 'application/json' } };
+    const begun = headOf(200, 'application/json');
     expect(kindOf(200, {}, { begun })).toBe('garbled');
   });
 
   it('is followed by events or by the description of an error', () => {
-    expect(kindOf(200, {}, { begun: { status: 200, headers: STREAM_HEADERS } })).toBe('answer');
+    expect(kindOf(200, {}, { begun: headOf(200, 'text/event-stream') })).toBe('answer');
     expect(kindOf(500, { isSigned: false })).toBe('error');
   });
 });
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -6,7 +6,9 @@
   createResponseBuffers,
   createRetryBudget,
 } from '@mimosamill/core';
+import { toFields } from '@mimosamill/adapters';
 import { createStreamForwarder } from '../../src/forward/stream';
+import { answerMetadata } from './answer-metadata';
 import { createManualClock } from './clock';
 import type { ForwardServer, RequestId, ServeError, ServerId, ServiceLoad } from '@mimosamill/core';
 import type { ExchangeHandler } from '@mimosamill/adapters';
@@ -32,6 +34,7 @@
 
 /** An exchange of a stream with its engine. */
 interface OpenExchange {
+  readonly onHead: ExchangeHandler['onHead'];
   readonly onData: (bytes: Uint8Array) => void;
   isCancelled: boolean;
 }
@@ -43,7 +46,12 @@
   const memory = createMemoryBudget(Infinity);
   const exchanges: OpenExchange[] = [];
   const errors: ServeError[] = [];
+  let isSinkFailing = false;
   const sink = {
+    writeHead: () => {
+      if (isSinkFailing) throw new Error('the head cannot be written');
+    },
+    write: nothing,
     fail: (error: ServeError) => errors.push(error),
     abort: nothing,
   } as unknown as StreamSink;
@@ -67,13 +75,14 @@
         paceRatio: 1,
         promptSize: undefined,
       }),
+      onPrefill: nothing,
     },
     serviceLoads: { of: () => load },
     servesUrgentFirst: () => false,
     upstream: {
-      send: (_request: unknown, { onSent, onData }: ExchangeHandler) => {
+      send: (_request: unknown, { onSent, onHead, onData }: ExchangeHandler) => {
         queueMicrotask(onSent);
-        const exchange: OpenExchange = { onData, isCancelled: false };
+        const exchange: OpenExchange = { onHead, onData, isCancelled: false };
         exchanges.push(exchange);
         const cancel = (): void => {
           exchange.isCancelled = true;
@@ -88,9 +97,15 @@
       onReceived: nothing,
       isOwnTrouble: () => false,
     },
-    codec: { toServerHeaders: () => [] },
+    codec: { toServerHeaders: () => [], parseResponse: () => answerMetadata(asId('r1')) },
     decisions: { routine: log, notable: log, vital: log },
-    metrics: { onSend: nothing, onAdmission: nothing, onAnswer: nothing, onLoss: nothing },
+    metrics: {
+      onSend: nothing,
+      onAdmission: nothing,
+      onAnswer: nothing,
+      onLoss: nothing,
+      onFirstEvent: nothing,
+    },
     stateBroadcast: {
       sendSoon: nothing,
       sendLater: nothing,
@@ -106,7 +121,11 @@
     outputSizes: { onRequest: nothing, expectedTokens: () => 0 },
     responseBuffers: createResponseBuffers(memory, () => 0),
     memory,
-    crashGuard: { findCondemned: nothing, onBrokenAttempt: () => Promise.resolve() },
+    crashGuard: {
+      findCondemned: nothing,
+      onAnswered: nothing,
+      onBrokenAttempt: () => Promise.resolve(),
+    },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
   } as unknown as ForwardPorts;
   const streams = createStreamForwarder(ports);
@@ -116,6 +135,9 @@
     logged,
     exchanges,
     errors,
+    setSinkFailing: () => {
+      isSinkFailing = true;
+    },
     setLoad: (next: ServiceLoad) => {
       load = next;
     },
@@ -251,3 +273,27 @@
     expect(exchanges).toHaveLength(2);
   });
 });
+
+describe('a stream whose handling fails in the router', () => {
+  it('ends without a success, and its engine is stopped', () => {
+    // Guards against an exception in one callback that ends the process, or after which the rest of the
+    // stream is written as if its beginning had been.
+    const { fleet, clock, exchanges, errors, logged, start, setSinkFailing } =
+      createSilentStreams();
+    fleet.setServers([engine('a1')], clock.monotonicMs());
+    setSinkFailing();
+    start('r1', 'a1');
+    const [exchange] = exchanges;
+    exchange?.onHead({
+      status: 200,
+      fields: toFields({ 'content-type': 'text/event-stream' }),
+      framing: 'chunks',
+    });
+    const event = (no: number) => Buffer.from(`id: ${no}\ndata: x\n\n`);
+    expect(() => exchange?.onData(event(1))).not.toThrow();
+    exchange?.onData(event(2));
+    expect(errors).toMatchObject([{ code: 'backend_failed', runState: 'unknown' }]);
+    expect(exchange?.isCancelled).toBe(true);
+    expect(logged).toContain('request.handling_failed r1');
+  });
+});
