Refuse statuses that HTTP does not have, and break the lines of bundles

A status of 600 or more reached callers as an answer, with the server's seal.

Cause: nothing checked the status before undici, which asserts at the end of a message that it is 100 or more. Node.js makes the message of a failed assertion by parsing the source from the start of its line on, again and again, and the bundle had lines of up to 246,000 characters.

The check of heads refuses a status outside 100 to 599, and 101. Forwarded traffic and the HTTP client of our own interfaces, the store and KV cache orders use it. Bundles get a line break at the first statement's end after 120 characters, so that any other failed assertion costs little as well.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -4,11 +4,11 @@
 import { splitAddress } from '../runtime/address';
 import { runAfterInput } from '../runtime/clock';
 import { describeError } from '../runtime/fetch';
+import { parseResponseHead } from '../runtime/response-head';
 import { createFramingGuard } from './framing-guard';
 import { createResetDetector } from './resets';
-import { parseResponseHead } from './response-head';
 import type { Dispatcher } from 'undici';
-import type { BodyFraming, ResponseHead } from './response-head';
+import type { BodyFraming, ResponseHead } from '../runtime/response-head';
 
 /** A request to a backend server. */
 export interface UpstreamRequest {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -115,8 +115,8 @@
 } from './config/store';
 
 // heads of responses
-export { listElements, singleValue, toFields } from './forward/response-head';
-export type { BodyFraming, HeaderFields, ResponseHead } from './forward/response-head';
+export { listElements, singleValue, toFields } from './runtime/response-head';
+export type { BodyFraming, HeaderFields, ResponseHead } from './runtime/response-head';
 
 // forwarded traffic
 export { createUpstream } from './forward/upstream';
--- a/packages/adapters/src/runtime/fetch.ts
+++ b/packages/adapters/src/runtime/fetch.ts
@@ -1,5 +1,8 @@
 import { Agent, request } from 'undici';
+import { rejectMalformedHeads } from './checked-responses';
+import { parseResponseHead } from './response-head';
 import type { Dispatcher } from 'undici';
+import type { ResponseHead } from './response-head';
 
 /**
  * Outcome of an HTTP request.
@@ -8,12 +11,7 @@
  * - `no_answer`: the server may have received the request
  */
 export type FetchOutcome =
-  | {
-      readonly kind: 'ok';
-      readonly status: number;
-      readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-      readonly body: string;
-    }
+  | ({ readonly kind: 'ok'; readonly body: string } & ResponseHead)
   | { readonly kind: 'not_sent'; readonly message: string }
   | { readonly kind: 'no_answer'; readonly message: string };
 
@@ -48,13 +46,14 @@
 
 /** Creates a client with its own connection pool. Timeouts are set per request. */
 export function createHttpClient(connectionsPerServer = 256): HttpClient {
-  const dispatcher = new Agent({
+  const agent = new Agent({
     connections: connectionsPerServer,
     connect: { timeout: CONNECT_TIMEOUT_MS },
     keepAliveTimeout: 30_000,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  const dispatcher = agent.compose(rejectMalformedHeads);
 
   async function fetch(url: string, options: FetchOptions): Promise<FetchOutcome> {
     // AbortSignal.timeout accepts only whole milliseconds, but remaining times have fractions.
@@ -68,15 +67,17 @@
         body: options.body ?? null,
         signal,
       });
+      const head = parseResponseHead(options.method, response.statusCode, response.headers);
       const body = await readText(response.body, options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
-      return { kind: 'ok', status: response.statusCode, headers: response.headers, body };
+      if (head.kind !== 'final') throw new Error('the response has no final head');
+      return { kind: 'ok', ...head.head, body };
     } catch (error) {
       const message = describeError(error);
       return isNotSent(error) ? { kind: 'not_sent', message } : { kind: 'no_answer', message };
     }
   }
 
-  return { fetch, dispatcher, close: () => dispatcher.destroy() };
+  return { fetch, dispatcher, close: () => agent.destroy() };
 }
 
 /** Reads a body up to a limit; its connection is closed if there is more. */
--- a/packages/adapters/src/forward/response-head.ts
+++ b/packages/adapters/src/runtime/response-head.ts
@@ -12,6 +12,7 @@
 
 /** Head of a server's response, checked: other code does not look at what the HTTP client has parsed. */
 export interface ResponseHead {
+  /** From 200 to 599. */
   readonly status: number;
   readonly fields: HeaderFields;
   readonly framing: BodyFraming;
@@ -27,7 +28,10 @@
 /** Header fields as an HTTP client has parsed them: a field that stands on several lines is a list. */
 export type ParsedHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
 
+const STATUS_MIN = 100;
+const STATUS_SWITCHING_PROTOCOLS = 101;
 const FINAL_STATUS_MIN = 200;
+const STATUS_MAX = 599;
 /** Statuses of responses without a body, whatever their fields say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -37,15 +41,17 @@
   status: number,
   headers: ParsedHeaders,
 ): ResponseHeadOutcome {
+  if (status < STATUS_MIN || status > STATUS_MAX) {
+    return malformed(`expected a status from ${STATUS_MIN} to ${STATUS_MAX}, got ${status}`);
+  }
+  // No request asks for another protocol.
+  if (status === STATUS_SWITCHING_PROTOCOLS) return malformed(`expected no status ${status}`);
   if (status < FINAL_STATUS_MIN) return { kind: 'interim' };
   const fields = toFields(headers);
   const framing = framingOf(method, status, fields);
   if (framing === undefined) {
     const codings = listElements(fields, 'transfer-encoding').join(', ');
-    return {
-      kind: 'malformed',
-      message: `expected no transfer encoding but chunked, got ${codings}`,
-    };
+    return malformed(`expected no transfer encoding but chunked, got ${codings}`);
   }
   return { kind: 'final', head: { status, fields, framing } };
 }
@@ -83,3 +89,7 @@
   }
   return fields.has('content-length') ? 'length' : 'connection';
 }
+
+function malformed(message: string): ResponseHeadOutcome {
+  return { kind: 'malformed', message };
+}
--- a/packages/adapters/src/service/http.ts
+++ b/packages/adapters/src/service/http.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import { parseResponseBody } from '../runtime/response-body';
+import { singleValue } from '../runtime/response-head';
 import type { FetchOutcome, HttpClient } from '../runtime/fetch';
 import type { ServiceCallOutcome, ServiceCall, ServiceClient } from './client';
 
@@ -71,8 +72,8 @@
   // A response belongs to the request whose id and attempt it carries. Its place on the connection
   // proves nothing: a faulty server may send an extra response.
   const isOwn =
-    outcome.headers['x-request-id'] === call.requestId &&
-    outcome.headers['x-attempt'] === String(call.attemptNo);
+    singleValue(outcome.fields, 'x-request-id') === call.requestId &&
+    singleValue(outcome.fields, 'x-attempt') === String(call.attemptNo);
   if (!isOwn) return { kind: 'unknown', message: 'the response is for another request or attempt' };
   if (outcome.status === 503) return parseRefusal(outcome.body);
   return { kind: 'ok', status: outcome.status, body: outcome.body };
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -69,6 +69,9 @@
   plugins: [replaceLibraryIndexes],
   minifySyntax: true,
   minifyWhitespace: true,
+  // Node.js makes the message of a failed assertion by parsing the source from the start of its line on, once
+  // for each expression that it finds there. With the whole program on one line that takes seconds.
+  lineLimit: 120,
   keepNames: true,
   logLevel: 'warning',
 });
