Condemn the parts that all crashed prompts have in common, not each of them

After a quiet minute two requests came that share their first part with all requests of a customer and have one that crashes engines.

Cause: three crashes of prompts that differ condemned every part that all of them had. Crashes can't tell such parts apart; only answers can, and there was none of the minute before. Further crashes by the deadly part went on counting against the shared one.

Crashes now condemn the set of parts that the crashed prompts have in common, without those answered lately, and of several sets the one that fewest prompts have. What it explains is evidence against nothing else. Sound requests without the deadly part are served and clear theirs. The rule for the combination of all parts of a prompt is a special case of it and is gone.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -365,8 +365,9 @@
   CrashSuspects,
   ServerCrash,
   SuspectAnswer,
-  SuspectId,
 } from './forward/crash-suspects';
+export { partSetId } from './forward/suspect';
+export type { PartSetId, SuspectId, SuspectMember } from './forward/suspect';
 export { evictOldest } from './evict';
 export { createServerDirectory } from './forward/directory';
 export type { ServerDirectory } from './forward/directory';
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -1,9 +1,8 @@
-import { asId, CONDEMNED_MS, createCrashSuspects, evictOldest } from '@mimosamill/core';
+import { CONDEMNED_MS, createCrashSuspects, evictOldest } from '@mimosamill/core';
 import type { Clock, DecisionLog, Upstream } from '@mimosamill/adapters';
 import type {
   Condemnation,
   FailureDomain,
-  PromptPartId,
   RequestId,
   ServerCrash,
   ServerId,
@@ -27,7 +26,7 @@
   readonly outweighsAnswers: boolean;
 }
 
-/** An attempt whose connection broke before its server had begun to answer. */
+/** An attempt whose connection broke before its server had proven to survive the request. */
 export interface BrokenAttempt {
   readonly content: RequestContent;
   readonly requestId: RequestId;
@@ -50,7 +49,7 @@
   readonly start: () => void;
   /** Resolves once it is known whether the server has crashed, and what that condemns. */
   readonly onBrokenAttempt: (attempt: BrokenAttempt) => Promise<void>;
-  /** A server has begun to answer the request. */
+  /** A server has answered the request, or has gone on with its answer for so long that it survives it. */
   readonly onAnswered: (content: RequestContent) => void;
   readonly findCondemned: (content: RequestContent) => Condemnation | undefined;
   /** Whether a server has crashed under an equal request that none has answered since. */
@@ -72,7 +71,6 @@
   /** Sends this router's reports to the others after a short batch delay. */
   readonly broadcastSoon: () => void;
   readonly onCondemned: () => void;
-  readonly hash64: (text: string) => string;
 }
 
 /** Reports are repeated for this time, since a datagram may be lost. */
@@ -84,7 +82,7 @@
 
 /** Reason that callers and logs get for a condemned request. */
 export function condemnedMessage({ suspect }: Condemnation): string {
-  return `servers crash when they run a request with the content or prompt part ${suspect}`;
+  return `servers crash when they run a request with the content or the prompt parts ${suspect}`;
 }
 
 interface ReportedAnswer {
@@ -104,16 +102,6 @@
   let isStepping = false;
   let cancelSteps = (): void => undefined;
 
-  /** A key for all parts together; hashed, since it is a key in the store too. */
-  function combine(parts: readonly PromptPartId[]): PromptPartId | undefined {
-    return parts.length > 1 ? asId<PromptPartId>(ports.hash64(parts.join())) : parts[0];
-  }
-
-  function withCombination(parts: readonly PromptPartId[]): readonly PromptPartId[] {
-    const combination = combine(parts);
-    return combination === undefined || parts.length === 1 ? parts : [...parts, combination];
-  }
-
   /** Whether the server still takes connections; attempts that broke together share one probe. */
   function probe(address: string): Promise<boolean> {
     const running = probes.get(address);
@@ -129,7 +117,6 @@
     const { requestId, serverId, failureDomain, isStream, content } = attempt;
     const { parts } = content;
     const fingerprint = content.fingerprint();
-    const combination = combine(parts);
     decisions.notable('server.crashed', {
       request: requestId,
       fingerprint,
@@ -137,7 +124,7 @@
       domain: failureDomain,
       parts: parts.length === 0 ? undefined : parts,
     });
-    const what = { requestId, serverId, failureDomain, isStream, fingerprint, parts, combination };
+    const what = { requestId, serverId, failureDomain, isStream, fingerprint, parts };
     const crash: ServerCrash = { ...what, atMs };
     crashes.push(crash);
     applyCrash(crash);
@@ -179,7 +166,7 @@
     const atMs = clock.monotonicMs();
     const wasSuspected = suspects.onAnswered(fingerprint, atMs);
     const clearedSuspects = [
-      ...suspects.onBegun(withCombination(parts), atMs),
+      ...suspects.onSurvived(parts, atMs),
       ...(wasSuspected ? [fingerprint()] : []),
     ];
     clearedSuspects.forEach((suspect) => {
@@ -196,8 +183,8 @@
 
   function onPeerAnswer({ suspect, atMs }: SuspectAnswer): void {
     const nowMs = clock.monotonicMs();
-    const wasCondemned = suspects.findCondemned(() => [suspect], nowMs) !== undefined;
-    const isCleared = suspects.onBegun([suspect], atMs).length > 0;
+    const wasCondemned = suspects.condemned(nowMs).some((known) => known.suspect === suspect);
+    const isCleared = suspects.onSurvived([suspect], atMs).length > 0;
     // Each router hears of each cleared suspicion; only a lifted refusal changes what it does.
     if (!isCleared || !wasCondemned) return;
     const ageMs = Math.round(nowMs - atMs);
@@ -270,7 +257,7 @@
     onBrokenAttempt,
     onAnswered,
     findCondemned: ({ fingerprint, parts }) =>
-      suspects.findCondemned(() => [...withCombination(parts), fingerprint()], clock.monotonicMs()),
+      suspects.findCondemned(() => [...parts, fingerprint()], clock.monotonicMs()),
     isSuspected: ({ fingerprint }) => suspects.isSuspected(fingerprint, clock.monotonicMs()),
     ownReports: (nowMs) => {
       crashes = crashes
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -207,7 +207,6 @@
       calls.onCondemned();
       streams.onCondemned();
     },
-    hash64: environment.hashes.hash64,
   });
   const ports = createPorts(environment, {
     fleet,
--- a/packages/router/src/forward/state-message.ts
+++ b/packages/router/src/forward/state-message.ts
@@ -1,4 +1,4 @@
-import { asId, CONDEMNED_MS } from '@mimosamill/core';
+import { asId, CONDEMNED_MS, partSetId } from '@mimosamill/core';
 import { MESSAGE_FORMAT } from './state-schema';
 import type { CrashReports } from './crash-guard';
 import type { ServiceRetryTotals } from './retry-budgets';
@@ -175,7 +175,7 @@
       crash.serverId,
       crash.failureDomain,
       ageOf(crash.atMs),
-      crash.combination,
+      crash.parts.length === 0 ? undefined : partSetId(crash.parts),
       [...crash.parts],
       crash.fingerprint,
       crash.isStream,
@@ -196,12 +196,11 @@
 ): CrashReports {
   return {
     crashes: crashes.map(
-      ([requestId, serverId, domain, ageMs, combination, parts, fingerprint, isStream]) => ({
+      ([requestId, serverId, domain, ageMs, , parts, fingerprint, isStream]) => ({
         requestId: asId(requestId),
         serverId: asId(serverId),
         failureDomain: asId(domain),
         atMs: nowMs - ageMs,
-        combination: combination === undefined ? undefined : asId<PromptPartId>(combination),
         parts: parts.map((part) => asId<PromptPartId>(part)),
         fingerprint: asId(fingerprint ?? requestId),
         isStream: isStream ?? true,
--- a/packages/router/src/forward/state-schema.ts
+++ b/packages/router/src/forward/state-schema.ts
@@ -41,6 +41,7 @@
   serverId: string,
   failureDomain: string,
   ageMs: number,
+  /** Read by earlier releases only. */
   combination: string | undefined,
   parts: string[],
   /** Absent from a router of an earlier release, as is the next field. */
