Take an engine for a survivor of a request only after a second of events

Cause: the first event counted as the proof that an engine survives the request. A crash behind it was not counted, the event cleared the parts of all crashes before, a condemned stream that had begun was sent on, and plain calls counted a crash only before the head of an answer.

An engine has survived when it goes on for a second after the first event, or ends an answer that it gave from the start. A connection that breaks before is a crash if the engine is down; the next engine is chosen once that is known. A begun stream that no engine has survived goes on only if it is not condemned.

--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -280,24 +280,25 @@
         if (hasAll(crash.parts, members)) {
           return members.has(id) ? [{ ...crash, isExplained: true }] : [];
         }
-        return isExplainedElsewhere(crash) ? [] : [crash];
+        return wasAtSameServer(crash) ? [] : [crash];
       });
     });
   }
 
-  function isExplainedElsewhere({ serverId, atMs }: ServerCrash): boolean {
+  /** Whether a crash that is explained has ended the same server. */
+  function wasAtSameServer({ serverId, atMs }: ServerCrash): boolean {
     return explained.some(
       (known) => known.serverId === serverId && Math.abs(known.atMs - atMs) < DOMAIN_MERGE_MS,
     );
   }
 
   /** Whether a condemned set of parts explains the crash, so that it is evidence against nothing else. */
-  function isExplained(crash: ServerCrash): boolean {
+  function hasExplanation(crash: ServerCrash): boolean {
     const held = new Set<SuspectMember>(crash.parts);
     const hasCondemned = [...condemnedUntilMs].some(
       ([suspect, untilMs]) => crash.atMs < untilMs && isHeldBy(suspect, held),
     );
-    return hasCondemned || isExplainedElsewhere(crash);
+    return hasCondemned || wasAtSameServer(crash);
   }
 
   /** Forgets crashes up to this time, and that the suspect was condemned; true if there was any of it. */
@@ -352,7 +353,7 @@
       expire(crash.atMs);
       const { parts, fingerprint } = crash;
       // The request was sent before the condemnation, or its crash is reported late.
-      if (isExplained(crash)) return [];
+      if (hasExplanation(crash)) return [];
       new Set<SuspectMember>([...parts, fingerprint]).forEach((member) => addCrash(member, crash));
       const content = judgeContent(crash);
       if (content !== undefined) setCondemned(content);
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -27,6 +27,8 @@
   /** The engine had no other prefill of this router's, so the time to the first event measures one. */
   readonly isOnlyPrefill: boolean;
   readonly isResumedFromCopy: boolean;
+  /** The engine runs the whole stream, not the rest of one. */
+  readonly isFromStart: boolean;
   /** KV cache that the run is expected to need on the engine. */
   readonly memoryTokens: number;
   /** No router was known to have a prefill there, and few streams ran. */
@@ -47,6 +49,9 @@
   /** Judges the time to the first event, then the pace of the events. */
   timer: AnswerTimer;
   hasEvents: boolean;
+  firstEventAtMs: number | undefined;
+  /** The engine has gone on after its first events, so the request did not crash it. */
+  hasSurvived: boolean;
   isOver: boolean;
 }
 
@@ -57,6 +62,7 @@
   engine: ServerState,
   copyHolder: ServerState | undefined,
   isResumedFromCopy: boolean,
+  isFromStart: boolean,
   memoryTokens: number,
   placed: PlacedEngine,
   timer: AnswerTimer,
@@ -72,6 +78,7 @@
     sentAtMs: nowMs,
     isOnlyPrefill: engine.prefills.size === 0,
     isResumedFromCopy,
+    isFromStart,
     memoryTokens,
     wasEngineIdle: placed.isLightlyLoaded,
     promptSize: placed.promptSize,
@@ -85,6 +92,8 @@
     eventCount: 0,
     timer,
     hasEvents: false,
+    firstEventAtMs: undefined,
+    hasSurvived: false,
     isOver: false,
   };
 }
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -272,11 +272,10 @@
     async function onBroken(): Promise<void> {
       cancelConnectTimeout();
       endingAttempts.add(attemptNo);
-      if (answer === undefined) {
-        const { requestId } = head;
-        const attempt = { requestId, isStream: false, serverId, address, failureDomain, content };
-        await crashGuard.onBrokenAttempt(attempt);
-      }
+      // Also behind the head of an answer: a server may crash while it writes the rest.
+      const { requestId } = head;
+      const attempt = { requestId, isStream: false, serverId, address, failureDomain, content };
+      await crashGuard.onBrokenAttempt(attempt);
       finishAttempt({ kind: 'unknown' }, 'broken');
       // Another attempt of the call may be running.
       const condemnation = crashGuard.findCondemned(content);
--- a/packages/router/src/forward/loss-report.ts
+++ b/packages/router/src/forward/loss-report.ts
@@ -31,7 +31,7 @@
   readonly onSilence: (attempt: StreamAttempt, nowMs: number) => void;
   /** Reports an attempt whose engine sends nothing, but which the stream can't leave. */
   readonly onHeld: (attempt: StreamAttempt) => void;
-  /** Reports an attempt whose connection broke before its first event. */
+  /** Reports an attempt whose connection broke before its engine had survived the request. */
   readonly onBroken: (attempt: StreamAttempt) => Promise<void>;
 }
 
@@ -114,7 +114,7 @@
     queueMicrotask(() => onDomainSuspected(domain));
   }
 
-  /** The engine may have crashed on beginning to answer this prompt. */
+  /** The engine may have crashed on this prompt. */
   async function onBroken(attempt: StreamAttempt): Promise<void> {
     const state = fleet.get(attempt.engineId);
     if (state === undefined) return;
--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -72,6 +72,8 @@
 /** An error response with a larger body counts as garbled. */
 const ERROR_BODY_MAX_BYTES = 65_536;
 const CONNECT_TIMEOUT_MS = 200;
+/** An engine that goes on for so long after the first event of an answer has survived the request. */
+const SURVIVAL_MS = 1_000;
 /** Losses with which the connection of an attempt ends when its engine crashes. */
 const BROKEN_LOSSES: ReadonlySet<AttemptLoss> = new Set(['reset', 'garbled']);
 
@@ -93,6 +95,8 @@
   let current: StreamAttempt | undefined;
   let isOver = false;
   let failoverCount = 0;
+  /** An engine has survived the request, so that it may go on elsewhere whatever is condemned. */
+  let hasSurvived = false;
   let cancelWait: (() => void) | undefined;
   const { promptTokens } = head;
   const copies = createStreamKvCopies(ports, request);
@@ -222,7 +226,7 @@
 
   function send(effect: Extract<ForwardStreamEffect, { kind: 'send' }>): void {
     const nowMs = clock.monotonicMs();
-    const condemnation = stream.hasBegun() ? undefined : ports.crashGuard.findCondemned(content);
+    const condemnation = hasSurvived ? undefined : ports.crashGuard.findCondemned(content);
     if (condemnation !== undefined) {
       reportUnplaced(effect.attemptNo, 'condemned', condemnedMessage(condemnation));
       return;
@@ -305,6 +309,7 @@
       engine,
       copyHolder,
       isFromCopy,
+      effect.lastEventId === undefined,
       engineChoice.memoryTokensOf(isFromCopy),
       placed,
       ports.versionMoves.trackAttempt(placed.engineId, 'answer'),
@@ -406,6 +411,8 @@
           failAttempt(attempt, 'reset', 'reset', 'the connection ended without an event');
           return;
         }
+        // The rest of a stream may be too short for its engine to crash on it.
+        if (attempt.isFromStart) onSurvived(attempt);
         closeAttempt(attempt);
         copies.release(attempt);
         dispatch({ kind: 'end', attemptNo: attempt.attemptNo });
@@ -489,7 +496,7 @@
     ports.connections.onReceived(attempt.engine);
     if (!attempt.hasEvents) {
       attempt.hasEvents = true;
-      ports.crashGuard.onAnswered(content);
+      attempt.firstEventAtMs = nowMs;
       timing.startPacePhase(attempt);
       fleet.onFirstEvent(attempt.engineId, requestId, nowMs);
       ports.stateBroadcast.sendWithNext();
@@ -501,10 +508,19 @@
       const lastEventAtMs = timing.lastEventAtMs();
       if (lastEventAtMs !== undefined) onResumed(attempt, nowMs - lastEventAtMs, nowMs);
     }
+    if (nowMs - (attempt.firstEventAtMs ?? nowMs) >= SURVIVAL_MS) onSurvived(attempt);
     timing.onEvents(attempt, events.length, nowMs);
     dispatch({ kind: 'events', attemptNo: attempt.attemptNo, events });
   }
 
+  /** An engine that crashes on a request may have sent the first events of its answer. */
+  function onSurvived(attempt: StreamAttempt): void {
+    if (attempt.hasSurvived) return;
+    attempt.hasSurvived = true;
+    hasSurvived = true;
+    ports.crashGuard.onAnswered(content);
+  }
+
   function onResumed(attempt: StreamAttempt, gapMs: number, nowMs: number): void {
     ports.metrics.onResumeGap(gapMs);
     log.onResumed(attempt, gapMs, nowMs);
@@ -558,12 +574,12 @@
     const nowMs = clock.monotonicMs();
     if (loss === 'failed' || loss === 'garbled') attempt.timer.onAnswered(true);
     closeAttempt(attempt);
-    if (!attempt.hasEvents && !stream.hasBegun() && BROKEN_LOSSES.has(loss)) {
-      boundary.watch(losses.onBroken(attempt));
-    }
     if (failure !== undefined) losses.onFailure(attempt, failure, nowMs, loss, message);
     else ports.metrics.onLoss(loss);
-    dispatch({ kind: 'lost', attemptNo: attempt.attemptNo, loss });
+    const lost: ForwardStreamEvent = { kind: 'lost', attemptNo: attempt.attemptNo, loss };
+    if (attempt.hasSurvived || !BROKEN_LOSSES.has(loss)) dispatch(lost);
+    // The next engine is chosen once it is known whether the stream crashed this one.
+    else boundary.watch(losses.onBroken(attempt).then(() => dispatch(lost)));
   }
 
   const start = boundary.wrap(() => {
