Take an unframed answer of a plain service for an unknown outcome

Reported of other systems: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written, and the client gets the part as a complete answer.

Forwarded traffic does not do it: streams, bookings and lookups hold with a reset or close behind 0, 5, 40 and 300 ms, before any change. Plain calls of our own interface did, in 12 of 12 tests: undici takes the reset of a response without a length for its end, and nothing there can confirm that it is whole. The outcome of such a call is unknown now.

early-answer.spec.ts: 12 of 20 fail before, all pass now.

--- a/packages/adapters/src/service/http.ts
+++ b/packages/adapters/src/service/http.ts
@@ -75,6 +75,9 @@
     singleValue(outcome.fields, 'x-request-id') === call.requestId &&
     singleValue(outcome.fields, 'x-attempt') === String(call.attemptNo);
   if (!isOwn) return { kind: 'unknown', message: 'the response is for another request or attempt' };
+  if (outcome.framing === 'connection') {
+    return { kind: 'unknown', message: 'the response has no length, so it may have been cut off' };
+  }
   if (outcome.status === 503) return parseRefusal(outcome.body);
   return { kind: 'ok', status: outcome.status, body: outcome.body };
 }
