Contain exceptions of streams on our own interface, and break off failed responses

The error boundary of forwarded requests serves both now; a stream that fails ends with `backend_failed` and an unknown outcome. A response that has begun is closed instead of ended.

--- a/packages/adapters/src/runtime/http.ts
+++ b/packages/adapters/src/runtime/http.ts
@@ -235,8 +235,9 @@
 }
 
 export function sendError(res: ServerResponse, error: ServeError): void {
+  // The end of a response that has begun would make what was sent of it look whole.
   if (res.headersSent) {
-    res.end();
+    res.destroy();
     return;
   }
   if (error.retryAfterMs !== undefined) {
--- a/packages/adapters/test/http.spec.ts
+++ b/packages/adapters/test/http.spec.ts
@@ -48,4 +48,21 @@
       expect(JSON.parse(outcome.kind === 'ok' ? outcome.body : '')).toEqual({ error });
     },
   );
+
+  // Guards against a part of a response that looks whole.
+  it('breaks off the response of a handler that fails in the middle of it', async () => {
+    server = createHttpServer();
+    http = createHttpClient();
+    server.app.get('/broken', (_req, res) => {
+      res.writeHead(200, { 'content-type': 'text/plain' });
+      res.write('part of');
+      return new Promise((_resolve, reject) => {
+        setTimeout(() => reject(new Error('broken')), 20);
+      });
+    });
+    const port = await server.listen('127.0.0.1', 0);
+    const url = `http://127.0.0.1:${port}/broken`;
+    const outcome = await http.fetch(url, { method: 'GET', timeoutMs: 20_000 });
+    expect(outcome.kind).toBe('no_answer');
+  });
 });
--- a/packages/router/src/compose.ts
+++ b/packages/router/src/compose.ts
@@ -366,6 +366,7 @@
   provide(STREAMS, () =>
     createStreams({
       clock: resolve(CLOCK),
+      log: resolve(LOG),
       engines: resolve(ENGINES),
       directory: resolve(BACKENDS),
       replicas: resolve(REPLICAS),
--- a/packages/router/src/error-boundary.ts
+++ b/packages/router/src/error-boundary.ts
@@ -1,5 +1,3 @@
-import { createServeError } from '@mimosamill/core';
-import type { DecisionFields, DecisionLog } from '@mimosamill/adapters';
 import type { ServeError } from '@mimosamill/core';
 
 /**
@@ -13,18 +11,17 @@
   readonly watch: (running: Promise<unknown>) => void;
 }
 
-/** `request` names the request in the log; `endRequest` gets the error that its caller is to get. */
+/** `report` logs an exception and returns the error with which `endRequest` ends the request. */
 export function createErrorBoundary(
-  decisions: DecisionLog,
-  request: DecisionFields,
+  report: (cause: unknown) => ServeError,
   endRequest: (error: ServeError) => void,
 ): ErrorBoundary {
   function contain(cause: unknown): void {
-    const error = reportHandlingError(decisions, request, cause);
+    const error = report(cause);
     try {
       endRequest(error);
     } catch (next) {
-      reportHandlingError(decisions, request, next);
+      report(next);
     }
   }
 
@@ -43,16 +40,3 @@
     },
   };
 }
-
-/** Logs an exception in the handling of a request; the request may have run. */
-export function reportHandlingError(
-  decisions: DecisionLog,
-  request: DecisionFields,
-  cause: unknown,
-): ServeError {
-  decisions.vital('request.handling_failed', {
-    ...request,
-    problem: cause instanceof Error ? cause.stack : String(cause),
-  });
-  return createServeError('backend_failed', 'the router failed to handle the request', 'unknown');
-}
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -1,8 +1,9 @@
 import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
 import { createWakeTimer, createDeferred } from '../call/async';
+import { createErrorBoundary } from '../error-boundary';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
-import { createErrorBoundary } from './error-boundary';
+import { reportHandlingError } from './handling-error';
 import { withRoomTime } from './room';
 import { isSameServerRunning } from './server-identity';
 import { applyServerStatus } from './server-status';
@@ -102,10 +103,13 @@
   const refusedBy = new Set<ServerId>();
   /** Cancels an attempt that is still running, and says why. */
   const cancels = new Map<number, (cause: 'overtaken' | 'abandoned') => void>();
-  const boundary = createErrorBoundary(decisions, { request: head.requestId }, (error) => {
-    result.resolve({ kind: 'error', error });
-    abandon();
-  });
+  const boundary = createErrorBoundary(
+    (cause) => reportHandlingError(decisions, { request: head.requestId }, cause),
+    (error) => {
+      result.resolve({ kind: 'error', error });
+      abandon();
+    },
+  );
   const alarm = createWakeTimer(
     clock,
     boundary.wrap(() => apply(call.onEvent({ kind: 'tick' }, clock.monotonicMs()))),
--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -1,12 +1,13 @@
 import { assertNever, createEventSplitter, createForwardStream, urgencyOf } from '@mimosamill/core';
 import { createWakeTimer } from '../call/async';
+import { createErrorBoundary } from '../error-boundary';
 import { admitStream } from './admission';
 import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
 import { createStreamEngineChoice } from './engine-choice';
-import { createErrorBoundary } from './error-boundary';
+import { reportHandlingError } from './handling-error';
 import { createStreamLossReport } from './loss-report';
 import { withRoomTime } from './room';
 import { classifyResponseHead } from './response-head';
@@ -106,7 +107,10 @@
     currentAttempt: () => current,
     hasBegun: () => stream.hasBegun(),
   });
-  const boundary = createErrorBoundary(ports.decisions, { request: requestId }, endAfterError);
+  const boundary = createErrorBoundary(
+    (cause) => reportHandlingError(ports.decisions, { request: requestId }, cause),
+    endAfterError,
+  );
   const alarm = createWakeTimer(
     clock,
     boundary.wrap(() => dispatch({ kind: 'tick' })),
--- a/packages/router/src/stream/ports.ts
+++ b/packages/router/src/stream/ports.ts
@@ -1,4 +1,4 @@
-import type { Clock, EngineClient, Metrics, TraceSpan } from '@mimosamill/adapters';
+import type { Clock, EngineClient, Log, Metrics, TraceSpan } from '@mimosamill/adapters';
 import type {
   EngineId,
   EngineServiceConfig,
@@ -88,6 +88,7 @@
 
 export interface StreamPorts {
   readonly clock: Clock;
+  readonly log: Log;
   readonly engines: EngineClient;
   readonly directory: EngineDirectory;
   readonly replicas: Pick<
--- a/packages/router/src/stream/stream.ts
+++ b/packages/router/src/stream/stream.ts
@@ -1,4 +1,5 @@
 import { assertNever, createServeError, createStreamSession } from '@mimosamill/core';
+import { createErrorBoundary } from '../error-boundary';
 import { createAttempts } from './attempts';
 import { condemnedError, journalLostError, noEngineError } from './failure';
 import type { AttemptEvent } from '@mimosamill/adapters';
@@ -80,6 +81,10 @@
   );
   const promptTokens = request.prompt.split(/\s+/u).length;
   const attempts = createAttempts(ports, requestId);
+  const boundary = createErrorBoundary(reportError, (error) => {
+    if (end === undefined) finish({ kind: 'error', error });
+    reader?.onProgress();
+  });
   /** Engines that failed or refused this request; tried again only if no other engine is left. */
   const avoidedEngines = new Set<EngineId>();
   /** Losses that are handled once a caller connects; nothing is generated for an absent caller. */
@@ -102,6 +107,13 @@
   /** Number of tokens that the caller has; an attempt that repeats them could generate others. */
   let callerTokens = 0;
 
+  function reportError(cause: unknown): ServeError {
+    const problem = cause instanceof Error ? cause.stack : String(cause);
+    ports.log.error('the handling of a stream failed', { request: requestId, problem });
+    const message = 'the router failed to handle the request';
+    return createServeError('backend_failed', message, 'unknown');
+  }
+
   function createSession(known: readonly string[]): StreamSession {
     return createStreamSession(
       {
@@ -164,7 +176,11 @@
     }
     lossAtMs ??= clock.monotonicMs();
     metrics.onResumeStarted(cause);
-    resumes.schedule(requestId, lossAtMs, () => placeAttempt(attemptNo, placeByMs));
+    resumes.schedule(
+      requestId,
+      lossAtMs,
+      boundary.wrap(() => placeAttempt(attemptNo, placeByMs)),
+    );
   }
 
   function completeResume(): void {
@@ -201,8 +217,9 @@
         failAttempt(attemptNo, condemnedError(runState()));
         break;
       case 'wait':
-        clock.runAfter(admission.delayMs, () =>
-          placeAttempt(attemptNo, placeByMs + admission.delayMs),
+        clock.runAfter(
+          admission.delayMs,
+          boundary.wrap(() => placeAttempt(attemptNo, placeByMs + admission.delayMs)),
         );
         break;
       case 'run':
@@ -231,9 +248,10 @@
       failAttempt(attemptNo, noEngineError(found.reason, runState()));
       return;
     }
+    const retry = boundary.wrap(() => placeAttempt(attemptNo, placeByMs));
     clock.runAfter(PLACEMENT_RETRY_MS, () => {
-      if (lossAtMs === undefined) placeAttempt(attemptNo, placeByMs);
-      else resumes.schedule(requestId, lossAtMs, () => placeAttempt(attemptNo, placeByMs));
+      if (lossAtMs === undefined) retry();
+      else resumes.schedule(requestId, lossAtMs, retry);
     });
   }
 
@@ -384,7 +402,7 @@
     return meanLoadOf(known.filter(({ engineId }) => !others.has(engineId)));
   }
 
-  function onAttemptEvent(event: AttemptEvent): void {
+  const onAttemptEvent = boundary.wrap((event: AttemptEvent): void => {
     if (end !== undefined) return;
     switch (event.kind) {
       case 'token':
@@ -402,7 +420,7 @@
       default:
         assertNever(event);
     }
-  }
+  });
 
   function onToken(event: Extract<AttemptEvent, { kind: 'token' }>): void {
     attempts.onToken(event.attemptNo);
@@ -421,11 +439,12 @@
     // A request that never reached the engine cannot have crashed it, even if the engine is down.
     if (cause === 'connect_failed') attempts.closeAsNotRun(attemptNo, 'failed');
     // The requests of a dead engine become suspects, so its state is checked before the close.
-    void directory.confirmDown(endpoint.engineId).then((isDown) => {
+    const whenKnown = directory.confirmDown(endpoint.engineId).then((isDown) => {
       attempts.close(attemptNo, 'failed', isDown ? 'lost' : 'failed');
       giveUpVersion();
       whileConnected(() => loseAttempt(attemptNo, cause));
     });
+    boundary.watch(whenKnown);
   }
 
   function onRefused(
@@ -528,10 +547,10 @@
       detachedSinceMs = clock.monotonicMs();
     },
     wakeAtMs: () => (end === undefined ? session.wakeAtMs() : undefined),
-    wake: () => {
+    wake: boundary.wrap(() => {
       if (end !== undefined || reader === undefined) return;
       apply(session.onEvent({ kind: 'tick' }, clock.monotonicMs()));
-    },
+    }),
     detachedSinceMs: () => detachedSinceMs,
     abandon: () => {
       if (end !== undefined) return;
--- a/packages/router/test/error-boundary.spec.ts
+++ b/packages/router/test/error-boundary.spec.ts
@@ -1,15 +1,15 @@
 import { describe, expect, it } from 'vitest';
-import { createErrorBoundary } from '../../src/forward/error-boundary';
-import type { DecisionLog } from '@mimosamill/adapters';
+import { createServeError } from '@mimosamill/core';
+import { createErrorBoundary } from '../src/error-boundary';
 
 function createBoundary(endRequest: () => void = () => undefined) {
   const logged: string[] = [];
   const ended: string[] = [];
-  const decisions = {
-    vital: (event: string, { request }: { readonly request?: unknown }) =>
-      logged.push(`${event} ${String(request)}`),
-  } as unknown as DecisionLog;
-  const boundary = createErrorBoundary(decisions, { request: 'r1' }, ({ code, runState }) => {
+  const report = (cause: unknown) => {
+    logged.push(String(cause));
+    return createServeError('backend_failed', 'failed', 'unknown');
+  };
+  const boundary = createErrorBoundary(report, ({ code, runState }) => {
     ended.push(`${code} ${runState}`);
     endRequest();
   });
@@ -25,7 +25,7 @@
   it('ends the request with an unknown outcome when a step fails', () => {
     const { boundary, logged, ended } = createBoundary();
     boundary.wrap(fail)();
-    expect([logged, ended]).toEqual([['request.handling_failed r1'], ['backend_failed unknown']]);
+    expect([logged, ended]).toEqual([['Error: a step fails'], ['backend_failed unknown']]);
   });
 
   it('does the same for a promise that nobody waits for', async () => {
--- a/packages/router/test/stream-world.ts
+++ b/packages/router/test/stream-world.ts
@@ -1,4 +1,4 @@
-import { loadHashFunctions, createMetrics, createTracer } from '@mimosamill/adapters';
+import { loadHashFunctions, createLog, createMetrics, createTracer } from '@mimosamill/adapters';
 import { asId } from '@mimosamill/core';
 import {
   createEngineGroup,
@@ -99,6 +99,7 @@
         runAfter: (delayMs, fn) => clock.runAfter(delayMs, () => router.isAlive && fn()),
         runEvery: (periodMs, fn) => clock.runEvery(periodMs, () => router.isAlive && fn()),
       },
+      log: createLog('test', 'silent'),
       engines: createClient(router),
       directory: createDirectory(),
       replicas: {
--- a/packages/router/test/stream.spec.ts
+++ b/packages/router/test/stream.spec.ts
@@ -104,6 +104,28 @@
     expect(completeCount).toBe(callers.length);
   });
 
+  // Guards against one stream whose handling fails in the router, and ends the process or never ends.
+  it('end with an error if their handling fails, and leave the others alone', async () => {
+    const world = createStreamWorld(5);
+    let tokens = 0;
+    const failing = world.call('a', {
+      permit: {
+        onFirstToken: () => undefined,
+        onTokens: () => {
+          tokens += 1;
+          if (tokens === 3) throw new Error('the handling fails');
+        },
+        onOverloaded: () => undefined,
+        onEnd: () => undefined,
+      },
+    });
+    const sound = world.call('b');
+    await world.time.run(END_MS);
+    expect([failing.end, failing.runState]).toEqual(['backend_failed', 'unknown']);
+    expect(failing.texts.length).toBeLessThan(TOKENS);
+    expect([sound.end, sound.texts]).toEqual(['finish', world.expectedTexts('b')]);
+  });
+
   // Guards against unintended changes in the order of losses, resumes and takeovers.
   it('match the recorded events of a killed engine, a paused one and a dead router', async () => {
     const [world, [caller]] = await runWithFaults(
