--- a/packages/router/test/forward/crash-guard.spec.ts
+++ b/packages/router/test/forward/crash-guard.spec.ts
@@ -128,3 +128,40 @@
     expect(refusesSound()).toEqual([false, false, false]);
   });
 });
+
+// Guards against refusing all requests of a customer after a quiet minute: no router knows of an answer then.
+describe('routers none of which knows an answer to the part that all prompts share', () => {
+  it('refuse prompts that have the deadly part besides, and serve the sound ones', async () => {
+    const { clock, guards, crashAt, refusesSound } = createGuardFleet(3);
+    const crashes = [
+      [0, 'r1'],
+      [1, 'r2'],
+      [0, 'r1'],
+      [2, 'r3'],
+      [1, 'r2'],
+    ] as const;
+    for (const [router, request] of crashes) {
+      await crashAt(router, request);
+      clock.advance(400);
+      expect(refusesSound()).toEqual([false, false, false]);
+    }
+    const deadly = createContent('r9', SHARED, asId<PromptPartId>('session-r9'), DEADLY);
+    const refused = guards.map((guard) => guard.findCondemned(deadly) !== undefined);
+    expect(refused).toEqual([true, true, true]);
+  });
+
+  it('serve such prompts again at all of them once a server has survived one', async () => {
+    const { clock, guards, crashAt } = createGuardFleet(3);
+    const content = createContent('r9', SHARED, DEADLY);
+    for (const request of ['r1', 'r2', 'r3']) {
+      await crashAt(0, request);
+      clock.advance(400);
+    }
+    expect(guards.every((guard) => guard.findCondemned(content) !== undefined)).toBe(true);
+    guards[2]?.onAnswered(content);
+    clock.advance(10 * DELIVERY_MS);
+    expect(guards.map((guard) => guard.findCondemned(content))).toEqual(
+      guards.map(() => undefined),
+    );
+  });
+});
