--- a/packages/router/src/forward/ingress.ts
+++ b/packages/router/src/forward/ingress.ts
@@ -3,18 +3,16 @@
   createBodyReader,
   createHttpServer,
   DEFAULT_HTTP_LIMITS,
-  isBodyOutstanding,
   releaseAtEnd,
-  respondBeforeBody,
 } from '@mimosamill/adapters';
 import { finiteMs } from './finite';
+import { createCallerResponses } from './caller-response';
 import { createRequestContent } from './content';
 import { condemnedMessage } from './crash-guard';
 import { reportHandlingError } from './handling-error';
 import { noRoomForMs } from './room';
 import { isSuccessStatus } from './status';
 import { bodyError } from './request-body';
-import { createUnsentTracker } from './unsent';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { HttpServer } from '@mimosamill/adapters';
 import type {
@@ -29,7 +27,7 @@
 } from '@mimosamill/core';
 import type { CallForwarder, RunningCall, BufferedResponse } from './call';
 import type { AdmissionTerms, ForwardPorts, ForwardRequest } from './ports';
-import type { StreamForwarder, StreamSink } from './stream';
+import type { StreamForwarder } from './stream';
 
 /** The configuration in use, and its age. */
 export interface CurrentConfig {
@@ -131,7 +129,8 @@
     },
   );
   const bodies = createBodyReader(ports.memory, clock.monotonicMs);
-  const trackUnsent = createUnsentTracker(ports.memory, clock);
+  const { sendError, sendErrorOrClose, sendCutError, sendWhole, createSink } =
+    createCallerResponses(ports);
 
   /** An exception that nobody handles would end the process, and with it all other requests. */
   function onHandlingFailed(req: IncomingMessage, res: ServerResponse, cause: unknown): void {
@@ -140,16 +139,6 @@
     sendErrorOrClose(res, reportHandlingError(decisions, fields, cause));
   }
 
-  /** For a request whose handling has failed: another exception must not end the process either. */
-  function sendErrorOrClose(res: ServerResponse, error: ServeError): void {
-    try {
-      sendError(res, error);
-    } catch (cause) {
-      reportHandlingError(decisions, {}, cause);
-      res.destroy();
-    }
-  }
-
   async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const receivedAtMs = clock.monotonicMs();
     if (drainUntilMs !== undefined) res.setHeader('connection', 'close');
@@ -356,29 +345,6 @@
     sendError(res, error);
   }
 
-  function sendError(res: ServerResponse, error: ServeError): void {
-    if (res.headersSent || res.destroyed) {
-      res.destroy();
-      return;
-    }
-    const answer = codec.toErrorResponse(error);
-    const isEarly = error.code === 'body_too_large' || isBodyOutstanding(res.req);
-    if (isEarly) res.setHeader('connection', 'close');
-    res.writeHead(answer.status, answer.headers);
-    if (isEarly) respondBeforeBody(res, answer.body);
-    else res.end(answer.body);
-  }
-
-  function sendWhole(res: ServerResponse, answer: BufferedResponse): void {
-    if (res.destroyed) return;
-    res.writeHead(answer.head.status, {
-      ...codec.toCallerHeaders(answer.head.fields),
-      'content-length': answer.body.length,
-    });
-    res.end(answer.body);
-    trackUnsent(res).onWritten();
-  }
-
   async function serveCall(request: ForwardRequest, res: ServerResponse): Promise<void> {
     const runningCall = calls.forward(request);
     active.set(res, () => {
@@ -458,36 +424,6 @@
     return createServeError('backend_failed', message, 'unknown');
   }
 
-  function sendCutError(res: ServerResponse, error: ServeError): void {
-    if (!res.headersSent) res.setHeader('connection', 'close');
-    sendError(res, error);
-  }
-
-  function createSink(res: ServerResponse): StreamSink {
-    const unsent = trackUnsent(res);
-    /** Without a head, Node.js would send one with status 200. */
-    const requireHead = (): void => {
-      if (!res.headersSent) throw new Error('the body of a response begins without its head');
-    };
-    return {
-      writeHead: ({ status, fields }) => {
-        res.writeHead(status, codec.toCallerHeaders(fields));
-      },
-      write: (bytes) => {
-        requireHead();
-        res.write(bytes);
-        unsent.onWritten();
-      },
-      end: () => {
-        requireHead();
-        res.end();
-      },
-      sendErrorResponse: (head, body) => sendWhole(res, { head, body }),
-      fail: (error) => sendErrorOrClose(res, error),
-      abort: () => res.destroy(),
-    };
-  }
-
   return {
     shell,
     startDraining: (cutAtMs) => {
