Take the ports of test processes from below the range for outgoing connections

The bench package took a port from the system, released it and gave it to a process that listens half a second later; any outgoing connection can have it by then. The stand-in of the platform had the same search with lower ports already, so there is one now.

--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import { createHttpClient } from '@mimosamill/adapters';
+import { findFreePort } from '@mimosamill/fakes';
 import { createRelay } from './relay';
-import { findFreePort, startBinary } from './process';
+import { startBinary } from './process';
 import type { HttpClient } from '@mimosamill/adapters';
 import type { FleetProcess } from './process';
 import type { Relay } from './relay';
--- a/packages/bench/src/fleet/process.ts
+++ b/packages/bench/src/fleet/process.ts
@@ -1,12 +1,10 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { ChildProcess } from 'node:child_process';
-import type { AddressInfo } from 'node:net';
 
 /** A child process of this one. */
 export interface FleetProcess {
@@ -128,15 +126,3 @@
     process.once(signal, () => process.exit(SIGNAL_EXIT_CODE));
   });
 }
-
-/** Finds a free port; another process may take it before the caller listens on it. */
-export function findFreePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -10,7 +10,7 @@
 } from './fleet/setup';
 export { readStream } from './fleet/caller';
 export type { CallerOptions, CallerResult } from './fleet/caller';
-export { findFreePort, startBinary } from './fleet/process';
+export { startBinary } from './fleet/process';
 export type { BinaryName, FleetProcess } from './fleet/process';
 export { createRelay } from './fleet/relay';
 export type { Relay } from './fleet/relay';
--- a/packages/bench/src/measure/relay/relay.ts
+++ b/packages/bench/src/measure/relay/relay.ts
@@ -1,6 +1,7 @@
 import { request } from 'undici';
+import { findFreePort } from '@mimosamill/fakes';
 import { startFleet } from '../../fleet/fleet';
-import { findFreePort, startBinary } from '../../fleet/process';
+import { startBinary } from '../../fleet/process';
 import { commitSampleConfig, SAMPLE, startEngines } from '../../fleet/setup';
 import { medianOf, quantileOf, round } from '../stats';
 import type { Fleet } from '../../fleet/fleet';
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -43,3 +43,6 @@
 export type { VirtualProcess, VirtualTime } from './virtual-time';
 export { createEngineGroup } from './engine/group';
 export type { EngineGroup, EngineGroupOptions } from './engine/group';
+
+// ports of processes
+export { findFreePort } from './free-port';
