Compare what was at crashed engines before parts of prompts are condemned

Reports of one engine's crash are now taken as one crash. A set of parts is not condemned while one content was at all of its crashes, or other parts that explain more crashes or refuse fewer prompts do; where nothing tells them apart, six crashes are needed. A verdict that a late report of another router could change waits for 150 ms, and the next attempt of the request with it.

--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -32,6 +32,13 @@
   readonly atMs: number;
 }
 
+/** What follows from a crash at once. */
+export interface CrashVerdict {
+  readonly condemned: readonly Condemnation[];
+  /** Reports that are still to come may decide which of several parts is at fault. */
+  readonly isUnsettled: boolean;
+}
+
 /** 'refuted': a server answered a request with the suspect shortly before. */
 export type CondemnOutcome = 'adopted' | 'ignored' | 'refuted';
 
@@ -45,8 +52,9 @@
  * there are suspects.
  */
 export interface CrashSuspects {
-  /** Returns what this crash condemns. */
-  readonly onCrash: (crash: ServerCrash) => readonly Condemnation[];
+  readonly onCrash: (crash: ServerCrash) => CrashVerdict;
+  /** All routers have had time to report what else was at the server; returns what the crash condemns then. */
+  readonly onSettled: (crash: ServerCrash) => readonly Condemnation[];
   /**
    * A server has survived a request with all of these, here or at another router. Returns what was
    * suspected or condemned. An answer of shortly before a condemnation lifts it as well, unless that
@@ -110,6 +118,8 @@
  * may be chance, and would refuse all sound requests with the part.
  */
 const CRASHES_MIN_BESIDE_EXPLAINED = 2;
+/** Crashes that condemn parts although others were at the same servers each time. */
+const CRASHES_MIN_OF_TIED = 6;
 /** From this number of crashes on, and by any crash after a condemnation, the full time applies. */
 const CRASHES_MIN_OF_FULL_TIME = 3;
 /** Long enough for crashed servers to restart, so that one more crash leaves others up. */
@@ -141,10 +151,27 @@
 interface Candidate {
   readonly suspect: SuspectId;
   readonly members: readonly PromptPartId[];
+  /** All parts that the crashed prompts have in common, also those that were answered lately. */
+  readonly common: ReadonlySet<SuspectMember>;
+  readonly crashes: readonly CountedCrash[];
   readonly count: number;
-  readonly isDue: boolean;
+  readonly crashesMin: number;
 }
 
+/** What else may be at fault in the crashes under it. */
+interface Rival {
+  readonly isContent: boolean;
+  readonly crashes: readonly CountedCrash[];
+  /** Parts that its crashed prompts have in common. */
+  readonly parts: ReadonlySet<SuspectMember>;
+}
+
+/**
+ * How a candidate compares with others that explain all of its crashes. 'beaten': one of them explains more, or
+ * refuses fewer prompts. 'tied': there is no telling which of them is at fault.
+ */
+type Rivalry = 'none' | 'tied' | 'beaten';
+
 export function createCrashSuspects(): CrashSuspects {
   const records = new Map<SuspectMember, SuspectRecord>();
   /** When a server last survived a request with the suspect. */
@@ -212,42 +239,92 @@
     return untilMs !== undefined && crash.atMs >= untilMs;
   }
 
+  function recentCrashes(member: SuspectMember, nowMs: number): readonly CountedCrash[] {
+    const crashes = records.get(member)?.crashes ?? [];
+    return crashes.filter(({ atMs }) => nowMs - atMs < CRASH_EXPIRY_MS);
+  }
+
   /** What the crashes under a part tell about it, and about the parts that come with it each time. */
-  function candidateOf(part: PromptPartId, nowMs: number): Candidate | undefined {
-    const crashes = (records.get(part)?.crashes ?? []).filter(
-      ({ atMs }) => nowMs - atMs < CRASH_EXPIRY_MS,
-    );
-    const [first] = crashes;
-    if (first === undefined) return undefined;
-    const common = first.parts.filter((other) =>
-      crashes.every(({ parts }) => parts.includes(other)),
-    );
+  function candidateOf(part: PromptPartId, nowMs: number): Candidate {
+    const crashes = recentCrashes(part, nowMs);
+    const common = commonParts(crashes);
     const doubtful = common.filter((other) => !answeredSince(other, nowMs - CRASH_EXPIRY_MS));
     const members = doubtful.length > 0 ? doubtful : common;
-    const count = countUnmerged(crashes);
+    return {
+      suspect: partSetId(members),
+      members,
+      common: new Set(common),
+      crashes,
+      count: countUnmerged(crashes),
+      crashesMin: doubtful.length > 0 ? crashesMin(crashes) : CRASHES_MIN_AFTER_ANSWER,
+    };
+  }
+
+  function isDue(candidate: Candidate, nowMs: number): boolean {
+    const { suspect, crashes, count } = candidate;
+    if (count < candidate.crashesMin || condemnations.has(suspect)) return false;
     const unexplained = crashes.filter(({ isExplained }) => !isExplained);
-    const isNew = unexplained.length === crashes.length;
-    const min = doubtful.length > 0 ? crashesMin(crashes) : CRASHES_MIN_AFTER_ANSWER;
-    const isDue =
-      new Set(crashes.map(({ fingerprint }) => fingerprint)).size > 1 &&
-      count >= min &&
-      (isNew || countUnmerged(unexplained) >= CRASHES_MIN_BESIDE_EXPLAINED);
-    return { suspect: partSetId(members), members, count, isDue };
+    const isNarrowed = unexplained.length < crashes.length;
+    if (isNarrowed && countUnmerged(unexplained) < CRASHES_MIN_BESIDE_EXPLAINED) return false;
+    switch (rivalryOf(candidate, nowMs)) {
+      case 'none':
+        return true;
+      case 'tied':
+        return count >= CRASHES_MIN_OF_TIED;
+      case 'beaten':
+        return false;
+    }
+  }
+
+  /** Several requests may be at a server that crashes, and each is reported by itself. */
+  function rivalryOf({ common, crashes }: Candidate, nowMs: number): Rivalry {
+    let rivalry: Rivalry = 'none';
+    for (const rival of rivalsOf(common, nowMs)) {
+      if (explainsAll(rival.crashes, crashes)) {
+        const explainsMore = !explainsAll(crashes, rival.crashes);
+        if (rival.isContent || explainsMore || isNarrower(rival.parts, common)) return 'beaten';
+        if (!isNarrower(common, rival.parts)) rivalry = 'tied';
+      }
+    }
+    return rivalry;
+  }
+
+  /** Whether a report of the present crash that is still to come may show that something else is at fault. */
+  function mayBeBeaten({ common, crashes }: Candidate, present: ServerCrash): boolean {
+    const earlier = crashes.filter((crash) => !isSameCrash(crash, present));
+    if (earlier.length === 0) return false;
+    const rivals = rivalsOf(common, present.atMs);
+    return rivals.some(
+      (rival) => explainsAll(rival.crashes, earlier) && !isNarrower(common, rival.parts),
+    );
+  }
+
+  /** Contents and parts, but those in `common`, that may be at fault in crashes that are known. */
+  function rivalsOf(common: ReadonlySet<SuspectMember>, nowMs: number): Rival[] {
+    return [...records.keys()].flatMap((member): Rival[] => {
+      const crashes = common.has(member) ? [] : recentCrashes(member, nowMs);
+      if (crashes.length === 0) return [];
+      const isContent = crashes.some(({ fingerprint }) => fingerprint === member);
+      if (!isContent && answeredSince(member, nowMs - CRASH_EXPIRY_MS)) return [];
+      return [{ isContent, crashes, parts: new Set(commonParts(crashes)) }];
+    });
   }
 
   /** The parts that the crash condemns. Of those that are due, the set that fewest prompts have comes first. */
-  function judgeParts(crash: ServerCrash): Condemnation[] {
+  function judgeParts(crash: ServerCrash, isSettled: boolean): CrashVerdict {
     const due = crash.parts
-      .flatMap((part) => candidateOf(part, crash.atMs) ?? [])
-      .filter(({ suspect, isDue }) => isDue && !condemnations.has(suspect))
+      .filter((part) => recentCrashes(part, crash.atMs).length > 0)
+      .map((part) => candidateOf(part, crash.atMs))
+      .filter((candidate) => isDue(candidate, crash.atMs))
       .sort((a, b) => b.members.length - a.members.length || b.count - a.count);
-    const [candidate] = due;
-    if (candidate === undefined) return [];
+    const [candidate] = due.filter((each) => isSettled || !mayBeBeaten(each, crash));
+    if (candidate === undefined) return { condemned: [], isUnsettled: due.length > 0 };
     const { suspect, count } = candidate;
     const condemnation = createCondemnation(suspect, crash.atMs, count, false, false);
     setCondemned(condemnation);
     explainCrashes(suspect);
-    return [condemnation, ...judgeParts(crash)];
+    const rest = judgeParts(crash, isSettled);
+    return { ...rest, condemned: [condemnation, ...rest.condemned] };
   }
 
   /** Sets that were condemned before, and crash servers again. */
@@ -286,10 +363,8 @@
   }
 
   /** Whether a crash that is explained has ended the same server. */
-  function wasAtSameServer({ serverId, atMs }: ServerCrash): boolean {
-    return explained.some(
-      (known) => known.serverId === serverId && Math.abs(known.atMs - atMs) < DOMAIN_MERGE_MS,
-    );
+  function wasAtSameServer(crash: ServerCrash): boolean {
+    return explained.some((known) => isSameCrash(known, crash));
   }
 
   /** Whether a condemned set of parts explains the crash, so that it is evidence against nothing else. */
@@ -353,13 +428,21 @@
       expire(crash.atMs);
       const { parts, fingerprint } = crash;
       // The request was sent before the condemnation, or its crash is reported late.
-      if (hasExplanation(crash)) return [];
+      if (hasExplanation(crash)) return { condemned: [], isUnsettled: false };
       new Set<SuspectMember>([...parts, fingerprint]).forEach((member) => addCrash(member, crash));
       const content = judgeContent(crash);
       if (content !== undefined) setCondemned(content);
       const repeated = judgeRepeated(crash);
-      const ofParts = repeated.length > 0 ? repeated : judgeParts(crash);
-      return [...ofParts, ...(content === undefined ? [] : [content])];
+      const ofParts =
+        repeated.length > 0
+          ? { condemned: repeated, isUnsettled: false }
+          : judgeParts(crash, false);
+      const condemned = [...ofParts.condemned, ...(content === undefined ? [] : [content])];
+      return { ...ofParts, condemned };
+    },
+    onSettled: (crash) => {
+      expire(crash.atMs);
+      return hasExplanation(crash) ? [] : judgeParts(crash, true).condemned;
     },
     onSurvived,
     // Few contents are suspected, and the others need no record of their answers.
@@ -428,6 +511,30 @@
   return crashes.filter(({ isMerged }) => !isMerged).length;
 }
 
+/** Parts that all of the crashed prompts have. */
+function commonParts(crashes: readonly ServerCrash[]): readonly PromptPartId[] {
+  const [first] = crashes;
+  return (first?.parts ?? []).filter((part) => crashes.every(({ parts }) => parts.includes(part)));
+}
+
+/** Whether both are reports of one crash: of requests that were at the server together. */
+function isSameCrash(one: ServerCrash, other: ServerCrash): boolean {
+  return one.serverId === other.serverId && Math.abs(one.atMs - other.atMs) < DOMAIN_MERGE_MS;
+}
+
+/** Whether some of these are reports of each of the crashes. */
+function explainsAll(reports: readonly ServerCrash[], crashes: readonly ServerCrash[]): boolean {
+  return crashes.every((crash) => reports.some((report) => isSameCrash(report, crash)));
+}
+
+/** Whether all of the others' parts are among these, and more: fewer prompts have them. */
+function isNarrower(
+  parts: ReadonlySet<SuspectMember>,
+  others: ReadonlySet<SuspectMember>,
+): boolean {
+  return parts.size > others.size && [...others].every((part) => parts.has(part));
+}
+
 function hasAll(parts: readonly PromptPartId[], members: ReadonlySet<SuspectMember>): boolean {
   return [...members].every((member) => parts.some((part) => part === member));
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -363,6 +363,7 @@
   Condemnation,
   CondemnOutcome,
   CrashSuspects,
+  CrashVerdict,
   ServerCrash,
   SuspectAnswer,
 } from './forward/crash-suspects';
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -31,9 +31,10 @@
     atMs,
   }) satisfies ServerCrash;
 
-/** What the crash condemns. */
+/** What the crash condemns, of which no other reports are to come. */
 function condemnedBy(suspects: CrashSuspects, reported: ServerCrash): readonly SuspectId[] {
-  return suspects.onCrash(reported).map(({ suspect }) => suspect);
+  const atOnce = suspects.onCrash(reported).condemned;
+  return [...atOnce, ...suspects.onSettled(reported)].map(({ suspect }) => suspect);
 }
 
 function findCondemned(
@@ -154,7 +155,7 @@
     // Six crashes count although a server answered a request with the part before.
     condemnedBy(suspects, crash(3_600, 'r3', 'east', SHARED));
     condemnedBy(suspects, crash(4_200, 'r4', 'west', SHARED, OTHER));
-    const [last] = suspects.onCrash(crash(6_000, 'r5', 'north', SHARED));
+    const [last] = suspects.onCrash(crash(6_000, 'r5', 'north', SHARED)).condemned;
     expect(last).toEqual(condemnation(SHARED, 6_000, true));
     expect(suspects.onSurvived([SHARED], 1_500)).toEqual([]);
     expect(findCondemned(suspects, [SHARED], 6_100)).toBe(SHARED);
@@ -206,6 +207,50 @@
     expect(findCondemned(suspects, [SHARED, OTHER], 9_000)).toBeUndefined();
   });
 
+  /** Both prompts were at the engine that crashed. */
+  function crashTogether(suspects: CrashSuspects, atMs: number, deadly: string, sound: string) {
+    const document = asId<PromptPartId>(`document of ${sound}`);
+    const server = { serverId: id(`engine-${atMs}`) };
+    const domain = ['east', 'west', 'north'][(atMs / 200) % 3] ?? '';
+    const ofSound = { ...crash(atMs, sound, domain, SHARED, OTHER, document), ...server };
+    const ofDeadly = { ...crash(atMs + 1, deadly, domain, SHARED, DEADLY), ...server };
+    const atOnce = [ofSound, ofDeadly].flatMap((report) => suspects.onCrash(report).condemned);
+    const later = [ofSound, ofDeadly].flatMap((report) => suspects.onSettled(report));
+    return [...atOnce, ...later].map(({ suspect }) => suspect);
+  }
+
+  it('is not condemned because sound prompts were at the engines that one deadly request crashed', () => {
+    // Guards against refusing all sound requests of a customer: they made the crashed prompts differ.
+    const suspects = createCrashSuspects();
+    const condemned = [1, 2, 3, 4, 5].flatMap((no) =>
+      crashTogether(suspects, no * 200, 'r-deadly', `r-sound${no}`),
+    );
+    expect(condemned).toEqual([asId('content of r-deadly')]);
+    expect(findCondemned(suspects, [SHARED, OTHER], 1_100)).toBeUndefined();
+  });
+
+  it('is not condemned because sound prompts were at the engines that several requests crashed', () => {
+    const suspects = createCrashSuspects();
+    const condemned = [1, 2, 3].flatMap((no) =>
+      crashTogether(suspects, no * 200, `r-deadly${no}`, `r-sound${no}`),
+    );
+    // Nothing tells the other part of the sound prompts from the deadly one yet.
+    expect(condemned).toEqual([]);
+    const alone = crash(5_000, 'r-deadly4', 'west', SHARED, DEADLY);
+    expect(condemnedBy(suspects, alone)).toEqual([DEADLY_AND_SHARED]);
+    expect(findCondemned(suspects, [SHARED, OTHER], 5_100)).toBeUndefined();
+  });
+
+  it('is not condemned before the reports of the deadly request at the same engine arrive', () => {
+    const suspects = createCrashSuspects();
+    [1, 2, 3].forEach((no) => crashTogether(suspects, no * 200, `r${no}`, `r-sound${no}`));
+    const sound = { ...crash(5_000, 'r9', 'east', SHARED), serverId: id('engine-9') };
+    expect(suspects.onCrash(sound)).toEqual({ condemned: [], isUnsettled: true });
+    const deadly = { ...crash(5_100, 'r4', 'east', SHARED, DEADLY), serverId: id('engine-9') };
+    expect(condemnedBy(suspects, deadly)).toEqual([DEADLY_AND_SHARED]);
+    expect(suspects.onSettled(sound)).toEqual([]);
+  });
+
   it('is not condemned by one more crash of a sound request', () => {
     const suspects = createCondemning();
     expect(condemnedBy(suspects, crash(5_000, 'r5', 'west', SHARED, OTHER))).toEqual([]);
@@ -254,12 +299,12 @@
   it('is refused after two crashes of a call, and for long after a third one', () => {
     // Guards against a call that ends the few servers of a plain service, whoever repeats it.
     const suspects = createCrashSuspects();
-    expect(suspects.onCrash(callCrash(1_000, 'r1', 'east', 'deadly'))).toEqual([]);
-    const [first] = suspects.onCrash(callCrash(1_300, 'r2', 'west', 'deadly'));
+    expect(suspects.onCrash(callCrash(1_000, 'r1', 'east', 'deadly')).condemned).toEqual([]);
+    const [first] = suspects.onCrash(callCrash(1_300, 'r2', 'west', 'deadly')).condemned;
     expect(first?.forMs).toBe(QUARANTINE_MS);
     expect(findCondemned(suspects, [DEADLY_CALL], 1_300 + QUARANTINE_MS - 1)).toBe(DEADLY_CALL);
     expect(findCondemned(suspects, [DEADLY_CALL], 1_300 + QUARANTINE_MS)).toBeUndefined();
-    const [second] = suspects.onCrash(callCrash(9_000, 'r3', 'west', 'deadly'));
+    const [second] = suspects.onCrash(callCrash(9_000, 'r3', 'west', 'deadly')).condemned;
     expect(second?.forMs).toBe(CONDEMNED_MS);
   });
 
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -78,6 +78,8 @@
 /** Keep a message within one datagram when many servers crash together. */
 const REPORTED_CRASHES_MAX = 40;
 const REPORTED_ANSWERS_MAX = 40;
+/** Time in which the reports of other routers on the same crash arrive. */
+const SETTLE_MS = 150;
 const STORE_STEP_PERIOD_MS = 1_000;
 
 /** Reason that callers and logs get for a condemned request. */
@@ -127,16 +129,24 @@
     const what = { requestId, serverId, failureDomain, isStream, fingerprint, parts };
     const crash: ServerCrash = { ...what, atMs };
     crashes.push(crash);
-    applyCrash(crash);
+    const settled = applyCrash(crash);
     ports.broadcastSoon();
+    await settled;
   }
 
-  function applyCrash(crash: ServerCrash): void {
-    suspects
-      .onCrash(crash)
-      .forEach((condemnation) => announce(condemnation, 'crashes', crash.requestId));
+  /** Resolves once it is known what the crash condemns. */
+  async function applyCrash(crash: ServerCrash): Promise<void> {
+    const announceOwn = (condemnation: Condemnation): void =>
+      announce(condemnation, 'crashes', crash.requestId);
+    const { condemned, isUnsettled } = suspects.onCrash(crash);
+    condemned.forEach(announceOwn);
     // A router that has served no request with a part cannot tell a sound one from the one at fault.
     suspects.answersInDoubt(crash.parts, clock.monotonicMs()).forEach(reportAnswer);
+    if (!isUnsettled) return;
+    await new Promise<void>((resolve) => {
+      clock.runAfter(SETTLE_MS, resolve);
+    });
+    suspects.onSettled(crash).forEach(announceOwn);
   }
 
   function reportAnswer(answer: SuspectAnswer): void {
@@ -177,7 +187,11 @@
 
   function onPeerReports(reports: CrashReports): void {
     reports.answers.forEach(onPeerAnswer);
-    reports.crashes.forEach(applyCrash);
+    reports.crashes.forEach((crash) => {
+      applyCrash(crash).catch((error: unknown) => {
+        decisions.vital('crash.not_judged', { server: crash.serverId, problem: String(error) });
+      });
+    });
     reports.condemned.forEach((condemned) => adopt(condemned, 'peer'));
   }
 
