--- a/packages/core/src/forward/crash-suspects.ts
+++ b/packages/core/src/forward/crash-suspects.ts
@@ -53,8 +53,8 @@
  */
 export interface CrashSuspects {
   readonly onCrash: (crash: ServerCrash) => CrashVerdict;
-  /** All routers have had time to report what else was at the server; returns what the crash condemns then. */
-  readonly onSettled: (crash: ServerCrash) => readonly Condemnation[];
+  /** Returns what a crash condemns of which all reports have had time to arrive. */
+  readonly onSettled: (crash: ServerCrash, nowMs: number) => readonly Condemnation[];
   /**
    * A server has survived a request with all of these, here or at another router. Returns what was
    * suspected or condemned. An answer of shortly before a condemnation lifts it as well, unless that
@@ -97,6 +97,8 @@
  * an outage may hit all servers at one moment, and equal requests on them.
  */
 const OUTAGE_MERGE_MS = 80;
+/** Time in which the reports of other routers on the same crash arrive. */
+export const CRASH_SETTLE_MS = 150;
 /** Crashes are forgotten after this time. */
 const CRASH_EXPIRY_MS = 60_000;
 /** Crashes that condemn the parts which the prompts that met them have in common, if the prompts differ. */
@@ -114,8 +116,8 @@
 /** Crashes that condemn parts all of which engines could answer within the time before. */
 const CRASHES_MIN_AFTER_ANSWER = 6;
 /**
- * Crashes that condemn a part of a condemned set for itself, beside those that the set explains. One alone
- * may be chance, and would refuse all sound requests with the part.
+ * Crashes that condemn further parts, beside those that a condemned set explains. One alone may be chance, and
+ * would refuse all sound requests with a part of the set.
  */
 const CRASHES_MIN_BESIDE_EXPLAINED = 2;
 /** Crashes that condemn parts although others were at the same servers each time. */
@@ -143,7 +145,7 @@
 interface CountedCrash extends ServerCrash {
   /** Counts as one with an earlier crash of the same outage. */
   readonly isMerged: boolean;
-  /** The prompt has a set of parts that was condemned for it. */
+  /** A set of parts was condemned for it. */
   readonly isExplained: boolean;
 }
 
@@ -210,9 +212,9 @@
     return (answeredAtMs.get(member) ?? -Infinity) > sinceMs;
   }
 
-  /** Adds a crash; reports are repeated, so it may be known. */
-  function addCrash(member: SuspectMember, crash: ServerCrash): void {
-    if (crash.atMs <= (answeredAtMs.get(member) ?? -Infinity)) return;
+  /** Adds a crash; false if it is known, since reports are repeated, or answered since. */
+  function addCrash(member: SuspectMember, crash: ServerCrash): boolean {
+    if (crash.atMs <= (answeredAtMs.get(member) ?? -Infinity)) return false;
     const record = recordOf(member);
     const recent = record.crashes.filter((known) => crash.atMs - known.atMs < CRASH_EXPIRY_MS);
     const isKnown = recent.some((known) => isSameReport(known, crash));
@@ -220,6 +222,7 @@
     record.crashes = isKnown
       ? recent
       : [...recent, { ...crash, isMerged, isExplained: false }].slice(-CRASHES_KEPT_MAX);
+    return !isKnown;
   }
 
   /** Condemns the whole content by its crashes, or by one more after an earlier condemnation. */
@@ -289,11 +292,12 @@
     return rivalry;
   }
 
-  /** Whether a report of the present crash that is still to come may show that something else is at fault. */
-  function mayBeBeaten({ common, crashes }: Candidate, present: ServerCrash): boolean {
-    const earlier = crashes.filter((crash) => !isSameCrash(crash, present));
-    if (earlier.length === 0) return false;
-    const rivals = rivalsOf(common, present.atMs);
+  /** Whether a report of the last crash that is still to come may show that something else is at fault. */
+  function mayBeBeaten({ common, crashes }: Candidate): boolean {
+    const last = latestOf(crashes);
+    const earlier = crashes.filter((crash) => last !== undefined && !isSameCrash(crash, last));
+    if (last === undefined || earlier.length === 0) return false;
+    const rivals = rivalsOf(common, last.atMs);
     return rivals.some(
       (rival) => explainsAll(rival.crashes, earlier) && !isNarrower(common, rival.parts),
     );
@@ -311,20 +315,25 @@
   }
 
   /** The parts that the crash condemns. Of those that are due, the set that fewest prompts have comes first. */
-  function judgeParts(crash: ServerCrash, isSettled: boolean): CrashVerdict {
+  function judgeParts(crash: ServerCrash, nowMs: number): CrashVerdict {
     const due = crash.parts
       .filter((part) => recentCrashes(part, crash.atMs).length > 0)
       .map((part) => candidateOf(part, crash.atMs))
       .filter((candidate) => isDue(candidate, crash.atMs))
+      .filter(({ suspect }, at, all) => all.findIndex((each) => each.suspect === suspect) === at)
       .sort((a, b) => b.members.length - a.members.length || b.count - a.count);
-    const [candidate] = due.filter((each) => isSettled || !mayBeBeaten(each, crash));
-    if (candidate === undefined) return { condemned: [], isUnsettled: due.length > 0 };
-    const { suspect, count } = candidate;
-    const condemnation = createCondemnation(suspect, crash.atMs, count, false, false);
-    setCondemned(condemnation);
-    explainCrashes(suspect);
-    const rest = judgeParts(crash, isSettled);
-    return { ...rest, condemned: [condemnation, ...rest.condemned] };
+    const [first] = due.filter((each) => isSettled(each, nowMs) || !mayBeBeaten(each));
+    if (first === undefined) return { condemned: [], isUnsettled: due.length > 0 };
+    const condemned = due
+      .filter((each) => each === first || isTied(each, first))
+      .map((each) => {
+        const condemnation = createCondemnation(each.suspect, crash.atMs, each.count, false, false);
+        setCondemned(condemnation);
+        return condemnation;
+      });
+    condemned.forEach(({ suspect }) => explainCrashes(suspect));
+    const rest = judgeParts(crash, nowMs);
+    return { ...rest, condemned: [...condemned, ...rest.condemned] };
   }
 
   /** Sets that were condemned before, and crash servers again. */
@@ -351,13 +360,11 @@
     const crashes = (known?.crashes ?? []).filter(({ parts }) => hasAll(parts, members));
     explained = [...explained, ...crashes].slice(-EXPLAINED_MAX);
     records.forEach((record, id) => {
-      record.crashes = record.crashes.flatMap((crash) => {
+      record.crashes = record.crashes.map((crash) => {
         // A content that has crashed servers stays suspected, whatever is at fault in it.
-        if (id === crash.fingerprint) return [crash];
-        if (hasAll(crash.parts, members)) {
-          return members.has(id) ? [{ ...crash, isExplained: true }] : [];
-        }
-        return wasAtSameServer(crash) ? [] : [crash];
+        const isOfContent = id === crash.fingerprint;
+        const isHere = hasAll(crash.parts, members) || wasAtSameServer(crash);
+        return isHere && !isOfContent ? { ...crash, isExplained: true } : crash;
       });
     });
   }
@@ -429,20 +436,22 @@
       const { parts, fingerprint } = crash;
       // The request was sent before the condemnation, or its crash is reported late.
       if (hasExplanation(crash)) return { condemned: [], isUnsettled: false };
-      new Set<SuspectMember>([...parts, fingerprint]).forEach((member) => addCrash(member, crash));
+      const members = [...new Set<SuspectMember>([...parts, fingerprint])];
+      const isNew = members.map((member) => addCrash(member, crash)).includes(true);
+      if (!isNew) return { condemned: [], isUnsettled: false };
       const content = judgeContent(crash);
       if (content !== undefined) setCondemned(content);
       const repeated = judgeRepeated(crash);
       const ofParts =
         repeated.length > 0
           ? { condemned: repeated, isUnsettled: false }
-          : judgeParts(crash, false);
+          : judgeParts(crash, crash.atMs);
       const condemned = [...ofParts.condemned, ...(content === undefined ? [] : [content])];
       return { ...ofParts, condemned };
     },
-    onSettled: (crash) => {
-      expire(crash.atMs);
-      return hasExplanation(crash) ? [] : judgeParts(crash, true).condemned;
+    onSettled: (crash, nowMs) => {
+      expire(nowMs);
+      return hasExplanation(crash) ? [] : judgeParts(crash, nowMs).condemned;
     },
     onSurvived,
     // Few contents are suspected, and the others need no record of their answers.
@@ -511,6 +520,15 @@
   return crashes.filter(({ isMerged }) => !isMerged).length;
 }
 
+/** Whether all reports of the candidate's crashes have had time to arrive. */
+function isSettled({ crashes }: Candidate, nowMs: number): boolean {
+  return crashes.every(({ atMs }) => nowMs - atMs >= CRASH_SETTLE_MS);
+}
+
+function latestOf(crashes: readonly CountedCrash[]): CountedCrash | undefined {
+  return [...crashes].sort((a, b) => b.atMs - a.atMs)[0];
+}
+
 /** Parts that all of the crashed prompts have. */
 function commonParts(crashes: readonly ServerCrash[]): readonly PromptPartId[] {
   const [first] = crashes;
@@ -527,6 +545,17 @@
   return crashes.every((crash) => reports.some((report) => isSameCrash(report, crash)));
 }
 
+/** Whether crashes can't tell which of two candidates is at fault, and neither is a part of the other. */
+function isTied(one: Candidate, other: Candidate): boolean {
+  return (
+    one.suspect !== other.suspect &&
+    explainsAll(one.crashes, other.crashes) &&
+    explainsAll(other.crashes, one.crashes) &&
+    !isNarrower(one.common, other.common) &&
+    !isNarrower(other.common, one.common)
+  );
+}
+
 /** Whether all of the others' parts are among these, and more: fewer prompts have them. */
 function isNarrower(
   parts: ReadonlySet<SuspectMember>,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -358,7 +358,12 @@
 export type { EraComparison, StoreEra, StoreEras, StoreRevision } from './forward/store-era';
 export { createOutageTracker } from './forward/outage';
 export type { OutageTracker } from './forward/outage';
-export { CONDEMNED_MS, createCrashSuspects, QUARANTINE_MS } from './forward/crash-suspects';
+export {
+  CONDEMNED_MS,
+  CRASH_SETTLE_MS,
+  createCrashSuspects,
+  QUARANTINE_MS,
+} from './forward/crash-suspects';
 export type {
   Condemnation,
   CondemnOutcome,
--- a/packages/core/test/forward/crash-suspects.spec.ts
+++ b/packages/core/test/forward/crash-suspects.spec.ts
@@ -1,5 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { asId, CONDEMNED_MS, createCrashSuspects, partSetId, QUARANTINE_MS } from '../../src/index';
+import {
+  asId,
+  CONDEMNED_MS,
+  CRASH_SETTLE_MS,
+  createCrashSuspects,
+  partSetId,
+  QUARANTINE_MS,
+} from '../../src/index';
 import { id, requestId } from './fixtures';
 import type {
   Condemnation,
@@ -34,7 +41,8 @@
 /** What the crash condemns, of which no other reports are to come. */
 function condemnedBy(suspects: CrashSuspects, reported: ServerCrash): readonly SuspectId[] {
   const atOnce = suspects.onCrash(reported).condemned;
-  return [...atOnce, ...suspects.onSettled(reported)].map(({ suspect }) => suspect);
+  const later = suspects.onSettled(reported, reported.atMs + CRASH_SETTLE_MS);
+  return [...atOnce, ...later].map(({ suspect }) => suspect);
 }
 
 function findCondemned(
@@ -215,7 +223,9 @@
     const ofSound = { ...crash(atMs, sound, domain, SHARED, OTHER, document), ...server };
     const ofDeadly = { ...crash(atMs + 1, deadly, domain, SHARED, DEADLY), ...server };
     const atOnce = [ofSound, ofDeadly].flatMap((report) => suspects.onCrash(report).condemned);
-    const later = [ofSound, ofDeadly].flatMap((report) => suspects.onSettled(report));
+    const later = [ofSound, ofDeadly].flatMap((report) =>
+      suspects.onSettled(report, atMs + 1 + CRASH_SETTLE_MS),
+    );
     return [...atOnce, ...later].map(({ suspect }) => suspect);
   }
 
@@ -248,7 +258,7 @@
     expect(suspects.onCrash(sound)).toEqual({ condemned: [], isUnsettled: true });
     const deadly = { ...crash(5_100, 'r4', 'east', SHARED, DEADLY), serverId: id('engine-9') };
     expect(condemnedBy(suspects, deadly)).toEqual([DEADLY_AND_SHARED]);
-    expect(suspects.onSettled(sound)).toEqual([]);
+    expect(suspects.onSettled(sound, 5_100 + CRASH_SETTLE_MS)).toEqual([]);
   });
 
   it('is not condemned by one more crash of a sound request', () => {
--- a/packages/router/src/forward/crash-guard.ts
+++ b/packages/router/src/forward/crash-guard.ts
@@ -1,4 +1,4 @@
-import { CONDEMNED_MS, createCrashSuspects, evictOldest } from '@mimosamill/core';
+import { CONDEMNED_MS, CRASH_SETTLE_MS, createCrashSuspects, evictOldest } from '@mimosamill/core';
 import type { Clock, DecisionLog, Upstream } from '@mimosamill/adapters';
 import type {
   Condemnation,
@@ -78,8 +78,6 @@
 /** Keep a message within one datagram when many servers crash together. */
 const REPORTED_CRASHES_MAX = 40;
 const REPORTED_ANSWERS_MAX = 40;
-/** Time in which the reports of other routers on the same crash arrive. */
-const SETTLE_MS = 150;
 const STORE_STEP_PERIOD_MS = 1_000;
 
 /** Reason that callers and logs get for a condemned request. */
@@ -144,9 +142,9 @@
     suspects.answersInDoubt(crash.parts, clock.monotonicMs()).forEach(reportAnswer);
     if (!isUnsettled) return;
     await new Promise<void>((resolve) => {
-      clock.runAfter(SETTLE_MS, resolve);
+      clock.runAfter(CRASH_SETTLE_MS, resolve);
     });
-    suspects.onSettled(crash).forEach(announceOwn);
+    suspects.onSettled(crash, clock.monotonicMs()).forEach(announceOwn);
   }
 
   function reportAnswer(answer: SuspectAnswer): void {
