--- a/packages/core/src/forward/stream.ts
+++ b/packages/core/src/forward/stream.ts
@@ -613,7 +613,7 @@
           onCopyLost(current, event.engineId, nowMs);
           return requestCopy(current, nowMs);
         case 'prompt_condemned':
-          // An engine has begun to answer, so the prompt does not crash engines.
+          // A stream that has begun keeps its engine; whether it may go on elsewhere is asked then.
           return hasBegun ? [] : failCondemned(event.message);
         case 'copied':
         case 'not_copied':
