Show that a frozen router ends a dead engine's stream as complete

An engine that answers without a length dies and is back under its id while the router stands still; the router takes the end of the channel for the end of the answer.

--- /dev/null
+++ b/review/standin-3/engine.mjs
@@ -0,0 +1,121 @@
+// Stand-in of a backend server, as a process of its own, so that it can be killed like one.
+// Reads one JSON argument; writes one JSON line to its standard output for each request and run.
+import { createServer } from 'node:http';
+
+const HEALTH_PATH = '/healthz';
+const options = JSON.parse(process.argv[2]);
+const { id, port, kind, unframed, eventCount, eventGapMs, prefillMs, workMs } = options;
+const bornMs = Date.now();
+
+function note(what, fields) {
+  process.stdout.write(
+    `${JSON.stringify({ what, server: id, bornMs, atMs: Date.now(), ...fields })}\n`,
+  );
+}
+
+/** The whole answer to a call, or one event of a stream; the same from every server. */
+const callText = (requestId) => `answer to ${requestId} `.repeat(20);
+const eventText = (requestId, no) => `id: ${no}\ndata: ${requestId}/${no}\n\n`;
+
+function headOf(requestId) {
+  return { 'x-attempt-id': requestId, 'x-server-seal': `seal.${id}`, 'x-server-load': '0,0,8' };
+}
+
+/** Writes a head of a response that has neither a length nor chunks and ends with its channel. */
+function writeUnframedHead(socket, fields) {
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${lines.join('')}\r\n`);
+}
+
+function reject(res, status, requestId) {
+  res.writeHead(status, {
+    'x-attempt-id': requestId,
+    'x-instance-id': id,
+    'x-not-executed': '1',
+    'content-length': 0,
+  });
+  res.end();
+}
+
+function runStream(req, res, requestId) {
+  const { socket } = res;
+  let sent = Number(req.headers['last-event-id'] ?? 0);
+  const head = { ...headOf(requestId), 'content-type': 'text/event-stream' };
+  let timer = setTimeout(begin, prefillMs);
+  res.once('close', () => {
+    clearTimeout(timer);
+    if (sent < eventCount) note('run_dropped', { request: requestId, sent });
+  });
+
+  function begin() {
+    if (unframed) writeUnframedHead(socket, head);
+    else res.writeHead(200, head);
+    next();
+  }
+
+  function next() {
+    sent += 1;
+    const text = eventText(requestId, sent);
+    if (unframed) socket.write(text);
+    else res.write(text);
+    if (sent < eventCount) {
+      timer = setTimeout(next, eventGapMs);
+      return;
+    }
+    note('run_complete', { request: requestId, sent });
+    if (unframed) socket.end();
+    else res.end();
+  }
+}
+
+function runCall(res, requestId) {
+  setTimeout(() => {
+    const text = callText(requestId);
+    note('run_complete', { request: requestId });
+    res.writeHead(200, { ...headOf(requestId), 'content-length': text.length });
+    res.end(text);
+  }, workMs);
+}
+
+const server = createServer({ keepAliveTimeout: 30_000 }, (req, res) => {
+  if (req.url === HEALTH_PATH) {
+    res.writeHead(200, { 'x-instance-id': id, 'content-length': 0 });
+    res.end();
+    return;
+  }
+  const requestId = String(req.headers['x-attempt-id'] ?? '');
+  // Copies of memory are not offered: no run, and no copy, is known by any name.
+  if (req.url === '/kv-move' || req.url.startsWith('/kv-handle/')) {
+    req.resume();
+    res.writeHead(404, { 'content-length': 0 });
+    res.end();
+    return;
+  }
+  const chunks = [];
+  req.on('data', (chunk) => chunks.push(chunk));
+  req.on('end', () => {
+    const body = Buffer.concat(chunks).toString();
+    const expected = req.headers['x-expect-instance'];
+    if (expected !== undefined && expected !== id) {
+      note('misdirected', { request: requestId, expected });
+      reject(res, 421, requestId);
+      return;
+    }
+    if (req.headers['kv-from'] !== undefined) {
+      note('no_copy', { request: requestId });
+      reject(res, 503, requestId);
+      return;
+    }
+    note('run', {
+      request: requestId,
+      method: req.method,
+      path: req.url,
+      tenant: req.headers['x-tenant'],
+      lastEventId: req.headers['last-event-id'],
+      bodyBytes: body.length,
+    });
+    if (kind === 'stream') runStream(req, res, requestId);
+    else runCall(res, requestId);
+  });
+});
+server.listen(port, '127.0.0.1', () => note('up', { port: server.address().port }));
