--- a/review/standin-3/deployment.mjs
+++ b/review/standin-3/deployment.mjs
@@ -93,6 +93,7 @@
   const heartbeats = new Map();
   const paths = [];
   let configVersion = 0;
+  let lastConfig;
 
   function record(text) {
     lines.push(`${((Date.now() - startedAtMs) / 1_000).toFixed(3)} s  ${text}`);
@@ -104,7 +105,7 @@
 
   function setConfig(config) {
     configVersion += 3;
-    store.put('op', 'config', {
+    lastConfig = {
       version: configVersion,
       limits: {
         max_header_bytes: 16_384,
@@ -114,10 +115,17 @@
       },
       tenants: [{ name: TENANT, api_keys: [KEY] }],
       ...config,
-    });
+    };
+    store.put('op', 'config', lastConfig);
     record(`the operator writes manifest ${configVersion}`);
   }
 
+  /** After the store came back from an older copy, the operator writes what it had written. */
+  function writeConfigAgain() {
+    store.put('op', 'config', lastConfig);
+    record(`the operator writes manifest ${configVersion} again`);
+  }
+
   /** The entry that a running server writes every heartbeat; it lapses when the server is gone. */
   function list(id, entry) {
     const state = heartbeats.get(id) ?? { sequence: 0, lastAtMs: 0 };
@@ -201,6 +209,12 @@
         });
       },
       signal: (name) => child.kill(name),
+      drain: () => {
+        const state = heartbeats.get(id);
+        if (state === undefined) return;
+        record(`server ${id} reports that it is draining`);
+        list(id, { ...state.entry, state: 'draining' });
+      },
     };
   }
 
@@ -253,6 +267,7 @@
     return {
       hostId,
       port: caller,
+      pid: () => child.pid,
       isReady: () => isReady(ready),
       signal: (name) => {
         record(`router ${hostId} gets ${name}`);
@@ -288,7 +303,18 @@
     saveRecord();
   }
 
-  return { store, record, events, setConfig, list, startServer, startRouter, startCutPath, close };
+  return {
+    store,
+    record,
+    events,
+    setConfig,
+    writeConfigAgain,
+    list,
+    startServer,
+    startRouter,
+    startCutPath,
+    close,
+  };
 }
 
 function isReady(port) {
--- a/review/standin-3/engine.mjs
+++ b/review/standin-3/engine.mjs
@@ -68,8 +68,21 @@
   }
 }
 
+/** From SIGUSR2 on, this part of the answers are failures, as those of a bad version. */
+let failureRatio = 0;
+process.on('SIGUSR2', () => {
+  failureRatio = options.failureRatio;
+  note('turns_bad', {});
+});
+
 function runCall(res, requestId) {
   setTimeout(() => {
+    if (Math.random() < failureRatio) {
+      note('run_failed', { request: requestId });
+      res.writeHead(500, { ...headOf(requestId), 'content-length': 6 });
+      res.end('failed');
+      return;
+    }
     const text = callText(requestId);
     note('run_complete', { request: requestId });
     res.writeHead(200, { ...headOf(requestId), 'content-length': text.length });
