--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,94 +1,115 @@
-// A server starts again under its id at another address while one router is frozen; the other routers lose it for good.
+// The router that writes the end of a roll-out is frozen while the version turns bad; it then completes the roll-out.
 import { fileURLToPath } from 'node:url';
 import { setTimeout as delay } from 'node:timers/promises';
-import { freePort, guildConfig, runCase, send } from '../standin-3/deployment.mjs';
+import { guildConfig, runCase, send } from '../standin-3/deployment.mjs';
 
-const FREEZE_MS = 4_000;
-/** From the start of the freeze to the end of the server, and from that to its next start. */
-const END_AFTER_MS = 300;
-const DOWN_MS = 1_000;
-/** An address is given to a server of another service 2 s (`reuse_after_s`) after its server has ended, or later. */
-const REUSE_AFTER_MS = 2_200;
-/** From the moment of waking up, before which a client sends bookings to the frozen router. */
-const SENT_BEFORE_WAKING_MS = 500;
-const SETTLE_MS = 12_000;
-const WATCH_MS = 20_000;
-const ROUND_MS = 1_000;
-const BOOKING_BUDGET_MS = 2_500;
-const STREAM_BUDGET_MS = 25_000;
+const BUDGET_MS = 2_500;
+const DEADLINE_S = 20;
+const REQUESTS_PER_S_AT_ROUTER = 8;
+/** After the order. */
+const FREEZE_AT_MS = 7_000;
+const BAD_AT_MS = 7_200;
+const FREEZE_MS = 2_400;
+const FAILURE_RATIO = 0.6;
+/** A machine is in touch again so long after its freeze. */
+const CONTACT_MS = 3_000;
+/** The router that the others elect to write the end of a roll-out of this service; it follows from the names. */
+const LEADER = 'front-2';
+/** The bounds of the sheet. */
+const EXPOSURE_SHARE = 0.1;
+const EXPOSURE_SLACK = 50;
+/** New servers drain so long after a roll-back, and end a little later than `drain_ms`. */
+const DRAIN_AFTER_MS = 3_000;
+const END_AFTER_MS = 5_500;
 
 await runCase(
   fileURLToPath(new URL('record.txt', import.meta.url)),
   async (deployment, hasTrouble) => {
-    const { record, setConfig, startServer, startRouter } = deployment;
+    const { record, setConfig, startServer, startRouter, store, events } = deployment;
     setConfig(guildConfig());
-    const shop = { service: 'guild-shop', kind: 'call', workMs: 30, id: 'shop-1', zone: 'zone-1' };
-    const guide = { service: 'bench-guide', kind: 'stream', unframed: false };
-    const pace = { eventCount: 10, eventGapMs: 50, prefillMs: 100 };
-    const first = await startServer(shop);
-    await startServer({ ...guide, ...pace, id: 'guide-1', zone: 'zone-1' });
+    const shop = { service: 'guild-shop', kind: 'call', workMs: 20, failureRatio: FAILURE_RATIO };
+    const former = [];
+    const fresh = [];
+    for (const no of [1, 2, 3]) {
+      former.push(
+        await startServer({ ...shop, id: `old-${no}`, version: 'v1', zone: `zone-${no}` }),
+      );
+    }
     const routers = [];
     for (const no of [1, 2, 3]) routers.push(await startRouter(`front-${no}`, `zone-${no}`));
     await delay(2_500);
 
     let sentCount = 0;
-    async function ask(router, kind) {
-      sentCount += 1;
-      const requestId = `${kind}-${sentCount}`;
-      const isStream = kind === 'rib-joint';
-      const path = { 'rib-joint': '/rib/x', 'slot-booking': '/book/x', 'stock-check': '/stock/x' };
-      const { status, isComplete } = await send(router.port, {
-        requestId,
-        path: path[kind],
-        method: kind === 'stock-check' ? 'GET' : 'POST',
-        budgetMs: isStream ? STREAM_BUDGET_MS : BOOKING_BUDGET_MS,
-        headers: isStream ? { 'x-model': 'm', 'x-token-count': '500,10' } : {},
-      });
-      record(`client: ${requestId} at ${router.hostId}: status ${status}`);
-      return status === 200 && isComplete;
+    let isOver = false;
+    /** Router to which each request was sent. */
+    const routerOf = new Map();
+    async function press(router) {
+      while (!isOver) {
+        sentCount += 1;
+        const requestId = `booking-${sentCount}`;
+        routerOf.set(requestId, router);
+        void send(router.port, { requestId, path: '/book/x', budgetMs: BUDGET_MS });
+        await delay(1_000 / REQUESTS_PER_S_AT_ROUTER);
+      }
     }
-
-    for (const router of routers) await ask(router, 'slot-booking');
-    const [frozen, ...others] = routers;
-    if (hasTrouble) frozen.signal('SIGSTOP');
-    await delay(END_AFTER_MS);
-    await first.kill();
-    await delay(DOWN_MS);
-    await startServer({ ...shop, port: await freePort() });
-    await delay(REUSE_AFTER_MS - DOWN_MS);
-    await startServer({ ...guide, ...pace, id: 'guide-2', zone: 'zone-1', port: first.port });
-    await delay(FREEZE_MS - END_AFTER_MS - REUSE_AFTER_MS - SENT_BEFORE_WAKING_MS);
-    const waiting = [ask(frozen, 'slot-booking'), ask(frozen, 'slot-booking')];
-    await delay(SENT_BEFORE_WAKING_MS);
-    if (hasTrouble) frozen.signal('SIGCONT');
-    await Promise.all(waiting);
-
-    await delay(SETTLE_MS);
-    record('from now on all machines have been in touch for long');
-    const kinds = ['rib-joint', 'slot-booking', 'stock-check'];
-    const tally = new Map(kinds.map((kind) => [kind, { served: 0, all: 0 }]));
-    const endMs = Date.now() + WATCH_MS;
-    while (Date.now() < endMs) {
-      await Promise.all(
-        others.flatMap((router) =>
-          kinds.map(async (kind) => {
-            const counts = tally.get(kind);
-            counts.all += 1;
-            if (await ask(router, kind)) counts.served += 1;
-          }),
-        ),
+    const pressing = routers.map(press);
+    await delay(3_000);
+    for (const no of [1, 2, 3]) {
+      fresh.push(
+        await startServer({ ...shop, id: `new-${no}`, version: 'v2', zone: `zone-${no}` }),
       );
-      await delay(ROUND_MS);
     }
-    const ratioOf = (list) =>
-      list.reduce((sum, { served }) => sum + served, 0) /
-      list.reduce((sum, { all }) => sum + all, 0);
-    const allRatio = ratioOf([...tally.values()]);
-    return kinds.flatMap((kind) => {
-      const counts = tally.get(kind);
-      const text = `${kind}: ${counts.served} of ${counts.all} served by routers that were never frozen`;
-      record(text);
-      return ratioOf([counts]) < allRatio / 4 ? [text] : [];
+    store.put('op', 'rollout/guild-shop', {
+      service: 'guild-shop',
+      to: 'v2',
+      deadline_s: DEADLINE_S,
     });
+    const orderedAtMs = Date.now();
+    record('the operator orders guild-shop to be moved to v2');
+    const until = (afterMs) => delay(Math.max(0, orderedAtMs + afterMs - Date.now()));
+
+    // The platform's side of a roll-out.
+    const platform = (async () => {
+      let state;
+      while (!isOver) {
+        const next = store.get('status', 'rollout/guild-shop')?.state;
+        if (next !== state) {
+          state = next;
+          record(`status/rollout/guild-shop says ${state}`);
+          if (state === 'completed') await Promise.all(former.map((server) => server.kill()));
+          if (state === 'rolled_back') {
+            void delay(DRAIN_AFTER_MS).then(() => fresh.forEach((server) => server.drain()));
+            void delay(DRAIN_AFTER_MS + END_AFTER_MS).then(() =>
+              fresh.forEach((server) => void server.kill()),
+            );
+          }
+        }
+        await delay(20);
+      }
+    })();
+
+    const leader = routers.find(({ hostId }) => hostId === LEADER);
+    await until(FREEZE_AT_MS);
+    if (hasTrouble) leader.signal('SIGSTOP');
+    await until(BAD_AT_MS);
+    fresh.forEach((server) => server.signal('SIGUSR2'));
+    await until(FREEZE_AT_MS + FREEZE_MS);
+    if (hasTrouble) leader.signal('SIGCONT');
+    await until(DEADLINE_S * 1_000);
+    isOver = true;
+    await Promise.all([...pressing, platform]);
+    const arrivals = events.filter(({ what, atMs }) => what === 'run' && atMs >= orderedAtMs);
+    const isInTouch = ({ request, atMs }) => {
+      const afterMs = atMs - orderedAtMs;
+      const isOut = afterMs >= FREEZE_AT_MS && afterMs < FREEZE_AT_MS + FREEZE_MS + CONTACT_MS;
+      return !hasTrouble || routerOf.get(request) !== leader || !isOut;
+    };
+    const exposed = arrivals.filter(
+      (run) => run.server.startsWith('new-') && isInTouch(run),
+    ).length;
+    const allowed = EXPOSURE_SHARE * arrivals.length + EXPOSURE_SLACK;
+    const text = `v2 gets ${exposed} of ${arrivals.length} requests from machines in touch; ${allowed.toFixed(1)} are allowed`;
+    record(text);
+    return exposed > allowed ? [text] : [];
   },
 );
--- a/review/standin-3/engine.mjs
+++ b/review/standin-3/engine.mjs
@@ -53,8 +53,18 @@
     next();
   }
 
+  let ofThisRun = 0;
+  const breaksOff = Math.random() < failureRatio;
+
   function next() {
+    if (breaksOff && ofThisRun >= options.breakAfterEvents) {
+      note('run_broken_off', { request: requestId, sent });
+      clearTimeout(timer);
+      socket.resetAndDestroy();
+      return;
+    }
     sent += 1;
+    ofThisRun += 1;
     const text = eventText(requestId, sent);
     if (unframed) socket.write(text);
     else res.write(text);
