Show that a crowd with bodies in tiny chunks hangs the router

Adds a script and a stand-in of a crowd that sends chunked bodies in one-byte chunks; ordinary callers get no answer for seconds, and their requests run after they have left.

--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -1,113 +1,89 @@
-// The server of a new version dies; the roll-out to it is completed all the same, and the old servers are stopped.
+// A crowd sends bodies in one-byte chunks; the router answers none of its ordinary callers meanwhile.
+import { Agent } from 'node:http';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as delay } from 'node:timers/promises';
 import { guildConfig, runCase, send } from '../standin-3/deployment.mjs';
 
-const DEADLINE_S = 10;
-/** The new server lives so long after the order. */
-const DEATH_AFTER_MS = 500;
-/** One new server beside them is a sixth of the service. */
-const FORMER_SERVERS = 5;
-const BEFORE_MS = 2_000;
-const DAY_MS = 92_000;
-const BOOKING_BUDGET_MS = 2_500;
-const STREAM_BUDGET_MS = 25_000;
-const ROUND_MS = 250;
-const PATHS = {
-  'rib-joint': '/rib/x',
-  'frame-repair': '/frame/x',
-  'slot-booking': '/book/x',
-  'stock-check': '/stock/x',
-};
-const STREAMS = new Set(['rib-joint', 'frame-repair']);
+const CLIENTS = 150;
+/** A body of 20 kB, of 4 MB that the manifest allows. */
+const CHUNKS = 20_000;
+const BUDGET_MS = 2_500;
+/** `timeout_ms` of the route, and the half second after it that the rule leaves. */
+const TIMEOUT_MS = 1_200;
+const LATE_MS = TIMEOUT_MS + 500;
+const GONE_AFTER_MS = 500;
+/** "More than a few". */
+const GONE_MAX = 10;
+const PERIOD_MS = 100;
+const CALM_MS = 3_000;
+const DAY_MS = 30_000;
+/** Fewer could be an accident. */
+const JUDGED_MIN = 20;
 
 await runCase(
   fileURLToPath(new URL('record.txt', import.meta.url)),
   async (deployment, hasTrouble) => {
-    const { record, setConfig, startServer, startRouter, store } = deployment;
+    const { record, setConfig, startServer, startRouter, startCrowd, events } = deployment;
     setConfig(guildConfig());
-    const shop = { service: 'guild-shop', kind: 'call', workMs: 30 };
-    const guide = { service: 'bench-guide', kind: 'stream', unframed: false };
-    const pace = { eventCount: 10, eventGapMs: 20, prefillMs: 50 };
-    const former = [];
-    for (let no = 1; no <= FORMER_SERVERS; no += 1) {
-      const zone = `zone-${1 + (no % 3)}`;
-      former.push(await startServer({ ...shop, id: `old-${no}`, version: 'v1', zone }));
-    }
     for (const no of [1, 2, 3]) {
-      await startServer({ ...guide, ...pace, id: `guide-${no}`, zone: `zone-${no}` });
+      const server = { service: 'guild-shop', kind: 'call', workMs: 30, zone: `zone-${no}` };
+      await startServer({ ...server, id: `shop-${no}` });
     }
-    const routers = [];
-    for (const no of [1, 2, 3]) routers.push(await startRouter(`front-${no}`, `zone-${no}`));
+    const router = await startRouter('front-1', 'zone-1');
     await delay(2_500);
 
-    const tally = new Map(Object.keys(PATHS).map((kind) => [kind, { served: 0, all: 0 }]));
-    let sentCount = 0;
-    let lastServedAt = 0;
-    const startedAtMs = Date.now();
-    async function ask(router, kind) {
-      sentCount += 1;
-      const requestId = `${kind}-${sentCount}`;
-      const isStream = STREAMS.has(kind);
-      const counts = tally.get(kind);
-      counts.all += 1;
-      const { status, isComplete } = await send(router.port, {
-        requestId,
-        path: PATHS[kind],
-        method: kind === 'stock-check' ? 'GET' : 'POST',
-        budgetMs: isStream ? STREAM_BUDGET_MS : BOOKING_BUDGET_MS,
-        headers: isStream ? { 'x-model': 'm', 'x-token-count': '500,10' } : {},
-      });
-      record(`client: ${requestId} at ${router.hostId}: status ${status}`);
-      if (status !== 200 || !isComplete) return;
-      counts.served += 1;
-      if (kind === 'slot-booking') lastServedAt = Date.now() - startedAtMs;
+    const kept = new Agent({ keepAlive: true, maxSockets: 8 });
+    const answers = [];
+    const pending = [];
+    async function ask(no) {
+      const isBooking = no % 4 < 2;
+      const requestId = `${isBooking ? 'booking' : 'lookup'}-${no}`;
+      const sentAtMs = Date.now();
+      const path = isBooking ? '/book/x' : '/stock/x';
+      const method = isBooking ? 'POST' : 'GET';
+      const request = { requestId, path, method, budgetMs: BUDGET_MS };
+      // Every second one on a channel that is kept.
+      const channel = no % 2 === 0 ? { agent: kept } : {};
+      const { status } = await send(router.port, { ...request, ...channel });
+      const endedAtMs = Date.now();
+      const tookMs = endedAtMs - sentAtMs;
+      answers.push({ requestId, status, tookMs, endedAtMs });
+      record(
+        `client: ${requestId}: ${status === 0 ? 'gives up' : `status ${status}`} after ${tookMs} ms`,
+      );
     }
-
-    let isOver = false;
-    /** The platform's side of a roll-out. */
-    async function watchStatus() {
-      let state;
-      while (!isOver) {
-        const next = store.get('status', 'rollout/guild-shop')?.state;
-        if (next !== state) {
-          state = next;
-          record(`status/rollout/guild-shop says ${state}`);
-          if (state === 'completed') await Promise.all(former.map((server) => server.kill()));
-        }
-        await delay(20);
+    const startedAtMs = Date.now();
+    let hasCrowd = false;
+    for (let no = 1; Date.now() < startedAtMs + DAY_MS; no += 1) {
+      if (hasTrouble && !hasCrowd && Date.now() >= startedAtMs + CALM_MS) {
+        hasCrowd = true;
+        startCrowd(router.port, CLIENTS, CHUNKS);
       }
+      pending.push(ask(no));
+      await delay(PERIOD_MS);
     }
-
-    async function rollOut() {
-      await delay(BEFORE_MS);
-      const fresh = await startServer({ ...shop, id: 'new-1', version: 'v2', zone: 'zone-1' });
-      const order = { service: 'guild-shop', to: 'v2', deadline_s: DEADLINE_S };
-      store.put('op', 'rollout/guild-shop', order);
-      record('the operator orders guild-shop to be moved to v2');
-      await delay(DEATH_AFTER_MS);
-      if (hasTrouble) await fresh.kill();
-    }
-
-    const platform = watchStatus();
-    const rolling = rollOut();
-    const answers = [];
-    while (Date.now() < startedAtMs + DAY_MS) {
-      const router = routers[answers.length % routers.length];
-      for (const kind of tally.keys()) answers.push(ask(router, kind));
-      await delay(ROUND_MS);
-    }
-    isOver = true;
-    await Promise.all([...answers, platform, rolling]);
-    const ratioOf = (list) =>
-      list.reduce((sum, { served }) => sum + served, 0) /
-      list.reduce((sum, { all }) => sum + all, 0);
-    const allRatio = ratioOf([...tally.values()]);
-    record(`the last booking is served ${lastServedAt} ms after the first request`);
-    return [...tally].flatMap(([kind, counts]) => {
-      const text = `${kind}: ${counts.served} of ${counts.all} served; of all ${(100 * allRatio).toFixed(0)} %`;
-      record(text);
-      return ratioOf([counts]) < allRatio / 4 ? [text] : [];
-    });
+    await Promise.all(pending);
+    kept.destroy();
+    const isAnswered = ({ status, tookMs }, withinMs) => status !== 0 && tookMs <= withinMs;
+    const late = answers.filter((answer) => !isAnswered(answer, TIMEOUT_MS));
+    const unanswered = late.filter((answer) => !isAnswered(answer, LATE_MS));
+    const text =
+      `of ${answers.length} requests, ${late.length} are unanswered after ${TIMEOUT_MS} ms, ` +
+      `and ${unanswered.length} of these after ${LATE_MS} ms`;
+    record(text);
+    const runAtMs = new Map(
+      events.filter(({ what }) => what === 'run').map(({ request, atMs }) => [request, atMs]),
+    );
+    const gone = answers.filter(
+      ({ requestId, status, endedAtMs }) =>
+        status === 0 && (runAtMs.get(requestId) ?? 0) > endedAtMs + GONE_AFTER_MS,
+    );
+    const goneText =
+      `${gone.length} requests reach a server over ${GONE_AFTER_MS} ms after their clients ` +
+      `have closed their channels`;
+    record(goneText);
+    record(`the router ${router.isRunning() ? 'still runs' : 'has ended'}`);
+    const isHeldUp = late.length >= JUDGED_MIN && unanswered.length * 2 > late.length;
+    return [...(isHeldUp ? [text] : []), ...(gone.length > GONE_MAX ? [goneText] : [])];
   },
 );
