Show that one answer in tiny chunks ends the router's process

The router keeps each chunk as a buffer of its own and runs out of heap; the streams that it has passed on to sound engines are lost. The stand-ins of cases that went are removed.

--- a/review/standin-3/deployment.mjs
+++ b/review/standin-3/deployment.mjs
@@ -2,7 +2,7 @@
 import { spawn } from 'node:child_process';
 import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { get, request as httpRequest } from 'node:http';
-import { connect, createServer } from 'node:net';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -45,46 +45,6 @@
   }
 }
 
-/** A path between two processes that can be cut: what is sent meanwhile is held up, and goes on later. */
-export async function startPath(toPort) {
-  let isCut = false;
-  const sockets = new Set();
-  const server = createServer((near) => {
-    const far = connect(toPort, '127.0.0.1');
-    [near, far].forEach((socket) => {
-      sockets.add(socket);
-      socket.on('error', () => undefined);
-      socket.on('close', () => sockets.delete(socket));
-      if (isCut) socket.pause();
-    });
-    const carry = (from, to) => {
-      from.on('data', (bytes) => to.write(bytes));
-      from.on('end', () => to.end());
-      from.on('close', () => to.destroy());
-    };
-    carry(near, far);
-    carry(far, near);
-  });
-  await new Promise((done) => {
-    server.listen(0, '127.0.0.1', done);
-  });
-  return {
-    port: server.address().port,
-    cut: () => {
-      isCut = true;
-      sockets.forEach((socket) => socket.pause());
-    },
-    heal: () => {
-      isCut = false;
-      sockets.forEach((socket) => socket.resume());
-    },
-    close: () => {
-      sockets.forEach((socket) => socket.destroy());
-      server.close();
-    },
-  };
-}
-
 export async function startDeployment(recordFile) {
   const directory = mkdtempSync(join(tmpdir(), 'review-3-'));
   const store = await startStore();
@@ -93,7 +53,6 @@
   const events = [];
   const children = new Set();
   const heartbeats = new Map();
-  const paths = [];
   let configVersion = 0;
   let lastConfig;
 
@@ -220,8 +179,8 @@
     };
   }
 
-  /** Starts a router with the command of the deploy file; `storePort` may be that of a path. */
-  async function startRouter(hostId, zone, storePort = store.port, changes = {}) {
+  /** Starts a router with the command of the deploy file. */
+  async function startRouter(hostId, zone) {
     const [caller, ready, metrics, peer] = await Promise.all([1, 2, 3, 4].map(freePort));
     const settings = {
       hostId,
@@ -232,7 +191,7 @@
       readyAddress: `127.0.0.1:${ready}`,
       metricsPort: metrics,
       peerPort: peer,
-      storeAddress: `127.0.0.1:${storePort}`,
+      storeAddress: `127.0.0.1:${store.port}`,
       revokeMs: 5_000,
       configMs: 2_000,
       drainMs: 2_000,
@@ -243,7 +202,6 @@
       memoryMb: 350,
       maxFds: 4_200,
       urgentStreamsFirst: false,
-      ...changes,
     };
     const file = join(directory, `${hostId}.json`);
     writeFileSync(file, JSON.stringify(settings));
@@ -282,24 +240,6 @@
     };
   }
 
-  /** Starts a crowd of clients as a process of its own, so that its work doesn't hold up this one's clients. */
-  function startCrowd(port, clients, chunks) {
-    record(`${clients} clients begin to send ${chunks} chunks of one byte each`);
-    const file = join(HERE, 'crowd.mjs');
-    const child = track(
-      spawn(process.execPath, [file, ...[port, clients, chunks].map(String)], {
-        stdio: ['ignore', 'pipe', 'inherit'],
-      }),
-    );
-    child.stdout.on('data', (bytes) => record(`crowd: ${String(bytes).trim()}`));
-  }
-
-  async function startCutPath() {
-    const path = await startPath(store.port);
-    paths.push(path);
-    return path;
-  }
-
   async function close() {
     clearInterval(beating);
     const ends = [...children].map(
@@ -311,7 +251,6 @@
         }),
     );
     await Promise.all(ends);
-    paths.forEach((path) => path.close());
     store.close();
     rmSync(directory, { recursive: true, force: true });
     saveRecord();
@@ -326,8 +265,6 @@
     list,
     startServer,
     startRouter,
-    startCutPath,
-    startCrowd,
     close,
   };
 }
--- a/review/standin-3/engine.mjs
+++ b/review/standin-3/engine.mjs
@@ -37,8 +37,42 @@
   res.end();
 }
 
+/**
+ * SIGUSR1 spoils the next answer. A stream gets lines without the blank line that ends an event, a call gets bytes that
+ * are no answer; both in small chunks.
+ */
+let spoilsNext = false;
+process.on('SIGUSR1', () => {
+  spoilsNext = true;
+});
+const SPOILT_CHUNK = kind === 'stream' ? '8\r\ndata: x\n\r\n' : '3\r\nxxx\r\n';
+const SPOILT_CHUNKS_AT_ONCE = 5_000;
+
+function writeSpoilt(socket, head) {
+  const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${lines.join('')}\r\n`);
+  const block = SPOILT_CHUNK.repeat(SPOILT_CHUNKS_AT_ONCE);
+  let left = options.spoiltChunks;
+  function push() {
+    while (left > 0 && !socket.destroyed) {
+      left -= SPOILT_CHUNKS_AT_ONCE;
+      if (!socket.write(block)) {
+        socket.once('drain', push);
+        return;
+      }
+    }
+  }
+  push();
+}
+
 function runStream(req, res, requestId) {
   const { socket } = res;
+  if (spoilsNext) {
+    spoilsNext = false;
+    note('spoils', { request: requestId });
+    writeSpoilt(socket, { ...headOf(requestId), 'content-type': 'text/event-stream' });
+    return;
+  }
   let sent = Number(req.headers['last-event-id'] ?? 0);
   const head = { ...headOf(requestId), 'content-type': 'text/event-stream' };
   let timer = setTimeout(begin, prefillMs);
@@ -86,6 +120,12 @@
 });
 
 function runCall(req, res, requestId) {
+  if (spoilsNext) {
+    spoilsNext = false;
+    note('spoils', { request: requestId });
+    writeSpoilt(res.socket, headOf(requestId));
+    return;
+  }
   const isOnRoute = req.url.startsWith(options.failingPrefix ?? '/');
   setTimeout(() => {
     if (isOnRoute && Math.random() < failureRatio) {
