--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,110 +1,113 @@
-// Most streams of a new version break off; the roll-out to it is completed, and the old engines are stopped.
+// The server of a new version dies; the roll-out to it is completed all the same, and the old servers are stopped.
 import { fileURLToPath } from 'node:url';
 import { setTimeout as delay } from 'node:timers/promises';
 import { guildConfig, runCase, send } from '../standin-3/deployment.mjs';
 
-const BUDGET_MS = 25_000;
-const DEADLINE_S = 20;
-const EVENTS = 40;
-/** Part of the runs of the new version whose stream breaks off, and after how many events. */
-const BROKEN_RATIO = 0.8;
-const BREAK_AFTER_EVENTS = 5;
-const PERIOD_MS = 150;
-const AFTER_MS = 8_000;
-/** The bounds of the sheet. */
-const EXPOSURE_SHARE = 0.1;
-const EXPOSURE_SLACK = 50;
+const DEADLINE_S = 10;
+/** The new server lives so long after the order. */
+const DEATH_AFTER_MS = 500;
+/** One new server beside them is a sixth of the service. */
+const FORMER_SERVERS = 5;
+const BEFORE_MS = 2_000;
+const DAY_MS = 92_000;
+const BOOKING_BUDGET_MS = 2_500;
+const STREAM_BUDGET_MS = 25_000;
+const ROUND_MS = 250;
+const PATHS = {
+  'rib-joint': '/rib/x',
+  'frame-repair': '/frame/x',
+  'slot-booking': '/book/x',
+  'stock-check': '/stock/x',
+};
+const STREAMS = new Set(['rib-joint', 'frame-repair']);
 
 await runCase(
   fileURLToPath(new URL('record.txt', import.meta.url)),
   async (deployment, hasTrouble) => {
-    const { record, setConfig, startServer, startRouter, store, events } = deployment;
+    const { record, setConfig, startServer, startRouter, store } = deployment;
     setConfig(guildConfig());
-    const guide = {
-      service: 'bench-guide',
-      kind: 'stream',
-      unframed: false,
-      eventCount: EVENTS,
-      eventGapMs: 40,
-      prefillMs: 150,
-      failureRatio: BROKEN_RATIO,
-      breakAfterEvents: BREAK_AFTER_EVENTS,
-    };
+    const shop = { service: 'guild-shop', kind: 'call', workMs: 30 };
+    const guide = { service: 'bench-guide', kind: 'stream', unframed: false };
+    const pace = { eventCount: 10, eventGapMs: 20, prefillMs: 50 };
     const former = [];
-    const fresh = [];
+    for (let no = 1; no <= FORMER_SERVERS; no += 1) {
+      const zone = `zone-${1 + (no % 3)}`;
+      former.push(await startServer({ ...shop, id: `old-${no}`, version: 'v1', zone }));
+    }
     for (const no of [1, 2, 3]) {
-      const zone = `zone-${no}`;
-      former.push(await startServer({ ...guide, id: `old-${no}`, version: 'v1', zone }));
+      await startServer({ ...guide, ...pace, id: `guide-${no}`, zone: `zone-${no}` });
     }
     const routers = [];
     for (const no of [1, 2, 3]) routers.push(await startRouter(`front-${no}`, `zone-${no}`));
     await delay(2_500);
 
-    const answers = [];
-    let isOver = false;
-    async function ask(router) {
-      const requestId = `stream-${answers.length + 1}`;
-      const answer = { requestId, sentAtMs: Date.now(), isWhole: false };
-      answers.push(answer);
-      const headers = { 'x-model': 'm', 'x-token-count': `500,${EVENTS}` };
-      const { status, isComplete, body } = await send(router.port, {
+    const tally = new Map(Object.keys(PATHS).map((kind) => [kind, { served: 0, all: 0 }]));
+    let sentCount = 0;
+    let lastServedAt = 0;
+    const startedAtMs = Date.now();
+    async function ask(router, kind) {
+      sentCount += 1;
+      const requestId = `${kind}-${sentCount}`;
+      const isStream = STREAMS.has(kind);
+      const counts = tally.get(kind);
+      counts.all += 1;
+      const { status, isComplete } = await send(router.port, {
         requestId,
-        path: '/rib/x',
-        budgetMs: BUDGET_MS,
-        headers,
+        path: PATHS[kind],
+        method: kind === 'stock-check' ? 'GET' : 'POST',
+        budgetMs: isStream ? STREAM_BUDGET_MS : BOOKING_BUDGET_MS,
+        headers: isStream ? { 'x-model': 'm', 'x-token-count': '500,10' } : {},
       });
-      const count = [...body.matchAll(/^id: \d+$/gmu)].length;
-      answer.isWhole = status === 200 && isComplete && count === EVENTS;
-      record(`client: ${requestId}: status ${status}, ${count} of ${EVENTS} events`);
+      record(`client: ${requestId} at ${router.hostId}: status ${status}`);
+      if (status !== 200 || !isComplete) return;
+      counts.served += 1;
+      if (kind === 'slot-booking') lastServedAt = Date.now() - startedAtMs;
     }
-    const pending = [];
-    async function press() {
-      for (let no = 0; !isOver; no += 1) {
-        pending.push(ask(routers[no % routers.length]));
-        await delay(PERIOD_MS);
+
+    let isOver = false;
+    /** The platform's side of a roll-out. */
+    async function watchStatus() {
+      let state;
+      while (!isOver) {
+        const next = store.get('status', 'rollout/guild-shop')?.state;
+        if (next !== state) {
+          state = next;
+          record(`status/rollout/guild-shop says ${state}`);
+          if (state === 'completed') await Promise.all(former.map((server) => server.kill()));
+        }
+        await delay(20);
       }
     }
-    const pressing = press();
-    await delay(4_000);
-    for (const no of [1, 2, 3]) {
-      fresh.push(
-        await startServer({ ...guide, id: `new-${no}`, version: 'v2', zone: `zone-${no}` }),
-      );
+
+    async function rollOut() {
+      await delay(BEFORE_MS);
+      const fresh = await startServer({ ...shop, id: 'new-1', version: 'v2', zone: 'zone-1' });
+      const order = { service: 'guild-shop', to: 'v2', deadline_s: DEADLINE_S };
+      store.put('op', 'rollout/guild-shop', order);
+      record('the operator orders guild-shop to be moved to v2');
+      await delay(DEATH_AFTER_MS);
+      if (hasTrouble) await fresh.kill();
     }
-    if (hasTrouble) fresh.forEach((server) => server.signal('SIGUSR2'));
-    store.put('op', 'rollout/bench-guide', {
-      service: 'bench-guide',
-      to: 'v2',
-      deadline_s: DEADLINE_S,
-    });
-    const orderedAtMs = Date.now();
-    record('the operator orders bench-guide to be moved to v2');
-    let state;
-    while (Date.now() < orderedAtMs + DEADLINE_S * 1_000 + AFTER_MS) {
-      const next = store.get('status', 'rollout/bench-guide')?.state;
-      if (next !== state) {
-        state = next;
-        record(`status/rollout/bench-guide says ${state}`);
-        if (state === 'completed') await Promise.all(former.map((server) => server.kill()));
-      }
-      await delay(20);
+
+    const platform = watchStatus();
+    const rolling = rollOut();
+    const answers = [];
+    while (Date.now() < startedAtMs + DAY_MS) {
+      const router = routers[answers.length % routers.length];
+      for (const kind of tally.keys()) answers.push(ask(router, kind));
+      await delay(ROUND_MS);
     }
     isOver = true;
-    await pressing;
-    await Promise.all(pending);
-    const endMs = orderedAtMs + DEADLINE_S * 1_000;
-    const arrivals = events.filter(
-      ({ what, atMs }) => what === 'run' && atMs >= orderedAtMs && atMs < endMs,
-    );
-    const exposed = arrivals.filter(({ server }) => server.startsWith('new-')).length;
-    const allowed = EXPOSURE_SHARE * arrivals.length + EXPOSURE_SLACK;
-    const late = answers.filter(({ sentAtMs }) => sentAtMs >= endMs);
-    const whole = late.filter(({ isWhole }) => isWhole).length;
-    record(
-      `of the streams that were sent after the order's time, ${whole} of ${late.length} end whole`,
-    );
-    const text = `v2 gets ${exposed} of ${arrivals.length} requests in the order's time; ${allowed.toFixed(1)} are allowed for a bad version`;
-    record(text);
-    return hasTrouble && exposed > allowed ? [text] : [];
+    await Promise.all([...answers, platform, rolling]);
+    const ratioOf = (list) =>
+      list.reduce((sum, { served }) => sum + served, 0) /
+      list.reduce((sum, { all }) => sum + all, 0);
+    const allRatio = ratioOf([...tally.values()]);
+    record(`the last booking is served ${lastServedAt} ms after the first request`);
+    return [...tally].flatMap(([kind, counts]) => {
+      const text = `${kind}: ${counts.served} of ${counts.all} served; of all ${(100 * allRatio).toFixed(0)} %`;
+      record(text);
+      return ratioOf([counts]) < allRatio / 4 ? [text] : [];
+    });
   },
 );
