--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -27,7 +27,7 @@
   async (deployment, hasTrouble) => {
     const { record, setConfig, startServer, startRouter, store, events } = deployment;
     setConfig(guildConfig());
-    const shop = { service: 'guild-shop', kind: 'call', workMs: 20, failureRatio: FAILURE_RATIO };
+    const shop = { service: 'guild-shop', kind: 'call', workMs: 10, failureRatio: FAILURE_RATIO };
     const former = [];
     const fresh = [];
     for (const no of [1, 2, 3]) {
