Collect what arrives in tiny chunks in one buffer

Callers saw: one server answers a booking without end in chunks of three bytes, and 0.6 s later the router's process ends ("heap out of memory"); nine streams and bookings at sound servers lost their connections without an answer.

Cause: answers of calls were kept chunk by chunk, some hundred bytes of heap each, and only their content was counted. Error bodies of streams, bodies read by the HTTP client, and calls and answers of peers were kept in the same way.

Change: one buffer that doubles holds them, and its capacity is what counts as held. Batches of peers are read before tRPC gets them; binary ones, which no router sends, are refused with 415.

--- a/packages/adapters/src/forward/upstream.ts
+++ b/packages/adapters/src/forward/upstream.ts
@@ -2,6 +2,7 @@
 import { buildConnector, Pool } from 'undici';
 import { assertNever } from '@mimosamill/core';
 import { splitAddress } from '../runtime/address';
+import { asBuffer } from '../runtime/body-buffer';
 import { runAfterInput } from '../runtime/clock';
 import { describeError } from '../runtime/fetch';
 import { parseResponseHead } from '../runtime/response-head';
@@ -266,11 +267,6 @@
   };
 }
 
-/** The same memory as a buffer: a copy for each attempt would not be counted as held. */
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
-
 /** Whether a connection can be tried to the address; entries of other writers hold any text. */
 function isAddress(address: string): boolean {
   const { port } = splitAddress(address);
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -63,6 +63,9 @@
   toErrorBody,
 } from './runtime/http';
 export { noteFreedBytes } from './runtime/buffer-collection';
+export { readText } from './runtime/fetch';
+export { createBodyBuffer } from './runtime/body-buffer';
+export type { BodyBuffer } from './runtime/body-buffer';
 export { createBodyReader, isBodyOutstanding, respondBeforeBody } from './runtime/request-body';
 export type { BodyOutcome, BodyReader } from './runtime/request-body';
 export type {
--- /dev/null
+++ b/packages/adapters/src/runtime/body-buffer.ts
@@ -0,0 +1,33 @@
+import { createByteBuffer, SMALL_CLAIM_BYTES } from '@mimosamill/core';
+import { noteFreedBytes } from './buffer-collection';
+
+/** Collects the body of a request or a response in one buffer, however small its chunks are. */
+export interface BodyBuffer {
+  /** Size of the buffer after another chunk of this size. */
+  readonly capacityWith: (chunkBytes: number) => number;
+  readonly add: (chunk: Uint8Array) => void;
+  readonly sizeBytes: () => number;
+  readonly bytes: () => Buffer;
+}
+
+/** `totalBytes` is the length as announced; `maxBytes` the most that the caller adds. */
+export function createBodyBuffer(totalBytes: number | undefined, maxBytes: number): BodyBuffer {
+  const buffer = createByteBuffer({
+    totalBytes,
+    maxBytes,
+    onReplaced: (sizeBytes) => {
+      if (sizeBytes > SMALL_CLAIM_BYTES) noteFreedBytes(sizeBytes);
+    },
+  });
+  return {
+    capacityWith: buffer.capacityWith,
+    add: buffer.add,
+    sizeBytes: buffer.sizeBytes,
+    bytes: () => asBuffer(buffer.bytes()),
+  };
+}
+
+/** The same memory as a buffer: a copy would not be counted as held. */
+export function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
--- a/packages/adapters/src/runtime/fetch.ts
+++ b/packages/adapters/src/runtime/fetch.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'undici';
+import { createBodyBuffer } from './body-buffer';
 import { rejectMalformedHeads } from './checked-responses';
 import { parseResponseHead } from './response-head';
 import type { Dispatcher } from 'undici';
@@ -82,14 +83,14 @@
 
 /** Reads a body up to a limit; its connection is closed if there is more. */
 export async function readText(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const text = createBodyBuffer(undefined, maxBytes);
   for await (const chunk of body) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) throw new Error(`the body has more than ${maxBytes} bytes`);
-    chunks.push(chunk);
+    if (text.sizeBytes() + chunk.length > maxBytes) {
+      throw new Error(`the body has more than ${maxBytes} bytes`);
+    }
+    text.add(chunk);
   }
-  return Buffer.concat(chunks).toString();
+  return text.bytes().toString();
 }
 
 /** Whether the error means that no connection was made. */
--- a/packages/adapters/src/runtime/request-body.ts
+++ b/packages/adapters/src/runtime/request-body.ts
@@ -1,5 +1,6 @@
 import { progressDueAtMs, SMALL_CLAIM_BYTES } from '@mimosamill/core';
-import { noteFreedBytes, noteReceivedBytes } from './buffer-collection';
+import { createBodyBuffer } from './body-buffer';
+import { noteReceivedBytes } from './buffer-collection';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MemoryBudget, MemoryClaim } from '@mimosamill/core';
 
@@ -24,7 +25,6 @@
 
 /** Memory that a running request needs beside its body. */
 const REQUEST_BYTES = 16_384;
-const CHUNKED_FIRST_BYTES = 4_096;
 /** Period at which a claim notes that its body still arrives; a fraction of the time after which it is slow. */
 const CLAIM_PERIOD_MS = 100;
 /** Chunks after which their mean size is looked at, and the size below which they cost more than their bytes. */
@@ -62,48 +62,6 @@
   return awaitingContinue.has(req) || (announcedBytes(req) ?? Infinity) > SMALL_CLAIM_BYTES;
 }
 
-/** Collects a body in one buffer: many small chunks need no more memory than their bytes. */
-export interface BodyBuffer {
-  /** Size of the buffer after another chunk of this size. */
-  readonly capacityWith: (chunkBytes: number) => number;
-  readonly add: (chunk: Buffer) => void;
-  readonly bytes: () => Buffer;
-}
-
-export function createBodyBuffer(totalBytes: number | undefined, maxBytes: number): BodyBuffer {
-  let buffer: Buffer | undefined;
-  let sizeBytes = 0;
-
-  function capacityWith(chunkBytes: number): number {
-    const neededBytes = sizeBytes + chunkBytes;
-    if (totalBytes !== undefined) return totalBytes;
-    if (buffer === undefined || neededBytes <= buffer.length) {
-      return Math.max(neededBytes, buffer?.length ?? 0);
-    }
-    return Math.min(maxBytes, Math.max(neededBytes, 2 * buffer.length, CHUNKED_FIRST_BYTES));
-  }
-
-  return {
-    capacityWith,
-    add: (chunk) => {
-      const capacity = capacityWith(chunk.length);
-      // The parser hands over each chunk as a buffer of its own.
-      if (buffer === undefined && chunk.length === capacity) buffer = chunk;
-      else {
-        if (buffer === undefined || buffer.length < capacity) {
-          const larger = Buffer.allocUnsafeSlow(capacity);
-          buffer?.copy(larger, 0, 0, sizeBytes);
-          if (sizeBytes > SMALL_CLAIM_BYTES) noteFreedBytes(sizeBytes);
-          buffer = larger;
-        }
-        chunk.copy(buffer, sizeBytes);
-      }
-      sizeBytes += chunk.length;
-    },
-    bytes: () => buffer?.subarray(0, sizeBytes) ?? Buffer.alloc(0),
-  };
-}
-
 export function createBodyReader(budget: MemoryBudget, monotonicMs: () => number): BodyReader {
   let fragmentedCount = 0;
 
--- a/packages/adapters/test/request-body.spec.ts
+++ b/packages/adapters/test/request-body.spec.ts
@@ -2,8 +2,7 @@
 import { connect } from 'node:net';
 import { describe, expect, it } from 'vitest';
 import { createMemoryBudget, createServeError } from '@mimosamill/core';
-import { createBodyReader, createHttpServer, sendError } from '../src/index';
-import { createBodyBuffer } from '../src/runtime/request-body';
+import { createBodyBuffer, createBodyReader, createHttpServer, sendError } from '../src/index';
 import type { IncomingMessage } from 'node:http';
 
 /** A request whose body is written to it. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,10 @@
 export { assertNever, createServeError, httpStatus } from './outcome';
 export type { RunState, ServeError, ServeErrorCode } from './outcome';
 
+// bytes
+export { createByteBuffer } from './byte-buffer';
+export type { ByteBuffer, ByteBufferOptions } from './byte-buffer';
+
 // hashing
 export { rankByRendezvous } from './hash/rendezvous';
 export type { Hash32 } from './hash/rendezvous';
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -46,3 +46,6 @@
 
 // ports of processes
 export { findFreePort } from './free-port';
+
+// memory of processes
+export { measureHeapBytes } from './heap';
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -1,5 +1,6 @@
+import { createBodyBuffer } from '@mimosamill/adapters';
 import type { AnswerTimer } from './version-moves';
-import type { Exchange, ResponseHead } from '@mimosamill/adapters';
+import type { BodyBuffer, Exchange, ResponseHead } from '@mimosamill/adapters';
 import type {
   ForwardServer,
   PromptSize,
@@ -11,6 +12,9 @@
   StreamPlacement,
 } from '@mimosamill/core';
 
+/** An error response with a larger body counts as garbled. */
+export const ERROR_BODY_MAX_BYTES = 65_536;
+
 /** Engine that was chosen for an attempt. */
 export type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
 
@@ -40,8 +44,7 @@
   /** Undefined until a response has begun that answers the request. */
   head: ResponseHead | undefined;
   isErrorResponse: boolean;
-  errorBody: Uint8Array[];
-  errorBodyBytes: number;
+  readonly errorBody: BodyBuffer;
   /** Holds the body of an error, or the bytes of an event that is not complete yet. */
   readonly buffer: ResponseBuffer;
   /** Events since the pace was last judged. */
@@ -86,8 +89,7 @@
     cancelConnectTimeout: () => undefined,
     head: undefined,
     isErrorResponse: false,
-    errorBody: [],
-    errorBodyBytes: 0,
+    errorBody: createBodyBuffer(undefined, ERROR_BODY_MAX_BYTES),
     buffer,
     eventCount: 0,
     timer,
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -1,3 +1,4 @@
+import { createBodyBuffer } from '@mimosamill/adapters';
 import { createDirectCall, createLatencyWindow, assertNever } from '@mimosamill/core';
 import { createWakeTimer, createDeferred } from '../call/async';
 import { createErrorBoundary } from '../error-boundary';
@@ -235,9 +236,8 @@
 
   function sendTo(attemptNo: number, server: ForwardServer, sentAtMs: number): void {
     const { serverId, address, failureDomain } = server;
-    const chunks: Uint8Array[] = [];
-    const buffer = ports.responseBuffers.open('answer');
-    let sizeBytes = 0;
+    const body = createBodyBuffer(undefined, RESPONSE_MAX_BYTES);
+    const held = ports.responseBuffers.open('answer');
     let answer: ResponseHead | undefined;
     const connection: { exchange?: Exchange } = {};
     let isOver = false;
@@ -245,7 +245,7 @@
 
     function endAttempt(): void {
       isOver = true;
-      buffer.release();
+      held.release();
       cancelConnectTimeout();
       cancels.delete(attemptNo);
       endingAttempts.delete(attemptNo);
@@ -392,9 +392,11 @@
         onHead: boundary.wrap(onHead),
         onData: boundary.wrap((bytes: Uint8Array) => {
           if (isOver) return;
-          sizeBytes += bytes.length;
-          chunks.push(bytes);
-          if (buffer.hold(sizeBytes) && sizeBytes <= RESPONSE_MAX_BYTES) return;
+          const isWithinLimit = body.sizeBytes() + bytes.length <= RESPONSE_MAX_BYTES;
+          if (isWithinLimit && held.hold(body.capacityWith(bytes.length))) {
+            body.add(bytes);
+            return;
+          }
           connection.exchange?.cancel();
           finishAttempt({ kind: 'unknown' }, 'answer_too_large');
         }),
@@ -403,8 +405,8 @@
             finishAttempt({ kind: 'unknown' }, 'no_answer');
             return;
           }
-          const body = { head: answer, body: Buffer.concat(chunks) };
-          finishAttempt({ kind: 'ok', status: answer.status, body }, '');
+          const response = { head: answer, body: body.bytes() };
+          finishAttempt({ kind: 'ok', status: answer.status, body: response }, '');
         }),
         onFailure: boundary.wrap((failure: ExchangeFailure, message: string) => {
           const nowMs = clock.monotonicMs();
--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -2,7 +2,7 @@
 import { createWakeTimer } from '../call/async';
 import { createErrorBoundary } from '../error-boundary';
 import { admitStream } from './admission';
-import { createStreamAttempt } from './attempt';
+import { createStreamAttempt, ERROR_BODY_MAX_BYTES } from './attempt';
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
@@ -70,8 +70,6 @@
   readonly onServerLost: (serverId: ServerId) => void;
 }
 
-/** An error response with a larger body counts as garbled. */
-const ERROR_BODY_MAX_BYTES = 65_536;
 const CONNECT_TIMEOUT_MS = 200;
 /** An engine that goes on for so long after the first event of an answer has survived the request. */
 const SURVIVAL_MS = 1_000;
@@ -210,7 +208,7 @@
     const attempt = attempts.get(attemptNo);
     end('server_failure');
     if (attempt?.head === undefined) throw new Error('there is no error response to pass on');
-    sink.sendErrorResponse(attempt.head, Buffer.concat(attempt.errorBody));
+    sink.sendErrorResponse(attempt.head, attempt.errorBody.bytes());
   }
 
   function end(outcome: string, error?: ServeError): void {
@@ -481,10 +479,10 @@
   }
 
   function collectErrorBody(attempt: StreamAttempt, bytes: Uint8Array): void {
-    attempt.errorBodyBytes += bytes.length;
-    const isHeld = attempt.buffer.hold(attempt.errorBodyBytes);
-    if (isHeld && attempt.errorBodyBytes <= ERROR_BODY_MAX_BYTES) {
-      attempt.errorBody.push(bytes);
+    const { errorBody, buffer } = attempt;
+    const isWithinLimit = errorBody.sizeBytes() + bytes.length <= ERROR_BODY_MAX_BYTES;
+    if (isWithinLimit && buffer.hold(errorBody.capacityWith(bytes.length))) {
+      errorBody.add(bytes);
       return;
     }
     attempt.exchange?.cancel();
--- a/packages/router/src/peer/pool.ts
+++ b/packages/router/src/peer/pool.ts
@@ -1,6 +1,7 @@
 import { createTRPCClient, TRPCClientError } from '@trpc/client';
 import { observable } from '@trpc/server/observable';
 import { buildConnector, Pool } from 'undici';
+import { readText } from '@mimosamill/adapters';
 import type { TRPCClient, TRPCLink } from '@trpc/client';
 import type { AnyRouter } from '@trpc/server';
 import type { Clock } from '@mimosamill/adapters';
@@ -122,7 +123,7 @@
       bodyTimeout: timeoutMs,
       signal,
     });
-    const answer = await response.body.text();
+    const answer = await readText(response.body, settings.maxResponseBytes);
     traffic.countMessage('in', `${path} answer`, answer.length);
     return JSON.parse(answer);
   }
--- a/packages/router/src/peer/server.ts
+++ b/packages/router/src/peer/server.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { createBodyBuffer } from '@mimosamill/adapters';
 import { callTRPCProcedure, TRPCError } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { getHTTPStatusCodeFromError } from '@trpc/server/http';
@@ -66,8 +67,9 @@
     response.sendDate = false;
     response.setHeader('connection', 'keep-alive');
     countAnswerBytes(request, response, kind);
-    if (kind === 'other' || request.method !== 'POST') {
-      handler(request, response);
+    const isSingleCall = kind !== 'other' && request.method === 'POST';
+    if (!isSingleCall && isBinary(request)) {
+      response.writeHead(415, { connection: 'close' }).end();
       return;
     }
     readBody(request, settings.maxBodyBytes, (body) => {
@@ -75,6 +77,11 @@
         response.writeHead(413, { connection: 'close' }).end();
         return;
       }
+      if (!isSingleCall) {
+        // The adapter would keep each chunk of a body that it reads itself as an object of its own.
+        handler(Object.assign(request, { body: body.toString() }), response);
+        return;
+      }
       traffic.countMessage('in', kind, body.length);
       void answerCall(request, response, path, body);
     });
@@ -82,7 +89,8 @@
 
   /**
    * Answers a single call as tRPC's HTTP adapter does, but without its web requests and streams,
-   * which are most of the cost of a small message. Batches and other requests go to the adapter.
+   * which are most of the cost of a small message. Batches and queries by GET go to the adapter, without
+   * binary inputs.
    */
   async function answerCall(
     request: IncomingMessage,
@@ -148,8 +156,12 @@
   return Object.fromEntries(procedures.map(([path, { _def }]) => [path, _def.type]));
 }
 
+function isBinary(request: IncomingMessage): boolean {
+  return request.headers['content-type'] === 'application/octet-stream';
+}
+
 function parseBody(request: IncomingMessage, body: Buffer): unknown {
-  if (request.headers['content-type'] === 'application/octet-stream') return body;
+  if (isBinary(request)) return body;
   if (body.length === 0) return undefined;
   try {
     return JSON.parse(body.toString('utf8'));
@@ -179,17 +191,15 @@
   maxBytes: number,
   onBody: (body: Buffer | undefined) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const body = createBodyBuffer(undefined, maxBytes);
   request.on('data', (chunk: Buffer) => {
-    sizeBytes += chunk.byteLength;
-    if (sizeBytes <= maxBytes) {
-      chunks.push(chunk);
+    if (body.sizeBytes() + chunk.byteLength <= maxBytes) {
+      body.add(chunk);
       return;
     }
     request.pause();
     request.removeAllListeners('data');
     onBody(undefined);
   });
-  request.on('end', () => onBody(Buffer.concat(chunks)));
+  request.on('end', () => onBody(body.bytes()));
 }
