Complete a move only by good answers and with present servers

Callers saw: the one server of a new version died 0.5 s after the order; the move was completed at 70 % of its time, the platform stopped the former servers, and 38 of 367 bookings were served.

Cause: a move ended as completed unless answers of the new version were bad, and a version without servers has no answers.

Change: completion needs eight good answers (one, in a service with few), and at least half of the new version's servers listed, not lost and accepting connections right before the write. A move without good answers is rolled back when its time is over, one whose servers are missing at 125 % of it. While all new servers are lost, the former ones answer. The own interface's move is not done while no engine has loaded the version.

--- a/packages/controller/test/move.spec.ts
+++ b/packages/controller/test/move.spec.ts
@@ -37,6 +37,8 @@
   ) => ControllerHost;
   readonly record: () => MoveRecord;
   withdrawnReason: string | undefined;
+  /** No engine reports that it has loaded the new version from now on. */
+  readonly loseEngines: () => void;
 }
 
 const DEADLINE_MS = 600_000;
@@ -46,6 +48,12 @@
   const tables = createMemoryTables();
   const config = createMemoryVersionConfig();
   const fleet = createMemoryFleet(10);
+  let areEnginesLost = false;
+  const describeFleet: typeof fleet.describe = async (service, version) => {
+    const engines = await fleet.describe(service, version);
+    if (engines === undefined || !areEnginesLost) return engines;
+    return { ...engines, loadedCount: () => 0 };
+  };
   const value = { ...createMoveRecord(DEADLINE_MS) } as unknown as JsonValue;
   await tables.commit({ conditions: [], writes: [{ kind: 'put', key: 'moves/m-1', value }] });
   const fixture: MoveFixture = {
@@ -55,6 +63,9 @@
     ended: [],
     reversed: [],
     withdrawnReason: undefined,
+    loseEngines: () => {
+      areEnginesLost = true;
+    },
     record: () => tables.rows.get('moves/m-1')?.value as unknown as MoveRecord,
     createHost: (holder, hostTables = tables, options = {}) => {
       const settings = { duty: 'moves', holder, termMs: 10_000 };
@@ -65,7 +76,7 @@
         clock,
         lease,
         config,
-        fleet,
+        fleet: { ...fleet, describe: describeFleet },
         withdrawals: { withdrawalReason, isFresh: () => true },
         onEnded: (record) => fixture.ended.push(record),
         onReversed: (_record, reason) => fixture.reversed.push(reason),
@@ -147,6 +158,15 @@
     expect(fixture.ended).toHaveLength(1);
   });
 
+  it('is taken back if all engines of the new version are lost after the last step', async () => {
+    // Guards against a move that is done with a version which no engine serves.
+    const fixture = await createMoveFixture();
+    await runHosts(fixture, [fixture.createHost('a')], 700_000, () => {
+      if (fixture.record().stepShareRatio === 1) fixture.loseEngines();
+    });
+    expect(fixture.ended.map(({ state }) => state)).toEqual(['taken_back']);
+  });
+
   it('takes back a move whose deadline passed while no controller was alive', async () => {
     // Guards against a move that stays running, with its candidate, after an outage of all controllers.
     const fixture = await createMoveFixture();
--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -27,16 +27,25 @@
   readonly former: AnswerCounts;
 }
 
+/** Servers of the new version. */
+export interface VersionServers {
+  /** Listed as ready, and none of them lost. */
+  readonly presentCount: number;
+  /** Most that were listed at one time since the order. */
+  readonly expectedCount: number;
+}
+
 export interface MoveProgress {
   readonly evidence: MoveEvidence;
   readonly elapsedMs: number;
+  readonly servers: VersionServers;
   /** Whether requests still run on servers of the former version. */
   readonly isFormerBusy: boolean;
 }
 
 export type MoveStep =
   | { readonly kind: 'serve'; readonly shareRatio: number }
-  /** The new version is worse and gets no more traffic. */
+  /** The new version is worse, or was not proven in time, and gets no more traffic. */
   | { readonly kind: 'roll_back' }
   /** The new version has all traffic, and the move ends. */
   | { readonly kind: 'complete' };
@@ -66,6 +75,15 @@
  * From this part of the time on the move completes even if the former version still runs requests.
  */
 const FORCED_COMPLETION_TIME_RATIO = 0.9;
+/**
+ * With so few answers of both versions, the second share may bring too few of the new one, and a single good
+ * one proves it.
+ */
+const FEW_ANSWERS = Math.ceil(SECOND_STAGE_MIN_ANSWERS / SECOND_SHARE_RATIO);
+/** Part of the new version's servers that must be present when the former ones are stopped. */
+const PRESENT_MIN_RATIO = 0.5;
+/** Servers that are lost near the end of the order's time may be back soon after it. */
+const MISSING_SERVERS_TIME_RATIO = 1.25;
 /** Fewer bad answers than this may be chance. */
 const BAD_ANSWERS_MIN = 5;
 /** Part of its answers that may be bad for any version. */
@@ -117,10 +135,44 @@
   const isFormerMostlyBad = former.bad * 2 > former.answers;
   const isMostlyBad = bad >= MAJORITY_BAD_MIN && bad > good && !isFormerMostlyBad;
   if (isDoubtful || isMostlyBad) return { kind: 'roll_back' };
+  if (!hasServers(progress.servers)) {
+    return timeRatio >= MISSING_SERVERS_TIME_RATIO
+      ? { kind: 'roll_back' }
+      : { kind: 'serve', shareRatio: SECOND_SHARE_RATIO };
+  }
+  if (!isProven(progress.evidence)) {
+    return timeRatio >= 1
+      ? { kind: 'roll_back' }
+      : { kind: 'serve', shareRatio: trialShareRatio(order, progress) };
+  }
   const canComplete = !progress.isFormerBusy || timeRatio >= FORCED_COMPLETION_TIME_RATIO;
   return canComplete ? { kind: 'complete' } : { kind: 'serve', shareRatio: 1 };
 }
 
+/**
+ * Whether enough good answers speak for the new version. That none were bad says nothing: it may have had no
+ * server that could answer.
+ */
+function isProven({ fresh, former }: MoveEvidence): boolean {
+  const good = fresh.answers - fresh.bad;
+  if (good >= SECOND_STAGE_MIN_ANSWERS) return true;
+  return good > 0 && fresh.answers + former.answers < FEW_ANSWERS;
+}
+
+/** Whether the new version has the servers to go on alone; the former ones cannot be started again. */
+export function hasServers({ presentCount, expectedCount }: VersionServers): boolean {
+  return presentCount > 0 && presentCount >= PRESENT_MIN_RATIO * expectedCount;
+}
+
+/** Share of a new version that has not been proven when the second stage ends: larger with little traffic. */
+function trialShareRatio(order: VersionOrder, { evidence, elapsedMs }: MoveProgress): number {
+  const answers = evidence.fresh.answers + evidence.former.answers;
+  const leftMs = Math.max(0, order.withinMs - elapsedMs);
+  const expectedRequests = (answers * leftMs) / Math.max(1, elapsedMs);
+  const ratio = FIRST_SHARE_REQUESTS / Math.max(1, expectedRequests);
+  return Math.min(1, Math.max(SECOND_SHARE_RATIO, ratio));
+}
+
 interface Stage {
   readonly timeRatio: number;
   readonly minAnswers: number;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -423,7 +423,13 @@
   StreamPlacement,
   StreamPlacementInput,
 } from './forward/placement-types';
-export { addEvidence, isNewVersionWorse, isStoredSince, nextMoveStep } from './forward/rollout';
+export {
+  addEvidence,
+  hasServers,
+  isNewVersionWorse,
+  isStoredSince,
+  nextMoveStep,
+} from './forward/rollout';
 export type {
   AnswerCounts,
   MoveEvidence,
@@ -431,6 +437,7 @@
   MoveState,
   MoveStep,
   VersionOrder,
+  VersionServers,
 } from './forward/rollout';
 export { isRestart } from './forward/server-notices';
 export { createPriorityClasses } from './forward/priority';
--- a/packages/core/src/move/machine.ts
+++ b/packages/core/src/move/machine.ts
@@ -62,7 +62,11 @@
   if (observed.stableVersion !== record.fromVersion) {
     return [rollBack(`the stable version is ${observed.stableVersion}, not ${record.fromVersion}`)];
   }
-  if (hasAllTraffic(observed)) return [{ kind: 'end', state: 'done', reason: 'all steps passed' }];
+  if (hasAllTraffic(observed)) {
+    // Engines may have been lost since the last step.
+    if (observed.loadedCount === 0) return [];
+    return [{ kind: 'end', state: 'done', reason: 'all steps passed' }];
+  }
   if (planned.kind === 'refused') {
     // A move that has begun waits until the plan is feasible again, or ends at its deadline.
     return record.stepShareRatio === 0 ? [rollBack(planned.reason)] : [];
--- a/packages/core/test/forward/rollout.spec.ts
+++ b/packages/core/test/forward/rollout.spec.ts
@@ -1,7 +1,14 @@
 import { describe, expect, it } from 'vitest';
 import { asId, isNewVersionWorse, nextMoveStep } from '../../src/index';
 import { createRandom } from './fixtures';
-import type { MoveEvidence, ServiceName, VersionOrder } from '../../src/index';
+import type {
+  MoveEvidence,
+  MoveProgress,
+  MoveStep,
+  ServiceName,
+  VersionOrder,
+  VersionServers,
+} from '../../src/index';
 
 const ORDER: VersionOrder = { service: asId<ServiceName>('s'), version: 'v2', withinMs: 12_000 };
 
@@ -10,10 +17,16 @@
   former: { answers: former, bad: formerBad },
 });
 
+const THREE_SERVERS: VersionServers = { presentCount: 3, expectedCount: 3 };
+
+/** The next step of a move that has its servers, unless the progress says otherwise. */
+const stepOf = (progress: Omit<MoveProgress, 'servers'> & Partial<MoveProgress>): MoveStep =>
+  nextMoveStep(ORDER, { servers: THREE_SERVERS, ...progress });
+
 describe('a move to a new version', () => {
   it('raises the share in stages and completes once the former version is idle', () => {
     const steps = [0, 2_300, 3_000, 6_000, 11_000].map((elapsedMs) =>
-      nextMoveStep(ORDER, { evidence: evidence(20, 0), elapsedMs, isFormerBusy: true }),
+      stepOf({ evidence: evidence(20, 0), elapsedMs, isFormerBusy: true }),
     );
     expect(steps).toEqual([
       { kind: 'serve', shareRatio: 0.08 },
@@ -23,13 +36,13 @@
       { kind: 'complete' },
     ]);
     const drained = { evidence: evidence(20, 0), elapsedMs: 6_000, isFormerBusy: false };
-    expect(nextMoveStep(ORDER, drained).kind).toBe('complete');
+    expect(stepOf(drained).kind).toBe('complete');
   });
 
   it('gets all traffic only after enough good answers, or when time presses and none were bad', () => {
     // Guards against completing a move to a version whose answers are too slow to arrive in time.
     const stepAt = (elapsedMs: number, answers: number, bad: number) =>
-      nextMoveStep(ORDER, { evidence: evidence(answers, bad, 20), elapsedMs, isFormerBusy: true });
+      stepOf({ evidence: evidence(answers, bad, 20), elapsedMs, isFormerBusy: true });
     expect(stepAt(6_000, 2, 0)).toEqual({ kind: 'serve', shareRatio: 0.3 });
     expect(stepAt(8_000, 4, 4)).toEqual({ kind: 'serve', shareRatio: 0.3 });
     expect(stepAt(8_500, 4, 4)).toEqual({ kind: 'roll_back' });
@@ -41,7 +54,7 @@
   it('gets no more traffic while it looks worse than the former version, and is rolled back then', () => {
     // Guards against taking half of the answers being slow for enough good answers.
     const stepAt = (elapsedMs: number, bad: number) =>
-      nextMoveStep(ORDER, {
+      stepOf({
         evidence: evidence(21, bad, 185, 30),
         elapsedMs,
         isFormerBusy: false,
@@ -53,7 +66,7 @@
 
   it('is not rolled back for slow answers when those of the former version are as slow', () => {
     // Guards against blaming a version for a load under which all servers are slow.
-    const step = nextMoveStep(ORDER, {
+    const step = stepOf({
       evidence: evidence(4, 3, 20, 14),
       elapsedMs: 8_500,
       isFormerBusy: true,
@@ -62,7 +75,7 @@
   });
 
   it('begins with a larger share at a service with little traffic, to get answers in time', () => {
-    const step = nextMoveStep(ORDER, {
+    const step = stepOf({
       evidence: evidence(1, 0, 7),
       elapsedMs: 2_000,
       isFormerBusy: true,
@@ -72,7 +85,7 @@
 
   it('is rolled back at any stage once the new version is significantly worse', () => {
     const progress = { evidence: evidence(12, 7), elapsedMs: 300, isFormerBusy: true };
-    expect(nextMoveStep(ORDER, progress)).toEqual({ kind: 'roll_back' });
+    expect(stepOf(progress)).toEqual({ kind: 'roll_back' });
   });
 
   it('is not rolled back for failures that the former version has as well', () => {
@@ -108,3 +121,56 @@
     expect(goodRolledBack.length).toBeLessThan(6);
   });
 });
+
+// Guards against stopping the former version's servers for a version that nothing has shown to be sound.
+describe('a move to a version without good answers', () => {
+  it('is not completed, and is rolled back when its time is over', () => {
+    const steps = [0.71, 0.95, 0.99, 1.01].map((timeRatio) =>
+      stepOf({
+        evidence: evidence(0, 0, 400),
+        elapsedMs: timeRatio * ORDER.withinMs,
+        isFormerBusy: false,
+      }),
+    );
+    expect(steps.map(({ kind }) => kind)).toEqual(['serve', 'serve', 'serve', 'roll_back']);
+  });
+
+  it('is not completed for one good answer among much traffic of the former version', () => {
+    // Guards against servers that start late, and of which a single good answer says little.
+    const stepWith = (answers: number) =>
+      stepOf({ evidence: evidence(answers, 0, 400), elapsedMs: 9_600, isFormerBusy: false });
+    expect(stepWith(1)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+    expect(stepWith(8)).toEqual({ kind: 'complete' });
+  });
+
+  it('gets all traffic for a trial if there is little of it, and is completed by one good answer', () => {
+    const stepWith = (answers: number) =>
+      stepOf({ evidence: evidence(answers, 0, 5), elapsedMs: 9_600, isFormerBusy: false });
+    expect(stepWith(0)).toEqual({ kind: 'serve', shareRatio: 1 });
+    expect(stepWith(1)).toEqual({ kind: 'complete' });
+  });
+});
+
+// Guards against stopping the former version's servers when most of the new ones have been lost.
+describe('a move to a version that has lost its servers', () => {
+  const stepWith = (servers: VersionServers, elapsedMs: number) =>
+    stepOf({ evidence: evidence(40, 0, 400), elapsedMs, isFormerBusy: false, servers });
+
+  it.each([
+    { presentCount: 0, expectedCount: 0 },
+    { presentCount: 0, expectedCount: 1 },
+    { presentCount: 1, expectedCount: 3 },
+  ])(
+    'is not completed with $presentCount of $expectedCount, and is rolled back later',
+    (servers) => {
+      expect(stepWith(servers, 6_000)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+      expect(stepWith(servers, 13_000)).toEqual({ kind: 'serve', shareRatio: 0.3 });
+      expect(stepWith(servers, 15_100)).toEqual({ kind: 'roll_back' });
+    },
+  );
+
+  it('is completed while at least half of them are present', () => {
+    expect(stepWith({ presentCount: 2, expectedCount: 3 }, 6_000)).toEqual({ kind: 'complete' });
+    expect(stepWith({ presentCount: 3, expectedCount: 3 }, 12_500)).toEqual({ kind: 'complete' });
+  });
+});
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -186,6 +186,7 @@
     peerRegistry,
     hashes: environment.hashes,
     table: environment.moveTable,
+    isAccepting: upstream.isAccepting,
     broadcastSoon: stateBroadcast.sendSoon,
     broadcastLater: stateBroadcast.sendLater,
   });
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -1,4 +1,11 @@
-import { addEvidence, asId, isStoredSince, nextMoveStep, UNKNOWN_ERA } from '@mimosamill/core';
+import {
+  addEvidence,
+  asId,
+  hasServers,
+  isStoredSince,
+  nextMoveStep,
+  UNKNOWN_ERA,
+} from '@mimosamill/core';
 import { isElected } from './election';
 import { createOrderHistory } from './order-history';
 import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
@@ -11,9 +18,11 @@
   PeerRegistry,
   PeerMove,
   ServerId,
+  ServerState,
   ServiceName,
   StoreRevision,
   VersionOrder,
+  VersionServers,
 } from '@mimosamill/core';
 
 /** Stored states of moves; operators read them too. */
@@ -44,6 +53,8 @@
   readonly peerRegistry: PeerRegistry;
   readonly hashes: HashFunctions;
   readonly table: MoveTable;
+  /** Whether a server accepts connections. */
+  readonly isAccepting: (address: string) => Promise<boolean>;
   /** Sends this router's state to the other routers after a short batch delay. */
   readonly broadcastSoon: () => void;
   readonly broadcastLater: () => void;
@@ -91,6 +102,10 @@
   isWriting: boolean;
   evidence: MoveEvidence;
   shareRatio: number;
+  /** Most servers of the new version that were usable at one time since the order. */
+  serversMax: number;
+  /** Time before which the servers are not tried again after one that did not accept connections. */
+  nextServerCheckAtMs: number;
   /** Revision of the stored state. */
   at: StoreRevision;
   /** The store may have lost the end of the move. */
@@ -104,6 +119,8 @@
 const OVERTAKEN_FACTOR = 1.5;
 /** Time after a completed move by which the former version's servers are no longer listed. */
 const FORMER_SERVERS_GONE_AFTER_MS = 10_000;
+/** Time between two checks of the new version's servers before the move is completed. */
+const SERVER_CHECK_PERIOD_MS = 500;
 /** Time between two looks for the end of a move that another router is to write again. */
 const END_CHECK_PERIOD_MS = 1_000;
 const SMOOTHING_RATIO = 0.1;
@@ -261,12 +278,29 @@
       endMove(move, ended.state, 'peer');
       return;
     }
-    const next = nextMoveStep(move.order, {
+    apply(move, nextStep(move));
+  }
+
+  function nextStep(move: Move): MoveStep {
+    return nextMoveStep(move.order, {
       evidence: totalEvidence(move),
       elapsedMs: clock.monotonicMs() - move.startedAtMs,
       isFormerBusy: isFormerBusy(move),
+      servers: serversOf(move),
     });
-    apply(move, next);
+  }
+
+  function presentServers({ order }: Move): readonly ServerState[] {
+    return fleet
+      .usable(order.service)
+      .filter(({ server, lostAtMs }) => server.version === order.version && lostAtMs === undefined);
+  }
+
+  function serversOf(move: Move): VersionServers {
+    const usable = fleet.usable(move.order.service);
+    const ofVersion = usable.filter(({ server }) => server.version === move.order.version);
+    move.serversMax = Math.max(move.serversMax, ofVersion.length);
+    return { presentCount: presentServers(move).length, expectedCount: move.serversMax };
   }
 
   function apply(move: Move, next: MoveStep): void {
@@ -279,7 +313,36 @@
     else move.shareRatio = 1;
     const { service } = move.order;
     if (!isWriterOf(service)) return;
-    void write(move, next.kind === 'roll_back' ? 'rolled_back' : 'completed');
+    if (next.kind === 'roll_back') void write(move, 'rolled_back');
+    else void complete(move);
+  }
+
+  /** Completes a move if its servers can be reached: the former ones are stopped by it, for good. */
+  async function complete(move: Move): Promise<void> {
+    const isDue = clock.monotonicMs() >= move.nextServerCheckAtMs;
+    if (move.isWriting || !move.isStateLoaded || !isDue) return;
+    move.isWriting = true;
+    const present = presentServers(move);
+    const checks = await Promise.all(
+      present.map(({ server }) => ports.isAccepting(server.address)),
+    );
+    move.isWriting = false;
+    const presentCount = checks.filter((isAccepting) => isAccepting).length;
+    if (!hasServers({ presentCount, expectedCount: move.serversMax })) {
+      move.nextServerCheckAtMs = clock.monotonicMs() + SERVER_CHECK_PERIOD_MS;
+      const { service, version } = move.order;
+      decisions.notable('move.servers_missing', {
+        service,
+        version,
+        listed: present.length,
+        reachable: presentCount,
+        expected: move.serversMax,
+      });
+      return;
+    }
+    // Time has passed, in which answers or reports of the others may have arrived.
+    if (move.state !== 'running' || nextStep(move).kind !== 'complete') return;
+    await write(move, 'completed');
   }
 
   async function write(move: Move, state: MoveState): Promise<void> {
@@ -390,7 +453,10 @@
       ({ version }) => (version === move.order.version) !== usesNewVersion,
     );
     const leavesNoServer = excluded.length === servers.length && move.state !== 'rolled_back';
-    return leavesNoServer ? NO_SERVERS : new Set(excluded.map(({ serverId }) => serverId));
+    // Until the end, the former version answers for a new one all of whose servers are lost.
+    const isLost = move.state === 'running' && usesNewVersion && presentServers(move).length === 0;
+    if (leavesNoServer || isLost) return NO_SERVERS;
+    return new Set(excluded.map(({ serverId }) => serverId));
   }
 
   /** The former servers are stopped; later versions may appear without a move. */
@@ -444,6 +510,8 @@
     isWriting: false,
     evidence: NO_EVIDENCE,
     shareRatio: 0,
+    serversMax: 0,
+    nextServerCheckAtMs: -Infinity,
     at: { era: UNKNOWN_ERA, revision: 0 },
     isEndInDoubt: false,
     nextEndCheckAtMs: -Infinity,
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -40,6 +40,7 @@
   readonly order: VersionOrder;
   readonly peerRegistry: PeerRegistry;
   readonly stored: MoveRecordOutcome;
+  readonly isAccepting: () => boolean;
 }
 
 /** One router that moves a service with one server of each version, within 15 seconds. */
@@ -47,6 +48,7 @@
   order = ORDER,
   peerRegistry = createPeerRegistry(),
   stored = { kind: 'ok', record: undefined, at: UNSET },
+  isAccepting = () => true,
 }: Partial<MoveWorld> = {}) {
   const clock = createManualClock();
   const fleet = createFleet();
@@ -68,17 +70,31 @@
         return Promise.resolve('ok');
       },
     },
+    isAccepting: () => Promise.resolve(isAccepting()),
     broadcastSoon: ignore,
     broadcastLater: ignore,
   });
   moves.setOrders([order]);
-  return { clock, moves, state: () => state, writes };
+  return { clock, fleet, moves, state: () => state, writes };
 }
 
 async function advance(clock: ReturnType<typeof createManualClock>, ms: number): Promise<void> {
   for (let passed = 0; passed < ms; passed += 100) {
     clock.advance(100);
-    await Promise.resolve();
+    // The checks of servers and the write take some turns.
+    for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+  }
+}
+
+/** Lets the new version answer well, as often as the former one. */
+async function answerWell(
+  { clock, moves }: Pick<ReturnType<typeof createMoveOfService>, 'clock' | 'moves'>,
+  ms: number,
+): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 500) {
+    moves.trackAttempt(FORMER, 'answer').onAnswered(false);
+    moves.trackAttempt(FRESH, 'answer').onAnswered(false);
+    await advance(clock, 500);
   }
 }
 
@@ -274,3 +290,59 @@
     expect(isNew).toEqual([true, false, false]);
   });
 });
+
+// Guards against stopping the former version's servers when the new one has none that could take their place.
+describe('a move to a version whose servers', () => {
+  it('are lost early is not completed, and is rolled back', async () => {
+    const { clock, fleet, moves, state } = createMoveOfService();
+    await advance(clock, 500);
+    fleet.setServers([serverOf(FORMER, 'v1')], clock.monotonicMs());
+    await advance(clock, 15_000);
+    expect(state()).toBeUndefined();
+    expect([...moves.excludedServers(SERVICE, 0)]).toEqual([]);
+    await advance(clock, 5_000);
+    expect(state()).toBe('rolled_back');
+  });
+
+  it('are lost late is not completed, and the former servers answer in the place of the new', async () => {
+    const world = createMoveOfService();
+    await answerWell(world, 5_000);
+    world.fleet.onFailure(FRESH, 'refused', world.clock.monotonicMs());
+    await advance(world.clock, 9_000);
+    expect(world.state()).toBeUndefined();
+    expect([...world.moves.excludedServers(SERVICE, 0)]).toEqual([]);
+  });
+
+  it('are back in time is completed', async () => {
+    const world = createMoveOfService();
+    await answerWell(world, 5_000);
+    world.fleet.onFailure(FRESH, 'refused', world.clock.monotonicMs());
+    await advance(world.clock, 5_000);
+    world.fleet.onBytesReceived(FRESH, world.clock.monotonicMs());
+    await advance(world.clock, 500);
+    expect(world.state()).toBe('completed');
+  });
+
+  it('cannot be reached is not completed before they can', async () => {
+    let isUp = false;
+    const world = createMoveOfService({ isAccepting: () => isUp });
+    await answerWell(world, 12_000);
+    expect(world.state()).toBeUndefined();
+    isUp = true;
+    await advance(world.clock, 1_000);
+    expect(world.state()).toBe('completed');
+  });
+
+  it('start late is completed only after good answers', async () => {
+    const world = createMoveOfService();
+    const { clock, fleet, moves, state } = world;
+    fleet.setServers([serverOf(FORMER, 'v1')], clock.monotonicMs());
+    await advance(clock, 12_000);
+    fleet.setServers([serverOf(FORMER, 'v1'), serverOf(FRESH, 'v2')], clock.monotonicMs());
+    await advance(clock, 1_000);
+    expect(state()).toBeUndefined();
+    for (let no = 0; no < 3; no += 1) moves.trackAttempt(FRESH, 'answer').onAnswered(false);
+    await advance(clock, 500);
+    expect(state()).toBe('completed');
+  });
+});
