Complete a move only by fresh knowledge of the other routers

Callers saw: the elected router stood still for 2.4 s while the new version turned bad; it woke up, completed the move by what it had known, the former servers were stopped, and the bad version got all requests.

Cause: the step of a move ran before the messages that waited were read, and nothing asked how old the knowledge of the others was. After 3 s of standstill a router had forgotten them and took itself for elected.

Change: runEvery waits for the input, like runAfter. A move goes on only while the router has heard the majority of the routers within 2 s, and since it last stood still or started, and while its list of servers is fresh; else it holds its share. Bad answers roll back in any case. Answers that waited while the router stood still do not count as slow.

--- a/packages/adapters/src/runtime/clock.ts
+++ b/packages/adapters/src/runtime/clock.ts
@@ -10,7 +10,9 @@
    * call.
    */
   readonly runAfter: (delayMs: number, fn: () => void) => () => void;
-  /** Calls `fn` periodically. Returns a function that ends the calls. */
+  /**
+   * Calls `fn` periodically, likewise after the input that has arrived. Returns a function that ends the calls.
+   */
   readonly runEvery: (periodMs: number, fn: () => void) => () => void;
 }
 
@@ -23,10 +25,18 @@
     nowMs: () => Date.now(),
     monotonicMs: () => performance.now(),
     runAfter: runAfterInput,
-    runEvery: (periodMs, fn) => {
-      const timer = setInterval(fn, periodMs);
-      return () => clearInterval(timer);
-    },
+    runEvery: runEveryAfterInput,
+  };
+}
+
+function runEveryAfterInput(periodMs: number, fn: () => void): () => void {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setInterval(() => {
+    immediate = setImmediate(fn);
+  }, periodMs);
+  return () => {
+    clearInterval(timer);
+    clearImmediate(immediate);
   };
 }
 
--- a/packages/adapters/test/clock.spec.ts
+++ b/packages/adapters/test/clock.spec.ts
@@ -19,32 +19,36 @@
     expect(hasEnded).toBe(false);
   });
 
-  it('does not report silence while an answer waits to be read after the process stood still', async () => {
-    const clock = createSystemClock();
-    const server = createServer();
-    const accepted = new Promise<Socket>((resolve) => {
-      server.once('connection', resolve);
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
-    const peer = await accepted;
-    const seen: string[] = [];
-    caller.on('data', () => seen.push('answer'));
-    await new Promise<void>((resolve) => {
-      clock.runAfter(SHORT_MS, () => {
-        seen.push('timeout');
-        resolve();
+  it.each(['runAfter', 'runEvery'] as const)(
+    'does not report silence while an answer waits to be read after the process stood still: %s',
+    async (timer) => {
+      const clock = createSystemClock();
+      const server = createServer();
+      const accepted = new Promise<Socket>((resolve) => {
+        server.once('connection', resolve);
       });
-      peer.write('answer');
-      standStill(2 * SHORT_MS);
-    });
-    caller.destroy();
-    peer.destroy();
-    server.close();
-    expect(seen).toEqual(['answer', 'timeout']);
-  });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+      const peer = await accepted;
+      const seen: string[] = [];
+      caller.on('data', () => seen.push('answer'));
+      await new Promise<void>((resolve) => {
+        const cancel = clock[timer](SHORT_MS, () => {
+          cancel();
+          seen.push('timeout');
+          resolve();
+        });
+        peer.write('answer');
+        standStill(2 * SHORT_MS);
+      });
+      caller.destroy();
+      peer.destroy();
+      server.close();
+      expect(seen).toEqual(['answer', 'timeout']);
+    },
+  );
 });
 
 function standStill(forMs: number): void {
--- a/packages/core/src/forward/peers.ts
+++ b/packages/core/src/forward/peers.ts
@@ -87,6 +87,8 @@
   readonly movesOf: (order: VersionOrder) => readonly PeerMove[];
   /** Routers that have sent an update recently. */
   readonly routers: (nowMs: number) => readonly PeerRouter[];
+  /** Routers whose last update arrived at that time or later. */
+  readonly heardSince: (sinceMs: number) => readonly HostId[];
 }
 
 /**
@@ -214,6 +216,8 @@
             version === order.version &&
             isAboutOrder(order, orderRevision),
         ),
+    heardSince: (sinceMs) =>
+      [...peers].filter(([, peer]) => peer.lastUpdateAtMs >= sinceMs).map(([hostId]) => hostId),
     routers: (nowMs) => {
       removeSilentPeers(nowMs);
       return [...peers.values()].map(({ router }) => router);
--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -39,12 +39,16 @@
   readonly evidence: MoveEvidence;
   readonly elapsedMs: number;
   readonly servers: VersionServers;
+  /** Whether what the other routers have counted, and which servers are listed, is known up to now. */
+  readonly isInformed: boolean;
   /** Whether requests still run on servers of the former version. */
   readonly isFormerBusy: boolean;
 }
 
 export type MoveStep =
   | { readonly kind: 'serve'; readonly shareRatio: number }
+  /** The share stays as it is: what the others know may speak against the new version. */
+  | { readonly kind: 'hold' }
   /** The new version is worse, or was not proven in time, and gets no more traffic. */
   | { readonly kind: 'roll_back' }
   /** The new version has all traffic, and the move ends. */
@@ -121,6 +125,7 @@
 /** Decides the next step of a move from the answers that all routers have counted. */
 export function nextMoveStep(order: VersionOrder, progress: MoveProgress): MoveStep {
   if (isNewVersionWorse(progress.evidence)) return { kind: 'roll_back' };
+  if (!progress.isInformed) return { kind: 'hold' };
   const timeRatio = progress.elapsedMs / order.withinMs;
   const { fresh, former } = progress.evidence;
   const { answers, bad } = fresh;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -423,6 +423,7 @@
   StreamPlacement,
   StreamPlacementInput,
 } from './forward/placement-types';
+export { isMajorityHeard } from './forward/quorum';
 export {
   addEvidence,
   hasServers,
--- a/packages/core/test/forward/rollout.spec.ts
+++ b/packages/core/test/forward/rollout.spec.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import { asId, isNewVersionWorse, nextMoveStep } from '../../src/index';
+import { asId, isMajorityHeard, isNewVersionWorse, nextMoveStep } from '../../src/index';
 import { createRandom } from './fixtures';
 import type {
+  HostId,
   MoveEvidence,
   MoveProgress,
   MoveStep,
@@ -19,9 +20,11 @@
 
 const THREE_SERVERS: VersionServers = { presentCount: 3, expectedCount: 3 };
 
-/** The next step of a move that has its servers, unless the progress says otherwise. */
-const stepOf = (progress: Omit<MoveProgress, 'servers'> & Partial<MoveProgress>): MoveStep =>
-  nextMoveStep(ORDER, { servers: THREE_SERVERS, ...progress });
+type Progress = Omit<MoveProgress, 'servers' | 'isInformed'> & Partial<MoveProgress>;
+
+/** The next step of a move with servers and news of the other routers, unless the progress says otherwise. */
+const stepOf = (progress: Progress): MoveStep =>
+  nextMoveStep(ORDER, { servers: THREE_SERVERS, isInformed: true, ...progress });
 
 describe('a move to a new version', () => {
   it('raises the share in stages and completes once the former version is idle', () => {
@@ -174,3 +177,40 @@
     expect(stepWith({ presentCount: 3, expectedCount: 3 }, 12_500)).toEqual({ kind: 'complete' });
   });
 });
+
+// Guards against a router that completes a move, or gives the new version more traffic, by what it knew before it
+// stood still or was cut off.
+describe('a move at a router without news of the others', () => {
+  const stepWith = (answers: number, bad: number, timeRatio: number) =>
+    stepOf({
+      evidence: evidence(answers, bad),
+      elapsedMs: timeRatio * ORDER.withinMs,
+      isFormerBusy: false,
+      isInformed: false,
+    });
+
+  it('holds its share at each stage, and after its time', () => {
+    const steps = [0.1, 0.25, 0.5, 0.95, 1.3].map((timeRatio) => stepWith(40, 0, timeRatio));
+    expect(steps.every(({ kind }) => kind === 'hold')).toBe(true);
+  });
+
+  it('is rolled back all the same by bad answers, which no news can make good', () => {
+    expect(stepWith(40, 30, 0.5)).toEqual({ kind: 'roll_back' });
+  });
+});
+
+describe('the majority of the routers', () => {
+  const hosts = (...names: string[]): HostId[] => names.map((name) => asId<HostId>(name));
+
+  it.each([
+    { known: [], heard: [], isMajority: true },
+    { known: ['b'], heard: [], isMajority: false },
+    { known: ['b'], heard: ['b'], isMajority: true },
+    { known: ['b', 'c'], heard: [], isMajority: false },
+    { known: ['b', 'c'], heard: ['c'], isMajority: true },
+    { known: ['b', 'c', 'd'], heard: ['b'], isMajority: false },
+    { known: ['b', 'c', 'd'], heard: ['e', 'f', 'g'], isMajority: true },
+  ])('beside $known: hears $heard', ({ known, heard, isMajority }) => {
+    expect(isMajorityHeard(hosts(...known), hosts(...heard))).toBe(isMajority);
+  });
+});
--- a/packages/router/src/forward/gateway.ts
+++ b/packages/router/src/forward/gateway.ts
@@ -187,6 +187,11 @@
     hashes: environment.hashes,
     table: environment.moveTable,
     isAccepting: upstream.isAccepting,
+    serverListAgeMs: () => watches.servers.ageMs(),
+    knownRouters: () =>
+      routerRegistry.isListKnown()
+        ? routerRegistry.listed().map(({ hostId }) => hostId)
+        : undefined,
     broadcastSoon: stateBroadcast.sendSoon,
     broadcastLater: stateBroadcast.sendLater,
   });
--- a/packages/router/src/forward/router-registry.ts
+++ b/packages/router/src/forward/router-registry.ts
@@ -44,6 +44,8 @@
   readonly start: () => void;
   /** The other listed routers, whether they run or not. */
   readonly listed: () => readonly ListedRouter[];
+  /** Whether the list has been read since the start. */
+  readonly isListKnown: () => boolean;
   /** The store came back from an older copy, which may lack this router. */
   readonly onStoreRestored: () => void;
   readonly stop: () => void;
@@ -76,6 +78,7 @@
   let cancel = (): void => undefined;
   let isStopped = false;
   let isStarted = false;
+  let isListKnown = false;
 
   function noteStarted(): void {
     if (isStarted || isStopped) return;
@@ -115,6 +118,7 @@
   async function onListed(routers: readonly ListedRouter[]): Promise<void> {
     const nowMs = clock.monotonicMs();
     const before = listed.length;
+    isListKnown = true;
     listed = routers.filter(({ hostId }) => hostId !== settings.hostId);
     listed.forEach(({ peerAddress }) => {
       if (!listedSinceMs.has(peerAddress)) listedSinceMs.set(peerAddress, nowMs);
@@ -156,6 +160,7 @@
       clock.runAfter(FIRST_LIST_WAIT_MS, noteStarted);
     },
     listed: () => listed,
+    isListKnown: () => isListKnown,
     onStoreRestored: () => schedule(RESTORED_JITTER_MS * random(), registerSelf),
     stop: () => {
       isStopped = true;
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -2,6 +2,7 @@
   addEvidence,
   asId,
   hasServers,
+  isMajorityHeard,
   isStoredSince,
   nextMoveStep,
   UNKNOWN_ERA,
@@ -55,6 +56,10 @@
   readonly table: MoveTable;
   /** Whether a server accepts connections. */
   readonly isAccepting: (address: string) => Promise<boolean>;
+  /** Age of the list of servers. */
+  readonly serverListAgeMs: () => number;
+  /** The other routers that are listed, whether they run or not; undefined until the list has been read. */
+  readonly knownRouters: () => readonly HostId[] | undefined;
   /** Sends this router's state to the other routers after a short batch delay. */
   readonly broadcastSoon: () => void;
   readonly broadcastLater: () => void;
@@ -114,6 +119,14 @@
 }
 
 const STEP_PERIOD_MS = 200;
+/** A process that has not stepped for this time stood still, and knows the others as of before. */
+const STANDSTILL_MS = 1_000;
+/** Time after a standstill in which what had arrived meanwhile is still being read. */
+const BACKLOG_MS = 300;
+/** Twice the longest time between two messages of a router. */
+const PEER_STATE_MAX_AGE_MS = 2_000;
+/** An older list of servers does not tell which of them are present; a relayed one may be some seconds old. */
+const SERVER_LIST_MAX_AGE_MS = 5_000;
 const SLOW_ANSWER_FACTOR = 3;
 /** An attempt that a later one overtook was slow if it had taken this multiple of the mean already. */
 const OVERTAKEN_FACTOR = 1.5;
@@ -163,6 +176,9 @@
   const meanMsByPhase = new Map<string, number>();
   const orderHistory = createOrderHistory();
   let isRestored = false;
+  let lastStepAtMs = clock.monotonicMs();
+  /** Messages that arrived before may be from before the process stood still, or before it started. */
+  let peersKnownSinceMs = lastStepAtMs;
   const cancel = clock.runEvery(STEP_PERIOD_MS, advanceAll);
 
   function setOrders(orders: readonly VersionOrder[], isCopy = false): void {
@@ -232,7 +248,31 @@
       .reduce((sum, peer) => addEvidence(sum, peer.evidence), move.evidence);
   }
 
+  function hasStoodStill(nowMs: number): boolean {
+    return nowMs - lastStepAtMs >= STANDSTILL_MS;
+  }
+
+  function noteStep(nowMs: number): void {
+    if (hasStoodStill(nowMs)) {
+      peersKnownSinceMs = nowMs + BACKLOG_MS;
+      decisions.notable('moves.stood_still', { for_ms: Math.round(nowMs - lastStepAtMs) });
+      // How long these took says nothing about their servers.
+      pending.clear();
+    }
+    lastStepAtMs = nowMs;
+  }
+
+  /** Whether most routers have told what they know since this one last stood still, and of late. */
+  function isInformed(nowMs: number): boolean {
+    if (hasStoodStill(nowMs)) return false;
+    const known = ports.knownRouters();
+    if (known === undefined || ports.serverListAgeMs() > SERVER_LIST_MAX_AGE_MS) return false;
+    const sinceMs = Math.max(peersKnownSinceMs, nowMs - PEER_STATE_MAX_AGE_MS);
+    return isMajorityHeard(known, peerRegistry.heardSince(sinceMs));
+  }
+
   function advanceAll(): void {
+    noteStep(clock.monotonicMs());
     judgePending();
     moves.forEach((move) => {
       if (!move.isStateLoaded && !move.isWriting) {
@@ -282,9 +322,11 @@
   }
 
   function nextStep(move: Move): MoveStep {
+    const nowMs = clock.monotonicMs();
     return nextMoveStep(move.order, {
       evidence: totalEvidence(move),
-      elapsedMs: clock.monotonicMs() - move.startedAtMs,
+      elapsedMs: nowMs - move.startedAtMs,
+      isInformed: isInformed(nowMs),
       isFormerBusy: isFormerBusy(move),
       servers: serversOf(move),
     });
@@ -304,6 +346,7 @@
   }
 
   function apply(move: Move, next: MoveStep): void {
+    if (next.kind === 'hold') return;
     if (next.kind === 'serve') {
       move.shareRatio = next.shareRatio;
       return;
@@ -373,6 +416,7 @@
   }
 
   function isSlow(attempt: PendingPhase, nowMs: number, factor: number): boolean {
+    if (hasStoodStill(nowMs)) return false;
     const meanMs = meanMsByPhase.get(phaseKey(attempt)) ?? Infinity;
     return nowMs - attempt.startedAtMs > factor * meanMs;
   }
@@ -420,7 +464,7 @@
         if (!pending.delete(attempt)) return;
         const nowMs = clock.monotonicMs();
         count(attempt, isFailure || isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR));
-        if (!isFailure) updateMean(attempt, nowMs - attempt.startedAtMs);
+        if (!isFailure && !hasStoodStill(nowMs)) updateMean(attempt, nowMs - attempt.startedAtMs);
       },
       onGivenUp: () => {
         if (pending.delete(attempt)) count(attempt, true);
--- a/packages/router/test/forward/clock.ts
+++ b/packages/router/test/forward/clock.ts
@@ -2,6 +2,8 @@
 
 export interface ManualClock extends Clock {
   readonly advance: (ms: number) => void;
+  /** Time passes, as for a process that stands still; timers that became due run at the next advance. */
+  readonly standStill: (ms: number) => void;
 }
 
 /** A clock that only a test advances; timers that become due run in order of their times. */
@@ -30,6 +32,9 @@
       cancel = runAfter(periodMs, step);
       return () => cancel();
     },
+    standStill: (ms) => {
+      nowMs += ms;
+    },
     advance: (ms) => {
       const endMs = nowMs + ms;
       for (;;) {
--- a/packages/router/test/forward/version-moves.spec.ts
+++ b/packages/router/test/forward/version-moves.spec.ts
@@ -41,6 +41,8 @@
   readonly peerRegistry: PeerRegistry;
   readonly stored: MoveRecordOutcome;
   readonly isAccepting: () => boolean;
+  readonly knownRouters: () => readonly HostId[] | undefined;
+  readonly serverListAgeMs: () => number;
 }
 
 /** One router that moves a service with one server of each version, within 15 seconds. */
@@ -49,6 +51,8 @@
   peerRegistry = createPeerRegistry(),
   stored = { kind: 'ok', record: undefined, at: UNSET },
   isAccepting = () => true,
+  knownRouters = () => [],
+  serverListAgeMs = () => 0,
 }: Partial<MoveWorld> = {}) {
   const clock = createManualClock();
   const fleet = createFleet();
@@ -70,6 +74,8 @@
         return Promise.resolve('ok');
       },
     },
+    knownRouters,
+    serverListAgeMs,
     isAccepting: () => Promise.resolve(isAccepting()),
     broadcastSoon: ignore,
     broadcastLater: ignore,
@@ -346,3 +352,124 @@
     expect(state()).toBe('completed');
   });
 });
+
+/** The other routers, each with a good answer of the new version, or with bad ones. */
+function createOthers(names: readonly string[]) {
+  const peerRegistry = createPeerRegistry();
+  let sequence = 0;
+  return {
+    peerRegistry,
+    knownRouters: () => names.map((name) => asId<HostId>(name)),
+    /** Updates of some of them arrive. */
+    tell: (nowMs: number, from: readonly string[], bad = 0): void => {
+      sequence += 1;
+      const evidence = { fresh: { answers: 20, bad }, former: { answers: 100, bad: 0 } };
+      from.forEach((name) => {
+        const update = {
+          hostId: asId<HostId>(name),
+          failureDomain: asId<FailureDomain>('east'),
+          incarnationId: 'first',
+          sequence,
+          canReadStore: false,
+          loads: [],
+          failures: [],
+          moves: [{ service: SERVICE, version: 'v2', state: 'running' as const, evidence }],
+          callCounts: [],
+        };
+        peerRegistry.onUpdate(update, '10.0.0.2:1', nowMs);
+      });
+    },
+  };
+}
+
+// Guards against a move that a router ends by what it knew before, while the others have turned the version down.
+describe('a router that completes moves', () => {
+  const NAMES = ['b', 'c', 'd', 'e'];
+
+  async function listen(
+    world: ReturnType<typeof createMoveOfService>,
+    others: ReturnType<typeof createOthers>,
+    ms: number,
+    from = NAMES,
+  ): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 500) {
+      others.tell(world.clock.monotonicMs(), from);
+      await answerWell(world, 500);
+    }
+  }
+
+  it('does so while it hears most of the others', async () => {
+    const others = createOthers(NAMES);
+    const world = createMoveOfService(others);
+    await listen(world, others, 8_000, ['b', 'c']);
+    expect(world.state()).toBe('completed');
+  });
+
+  it('waits for their news after it stood still, and then rolls back what they turned down', async () => {
+    const others = createOthers(NAMES);
+    const world = createMoveOfService(others);
+    await listen(world, others, 5_000);
+    world.clock.standStill(2_400);
+    await advance(world.clock, 100);
+    // Read after the standstill, but sent at its beginning.
+    others.tell(world.clock.monotonicMs(), NAMES);
+    await advance(world.clock, 300);
+    expect(world.state()).toBeUndefined();
+    others.tell(world.clock.monotonicMs(), NAMES, 15);
+    await advance(world.clock, 400);
+    expect(world.state()).toBe('rolled_back');
+  });
+
+  it('does not do so after it stood still for so long that it has forgotten them', async () => {
+    const others = createOthers(NAMES);
+    const world = createMoveOfService(others);
+    await listen(world, others, 5_000);
+    world.clock.standStill(5_000);
+    await advance(world.clock, 4_000);
+    expect(world.state()).toBeUndefined();
+    expect([...world.moves.excludedServers(SERVICE, 0.5)]).toEqual([FRESH]);
+  });
+
+  it.each([
+    ['is cut off from most of them', () => ['b']],
+    ['is cut off from all of them', () => []],
+  ])('does not do so when it %s', async (_name, from) => {
+    const others = createOthers(NAMES);
+    const world = createMoveOfService(others);
+    await listen(world, others, 3_000);
+    await listen(world, others, 14_000, from());
+    expect(world.state()).toBeUndefined();
+  });
+
+  it('does not do so after its start before it has read who the others are', async () => {
+    const directory: { known: readonly HostId[] | undefined } = { known: undefined };
+    const world = createMoveOfService({ knownRouters: () => directory.known });
+    await answerWell(world, 9_000);
+    expect(world.state()).toBeUndefined();
+    directory.known = [];
+    await answerWell(world, 500);
+    expect(world.state()).toBe('completed');
+  });
+
+  it('does not do so by an old list of servers', async () => {
+    const world = createMoveOfService({ serverListAgeMs: () => 20_000 });
+    await answerWell(world, 14_000);
+    expect(world.state()).toBeUndefined();
+  });
+});
+
+describe('the answers that a router waited for while it stood still', () => {
+  it('do not count as slow', async () => {
+    // Guards against rolling back a sound version by the time that the router itself took.
+    const world = createMoveOfService();
+    await answerWell(world, 3_000);
+    const attempts = Array.from({ length: 12 }, () => world.moves.trackAttempt(FRESH, 'answer'));
+    world.clock.standStill(3_000);
+    attempts.slice(0, 6).forEach(({ onAnswered }) => onAnswered(false));
+    await advance(world.clock, 400);
+    attempts.slice(6).forEach(({ onAnswered }) => onAnswered(false));
+    await advance(world.clock, 400);
+    const [move] = world.moves.ownMoves();
+    expect([move?.state, move?.evidence.fresh.bad]).toEqual(['completed', 0]);
+  });
+});
