Prove a version by fewer answers where routers lost their counts

Callers of a quiet service: a sound version was rolled back at the end of its time with six good answers and no bad one, as 55 % of the routers had been killed with their counts, and eight good ones were asked from 27 answers on.

Change: as many good answers as the first share brings prove a version, at least one and at most eight.

Measured: the new test of rollout.spec.ts failed before.

--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -79,11 +79,6 @@
  * From this part of the time on the move completes even if the former version still runs requests.
  */
 const FORCED_COMPLETION_TIME_RATIO = 0.9;
-/**
- * With so few answers of both versions, the second share may bring too few of the new one, and a single good
- * one proves it.
- */
-const FEW_ANSWERS = Math.ceil(SECOND_STAGE_MIN_ANSWERS / SECOND_SHARE_RATIO);
 /** Part of the new version's servers that must be present when the former ones are stopped. */
 const PRESENT_MIN_RATIO = 0.5;
 /** Servers that are lost near the end of the order's time may be back soon after it. */
@@ -159,9 +154,9 @@
  * server that could answer.
  */
 function isProven({ fresh, former }: MoveEvidence): boolean {
-  const good = fresh.answers - fresh.bad;
-  if (good >= SECOND_STAGE_MIN_ANSWERS) return true;
-  return good > 0 && fresh.answers + former.answers < FEW_ANSWERS;
+  // A quiet service has few answers: as many must be good as the first share brings.
+  const expected = Math.ceil(FIRST_SHARE_RATIO * (fresh.answers + former.answers));
+  return fresh.answers - fresh.bad >= Math.min(SECOND_STAGE_MIN_ANSWERS, Math.max(1, expected));
 }
 
 /** Whether the new version has the servers to go on alone; the former ones cannot be started again. */
--- a/packages/core/test/forward/rollout.spec.ts
+++ b/packages/core/test/forward/rollout.spec.ts
@@ -152,6 +152,14 @@
     expect(stepWith(0)).toEqual({ kind: 'serve', shareRatio: 1 });
     expect(stepWith(1)).toEqual({ kind: 'complete' });
   });
+
+  it('is completed by the answers that are left when many routers were killed meanwhile', () => {
+    // Guards against rolling back a sound version for want of the counts that were lost with its routers.
+    const stepWith = (answers: number) =>
+      stepOf({ evidence: evidence(answers, 0, 45), elapsedMs: 9_600, isFormerBusy: false });
+    expect(stepWith(6)).toEqual({ kind: 'complete' });
+    expect(stepWith(2).kind).toBe('serve');
+  });
 });
 
 // Guards against stopping the former version's servers when most of the new ones have been lost.
