--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -1,5 +1,5 @@
 import { createBodyBuffer } from '@mimosamill/adapters';
-import type { AnswerTimer } from './version-moves';
+import type { AnswerTimer } from './answer-judge';
 import type { BodyBuffer, Exchange, ResponseHead } from '@mimosamill/adapters';
 import type {
   ForwardServer,
--- a/packages/router/src/forward/version-moves.ts
+++ b/packages/router/src/forward/version-moves.ts
@@ -2,14 +2,17 @@
   addEvidence,
   asId,
   hasServers,
-  isMajorityHeard,
   isStoredSince,
   nextMoveStep,
   UNKNOWN_ERA,
 } from '@mimosamill/core';
+import { createAnswerJudge } from './answer-judge';
 import { isElected } from './election';
 import { createOrderHistory } from './order-history';
-import type { Clock, DecisionLog, HashFunctions } from '@mimosamill/adapters';
+import { createPeerKnowledge } from './peer-knowledge';
+import type { DecisionLog, HashFunctions } from '@mimosamill/adapters';
+import type { AnswerJudge, JudgedPhase } from './answer-judge';
+import type { PeerKnowledgePorts } from './peer-knowledge';
 import type {
   Fleet,
   HostId,
@@ -47,8 +50,7 @@
     }
   | { readonly kind: 'unavailable' };
 
-export interface VersionMovePorts {
-  readonly clock: Clock;
+export interface VersionMovePorts extends PeerKnowledgePorts {
   readonly decisions: DecisionLog;
   readonly fleet: Fleet;
   readonly peerRegistry: PeerRegistry;
@@ -56,27 +58,11 @@
   readonly table: MoveTable;
   /** Whether a server accepts connections. */
   readonly isAccepting: (address: string) => Promise<boolean>;
-  /** Age of the list of servers. */
-  readonly serverListAgeMs: () => number;
-  /** The other routers that are listed, whether they run or not; undefined until the list has been read. */
-  readonly knownRouters: () => readonly HostId[] | undefined;
   /** Sends this router's state to the other routers after a short batch delay. */
   readonly broadcastSoon: () => void;
   readonly broadcastLater: () => void;
 }
 
-/** Judges one phase of an attempt for the evidence of a move; it counts at most once. */
-export interface AnswerTimer {
-  /** The phase has ended: an answer, the first event or enough events arrived. */
-  readonly onAnswered: (isFailure: boolean) => void;
-  /** The attempt was given up because its server took too long. */
-  readonly onGivenUp: () => void;
-  /** The attempt was cancelled because a later one was faster. */
-  readonly onOvertaken: () => void;
-  /** The attempt ended otherwise, which says nothing about the version. */
-  readonly onCancelled: () => void;
-}
-
 /** Shifts the traffic of services to new versions step by step, and rolls bad versions back. */
 export interface VersionMoves {
   /** `isCopy` tells that the store has just been restored from an older copy, which the orders show. */
@@ -90,8 +76,7 @@
    * version until it has all traffic or after a rollback, then those of the former one.
    */
   readonly excludedCopyHolders: (service: ServiceName) => ReadonlySet<ServerId>;
-  /** Called when an attempt is sent to a server, and when it enters a later phase. */
-  readonly trackAttempt: (serverId: ServerId, phase: TimedPhase) => AnswerTimer;
+  readonly trackAttempt: AnswerJudge['trackAttempt'];
   /** States and answer counts of this router, for the other routers. */
   readonly ownMoves: () => readonly PeerMove[];
   readonly stop: () => void;
@@ -119,47 +104,12 @@
 }
 
 const STEP_PERIOD_MS = 200;
-/** A process that has not stepped for this time stood still, and knows the others as of before. */
-const STANDSTILL_MS = 1_000;
-/** Time after a standstill in which what had arrived meanwhile is still being read. */
-const BACKLOG_MS = 300;
-/** Twice the longest time between two messages of a router. */
-const PEER_STATE_MAX_AGE_MS = 2_000;
-/** An older list of servers does not tell which of them are present; a relayed one may be some seconds old. */
-const SERVER_LIST_MAX_AGE_MS = 5_000;
-const SLOW_ANSWER_FACTOR = 3;
-/** An attempt that a later one overtook was slow if it had taken this multiple of the mean already. */
-const OVERTAKEN_FACTOR = 1.5;
 /** Time after a completed move by which the former version's servers are no longer listed. */
 const FORMER_SERVERS_GONE_AFTER_MS = 10_000;
 /** Time between two checks of the new version's servers before the move is completed. */
 const SERVER_CHECK_PERIOD_MS = 500;
 /** Time between two looks for the end of a move that another router is to write again. */
 const END_CHECK_PERIOD_MS = 1_000;
-const SMOOTHING_RATIO = 0.1;
-/**
- * What is timed: the time to the answer or to the first event, or the pace of the events after it. A
- * stream in pace does not count as an answer of its own, one that is slow counts as a bad one.
- */
-export type TimedPhase = 'answer' | 'pace';
-
-/** A phase of an attempt that has not ended yet. */
-interface PendingPhase {
-  readonly service: ServiceName;
-  readonly version: string;
-  readonly phase: TimedPhase;
-  readonly startedAtMs: number;
-  /** Slow phases are counted before they end. */
-  isCounted: boolean;
-}
-
-/** For an attempt at a server that is no longer listed. */
-const NO_TIMER: AnswerTimer = {
-  onAnswered: () => undefined,
-  onGivenUp: () => undefined,
-  onOvertaken: () => undefined,
-  onCancelled: () => undefined,
-};
 const NO_SERVERS: ReadonlySet<ServerId> = new Set();
 const NO_EVIDENCE: MoveEvidence = {
   fresh: { answers: 0, bad: 0 },
@@ -169,16 +119,19 @@
 export function createVersionMoves(hostId: HostId, ports: VersionMovePorts): VersionMoves {
   const { clock, decisions, fleet, peerRegistry } = ports;
   const moves = new Map<ServiceName, Move>();
-  const pending = new Set<PendingPhase>();
-  /**
-   * Exponential moving average of the time of each service's phases, without those of a new version.
-   */
-  const meanMsByPhase = new Map<string, number>();
   const orderHistory = createOrderHistory();
   let isRestored = false;
-  let lastStepAtMs = clock.monotonicMs();
-  /** Messages that arrived before may be from before the process stood still, or before it started. */
-  let peersKnownSinceMs = lastStepAtMs;
+  const knowledge = createPeerKnowledge(ports);
+  const judge = createAnswerJudge({
+    clock,
+    fleet,
+    isOnTrial: (service, version) => {
+      const move = moves.get(service);
+      return move?.state === 'running' && version === move.order.version;
+    },
+    hasStoodStill: knowledge.hasStoodStill,
+    onJudged: count,
+  });
   const cancel = clock.runEvery(STEP_PERIOD_MS, advanceAll);
 
   function setOrders(orders: readonly VersionOrder[], isCopy = false): void {
@@ -248,32 +201,13 @@
       .reduce((sum, peer) => addEvidence(sum, peer.evidence), move.evidence);
   }
 
-  function hasStoodStill(nowMs: number): boolean {
-    return nowMs - lastStepAtMs >= STANDSTILL_MS;
-  }
-
-  function noteStep(nowMs: number): void {
-    if (hasStoodStill(nowMs)) {
-      peersKnownSinceMs = nowMs + BACKLOG_MS;
-      decisions.notable('moves.stood_still', { for_ms: Math.round(nowMs - lastStepAtMs) });
-      // How long these took says nothing about their servers.
-      pending.clear();
-    }
-    lastStepAtMs = nowMs;
-  }
-
-  /** Whether most routers have told what they know since this one last stood still, and of late. */
-  function isInformed(nowMs: number): boolean {
-    if (hasStoodStill(nowMs)) return false;
-    const known = ports.knownRouters();
-    if (known === undefined || ports.serverListAgeMs() > SERVER_LIST_MAX_AGE_MS) return false;
-    const sinceMs = Math.max(peersKnownSinceMs, nowMs - PEER_STATE_MAX_AGE_MS);
-    return isMajorityHeard(known, peerRegistry.heardSince(sinceMs));
-  }
-
   function advanceAll(): void {
-    noteStep(clock.monotonicMs());
-    judgePending();
+    const stoodMs = knowledge.onStep();
+    if (stoodMs !== undefined) {
+      decisions.notable('moves.stood_still', { for_ms: Math.round(stoodMs) });
+      judge.forgetPending();
+    }
+    judge.judgePending();
     moves.forEach((move) => {
       if (!move.isStateLoaded && !move.isWriting) {
         move.isWriting = true;
@@ -322,11 +256,10 @@
   }
 
   function nextStep(move: Move): MoveStep {
-    const nowMs = clock.monotonicMs();
     return nextMoveStep(move.order, {
       evidence: totalEvidence(move),
-      elapsedMs: nowMs - move.startedAtMs,
-      isInformed: isInformed(nowMs),
+      elapsedMs: clock.monotonicMs() - move.startedAtMs,
+      isInformed: knowledge.isInformed(),
       isFormerBusy: isFormerBusy(move),
       servers: serversOf(move),
     });
@@ -407,24 +340,7 @@
     });
   }
 
-  /** Counts attempts as soon as they are slow: those of a slow version may never get an answer. */
-  function judgePending(): void {
-    const nowMs = clock.monotonicMs();
-    pending.forEach((attempt) => {
-      if (isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR)) count(attempt, true);
-    });
-  }
-
-  function isSlow(attempt: PendingPhase, nowMs: number, factor: number): boolean {
-    if (hasStoodStill(nowMs)) return false;
-    const meanMs = meanMsByPhase.get(phaseKey(attempt)) ?? Infinity;
-    return nowMs - attempt.startedAtMs > factor * meanMs;
-  }
-
-  function count(attempt: PendingPhase, isBad: boolean): void {
-    if (attempt.isCounted) return;
-    attempt.isCounted = true;
-    const { service, version, phase } = attempt;
+  function count({ service, version, phase, isBad }: JudgedPhase): void {
     const move = moves.get(service);
     if (move?.state !== 'running' || (phase === 'pace' && !isBad)) return;
     const counts = { answers: 1, bad: isBad ? 1 : 0 };
@@ -440,45 +356,6 @@
     else ports.broadcastLater();
   }
 
-  function updateMean(attempt: PendingPhase, tookMs: number): void {
-    const move = moves.get(attempt.service);
-    if (move?.state === 'running' && attempt.version === move.order.version) return;
-    const key = phaseKey(attempt);
-    const before = meanMsByPhase.get(key) ?? tookMs;
-    meanMsByPhase.set(key, before + SMOOTHING_RATIO * (tookMs - before));
-  }
-
-  function trackAttempt(serverId: ServerId, phase: TimedPhase): AnswerTimer {
-    const server = fleet.get(serverId)?.server;
-    if (server === undefined) return NO_TIMER;
-    const attempt: PendingPhase = {
-      service: server.service,
-      version: server.version,
-      phase,
-      startedAtMs: clock.monotonicMs(),
-      isCounted: false,
-    };
-    pending.add(attempt);
-    return {
-      onAnswered: (isFailure) => {
-        if (!pending.delete(attempt)) return;
-        const nowMs = clock.monotonicMs();
-        count(attempt, isFailure || isSlow(attempt, nowMs, SLOW_ANSWER_FACTOR));
-        if (!isFailure && !hasStoodStill(nowMs)) updateMean(attempt, nowMs - attempt.startedAtMs);
-      },
-      onGivenUp: () => {
-        if (pending.delete(attempt)) count(attempt, true);
-      },
-      onOvertaken: () => {
-        if (!pending.delete(attempt)) return;
-        if (isSlow(attempt, clock.monotonicMs(), OVERTAKEN_FACTOR)) count(attempt, true);
-      },
-      onCancelled: () => {
-        pending.delete(attempt);
-      },
-    };
-  }
-
   function excludedServers(service: ServiceName, draw: number): ReadonlySet<ServerId> {
     const move = moves.get(service);
     return move === undefined ? NO_SERVERS : serversOfOther(move, draw < shareOf(move));
@@ -527,7 +404,7 @@
     },
     excludedServers,
     excludedCopyHolders,
-    trackAttempt,
+    trackAttempt: judge.trackAttempt,
     ownMoves: () =>
       [...moves.values()].map(({ order, state, evidence }) => ({
         service: order.service,
@@ -540,10 +417,6 @@
   };
 }
 
-function phaseKey({ service, phase }: PendingPhase): string {
-  return `${service}/${phase}`;
-}
-
 function createMove(order: VersionOrder, startedAtMs: number): Move {
   return {
     order: { ...order, service: asId(order.service) },
