Call timers no earlier than their delay by the monotonic clock

Seen: condemned-part.spec.ts fails now and then with six crashes in place of five. By the log of a failure, a part was to be condemned 150 ms after its last crash, and the check then found that 150 ms had not passed.

Cause: a timer of Node.js may end up to a millisecond or two early by performance.now(), as it counts whole milliseconds from the start of the turn.

Change: runAfter waits for the rest of the delay.

--- a/packages/adapters/src/runtime/clock.ts
+++ b/packages/adapters/src/runtime/clock.ts
@@ -5,9 +5,8 @@
   /** Time that is never set or adjusted, for timeouts and leases. */
   readonly monotonicMs: () => number;
   /**
-   * Calls `fn` once after a delay, of 24 days at most, and after the input that has arrived by then:
-   * a process that stood still must not take a peer for silent. Returns a function that cancels the
-   * call.
+   * Calls `fn` once after a delay, never earlier by `monotonicMs`, and after the input that has arrived by
+   * then: a process that stood still must not take a peer for silent. Returns a function that cancels the call.
    */
   readonly runAfter: (delayMs: number, fn: () => void) => () => void;
   /**
@@ -42,13 +41,27 @@
 
 /** Runs `fn` after a delay and then after the input that is waiting, which Node.js reads after timers. */
 export function runAfterInput(delayMs: number, fn: () => void): () => void {
+  const dueAtMs = performance.now() + delayMs;
+  let timer: NodeJS.Timeout | undefined;
   let immediate: NodeJS.Immediate | undefined;
-  const timer = setTimeout(
-    () => {
-      immediate = setImmediate(fn);
-    },
-    Math.min(delayMs, DELAY_MAX_MS),
-  );
+
+  function wait(): void {
+    const leftMs = dueAtMs - performance.now();
+    timer = setTimeout(
+      () => {
+        immediate = setImmediate(onTimer);
+      },
+      Math.min(Math.ceil(leftMs), DELAY_MAX_MS),
+    );
+  }
+
+  /** Node.js counts whole milliseconds from the start of the loop's turn, so a timer may be early. */
+  function onTimer(): void {
+    if (performance.now() < dueAtMs) wait();
+    else fn();
+  }
+
+  wait();
   return () => {
     clearTimeout(timer);
     clearImmediate(immediate);
--- a/packages/adapters/test/clock.spec.ts
+++ b/packages/adapters/test/clock.spec.ts
@@ -19,6 +19,25 @@
     expect(hasEnded).toBe(false);
   });
 
+  it('is never early by the clock', async () => {
+    // Guards against a decision that is due at a time and finds that the time has not come: a part that crashes
+    // engines was then not condemned, and crashed one more.
+    const clock = createSystemClock();
+    const earliest = { aheadMs: -Infinity };
+    const delays = Array.from({ length: 200 }, (_, no) => SHORT_MS + no * 0.37);
+    await Promise.all(
+      delays.map(async (delayMs) => {
+        standStill(0.3);
+        const dueAtMs = clock.monotonicMs() + delayMs;
+        await new Promise<void>((resolve) => {
+          clock.runAfter(delayMs, resolve);
+        });
+        earliest.aheadMs = Math.max(earliest.aheadMs, dueAtMs - clock.monotonicMs());
+      }),
+    );
+    expect(earliest.aheadMs).toBeLessThanOrEqual(0);
+  });
+
   it.each(['runAfter', 'runEvery'] as const)(
     'does not report silence while an answer waits to be read after the process stood still: %s',
     async (timer) => {
