Let a stream wait while the loss of its connection is judged

Seen: the same test, on a process that stands still now and then: a stream whose connection had broken was taken for silent while it was being found out whether it had crashed its engine, and crashed one more.

Cause: the alarm for silence went on meanwhile.

Change: it waits for the judgement, and for the deadline at the latest.

--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -109,10 +109,9 @@
     (cause) => reportHandlingError(ports.decisions, { request: requestId }, cause),
     endAfterError,
   );
-  const alarm = createWakeTimer(
-    clock,
-    boundary.wrap(() => dispatch({ kind: 'tick' })),
-  );
+  const alarm = createWakeTimer(clock, boundary.wrap(onAlarm));
+  /** Attempts whose connections broke, and of which it is not known yet whether they crashed their engines. */
+  let judgedCount = 0;
 
   ports.outputSizes.onRequest(route.name, head);
   const budget = ports.retryBudgetOf(service.name);
@@ -152,6 +151,15 @@
     });
   }
 
+  /** Silence is expected while a loss is being judged; to go on elsewhere might crash another engine. */
+  function onAlarm(): void {
+    if (judgedCount > 0 && clock.monotonicMs() < request.deadlineAtMs) {
+      alarm.set(request.deadlineAtMs);
+      return;
+    }
+    dispatch({ kind: 'tick' });
+  }
+
   function dispatch(event: ForwardStreamEvent): void {
     if (isOver) return;
     const nowMs = clock.monotonicMs();
@@ -580,8 +588,16 @@
     else ports.metrics.onLoss(loss);
     const lost: ForwardStreamEvent = { kind: 'lost', attemptNo: attempt.attemptNo, loss };
     if (attempt.hasSurvived || !BROKEN_LOSSES.has(loss)) dispatch(lost);
-    // The next engine is chosen once it is known whether the stream crashed this one.
-    else boundary.watch(losses.onBroken(attempt).then(() => dispatch(lost)));
+    else boundary.watch(judgeLoss(attempt, lost));
+  }
+
+  /** The next engine is chosen once it is known whether the stream crashed this one. */
+  async function judgeLoss(attempt: StreamAttempt, lost: ForwardStreamEvent): Promise<void> {
+    judgedCount += 1;
+    await losses.onBroken(attempt).finally(() => {
+      judgedCount -= 1;
+    });
+    dispatch(lost);
   }
 
   const start = boundary.wrap(() => {
--- a/packages/router/test/forward/stream.spec.ts
+++ b/packages/router/test/forward/stream.spec.ts
@@ -36,11 +36,15 @@
 interface OpenExchange {
   readonly onHead: ExchangeHandler['onHead'];
   readonly onData: (bytes: Uint8Array) => void;
+  readonly onFailure: ExchangeHandler['onFailure'];
   isCancelled: boolean;
 }
 
-/** Streams that may not resume, each sent to a given engine that accepts it and then says nothing. */
-function createSilentStreams() {
+/**
+ * Streams that may not resume, unless it is said, each sent to a given engine that accepts it and then says nothing.
+ * `judgement` ends when it is known whether a broken attempt has crashed its engine.
+ */
+function createSilentStreams({ isResumable = false, judgement = Promise.resolve() } = {}) {
   const clock = createManualClock();
   const fleet = createFleet();
   const memory = createMemoryBudget(Infinity);
@@ -80,9 +84,9 @@
     serviceLoads: { of: () => load },
     servesUrgentFirst: () => false,
     upstream: {
-      send: (_request: unknown, { onSent, onHead, onData }: ExchangeHandler) => {
+      send: (_request: unknown, { onSent, onHead, onData, onFailure }: ExchangeHandler) => {
         queueMicrotask(onSent);
-        const exchange: OpenExchange = { onHead, onData, isCancelled: false };
+        const exchange: OpenExchange = { onHead, onData, onFailure, isCancelled: false };
         exchanges.push(exchange);
         const cancel = (): void => {
           exchange.isCancelled = true;
@@ -124,7 +128,7 @@
     crashGuard: {
       findCondemned: nothing,
       onAnswered: nothing,
-      onBrokenAttempt: () => Promise.resolve(),
+      onBrokenAttempt: () => judgement,
     },
     retryBudgetOf: () => createRetryBudget({ ratio: 0, burst: 5 }),
   } as unknown as ForwardPorts;
@@ -151,7 +155,7 @@
           targetMs: 4_500,
           gapTargetMs: 700,
           attemptsMax: 3,
-          isResumable: false,
+          isResumable,
         },
         service: { name: 'engines', engine: { slots: 8, memoryTokens: 50_000, hasBackups: false } },
         content: { fingerprint: () => `content of ${requestId}`, parts: [] },
@@ -194,6 +198,29 @@
   });
 });
 
+describe('a stream whose connection broke', () => {
+  it('goes on elsewhere only when it is known whether it crashed its engine', async () => {
+    // Guards against a stream that is taken for silent meanwhile, and crashes one more engine.
+    let settle = nothing as () => void;
+    const judgement = new Promise<void>((resolve) => {
+      settle = resolve;
+    });
+    const { clock, fleet, exchanges, start, advance } = createSilentStreams({
+      isResumable: true,
+      judgement,
+    });
+    fleet.setServers([engine('a1'), engine('b1')], clock.monotonicMs());
+    start('r1', 'a1');
+    await advance(100);
+    exchanges[0]?.onFailure('broken', 'reset');
+    await advance(9_000);
+    expect(exchanges).toHaveLength(1);
+    settle();
+    for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+    expect(exchanges).toHaveLength(2);
+  });
+});
+
 describe('streams of engines that send events without end', () => {
   it('are given up before they fill the memory of the router', () => {
     // Guards against a host that runs out of memory, and loses the requests of all its other callers.
