--- a/packages/core/src/forward/events.ts
+++ b/packages/core/src/forward/events.ts
@@ -44,7 +44,8 @@
   /** Keeps the start of the next event in memory of its own: a view would keep what came before it too. */
   function restart(rest: Uint8Array): void {
     pending = createByteBuffer();
-    if (rest.length > 0) pending.add(rest.slice());
+    // `slice` of a Node.js buffer would be such a view.
+    if (rest.length > 0) pending.add(new Uint8Array(rest));
   }
 
   return {
--- a/packages/core/test/forward/events.spec.ts
+++ b/packages/core/test/forward/events.spec.ts
@@ -1,5 +1,6 @@
+import { measureHeapBytes } from '@mimosamill/fakes';
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { createEventSequence, createEventSplitter } from '../../src/index';
 import type { EventSplitter } from '../../src/index';
 
@@ -121,6 +122,25 @@
     expect([splitter.pendingBytes(), splitter.heldBytes()]).toEqual([5, 5]);
   });
 
+  it('keeps none of the memory of a piece for the event that it begins', async () => {
+    // Guards against streams that hold 64 KiB each for the first bytes of an event.
+    const measureBytes = (): number => {
+      measureHeapBytes();
+      return process.memoryUsage().arrayBuffers;
+    };
+    const text = `${event(1)}: ${'x'.repeat(65_536)}\n${event(2)}id: 3`;
+    const before = measureBytes();
+    const splitters = Array.from({ length: 1_000 }, () => {
+      const splitter = createEventSplitter();
+      expect(splitter.push(Buffer.from(text))).toHaveLength(2);
+      return splitter;
+    });
+    // Memory of buffers is freed beside the program, some time after their collection.
+    const isFreed = (): boolean => measureBytes() - before < 10_000_000;
+    await vi.waitFor(() => expect(isFreed()).toBe(true), { timeout: 5_000, interval: 50 });
+    expect(splitters.every((splitter) => splitter.pendingBytes() === 5)).toBe(true);
+  });
+
   it('does not change the bytes of events that were returned before', () => {
     const splitter = createEventSplitter();
     const found = [event(1), event(2), event(3)]
