Keep the limit of a body, the garbage collector and the expected requests in one place

Four callers compared the size of a body buffer with the limit that it knows; the buffer answers now. The test support loaded the garbage collector a second time. Both shares of a move estimated the requests to come by code of their own.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -63,6 +63,7 @@
   toErrorBody,
 } from './runtime/http';
 export { noteFreedBytes } from './runtime/buffer-collection';
+export { collectGarbage } from './runtime/buffer-collection';
 export { readText } from './runtime/fetch';
 export { createBodyBuffer } from './runtime/body-buffer';
 export type { BodyBuffer } from './runtime/body-buffer';
--- a/packages/adapters/src/runtime/body-buffer.ts
+++ b/packages/adapters/src/runtime/body-buffer.ts
@@ -3,14 +3,15 @@
 
 /** Collects the body of a request or a response in one buffer, however small its chunks are. */
 export interface BodyBuffer {
+  /** Whether another chunk of this size is within the limit. */
+  readonly fits: (chunkBytes: number) => boolean;
   /** Size of the buffer after another chunk of this size. */
   readonly capacityWith: (chunkBytes: number) => number;
   readonly add: (chunk: Uint8Array) => void;
-  readonly sizeBytes: () => number;
   readonly bytes: () => Buffer;
 }
 
-/** `totalBytes` is the length as announced; `maxBytes` the most that the caller adds. */
+/** `totalBytes` is the length as announced; the caller adds no more than `maxBytes`. */
 export function createBodyBuffer(totalBytes: number | undefined, maxBytes: number): BodyBuffer {
   const buffer = createByteBuffer({
     totalBytes,
@@ -20,9 +21,9 @@
     },
   });
   return {
+    fits: (chunkBytes) => buffer.sizeBytes() + chunkBytes <= maxBytes,
     capacityWith: buffer.capacityWith,
     add: buffer.add,
-    sizeBytes: buffer.sizeBytes,
     bytes: () => asBuffer(buffer.bytes()),
   };
 }
--- a/packages/adapters/src/runtime/buffer-collection.ts
+++ b/packages/adapters/src/runtime/buffer-collection.ts
@@ -21,7 +21,7 @@
   receivedBytes += bytes;
   if (receivedBytes < COLLECT_RECEIVED_BYTES) return;
   receivedBytes = 0;
-  collect({ type: 'minor' });
+  collectGarbage({ type: 'minor' });
 }
 
 /** Notes the size of large buffers that their holder gives up now. */
@@ -32,12 +32,12 @@
   // The holder still refers to them.
   setImmediate(() => {
     freedBytes = 0;
-    collect();
+    collectGarbage();
   });
 }
 
-/** Loaded at the first use: only the contexts created after the flag was set have the function. */
-function collect(options?: { readonly type: 'minor' }): void {
+/** Collects garbage. Loaded at the first use: only contexts created after the flag was set have the function. */
+export function collectGarbage(options?: { readonly type: 'minor' }): void {
   if (loaded === undefined) {
     setFlagsFromString('--expose-gc');
     loaded = runInNewContext('gc') as Collect;
--- a/packages/adapters/src/runtime/fetch.ts
+++ b/packages/adapters/src/runtime/fetch.ts
@@ -85,9 +85,7 @@
 export async function readText(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
   const text = createBodyBuffer(undefined, maxBytes);
   for await (const chunk of body) {
-    if (text.sizeBytes() + chunk.length > maxBytes) {
-      throw new Error(`the body has more than ${maxBytes} bytes`);
-    }
+    if (!text.fits(chunk.length)) throw new Error(`the body has more than ${maxBytes} bytes`);
     text.add(chunk);
   }
   return text.bytes().toString();
--- a/packages/core/src/forward/rollout.ts
+++ b/packages/core/src/forward/rollout.ts
@@ -166,13 +166,21 @@
 
 /** Share of a new version that has not been proven when the second stage ends: larger with little traffic. */
 function trialShareRatio(order: VersionOrder, { evidence, elapsedMs }: MoveProgress): number {
-  const answers = evidence.fresh.answers + evidence.former.answers;
   const leftMs = Math.max(0, order.withinMs - elapsedMs);
-  const expectedRequests = (answers * leftMs) / Math.max(1, elapsedMs);
-  const ratio = FIRST_SHARE_REQUESTS / Math.max(1, expectedRequests);
+  const ratio = FIRST_SHARE_REQUESTS / expectedRequests(evidence, elapsedMs, leftMs);
   return Math.min(1, Math.max(SECOND_SHARE_RATIO, ratio));
 }
 
+/** Requests of both versions within a period, at least one, at the rate of answers since the order. */
+function expectedRequests(
+  { fresh, former }: MoveEvidence,
+  elapsedMs: number,
+  periodMs: number,
+): number {
+  const answers = fresh.answers + former.answers;
+  return Math.max(1, (answers * periodMs) / Math.max(1, elapsedMs));
+}
+
 interface Stage {
   readonly timeRatio: number;
   readonly minAnswers: number;
@@ -197,10 +205,8 @@
 }
 
 function firstShareRatio(order: VersionOrder, { evidence, elapsedMs }: MoveProgress): number {
-  const answers = evidence.fresh.answers + evidence.former.answers;
-  if (answers === 0) return FIRST_SHARE_RATIO;
-  const expectedRequests = (answers * order.withinMs) / Math.max(1, elapsedMs);
-  const ratio = FIRST_SHARE_REQUESTS / expectedRequests;
+  if (evidence.fresh.answers + evidence.former.answers === 0) return FIRST_SHARE_RATIO;
+  const ratio = FIRST_SHARE_REQUESTS / expectedRequests(evidence, elapsedMs, order.withinMs);
   return Math.min(SECOND_SHARE_RATIO, Math.max(FIRST_SHARE_RATIO, ratio));
 }
 
--- a/packages/fakes/src/heap.ts
+++ b/packages/fakes/src/heap.ts
@@ -1,11 +1,7 @@
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
+import { collectGarbage } from '@mimosamill/adapters';
 
 /** Bytes of this process's heap that are in use after a garbage collection. */
 export function measureHeapBytes(): number {
-  setFlagsFromString('--expose-gc');
-  // Only contexts that are created after the flag was set have the function.
-  const collect = runInNewContext('gc') as () => void;
-  collect();
+  collectGarbage();
   return process.memoryUsage().heapUsed;
 }
--- a/packages/router/src/forward/attempt.ts
+++ b/packages/router/src/forward/attempt.ts
@@ -13,7 +13,7 @@
 } from '@mimosamill/core';
 
 /** An error response with a larger body counts as garbled. */
-export const ERROR_BODY_MAX_BYTES = 65_536;
+const ERROR_BODY_MAX_BYTES = 65_536;
 
 /** Engine that was chosen for an attempt. */
 export type PlacedEngine = Extract<StreamPlacement, { kind: 'ok' }>;
--- a/packages/router/src/forward/call.ts
+++ b/packages/router/src/forward/call.ts
@@ -392,8 +392,7 @@
         onHead: boundary.wrap(onHead),
         onData: boundary.wrap((bytes: Uint8Array) => {
           if (isOver) return;
-          const isWithinLimit = body.sizeBytes() + bytes.length <= RESPONSE_MAX_BYTES;
-          if (isWithinLimit && held.hold(body.capacityWith(bytes.length))) {
+          if (body.fits(bytes.length) && held.hold(body.capacityWith(bytes.length))) {
             body.add(bytes);
             return;
           }
--- a/packages/router/src/forward/running-stream.ts
+++ b/packages/router/src/forward/running-stream.ts
@@ -2,7 +2,7 @@
 import { createWakeTimer } from '../call/async';
 import { createErrorBoundary } from '../error-boundary';
 import { admitStream } from './admission';
-import { createStreamAttempt, ERROR_BODY_MAX_BYTES } from './attempt';
+import { createStreamAttempt } from './attempt';
 import { createStreamKvCopies } from './copies';
 import { condemnedMessage } from './crash-guard';
 import { noteDepartingSend } from './departing';
@@ -488,8 +488,7 @@
 
   function collectErrorBody(attempt: StreamAttempt, bytes: Uint8Array): void {
     const { errorBody, buffer } = attempt;
-    const isWithinLimit = errorBody.sizeBytes() + bytes.length <= ERROR_BODY_MAX_BYTES;
-    if (isWithinLimit && buffer.hold(errorBody.capacityWith(bytes.length))) {
+    if (errorBody.fits(bytes.length) && buffer.hold(errorBody.capacityWith(bytes.length))) {
       errorBody.add(bytes);
       return;
     }
--- a/packages/router/src/peer/server.ts
+++ b/packages/router/src/peer/server.ts
@@ -193,7 +193,7 @@
 ): void {
   const body = createBodyBuffer(undefined, maxBytes);
   request.on('data', (chunk: Buffer) => {
-    if (body.sizeBytes() + chunk.byteLength <= maxBytes) {
+    if (body.fits(chunk.length)) {
       body.add(chunk);
       return;
     }
--- a/packages/router/test/peer/tiny-chunks.spec.ts
+++ b/packages/router/test/peer/tiny-chunks.spec.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createSystemClock } from '@mimosamill/adapters';
 import { measureHeapBytes } from '@mimosamill/fakes';
 import { Registry } from 'prom-client';
@@ -60,12 +61,6 @@
   return socket;
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 // Each guards against a peer, or a process in its place, whose message in tiny chunks fills the heap.
 describe('a message of a peer in chunks of one byte', () => {
   it.each([
